--- /dev/null
+++ b/src/orchidwind/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the daemon and of its operators."""
--- /dev/null
+++ b/src/orchidwind/network/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets and timers round the core."""
--- /dev/null
+++ b/src/orchidwind/postgres/listener.py
@@ -0,0 +1,63 @@
+"""Accepts callers' connections and keeps the table that cancel requests need."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+from tornado.iostream import IOStream
+from tornado.tcpserver import TCPServer
+
+from orchidwind.core.errors import ErrorKind, RequestError
+from orchidwind.postgres.server_session import ServerSession, SessionHost, encode_error
+
+MAXIMUM_PROCESS_ID = 2**31 - 1
+
+
+class PostgresListener(TCPServer):
+    """A TCP server whose connections speak the PostgreSQL protocol."""
+
+    def __init__(
+        self,
+        host: SessionHost,
+        *,
+        maximum_connections: int,
+        on_error: Callable[[RequestError], None] = lambda error: None,
+    ) -> None:
+        super().__init__()
+        self.sessions: dict[int, ServerSession] = {}
+        self.maximum_connections = maximum_connections
+        self._host = host
+        self._on_error = on_error
+        self._next_process_id = 1
+
+    async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+        """Serve one connection to its end."""
+        stream.set_nodelay(True)
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        if len(self.sessions) >= self.maximum_connections:
+            error = RequestError(ErrorKind.TOO_MANY_CALLERS, "too many connections to this proxy")
+            self._on_error(error)
+            await stream.write(encode_error(error))
+            stream.close()
+            return
+        session = ServerSession(stream, self._host, self._draw_process_id(), self._on_error)
+        self.sessions[session.process_id] = session
+        try:
+            await session.run()
+        finally:
+            del self.sessions[session.process_id]
+
+    def cancel(self, process_id: int, secret: int) -> None:
+        """Cancel the running statement of a session, if the secret fits."""
+        session = self.sessions.get(process_id)
+        if session is None or session.secret != secret or session.executor is None:
+            return
+        session.executor.cancel()
+
+    def _draw_process_id(self) -> int:
+        while self._next_process_id in self.sessions:
+            self._next_process_id += 1
+        drawn = self._next_process_id
+        self._next_process_id = drawn % MAXIMUM_PROCESS_ID + 1
+        return drawn
--- /dev/null
+++ b/src/orchidwind/postgres/server_session.py
@@ -0,0 +1,464 @@
+"""One caller's connection: the server side of the PostgreSQL protocol on a tornado stream.
+
+The session reads messages, hands statements to an `Executor`, and writes the answers. It knows
+nothing of what stands behind the executor: the proxy and the stand-in database both use it.
+"""
+
+from __future__ import annotations
+
+import secrets
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from orchidwind.core.errors import ErrorKind, RequestError
+from orchidwind.postgres import wire
+from orchidwind.postgres.executor import (
+    Description,
+    Executor,
+    ResultSink,
+    SessionParameters,
+    Statement,
+)
+from orchidwind.postgres.portals import Portal, PortalTable
+from orchidwind.postgres.scram import MECHANISM, ScramExchange, ScramVerifier
+from orchidwind.postgres.wire import Column, codec
+
+_READ_BYTES = 64 * 1024
+_WRITE_HIGH_WATER_BYTES = 256 * 1024
+_SUSPENDED_ROWS_LIMIT = 10_000
+_MAXIMUM_BATCH_MESSAGES = 20_000
+_SECRET_BITS = 31
+_FIXED_PARAMETERS = {
+    "server_version": "15.8",
+    "server_encoding": "UTF8",
+    "client_encoding": "UTF8",
+    "DateStyle": "ISO, MDY",
+    "IntervalStyle": "postgres",
+    "TimeZone": "UTC",
+    "integer_datetimes": "on",
+    "standard_conforming_strings": "on",
+}
+
+
+class SessionHost(ABC):
+    """What a listener gives to its sessions."""
+
+    @abstractmethod
+    def verifier(self, user: str) -> ScramVerifier | None:
+        """The password verifier of a user; None lets the user in without a password."""
+
+    @abstractmethod
+    def knows_user(self, user: str) -> bool:
+        """Whether the user may log in at all."""
+
+    @abstractmethod
+    async def open(self, parameters: SessionParameters) -> Executor:
+        """Open a session; raises RequestError where it is refused."""
+
+    @abstractmethod
+    def cancel(self, process_id: int, secret: int) -> None:
+        """Take a cancel request from another connection."""
+
+
+class StreamSink(ResultSink):
+    """Writes an answer to the caller as it comes."""
+
+    def __init__(self, stream: IOStream, formats: tuple[int, ...], describe: bool) -> None:
+        self._stream = stream
+        self._formats = formats
+        self._describe = describe
+        self._pending = bytearray()
+        self._complete = False
+
+    async def columns(self, columns: tuple[Column, ...]) -> None:
+        """Write RowDescription where the protocol asks for it."""
+        if self._describe:
+            self._pending += wire.row_description(columns, self._formats)
+
+    async def rows(self, encoded: bytes, count: int) -> None:
+        """Pass rows on; wait while the caller reads slowly."""
+        self._pending += encoded
+        if len(self._pending) >= _WRITE_HIGH_WATER_BYTES:
+            await self._stream.write(self.take())
+
+    async def complete(self, command_tag: str) -> None:
+        """Write CommandComplete or EmptyQueryResponse."""
+        if command_tag:
+            self._pending += codec.make_command_complete(command_tag)
+        else:
+            self._pending += codec.make_empty_query_response()
+
+    def take(self) -> bytes:
+        """The bytes not written yet."""
+        data = bytes(self._pending)
+        self._pending.clear()
+        return data
+
+
+class PortalSink(ResultSink):
+    """Keeps a bounded result, of which a limited Execute sends only a part."""
+
+    def __init__(self, portal: Portal) -> None:
+        self._portal = portal
+
+    async def columns(self, columns: tuple[Column, ...]) -> None:
+        """Execute does not describe."""
+
+    async def rows(self, encoded: bytes, count: int) -> None:
+        """Keep rows up to the bound."""
+        self._portal.rest.extend(_split_messages(encoded))
+        if len(self._portal.rest) > _SUSPENDED_ROWS_LIMIT:
+            raise RequestError(
+                ErrorKind.NOT_SUPPORTED,
+                f"a portal with a row limit may hold {_SUSPENDED_ROWS_LIMIT} rows at most",
+            )
+
+    async def complete(self, command_tag: str) -> None:
+        """Keep the tag for the last part."""
+        self._portal.command_tag = command_tag
+
+
+class _NullSink(ResultSink):
+    async def columns(self, columns: tuple[Column, ...]) -> None:
+        """Nothing is shown."""
+
+    async def rows(self, encoded: bytes, count: int) -> None:
+        """Nothing is shown."""
+
+    async def complete(self, command_tag: str) -> None:
+        """Nothing is shown."""
+
+
+def _split_messages(encoded: bytes) -> list[bytes]:
+    messages = []
+    offset = 0
+    while offset < len(encoded):
+        end = offset + 1 + int.from_bytes(encoded[offset + 1 : offset + 5], "big")
+        messages.append(encoded[offset:end])
+        offset = end
+    return messages
+
+
+class ServerSession:
+    """Drives one connection from its first byte to its end."""
+
+    def __init__(
+        self,
+        stream: IOStream,
+        host: SessionHost,
+        process_id: int,
+        on_error: Callable[[RequestError], None],
+    ) -> None:
+        self.process_id = process_id
+        self.secret = secrets.randbits(_SECRET_BITS)
+        self.executor: Executor | None = None
+        self.busy = False
+        self.stop_when_idle = False
+        self._stream = stream
+        self._host = host
+        self._on_error = on_error
+        self._reader = wire.FrameReader()
+        self._portals = PortalTable()
+        self._batch: list[tuple[bytes, bytes]] = []
+        self._skip_until_sync = False
+
+    async def run(self) -> None:
+        """Serve the connection; returns when it is closed."""
+        try:
+            if await self._log_in():
+                await self._serve()
+        except StreamClosedError:
+            pass
+        except wire.ProtocolViolation as violation:
+            self._fail(RequestError(ErrorKind.PROTOCOL_VIOLATION, str(violation)))
+        except RequestError as error:
+            self._fail(error)
+        finally:
+            self._stream.close()
+            if self.executor is not None:
+                await self.executor.close()
+
+    def close(self) -> None:
+        """Cut the connection."""
+        self._stream.close()
+
+    def stop(self) -> None:
+        """Planned stop: end now if nothing is in progress, else when it has ended."""
+        self.stop_when_idle = True
+        if self._may_stop():
+            self._fail(RequestError(ErrorKind.PROXY_STOPPING, "the proxy is stopping"))
+            self._stream.close()
+
+    def _may_stop(self) -> bool:
+        if self.busy or self._batch:
+            return False
+        return self.executor is None or self.executor.transaction_status == wire.TRANSACTION_IDLE
+
+    def _fail(self, error: RequestError) -> None:
+        self._on_error(error)
+        if not self._stream.closed():
+            self._stream.write(encode_error(error))
+
+    async def _fill(self) -> None:
+        self._reader.feed(await self._stream.read_bytes(_READ_BYTES, partial=True))
+
+    async def _startup_packet(self) -> wire.StartupPacket:
+        while (packet := self._reader.startup_packet()) is None:
+            await self._fill()
+        return packet
+
+    async def _message(self) -> tuple[bytes, bytes]:
+        while (message := self._reader.message()) is None:
+            await self._fill()
+        return message
+
+    async def _log_in(self) -> bool:
+        packet = await self._startup_packet()
+        while packet.code in (codec.SSL_REQUEST_CODE, codec.GSSENC_REQUEST_CODE):
+            await self._stream.write(b"N")
+            packet = await self._startup_packet()
+        if packet.code == codec.CANCEL_REQUEST_CODE:
+            if len(packet.body) == 8:
+                self._host.cancel(*codec.parse_cancel_request(packet.body))
+            return False
+        if packet.code >> 16 != wire.PROTOCOL_VERSION_3 >> 16:
+            raise wire.ProtocolViolation(f"protocol version {packet.code >> 16} is not supported")
+        parameters = _session_parameters(packet.parameters())
+        await self._authenticate(parameters.user)
+        self.executor = await self._host.open(parameters)
+        self._reader.maximum_bytes = wire.MAXIMUM_MESSAGE_BYTES
+        greeting = bytearray(codec.make_authentication_ok())
+        for name, value in _FIXED_PARAMETERS.items():
+            greeting += codec.make_parameter_status(name, value)
+        greeting += codec.make_backend_key_data(self.process_id, self.secret)
+        greeting += codec.make_ready_for_query(wire.TRANSACTION_IDLE)
+        await self._stream.write(bytes(greeting))
+        return True
+
+    async def _authenticate(self, user: str) -> None:
+        verifier = self._host.verifier(user)
+        if verifier is None and self._host.knows_user(user):
+            return
+        exchange = ScramExchange(verifier or ScramVerifier(secrets.token_hex()))
+        await self._stream.write(codec.make_authentication_sasl([MECHANISM]))
+        body = await self._password_message()
+        try:
+            mechanism, client_first = codec.parse_sasl_initial_response(body)
+            text = client_first.decode()
+        except (ValueError, IndexError) as error:
+            raise wire.ProtocolViolation("malformed SASL response") from error
+        answer = exchange.first(text) if mechanism == MECHANISM else None
+        if answer is None:
+            raise self._wrong_password(user)
+        await self._stream.write(codec.make_authentication_sasl_continue(answer.encode()))
+        proof = (await self._password_message()).decode(errors="replace")
+        answer = exchange.final(proof)
+        if answer is None:
+            raise self._wrong_password(user)
+        self._stream.write(codec.make_authentication_sasl_final(answer.encode()))
+
+    async def _password_message(self) -> bytes:
+        tag, body = await self._message()
+        if tag != codec.PASSWORD:
+            raise wire.ProtocolViolation("expected a password message")
+        return body
+
+    def _wrong_password(self, user: str) -> RequestError:
+        message = f'password authentication failed for user "{user}"'
+        return RequestError(ErrorKind.AUTHENTICATION_FAILED, message)
+
+    async def _serve(self) -> None:
+        while True:
+            if self.stop_when_idle and self._may_stop():
+                raise RequestError(ErrorKind.PROXY_STOPPING, "the proxy is stopping")
+            tag, body = await self._message()
+            if tag == codec.TERMINATE:
+                return
+            self.busy = True
+            try:
+                await self._dispatch(tag, body)
+            except (ValueError, IndexError) as error:
+                raise wire.ProtocolViolation("malformed message") from error
+            finally:
+                self.busy = False
+
+    async def _dispatch(self, tag: bytes, body: bytes) -> None:
+        if tag == codec.QUERY:
+            await self._simple_query(body)
+        elif tag == codec.SYNC:
+            await self._run_batch(at_sync=True)
+            await self._ready()
+        elif tag == codec.FLUSH:
+            await self._run_batch(at_sync=False)
+        elif tag in _EXTENDED_TAGS:
+            self._batch.append((tag, body))
+            if len(self._batch) > _MAXIMUM_BATCH_MESSAGES:
+                raise wire.ProtocolViolation("too many messages without Sync")
+        elif tag not in (codec.COPY_DATA, codec.COPY_DONE, codec.COPY_FAIL):
+            raise wire.ProtocolViolation(f"unexpected message {tag!r}")
+
+    @property
+    def _status(self) -> bytes:
+        assert self.executor is not None
+        return self.executor.transaction_status
+
+    async def _ready(self) -> None:
+        self._skip_until_sync = False
+        if self._status == wire.TRANSACTION_IDLE:
+            self._portals.end_transaction()
+        await self._stream.write(codec.make_ready_for_query(self._status))
+
+    async def _simple_query(self, body: bytes) -> None:
+        assert self.executor is not None
+        statement = Statement(codec.parse_query(body), simple=True)
+        sink = StreamSink(self._stream, (), describe=True)
+        try:
+            await self.executor.execute(statement, sink)
+        except RequestError as error:
+            self._answer_error(error, sink.take())
+            await self._ready()
+            return
+        self._stream.write(sink.take())
+        await self._ready()
+
+    def _answer_error(self, error: RequestError, before: bytes = b"") -> None:
+        assert self.executor is not None
+        self._on_error(error)
+        self.executor.mark_failed()
+        self._stream.write(before + encode_error(error))
+
+    async def _run_batch(self, at_sync: bool) -> None:
+        """Run the messages up to a Sync or Flush.
+
+        Several Execute messages before one Sync form one implicit transaction (PostgreSQL manual,
+        "Extended Query"), so they are wrapped in an explicit one.
+        """
+        batch, self._batch = self._batch, []
+        if self._skip_until_sync:
+            return
+        executions = sum(1 for tag, _ in batch if tag == codec.EXECUTE)
+        implicit = at_sync and executions > 1 and self._status == wire.TRANSACTION_IDLE
+        try:
+            if implicit:
+                await self._control("BEGIN")
+            for tag, body in batch:
+                await self._extended(tag, body)
+            if implicit:
+                await self._control("COMMIT")
+        except RequestError as error:
+            self._skip_until_sync = not at_sync
+            self._answer_error(error)
+            if implicit and self._status != wire.TRANSACTION_IDLE:
+                await self._control("ROLLBACK")
+
+    async def _control(self, sql: str) -> None:
+        assert self.executor is not None
+        await self.executor.execute(Statement(sql, simple=True), _NullSink())
+
+    async def _extended(self, tag: bytes, body: bytes) -> None:
+        if tag == codec.PARSE:
+            self._portals.parse(body)
+            self._stream.write(codec.make_parse_complete())
+        elif tag == codec.BIND:
+            self._portals.bind(body)
+            self._stream.write(codec.make_bind_complete())
+        elif tag == codec.DESCRIBE:
+            await self._describe(body)
+        elif tag == codec.EXECUTE:
+            await self._execute(body)
+        else:
+            self._portals.close(body)
+            self._stream.write(codec.make_close_complete())
+
+    async def _describe(self, body: bytes) -> None:
+        target = codec.parse_describe(body)
+        is_statement = target.kind == codec.TARGET_STATEMENT
+        formats: tuple[int, ...] = ()
+        if is_statement:
+            prepared = self._portals.statement(target.name)
+        else:
+            portal = self._portals.portal(target.name)
+            prepared, formats = portal.prepared, portal.result_formats
+        if prepared.description is None:
+            assert self.executor is not None
+            prepared.description = await self.executor.describe(
+                prepared.sql, prepared.parameter_types
+            )
+        self._stream.write(_encode_description(prepared.description, is_statement, formats))
+
+    async def _execute(self, body: bytes) -> None:
+        assert self.executor is not None
+        execute = codec.parse_execute(body)
+        portal = self._portals.portal(execute.portal_name)
+        if execute.max_rows > 0 or portal.started:
+            await self._execute_limited(portal, execute.max_rows)
+            return
+        sink = StreamSink(self._stream, portal.result_formats, describe=False)
+        try:
+            await self.executor.execute(portal.statement, sink)
+        finally:
+            self._stream.write(sink.take())
+
+    async def _execute_limited(self, portal: Portal, limit: int) -> None:
+        assert self.executor is not None
+        if not portal.started:
+            portal.started = True
+            await self.executor.execute(portal.statement, PortalSink(portal))
+        count = limit if limit > 0 else len(portal.rest)
+        part, portal.rest = portal.rest[:count], portal.rest[count:]
+        await self._stream.write(b"".join(part))
+        if portal.rest:
+            self._stream.write(codec.make_portal_suspended())
+        elif portal.command_tag:
+            self._stream.write(codec.make_command_complete(portal.command_tag))
+        else:
+            self._stream.write(codec.make_empty_query_response())
+
+
+_EXTENDED_TAGS = frozenset(
+    (codec.PARSE, codec.BIND, codec.DESCRIBE, codec.EXECUTE, codec.CLOSE),
+)
+
+
+def encode_error(error: RequestError) -> bytes:
+    return wire.error_response(
+        error.severity, error.sqlstate, error.message, error.detail, error.hint()
+    )
+
+
+def _encode_description(
+    description: Description, is_statement: bool, formats: tuple[int, ...]
+) -> bytes:
+    encoded = b""
+    if is_statement:
+        encoded = codec.make_parameter_description(list(description.parameter_types))
+    if description.columns:
+        return encoded + wire.row_description(description.columns, formats)
+    return encoded + codec.make_no_data()
+
+
+def _session_parameters(parameters: dict[str, str]) -> SessionParameters:
+    user = parameters.get("user", "")
+    if not user:
+        raise wire.ProtocolViolation("no user name in the start-up message")
+    options = dict(_parse_options(parameters.get("options", "")))
+    options.update((key, value) for key, value in parameters.items() if "." in key)
+    return SessionParameters(
+        user=user,
+        database=parameters.get("database") or user,
+        application_name=parameters.get("application_name", ""),
+        options=options,
+    )
+
+
+def _parse_options(text: str) -> list[tuple[str, str]]:
+    """Read `-c name=value` pairs, as libpq's `options` carries them."""
+    pairs = []
+    words = text.replace("-c ", "-c").split()
+    for word in words:
+        name, separator, value = word.removeprefix("-c").removeprefix("--").partition("=")
+        if separator:
+            pairs.append((name, value))
+    return pairs
--- /dev/null
+++ b/src/orchidwind/postgres/wire.py
@@ -0,0 +1,130 @@
+"""The message codec of the PostgreSQL protocol, behind one module.
+
+The codec is `pg_mimic.messages`; nothing else in the project imports it, so that it can be
+replaced in one place. Source of the formats: PostgreSQL manual, chapter "Frontend/Backend
+Protocol", section "Message Formats".
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from pg_mimic import messages as codec
+from pg_mimic.types import unpack_int32
+
+PROTOCOL_VERSION_3 = 196608
+TRANSACTION_IDLE = b"I"
+TRANSACTION_OPEN = b"T"
+TRANSACTION_FAILED = b"E"
+
+_MESSAGE_HEADER_BYTES = 5
+_STARTUP_HEADER_BYTES = 8
+MAXIMUM_STARTUP_BYTES = 10_000
+MAXIMUM_AUTHENTICATION_BYTES = 65_536
+MAXIMUM_MESSAGE_BYTES = 64 * 1024 * 1024
+
+
+class ProtocolViolation(Exception):
+    """The other side sent bytes that the protocol does not allow."""
+
+
+@dataclass(frozen=True, slots=True)
+class Column:
+    """One column of a result, as in RowDescription."""
+
+    name: str
+    type_oid: int
+    type_size: int = -1
+    type_modifier: int = -1
+    table_oid: int = 0
+    column_number: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StartupPacket:
+    """The untagged first message: its code (protocol version or request code) and its body."""
+
+    code: int
+    body: bytes
+
+    def parameters(self) -> dict[str, str]:
+        """The start-up parameters; raises ProtocolViolation for a malformed body."""
+        try:
+            return codec.parse_startup_message(self.body)
+        except (ValueError, IndexError, UnicodeDecodeError) as error:
+            raise ProtocolViolation("malformed start-up message") from error
+
+
+class FrameReader:
+    """Cuts a byte stream into protocol messages; keeps the unfinished rest."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self.maximum_bytes = MAXIMUM_AUTHENTICATION_BYTES
+
+    def feed(self, data: bytes) -> None:
+        """Add bytes that arrived."""
+        self._buffer += data
+
+    def startup_packet(self) -> StartupPacket | None:
+        """The next untagged message, None until it is complete."""
+        if len(self._buffer) < _STARTUP_HEADER_BYTES:
+            return None
+        length = unpack_int32(self._buffer, 0)
+        if not _STARTUP_HEADER_BYTES <= length <= MAXIMUM_STARTUP_BYTES:
+            raise ProtocolViolation(f"start-up message of {length} bytes")
+        if len(self._buffer) < length:
+            return None
+        code = unpack_int32(self._buffer, 4)
+        body = bytes(self._buffer[_STARTUP_HEADER_BYTES:length])
+        del self._buffer[:length]
+        return StartupPacket(code, body)
+
+    def message(self) -> tuple[bytes, bytes] | None:
+        """The tag and body of the next message, None until it is complete."""
+        if len(self._buffer) < _MESSAGE_HEADER_BYTES:
+            return None
+        length = unpack_int32(self._buffer, 1)
+        if not 4 <= length <= self.maximum_bytes:
+            raise ProtocolViolation(f"message of {length} bytes")
+        if len(self._buffer) < length + 1:
+            return None
+        tag = bytes(self._buffer[:1])
+        body = bytes(self._buffer[_MESSAGE_HEADER_BYTES : length + 1])
+        del self._buffer[: length + 1]
+        return tag, body
+
+
+def row_description(columns: tuple[Column, ...], formats: tuple[int, ...]) -> bytes:
+    """RowDescription; `formats` holds no code (text), one for all columns, or one a column."""
+    return codec.make_row_description(
+        [
+            codec.FieldSpec(
+                name=column.name,
+                oid=column.type_oid,
+                table_oid=column.table_oid,
+                column_attnum=column.column_number,
+                type_size=column.type_size,
+                type_modifier=column.type_modifier,
+                format_code=format_code(formats, index),
+            )
+            for index, column in enumerate(columns)
+        ]
+    )
+
+
+def format_code(formats: tuple[int, ...], index: int) -> int:
+    """The format of one column or parameter: 0 is text, 1 is binary."""
+    if not formats:
+        return 0
+    return formats[0] if len(formats) == 1 else formats[index]
+
+
+def error_response(severity: str, sqlstate: str, message: str, detail: str, hint: str) -> bytes:
+    """ErrorResponse with the fields that drivers show."""
+    fields = {"S": severity, "V": severity, "C": sqlstate, "M": message or "error"}
+    if detail:
+        fields["D"] = detail
+    if hint:
+        fields["H"] = hint
+    return codec.make_error_response(fields)
--- /dev/null
+++ b/src/orchidwind_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Simulator, load and experiment tool, and the capacity measurements."""
--- /dev/null
+++ b/src/orchidwind_standins/postgres_main.py
@@ -0,0 +1,345 @@
+"""`orchidwind-standin-postgres`: one instance of a stand-in database group."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Iterable
+from pathlib import Path
+
+import defopt
+import msgspec
+import tornado.web
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+
+from orchidwind.core.errors import ErrorKind, RequestError
+from orchidwind.postgres.executor import Executor, SessionParameters
+from orchidwind.postgres.listener import PostgresListener
+from orchidwind.postgres.scram import ScramVerifier
+from orchidwind.postgres.server_session import SessionHost
+from orchidwind_standins import frames, group_settings
+from orchidwind_standins.group_settings import Faults, GroupSettings, InstanceSettings
+from orchidwind_standins.replication import (
+    Change,
+    GroupMessage,
+    GroupTimings,
+    Instance,
+    Outgoing,
+)
+from orchidwind_standins.sql_session import SessionServer, SqlSession
+from orchidwind_standins.sql_store import SqlStore
+
+_PEER_QUEUE_BYTES = 512 * 1024 * 1024
+_RECONNECT_SECONDS = 0.1
+_MAXIMUM_CONNECTIONS = 2_000
+_MILLISECONDS = 1000.0
+_SHORTEST_SLEEP_SECONDS = 0.001
+
+
+class PeerSender:
+    """Sends replication messages to one other instance; drops them while it is away."""
+
+    def __init__(self, settings: InstanceSettings) -> None:
+        self._settings = settings
+        self._stream: IOStream | None = None
+
+    async def run(self) -> None:
+        """Keep a connection up."""
+        while True:
+            try:
+                stream = await TCPClient().connect(
+                    self._settings.host, self._settings.peer_port, max_buffer_size=_PEER_QUEUE_BYTES
+                )
+                stream.set_nodelay(True)
+                self._stream = stream
+                await stream.read_until_close()
+            except (StreamClosedError, OSError):
+                pass
+            self._stream = None
+            await asyncio.sleep(_RECONNECT_SECONDS)
+
+    def send(self, message: GroupMessage) -> None:
+        """Send or drop a message."""
+        if self._stream is not None and not self._stream.closed():
+            self._stream.write(frames.encode(message))
+
+
+class PeerListener(TCPServer):
+    """Takes replication messages of the other instances."""
+
+    def __init__(self, server: PostgresInstance) -> None:
+        super().__init__()
+        self._server = server
+        self._decoder: msgspec.msgpack.Decoder[GroupMessage] = msgspec.msgpack.Decoder(GroupMessage)
+
+    async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+        """Read messages until the connection ends."""
+        try:
+            while True:
+                self._server.receive(await frames.read(stream, self._decoder))
+        except StreamClosedError:
+            return
+
+
+class PostgresInstance(SessionServer, SessionHost):
+    """Puts sockets, SQLite and timers round one replicated instance."""
+
+    def __init__(self, settings: GroupSettings, name: str, *, rejoin: bool) -> None:
+        self.settings = settings
+        self.own = settings.instance(name)
+        self.store = SqlStore(self._drop_sessions)
+        self.instance = Instance(
+            name,
+            [member.name for member in settings.instances],
+            self.store,
+            seed=settings.seed,
+            timings=GroupTimings(
+                heartbeat=settings.heartbeat_ms / _MILLISECONDS,
+                election_minimum=settings.election_minimum_ms / _MILLISECONDS,
+                election_maximum=settings.election_maximum_ms / _MILLISECONDS,
+                replay_lag=settings.replay_lag_ms / _MILLISECONDS,
+            ),
+            first_primary=None if rejoin else settings.first_primary,
+            may_vote=not rejoin,
+        )
+        self.write_lock = asyncio.Lock()
+        self.statements = 0
+        self._faults = Faults(
+            cut_peers=[],
+            cut_zones=[],
+            statement_ms=settings.statement_ms,
+            connection_limit=settings.connection_limit,
+        )
+        self._healed = asyncio.Event()
+        self._sessions: set[SqlSession] = set()
+        self._was_primary = self.instance.is_primary
+        self._verifiers = {user: ScramVerifier(word) for user, word in settings.users.items()}
+        self._senders = {
+            peer.name: PeerSender(peer) for peer in settings.instances if peer.name != name
+        }
+        self._listener = PostgresListener(self, maximum_connections=_MAXIMUM_CONNECTIONS)
+
+    def listen(self) -> None:
+        """Open the three ports."""
+        self._listener.listen(self.own.port, self.own.host)
+        PeerListener(self).listen(self.own.peer_port, self.own.host)
+        routes = [("/status", StatusHandler), ("/fault", FaultHandler), ("/log", LogHandler)]
+        arguments = {"server": self}
+        application = tornado.web.Application(
+            [(path, handler, arguments) for path, handler in routes], log_function=lambda h: None
+        )
+        application.listen(self.own.control_port, self.own.host)
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Replicate until told to stop."""
+        tasks = [asyncio.create_task(sender.run()) for sender in self._senders.values()]
+        tasks.append(asyncio.create_task(self._tick()))
+        await stop.wait()
+        for task in tasks:
+            task.cancel()
+        self.store.close()
+
+    async def _tick(self) -> None:
+        self.instance.start(self._now())
+        while True:
+            self._send(self.instance.tick(self._now()))
+            self._notice_role()
+            delay = self.instance.deadline() - self._now()
+            await asyncio.sleep(max(delay, _SHORTEST_SLEEP_SECONDS))
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def receive(self, message: GroupMessage) -> None:
+        """Take a replication message, unless its sender is cut off."""
+        if message.sender in (self._faults.cut_peers or ()):
+            return
+        self._send(self.instance.receive(self._now(), message))
+        self._notice_role()
+
+    def _send(self, outgoing: Iterable[Outgoing]) -> None:
+        for item in outgoing:
+            if item.recipient not in (self._faults.cut_peers or ()):
+                self._senders[item.recipient].send(item.message)
+
+    def _notice_role(self) -> None:
+        if self._was_primary and not self.instance.is_primary:
+            self._drop_sessions()
+        self._was_primary = self.instance.is_primary
+
+    def _drop_sessions(self) -> None:
+        for session in list(self._listener.sessions.values()):
+            session.close()
+
+    def commit(self, transaction: int, changes: list[Change]) -> None:
+        """Append a transaction to the log and ship it."""
+        self._send(self.instance.commit(transaction, changes))
+
+    async def admit(self, session: SqlSession) -> None:
+        """Latency, the cost of a statement, and cuts, on the way in."""
+        self.statements += 1
+        await self._pass(session.zone)
+        if self._faults.statement_ms:
+            await asyncio.sleep(self._faults.statement_ms / _MILLISECONDS)
+
+    async def release(self, session: SqlSession) -> None:
+        """Latency and cuts on the way out."""
+        await self._pass(session.zone)
+
+    async def _pass(self, zone: str) -> None:
+        if self.settings.zone_latency_ms and zone != self.own.zone:
+            await asyncio.sleep(self.settings.zone_latency_ms / _MILLISECONDS)
+        while zone in (self._faults.cut_zones or ()):
+            await self._healed.wait()
+
+    def ended(self, session: SqlSession) -> None:
+        """Forget a session."""
+        self._sessions.discard(session)
+
+    def verifier(self, user: str) -> ScramVerifier | None:
+        """The verifier of a user of the settings."""
+        return self._verifiers.get(user)
+
+    def knows_user(self, user: str) -> bool:
+        """Only users of the settings, all with passwords."""
+        return user in self._verifiers
+
+    async def open(self, parameters: SessionParameters) -> Executor:
+        """Refuse what PostgreSQL would refuse, after the time that a connection costs."""
+        session = SqlSession(self, parameters)
+        await self._pass(session.zone)
+        if parameters.database not in self.settings.databases:
+            raise RequestError(
+                ErrorKind.UNKNOWN_DATABASE, f'database "{parameters.database}" does not exist'
+            )
+        if not self._has_room(parameters.user):
+            raise RequestError(
+                ErrorKind.TOO_MANY_CALLERS, "sorry, too many clients already (stand-in)"
+            )
+        self._sessions.add(session)
+        await asyncio.sleep(self.settings.connect_ms / _MILLISECONDS)
+        return session
+
+    def _has_room(self, user: str) -> bool:
+        if user in self.settings.reserved_users:
+            return True
+        ordinary = [
+            session
+            for session in self._sessions
+            if session.parameters.user not in self.settings.reserved_users
+        ]
+        return len(ordinary) < (self._faults.connection_limit or 0)
+
+    def cancel(self, process_id: int, secret: int) -> None:
+        """Pass a cancel request on."""
+        self._listener.cancel(process_id, secret)
+
+    def apply_faults(self, faults: Faults) -> None:
+        """Carry out a fault command."""
+        for name in ("cut_peers", "cut_zones", "statement_ms", "connection_limit"):
+            value = getattr(faults, name)
+            if value is not None:
+                setattr(self._faults, name, value)
+        if faults.cut_zones is not None:
+            self._healed.set()
+            self._healed = asyncio.Event()
+        if faults.replay_lag_ms is not None:
+            self.instance.set_replay_lag(faults.replay_lag_ms / _MILLISECONDS)
+        if faults.switchover and not self.instance.is_primary:
+            self._send(self.instance.stand_now(self._now()))
+
+    def status(self) -> InstanceStatusReport:
+        """What `/status` shows."""
+        instance = self.instance
+        return InstanceStatusReport(
+            name=instance.name,
+            primary=instance.is_primary,
+            term=instance.term,
+            received=str(instance.received),
+            replayed=str(instance.replayed),
+            sessions=len(self._sessions),
+            statements=self.statements,
+        )
+
+
+class InstanceStatusReport(msgspec.Struct, frozen=True):
+    """The state of one instance, for operators of the stand-in and for the bench."""
+
+    name: str
+    primary: bool
+    term: int
+    received: str
+    replayed: str
+    sessions: int
+    statements: int
+
+
+class _Handler(tornado.web.RequestHandler):
+    server: PostgresInstance
+
+    def initialize(self, server: PostgresInstance) -> None:
+        """Take the instance."""
+        self.server = server
+
+    def answer(self, body: object) -> None:
+        """Write JSON."""
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(body))
+
+
+class StatusHandler(_Handler):
+    """`GET /status`."""
+
+    def get(self) -> None:
+        """Show the state."""
+        self.answer(self.server.status())
+
+
+class FaultHandler(_Handler):
+    """`POST /fault` with a Faults object."""
+
+    def post(self) -> None:
+        """Carry out a fault command; 400 for an unknown one."""
+        try:
+            faults = msgspec.json.decode(self.request.body, type=Faults)
+        except msgspec.ValidationError as error:
+            self.set_status(400)
+            self.finish(str(error))
+            return
+        self.server.apply_faults(faults)
+        self.answer(self.server.status())
+
+
+class LogHandler(_Handler):
+    """`GET /log`: every committed record, for the checkers."""
+
+    def get(self) -> None:
+        """Show the log as msgpack, since parameters may be bytes."""
+        self.finish(msgspec.msgpack.encode(self.server.instance.log.records))
+
+
+def serve(settings: Path, instance: str, *, rejoin: bool = False) -> None:
+    """Run one instance of a stand-in PostgreSQL group.
+
+    :param settings: TOML file of the group
+    :param instance: name of the instance to run
+    :param rejoin: start empty and without a vote until a primary has been followed
+    """
+    asyncio.run(_serve(group_settings.load(settings), instance, rejoin))
+
+
+async def _serve(settings: GroupSettings, name: str, rejoin: bool) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    server = PostgresInstance(settings, name, rejoin=rejoin)
+    server.listen()
+    await server.run(stop)
+
+
+def main() -> None:
+    """Entry point of `orchidwind-standin-postgres`."""
+    defopt.run(serve)
--- /dev/null
+++ b/src/orchidwind_standins/replication.py
@@ -0,0 +1,422 @@
+"""A replicated group of database instances, without input or output.
+
+One `Instance` holds the log of one stand-in database instance. The group ships the log from the
+primary to its replicas without waiting for them, as PostgreSQL does by default. When the primary
+is silent, a majority elects the instance with the most advanced log and raises the term. A primary
+that was cut off goes on taking commits until it hears of the higher term; then it drops the part
+of its log that the new primary does not have.
+
+The process `postgres_main` puts sockets and SQLite round this class; the simulator drives the same
+class with a virtual clock.
+"""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect_right
+from collections import deque
+from collections.abc import Sequence
+from typing import Any, Protocol
+
+import msgspec
+
+from orchidwind.core.positions import ORIGIN, Position
+
+
+class Change(msgspec.Struct, frozen=True, array_like=True):
+    """One statement of a committed transaction, in the store's own dialect.
+
+    Parameters are SQLite's values: None, int, float, str or bytes. The codec cannot tell str from
+    bytes in a declared union, so they are declared as Any.
+    """
+
+    statement: str
+    parameters: tuple[Any, ...] = ()
+
+
+class LogRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One committed transaction: where its record ends, and what it changed."""
+
+    term: int
+    lsn: int
+    transaction: int
+    changes: tuple[Change, ...] = ()
+
+    @property
+    def position(self) -> Position:
+        """The position at the end of this record."""
+        return Position(self.term, self.lsn)
+
+
+class HistoryEntry(msgspec.Struct, frozen=True, array_like=True):
+    """The end of one term's part of a log."""
+
+    term: int
+    lsn: int
+
+
+class Append(msgspec.Struct, frozen=True, tag="append"):
+    """Log records from the primary; without records it is a heartbeat."""
+
+    sender: str
+    term: int
+    previous: HistoryEntry
+    records: tuple[LogRecord, ...]
+
+
+class AppendAnswer(msgspec.Struct, frozen=True, tag="append_answer"):
+    """What a replica holds; `matched` is False where its log parted from the primary's."""
+
+    sender: str
+    term: int
+    matched: bool
+    history: tuple[HistoryEntry, ...]
+
+
+class VoteRequest(msgspec.Struct, frozen=True, tag="vote_request"):
+    """A candidate asks for a vote in `term`."""
+
+    sender: str
+    term: int
+    last: HistoryEntry
+
+
+class Vote(msgspec.Struct, frozen=True, tag="vote"):
+    """The answer to a vote request."""
+
+    sender: str
+    term: int
+    granted: bool
+
+
+GroupMessage = Append | AppendAnswer | VoteRequest | Vote
+
+
+class Outgoing(msgspec.Struct, frozen=True):
+    """A message and the instance it goes to."""
+
+    recipient: str
+    message: GroupMessage
+
+
+class Store(Protocol):
+    """Where records take effect."""
+
+    def apply(self, record: LogRecord) -> None:
+        """Make the changes of one record visible to readers."""
+
+    def reset(self) -> None:
+        """Drop everything; the log is then applied again from its start."""
+
+
+class GroupTimings(msgspec.Struct, frozen=True):
+    """Durations in seconds."""
+
+    heartbeat: float = 0.1
+    election_minimum: float = 0.6
+    election_maximum: float = 0.9
+    replay_lag: float = 0.0
+
+
+_RECORD_OVERHEAD_BYTES = 48
+_RECORDS_A_MESSAGE = 500
+
+
+def _record_size(changes: Sequence[Change]) -> int:
+    return _RECORD_OVERHEAD_BYTES + sum(len(change.statement) for change in changes)
+
+
+class Log:
+    """Committed records in order, searchable by log sequence number."""
+
+    def __init__(self) -> None:
+        self.records: list[LogRecord] = []
+        self._lsns: list[int] = []
+        self._history: list[HistoryEntry] = []
+
+    @property
+    def last(self) -> Position:
+        """The end of the log."""
+        return self.records[-1].position if self.records else ORIGIN
+
+    def append(self, record: LogRecord) -> None:
+        """Add a record behind the last one."""
+        self.records.append(record)
+        self._lsns.append(record.lsn)
+        entry = HistoryEntry(record.term, record.lsn)
+        if self._history and self._history[-1].term == record.term:
+            self._history[-1] = entry
+        else:
+            self._history.append(entry)
+
+    def truncate(self, lsn: int) -> None:
+        """Drop every record that ends behind `lsn`."""
+        kept = self.records[: self.index_after(lsn)]
+        self.records, self._lsns, self._history = [], [], []
+        for record in kept:
+            self.append(record)
+
+    def index_after(self, lsn: int) -> int:
+        """Index of the first record that ends behind `lsn`."""
+        return bisect_right(self._lsns, lsn)
+
+    def contains(self, position: Position) -> bool:
+        """Whether a record ends exactly at `position`."""
+        if position == ORIGIN:
+            return True
+        index = self.index_after(position.lsn) - 1
+        return index >= 0 and self.records[index].position == position
+
+    def history(self) -> tuple[HistoryEntry, ...]:
+        """The last position of each term in this log."""
+        return tuple(self._history)
+
+    def common_end(self, other: Sequence[HistoryEntry]) -> Position:
+        """The end of the longest part that both logs share."""
+        ends = {entry.term: entry.lsn for entry in other}
+        for entry in reversed(self._history):
+            if entry.term not in ends:
+                continue
+            lsn = min(entry.lsn, ends[entry.term])
+            index = self.index_after(lsn) - 1
+            return self.records[index].position if index >= 0 else ORIGIN
+        return ORIGIN
+
+
+class Instance:
+    """One member of a group: its log, its term, and its part in elections."""
+
+    def __init__(
+        self,
+        name: str,
+        members: Sequence[str],
+        store: Store,
+        *,
+        seed: int,
+        timings: GroupTimings | None = None,
+        first_primary: str | None = None,
+        may_vote: bool = True,
+    ) -> None:
+        self.name = name
+        self.peers = [member for member in members if member != name]
+        self.majority = len(members) // 2 + 1
+        self.store = store
+        self.timings = timings or GroupTimings()
+        self.log = Log()
+        self.replayed = ORIGIN
+        self.term = 1 if first_primary else 0
+        self.primary: str | None = first_primary
+        self.may_vote = may_vote
+        self.committed_transactions: dict[int, LogRecord] = {}
+        self._random = random.Random(f"{seed}/{name}")
+        self._next_transaction = 1
+        self._voted_in = self.term
+        self._votes: set[str] = set()
+        self._replay_queue: deque[tuple[float, LogRecord]] = deque()
+        self._sent_up_to: dict[str, Position] = {}
+        self._election_due = 0.0
+        self._heartbeat_due = 0.0
+        if self.is_primary:
+            self._append_local(())
+
+    @property
+    def is_primary(self) -> bool:
+        """Whether this instance believes that it is the primary of its term."""
+        return self.primary == self.name
+
+    @property
+    def received(self) -> Position:
+        """The end of the log that this instance holds."""
+        return self.log.last
+
+    def start(self, now: float) -> None:
+        """Set the first timers."""
+        self._postpone_election(now)
+        self._heartbeat_due = now
+
+    def next_transaction(self) -> int:
+        """Draw a transaction identifier."""
+        identifier = (self.term << 32) | self._next_transaction
+        self._next_transaction += 1
+        return identifier
+
+    def commit(self, transaction: int, changes: Sequence[Change]) -> list[Outgoing]:
+        """Append a transaction to the log of the primary and ship it."""
+        self._append_local(changes, transaction)
+        return self._ship_all()
+
+    def deadline(self) -> float:
+        """The time, in seconds of the caller's clock, of the next call of `tick`."""
+        due = self._heartbeat_due if self.is_primary else self._election_due
+        if self._replay_queue:
+            due = min(due, self._replay_queue[0][0])
+        return due
+
+    def tick(self, now: float) -> list[Outgoing]:
+        """Replay what is due, send heartbeats, or stand for election."""
+        self._replay_due(now)
+        if self.is_primary:
+            if now < self._heartbeat_due:
+                return []
+            self._heartbeat_due = now + self.timings.heartbeat
+            return self._ship_all(heartbeat=True)
+        if now < self._election_due:
+            return []
+        return self._stand_for_election(now)
+
+    def receive(self, now: float, message: GroupMessage) -> list[Outgoing]:
+        """Take one message of another instance."""
+        if message.term > self.term:
+            self._step_down(message.term, now)
+        if isinstance(message, Append):
+            return self._on_append(now, message)
+        if isinstance(message, AppendAnswer):
+            return self._on_append_answer(message)
+        if isinstance(message, VoteRequest):
+            return self._on_vote_request(now, message)
+        return self._on_vote(now, message)
+
+    def set_replay_lag(self, seconds: float) -> None:
+        """Delay the replay of records that arrive from now on."""
+        self.timings = msgspec.structs.replace(self.timings, replay_lag=seconds)
+
+    def stand_now(self, now: float) -> list[Outgoing]:
+        """Planned change of primary: this replica stands for election at once."""
+        return self._stand_for_election(now)
+
+    def _append_local(self, changes: Sequence[Change], transaction: int = 0) -> None:
+        lsn = self.log.last.lsn + _record_size(changes)
+        record = LogRecord(self.term, lsn, transaction, tuple(changes))
+        self.log.append(record)
+        self.replayed = record.position
+        if transaction:
+            self.committed_transactions[transaction] = record
+
+    def _ship_all(self, heartbeat: bool = False) -> list[Outgoing]:
+        return [self._ship(peer) for peer in self.peers if heartbeat or self._behind(peer)]
+
+    def _behind(self, peer: str) -> bool:
+        return self._sent_up_to.get(peer, ORIGIN) != self.log.last
+
+    def _ship(self, peer: str) -> Outgoing:
+        previous = self._sent_up_to.get(peer, ORIGIN)
+        if not self.log.contains(previous):
+            previous = ORIGIN
+        start = self.log.index_after(previous.lsn)
+        records = tuple(self.log.records[start : start + _RECORDS_A_MESSAGE])
+        if records:
+            self._sent_up_to[peer] = records[-1].position
+        entry = HistoryEntry(previous.term, previous.lsn)
+        return Outgoing(peer, Append(self.name, self.term, entry, records))
+
+    def _on_append(self, now: float, message: Append) -> list[Outgoing]:
+        if message.term < self.term:
+            return [self._append_answer(message.sender, matched=False)]
+        self.primary = message.sender
+        self.may_vote = True
+        self._postpone_election(now)
+        previous = Position(message.previous.term, message.previous.lsn)
+        if not self.log.contains(previous):
+            return [self._append_answer(message.sender, matched=False)]
+        for record in message.records:
+            self._take_record(now, record, previous)
+            previous = record.position
+        return [self._append_answer(message.sender, matched=True)]
+
+    def _take_record(self, now: float, record: LogRecord, previous: Position) -> None:
+        if self.log.contains(record.position):
+            return
+        if self.log.last != previous:
+            self._truncate(previous.lsn)
+        self.log.append(record)
+        if record.transaction:
+            self.committed_transactions[record.transaction] = record
+        self._replay_queue.append((now + self.timings.replay_lag, record))
+        self._replay_due(now)
+
+    def _truncate(self, lsn: int) -> None:
+        """Drop a divergent tail and build the store again from what is left."""
+        self.log.truncate(lsn)
+        self._replay_queue.clear()
+        self.store.reset()
+        self.committed_transactions.clear()
+        for record in self.log.records:
+            self.store.apply(record)
+            if record.transaction:
+                self.committed_transactions[record.transaction] = record
+        self.replayed = self.log.last
+
+    def _append_answer(self, recipient: str, matched: bool) -> Outgoing:
+        answer = AppendAnswer(self.name, self.term, matched, self.log.history())
+        return Outgoing(recipient, answer)
+
+    def _on_append_answer(self, message: AppendAnswer) -> list[Outgoing]:
+        if not self.is_primary or message.term != self.term:
+            return []
+        if message.matched:
+            return [self._ship(message.sender)] if self._behind(message.sender) else []
+        self._sent_up_to[message.sender] = self.log.common_end(message.history)
+        return [self._ship(message.sender)]
+
+    def _replay_due(self, now: float) -> None:
+        while self._replay_queue and self._replay_queue[0][0] <= now:
+            _, record = self._replay_queue.popleft()
+            self.store.apply(record)
+            self.replayed = record.position
+
+    def _postpone_election(self, now: float) -> None:
+        delay = self._random.uniform(self.timings.election_minimum, self.timings.election_maximum)
+        self._election_due = now + delay
+
+    def _step_down(self, term: int, now: float) -> None:
+        self.term = term
+        if self.is_primary:
+            self._postpone_election(now)
+        self.primary = None
+        self._votes.clear()
+
+    def _stand_for_election(self, now: float) -> list[Outgoing]:
+        self._postpone_election(now)
+        if not self.may_vote:
+            return []
+        self.term += 1
+        self.primary = None
+        self._voted_in = self.term
+        self._votes = {self.name}
+        if len(self._votes) >= self.majority:
+            return self._become_primary(now)
+        last = HistoryEntry(self.log.last.term, self.log.last.lsn)
+        request = VoteRequest(self.name, self.term, last)
+        return [Outgoing(peer, request) for peer in self.peers]
+
+    def _on_vote_request(self, now: float, message: VoteRequest) -> list[Outgoing]:
+        last = Position(message.last.term, message.last.lsn)
+        granted = (
+            self.may_vote
+            and message.term == self.term
+            and self._voted_in < message.term
+            and last >= self.log.last
+        )
+        if granted:
+            self._voted_in = message.term
+            self._postpone_election(now)
+        return [Outgoing(message.sender, Vote(self.name, self.term, granted))]
+
+    def _on_vote(self, now: float, message: Vote) -> list[Outgoing]:
+        if message.term != self.term or self.primary is not None or not message.granted:
+            return []
+        self._votes.add(message.sender)
+        if len(self._votes) < self.majority:
+            return []
+        return self._become_primary(now)
+
+    def _become_primary(self, now: float) -> list[Outgoing]:
+        """Replay the whole log first, so that the new primary shows every commit it holds."""
+        for _, record in self._replay_queue:
+            self.store.apply(record)
+        self._replay_queue.clear()
+        self.primary = self.name
+        self._sent_up_to = {peer: self.log.last for peer in self.peers}
+        self._append_local(())
+        self._heartbeat_due = now
+        return self._ship_all(heartbeat=True)
--- /dev/null
+++ b/src/orchidwind_standins/sql_session.py
@@ -0,0 +1,521 @@
+"""One session of the stand-in database: transactions, settings and errors as PostgreSQL has them."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import sqlite3
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from datetime import datetime, timezone
+
+from pg_mimic.types import TEXT
+
+from orchidwind.core.errors import ErrorKind, RequestError
+from orchidwind.core.positions import format_lsn
+from orchidwind.core.sql_text import split_statements
+from orchidwind.postgres import wire
+from orchidwind.postgres.executor import (
+    Description,
+    Executor,
+    ResultSink,
+    SessionParameters,
+    Statement,
+)
+from orchidwind.postgres.wire import Column, codec
+from orchidwind_standins.replication import Change, Instance
+from orchidwind_standins.sql_store import (
+    FORGET_TABLE,
+    REMEMBER_COLUMN,
+    SqlFunction,
+    SqlStore,
+    touches_catalog,
+)
+from orchidwind_standins.sql_translation import (
+    NOW_MARKER,
+    Translated,
+    TranslationError,
+)
+from orchidwind_standins.sql_types import TYPE_SIZES, SqlValue, decode_parameter, encode_result
+
+_ROWS_A_CHUNK = 500
+_SLEEP = re.compile(r"^\s*select\s+pg_sleep\(\s*([\d.]+)\s*\)\s*;?\s*$", re.IGNORECASE)
+_MICROSECOND_DIGITS = "microseconds"
+
+
+class SessionServer(ABC):
+    """What an instance gives to its sessions."""
+
+    instance: Instance
+    store: SqlStore
+    write_lock: asyncio.Lock
+
+    @abstractmethod
+    async def admit(self, session: SqlSession) -> None:
+        """Wait for cuts and latency on the way in."""
+
+    @abstractmethod
+    async def release(self, session: SqlSession) -> None:
+        """Wait for cuts and latency on the way out."""
+
+    @abstractmethod
+    def commit(self, transaction: int, changes: list[Change]) -> None:
+        """Append a transaction to the log and ship it."""
+
+    @abstractmethod
+    def ended(self, session: SqlSession) -> None:
+        """The session is over."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Savepoint:
+    name: str
+    changes: int
+
+
+def sql_error(sqlstate: str, message: str) -> RequestError:
+    """An error as a database reports it."""
+    return RequestError(ErrorKind.STATEMENT_FAILED, message, sqlstate=sqlstate)
+
+
+class SqlSession(Executor):
+    """Runs statements on the SQLite tables of one instance."""
+
+    def __init__(self, server: SessionServer, parameters: SessionParameters) -> None:
+        self.parameters = parameters
+        self.zone = parameters.application_name.partition("/")[2]
+        self.statements = 0
+        self._server = server
+        self._connection: sqlite3.Connection | None = None
+        self._settings: dict[str, str] = {}
+        self._changes: list[Change] = []
+        self._transaction = 0
+        self._in_sqlite = False
+        self._holds_lock = False
+        self._savepoints: list[_Savepoint] = []
+        self._read_only = False
+        self._sleep: asyncio.Future[None] | None = None
+        self._cancelled = False
+
+    async def execute(self, statement: Statement, sink: ResultSink) -> None:
+        """Run one statement, or each statement of a simple query string."""
+        self._cancelled = False
+        await self._server.admit(self)
+        try:
+            await self._execute(statement, sink)
+        finally:
+            await self._server.release(self)
+
+    async def _execute(self, statement: Statement, sink: ResultSink) -> None:
+        try:
+            texts = split_statements(statement.sql)
+        except ValueError as error:
+            raise self._failed(sql_error("42601", str(error))) from error
+        if not texts:
+            await sink.complete("")
+            return
+        if len(texts) == 1:
+            await self._run(texts[0], statement, sink)
+            return
+        if not statement.simple:
+            raise self._failed(sql_error("42601", "several commands in a prepared statement"))
+        await self._run_several(texts, statement, sink)
+
+    async def _run_several(self, texts: list[str], statement: Statement, sink: ResultSink) -> None:
+        implicit = self.transaction_status == wire.TRANSACTION_IDLE
+        if implicit:
+            self.transaction_status = wire.TRANSACTION_OPEN
+        try:
+            for text in texts:
+                await self._run(text, statement, sink)
+                implicit = implicit and _first_word(text) not in _BLOCK_STARTS
+        except RequestError:
+            if implicit:
+                self._rollback()
+            raise
+        if implicit and self.transaction_status == wire.TRANSACTION_OPEN:
+            self._commit()
+
+    async def _run(self, text: str, statement: Statement, sink: ResultSink) -> None:
+        word = _first_word(text)
+        if self.transaction_status == wire.TRANSACTION_FAILED and word not in _ENDINGS:
+            message = "current transaction is aborted, commands ignored until end of transaction"
+            raise sql_error("25P02", message)
+        try:
+            tag = await self._control(word, text, sink)
+            if tag is None:
+                tag = await self._run_statement(text, statement, sink)
+        except RequestError as error:
+            raise self._failed(error) from error
+        await sink.complete(tag)
+
+    def _failed(self, error: RequestError) -> RequestError:
+        if self.transaction_status == wire.TRANSACTION_OPEN:
+            self.transaction_status = wire.TRANSACTION_FAILED
+            if not self._savepoints:
+                self._undo()
+        elif self.transaction_status == wire.TRANSACTION_IDLE:
+            self._undo()
+        return error
+
+    async def _control(self, word: str, text: str, sink: ResultSink) -> str | None:
+        """Transaction control and settings; None for any other statement."""
+        if word in ("BEGIN", "START"):
+            self.transaction_status = wire.TRANSACTION_OPEN
+            self._read_only = "READ ONLY" in text.upper()
+            return "BEGIN"
+        if word in ("COMMIT", "END"):
+            failed = self.transaction_status == wire.TRANSACTION_FAILED
+            if failed:
+                self._rollback()
+                return "ROLLBACK"
+            self._commit()
+            return "COMMIT"
+        if word in ("ROLLBACK", "ABORT") and " TO " not in f" {text.upper()} ":
+            self._rollback()
+            return "ROLLBACK"
+        if word in ("SAVEPOINT", "RELEASE", "ROLLBACK"):
+            return await self._savepoint(word, text)
+        return await self._setting(word, text, sink)
+
+    async def _setting(self, word: str, text: str, sink: ResultSink) -> str | None:
+        if word == "SET":
+            name, _, value = text[3:].replace("=", " ").strip().partition(" ")
+            value = re.sub(r"^\s*to\s+", "", value.strip(), flags=re.IGNORECASE)
+            self._settings[name.lower()] = value.strip().strip("'")
+            return "SET"
+        if word in ("RESET", "DISCARD", "DEALLOCATE", "UNLISTEN", "CLOSE"):
+            if text.upper().endswith("ALL"):
+                self._settings.clear()
+            return f"{word} ALL" if word in ("DISCARD", "DEALLOCATE") else word
+        if word == "SHOW":
+            name = text[4:].strip().lower()
+            value = self._settings.get(name, _DEFAULT_SETTINGS.get(name, ""))
+            await sink.columns((Column(name.replace(" ", "_"), codec_text()),))
+            await sink.rows(codec.make_data_row([value.encode()]), 1)
+            return "SHOW"
+        if word == "COPY":
+            raise RequestError(ErrorKind.NOT_SUPPORTED, "COPY is not supported")
+        return None
+
+    async def _savepoint(self, word: str, text: str) -> str:
+        if self.transaction_status == wire.TRANSACTION_IDLE:
+            raise sql_error("25P01", f"{word} can only be used in transaction blocks")
+        name = text.split()[-1]
+        if word == "SAVEPOINT":
+            await self._begin_write()
+            self._savepoints.append(_Savepoint(name, len(self._changes)))
+            self._sqlite().execute(f"SAVEPOINT {name}")
+            return "SAVEPOINT"
+        found = [index for index, point in enumerate(self._savepoints) if point.name == name]
+        if not found:
+            raise sql_error("3B001", f'savepoint "{name}" does not exist')
+        index = found[-1]
+        if word == "RELEASE":
+            del self._savepoints[index:]
+            self._sqlite().execute(f"RELEASE {name}")
+            return "RELEASE"
+        del self._changes[self._savepoints[index].changes :]
+        del self._savepoints[index + 1 :]
+        self._sqlite().execute(f"ROLLBACK TO {name}")
+        self.transaction_status = wire.TRANSACTION_OPEN
+        return "ROLLBACK"
+
+    async def _run_statement(self, text: str, statement: Statement, sink: ResultSink) -> str:
+        sleep = _SLEEP.match(text)
+        if sleep:
+            await self._sleep_for(float(sleep.group(1)))
+            return "SELECT 1"
+        try:
+            translated = self._server.store.translator.translate(text, statement.parameter_types)
+            values = _decode_parameters(translated, statement)
+        except TranslationError as error:
+            raise sql_error("42601", str(error)) from error
+        except (ValueError, ArithmeticError) as error:
+            raise sql_error("22P02", f"invalid input value: {error}") from error
+        if translated.writes:
+            await self._begin_write()
+        rows, affected = self._run_on_sqlite(translated, values)
+        if translated.columns:
+            await self._send_rows(translated, rows, statement.result_format, sink)
+        if translated.writes and self.transaction_status == wire.TRANSACTION_IDLE:
+            self._commit()
+        return _command_tag(translated, affected)
+
+    async def _sleep_for(self, seconds: float) -> None:
+        self._sleep = asyncio.get_running_loop().create_future()
+        try:
+            await asyncio.wait_for(self._sleep, seconds)
+        except TimeoutError:
+            return
+        finally:
+            self._sleep = None
+        raise RequestError(
+            ErrorKind.STATEMENT_FAILED,
+            "canceling statement due to user request",
+            sqlstate="57014",
+        )
+
+    async def _begin_write(self) -> None:
+        if self._in_sqlite:
+            return
+        if self._read_only:
+            raise sql_error("25006", "cannot execute this in a read-only transaction")
+        if not self._server.instance.is_primary:
+            raise sql_error("25006", "cannot execute this during recovery")
+        await self._server.write_lock.acquire()
+        self._holds_lock = True
+        if not self._server.instance.is_primary:
+            self._release_lock()
+            raise sql_error("57P01", "the instance is no longer the primary")
+        self._sqlite().execute("BEGIN IMMEDIATE")
+        self._in_sqlite = True
+
+    def _run_on_sqlite(
+        self, translated: Translated, values: list[SqlValue]
+    ) -> tuple[list[tuple[SqlValue, ...]], int]:
+        sql = translated.sql
+        if NOW_MARKER in sql:
+            moment = datetime.now(timezone.utc).isoformat(sep=" ", timespec=_MICROSECOND_DIGITS)
+            sql = sql.replace(NOW_MARKER, f"'{moment}'")
+        try:
+            cursor = self._sqlite().execute(sql, values)
+            rows = cursor.fetchall()
+        except sqlite3.Error as error:
+            raise _sqlite_error(error) from error
+        if translated.writes:
+            self._record(Change(sql, tuple(values)), translated)
+        return rows, len(rows) if translated.columns else max(cursor.rowcount, 0)
+
+    def _record(self, change: Change, translated: Translated) -> None:
+        self._changes.append(change)
+        for declared in translated.catalog:
+            self._change_catalog(Change(REMEMBER_COLUMN, declared))
+        if translated.dropped:
+            self._change_catalog(Change(FORGET_TABLE, (translated.dropped,)))
+
+    def _change_catalog(self, change: Change) -> None:
+        self._sqlite().execute(change.statement, change.parameters)
+        self._changes.append(change)
+
+    async def _send_rows(
+        self,
+        translated: Translated,
+        rows: list[tuple[SqlValue, ...]],
+        result_format: int,
+        sink: ResultSink,
+    ) -> None:
+        await sink.columns(_wire_columns(translated))
+        oids = [column.oid for column in translated.columns]
+        for start in range(0, len(rows), _ROWS_A_CHUNK):
+            chunk = rows[start : start + _ROWS_A_CHUNK]
+            try:
+                encoded = b"".join(_encode_row(oids, result_format, row) for row in chunk)
+            except (ValueError, TypeError) as error:
+                raise sql_error("22P03", f"cannot encode a value: {error}") from error
+            await sink.rows(encoded, len(chunk))
+
+    def _commit(self) -> None:
+        if self._in_sqlite:
+            self._sqlite().execute("COMMIT")
+            self._in_sqlite = False
+            if self._changes:
+                transaction = self._transaction or self._server.instance.next_transaction()
+                changes, self._changes = self._changes, []
+                self._server.commit(transaction, changes)
+                if touches_catalog(changes):
+                    self._server.store.reload_catalog()
+        self._end_transaction()
+
+    def _rollback(self) -> None:
+        self._undo()
+        self._end_transaction()
+
+    def _undo(self) -> None:
+        if self._in_sqlite:
+            self._sqlite().execute("ROLLBACK")
+            self._in_sqlite = False
+        self._changes.clear()
+        self._release_lock()
+
+    def _end_transaction(self) -> None:
+        self.transaction_status = wire.TRANSACTION_IDLE
+        self._savepoints.clear()
+        self._transaction = 0
+        self._read_only = False
+        self._release_lock()
+
+    def _release_lock(self) -> None:
+        if self._holds_lock:
+            self._holds_lock = False
+            self._server.write_lock.release()
+
+    async def describe(self, sql: str, parameter_types: tuple[int, ...]) -> Description:
+        """Tell the types of a statement."""
+        await self._server.admit(self)
+        if _first_word(sql) == "SHOW":
+            return Description(columns=(Column(sql[4:].strip(), codec_text()),))
+        if _first_word(sql) in _NOT_DESCRIBED or _SLEEP.match(sql):
+            return Description()
+        try:
+            translated = self._server.store.translator.translate(sql, parameter_types)
+        except TranslationError as error:
+            raise self._failed(sql_error("42601", str(error))) from error
+        self._check_names(translated)
+        return Description(translated.parameter_types, _wire_columns(translated))
+
+    def _check_names(self, translated: Translated) -> None:
+        """Let SQLite check names, as PostgreSQL does when it parses."""
+        try:
+            values = [None] * len(translated.parameter_types)
+            self._sqlite().execute(f"EXPLAIN {translated.sql}", values)
+        except sqlite3.Error as error:
+            raise self._failed(_sqlite_error(error)) from error
+
+    def cancel(self) -> None:
+        """Stop a sleep; other statements here end by themselves."""
+        if self._sleep is not None and not self._sleep.done():
+            self._sleep.set_result(None)
+
+    def mark_failed(self) -> None:
+        """The protocol layer answered an error."""
+        if self.transaction_status == wire.TRANSACTION_OPEN:
+            self.transaction_status = wire.TRANSACTION_FAILED
+
+    async def close(self) -> None:
+        """Roll back what is open."""
+        self._undo()
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+        self._server.ended(self)
+
+    def _sqlite(self) -> sqlite3.Connection:
+        if self._connection is None:
+            self._connection = self._server.store.open(self._functions())
+        return self._connection
+
+    def _functions(self) -> list[SqlFunction]:
+        instance = self._server.instance
+        return [
+            ("pg_is_in_recovery", 0, lambda: int(not instance.is_primary)),
+            ("pg_current_wal_lsn", 0, self._current_lsn),
+            ("pg_last_wal_receive_lsn", 0, lambda: format_lsn(instance.received.lsn)),
+            ("pg_last_wal_replay_lsn", 0, lambda: format_lsn(instance.replayed.lsn)),
+            ("standin_timeline", 0, lambda: instance.term),
+            ("standin_received_timeline", 0, lambda: instance.received.term),
+            ("pg_current_xact_id", 0, self._current_transaction),
+            ("pg_xact_status", 1, self._transaction_status_of),
+            ("pg_backend_pid", 0, lambda: id(self) & 0x7FFFFFFF),
+            ("version", 0, lambda: "PostgreSQL 15.8 (stand-in)"),
+            ("current_schema", 0, lambda: "public"),
+            ("current_database", 0, lambda: self.parameters.database),
+            ("to_regtype", 1, lambda name: None),
+            ("standin_bool", 1, _to_bool),
+            ("standin_bytea", 1, _to_bytea),
+        ]
+
+    def _current_lsn(self) -> str:
+        return format_lsn(self._server.instance.received.lsn)
+
+    def _current_transaction(self) -> str:
+        if not self._transaction:
+            self._transaction = self._server.instance.next_transaction()
+        return str(self._transaction)
+
+    def _transaction_status_of(self, identifier: str) -> str:
+        known = self._server.instance.committed_transactions
+        return "committed" if int(identifier) in known else "aborted"
+
+
+_BLOCK_STARTS = frozenset(("BEGIN", "START", "COMMIT", "END", "ROLLBACK", "ABORT"))
+_ENDINGS = frozenset(("COMMIT", "END", "ROLLBACK", "ABORT"))
+_NOT_DESCRIBED = _BLOCK_STARTS | frozenset(
+    ("SAVEPOINT", "RELEASE", "SET", "RESET", "DISCARD", "DEALLOCATE", "UNLISTEN", "CLOSE", "")
+)
+_DEFAULT_SETTINGS = {
+    "transaction isolation level": "read committed",
+    "transaction_isolation": "read committed",
+    "standard_conforming_strings": "on",
+    "server_version": "15.8",
+    "timezone": "UTC",
+    "search_path": '"$user", public',
+}
+
+
+def codec_text() -> int:
+    """The type identifier of text."""
+    return int(TEXT)
+
+
+def _first_word(text: str) -> str:
+    stripped = text.lstrip()
+    match = re.match(r"[A-Za-z]+", stripped)
+    return match.group().upper() if match else ""
+
+
+def _decode_parameters(translated: Translated, statement: Statement) -> list[SqlValue]:
+    if len(statement.parameters) != len(translated.parameter_types):
+        raise sql_error(
+            "08P01",
+            f"bind message supplies {len(statement.parameters)} parameters, but the statement"
+            f" requires {len(translated.parameter_types)}",
+        )
+    return [
+        decode_parameter(oid, wire.format_code(statement.parameter_formats, index), data)
+        for index, (oid, data) in enumerate(
+            zip(translated.parameter_types, statement.parameters, strict=True)
+        )
+    ]
+
+
+def _wire_columns(translated: Translated) -> tuple[Column, ...]:
+    return tuple(
+        Column(column.name, column.oid, TYPE_SIZES.get(column.oid, -1))
+        for column in translated.columns
+    )
+
+
+def _encode_row(oids: list[int], result_format: int, row: tuple[SqlValue, ...]) -> bytes:
+    values = [encode_result(oid, result_format, v) for oid, v in zip(oids, row, strict=True)]
+    return bytes(codec.make_data_row(values))
+
+
+def _command_tag(translated: Translated, affected: int) -> str:
+    if translated.command == "INSERT":
+        return f"INSERT 0 {affected}"
+    if translated.command in ("SELECT", "UPDATE", "DELETE"):
+        return f"{translated.command} {affected}"
+    return translated.command
+
+
+def _sqlite_error(error: sqlite3.Error) -> RequestError:
+    text = str(error)
+    if "UNIQUE constraint" in text:
+        return sql_error("23505", f"duplicate key value violates unique constraint ({text})")
+    if "NOT NULL constraint" in text:
+        return sql_error("23502", f"null value violates not-null constraint ({text})")
+    if "constraint" in text:
+        return sql_error("23514", text)
+    if "no such table" in text:
+        return sql_error("42P01", f'relation "{text.rpartition(" ")[2]}" does not exist')
+    if "already exists" in text:
+        return sql_error("42P07", text)
+    if "no such column" in text:
+        return sql_error("42703", text)
+    if "no such function" in text:
+        return sql_error("42883", text)
+    return sql_error("42601", text)
+
+
+def _to_bool(value: object) -> int | None:
+    if value is None:
+        return None
+    return int(str(value).strip().lower() in ("t", "true", "1", "yes", "on"))
+
+
+def _to_bytea(value: object) -> bytes | None:
+    if value is None or isinstance(value, bytes):
+        return value
+    text = str(value)
+    return bytes.fromhex(text[2:]) if text.startswith("\\x") else text.encode()
--- /dev/null
+++ b/src/orchidwind_standins/sql_store.py
@@ -0,0 +1,96 @@
+"""The tables of one stand-in instance, in SQLite.
+
+SQLite gives readers a snapshot beside one writer only in its WAL mode, which needs a file; its
+in-memory databases let readers see uncommitted rows or lock them out. The file stands in a
+temporary folder that the program removes at its end. Nothing of it is used after a restart.
+"""
+
+from __future__ import annotations
+
+import shutil
+import sqlite3
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+
+from orchidwind_standins.replication import Change, LogRecord
+from orchidwind_standins.sql_translation import CATALOG_TABLE, Catalog, Translator
+
+_CATALOG_SCHEMA = (
+    f"CREATE TABLE {CATALOG_TABLE} (table_name TEXT, column_name TEXT, oid INTEGER,"
+    " PRIMARY KEY (table_name, column_name))"
+)
+_PRAGMAS = ("PRAGMA journal_mode=WAL", "PRAGMA synchronous=OFF", "PRAGMA busy_timeout=0")
+REMEMBER_COLUMN = f"INSERT OR REPLACE INTO {CATALOG_TABLE} VALUES (?1, ?2, ?3)"
+FORGET_TABLE = f"DELETE FROM {CATALOG_TABLE} WHERE table_name = ?1"
+
+SqlFunction = tuple[str, int, Callable[..., object]]
+
+
+class SqlStore:
+    """A store for the replication log; opens connections for sessions."""
+
+    def __init__(self, on_reset: Callable[[], None]) -> None:
+        self._folder = Path(tempfile.mkdtemp(prefix="orchidwind-standin-"))
+        self._generation = 0
+        self._on_reset = on_reset
+        self.translator = Translator()
+        self._replay = self._create()
+
+    def _path(self) -> Path:
+        return self._folder / f"{self._generation}.sqlite"
+
+    def _create(self) -> sqlite3.Connection:
+        connection = self._connect()
+        connection.execute(_CATALOG_SCHEMA)
+        return connection
+
+    def _connect(self) -> sqlite3.Connection:
+        connection = sqlite3.connect(self._path(), isolation_level=None, cached_statements=256)
+        for pragma in _PRAGMAS:
+            connection.execute(pragma)
+        return connection
+
+    def open(self, functions: list[SqlFunction]) -> sqlite3.Connection:
+        """A connection for one session, with the session's own functions."""
+        connection = self._connect()
+        for name, arguments, function in functions:
+            connection.create_function(name, arguments, function)
+        return connection
+
+    def apply(self, record: LogRecord) -> None:
+        """Replay one committed transaction."""
+        if not record.changes:
+            return
+        self._replay.execute("BEGIN IMMEDIATE")
+        for change in record.changes:
+            self._replay.execute(change.statement, change.parameters)
+        self._replay.execute("COMMIT")
+        if touches_catalog(record.changes):
+            self.reload_catalog()
+
+    def reset(self) -> None:
+        """Start from empty tables; open sessions are ended, as a rewind of PostgreSQL does."""
+        self._on_reset()
+        self._replay.close()
+        self._generation += 1
+        self._replay = self._create()
+        self.reload_catalog()
+
+    def reload_catalog(self) -> None:
+        """Read the declared columns again."""
+        catalog: Catalog = {}
+        query = f"SELECT table_name, column_name, oid FROM {CATALOG_TABLE} ORDER BY rowid"
+        for table, column, oid in self._replay.execute(query):
+            catalog.setdefault(table, {})[column] = oid
+        self.translator.set_catalog(catalog)
+
+    def close(self) -> None:
+        """Remove the files."""
+        self._replay.close()
+        shutil.rmtree(self._folder, ignore_errors=True)
+
+
+def touches_catalog(changes: tuple[Change, ...] | list[Change]) -> bool:
+    """Whether a transaction declares or drops a table."""
+    return any(change.statement in (REMEMBER_COLUMN, FORGET_TABLE) for change in changes)
--- /dev/null
+++ b/src/orchidwind_standins/sql_translation.py
@@ -0,0 +1,325 @@
+"""From PostgreSQL's SQL to SQLite's, with the types of parameters and result columns."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from pg_mimic import types as codec
+from sqlglot import exp, parse_one
+from sqlglot.errors import ParseError, TokenError
+
+from orchidwind.core.sql_text import space_parameters
+from orchidwind_standins.sql_types import oid_of, sqlite_type
+
+CATALOG_TABLE = "standin_catalog"
+NOW_MARKER = "'@@now@@'"
+_CACHED_TRANSLATIONS = 4096
+_SYSTEM_VIEWS = {
+    "pg_control_checkpoint()": "(SELECT standin_timeline() AS timeline_id)",
+    "pg_stat_wal_receiver": "(SELECT standin_received_timeline() AS received_tli)",
+}
+_CATALOG_SCHEMAS = ("pg_catalog", "public", "orchidwind")
+
+
+class TranslationError(Exception):
+    """The stand-in does not understand a statement (SQLSTATE 42601)."""
+
+
+@dataclass(frozen=True, slots=True)
+class ResultColumn:
+    """Name and type of a result column."""
+
+    name: str
+    oid: int
+
+
+@dataclass(frozen=True, slots=True)
+class Translated:
+    """One statement for SQLite.
+
+    `command` is the first word of the command tag. `catalog` lists the columns (table, name, type)
+    that a CREATE TABLE declares; `dropped` names a table that goes.
+    """
+
+    sql: str
+    command: str
+    writes: bool
+    parameter_types: tuple[int, ...]
+    columns: tuple[ResultColumn, ...]
+    catalog: tuple[tuple[str, str, int], ...] = ()
+    dropped: str = ""
+
+
+Catalog = dict[str, dict[str, int]]
+
+
+class Translator:
+    """Translates statements against a catalog of declared columns, with a bounded cache."""
+
+    def __init__(self) -> None:
+        self.catalog: Catalog = {}
+        self._cache: dict[tuple[str, tuple[int, ...]], Translated] = {}
+
+    def set_catalog(self, catalog: Catalog) -> None:
+        """Take the columns that are declared now."""
+        self.catalog = catalog
+        self._cache.clear()
+
+    def translate(self, sql: str, parameter_types: tuple[int, ...] = ()) -> Translated:
+        """Translate one statement; raises TranslationError."""
+        key = (sql, parameter_types)
+        cached = self._cache.get(key)
+        if cached is None:
+            if len(self._cache) >= _CACHED_TRANSLATIONS:
+                self._cache.clear()
+            cached = self._cache[key] = self._translate(sql, parameter_types)
+        return cached
+
+    def _translate(self, sql: str, given_types: tuple[int, ...]) -> Translated:
+        try:
+            tree = parse_one(space_parameters(sql), read="postgres")
+        except (ParseError, TokenError) as error:
+            raise TranslationError(str(error).splitlines()[0]) from error
+        if isinstance(tree, exp.Command):
+            raise TranslationError(f"not understood: {sql[:60]}")
+        columns = _Typing(self.catalog, tree, given_types)
+        catalog, dropped = _declared_columns(tree)
+        result = columns.result_columns()
+        types = columns.parameter_types()
+        _rewrite(tree)
+        return Translated(
+            sql=_with_system_views(tree.sql(dialect="sqlite")),
+            command=_command(tree),
+            writes=not isinstance(tree, exp.Query | exp.Values),
+            parameter_types=types,
+            columns=result,
+            catalog=catalog,
+            dropped=dropped,
+        )
+
+
+def _with_system_views(sql: str) -> str:
+    for source, query in _SYSTEM_VIEWS.items():
+        sql = re.sub(re.escape(source), query, sql, flags=re.IGNORECASE)
+    return sql
+
+
+def _command(tree: exp.Expression) -> str:
+    if isinstance(tree, exp.Create | exp.Drop | exp.Alter):
+        return f"{type(tree).__name__.upper()} {tree.args.get('kind') or 'TABLE'}"
+    if isinstance(tree, exp.Query | exp.Values):
+        return "SELECT"
+    return type(tree).__name__.upper()
+
+
+def _declared_columns(
+    tree: exp.Expression,
+) -> tuple[tuple[tuple[str, str, int], ...], str]:
+    if isinstance(tree, exp.Drop) and tree.args.get("kind") == "TABLE":
+        return (), tree.this.name
+    if not isinstance(tree, exp.Create) or tree.args.get("kind") != "TABLE":
+        return (), ""
+    schema = tree.this
+    if not isinstance(schema, exp.Schema):
+        return (), ""
+    table = schema.this.name
+    declared = []
+    for column in schema.expressions:
+        if isinstance(column, exp.ColumnDef):
+            kind = column.args.get("kind")
+            declared.append((table, column.name, oid_of(kind) if kind else codec.TEXT))
+    return tuple(declared), ""
+
+
+class _Typing:
+    """Infers parameter and result types from declared columns, casts and literals."""
+
+    def __init__(
+        self, catalog: Catalog, tree: exp.Expression, given_types: tuple[int, ...]
+    ) -> None:
+        self._tree = tree
+        self._given = given_types
+        self._columns: dict[str, int] = {}
+        for table in tree.find_all(exp.Table):
+            self._columns.update(catalog.get(table.name, {}))
+
+    def parameter_types(self) -> tuple[int, ...]:
+        found: dict[int, int] = {}
+        for parameter in self._tree.find_all(exp.Parameter):
+            number = int(parameter.name)
+            if found.get(number, codec.TEXT) == codec.TEXT:
+                found[number] = self._parameter_type(parameter, number)
+        count = max([len(self._given), *found]) if found or self._given else 0
+        return tuple(self._one_type(number, found) for number in range(1, count + 1))
+
+    def _one_type(self, number: int, found: dict[int, int]) -> int:
+        given = self._given[number - 1] if number <= len(self._given) else 0
+        if given not in (0, codec.UNKNOWN):
+            return given
+        return found.get(number, codec.TEXT)
+
+    def _parameter_type(self, parameter: exp.Parameter, number: int) -> int:
+        if number <= len(self._given) and self._given[number - 1] not in (0, codec.UNKNOWN):
+            return self._given[number - 1]
+        parent = parameter.parent
+        if isinstance(parent, exp.Cast):
+            return oid_of(parent.to)
+        if isinstance(parent, exp.Limit | exp.Offset):
+            return codec.INT8
+        if isinstance(parent, exp.Tuple):
+            return self._inserted_type(parameter, parent)
+        if isinstance(parent, exp.Binary):
+            other = parent.expression if parent.this is parameter else parent.this
+            return self._type(other)
+        if isinstance(parent, exp.In):
+            return self._type(parent.this)
+        if isinstance(parent, exp.Between):
+            return self._type(parent.this)
+        return codec.TEXT
+
+    def _inserted_type(self, parameter: exp.Parameter, row: exp.Tuple) -> int:
+        insert = row.find_ancestor(exp.Insert)
+        if insert is None or not isinstance(insert.this, exp.Schema | exp.Table):
+            return codec.TEXT
+        index = next(i for i, item in enumerate(row.expressions) if item is parameter)
+        if isinstance(insert.this, exp.Schema):
+            names = [column.name for column in insert.this.expressions]
+        else:
+            names = list(self._columns)
+        return self._columns.get(names[index], codec.TEXT) if index < len(names) else codec.TEXT
+
+    def result_columns(self) -> tuple[ResultColumn, ...]:
+        tree = self._tree
+        if isinstance(tree, exp.Query):
+            selected = tree.selects
+        else:
+            returning = tree.args.get("returning")
+            selected = returning.expressions if returning else []
+        columns: list[ResultColumn] = []
+        for item in selected:
+            if isinstance(item, exp.Star) or isinstance(item.unalias(), exp.Star):
+                columns.extend(ResultColumn(name, oid) for name, oid in self._columns.items())
+            else:
+                columns.append(ResultColumn(_output_name(item), self._type(item.unalias())))
+        return tuple(columns)
+
+    def _type(self, node: exp.Expression | None) -> int:
+        if node is None:
+            return codec.TEXT
+        if isinstance(node, exp.Paren | exp.Alias | exp.Neg | exp.Min | exp.Max | exp.Subquery):
+            return self._type(node.this)
+        if isinstance(node, exp.Select):
+            return self._type(node.selects[0].unalias())
+        for kinds, infer in _TYPE_RULES:
+            if isinstance(node, kinds):
+                return infer(self, node)
+        return codec.TEXT
+
+    def _column_type(self, node: exp.Expression) -> int:
+        return self._columns.get(node.name, codec.TEXT)
+
+    def _literal_type(self, node: exp.Expression) -> int:
+        if node.args.get("is_string"):
+            return codec.TEXT
+        if not node.name.isdigit():
+            return codec.NUMERIC
+        return codec.INT4 if int(node.name) < 2**31 else codec.INT8
+
+    def _given_type(self, node: exp.Expression) -> int:
+        number = int(node.name)
+        return self._given[number - 1] if number <= len(self._given) else codec.TEXT
+
+    def _first_argument_type(self, node: exp.Expression) -> int:
+        return self._type(node.this)
+
+    def _arithmetic_type(self, node: exp.Expression) -> int:
+        types = {self._type(node.this), self._type(node.expression)}
+        for wide in (codec.FLOAT8, codec.NUMERIC, codec.INT8, codec.INT4):
+            if wide in types:
+                return wide
+        return codec.TEXT
+
+    def _sum_type(self, node: exp.Expression) -> int:
+        inner = self._type(node.this)
+        return codec.INT8 if inner in (codec.INT2, codec.INT4, codec.INT8) else inner
+
+    def _function_type(self, node: exp.Expression) -> int:
+        return _FUNCTION_TYPES.get(node.name.lower(), codec.TEXT)
+
+
+_FUNCTION_TYPES = {
+    "pg_is_in_recovery": codec.BOOL,
+    "pg_backend_pid": codec.INT4,
+    "standin_timeline": codec.INT4,
+}
+_TypeRule = tuple[tuple[type, ...], Callable[[_Typing, exp.Expression], int]]
+_TYPE_RULES: list[_TypeRule] = [
+    ((exp.Column,), _Typing._column_type),
+    ((exp.Literal,), _Typing._literal_type),
+    ((exp.Cast,), lambda typing, node: oid_of(node.args["to"])),
+    ((exp.Parameter,), _Typing._given_type),
+    ((exp.Count,), lambda typing, node: codec.INT8),
+    ((exp.Boolean, exp.Predicate, exp.Not, exp.Connector), lambda typing, node: codec.BOOL),
+    ((exp.Sum,), _Typing._sum_type),
+    ((exp.Avg,), lambda typing, node: codec.FLOAT8),
+    ((exp.Coalesce,), _Typing._first_argument_type),
+    ((exp.Case,), lambda typing, node: typing._type(node.args["ifs"][0].args["true"])),
+    ((exp.CurrentTimestamp,), lambda typing, node: codec.TIMESTAMPTZ),
+    ((exp.Binary,), _Typing._arithmetic_type),
+    ((exp.Anonymous,), _Typing._function_type),
+]
+
+
+def _output_name(item: exp.Expression) -> str:
+    if item.alias_or_name:
+        return item.alias_or_name
+    if isinstance(item, exp.Func):
+        return item.sql_name().lower()
+    return "?column?"
+
+
+def _rewrite(tree: exp.Expression) -> None:
+    for parameter in list(tree.find_all(exp.Parameter)):
+        parameter.replace(exp.Placeholder(this=parameter.name))
+    for placeholder in tree.find_all(exp.Placeholder):
+        placeholder.replace(exp.Var(this=f"?{placeholder.name}"))
+    for cast in list(tree.find_all(exp.Cast)):
+        cast.replace(_rewrite_cast(cast))
+    for now in list(tree.find_all(exp.CurrentTimestamp)):
+        now.replace(exp.Var(this=NOW_MARKER))
+    for table in tree.find_all(exp.Table):
+        if table.db in _CATALOG_SCHEMAS:
+            table.set("db", None)
+    if isinstance(tree, exp.Create):
+        _rewrite_create(tree)
+    for lock_holder in tree.find_all(exp.Select):
+        lock_holder.set("locks", None)
+
+
+def _rewrite_cast(cast: exp.Cast) -> exp.Expression:
+    oid = oid_of(cast.to)
+    if isinstance(cast.this, exp.Var):
+        return cast.this.copy()
+    if oid == codec.BOOL:
+        return exp.func("standin_bool", cast.this.copy())
+    if oid == codec.BYTEA:
+        return exp.func("standin_bytea", cast.this.copy())
+    return exp.cast(cast.this.copy(), sqlite_type(oid))
+
+
+def _rewrite_create(tree: exp.Create) -> None:
+    if not isinstance(tree.this, exp.Schema):
+        return
+    tree.set("properties", None)
+    for column in tree.this.expressions:
+        if not isinstance(column, exp.ColumnDef):
+            continue
+        kind = column.args.get("kind")
+        if kind is None:
+            continue
+        serial = kind.this in (exp.DataType.Type.SERIAL, exp.DataType.Type.BIGSERIAL)
+        column.set("kind", exp.DataType.build(sqlite_type(oid_of(kind)), dialect="sqlite"))
+        if serial:
+            column.set("constraints", [exp.ColumnConstraint(kind=exp.PrimaryKeyColumnConstraint())])
