--- /dev/null
+++ b/src/orchidwind/commands/main.py
@@ -0,0 +1,111 @@
+"""`orchidwind`: run a proxy, check and apply the operators' file, look at a proxy, drain it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+from pathlib import Path
+
+import defopt
+
+from orchidwind.commands import operations
+from orchidwind.core.errors import OrchidwindError, SettingsError
+from orchidwind.daemon import ProxyDaemon
+from orchidwind.logs import configure_logging
+from orchidwind.settings import ProxyOverrides, ProxySettings, load_proxy_settings
+
+_BAD_FILE = 2
+_FAILED = 1
+
+
+def proxy(
+    *,
+    settings: Path,
+    name: str | None = None,
+    zone: str | None = None,
+    host: str | None = None,
+    platform_url: str | None = None,
+    caller_port: int | None = None,
+    peer_port: int | None = None,
+    gossip_port: int | None = None,
+    operator_port: int | None = None,
+) -> None:
+    """Run one proxy until SIGTERM, which drains it. Flags override the settings file.
+
+    :param settings: settings file of this process (TOML)
+    :param name: name of this proxy, unique among all proxies
+    :param zone: zone that this proxy's callers sit in
+    :param host: IP address that other proxies use
+    :param platform_url: base URL of the platform's service
+    :param caller_port: port for callers (PostgreSQL protocol)
+    :param peer_port: port for requests of other proxies (TCP)
+    :param gossip_port: port for membership (UDP)
+    :param operator_port: port for /metrics, /healthz, /readyz, /status (HTTP)
+    """
+    overrides = ProxyOverrides(
+        name, zone, host, platform_url, caller_port, peer_port, gossip_port, operator_port
+    )
+    loaded = load_proxy_settings(settings, overrides)
+    configure_logging(loaded.log_level, loaded.name)
+    asyncio.run(_run_proxy(loaded))
+
+
+async def _run_proxy(settings: ProxySettings) -> None:
+    daemon = ProxyDaemon(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.drain)
+    await daemon.run()
+
+
+def check(file: Path) -> None:
+    """Check an operators' file and change nothing.
+
+    :param file: operators' file (TOML)
+    """
+    content = operations.load(file)
+    print(f"{file}: ok, {len(content.databases)} databases in {len(content.zones)} zones")
+
+
+def apply(file: Path, *, platform_url: str) -> None:
+    """Check an operators' file and put it in force as a whole, or not at all.
+
+    Where another operator's file came in between, nothing is changed and the exit code is 1.
+
+    :param file: operators' file (TOML)
+    :param platform_url: base URL of the platform's service
+    """
+    version = asyncio.run(operations.apply(operations.load(file), platform_url))
+    print(f"{file}: in force as version {version}")
+
+
+def status(*, operator_url: str) -> None:
+    """Show the state of one proxy as JSON.
+
+    :param operator_url: base URL of the proxy's operator port
+    """
+    body = asyncio.run(operations.fetch(f"{operator_url.rstrip('/')}/status"))
+    print(json.dumps(json.loads(body), indent=2))
+
+
+def drain(*, operator_url: str) -> None:
+    """Begin the planned stop of one proxy: it cuts no request in progress.
+
+    :param operator_url: base URL of the proxy's operator port
+    """
+    asyncio.run(operations.fetch(f"{operator_url.rstrip('/')}/drain", method="POST"))
+    print("draining")
+
+
+def main() -> None:
+    """Entry point of `orchidwind`."""
+    try:
+        defopt.run([proxy, check, apply, status, drain])
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(_BAD_FILE)
+    except OrchidwindError as error:
+        print(error, file=sys.stderr)
+        sys.exit(_FAILED)
--- /dev/null
+++ b/src/orchidwind/core/caller_session.py
@@ -0,0 +1,286 @@
+"""What a caller's proxy remembers of one session: its floor, its settings, its transaction."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, replace
+
+from orchidwind.core.classification import (
+    Classification,
+    StatementKind,
+    classify,
+    comment_tags,
+    split_comment,
+)
+from orchidwind.core.errors import ErrorKind, RequestError
+from orchidwind.core.ledger import is_valid_request_id
+from orchidwind.core.positions import ORIGIN, Position
+from orchidwind.core.statements import (
+    TRANSACTION_FAILED,
+    TRANSACTION_IDLE,
+    Floor,
+    FloorMode,
+    Outcome,
+    RequestKind,
+    SessionSetting,
+)
+
+SETTING_SESSION = "orchidwind.session"
+SETTING_TOKEN = "orchidwind.session_token"
+SETTING_REQUEST = "orchidwind.request_id"
+_OWN_PREFIX = "orchidwind."
+_SETTING_NAME = re.compile(r"[a-z_][a-z0-9_.]*")
+_SETTING_VALUE = re.compile(r"'(?:[^']|'')*'|[\w.+\-]+(?:\s*,\s*[\w.+\-]+)*|\"[^\"]*\"")
+_REFUSED_SETTINGS = frozenset(("role", "session_authorization", "session characteristics"))
+_MAXIMUM_SETTINGS = 50
+
+_REQUEST_KINDS = {
+    StatementKind.READ: RequestKind.READ,
+    StatementKind.WRITE: RequestKind.WRITE,
+    StatementKind.BEGIN: RequestKind.BEGIN,
+    StatementKind.BEGIN_READ_ONLY: RequestKind.BEGIN_READ_ONLY,
+    StatementKind.SHOW: RequestKind.READ,
+    StatementKind.COMMIT: RequestKind.READ,
+    StatementKind.ROLLBACK: RequestKind.READ,
+    StatementKind.SAVEPOINT: RequestKind.READ,
+    StatementKind.SET_LOCAL: RequestKind.READ,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class LocalAnswer:
+    """The proxy answers by itself: a tag, and for SHOW a column with a value."""
+
+    tag: str
+    column: str = ""
+    value: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class AskToken:
+    """The caller wants the session's token: the home must be asked."""
+
+
+@dataclass(frozen=True, slots=True)
+class Forward:
+    """The statement goes to the home of the database; `sql` replaces its text where given."""
+
+    kind: RequestKind
+    traffic_tag: str = ""
+    request_id: str = ""
+    sql: str = ""
+
+
+Plan = LocalAnswer | AskToken | Forward
+
+
+class CallerSession:
+    """The state of one connection of a caller, without I/O."""
+
+    def __init__(self, options: dict[str, str]) -> None:
+        self.identity = ""
+        self.floor = Floor(FloorMode.KNOWN)
+        self.settings: tuple[SessionSetting, ...] = ()
+        self.transaction_status = TRANSACTION_IDLE
+        self._request_id = ""
+        self._lost = False
+        self._failed_here = False
+        for name, value in options.items():
+            if name.startswith(_OWN_PREFIX):
+                self._set_own(name, value)
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction block is open, failed or not."""
+        return self.transaction_status != TRANSACTION_IDLE
+
+    def plan(self, sql: str) -> Plan:
+        """What to do with a statement; raises RequestError where it is refused here."""
+        text, comment = split_comment(sql)
+        classification = classify(text)
+        kind = classification.kind
+        if kind is StatementKind.NOT_SUPPORTED:
+            raise RequestError(ErrorKind.NOT_SUPPORTED, classification.reason)
+        if self._lost or self._failed_here:
+            return self._plan_after_failure(kind, text)
+        local = self._plan_locally(classification)
+        if local is not None:
+            return local
+        return self._forward(kind, comment)
+
+    def describe_plan(self, sql: str) -> Plan:
+        """How to describe a statement; unlike `plan` this changes nothing."""
+        classification = classify(split_comment(sql)[0])
+        kind = classification.kind
+        if kind is StatementKind.NOT_SUPPORTED:
+            raise RequestError(ErrorKind.NOT_SUPPORTED, classification.reason)
+        if kind is StatementKind.SHOW:
+            plan = self._show(classification.name)
+            if plan is not None:
+                return plan
+        if kind not in (StatementKind.READ, StatementKind.WRITE, StatementKind.SHOW):
+            return LocalAnswer("")
+        if self._lost or self._failed_here:
+            raise _aborted()
+        return Forward(RequestKind.DESCRIBE)
+
+    def _plan_after_failure(self, kind: StatementKind, sql: str) -> Plan:
+        """A failed block only takes its end; a COMMIT then rolls back, as PostgreSQL has it."""
+        if kind is StatementKind.SAVEPOINT and self._failed_here and _rolls_back(sql):
+            return Forward(RequestKind.READ)
+        if kind not in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+            raise _aborted()
+        if self._lost:
+            self._end_transaction()
+            return LocalAnswer("ROLLBACK")
+        return Forward(RequestKind.READ, sql="ROLLBACK")
+
+    def _plan_locally(self, classification: Classification) -> Plan | None:
+        kind = classification.kind
+        if kind is StatementKind.EMPTY:
+            return LocalAnswer("")
+        if kind is StatementKind.SET:
+            return self._set(classification)
+        if kind is StatementKind.RESET:
+            return self._reset(classification)
+        if kind is StatementKind.SHOW:
+            return self._show(classification.name)
+        if not self.in_transaction:
+            if kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+                return LocalAnswer(kind.value.upper())
+            if kind is StatementKind.SET_LOCAL:
+                return LocalAnswer("SET")
+        return None
+
+    def _forward(self, kind: StatementKind, comment: str) -> Forward:
+        tags = comment_tags(comment)
+        request_id = ""
+        names_request = kind in (StatementKind.WRITE, StatementKind.BEGIN)
+        if names_request and not self.in_transaction:
+            request_id = self._take_request_id(tags.request_id)
+        return Forward(_REQUEST_KINDS[kind], tags.traffic_class, request_id)
+
+    def _take_request_id(self, tagged: str) -> str:
+        request_id = tagged or self._request_id
+        self._request_id = ""
+        if request_id and not is_valid_request_id(request_id):
+            raise RequestError(
+                ErrorKind.INVALID_SETTING,
+                "a request_id has 1 to 128 letters, digits, and the signs _ . : -",
+            )
+        return request_id
+
+    def _set(self, classification: Classification) -> Plan:
+        name, value = classification.name, classification.value.strip()
+        if not _SETTING_NAME.fullmatch(name) or not _SETTING_VALUE.fullmatch(value):
+            raise RequestError(
+                ErrorKind.INVALID_SETTING, f"this form of SET {name} is not supported"
+            )
+        if name in _REFUSED_SETTINGS:
+            raise RequestError(ErrorKind.NOT_SUPPORTED, f"SET {name} is not supported")
+        if name.startswith(_OWN_PREFIX):
+            self._set_own(name, _unquote(value))
+            return LocalAnswer("SET")
+        if self.in_transaction:
+            raise RequestError(
+                ErrorKind.NOT_SUPPORTED, "SET inside a transaction must be SET LOCAL"
+            )
+        others = tuple(item for item in self.settings if item.name != name)
+        if len(others) >= _MAXIMUM_SETTINGS:
+            raise RequestError(ErrorKind.INVALID_SETTING, "too many settings in one session")
+        self.settings = (*others, SessionSetting(name, value))
+        return LocalAnswer("SET")
+
+    def _set_own(self, name: str, value: str) -> None:
+        if name == SETTING_SESSION:
+            self.identity = value
+            if self.floor.position == ORIGIN:
+                mode = FloorMode.QUORUM if value else FloorMode.KNOWN
+                self.floor = Floor(mode)
+        elif name == SETTING_TOKEN:
+            try:
+                position = Position.parse(value)
+            except ValueError as error:
+                raise RequestError(ErrorKind.INVALID_SETTING, f"bad token: {error}") from error
+            known = max(position, self.floor.position)
+            last_read = self.floor.last_read_instance
+            self.floor = Floor(FloorMode.KNOWN, known, last_read)
+        elif name == SETTING_REQUEST:
+            self._request_id = value
+        else:
+            raise RequestError(ErrorKind.INVALID_SETTING, f"unknown setting {name}")
+
+    def _reset(self, classification: Classification) -> Plan:
+        name = classification.name
+        if name == "none":
+            return LocalAnswer("DEALLOCATE")
+        if name == "all":
+            self.settings = ()
+        else:
+            self.settings = tuple(item for item in self.settings if item.name != name)
+        return LocalAnswer("RESET")
+
+    def _show(self, name: str) -> Plan | None:
+        if name == SETTING_TOKEN:
+            return AskToken()
+        if name == SETTING_SESSION:
+            return LocalAnswer("SHOW", name, self.identity)
+        for item in self.settings:
+            if item.name == name:
+                return LocalAnswer("SHOW", name, _unquote(item.value))
+        return None
+
+    def finished(self, outcome: Outcome) -> None:
+        """Take what an outcome says of the transaction and the floor."""
+        error = outcome.error
+        if error is not None and error.kind is ErrorKind.TRANSACTION_LOST and self.in_transaction:
+            self.lose_transaction()
+            return
+        self.transaction_status = outcome.transaction_status
+        if outcome.transaction_status == TRANSACTION_IDLE or error is None:
+            self._failed_here = False
+        self._raise_floor(outcome)
+
+    def _raise_floor(self, outcome: Outcome) -> None:
+        if self.floor.mode is FloorMode.QUORUM:
+            return
+        if outcome.position > self.floor.position:
+            covered = outcome.instance == self.floor.last_read_instance
+            last_read = "" if covered else self.floor.last_read_instance
+            self.floor = Floor(FloorMode.KNOWN, outcome.position, last_read)
+        elif outcome.instance and outcome.position == ORIGIN:
+            self.floor = replace(self.floor, last_read_instance=outcome.instance)
+
+    def lose_transaction(self) -> None:
+        """The home or its connection is gone; refuse statements until the block is ended."""
+        self._lost = True
+        self.transaction_status = TRANSACTION_FAILED
+
+    def mark_failed(self) -> None:
+        """An error was answered inside a transaction without reaching the home."""
+        if self.in_transaction and self.transaction_status != TRANSACTION_FAILED:
+            self._failed_here = True
+            self.transaction_status = TRANSACTION_FAILED
+
+    def _end_transaction(self) -> None:
+        self._lost = False
+        self._failed_here = False
+        self.transaction_status = TRANSACTION_IDLE
+
+
+def _aborted() -> RequestError:
+    return RequestError(
+        ErrorKind.STATEMENT_FAILED,
+        "current transaction is aborted, commands ignored until end of transaction block",
+        sqlstate="25P02",
+    )
+
+
+def _rolls_back(sql: str) -> bool:
+    return sql.lstrip().upper().startswith("ROLLBACK")
+
+
+def _unquote(value: str) -> str:
+    if len(value) >= 2 and value[0] == value[-1] == "'":
+        return value[1:-1].replace("''", "'")
+    return value
--- a/src/orchidwind/core/classification.py
+++ b/src/orchidwind/core/classification.py
@@ -59,21 +59,22 @@
     traffic_class: str = ""
 
 
-_FUNCTIONS_WITHOUT_EFFECT = frozenset(
-    """abs age array_agg array_length avg bit_length btrim ceil ceiling char_length coalesce concat
-    concat_ws convert_from convert_to count current_database current_schema current_setting
-    date_part date_trunc decode encode exp extract floor format format_type generate_series
-    greatest has_schema_privilege has_table_privilege initcap json_agg json_build_object jsonb_agg
-    jsonb_build_object least left length ln log lower lpad ltrim make_date make_timestamp max md5
-    min mod now nullif octet_length overlay pg_backend_pid pg_get_expr pg_is_in_recovery
-    pg_table_is_visible pg_typeof position power quote_ident quote_literal regexp_match
-    regexp_replace repeat replace reverse right round row_number rank dense_rank lag lead
-    rpad rtrim sign split_part sqrt stddev string_agg strpos substr substring sum to_char to_date
-    to_json to_jsonb to_number to_regclass to_regtype to_timestamp translate trim trunc unnest
-    upper variance version first_value last_value ntile percentile_cont array_to_string
-    string_to_array cardinality bool_and bool_or every to_hex date timestamp varchar char numeric
-    decimal int in exists any all some values filter over within""".split()
-)
+_FUNCTION_NAMES = """
+abs age array_agg array_length avg bit_length btrim ceil ceiling char_length coalesce concat
+concat_ws convert_from convert_to count current_database current_schema current_setting
+date_part date_trunc decode encode exp extract floor format format_type generate_series
+greatest has_schema_privilege has_table_privilege initcap json_agg json_build_object jsonb_agg
+jsonb_build_object least left length ln log lower lpad ltrim make_date make_timestamp max md5
+min mod now nullif octet_length overlay pg_backend_pid pg_get_expr pg_is_in_recovery
+pg_table_is_visible pg_typeof position power quote_ident quote_literal regexp_match
+regexp_replace repeat replace reverse right round row_number rank dense_rank lag lead rpad
+rtrim sign split_part sqrt stddev string_agg strpos substr substring sum to_char to_date
+to_json to_jsonb to_number to_regclass to_regtype to_timestamp translate trim trunc unnest
+upper variance version first_value last_value ntile percentile_cont array_to_string
+string_to_array cardinality bool_and bool_or every to_hex date timestamp varchar char numeric
+decimal int in exists any all some values filter over within
+"""
+_FUNCTIONS_WITHOUT_EFFECT = frozenset(_FUNCTION_NAMES.split())
 _WRITE_KEYWORDS = frozenset(("INSERT", "UPDATE", "DELETE", "MERGE", "INTO", "TRUNCATE"))
 _LOCKING_WORDS = frozenset(("UPDATE", "SHARE", "NO", "KEY"))
 _READ_STARTS = frozenset(("SELECT", "WITH", "VALUES", "TABLE"))
--- /dev/null
+++ b/src/orchidwind/core/commit_barrier.py
@@ -0,0 +1,115 @@
+"""Holds the acknowledgement of a commit until a majority is seen to keep it.
+
+A commit on instance P in term t that ends at position p is confirmed when, by reports asked for
+after the commit, P is still the primary of term t, a majority including P holds p of term t's
+history, and nobody knows a higher term. The group elects the most advanced log of a majority, so
+every later primary contains the commit. The outcome of a commit that is not confirmed is unknown;
+it is never said to have failed.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from orchidwind.core.group_view import GroupView, InstanceReport
+from orchidwind.core.positions import Position
+
+
+@unique
+class Acknowledge(Enum):
+    """When a commit is acknowledged.
+
+    REPLICATED waits until a majority holds the commit. CONFIRMED waits only until a majority knows
+    no higher term: one round trip less, but a later change of primary may lose the write.
+    """
+
+    REPLICATED = "replicated"
+    CONFIRMED = "confirmed"
+
+
+@dataclass(slots=True)
+class PendingCommit:
+    """A commit that waits. `committed_at` is when the back end's answer came."""
+
+    ticket: int
+    instance: str
+    term: int
+    committed_at: float
+    position: Position | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmed:
+    """The commit may be acknowledged; every later primary holds `position`."""
+
+    ticket: int
+    position: Position
+
+
+@dataclass(frozen=True, slots=True)
+class Superseded:
+    """A higher term was seen: whether the commit survives is unknown."""
+
+    ticket: int
+
+
+BarrierDecision = Confirmed | Superseded
+
+
+class CommitBarrier:
+    """All commits of one group that wait for confirmation."""
+
+    def __init__(self, view: GroupView, acknowledge: Acknowledge) -> None:
+        self.pending: dict[int, PendingCommit] = {}
+        self._view = view
+        self._acknowledge = acknowledge
+
+    def add(self, commit: PendingCommit) -> list[BarrierDecision]:
+        """Wait for a commit; a term that is already superseded is decided at once."""
+        if self._view.highest_term > commit.term:
+            return [Superseded(commit.ticket)]
+        self.pending[commit.ticket] = commit
+        return []
+
+    def drop(self, ticket: int) -> None:
+        """Nobody waits for this commit any longer."""
+        self.pending.pop(ticket, None)
+
+    def on_report(self, report: InstanceReport) -> list[BarrierDecision]:
+        """Decide what the group's view, which already holds the report, allows."""
+        decisions: list[BarrierDecision] = []
+        for commit in list(self.pending.values()):
+            decision = self._decide(commit)
+            if decision is not None:
+                del self.pending[commit.ticket]
+                decisions.append(decision)
+        return decisions
+
+    def _decide(self, commit: PendingCommit) -> BarrierDecision | None:
+        if self._view.highest_term > commit.term:
+            return Superseded(commit.ticket)
+        own = self._view.reports.get(commit.instance)
+        if own is None or own.asked_at < commit.committed_at:
+            return None
+        if own.in_recovery or own.term != commit.term:
+            return Superseded(commit.ticket)
+        if commit.position is None:
+            commit.position = own.received
+        if self._count(commit, commit.position) < self._view.majority:
+            return None
+        return Confirmed(commit.ticket, commit.position)
+
+    def _count(self, commit: PendingCommit, position: Position) -> int:
+        return sum(
+            1
+            for report in self._view.fresh_reports(commit.committed_at)
+            if self._supports(report, position)
+        )
+
+    def _supports(self, report: InstanceReport, position: Position) -> bool:
+        if report.term != position.term and self._acknowledge is Acknowledge.REPLICATED:
+            return False
+        if self._acknowledge is Acknowledge.CONFIRMED:
+            return report.term <= position.term
+        return report.received.term == position.term and report.received >= position
--- /dev/null
+++ b/src/orchidwind/core/configuration_history.py
@@ -0,0 +1,86 @@
+"""Keeps the newest accepted configuration and decides what may replace it.
+
+A node never moves to a lower version. A node without a configuration takes none from a single
+peer, since that peer may be behind: it waits for a read of the platform, or until a majority of
+the peers in view has told its version, and then takes the highest.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from orchidwind.core.configuration import ConfigurationDocument
+
+
+@dataclass(frozen=True, slots=True)
+class Adopt:
+    """This configuration is in force from now on."""
+
+    document: ConfigurationDocument
+
+
+@dataclass(frozen=True, slots=True)
+class FetchFrom:
+    """Ask a peer for the configuration that it holds."""
+
+    peer: str
+
+
+HistoryEffect = Adopt | FetchFrom
+
+
+class ConfigurationHistory:
+    """The configuration in force at one node."""
+
+    def __init__(self) -> None:
+        self.current: ConfigurationDocument | None = None
+        self._heard: dict[str, int] = {}
+        self._candidate: ConfigurationDocument | None = None
+
+    @property
+    def version(self) -> int:
+        """The version in force, 0 before the first."""
+        return self.current.version if self.current else 0
+
+    def on_platform(self, document: ConfigurationDocument) -> list[HistoryEffect]:
+        """A read or a watch of the platform brought a document."""
+        return self._adopt(document)
+
+    def on_peer_version(self, peer: str, version: int, peers_in_view: int) -> list[HistoryEffect]:
+        """A peer told which version it has in force."""
+        self._heard[peer] = max(version, self._heard.get(peer, 0))
+        if self.current is None:
+            adopted = self._adopt_candidate(peers_in_view)
+            if adopted:
+                return adopted
+        known = self._candidate.version if self._candidate else self.version
+        return [FetchFrom(peer)] if version > known else []
+
+    def on_peer_document(
+        self, peer: str, document: ConfigurationDocument, peers_in_view: int
+    ) -> list[HistoryEffect]:
+        """A peer sent its configuration."""
+        self._heard[peer] = max(document.version, self._heard.get(peer, 0))
+        if self.current is not None:
+            return self._adopt(document)
+        if self._candidate is None or document.version > self._candidate.version:
+            self._candidate = document
+        return self._adopt_candidate(peers_in_view)
+
+    def forget_peer(self, peer: str) -> None:
+        """The peer has left the view."""
+        self._heard.pop(peer, None)
+
+    def _adopt_candidate(self, peers_in_view: int) -> list[HistoryEffect]:
+        if self._candidate is None or len(self._heard) <= peers_in_view // 2:
+            return []
+        if max(self._heard.values()) > self._candidate.version:
+            return []
+        return self._adopt(self._candidate)
+
+    def _adopt(self, document: ConfigurationDocument) -> list[HistoryEffect]:
+        if document.version <= self.version:
+            return []
+        self.current = document
+        self._candidate = None
+        return [Adopt(document)]
--- a/src/orchidwind/core/errors.py
+++ b/src/orchidwind/core/errors.py
@@ -141,11 +141,16 @@
 
 
 class BackendConnectionLost(OrchidwindError):
-    """The connection to a database instance broke; `sent` tells whether a byte had left."""
+    """The connection to a database instance broke.
 
-    def __init__(self, message: str, *, sent: bool) -> None:
+    `sent` tells whether a byte of the statement had left, `delivered` whether a part of its answer
+    had gone on to the caller.
+    """
+
+    def __init__(self, message: str, *, sent: bool, delivered: bool = False) -> None:
         super().__init__(message)
         self.sent = sent
+        self.delivered = delivered
 
 
 class BackendRefused(OrchidwindError):
--- /dev/null
+++ b/src/orchidwind/core/flows.py
@@ -0,0 +1,450 @@
+"""The order of steps of each kind of request at a home proxy, as generators without I/O.
+
+A flow yields a step and is sent the step's result, or has an error thrown in. It returns the
+outcome, or raises RequestError. `HomeGroup` drives the flows; what a flow has in its hands when an
+error reaches it decides what the caller may be told:
+
+- before the first byte left for a back end, the request did not run;
+- after a write left, its outcome is unknown until a majority is seen to hold it;
+- a read changed nothing, so it may be repeated until a part of its answer went out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Generator
+from dataclasses import dataclass
+
+from orchidwind.core.errors import BackendConnectionLost, ErrorKind, RequestError
+from orchidwind.core.group_view import PrimaryReference
+from orchidwind.core.ledger import (
+    CREATE_LEDGER,
+    UNDEFINED_TABLE,
+    claim_statement,
+    complete_statement,
+    lookup_statement,
+)
+from orchidwind.core.positions import ORIGIN, Position
+from orchidwind.core.routing import Route
+from orchidwind.core.statements import (
+    TRANSACTION_IDLE,
+    FloorMode,
+    Outcome,
+    RequestKind,
+    RunResult,
+    SessionSetting,
+    Statement,
+    StatementRequest,
+)
+
+_READ_ATTEMPTS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class NeedPrimary:
+    """Wait for a reachable primary; the result is a PrimaryReference."""
+
+
+@dataclass(frozen=True, slots=True)
+class NeedRoute:
+    """Wait for an instance that may serve a read at `floor`; the result is a Route."""
+
+    floor: Position
+    preferred: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class NeedFloor:
+    """Ask a majority, and `include` if it can be reached; the result is a Position."""
+
+    include: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class NeedReplay:
+    """Wait until an instance's replay covers a floor; the result is whether it did in time."""
+
+    instance: str
+    floor: Position
+
+
+@dataclass(frozen=True, slots=True)
+class NeedConnection:
+    """Wait for a server connection; the result is its number."""
+
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """Run a statement; the result is a RunResult, or BackendConnectionLost is thrown in."""
+
+    connection: int
+    statement: Statement
+    deliver: bool = False
+    describe: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class NeedConfirmation:
+    """Wait until a commit is confirmed; the result is its Position."""
+
+    instance: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Give a connection back; done at once."""
+
+    connection: int
+    reusable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ApplySettings:
+    """Ask which statement brings a connection to the session's settings, None for none."""
+
+    connection: int
+    settings: tuple[SessionSetting, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class BindTransaction:
+    """Keep a connection for the session until its transaction ends; done at once."""
+
+    connection: int
+    instance: str
+    term: int
+    read_only: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EndTransaction:
+    """The session's transaction is over; done at once."""
+
+
+@dataclass(frozen=True, slots=True)
+class TakeRetry:
+    """Ask the retry budget; the result is a bool."""
+
+
+Step = (
+    NeedPrimary
+    | NeedRoute
+    | NeedFloor
+    | NeedReplay
+    | NeedConnection
+    | Run
+    | NeedConfirmation
+    | Release
+    | ApplySettings
+    | BindTransaction
+    | EndTransaction
+    | TakeRetry
+)
+StepResult = PrimaryReference | Route | Position | RunResult | Statement | int | bool | None
+Flow = Generator[Step, StepResult, Outcome]
+
+
+@dataclass(slots=True)
+class OpenTransaction:
+    """A transaction of one session, and the connection that belongs to it."""
+
+    connection: int
+    instance: str
+    term: int
+    read_only: bool
+    wrote: bool = False
+    last_used: float = 0.0
+
+
+class _Lost(Exception):
+    """A connection broke or the request was given up while a statement ran."""
+
+    def __init__(
+        self, sent: bool, reason: RequestError | None = None, delivered: bool = False
+    ) -> None:
+        super().__init__()
+        self.sent = sent
+        self.reason = reason
+        self.delivered = delivered
+
+
+def _run(
+    connection: int, statement: Statement, **options: bool
+) -> Generator[Step, StepResult, RunResult]:
+    """Run a statement; a connection whose state is uncertain afterwards is closed."""
+    try:
+        result = yield Run(connection, statement, **options)
+    except BackendConnectionLost as lost:
+        raise _Lost(lost.sent, delivered=lost.delivered) from lost
+    except RequestError as error:
+        yield Release(connection, reusable=False)
+        raise _Lost(True, error) from error
+    assert isinstance(result, RunResult)
+    return result
+
+
+def _connect(request: StatementRequest, instance: str) -> Generator[Step, StepResult, int]:
+    """Get a connection that carries the session's settings."""
+    connection = yield NeedConnection(instance)
+    assert isinstance(connection, int)
+    statement = yield ApplySettings(connection, request.settings)
+    if isinstance(statement, Statement):
+        result = yield from _run(connection, statement)
+        if result.error is not None:
+            yield Release(connection, reusable=False)
+            raise RequestError(ErrorKind.INVALID_SETTING, result.error.message)
+    return connection
+
+
+def _route(request: StatementRequest) -> Generator[Step, StepResult, Route]:
+    """Find where a read may run: first the floor, then an instance that covers it."""
+    floor = request.floor.position
+    asked = False
+    if request.floor.mode is FloorMode.QUORUM:
+        floor = yield from _fresh_floor(floor, "")
+        asked = True
+    while True:
+        last = request.floor.last_read_instance
+        route = yield NeedRoute(floor, last)
+        assert isinstance(route, Route)
+        if not asked and last and route.instance != last:
+            floor = yield from _fresh_floor(floor, last)
+            asked = True
+            continue
+        if route.wait > 0.0:
+            covered = yield NeedReplay(route.instance, floor)
+            if not covered:
+                continue
+        return route
+
+
+def _fresh_floor(floor: Position, include: str) -> Generator[Step, StepResult, Position]:
+    position = yield NeedFloor(include)
+    assert isinstance(position, Position)
+    return max(floor, position)
+
+
+def read_flow(request: StatementRequest) -> Flow:
+    """A read outside a transaction."""
+    describe = request.kind is RequestKind.DESCRIBE
+    attempt = 0
+    while True:
+        attempt += 1
+        route = yield from _route(request)
+        try:
+            connection = yield from _connect(request, route.instance)
+            result = yield from _run(
+                connection, request.statement, deliver=not describe, describe=describe
+            )
+        except _Lost as lost:
+            if lost.reason is not None:
+                raise lost.reason from lost
+            exhausted = lost.delivered or attempt >= _READ_ATTEMPTS
+            if exhausted or not (yield TakeRetry()):
+                raise _read_interrupted() from lost
+            continue
+        yield Release(connection, reusable=result.transaction_status == TRANSACTION_IDLE)
+        if result.error is not None:
+            raise result.error
+        return Outcome(
+            request.number,
+            tag=result.tag,
+            instance=route.instance,
+            is_replica=route.is_replica,
+            description=result.description,
+        )
+
+
+def _read_interrupted() -> RequestError:
+    return RequestError(ErrorKind.READ_INTERRUPTED, "the server connection was lost in a read")
+
+
+def token_flow(request: StatementRequest) -> Flow:
+    """A position that covers all that the session wrote and read."""
+    floor = yield from _fresh_floor(request.floor.position, request.floor.last_read_instance)
+    return Outcome(request.number, tag="SHOW", position=floor)
+
+
+def write_flow(request: StatementRequest) -> Flow:
+    """A write outside a transaction, sent at most once."""
+    primary, connection = yield from _connect_primary(request)
+    if request.request_id:
+        return (yield from _named_write(request, primary, connection))
+    try:
+        result = yield from _run(connection, request.statement, deliver=True)
+    except _Lost as lost:
+        raise _write_lost(lost) from lost
+    if result.transaction_status != TRANSACTION_IDLE:
+        yield BindTransaction(connection, primary.instance, primary.term, read_only=False)
+    else:
+        yield Release(connection, reusable=True)
+    if result.error is not None:
+        raise result.error
+    if result.transaction_status != TRANSACTION_IDLE:
+        return Outcome(request.number, tag=result.tag, transaction_status=result.transaction_status)
+    return (yield from _confirmed(request, primary, result.tag))
+
+
+def _connect_primary(
+    request: StatementRequest,
+) -> Generator[Step, StepResult, tuple[PrimaryReference, int]]:
+    """A connection to the primary; nothing was sent yet, so a lost one is simply replaced."""
+    while True:
+        primary = yield NeedPrimary()
+        assert isinstance(primary, PrimaryReference)
+        try:
+            connection = yield from _connect(request, primary.instance)
+        except _Lost as lost:
+            if lost.reason is not None:
+                raise lost.reason from lost
+            continue
+        return primary, connection
+
+
+def _write_lost(lost: _Lost) -> RequestError:
+    if not lost.sent:
+        return RequestError(ErrorKind.NO_PRIMARY, "the connection to the primary was lost")
+    return RequestError(
+        ErrorKind.OUTCOME_UNKNOWN, "the answer to a write was lost; it may or may not have run"
+    )
+
+
+def _confirmed(request: StatementRequest, primary: PrimaryReference, tag: str) -> Flow:
+    try:
+        position = yield NeedConfirmation(primary.instance, primary.term)
+    except RequestError as error:
+        raise RequestError(
+            ErrorKind.OUTCOME_UNKNOWN,
+            "the write was not confirmed by a majority in time; it may or may not last",
+        ) from error
+    assert isinstance(position, Position)
+    return Outcome(request.number, tag=tag, instance=primary.instance, position=position)
+
+
+def _named_write(request: StatementRequest, primary: PrimaryReference, connection: int) -> Flow:
+    """A write with a ledger row in its own transaction.
+
+    The row is claimed first: where it is there already, the request ran, and its recorded outcome
+    is confirmed and returned. A repeat that meets the first attempt still running waits on the
+    row's unique index until that attempt has ended. Until the commit is sent, a lost connection
+    means that the database rolls back, so the request did not run.
+    """
+    committing = False
+    try:
+        claim = yield from _run(connection, claim_statement(request.request_id))
+        if claim.error is not None and claim.error.sqlstate == UNDEFINED_TABLE:
+            yield from _run(connection, CREATE_LEDGER)
+            claim = yield from _run(connection, claim_statement(request.request_id))
+        if claim.error is not None:
+            yield Release(connection, reusable=False)
+            raise claim.error
+        if claim.tag.endswith(" 0"):
+            return (yield from _repeated_write(request, primary, connection))
+        result = yield from _run(connection, request.statement, deliver=True)
+        if result.error is not None:
+            yield Release(connection, reusable=False)
+            raise result.error
+        committing = True
+        ending = complete_statement(request.request_id, result.tag)
+        completed = yield from _run(connection, ending)
+    except _Lost as lost:
+        raise (_write_lost(lost) if committing else _transaction_lost()) from lost
+    yield Release(connection, reusable=completed.transaction_status == TRANSACTION_IDLE)
+    if completed.error is not None:
+        raise completed.error
+    return (yield from _confirmed(request, primary, result.tag))
+
+
+def _repeated_write(request: StatementRequest, primary: PrimaryReference, connection: int) -> Flow:
+    lookup = yield from _run(connection, lookup_statement(request.request_id))
+    yield Release(connection, reusable=lookup.transaction_status == TRANSACTION_IDLE)
+    if lookup.error is not None:
+        raise lookup.error
+    tag = (lookup.first_row[0] or b"").decode() if lookup.first_row else ""
+    return (yield from _confirmed(request, primary, tag))
+
+
+def begin_flow(request: StatementRequest) -> Flow:
+    """BEGIN: a connection is bound to the session until the transaction ends."""
+    read_only = request.kind is RequestKind.BEGIN_READ_ONLY
+    is_replica = False
+    try:
+        if read_only:
+            route = yield from _route(request)
+            instance, term, is_replica = route.instance, route.term, route.is_replica
+            connection = yield from _connect(request, instance)
+        else:
+            primary, connection = yield from _connect_primary(request)
+            instance, term = primary.instance, primary.term
+        result = yield from _run(connection, request.statement, deliver=True)
+        if request.request_id and not read_only and result.error is None:
+            yield from _claim_in_transaction(request, connection)
+    except _Lost as lost:
+        raise (lost.reason or _transaction_lost()) from lost
+    if result.error is not None or result.transaction_status == TRANSACTION_IDLE:
+        yield Release(connection, reusable=False)
+        raise result.error or _transaction_lost()
+    yield BindTransaction(connection, instance, term, read_only)
+    return Outcome(
+        request.number,
+        tag=result.tag,
+        transaction_status=result.transaction_status,
+        instance=instance,
+        is_replica=is_replica,
+    )
+
+
+def _claim_in_transaction(
+    request: StatementRequest, connection: int
+) -> Generator[Step, StepResult, None]:
+    claim = yield from _run(connection, claim_statement(request.request_id, begin=False))
+    if claim.error is not None or claim.tag.endswith(" 0"):
+        yield Release(connection, reusable=False)
+        raise claim.error or RequestError(
+            ErrorKind.STATEMENT_FAILED,
+            f'request "{request.request_id}" has run already',
+            sqlstate="23505",
+        )
+
+
+def transaction_flow(request: StatementRequest, transaction: OpenTransaction, ends: bool) -> Flow:
+    """A statement inside a transaction; `ends` marks one that may commit."""
+    describe = request.kind is RequestKind.DESCRIBE
+    if request.kind is RequestKind.WRITE and not transaction.read_only:
+        transaction.wrote = True
+    try:
+        result = yield from _run(
+            transaction.connection, request.statement, deliver=not describe, describe=describe
+        )
+    except _Lost as lost:
+        yield EndTransaction()
+        if ends and transaction.wrote:
+            raise _write_lost(lost) from lost
+        raise (lost.reason or _transaction_lost()) from lost
+    if result.transaction_status == TRANSACTION_IDLE:
+        yield EndTransaction()
+        yield Release(transaction.connection, reusable=True)
+    if result.error is not None:
+        raise result.error
+    committed = result.transaction_status == TRANSACTION_IDLE and result.tag != "ROLLBACK"
+    if committed and transaction.wrote:
+        primary = PrimaryReference(transaction.instance, transaction.term)
+        return (yield from _confirmed(request, primary, result.tag))
+    return Outcome(
+        request.number,
+        tag=result.tag,
+        transaction_status=result.transaction_status,
+        instance=transaction.instance,
+        is_replica=transaction.read_only,
+        position=ORIGIN,
+        description=result.description,
+    )
+
+
+def _transaction_lost() -> RequestError:
+    return RequestError(
+        ErrorKind.TRANSACTION_LOST,
+        "the transaction's server connection was lost; nothing of it ran",
+    )
--- /dev/null
+++ b/src/orchidwind/core/pool.py
@@ -0,0 +1,163 @@
+"""The server connections that a home holds to one instance.
+
+The pool opens connections ahead of need up to its share, grants them to waiting requests in the
+order of the admission queue, and closes those whose state is uncertain. When the database says
+that its limit is met (SQLSTATE 53300), the database has the last word: the usable share shrinks,
+and grows again step by step.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from orchidwind.core.admission import AdmissionQueue, Refusal, TrafficClass
+
+_REOPEN_SECONDS = 0.1
+_LONGEST_REOPEN_SECONDS = 2.0
+_GROW_AGAIN_SECONDS = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """A waiting request got a connection."""
+
+    ticket: int
+    connection: int
+
+
+@dataclass(frozen=True, slots=True)
+class OpenConnection:
+    """Open a connection to an instance under this number."""
+
+    instance: str
+    connection: int
+
+
+@dataclass(frozen=True, slots=True)
+class CloseConnection:
+    """Close a connection."""
+
+    connection: int
+
+
+PoolEffect = Grant | OpenConnection | CloseConnection | Refusal
+
+
+class InstancePool:
+    """Connections, and the requests that wait for them."""
+
+    def __init__(self, instance: str, share: int, numbers: Iterator[int]) -> None:
+        self.instance = instance
+        self.share = share
+        self.queue = AdmissionQueue()
+        self.idle: list[int] = []
+        self.busy: dict[int, float] = {}
+        self.opening: set[int] = set()
+        self._numbers = numbers
+        self._limit = share
+        self._reopen_at = 0.0
+        self._reopen_delay = _REOPEN_SECONDS
+        self._grow_at = 0.0
+
+    @property
+    def size(self) -> int:
+        """Connections that are open or being opened."""
+        return len(self.idle) + len(self.busy) + len(self.opening)
+
+    @property
+    def usable(self) -> int:
+        """How many connections the pool may hold now."""
+        return min(self.share, self._limit)
+
+    def set_share(self, share: int, now: float) -> list[PoolEffect]:
+        """Hold this many connections; a lower share closes idle ones at once."""
+        self.share = share
+        self._limit = share
+        return self._settle(now)
+
+    def acquire(
+        self, ticket: int, traffic_class: TrafficClass, now: float, expires_at: float
+    ) -> list[PoolEffect]:
+        """Ask for a connection: granted now, queued, or refused."""
+        refusal = self.queue.enter(ticket, traffic_class, now, expires_at, max(self.usable, 1))
+        if refusal is not None:
+            return [refusal]
+        return self._settle(now)
+
+    def opened(self, connection: int, now: float) -> list[PoolEffect]:
+        """A connection is ready."""
+        if connection not in self.opening:
+            return [CloseConnection(connection)]
+        self.opening.discard(connection)
+        self.idle.append(connection)
+        self._reopen_delay = _REOPEN_SECONDS
+        return self._settle(now)
+
+    def open_failed(self, connection: int, now: float, limit_met: bool) -> list[PoolEffect]:
+        """A connection could not be opened; try again later, with fewer if the limit is met."""
+        self.opening.discard(connection)
+        if limit_met:
+            self._limit = max(self.size, 1)
+            self._grow_at = now + _GROW_AGAIN_SECONDS
+        self._reopen_at = now + self._reopen_delay
+        self._reopen_delay = min(self._reopen_delay * 2, _LONGEST_REOPEN_SECONDS)
+        return self._settle(now)
+
+    def release(self, connection: int, now: float, reusable: bool) -> list[PoolEffect]:
+        """A request gave its connection back."""
+        granted_at = self.busy.pop(connection, None)
+        effects: list[PoolEffect] = []
+        if granted_at is None:
+            return effects
+        self.queue.note_service(now - granted_at)
+        if reusable:
+            self.idle.append(connection)
+        else:
+            effects.append(CloseConnection(connection))
+        return effects + self._settle(now)
+
+    def lost(self, connection: int, now: float) -> list[PoolEffect]:
+        """A connection broke by itself."""
+        self.busy.pop(connection, None)
+        if connection in self.idle:
+            self.idle.remove(connection)
+        self.opening.discard(connection)
+        self._reopen_at = max(self._reopen_at, now + self._reopen_delay)
+        return self._settle(now)
+
+    def cancel(self, ticket: int) -> None:
+        """A waiting request gave up."""
+        self.queue.leave(ticket)
+
+    def tick(self, now: float) -> list[PoolEffect]:
+        """Refuse what expired and open what is missing."""
+        if self._grow_at and now >= self._grow_at and self._limit < self.share:
+            self._limit += 1
+            self._grow_at = now + _GROW_AGAIN_SECONDS
+        expired: list[PoolEffect] = list(self.queue.expire(now))
+        return expired + self._settle(now)
+
+    def deadline(self) -> float | None:
+        """When `tick` has something to do."""
+        times = [self.queue.deadline()]
+        if self.size < self.usable:
+            times.append(self._reopen_at)
+        if self._limit < self.share:
+            times.append(self._grow_at)
+        return min((time for time in times if time is not None), default=None)
+
+    def _settle(self, now: float) -> list[PoolEffect]:
+        effects: list[PoolEffect] = []
+        while self.idle and self.size > self.usable:
+            effects.append(CloseConnection(self.idle.pop()))
+        while self.idle and (ticket := self.queue.next()) is not None:
+            connection = self.idle.pop()
+            self.busy[connection] = now
+            effects.append(Grant(ticket, connection))
+        if now >= self._reopen_at:
+            while self.size < self.usable:
+                connection = next(self._numbers)
+                self.opening.add(connection)
+                effects.append(OpenConnection(self.instance, connection))
+        return effects
--- /dev/null
+++ b/src/orchidwind/core/routing.py
@@ -0,0 +1,62 @@
+"""Chooses where a read runs: which replica, after what wait, or the primary."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from orchidwind.core.group_view import GroupView
+from orchidwind.core.positions import Position
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingSettings:
+    """Bounds of the choice, in seconds."""
+
+    longest_replica_wait: float = 0.1
+    waiting_penalty: float = 0.005
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Run on `instance` once its replay covers the floor, expected after `wait` seconds."""
+
+    instance: str
+    is_replica: bool
+    wait: float = 0.0
+    term: int = 0
+
+
+def choose_read_route(
+    view: GroupView,
+    floor: Position,
+    now: float,
+    waiting: Mapping[str, int],
+    settings: RoutingSettings,
+    preferred: str = "",
+) -> Route | None:
+    """The replica expected to serve first, within the bound, else the primary, else None.
+
+    `waiting` counts the requests queued at each instance; an instance without an entry is not
+    open to this home. The preferred instance wins while it can serve without a longer wait.
+    """
+    best: Route | None = None
+    best_cost = 0.0
+    for report in view.replicas(now):
+        if report.instance not in waiting:
+            continue
+        wait = view.expected_wait(report, floor, now)
+        if wait > settings.longest_replica_wait:
+            continue
+        cost = wait + waiting[report.instance] * settings.waiting_penalty
+        if report.instance == preferred:
+            cost -= settings.waiting_penalty
+        if best is None or cost < best_cost:
+            best = Route(report.instance, True, wait, report.term)
+            best_cost = cost
+    if best is not None:
+        return best
+    primary = view.primary()
+    if primary is None or primary.term < floor.term:
+        return None
+    return Route(primary.instance, False, term=primary.term)
--- /dev/null
+++ b/src/orchidwind/daemon.py
@@ -0,0 +1,216 @@
+"""One proxy process: callers' listener, home service, links, membership, platform watch."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tornado.httpserver import HTTPServer
+
+from orchidwind.core.errors import ErrorKind, RequestError
+from orchidwind.core.positions import format_lsn
+from orchidwind.logs import log_event
+from orchidwind.metrics import Metrics
+from orchidwind.network import operator_http
+from orchidwind.network.cluster import Cluster
+from orchidwind.network.front import FrontExecutor, FrontService
+from orchidwind.network.group_runner import GroupRunner
+from orchidwind.network.home_service import HomeService
+from orchidwind.network.operator_http import (
+    DatabaseStatus,
+    InstanceStatus,
+    MemberStatus,
+    Operated,
+    ProxyStatus,
+)
+from orchidwind.network.peer_link import LinkServer
+from orchidwind.network.platform_client import PlatformClient
+from orchidwind.network.platform_watch import PlatformWatch
+from orchidwind.postgres.executor import Executor, SessionParameters
+from orchidwind.postgres.listener import PostgresListener
+from orchidwind.postgres.scram import ScramVerifier
+from orchidwind.postgres.server_session import SessionHost
+from orchidwind.settings import ProxySettings
+
+_ANNOUNCE_SECONDS = 0.5
+_DRAIN_CHECK_SECONDS = 0.05
+
+
+class CallerHost(SessionHost):
+    """Admits callers by the configuration in force."""
+
+    def __init__(self, cluster: Cluster, front: FrontService) -> None:
+        self.listener: PostgresListener | None = None
+        self._cluster = cluster
+        self._front = front
+        self._verifiers: dict[tuple[str, str], ScramVerifier] = {}
+
+    def verifier(self, user: str) -> ScramVerifier | None:
+        """The verifier of a user, made when the user first logs in."""
+        password = self._password(user)
+        if password is None:
+            return None
+        key = (user, password)
+        if key not in self._verifiers:
+            self._verifiers[key] = ScramVerifier(password)
+        return self._verifiers[key]
+
+    def _password(self, user: str) -> str | None:
+        content = self._cluster.content
+        for item in content.users if content else []:
+            if item.name == user:
+                return item.password
+        return None
+
+    def knows_user(self, user: str) -> bool:
+        """Every user has a password."""
+        return False
+
+    async def open(self, parameters: SessionParameters) -> Executor:
+        """Open a session of a configured database."""
+        if parameters.database not in self._cluster.databases:
+            raise RequestError(
+                ErrorKind.UNKNOWN_DATABASE, f'database "{parameters.database}" does not exist'
+            )
+        return FrontExecutor(self._front, parameters)
+
+    def cancel(self, process_id: int, secret: int) -> None:
+        """Cancel what another connection runs."""
+        if self.listener is not None:
+            self.listener.cancel(process_id, secret)
+
+
+class ProxyDaemon(Operated):
+    """Wires the parts together; `run` returns when the proxy has drained."""
+
+    def __init__(self, settings: ProxySettings) -> None:
+        self._settings = settings
+        self._figures = Metrics()
+        self._cluster = Cluster(settings, self._on_roles)
+        self._homes = HomeService(self._cluster.node)
+        front = FrontService(self._cluster, self._homes, self._figures)
+        host = CallerHost(self._cluster, front)
+        self._listener = PostgresListener(
+            host,
+            maximum_connections=settings.maximum_callers,
+            on_error=self._figures.error_told,
+        )
+        host.listener = self._listener
+        self._links = LinkServer(self._homes, self._cluster.reply)
+        self._operator: HTTPServer | None = None
+        self._stop = asyncio.Event()
+        self._draining = False
+
+    async def run(self) -> None:
+        """Serve until drained."""
+        settings = self._settings
+        self._links.listen(settings.peer_port, settings.host)
+        self._operator = operator_http.listen(self, settings.host, settings.operator_port)
+        await self._cluster.start()
+        self._listener.listen(settings.caller_port, settings.caller_host or settings.host)
+        log_event("proxy_started", zone=settings.zone, caller_port=settings.caller_port)
+        client = PlatformClient(settings.platform_url)
+        watch = asyncio.create_task(PlatformWatch(client, self._cluster, self._figures).run())
+        await self._stop.wait()
+        await self._finish_work()
+        watch.cancel()
+        self._close()
+        log_event("proxy_stopped")
+
+    def drain(self) -> None:
+        """Planned stop: announce, then let what runs end."""
+        if not self._draining:
+            self._draining = True
+            self._stop.set()
+
+    async def _finish_work(self) -> None:
+        """Stop in an order that cuts nothing.
+
+        First the others are told, so that their new requests go elsewhere; only then does this
+        node stop taking requests as home, and those that come late are sent back untouched. Callers
+        between transactions are closed, the others when theirs ends.
+        """
+        log_event("drain_started", callers=len(self._listener.sessions))
+        self._listener.stop()
+        self._cluster.leave()
+        await asyncio.sleep(_ANNOUNCE_SECONDS)
+        self._homes.give_up_all()
+        loop = asyncio.get_running_loop()
+        bound = loop.time() + self._settings.drain_seconds
+        while loop.time() < bound:
+            for session in list(self._listener.sessions.values()):
+                session.stop()
+            if not self._listener.sessions and self._homes.idle:
+                return
+            await asyncio.sleep(_DRAIN_CHECK_SECONDS)
+        log_event("drain_bound_reached", callers=len(self._listener.sessions))
+
+    def _close(self) -> None:
+        for session in list(self._listener.sessions.values()):
+            session.close()
+        self._links.stop()
+        self._links.close_links()
+        self._homes.close()
+        self._cluster.close()
+        if self._operator is not None:
+            self._operator.stop()
+
+    def _on_roles(self) -> None:
+        content = self._cluster.content
+        if content is not None and not self._draining:
+            self._homes.apply(content, self._cluster.placement)
+
+    # --- Operated -----------------------------------------------------------------------------
+
+    def metrics(self) -> bytes:
+        """The figures, with the gauges brought up to date."""
+        figures = self._figures
+        figures.callers.set(len(self._listener.sessions))
+        figures.members.set(len(self._cluster.members.membership.usable()))
+        figures.homes.set(len(self._homes.runners))
+        figures.configuration_version.set(self._cluster.history.version)
+        members = self._cluster.members
+        figures.gossip_bytes.set(members.sent_bytes + members.received_bytes)
+        return figures.render()
+
+    def status(self) -> ProxyStatus:
+        """The state of the proxy."""
+        return ProxyStatus(
+            name=self._settings.name,
+            zone=self._settings.zone,
+            ready=self._cluster.content is not None and not self._draining,
+            draining=self._draining,
+            configuration_version=self._cluster.history.version,
+            callers=len(self._listener.sessions),
+            members=[
+                MemberStatus(item.name, item.zone, item.state.name.lower(), item.leaving)
+                for item in self._cluster.members.membership.members.values()
+            ],
+            databases=[_database_status(runner) for runner in self._homes.runners.values()],
+        )
+
+
+def _database_status(runner: GroupRunner) -> DatabaseStatus:
+    group = runner.group
+    primary = group.view.primary()
+    instances = []
+    for name, report in group.view.reports.items():
+        pool = group.pools[name]
+        instances.append(
+            InstanceStatus(
+                name=name,
+                reachable=name not in group.view.unreachable,
+                in_recovery=report.in_recovery,
+                term=report.term,
+                received=str(report.received),
+                replayed_lsn=format_lsn(report.replayed_lsn),
+                open_connections=pool.size,
+                queued_requests=len(pool.queue),
+            )
+        )
+    return DatabaseStatus(
+        name=runner.database.name,
+        primary=primary.instance if primary else "",
+        instances=instances,
+        open_transactions=len(group.transactions),
+        commits_waiting=len(group.barrier.pending),
+    )
--- /dev/null
+++ b/src/orchidwind/metrics.py
@@ -0,0 +1,91 @@
+"""Figures of one proxy, in Prometheus' text form on `/metrics`."""
+
+from __future__ import annotations
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+    generate_latest,
+)
+
+from orchidwind.core.errors import RequestError
+from orchidwind.core.statements import Outcome, RequestKind
+
+_LATENCY_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
+_TARGET_NAMES = {True: "replica", False: "primary"}
+
+
+class Metrics:
+    """All figures; one object a process."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
+        self._requests = Counter(
+            "orchidwind_requests",
+            "Requests finished, by kind and result",
+            ["kind", "result"],
+            registry=self.registry,
+        )
+        self._reads = Counter(
+            "orchidwind_reads",
+            "Reads answered, by where they ran",
+            ["target"],
+            registry=self.registry,
+        )
+        self._seconds = Histogram(
+            "orchidwind_request_seconds",
+            "Time from a statement's arrival to its outcome",
+            ["kind"],
+            buckets=_LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self._errors = Counter(
+            "orchidwind_errors",
+            "Errors told to callers, by kind",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.callers = self._gauge("orchidwind_callers", "Callers' connections")
+        self.members = self._gauge("orchidwind_members", "Proxies usable for roles")
+        self.homes = self._gauge("orchidwind_homes", "Databases that this proxy is home of")
+        self.configuration_version = self._gauge(
+            "orchidwind_configuration_version", "Version of the configuration in force"
+        )
+        self.watching = self._gauge(
+            "orchidwind_platform_watch", "1 while this proxy watches the platform"
+        )
+        self.gossip_bytes = self._gauge(
+            "orchidwind_gossip_bytes", "Bytes of membership datagrams, both ways"
+        )
+        self._children: dict[tuple[str, str], Counter] = {}
+        self._timers = {kind: self._seconds.labels(kind.value) for kind in RequestKind}
+        self._targets = {
+            is_replica: self._reads.labels(name) for is_replica, name in _TARGET_NAMES.items()
+        }
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(name, text, registry=self.registry)
+
+    def finished(self, kind: RequestKind, outcome: Outcome, seconds: float) -> None:
+        """A request ended."""
+        result = "ok" if outcome.error is None else outcome.error.kind.value
+        key = (kind.value, result)
+        child = self._children.get(key)
+        if child is None:
+            child = self._children[key] = self._requests.labels(*key)
+        child.inc()
+        self._timers[kind].observe(seconds)
+        if kind is RequestKind.READ and outcome.error is None and outcome.instance:
+            self._targets[outcome.is_replica].inc()
+
+    def error_told(self, error: RequestError) -> None:
+        """A caller was told an error."""
+        self._errors.labels(error.kind.value).inc()
+
+    def render(self) -> bytes:
+        """The text of `/metrics`."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/src/orchidwind/network/cluster.py
@@ -0,0 +1,209 @@
+"""What a node knows of the cluster: members, links to them, configuration, and the roles."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from orchidwind.core.admission import TrafficClass
+from orchidwind.core.configuration import (
+    ClassMatcher,
+    ConfigurationDocument,
+    DatabaseSettings,
+    OperatorFile,
+)
+from orchidwind.core.configuration_history import Adopt, ConfigurationHistory, HistoryEffect
+from orchidwind.core.membership import Member, Membership, MemberState
+from orchidwind.core.placement import Node, Placement
+from orchidwind.logs import log_event
+from orchidwind.network import codec
+from orchidwind.network.datagrams import MembershipService
+from orchidwind.network.front import Home
+from orchidwind.network.peer_link import PeerLink
+from orchidwind.settings import ProxySettings, parse_address
+
+_FETCH_AGAIN_SECONDS = 0.5
+_VIEW_SETTLE_SECONDS = 0.05
+WATCHERS_A_ZONE = 2
+
+
+class Cluster:
+    """Implements the front's `Router` on the membership view and the configuration."""
+
+    def __init__(self, settings: ProxySettings, on_roles: Callable[[], None]) -> None:
+        """`on_roles` is called when configuration or placement has changed."""
+        self.node = Node(settings.name, settings.zone)
+        self.history = ConfigurationHistory()
+        self.databases: dict[str, DatabaseSettings] = {}
+        self.placement = Placement([], [])
+        self._settings = settings
+        self._on_roles = on_roles
+        self._loop = asyncio.get_running_loop()
+        self._classes = ClassMatcher([])
+        self._homes: dict[str, Home | None] = {}
+        self._links: dict[str, PeerLink] = {}
+        self._fetched: dict[str, float] = {}
+        self._roles_due: asyncio.TimerHandle | None = None
+        own = Member(
+            settings.name,
+            settings.zone,
+            settings.host,
+            settings.peer_port,
+            settings.gossip_port,
+        )
+        membership = Membership(
+            own, [parse_address(seed) for seed in settings.seeds], random.Random()
+        )
+        self.members = MembershipService(membership, self._on_view, self._on_peer_version)
+
+    async def start(self) -> None:
+        """Join the others."""
+        await self.members.start(self._settings.host, self._settings.gossip_port)
+
+    # --- Router -------------------------------------------------------------------------------
+
+    def home(self, database: str) -> Home | None:
+        """The home of a database for this node's zone."""
+        if database in self._homes:
+            return self._homes[database]
+        settings = self.databases.get(database)
+        found = None
+        if settings is not None:
+            name = self.placement.home(settings, self.node.zone)
+            found = self._home_at(name) if name is not None else None
+        self._homes[database] = found
+        return found
+
+    def traffic_class(self, user: str, application_name: str, tag: str) -> TrafficClass:
+        """The traffic class of a request."""
+        return self._classes.match(user, application_name, tag)
+
+    def _home_at(self, name: str) -> Home | None:
+        if name == self.node.name:
+            return Home(name, None)
+        link = self._link(name)
+        return None if link is None else Home(name, link)
+
+    def _link(self, name: str) -> PeerLink | None:
+        member = self.members.membership.members.get(name)
+        if member is None:
+            return None
+        address = (member.host, member.peer_port)
+        link = self._links.get(name)
+        if link is not None and link.address == address:
+            return link
+        if link is not None:
+            link.close()
+        link = PeerLink(self.node.name, *address, on_configuration=self._peer_document(name))
+        self._links[name] = link
+        return link
+
+    # --- configuration ------------------------------------------------------------------------
+
+    @property
+    def content(self) -> OperatorFile | None:
+        """The configuration in force."""
+        return self.history.current.content if self.history.current else None
+
+    def on_platform(self, document: ConfigurationDocument) -> None:
+        """The platform told a configuration."""
+        self._take(self.history.on_platform(document))
+
+    def reply(self) -> codec.ConfigurationReply | None:
+        """The configuration in force, for a peer that asks."""
+        current = self.history.current
+        if current is None:
+            return None
+        return codec.ConfigurationReply(current.version, msgspec.json.encode(current.content))
+
+    def is_watcher(self) -> bool:
+        """Whether this node is one of its zone's readers of the platform."""
+        return self.node.name in self.placement.watchers(self.node.zone, WATCHERS_A_ZONE)
+
+    def _peers_in_view(self) -> int:
+        return len(self.members.membership.reachable()) - 1
+
+    def _on_peer_version(self, peer: str, version: int) -> None:
+        self._take(self.history.on_peer_version(peer, version, self._peers_in_view()))
+
+    def _peer_document(self, peer: str) -> Callable[[codec.ConfigurationReply], None]:
+        def take(reply: codec.ConfigurationReply) -> None:
+            try:
+                content = msgspec.json.decode(reply.content, type=OperatorFile)
+            except msgspec.DecodeError:
+                log_event("peer_configuration_not_understood", peer=peer)
+                return
+            document = ConfigurationDocument(reply.version, content)
+            self._take(self.history.on_peer_document(peer, document, self._peers_in_view()))
+
+        return take
+
+    def _take(self, effects: list[HistoryEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Adopt):
+                self._adopt(effect.document)
+            else:
+                self._fetch(effect.peer)
+
+    def _fetch(self, peer: str) -> None:
+        now = self._loop.time()
+        if now - self._fetched.get(peer, float("-inf")) < _FETCH_AGAIN_SECONDS:
+            return
+        self._fetched[peer] = now
+        link = self._link(peer)
+        if link is not None:
+            self._loop.create_task(self._request_configuration(link))
+
+    async def _request_configuration(self, link: PeerLink) -> None:
+        try:
+            await link.open()
+        except Exception as error:  # the next gossip asks again
+            log_event("peer_unavailable", reason=error)
+            return
+        link.send(codec.ConfigurationRequest(self.history.version))
+
+    def _adopt(self, document: ConfigurationDocument) -> None:
+        log_event("configuration_in_force", version=document.version)
+        self.databases = {item.name: item for item in document.content.databases}
+        self._classes = ClassMatcher(document.content.classes)
+        self._change_roles()
+        membership = self.members.membership
+        self.members.perform(
+            membership.set_configuration_version(self._loop.time(), document.version)
+        )
+
+    # --- view ---------------------------------------------------------------------------------
+
+    def _on_view(self) -> None:
+        """Members come in bursts; the roles are worked out once for each burst."""
+        if self._roles_due is None:
+            self._roles_due = self._loop.call_later(_VIEW_SETTLE_SECONDS, self._settle_view)
+
+    def _settle_view(self) -> None:
+        self._roles_due = None
+        for name in list(self._links):
+            member = self.members.membership.members.get(name)
+            if member is None or member.state == MemberState.DEAD:
+                self._links.pop(name).close()
+                self.history.forget_peer(name)
+        self._change_roles()
+
+    def _change_roles(self) -> None:
+        nodes = [Node(item.name, item.zone) for item in self.members.membership.usable()]
+        content = self.content
+        self.placement = Placement(nodes, content.zones if content else [])
+        self._homes.clear()
+        self._on_roles()
+
+    def leave(self) -> None:
+        """Announce a planned stop."""
+        self.members.perform(self.members.membership.leave(self._loop.time()))
+
+    def close(self) -> None:
+        """Cut links and close the socket."""
+        for link in self._links.values():
+            link.close()
+        self.members.close()
--- /dev/null
+++ b/src/orchidwind/network/codec.py
@@ -0,0 +1,298 @@
+"""Avro encoding of the messages between proxies; `messages.avsc` is the schema of both kinds.
+
+A frame on a link is a 4-byte length and a record of the `link` union; a datagram is a record of
+the `datagram` union alone.
+"""
+
+from __future__ import annotations
+
+import json
+import struct
+from importlib import resources
+from io import BytesIO
+from typing import Any
+
+import fastavro
+import msgspec
+
+from orchidwind.core.membership import (
+    Exchange,
+    Member,
+    MembershipMessage,
+    MemberState,
+    Probe,
+    ProbeAnswer,
+    ProbeRequest,
+)
+
+LENGTH = struct.Struct("!I")
+MAXIMUM_FRAME_BYTES = 80 * 1024 * 1024
+
+
+class DecodeError(Exception):
+    """Bytes of another process that are no message of the schema."""
+
+
+class Setting(msgspec.Struct, frozen=True):
+    """A run-time parameter of a session."""
+
+    name: str
+    value: str
+
+
+class ColumnRecord(msgspec.Struct, frozen=True):
+    """One column of a result."""
+
+    name: str
+    type_oid: int
+    type_size: int
+    type_modifier: int
+    table_oid: int
+    column_number: int
+
+
+class Hello(msgspec.Struct, frozen=True):
+    """First message on a link: who opened it."""
+
+    node: str
+
+
+class Execute(msgspec.Struct, frozen=True):
+    """A request for the home of a database. `remaining` is the time left, in seconds."""
+
+    number: int
+    channel: int
+    database: str
+    kind: str
+    sql: str
+    simple: bool
+    parameter_types: tuple[int, ...]
+    parameters: tuple[bytes | None, ...]
+    parameter_formats: tuple[int, ...]
+    result_format: int
+    floor_mode: str
+    floor_term: int
+    floor_lsn: int
+    last_read_instance: str
+    class_name: str
+    class_weight: float
+    class_deadline: float
+    class_queue_bound: int
+    remaining: float
+    in_transaction: bool
+    request_id: str
+    settings: tuple[Setting, ...]
+
+
+class ResultColumns(msgspec.Struct, frozen=True):
+    """The columns of the rows that follow."""
+
+    number: int
+    columns: tuple[ColumnRecord, ...]
+
+
+class ResultRows(msgspec.Struct, frozen=True):
+    """Rows as encoded DataRow messages."""
+
+    number: int
+    encoded: bytes
+    count: int
+
+
+class ResultTag(msgspec.Struct, frozen=True):
+    """A statement before the last of a query string ended."""
+
+    number: int
+    tag: str
+
+
+class Done(msgspec.Struct, frozen=True):
+    """A request ended with success; `described` tells whether types and columns are given."""
+
+    number: int
+    tag: str
+    transaction_status: bytes
+    instance: str
+    is_replica: bool
+    term: int
+    lsn: int
+    described: bool
+    parameter_types: tuple[int, ...]
+    columns: tuple[ColumnRecord, ...]
+
+
+class Failed(msgspec.Struct, frozen=True):
+    """A request ended with an error."""
+
+    number: int
+    kind: str
+    sqlstate: str
+    message: str
+    detail: str
+    retry_after_milliseconds: int | None
+    transaction_status: bytes
+
+
+class Credit(msgspec.Struct, frozen=True):
+    """The caller took this many bytes of an answer."""
+
+    number: int
+    count: int
+
+
+class Cancel(msgspec.Struct, frozen=True):
+    """Cancel what runs on a channel."""
+
+    channel: int
+
+
+class CloseChannel(msgspec.Struct, frozen=True):
+    """The caller of a channel has gone."""
+
+    channel: int
+
+
+class ConfigurationRequest(msgspec.Struct, frozen=True):
+    """Ask for the configuration in force; `version` is the one that the asker holds."""
+
+    version: int
+
+
+class ConfigurationReply(msgspec.Struct, frozen=True):
+    """The configuration in force, as JSON."""
+
+    version: int
+    content: bytes
+
+
+LinkMessage = (
+    Hello
+    | Execute
+    | ResultColumns
+    | ResultRows
+    | ResultTag
+    | Done
+    | Failed
+    | Credit
+    | Cancel
+    | CloseChannel
+    | ConfigurationRequest
+    | ConfigurationReply
+)
+_LINK_TYPES: dict[str, type[LinkMessage]] = {
+    kind.__name__: kind
+    for kind in (
+        Hello,
+        Execute,
+        ResultColumns,
+        ResultRows,
+        ResultTag,
+        Done,
+        Failed,
+        Credit,
+        Cancel,
+        CloseChannel,
+        ConfigurationRequest,
+        ConfigurationReply,
+    )
+}
+_WITH_RECORDS = (Execute, ResultColumns, Done)
+_DATAGRAM_TYPES: dict[str, type[MembershipMessage]] = {
+    "ProbeRecord": Probe,
+    "ProbeAnswerRecord": ProbeAnswer,
+    "ProbeRequestRecord": ProbeRequest,
+    "ExchangeRecord": Exchange,
+}
+_DATAGRAM_NAMES = {kind: name for name, kind in _DATAGRAM_TYPES.items()}
+_DATAGRAM_FIELDS = {
+    Probe: ("sequence", "on_behalf"),
+    ProbeAnswer: ("sequence", "subject"),
+    ProbeRequest: ("sequence", "target"),
+    Exchange: ("wants_answer",),
+}
+_MEMBER_FIELDS = ("name", "zone", "host", "peer_port", "gossip_port", "incarnation", "leaving")
+
+
+def _load_schemas() -> tuple[Any, Any]:
+    text = resources.files("orchidwind.network").joinpath("messages.avsc").read_text()
+    document = json.loads(text)
+    return fastavro.parse_schema(document["link"]), fastavro.parse_schema(document["datagram"])
+
+
+_LINK_SCHEMA, _DATAGRAM_SCHEMA = _load_schemas()
+
+
+def encode_frame(message: LinkMessage) -> bytes:
+    """A link message with its length before it."""
+    buffer = BytesIO()
+    buffer.write(b"\0" * LENGTH.size)
+    fields = msgspec.structs.asdict(message)
+    if isinstance(message, _WITH_RECORDS):
+        _flatten(fields)
+    fastavro.schemaless_writer(buffer, _LINK_SCHEMA, (type(message).__name__, fields))
+    data = buffer.getbuffer()
+    LENGTH.pack_into(data, 0, len(data) - LENGTH.size)
+    return buffer.getvalue()
+
+
+def _flatten(fields: dict[str, Any]) -> None:
+    for name in ("columns", "settings"):
+        if fields.get(name):
+            fields[name] = [msgspec.structs.asdict(item) for item in fields[name]]
+
+
+def _read_record(body: bytes, schema: Any) -> tuple[str, dict[str, Any]]:
+    """The name and the fields of a record of a union."""
+    record: Any = fastavro.schemaless_reader(BytesIO(body), schema, None, return_record_name=True)
+    name, fields = record
+    return name, fields
+
+
+def decode_link(body: bytes) -> LinkMessage:
+    """The message of a frame; raises DecodeError."""
+    try:
+        name, fields = _read_record(body, _LINK_SCHEMA)
+        return msgspec.convert(fields, _LINK_TYPES[name], builtin_types=(bytes,))
+    except (
+        msgspec.ValidationError,
+        EOFError,
+        ValueError,
+        IndexError,
+        KeyError,
+        TypeError,
+        OverflowError,
+    ) as error:
+        raise DecodeError(str(error)) from error
+
+
+def encode_datagram(message: MembershipMessage) -> bytes:
+    """A membership message."""
+    fields = {name: getattr(message, name) for name in _DATAGRAM_FIELDS[type(message)]}
+    fields["sender"] = _member_fields(message.sender)
+    fields["configuration_version"] = message.configuration_version
+    fields["updates"] = [_member_fields(member) for member in message.updates]
+    buffer = BytesIO()
+    name = _DATAGRAM_NAMES[type(message)]
+    fastavro.schemaless_writer(buffer, _DATAGRAM_SCHEMA, (name, fields))
+    return buffer.getvalue()
+
+
+def _member_fields(member: Member) -> dict[str, Any]:
+    fields = {name: getattr(member, name) for name in _MEMBER_FIELDS}
+    fields["state"] = int(member.state)
+    return fields
+
+
+def decode_datagram(body: bytes) -> MembershipMessage:
+    """A membership message; raises DecodeError."""
+    try:
+        name, fields = _read_record(body, _DATAGRAM_SCHEMA)
+        fields["sender"] = _member(fields["sender"])
+        fields["updates"] = tuple(_member(item) for item in fields["updates"])
+        return _DATAGRAM_TYPES[name](**fields)
+    except (EOFError, ValueError, IndexError, KeyError, TypeError, OverflowError) as error:
+        raise DecodeError(str(error)) from error
+
+
+def _member(fields: dict[str, Any]) -> Member:
+    return Member(**{**fields, "state": MemberState(fields["state"])})
--- /dev/null
+++ b/src/orchidwind/network/datagrams.py
@@ -0,0 +1,98 @@
+"""Membership over UDP: the socket and the timer round the core class."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import cast
+
+from orchidwind.core.membership import (
+    Membership,
+    MembershipEffect,
+    PeerVersion,
+    SendDatagram,
+    ViewChanged,
+)
+from orchidwind.network import codec
+
+_SHORTEST_TIMER_SECONDS = 0.001
+
+
+class MembershipService(asyncio.DatagramProtocol):
+    """Drives `Membership` on the event loop."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        on_view: Callable[[], None],
+        on_version: Callable[[str, int], None],
+    ) -> None:
+        self.membership = membership
+        self._on_view = on_view
+        self._on_version = on_version
+        self._transport: asyncio.DatagramTransport | None = None
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.TimerHandle | None = None
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    async def start(self, host: str, port: int) -> None:
+        """Open the socket and ask the seeds."""
+        await self._loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
+        self.perform(self.membership.start(self._loop.time()))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The socket is open."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str | object, int]) -> None:
+        """Take a datagram; what is no message is dropped."""
+        self.received_bytes += len(data)
+        try:
+            message = codec.decode_datagram(data)
+        except codec.DecodeError:
+            return
+        self.perform(self.membership.receive(self._loop.time(), message))
+
+    def error_received(self, exc: Exception) -> None:
+        """A port is closed: the probe's timer tells the same."""
+
+    def perform(self, effects: Iterable[MembershipEffect]) -> None:
+        """Carry out effects and set the timer."""
+        view_changed = False
+        versions: list[PeerVersion] = []
+        for effect in effects:
+            if isinstance(effect, SendDatagram):
+                self._send(effect)
+            elif isinstance(effect, ViewChanged):
+                view_changed = True
+            else:
+                versions.append(effect)
+        self._set_timer()
+        if view_changed:
+            self._on_view()
+        for item in versions:
+            self._on_version(item.peer, item.version)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._transport is not None:
+            self._transport.close()
+
+    def _send(self, effect: SendDatagram) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        data = codec.encode_datagram(effect.message)
+        self.sent_bytes += len(data)
+        self._transport.sendto(data, (effect.host, effect.port))
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        due = max(self.membership.deadline(), self._loop.time() + _SHORTEST_TIMER_SECONDS)
+        self._timer = self._loop.call_at(due, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self.perform(self.membership.tick(self._loop.time()))
--- /dev/null
+++ b/src/orchidwind/network/front.py
@@ -0,0 +1,350 @@
+"""The callers' side of a proxy: takes statements, sends them to the home of the database."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, replace
+from itertools import count
+from typing import Protocol
+
+from orchidwind.core.admission import TrafficClass
+from orchidwind.core.caller_session import (
+    AskToken,
+    CallerSession,
+    Forward,
+    LocalAnswer,
+    Plan,
+)
+from orchidwind.core.errors import ErrorKind, PeerUnavailable, RequestError
+from orchidwind.core.statements import (
+    TRANSACTION_IDLE,
+    ChannelKey,
+    Column,
+    Outcome,
+    RequestKind,
+    StatementRequest,
+)
+from orchidwind.network import codec
+from orchidwind.network.backend import AnswerPort
+from orchidwind.network.home_service import HomeService
+from orchidwind.network.peer_link import PeerLink, from_answer, from_records, to_execute
+from orchidwind.postgres.executor import (
+    Description,
+    Executor,
+    NullSink,
+    ResultSink,
+    SessionParameters,
+    Statement,
+)
+from orchidwind.postgres.wire import codec as message_codec
+
+_TEXT_OID = 25
+_RETRY_SECONDS = 0.05
+_GRACE_SECONDS = 0.25
+_LOCAL_ORIGIN = "local"
+
+
+@dataclass(frozen=True, slots=True)
+class Home:
+    """Where a database is served: here, or over a link."""
+
+    name: str
+    link: PeerLink | None
+
+
+class Router(Protocol):
+    """What the front needs to know of the cluster."""
+
+    def home(self, database: str) -> Home | None:
+        """The home of a database for this node's zone."""
+
+    def traffic_class(self, user: str, application_name: str, tag: str) -> TrafficClass:
+        """The traffic class of a request."""
+
+
+class RequestObserver(Protocol):
+    """Takes measurements of finished requests."""
+
+    def finished(self, kind: RequestKind, outcome: Outcome, seconds: float) -> None:
+        """A request ended."""
+
+
+class _SinkPort(AnswerPort):
+    """Passes the parts of an answer to the caller's connection."""
+
+    def __init__(self, sink: ResultSink) -> None:
+        self._sink = sink
+        self.delivered = False
+
+    async def columns(self, columns: tuple[Column, ...]) -> None:
+        """Pass the columns on."""
+        self.delivered = True
+        await self._sink.columns(columns)
+
+    async def rows(self, encoded: bytes, count: int) -> None:
+        """Pass rows on."""
+        self.delivered = True
+        await self._sink.rows(encoded, count)
+
+    async def tag(self, command_tag: str) -> None:
+        """Pass a tag on."""
+        self.delivered = True
+        await self._sink.complete(command_tag)
+
+
+class FrontService:
+    """Sends requests to homes; shared by all callers of this node."""
+
+    def __init__(
+        self, router: Router, homes: HomeService, observer: RequestObserver | None = None
+    ) -> None:
+        self.router = router
+        self.observer = observer
+        self._homes = homes
+        self._channels = count(1)
+        self._numbers = count(1)
+
+    def next_channel(self) -> int:
+        """A number for a new session, or for one that must not be confused with its past."""
+        return next(self._channels)
+
+    def next_number(self) -> int:
+        """A number for a request."""
+        return next(self._numbers)
+
+    async def send(self, request: StatementRequest, home: Home, port: _SinkPort) -> Outcome:
+        """Send to a home and wait for the outcome; raises PeerUnavailable."""
+        if home.link is None:
+            return await self._send_here(request, port)
+        return await self._send_over(request, home.link, port)
+
+    async def _send_here(self, request: StatementRequest, port: _SinkPort) -> Outcome:
+        loop = asyncio.get_running_loop()
+        done: asyncio.Future[Outcome] = loop.create_future()
+
+        def finished(outcome: Outcome) -> None:
+            if not done.done():
+                done.set_result(outcome)
+
+        local = replace(request, number=next(self._homes.numbers))
+        self._homes.submit(local, port, finished)
+        return await done
+
+    async def _send_over(
+        self, request: StatementRequest, link: PeerLink, port: _SinkPort
+    ) -> Outcome:
+        loop = asyncio.get_running_loop()
+        pending = await link.execute(to_execute(request, loop.time()))
+        try:
+            async with asyncio.timeout_at(request.expires_at + _GRACE_SECONDS):
+                while True:
+                    part = await pending.parts.get()
+                    if isinstance(part, PeerUnavailable):
+                        raise part
+                    if isinstance(part, codec.Done | codec.Failed):
+                        return from_answer(part)
+                    await self._pass_on(part, link, port)
+        except TimeoutError as error:
+            link.send(codec.CloseChannel(request.channel.number))
+            raise PeerUnavailable("the home proxy does not answer", sent=True) from error
+        finally:
+            link.forget(request.number)
+
+    async def _pass_on(
+        self,
+        part: codec.ResultColumns | codec.ResultRows | codec.ResultTag,
+        link: PeerLink,
+        port: _SinkPort,
+    ) -> None:
+        if isinstance(part, codec.ResultRows):
+            await port.rows(part.encoded, part.count)
+            link.send(codec.Credit(part.number, len(part.encoded)))
+        elif isinstance(part, codec.ResultColumns):
+            await port.columns(from_records(part.columns))
+        else:
+            await port.tag(part.tag)
+
+    def cancel(self, home: Home, channel: int) -> None:
+        """Cancel what runs on a channel."""
+        if home.link is None:
+            self._homes.cancel(ChannelKey(_LOCAL_ORIGIN, channel))
+        else:
+            home.link.send(codec.Cancel(channel))
+
+    def close_channel(self, home: Home, channel: int) -> None:
+        """The caller of a channel has gone."""
+        if home.link is None:
+            self._homes.close_channel(ChannelKey(_LOCAL_ORIGIN, channel))
+        else:
+            home.link.send(codec.CloseChannel(channel))
+
+
+class FrontExecutor(Executor):
+    """Runs the statements of one caller's connection."""
+
+    def __init__(self, service: FrontService, parameters: SessionParameters) -> None:
+        self.session = CallerSession(parameters.options)
+        self._service = service
+        self._parameters = parameters
+        self._channel = service.next_channel()
+        self._home: Home | None = None
+        self._loop = asyncio.get_running_loop()
+
+    @property
+    def transaction_status(self) -> bytes:  # type: ignore[override]
+        """The status byte of ReadyForQuery."""
+        return self.session.transaction_status
+
+    async def execute(self, statement: Statement, sink: ResultSink) -> None:
+        """Run a statement here or at the home."""
+        plan = self.session.plan(statement.sql)
+        if isinstance(plan, LocalAnswer):
+            await _answer_locally(plan, sink)
+            return
+        if isinstance(plan, AskToken):
+            outcome = await self._request(RequestKind.TOKEN, statement, Forward(RequestKind.TOKEN))
+            token = str(max(outcome.position, self.session.floor.position))
+            await _answer_locally(LocalAnswer("SHOW", "orchidwind.session_token", token), sink)
+            return
+        port = _SinkPort(sink)
+        if plan.sql:
+            statement = replace(statement, sql=plan.sql)
+        outcome = await self._request(plan.kind, statement, plan, port)
+        await sink.complete(outcome.tag)
+
+    async def describe(self, sql: str, parameter_types: tuple[int, ...]) -> Description:
+        """Tell the types of a statement."""
+        plan: Plan = self.session.describe_plan(sql)
+        if isinstance(plan, LocalAnswer) and not plan.column:
+            return Description()
+        if isinstance(plan, LocalAnswer | AskToken):
+            name = plan.column if isinstance(plan, LocalAnswer) else "orchidwind.session_token"
+            return Description(columns=(Column(name, _TEXT_OID),))
+        statement = Statement(sql, parameter_types=parameter_types)
+        outcome = await self._request(RequestKind.DESCRIBE, statement, plan)
+        return outcome.description or Description()
+
+    async def _request(
+        self,
+        kind: RequestKind,
+        statement: Statement,
+        plan: Forward,
+        port: _SinkPort | None = None,
+    ) -> Outcome:
+        started = self._loop.time()
+        traffic_class = self._service.router.traffic_class(
+            self._parameters.user, self._parameters.application_name, plan.traffic_tag
+        )
+        request = StatementRequest(
+            number=0,
+            channel=ChannelKey(_LOCAL_ORIGIN, self._channel),
+            database=self._parameters.database,
+            kind=kind,
+            statement=statement,
+            floor=self.session.floor,
+            traffic_class=traffic_class,
+            expires_at=started + traffic_class.deadline,
+            in_transaction=self.session.in_transaction,
+            request_id=plan.request_id,
+            settings=self.session.settings,
+        )
+        outcome = await self._send_until_taken(request, port)
+        self.session.finished(outcome)
+        if self._service.observer is not None:
+            self._service.observer.finished(kind, outcome, self._loop.time() - started)
+        if outcome.error is not None:
+            raise outcome.error
+        return outcome
+
+    async def _send_until_taken(self, request: StatementRequest, port: _SinkPort | None) -> Outcome:
+        """Try homes until one takes the request; what may have run is not sent again."""
+        port = port or _SinkPort(NullSink())
+        while True:
+            home = self._home_for(request)
+            if home is not None:
+                self._home = home
+                numbered = replace(
+                    request,
+                    number=self._service.next_number(),
+                    channel=ChannelKey(_LOCAL_ORIGIN, self._channel),
+                )
+                try:
+                    outcome = await self._service.send(numbered, home, port)
+                except PeerUnavailable as lost:
+                    failed = self._link_lost(request, lost, port)
+                    if failed is not None:
+                        return failed
+                    self._channel = self._service.next_channel()
+                else:
+                    if not _moved(outcome):
+                        return outcome
+            if self._loop.time() + _RETRY_SECONDS >= request.expires_at:
+                error = RequestError(ErrorKind.NO_HOME, "no proxy serves this database now")
+                return Outcome(request.number, error=error)
+            await asyncio.sleep(_RETRY_SECONDS)
+
+    def _home_for(self, request: StatementRequest) -> Home | None:
+        """A transaction stays with the home that holds its connection."""
+        if request.in_transaction:
+            return self._home
+        return self._service.router.home(request.database)
+
+    def _link_lost(
+        self, request: StatementRequest, lost: PeerUnavailable, port: _SinkPort
+    ) -> Outcome | None:
+        """The outcome after a link broke, None where the request may be sent again."""
+        if request.in_transaction:
+            return self._transaction_link_lost(request, lost)
+        changes = request.kind is RequestKind.WRITE
+        if not lost.sent:
+            return None
+        if changes:
+            error = RequestError(
+                ErrorKind.OUTCOME_UNKNOWN,
+                "the link to the home proxy was lost; the write may or may not have run",
+            )
+            return Outcome(request.number, error=error)
+        if port.delivered or self._loop.time() >= request.expires_at:
+            error = RequestError(ErrorKind.READ_INTERRUPTED, "the answer was cut off")
+            return Outcome(request.number, error=error)
+        return None
+
+    def _transaction_link_lost(self, request: StatementRequest, lost: PeerUnavailable) -> Outcome:
+        text = request.statement.sql.lstrip().upper()
+        may_have_committed = lost.sent and (
+            text.startswith(("COMMIT", "END")) or ";" in text.rstrip("; \n")
+        )
+        self._channel = self._service.next_channel()
+        if may_have_committed:
+            error = RequestError(ErrorKind.OUTCOME_UNKNOWN, "the answer to a commit was lost")
+            return Outcome(request.number, error=error, transaction_status=TRANSACTION_IDLE)
+        error = RequestError(
+            ErrorKind.TRANSACTION_LOST,
+            "the proxy that held the transaction is gone; nothing of it ran",
+        )
+        return Outcome(request.number, error=error)
+
+    def cancel(self) -> None:
+        """Pass a cancel request on."""
+        if self._home is not None:
+            self._service.cancel(self._home, self._channel)
+
+    def mark_failed(self) -> None:
+        """An error was answered without reaching the home."""
+        self.session.mark_failed()
+
+    async def close(self) -> None:
+        """The caller has gone."""
+        if self._home is not None:
+            self._service.close_channel(self._home, self._channel)
+
+
+def _moved(outcome: Outcome) -> bool:
+    return outcome.error is not None and outcome.error.kind is ErrorKind.NO_HOME
+
+
+async def _answer_locally(answer: LocalAnswer, sink: ResultSink) -> None:
+    if answer.column:
+        await sink.columns((Column(answer.column, _TEXT_OID),))
+        await sink.rows(message_codec.make_data_row([answer.value.encode()]), 1)
+    await sink.complete(answer.tag)
--- /dev/null
+++ b/src/orchidwind/network/group_runner.py
@@ -0,0 +1,247 @@
+"""Carries out the effects of a `HomeGroup`: server connections, status queries, timers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any
+
+from orchidwind.core.configuration import DatabaseSettings
+from orchidwind.core.errors import BackendConnectionLost, BackendRefused
+from orchidwind.core.group_view import InstanceReport
+from orchidwind.core.home_group import (
+    CancelConnection,
+    Finished,
+    GroupEffect,
+    GroupOptions,
+    HomeGroup,
+    PollInstance,
+    ResetObserver,
+    RunOnConnection,
+)
+from orchidwind.core.pool import CloseConnection, OpenConnection
+from orchidwind.core.positions import Position, parse_lsn
+from orchidwind.core.routing import RoutingSettings
+from orchidwind.core.statements import ChannelKey, Outcome, Statement, StatementRequest
+from orchidwind.network.backend import AnswerPort, BackendConnection, ConnectionTarget
+
+STATUS_QUERY = Statement(
+    "SELECT pg_is_in_recovery(),"
+    " CASE WHEN pg_is_in_recovery() THEN pg_last_wal_receive_lsn()"
+    " ELSE pg_current_wal_lsn() END,"
+    " CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn()"
+    " ELSE pg_current_wal_lsn() END,"
+    " (SELECT timeline_id FROM pg_control_checkpoint()),"
+    " (SELECT received_tli FROM pg_stat_wal_receiver)"
+)
+_CONNECT_SECONDS = 2.0
+_LIMIT_MET = "53300"
+_SHORTEST_TIMER_SECONDS = 0.0005
+
+OnFinished = Callable[[Outcome], None]
+
+
+def group_options(database: DatabaseSettings) -> GroupOptions:
+    """The options of a group from the operators' file."""
+    routing = RoutingSettings(longest_replica_wait=database.replica_wait_ms / 1000.0)
+    return GroupOptions(acknowledge=database.acknowledge, routing=routing)
+
+
+class GroupRunner:
+    """One database at its home: the core class, and the sockets round it."""
+
+    def __init__(self, database: DatabaseSettings, share: int, zone: str) -> None:
+        self.database = database
+        self._zone = zone
+        shares = {instance.name: share for instance in database.instances}
+        self.group = HomeGroup(shares, group_options(database))
+        self._addresses = {instance.name: instance for instance in database.instances}
+        self._loop = asyncio.get_running_loop()
+        self._connections: dict[int, BackendConnection] = {}
+        self._observers: dict[str, BackendConnection] = {}
+        self._ports: dict[int, tuple[AnswerPort, OnFinished]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._closed = False
+        self.set_leaving(database)
+        self._perform(self.group.tick(self._loop.time()))
+
+    def submit(self, request: StatementRequest, port: AnswerPort, on_finished: OnFinished) -> None:
+        """Take a request; `on_finished` is called once."""
+        self._ports[request.number] = (port, on_finished)
+        self._perform(self.group.submit(self._loop.time(), request))
+
+    def cancel(self, channel: ChannelKey) -> None:
+        """The caller asks to cancel."""
+        self._perform(self.group.cancel(self._loop.time(), channel))
+
+    def close_channel(self, channel: ChannelKey) -> None:
+        """The caller has gone."""
+        self._perform(self.group.close_channel(self._loop.time(), channel))
+
+    def set_share(self, share: int) -> None:
+        """This home may hold so many connections to each instance."""
+        shares = dict.fromkeys(self.group.pools, share)
+        self._perform(self.group.set_shares(self._loop.time(), shares))
+
+    def set_leaving(self, database: DatabaseSettings) -> None:
+        """Which instances get no new work."""
+        leaving = {instance.name for instance in database.instances if instance.leaving}
+        self._perform(self.group.set_leaving(self._loop.time(), leaving))
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in self._tasks:
+            task.cancel()
+        for connection in [*self._connections.values(), *self._observers.values()]:
+            connection.close()
+
+    def _perform(self, effects: Iterable[GroupEffect]) -> None:
+        for effect in effects:
+            self._perform_one(effect)
+        self._set_timer()
+
+    def _perform_one(self, effect: GroupEffect) -> None:
+        if isinstance(effect, RunOnConnection):
+            self._spawn(self._run(effect))
+        elif isinstance(effect, Finished):
+            _, on_finished = self._ports.pop(effect.request.number)
+            on_finished(effect.outcome)
+        elif isinstance(effect, PollInstance):
+            self._spawn(self._poll(effect))
+        elif isinstance(effect, OpenConnection):
+            self._spawn(self._open(effect))
+        elif isinstance(effect, CloseConnection):
+            connection = self._connections.pop(effect.connection, None)
+            if connection is not None:
+                connection.close()
+        elif isinstance(effect, ResetObserver):
+            observer = self._observers.pop(effect.instance, None)
+            if observer is not None:
+                observer.close()
+        elif isinstance(effect, CancelConnection):
+            connection = self._connections.get(effect.connection)
+            if connection is not None:
+                self._spawn(connection.cancel())
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._closed:
+            return
+        due = max(self.group.deadline(), self._loop.time() + _SHORTEST_TIMER_SECONDS)
+        self._timer = self._loop.call_at(due, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._perform(self.group.tick(self._loop.time()))
+
+    def _target(self, instance: str, observer: bool) -> ConnectionTarget:
+        address = self._addresses[instance]
+        database = self.database
+        return ConnectionTarget(
+            host=address.host,
+            port=address.port,
+            database=database.name,
+            user=(observer and database.status_user) or database.server_user,
+            password=(observer and database.status_password) or database.server_password,
+            application_name=f"orchidwind/{self._zone}",
+        )
+
+    async def _open(self, effect: OpenConnection) -> None:
+        number = effect.connection
+        try:
+            async with asyncio.timeout(_CONNECT_SECONDS):
+                connection = await BackendConnection.open(
+                    self._target(effect.instance, observer=False), lambda: self._idle_lost(number)
+                )
+        except (BackendRefused, TimeoutError, OSError) as error:
+            limit_met = isinstance(error, BackendRefused) and error.sqlstate == _LIMIT_MET
+            now = self._loop.time()
+            self._perform(self.group.connection_failed(now, number, limit_met))
+            return
+        self._connections[number] = connection
+        self._perform(self.group.connection_opened(self._loop.time(), number))
+
+    def _idle_lost(self, number: int) -> None:
+        self._lost(number, BackendConnectionLost("the server connection was closed", sent=False))
+
+    def _lost(self, number: int, lost: BackendConnectionLost) -> None:
+        connection = self._connections.pop(number, None)
+        if connection is None:
+            return
+        connection.close()
+        self._perform(self.group.connection_lost(self._loop.time(), number, lost))
+
+    async def _run(self, effect: RunOnConnection) -> None:
+        connection = self._connections.get(effect.connection)
+        if connection is None:
+            return
+        port = None
+        if effect.deliver_to is not None and effect.deliver_to in self._ports:
+            port = self._ports[effect.deliver_to][0]
+        try:
+            if effect.describe:
+                result = await connection.describe(effect.statement)
+            else:
+                result = await connection.run(effect.statement, port)
+        except BackendConnectionLost as lost:
+            self._lost(effect.connection, lost)
+            return
+        now = self._loop.time()
+        self._perform(self.group.run_finished(now, effect.connection, result))
+
+    async def _poll(self, effect: PollInstance) -> None:
+        instance = effect.instance
+        try:
+            observer = self._observers.get(instance)
+            if observer is None or observer.broken:
+                observer = await BackendConnection.open(
+                    self._target(instance, observer=True), lambda: None
+                )
+                self._observers[instance] = observer
+            result = await observer.run(STATUS_QUERY, None)
+            if result.error is not None:
+                raise BackendRefused(result.error.message, result.error.sqlstate)
+            report = _report(effect, self._loop.time(), result.first_row)
+        except (BackendConnectionLost, BackendRefused, OSError, ValueError, IndexError):
+            self._poll_failed(instance)
+            return
+        self._perform(self.group.report(self._loop.time(), report))
+
+    def _poll_failed(self, instance: str) -> None:
+        if self._closed:
+            return
+        observer = self._observers.pop(instance, None)
+        if observer is not None:
+            observer.close()
+        self._perform(self.group.poll_failed(self._loop.time(), instance))
+
+
+def _report(
+    effect: PollInstance, answered_at: float, row: tuple[bytes | None, ...]
+) -> InstanceReport:
+    """Read the row of the status query; raises ValueError or IndexError for any other row."""
+    in_recovery, received, replayed, term, received_term = (
+        (value or b"").decode() for value in row
+    )
+    is_replica = in_recovery in ("t", "true", "1")
+    known_term = int(term)
+    log_term = int(received_term) if is_replica and received_term else known_term
+    return InstanceReport(
+        instance=effect.instance,
+        asked_at=effect.asked_at,
+        answered_at=answered_at,
+        in_recovery=is_replica,
+        term=known_term,
+        received=Position(log_term, parse_lsn(received)),
+        replayed_lsn=parse_lsn(replayed or "0/0"),
+    )
--- /dev/null
+++ b/src/orchidwind/network/home_service.py
@@ -0,0 +1,101 @@
+"""The databases that this node is home of."""
+
+from __future__ import annotations
+
+from itertools import count
+
+from orchidwind.core.configuration import DatabaseSettings, OperatorFile
+from orchidwind.core.errors import ErrorKind, RequestError
+from orchidwind.core.placement import Node, Placement
+from orchidwind.core.statements import ChannelKey, Outcome, StatementRequest
+from orchidwind.network.backend import AnswerPort
+from orchidwind.network.group_runner import GroupRunner, OnFinished
+
+
+class HomeService:
+    """Group runners by database, kept in step with configuration and placement."""
+
+    def __init__(self, node: Node) -> None:
+        self.runners: dict[str, GroupRunner] = {}
+        self.numbers = count(1)
+        self._node = node
+        self._former: list[GroupRunner] = []
+
+    def apply(self, content: OperatorFile, placement: Placement) -> None:
+        """Take on and give up databases."""
+        wanted = {
+            database.name: (database, share)
+            for database in content.databases
+            if (share := placement.shares_of(database, self._node)) > 0
+        }
+        for name, runner in list(self.runners.items()):
+            kept = name in wanted and _same_group(runner.database, wanted[name][0])
+            if not kept:
+                runner.set_share(0)
+            if name in wanted and not kept:
+                self._former.append(self.runners.pop(name))
+        for name, (database, share) in wanted.items():
+            if name in self.runners:
+                self.runners[name].set_leaving(database)
+                self.runners[name].set_share(share)
+            else:
+                self.runners[name] = GroupRunner(database, share, self._node.zone)
+        self._close_idle()
+
+    def give_up_all(self) -> None:
+        """This node stops: nothing new begins, what runs ends."""
+        for runner in self.runners.values():
+            runner.set_share(0)
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is in progress."""
+        return all(runner.group.idle for runner in [*self.runners.values(), *self._former])
+
+    def submit(self, request: StatementRequest, port: AnswerPort, on_finished: OnFinished) -> None:
+        """Take a request for one of the databases."""
+        runner = self.runners.get(request.database)
+        if runner is None:
+            error = RequestError(ErrorKind.NO_HOME, "this proxy does not serve the database")
+            on_finished(Outcome(request.number, error=error))
+            return
+        runner.submit(request, port, on_finished)
+
+    def cancel(self, channel: ChannelKey) -> None:
+        """Cancel what runs on a channel."""
+        for runner in self.runners.values():
+            runner.cancel(channel)
+
+    def close_channel(self, channel: ChannelKey) -> None:
+        """The caller of a channel has gone."""
+        for runner in [*self.runners.values(), *self._former]:
+            runner.close_channel(channel)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for runner in [*self.runners.values(), *self._former]:
+            runner.close()
+
+    def _close_idle(self) -> None:
+        for runner in list(self._former):
+            if runner.group.idle:
+                runner.close()
+                self._former.remove(runner)
+
+
+def _same_group(held: DatabaseSettings, wanted: DatabaseSettings) -> bool:
+    """Whether only what a running group can take over has changed."""
+
+    def essence(database: DatabaseSettings) -> object:
+        addresses = [(i.name, i.host, i.port, i.zone) for i in database.instances]
+        return (
+            addresses,
+            database.server_user,
+            database.server_password,
+            database.status_user,
+            database.status_password,
+            database.acknowledge,
+            database.replica_wait_ms,
+        )
+
+    return essence(held) == essence(wanted)
--- /dev/null
+++ b/src/orchidwind/network/platform_watch.py
@@ -0,0 +1,93 @@
+"""Follows the platform's configuration object while this node has the watcher role."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from orchidwind.core.errors import PlatformError, PlatformVersionGone
+from orchidwind.logs import log_event
+from orchidwind.metrics import Metrics
+from orchidwind.network.cluster import Cluster
+from orchidwind.network.platform_client import ConfigurationObject, PlatformClient
+
+_FIRST_READ_AFTER_SECONDS = 1.0
+_ROLE_CHECK_SECONDS = 0.5
+_LONGEST_WATCH_SECONDS = 60.0
+_SHORTEST_PAUSE_SECONDS = 0.2
+_LONGEST_PAUSE_SECONDS = 5.0
+_MACHINE_LIST_SECONDS = 30.0
+
+
+class PlatformWatch:
+    """Reads first, then watches; a node without a role reads only until it has a configuration."""
+
+    def __init__(self, client: PlatformClient, cluster: Cluster, metrics: Metrics) -> None:
+        self._client = client
+        self._cluster = cluster
+        self._metrics = metrics
+        self._pause = _SHORTEST_PAUSE_SECONDS
+        self._loop = asyncio.get_running_loop()
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        machines = asyncio.create_task(self._follow_machines())
+        try:
+            await self._wait_for_peers()
+            while True:
+                if self._cluster.history.current is None or self._cluster.is_watcher():
+                    await self._follow()
+                else:
+                    await asyncio.sleep(_ROLE_CHECK_SECONDS)
+        finally:
+            machines.cancel()
+
+    async def _wait_for_peers(self) -> None:
+        """Peers are asked first, so that a mass restart does not fall on the platform."""
+        if self._cluster.members.membership.reachable()[1:] or self._has_seeds():
+            await asyncio.sleep(_FIRST_READ_AFTER_SECONDS)
+
+    def _has_seeds(self) -> bool:
+        return bool(self._cluster.members.membership.seeds)
+
+    async def _follow(self) -> None:
+        try:
+            item = await self._client.read()
+            if item is not None:
+                self._take(item)
+            version = self._cluster.history.version
+            self._pause = _SHORTEST_PAUSE_SECONDS
+            if not self._cluster.is_watcher():
+                await asyncio.sleep(_ROLE_CHECK_SECONDS)
+                return
+            self._metrics.watching.set(1)
+            async with asyncio.timeout(_LONGEST_WATCH_SECONDS):
+                await self._client.watch(version, self._take)
+        except (PlatformVersionGone, TimeoutError):
+            return
+        except PlatformError as error:
+            log_event("platform_unavailable", reason=error)
+            await asyncio.sleep(self._pause * random.uniform(0.5, 1.5))
+            self._pause = min(self._pause * 2, _LONGEST_PAUSE_SECONDS)
+        finally:
+            self._metrics.watching.set(0)
+
+    def _take(self, item: ConfigurationObject) -> None:
+        self._cluster.on_platform(item.document())
+
+    async def _follow_machines(self) -> None:
+        """The list lags, so it only names whom to ask; it never removes a member."""
+        while True:
+            if len(self._cluster.members.membership.reachable()) < 2 or self._cluster.is_watcher():
+                await self._read_machines()
+            known = len(self._cluster.members.membership.reachable()) > 1
+            await asyncio.sleep(_MACHINE_LIST_SECONDS if known else _FIRST_READ_AFTER_SECONDS)
+
+    async def _read_machines(self) -> None:
+        try:
+            machines = await self._client.machines()
+        except PlatformError:
+            return
+        membership = self._cluster.members.membership
+        seeds = [(item.host, item.gossip_port) for item in machines if item.state == "live"]
+        self._cluster.members.perform(membership.add_seeds(self._loop.time(), seeds))
--- a/src/orchidwind/postgres/executor.py
+++ b/src/orchidwind/postgres/executor.py
@@ -5,31 +5,9 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 
-from orchidwind.postgres.wire import TRANSACTION_IDLE, Column
+from orchidwind.core.statements import TRANSACTION_IDLE, Column, Description, Statement
 
-
-@dataclass(frozen=True, slots=True)
-class Statement:
-    """One statement to run.
-
-    `simple` marks the simple query protocol: several statements may stand in `sql`, there are no
-    parameters, and results are text.
-    """
-
-    sql: str
-    simple: bool = False
-    parameter_types: tuple[int, ...] = ()
-    parameters: tuple[bytes | None, ...] = ()
-    parameter_formats: tuple[int, ...] = ()
-    result_format: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Description:
-    """The types of a statement's parameters and the columns of its result."""
-
-    parameter_types: tuple[int, ...] = ()
-    columns: tuple[Column, ...] = ()
+__all__ = ["Description", "Executor", "NullSink", "ResultSink", "SessionParameters", "Statement"]
 
 
 class ResultSink(ABC):
@@ -48,6 +26,19 @@
         """One statement ended; an empty tag stands for an empty query."""
 
 
+class NullSink(ResultSink):
+    """Drops an answer."""
+
+    async def columns(self, columns: tuple[Column, ...]) -> None:
+        """Nothing is shown."""
+
+    async def rows(self, encoded: bytes, count: int) -> None:
+        """Nothing is shown."""
+
+    async def complete(self, command_tag: str) -> None:
+        """Nothing is shown."""
+
+
 @dataclass(slots=True)
 class SessionParameters:
     """What a caller said at start-up."""
@@ -71,11 +62,14 @@
     async def describe(self, sql: str, parameter_types: tuple[int, ...]) -> Description:
         """Tell the types of a statement; raises RequestError where it is wrong."""
 
+    @abstractmethod
     def cancel(self) -> None:
         """Stop the running statement soon, if there is one."""
 
+    @abstractmethod
     def mark_failed(self) -> None:
         """An error was answered inside an open transaction without reaching the executor."""
 
+    @abstractmethod
     async def close(self) -> None:
         """The session ended: give back everything."""
--- a/src/orchidwind/postgres/portals.py
+++ b/src/orchidwind/postgres/portals.py
@@ -30,6 +30,7 @@
     started: bool = False
     rest: list[bytes] = field(default_factory=list)
     command_tag: str = ""
+    describe_next: bool = False
 
 
 class PortalTable:
--- a/src/orchidwind/postgres/server_session.py
+++ b/src/orchidwind/postgres/server_session.py
@@ -17,6 +17,7 @@
 from orchidwind.postgres.executor import (
     Description,
     Executor,
+    NullSink,
     ResultSink,
     SessionParameters,
     Statement,
@@ -63,17 +64,24 @@
 
 
 class StreamSink(ResultSink):
-    """Writes an answer to the caller as it comes."""
+    """Writes an answer to the caller as it comes.
 
-    def __init__(self, stream: IOStream, formats: tuple[int, ...], describe: bool) -> None:
+    `describe` writes the columns before the rows; `no_data` says so where there are none, as a
+    Describe message wants.
+    """
+
+    def __init__(
+        self, stream: IOStream, formats: tuple[int, ...], describe: bool, no_data: bool = False
+    ) -> None:
         self._stream = stream
         self._formats = formats
         self._describe = describe
+        self._no_data = no_data
         self._pending = bytearray()
-        self._complete = False
 
     async def columns(self, columns: tuple[Column, ...]) -> None:
         """Write RowDescription where the protocol asks for it."""
+        self._no_data = False
         if self._describe:
             self._pending += wire.row_description(columns, self._formats)
 
@@ -85,6 +93,8 @@
 
     async def complete(self, command_tag: str) -> None:
         """Write CommandComplete or EmptyQueryResponse."""
+        if self._no_data:
+            self._pending += codec.make_no_data()
         if command_tag:
             self._pending += codec.make_command_complete(command_tag)
         else:
@@ -120,17 +130,6 @@
         self._portal.command_tag = command_tag
 
 
-class _NullSink(ResultSink):
-    async def columns(self, columns: tuple[Column, ...]) -> None:
-        """Nothing is shown."""
-
-    async def rows(self, encoded: bytes, count: int) -> None:
-        """Nothing is shown."""
-
-    async def complete(self, command_tag: str) -> None:
-        """Nothing is shown."""
-
-
 def _split_messages(encoded: bytes) -> list[bytes]:
     messages = []
     offset = 0
@@ -343,8 +342,9 @@
         try:
             if implicit:
                 await self._control("BEGIN")
-            for tag, body in batch:
-                await self._extended(tag, body)
+            for index, (tag, body) in enumerate(batch):
+                following = batch[index + 1] if index + 1 < len(batch) else None
+                await self._extended(tag, body, following)
             if implicit:
                 await self._control("COMMIT")
         except RequestError as error:
@@ -355,9 +355,11 @@
 
     async def _control(self, sql: str) -> None:
         assert self.executor is not None
-        await self.executor.execute(Statement(sql, simple=True), _NullSink())
+        await self.executor.execute(Statement(sql, simple=True), NullSink())
 
-    async def _extended(self, tag: bytes, body: bytes) -> None:
+    async def _extended(
+        self, tag: bytes, body: bytes, following: tuple[bytes, bytes] | None
+    ) -> None:
         if tag == codec.PARSE:
             self._portals.parse(body)
             self._stream.write(codec.make_parse_complete())
@@ -365,13 +367,28 @@
             self._portals.bind(body)
             self._stream.write(codec.make_bind_complete())
         elif tag == codec.DESCRIBE:
-            await self._describe(body)
+            if not self._describe_with_execute(body, following):
+                await self._describe(body)
         elif tag == codec.EXECUTE:
             await self._execute(body)
         else:
             self._portals.close(body)
             self._stream.write(codec.make_close_complete())
 
+    def _describe_with_execute(self, body: bytes, following: tuple[bytes, bytes] | None) -> bool:
+        """A portal that is executed next is described by its own result, without a round trip."""
+        target = codec.parse_describe(body)
+        if target.kind != codec.TARGET_PORTAL or following is None:
+            return False
+        tag, execute = following
+        if tag != codec.EXECUTE or codec.parse_execute(execute).portal_name != target.name:
+            return False
+        portal = self._portals.portal(target.name)
+        if portal.started or codec.parse_execute(execute).max_rows > 0:
+            return False
+        portal.describe_next = True
+        return True
+
     async def _describe(self, body: bytes) -> None:
         target = codec.parse_describe(body)
         is_statement = target.kind == codec.TARGET_STATEMENT
@@ -395,7 +412,8 @@
         if execute.max_rows > 0 or portal.started:
             await self._execute_limited(portal, execute.max_rows)
             return
-        sink = StreamSink(self._stream, portal.result_formats, describe=False)
+        describe, portal.describe_next = portal.describe_next, False
+        sink = StreamSink(self._stream, portal.result_formats, describe, no_data=describe)
         try:
             await self.executor.execute(portal.statement, sink)
         finally:
@@ -423,6 +441,7 @@
 
 
 def encode_error(error: RequestError) -> bytes:
+    """ErrorResponse of a typed error."""
     return wire.error_response(
         error.severity, error.sqlstate, error.message, error.detail, error.hint()
     )
--- a/src/orchidwind/postgres/wire.py
+++ b/src/orchidwind/postgres/wire.py
@@ -12,10 +12,28 @@
 from pg_mimic import messages as codec
 from pg_mimic.types import unpack_int32
 
+from orchidwind.core.statements import (
+    TRANSACTION_FAILED,
+    TRANSACTION_IDLE,
+    TRANSACTION_OPEN,
+    Column,
+)
+
+__all__ = [
+    "TRANSACTION_FAILED",
+    "TRANSACTION_IDLE",
+    "TRANSACTION_OPEN",
+    "Column",
+    "FrameReader",
+    "ProtocolViolation",
+    "StartupPacket",
+    "codec",
+    "error_response",
+    "format_code",
+    "row_description",
+]
+
 PROTOCOL_VERSION_3 = 196608
-TRANSACTION_IDLE = b"I"
-TRANSACTION_OPEN = b"T"
-TRANSACTION_FAILED = b"E"
 
 _MESSAGE_HEADER_BYTES = 5
 _STARTUP_HEADER_BYTES = 8
@@ -28,18 +46,6 @@
     """The other side sent bytes that the protocol does not allow."""
 
 
-@dataclass(frozen=True, slots=True)
-class Column:
-    """One column of a result, as in RowDescription."""
-
-    name: str
-    type_oid: int
-    type_size: int = -1
-    type_modifier: int = -1
-    table_oid: int = 0
-    column_number: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class StartupPacket:
     """The untagged first message: its code (protocol version or request code) and its body."""
--- /dev/null
+++ b/src/orchidwind/settings.py
@@ -0,0 +1,97 @@
+"""The settings file of one proxy process (TOML); flags of the command line override it."""
+
+from __future__ import annotations
+
+import ipaddress
+from pathlib import Path
+
+import msgspec
+
+from orchidwind.core.errors import SettingsError
+
+_PORT_MAXIMUM = 65535
+
+
+class ProxySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where a proxy sits and listens.
+
+    `seeds` are gossip addresses of other proxies, as "HOST:PORT". The callers' port listens on
+    `caller_host`, all others on `host`, the address that other proxies use.
+    """
+
+    name: str
+    zone: str
+    platform_url: str
+    host: str = "127.0.0.1"
+    caller_host: str = ""
+    caller_port: int = 6432
+    peer_port: int = 6433
+    gossip_port: int = 6434
+    operator_port: int = 6435
+    seeds: list[str] = []
+    maximum_callers: int = 10_000
+    drain_seconds: float = 30.0
+    log_level: str = "INFO"
+
+
+class ProxyOverrides(msgspec.Struct, frozen=True):
+    """Values of command line flags; None leaves the file's value."""
+
+    name: str | None = None
+    zone: str | None = None
+    host: str | None = None
+    platform_url: str | None = None
+    caller_port: int | None = None
+    peer_port: int | None = None
+    gossip_port: int | None = None
+    operator_port: int | None = None
+
+
+def load_proxy_settings(path: Path, overrides: ProxyOverrides | None = None) -> ProxySettings:
+    """Read, override and check; raises SettingsError with file, key and reason."""
+    source = str(path)
+    try:
+        settings = msgspec.toml.decode(path.read_bytes(), type=ProxySettings)
+    except OSError as error:
+        raise SettingsError(source, "$", error.strerror or str(error)) from error
+    except msgspec.ValidationError as error:
+        reason, _, key = str(error).partition(" - at ")
+        raise SettingsError(source, key.strip("`") or "$", reason) from error
+    except (msgspec.DecodeError, ValueError) as error:
+        raise SettingsError(source, "$", str(error)) from error
+    if overrides is not None:
+        given = {
+            name: value
+            for name, value in msgspec.structs.asdict(overrides).items()
+            if value is not None
+        }
+        settings = msgspec.structs.replace(settings, **given)
+    _check(source, settings)
+    return settings
+
+
+def _check(source: str, settings: ProxySettings) -> None:
+    for key in ("caller_port", "peer_port", "gossip_port", "operator_port"):
+        port = getattr(settings, key)
+        if not 1 <= port <= _PORT_MAXIMUM:
+            raise SettingsError(source, key, f"{port} is not a port")
+    for key in ("name", "zone"):
+        if not getattr(settings, key):
+            raise SettingsError(source, key, "must not be empty")
+    try:
+        ipaddress.ip_address(settings.host)
+    except ValueError as error:
+        raise SettingsError(source, "host", str(error)) from error
+    for seed in settings.seeds:
+        try:
+            parse_address(seed)
+        except ValueError as error:
+            raise SettingsError(source, "seeds", str(error)) from error
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Read "HOST:PORT"; raises ValueError."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isdigit() or not 1 <= int(port) <= _PORT_MAXIMUM:
+        raise ValueError(f"{text!r} is not HOST:PORT")
+    return host, int(port)
--- /dev/null
+++ b/src/orchidwind_bench/processes.py
@@ -0,0 +1,129 @@
+"""Starts and stops the project's own programs for the bench, the demo and the tests."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+_STOP_SECONDS = 10.0
+_POLL_SECONDS = 0.02
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports that are free on loopback now, for TCP and UDP."""
+    sockets = []
+    ports: list[int] = []
+    try:
+        while len(ports) < count:
+            stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            stream.bind(("127.0.0.1", 0))
+            sockets.append(stream)
+            datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            sockets.append(datagram)
+            try:
+                datagram.bind(("127.0.0.1", stream.getsockname()[1]))
+            except OSError:
+                continue
+            ports.append(stream.getsockname()[1])
+    finally:
+        for item in sockets:
+            item.close()
+    return ports
+
+
+@dataclass
+class Program:
+    """One running process of ours."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+
+    def kill(self) -> None:
+        """SIGKILL."""
+        self.process.kill()
+        self.process.wait()
+
+    def freeze(self) -> None:
+        """SIGSTOP: the process holds its sockets and does nothing."""
+        os.kill(self.process.pid, signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """SIGCONT."""
+        os.kill(self.process.pid, signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """SIGTERM: a planned stop."""
+        self.process.terminate()
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process.poll() is None
+
+    def processor_seconds(self) -> float:
+        """User and system time so far; 0 once it has ended."""
+        try:
+            fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        except OSError:
+            return 0.0
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
+    def resident_bytes(self) -> int:
+        """Resident memory; 0 once it has ended."""
+        try:
+            pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+        except OSError:
+            return 0
+        return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+class Programs:
+    """All processes of one run; the context ends them whatever happens."""
+
+    def __init__(self, log_folder: Path) -> None:
+        self.running: dict[str, Program] = {}
+        self._log_folder = log_folder
+
+    def __enter__(self) -> Programs:
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self.stop_all()
+
+    def start(self, name: str, module: str, arguments: Sequence[str]) -> Program:
+        """Start a module's `main` as a process; its output goes to a file of the run's folder."""
+        with (self._log_folder / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-c", f"from {module} import main; main()", *arguments],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
+        program = Program(name, process)
+        self.running[name] = program
+        return program
+
+    def stop_all(self) -> None:
+        """End every process by its number: first asked, then killed."""
+        for program in self.running.values():
+            if program.running:
+                program.thaw()
+                program.process.kill() if program.name.startswith("proxy") else program.terminate()
+        self._wait(self.running.values())
+        self.running.clear()
+
+    def _wait(self, programs: Iterable[Program]) -> None:
+        bound = time.monotonic() + _STOP_SECONDS
+        for program in programs:
+            try:
+                program.process.wait(max(bound - time.monotonic(), _POLL_SECONDS))
+            except subprocess.TimeoutExpired:
+                program.kill()
--- a/src/orchidwind_standins/sql_session.py
+++ b/src/orchidwind_standins/sql_session.py
@@ -1,4 +1,4 @@
-"""One session of the stand-in database: transactions, settings and errors as PostgreSQL has them."""
+"""One session of the stand-in database, with PostgreSQL's transactions, settings and errors."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 import sqlite3
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
-from datetime import datetime, timezone
+from datetime import UTC, datetime
 
 from pg_mimic.types import TEXT
 
@@ -276,7 +276,7 @@
     ) -> tuple[list[tuple[SqlValue, ...]], int]:
         sql = translated.sql
         if NOW_MARKER in sql:
-            moment = datetime.now(timezone.utc).isoformat(sep=" ", timespec=_MICROSECOND_DIGITS)
+            moment = datetime.now(UTC).isoformat(sep=" ", timespec=_MICROSECOND_DIGITS)
             sql = sql.replace(NOW_MARKER, f"'{moment}'")
         try:
             cursor = self._sqlite().execute(sql, values)
--- a/src/orchidwind_standins/sql_store.py
+++ b/src/orchidwind_standins/sql_store.py
@@ -24,7 +24,7 @@
 REMEMBER_COLUMN = f"INSERT OR REPLACE INTO {CATALOG_TABLE} VALUES (?1, ?2, ?3)"
 FORGET_TABLE = f"DELETE FROM {CATALOG_TABLE} WHERE table_name = ?1"
 
-SqlFunction = tuple[str, int, Callable[..., object]]
+SqlFunction = tuple[str, int, Callable[..., None | int | float | str | bytes]]
 
 
 class SqlStore:
--- a/src/orchidwind_standins/sql_translation.py
+++ b/src/orchidwind_standins/sql_translation.py
@@ -106,7 +106,7 @@
     return sql
 
 
-def _command(tree: exp.Expression) -> str:
+def _command(tree: exp.Expr) -> str:
     if isinstance(tree, exp.Create | exp.Drop | exp.Alter):
         return f"{type(tree).__name__.upper()} {tree.args.get('kind') or 'TABLE'}"
     if isinstance(tree, exp.Query | exp.Values):
@@ -115,7 +115,7 @@
 
 
 def _declared_columns(
-    tree: exp.Expression,
+    tree: exp.Expr,
 ) -> tuple[tuple[tuple[str, str, int], ...], str]:
     if isinstance(tree, exp.Drop) and tree.args.get("kind") == "TABLE":
         return (), tree.this.name
@@ -136,9 +136,7 @@
 class _Typing:
     """Infers parameter and result types from declared columns, casts and literals."""
 
-    def __init__(
-        self, catalog: Catalog, tree: exp.Expression, given_types: tuple[int, ...]
-    ) -> None:
+    def __init__(self, catalog: Catalog, tree: exp.Expr, given_types: tuple[int, ...]) -> None:
         self._tree = tree
         self._given = given_types
         self._columns: dict[str, int] = {}
@@ -205,7 +203,7 @@
                 columns.append(ResultColumn(_output_name(item), self._type(item.unalias())))
         return tuple(columns)
 
-    def _type(self, node: exp.Expression | None) -> int:
+    def _type(self, node: exp.Expr | None) -> int:
         if node is None:
             return codec.TEXT
         if isinstance(node, exp.Paren | exp.Alias | exp.Neg | exp.Min | exp.Max | exp.Subquery):
@@ -217,35 +215,35 @@
                 return infer(self, node)
         return codec.TEXT
 
-    def _column_type(self, node: exp.Expression) -> int:
+    def _column_type(self, node: exp.Expr) -> int:
         return self._columns.get(node.name, codec.TEXT)
 
-    def _literal_type(self, node: exp.Expression) -> int:
+    def _literal_type(self, node: exp.Expr) -> int:
         if node.args.get("is_string"):
             return codec.TEXT
         if not node.name.isdigit():
             return codec.NUMERIC
         return codec.INT4 if int(node.name) < 2**31 else codec.INT8
 
-    def _given_type(self, node: exp.Expression) -> int:
+    def _given_type(self, node: exp.Expr) -> int:
         number = int(node.name)
         return self._given[number - 1] if number <= len(self._given) else codec.TEXT
 
-    def _first_argument_type(self, node: exp.Expression) -> int:
+    def _first_argument_type(self, node: exp.Expr) -> int:
         return self._type(node.this)
 
-    def _arithmetic_type(self, node: exp.Expression) -> int:
+    def _arithmetic_type(self, node: exp.Expr) -> int:
         types = {self._type(node.this), self._type(node.expression)}
         for wide in (codec.FLOAT8, codec.NUMERIC, codec.INT8, codec.INT4):
             if wide in types:
                 return wide
         return codec.TEXT
 
-    def _sum_type(self, node: exp.Expression) -> int:
+    def _sum_type(self, node: exp.Expr) -> int:
         inner = self._type(node.this)
         return codec.INT8 if inner in (codec.INT2, codec.INT4, codec.INT8) else inner
 
-    def _function_type(self, node: exp.Expression) -> int:
+    def _function_type(self, node: exp.Expr) -> int:
         return _FUNCTION_TYPES.get(node.name.lower(), codec.TEXT)
 
 
@@ -254,7 +252,7 @@
     "pg_backend_pid": codec.INT4,
     "standin_timeline": codec.INT4,
 }
-_TypeRule = tuple[tuple[type, ...], Callable[[_Typing, exp.Expression], int]]
+_TypeRule = tuple[tuple[type, ...], Callable[[_Typing, exp.Expr], int]]
 _TYPE_RULES: list[_TypeRule] = [
     ((exp.Column,), _Typing._column_type),
     ((exp.Literal,), _Typing._literal_type),
@@ -272,7 +270,7 @@
 ]
 
 
-def _output_name(item: exp.Expression) -> str:
+def _output_name(item: exp.Expr) -> str:
     if item.alias_or_name:
         return item.alias_or_name
     if isinstance(item, exp.Func):
@@ -280,7 +278,7 @@
     return "?column?"
 
 
-def _rewrite(tree: exp.Expression) -> None:
+def _rewrite(tree: exp.Expr) -> None:
     for parameter in list(tree.find_all(exp.Parameter)):
         parameter.replace(exp.Placeholder(this=parameter.name))
     for placeholder in tree.find_all(exp.Placeholder):
@@ -298,7 +296,7 @@
         lock_holder.set("locks", None)
 
 
-def _rewrite_cast(cast: exp.Cast) -> exp.Expression:
+def _rewrite_cast(cast: exp.Cast) -> exp.Expr:
     oid = oid_of(cast.to)
     if isinstance(cast.this, exp.Var):
         return cast.this.copy()
