--- a/src/orchidwind/core/flows.py
+++ b/src/orchidwind/core/flows.py
@@ -213,7 +213,7 @@
             floor = yield from _fresh_floor(floor, last)
             asked = True
             continue
-        if route.wait > 0.0:
+        if route.must_wait:
             covered = yield NeedReplay(route.instance, floor)
             if not covered:
                 continue
--- a/src/orchidwind/core/routing.py
+++ b/src/orchidwind/core/routing.py
@@ -19,11 +19,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Run on `instance` once its replay covers the floor, expected after `wait` seconds."""
+    """Run on `instance`; where `must_wait` is set, only once its replay is seen to cover the floor.
+
+    An expected wait of zero does not say that the floor is covered: it is an estimate.
+    """
 
     instance: str
     is_replica: bool
-    wait: float = 0.0
+    must_wait: bool = False
     term: int = 0
 
 
@@ -52,7 +55,8 @@
         if report.instance == preferred:
             cost -= settings.waiting_penalty
         if best is None or cost < best_cost:
-            best = Route(report.instance, True, wait, report.term)
+            must_wait = not report.replayed_covers(floor)
+            best = Route(report.instance, True, must_wait, report.term)
             best_cost = cost
     if best is not None:
         return best
--- a/src/orchidwind_standins/sql_translation.py
+++ b/src/orchidwind_standins/sql_translation.py
@@ -292,6 +292,8 @@
             table.set("db", None)
     if isinstance(tree, exp.Create):
         _rewrite_create(tree)
+        for ordered in list(tree.find_all(exp.Ordered)):
+            ordered.replace(ordered.this)
     for lock_holder in tree.find_all(exp.Select):
         lock_holder.set("locks", None)
 
