--- a/src/orchidwind/core/flows.py
+++ b/src/orchidwind/core/flows.py
@@ -37,6 +37,7 @@
 )
 
 _READ_ATTEMPTS = 3
+READ_ONLY_TRANSACTION = "25006"
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,9 +70,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NeedConnection:
-    """Wait for a server connection; the result is its number."""
+    """Wait for a server connection; the result is its number.
+
+    With `primary_term` the wait ends, by BackendConnectionLost, as soon as the instance is no
+    longer known as the primary of that term; in any case when it cannot be reached.
+    """
 
     instance: str
+    primary_term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +129,13 @@
     """The session's transaction is over; done at once."""
 
 
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """The instance is not what the view says; wait for its next report. Done at once."""
+
+    instance: str
+
+
 @dataclass(frozen=True, slots=True)
 class TakeRetry:
     """Ask the retry budget; the result is a bool."""
@@ -140,6 +153,7 @@
     | ApplySettings
     | BindTransaction
     | EndTransaction
+    | Suspect
     | TakeRetry
 )
 StepResult = PrimaryReference | Route | Position | RunResult | Statement | int | bool | None
@@ -185,9 +199,14 @@
     return result
 
 
-def _connect(request: StatementRequest, instance: str) -> Generator[Step, StepResult, int]:
+def _connect(
+    request: StatementRequest, instance: str, primary_term: int = 0
+) -> Generator[Step, StepResult, int]:
     """Get a connection that carries the session's settings."""
-    connection = yield NeedConnection(instance)
+    try:
+        connection = yield NeedConnection(instance, primary_term)
+    except BackendConnectionLost as lost:
+        raise _Lost(sent=False) from lost
     assert isinstance(connection, int)
     statement = yield ApplySettings(connection, request.settings)
     if isinstance(statement, Statement):
@@ -241,6 +260,9 @@
         except _Lost as lost:
             if lost.reason is not None:
                 raise lost.reason from lost
+            if not lost.sent:
+                attempt -= 1
+                continue
             exhausted = lost.delivered or attempt >= _READ_ATTEMPTS
             if exhausted or not (yield TakeRetry()):
                 raise _read_interrupted() from lost
@@ -268,14 +290,33 @@
 
 
 def write_flow(request: StatementRequest) -> Flow:
-    """A write outside a transaction, sent at most once."""
-    primary, connection = yield from _connect_primary(request)
-    if request.request_id:
-        return (yield from _named_write(request, primary, connection))
-    try:
-        result = yield from _run(connection, request.statement, deliver=True)
-    except _Lost as lost:
-        raise _write_lost(lost) from lost
+    """A write outside a transaction, sent at most once to an instance that takes it."""
+    while True:
+        primary, connection = yield from _connect_primary(request)
+        if request.request_id:
+            return (yield from _named_write(request, primary, connection))
+        try:
+            result = yield from _run(connection, request.statement, deliver=True)
+        except _Lost as lost:
+            if not lost.sent:
+                continue
+            raise _write_lost() from lost
+        if _refused_by_replica(result):
+            yield Release(connection, reusable=True)
+            yield Suspect(primary.instance)
+            continue
+        return (yield from _end_write(request, primary, connection, result))
+
+
+def _refused_by_replica(result: RunResult) -> bool:
+    """The instance is no longer the primary; it refused the statement, so nothing ran."""
+    refused = result.error is not None and result.error.sqlstate == READ_ONLY_TRANSACTION
+    return refused and result.transaction_status == TRANSACTION_IDLE and not result.delivered
+
+
+def _end_write(
+    request: StatementRequest, primary: PrimaryReference, connection: int, result: RunResult
+) -> Flow:
     if result.transaction_status != TRANSACTION_IDLE:
         yield BindTransaction(connection, primary.instance, primary.term, read_only=False)
     else:
@@ -295,7 +336,7 @@
         primary = yield NeedPrimary()
         assert isinstance(primary, PrimaryReference)
         try:
-            connection = yield from _connect(request, primary.instance)
+            connection = yield from _connect(request, primary.instance, primary.term)
         except _Lost as lost:
             if lost.reason is not None:
                 raise lost.reason from lost
@@ -303,9 +344,7 @@
         return primary, connection
 
 
-def _write_lost(lost: _Lost) -> RequestError:
-    if not lost.sent:
-        return RequestError(ErrorKind.NO_PRIMARY, "the connection to the primary was lost")
+def _write_lost() -> RequestError:
     return RequestError(
         ErrorKind.OUTCOME_UNKNOWN, "the answer to a write was lost; it may or may not have run"
     )
@@ -350,7 +389,7 @@
         ending = complete_statement(request.request_id, result.tag)
         completed = yield from _run(connection, ending)
     except _Lost as lost:
-        raise (_write_lost(lost) if committing else _transaction_lost()) from lost
+        raise (_write_lost() if committing else _transaction_lost()) from lost
     yield Release(connection, reusable=completed.transaction_status == TRANSACTION_IDLE)
     if completed.error is not None:
         raise completed.error
@@ -421,7 +460,7 @@
     except _Lost as lost:
         yield EndTransaction()
         if ends and transaction.wrote:
-            raise _write_lost(lost) from lost
+            raise _write_lost() from lost
         raise (lost.reason or _transaction_lost()) from lost
     if result.transaction_status == TRANSACTION_IDLE:
         yield EndTransaction()
--- a/src/orchidwind/core/home_group.py
+++ b/src/orchidwind/core/home_group.py
@@ -21,7 +21,8 @@
 )
 from orchidwind.core.errors import BackendConnectionLost, ErrorKind, OrchidwindError, RequestError
 from orchidwind.core.flows import Flow, OpenTransaction, Step, StepResult
-from orchidwind.core.group_view import GroupView, InstanceReport
+from orchidwind.core.group_view import GroupView, InstanceReport, PrimaryReference
+from orchidwind.core.link_loss import may_commit
 from orchidwind.core.polling import PollingSettings, StatusPoller
 from orchidwind.core.pool import CloseConnection, Grant, InstancePool, OpenConnection, PoolEffect
 from orchidwind.core.positions import Position
@@ -41,7 +42,6 @@
 
 _TRANSACTION_IDLE_SECONDS = 60.0
 _REPLAY_CHECK_SECONDS = 0.003
-_COMMIT_WORDS = ("COMMIT", "END")
 
 
 @dataclass(frozen=True, slots=True)
@@ -256,7 +256,7 @@
         transaction = self.transactions.get(request.channel)
         if transaction is not None:
             transaction.last_used = now
-            return flows.transaction_flow(request, transaction, _may_commit(request))
+            return flows.transaction_flow(request, transaction, may_commit(request.statement.sql))
         if request.in_transaction:
             return _refusing(_transaction_gone())
         if not self.is_home:
@@ -325,6 +325,10 @@
             return True, None
         if isinstance(step, flows.ApplySettings):
             return True, self._settings_statement(step)
+        if isinstance(step, flows.Suspect):
+            self._suspect(now, step.instance)
+            self._poller.want(now, now, [step.instance])
+            return True, None
         if isinstance(step, flows.TakeRetry):
             return True, self.retries.take()
         if isinstance(step, flows.BindTransaction):
@@ -474,12 +478,25 @@
             step = running.waits_for
             if step is None or running.request.number not in self._running:
                 continue
+            if isinstance(step, flows.NeedConnection):
+                if not self._worth_waiting(step):
+                    gone = BackendConnectionLost("the instance is away", sent=False)
+                    self._throw(now, running, gone)
+                continue
             result = self._view_result(now, step, running.since)
             if result is not None:
                 self._advance(now, running, result)
             elif isinstance(step, flows.NeedFloor):
                 self._poller.want(now, running.since)
 
+    def _worth_waiting(self, step: flows.NeedConnection) -> bool:
+        """Whether a queued request should still wait for this instance."""
+        if step.instance in self.view.unreachable:
+            return False
+        if not step.primary_term:
+            return True
+        return self.view.primary() == PrimaryReference(step.instance, step.primary_term)
+
     def _poll_lost(self, now: float, instance: str) -> None:
         self._poller.answered(instance)
         self._poller.want_at(instance, now + self.options.polling.searching_interval)
@@ -534,7 +551,7 @@
     def _end_idle_transactions(self, now: float) -> None:
         limit = self.options.transaction_idle_seconds
         for channel, transaction in list(self.transactions.items()):
-            if now - transaction.last_used >= limit and self._running_on(channel) is None:
+            if now >= transaction.last_used + limit and self._running_on(channel) is None:
                 self._close_channel(now, channel)
 
     def _forget_wait(self, running: _Running) -> None:
@@ -607,8 +624,3 @@
         "no server connection was free in time",
         retry_after_milliseconds=int(refusal.retry_after * 1000),
     )
-
-
-def _may_commit(request: StatementRequest) -> bool:
-    sql = request.statement.sql.lstrip().upper()
-    return sql.startswith(_COMMIT_WORDS) or ";" in sql.rstrip("; \n")
--- a/src/orchidwind/core/polling.py
+++ b/src/orchidwind/core/polling.py
@@ -80,7 +80,7 @@
         """Instances that have not answered within the time; they may be asked anew."""
         late = []
         for instance, observed in self._observed.items():
-            if observed.asked_at is not None and now - observed.asked_at >= self._settings.timeout:
+            if observed.asked_at is not None and now >= observed.asked_at + self._settings.timeout:
                 observed.asked_at = None
                 observed.next_at = now + self._settings.searching_interval
                 late.append(instance)
--- a/src/orchidwind/network/front.py
+++ b/src/orchidwind/network/front.py
@@ -16,8 +16,8 @@
     Plan,
 )
 from orchidwind.core.errors import ErrorKind, PeerUnavailable, RequestError
+from orchidwind.core.link_loss import after_link_loss
 from orchidwind.core.statements import (
-    TRANSACTION_IDLE,
     ChannelKey,
     Column,
     Outcome,
@@ -271,10 +271,15 @@
                 try:
                     outcome = await self._service.send(numbered, home, port)
                 except PeerUnavailable as lost:
-                    failed = self._link_lost(request, lost, port)
+                    self._channel = self._service.next_channel()
+                    failed = after_link_loss(
+                        request,
+                        sent=lost.sent,
+                        delivered=port.delivered,
+                        now=self._loop.time(),
+                    )
                     if failed is not None:
                         return failed
-                    self._channel = self._service.next_channel()
                 else:
                     if not _moved(outcome):
                         return outcome
@@ -289,41 +294,6 @@
             return self._home
         return self._service.router.home(request.database)
 
-    def _link_lost(
-        self, request: StatementRequest, lost: PeerUnavailable, port: _SinkPort
-    ) -> Outcome | None:
-        """The outcome after a link broke, None where the request may be sent again."""
-        if request.in_transaction:
-            return self._transaction_link_lost(request, lost)
-        changes = request.kind is RequestKind.WRITE
-        if not lost.sent:
-            return None
-        if changes:
-            error = RequestError(
-                ErrorKind.OUTCOME_UNKNOWN,
-                "the link to the home proxy was lost; the write may or may not have run",
-            )
-            return Outcome(request.number, error=error)
-        if port.delivered or self._loop.time() >= request.expires_at:
-            error = RequestError(ErrorKind.READ_INTERRUPTED, "the answer was cut off")
-            return Outcome(request.number, error=error)
-        return None
-
-    def _transaction_link_lost(self, request: StatementRequest, lost: PeerUnavailable) -> Outcome:
-        text = request.statement.sql.lstrip().upper()
-        may_have_committed = lost.sent and (
-            text.startswith(("COMMIT", "END")) or ";" in text.rstrip("; \n")
-        )
-        self._channel = self._service.next_channel()
-        if may_have_committed:
-            error = RequestError(ErrorKind.OUTCOME_UNKNOWN, "the answer to a commit was lost")
-            return Outcome(request.number, error=error, transaction_status=TRANSACTION_IDLE)
-        error = RequestError(
-            ErrorKind.TRANSACTION_LOST,
-            "the proxy that held the transaction is gone; nothing of it ran",
-        )
-        return Outcome(request.number, error=error)
-
     def cancel(self) -> None:
         """Pass a cancel request on."""
         if self._home is not None:
--- /dev/null
+++ b/tests/test_promises.py
@@ -0,0 +1,113 @@
+"""The promises of the proxy under random faults, on the simulator."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from orchidwind_bench.checkers import Result, check_all
+from orchidwind_bench.simulation.system import SimulatedSystem
+
+ZONES = ["a", "b", "c"]
+
+faults = st.lists(
+    st.tuples(
+        st.sampled_from(
+            [
+                "kill-primary",
+                "pause-primary",
+                "cut-primary",
+                "kill-replica",
+                "cut-zone",
+                "heal",
+                "kill-home",
+                "pause-home",
+                "lag",
+                "switch-over",
+                "wait",
+            ]
+        ),
+        st.integers(0, 2),
+        st.floats(0.05, 2.0),
+    ),
+    min_size=2,
+    max_size=12,
+)
+
+
+def inflict(system, kind, number, seconds):
+    instances = list(system.database.instances)
+    primary = system.database.primary()
+    name = instances[number]
+    home = system.proxies[number % len(system.proxies)]
+    if kind == "kill-primary" and primary:
+        system.database.kill(primary.name)
+        system.events.after(seconds + 1.5, lambda: system.database.restart(primary.name))
+    elif kind == "kill-replica":
+        system.database.kill(name)
+        system.events.after(seconds, lambda: system.database.restart(name))
+    elif kind == "pause-primary" and primary:
+        system.network.pause(primary.name)
+        system.events.after(seconds + 1.0, lambda: system.network.resume(primary.name))
+    elif kind == "cut-primary" and primary:
+        cut_off_primary(system, primary.name)
+    elif kind == "cut-zone":
+        system.network.cut(ZONES[number], ZONES[(number + 1) % 3])
+    elif kind == "heal":
+        system.network.heal()
+    elif kind == "kill-home":
+        system.kill_home(home)
+        system.events.after(seconds, lambda: restart_home(system, home))
+    elif kind == "pause-home":
+        system.network.pause(home)
+        system.events.after(seconds, lambda: system.network.resume(home))
+    elif kind == "lag":
+        system.database.instances[name].instance.set_replay_lag(seconds * 2)
+    elif kind == "switch-over":
+        system.database.instances[name].switch_over()
+
+
+def cut_off_primary(system, name):
+    """The primary keeps its callers' zone and loses its replicas."""
+    own = system.network.zone_of[name]
+    for zone in ZONES:
+        if zone != own:
+            system.network.cut(own, zone)
+
+
+def restart_home(system, name):
+    if not system.homes[name].alive:
+        system.start_home(name)
+
+
+def run(system, steps):
+    system.events.run_until(1.0)
+    for kind, number, seconds in steps:
+        inflict(system, kind, number, seconds)
+        system.events.run_until(system.events.now + seconds)
+    system.events.run_until(system.events.now + 2.0)
+    system.settle()
+
+
+def violations(system):
+    primary = system.database.primary()
+    assert primary is not None
+    logs = system.database.marks_in_logs()
+    return check_all(system.history, logs[primary.name], list(logs.values()))
+
+
+@given(faults, st.integers(0, 10_000))
+def test_promises_hold_under_random_faults(steps, seed):
+    system = SimulatedSystem(seed=seed, zones=ZONES)
+    run(system, steps)
+    assert violations(system) == []
+
+
+def test_quiet_system_answers_everything_and_reads_on_replicas():
+    system = SimulatedSystem(seed=3, zones=ZONES)
+    run(system, [])
+    results = {write.result for write in system.history.writes}
+    assert results == {Result.OK}
+    assert {read.result for read in system.history.reads} == {Result.OK}
+    assert len(system.history.reads) > 50
+    share = sum(read.on_replica for read in system.history.reads) / len(system.history.reads)
+    assert share > 0.8
+    assert violations(system) == []
