--- a/src/orchidwind/core/home_group.py
+++ b/src/orchidwind/core/home_group.py
@@ -368,13 +368,9 @@
         return None
 
     def _route(self, now: float, step: flows.NeedRoute) -> StepResult:
-        waiting = {
-            name: len(pool.queue) + len(pool.busy)
-            for name, pool in self.pools.items()
-            if pool.share > 0
-        }
+        load = {name: pool.load for name, pool in self.pools.items() if pool.share > 0}
         routing = self.options.routing
-        return choose_read_route(self.view, step.floor, now, waiting, routing, step.preferred)
+        return choose_read_route(self.view, step.floor, now, load, routing, step.preferred)
 
     def _fresh_floor(self, step: flows.NeedFloor, since: float) -> Position | None:
         included = self.view.reports.get(step.include)
--- a/src/orchidwind/core/pool.py
+++ b/src/orchidwind/core/pool.py
@@ -70,6 +70,11 @@
         """How many connections the pool may hold now."""
         return min(self.share, self._limit)
 
+    @property
+    def load(self) -> float:
+        """Requests that run or wait, for each connection that may be held."""
+        return (len(self.queue) + len(self.busy)) / max(self.usable, 1)
+
     def set_share(self, share: int, now: float) -> list[PoolEffect]:
         """Hold this many connections; a lower share closes idle ones at once."""
         self.share = share
--- a/src/orchidwind/core/routing.py
+++ b/src/orchidwind/core/routing.py
@@ -11,10 +11,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutingSettings:
-    """Bounds of the choice, in seconds."""
+    """Bounds of the choice, in seconds.
+
+    `load_cost` is what a fully used pool counts for, `switch_cost` what leaving the instance of the
+    session's last read does: it takes a status round before the read.
+    """
 
     longest_replica_wait: float = 0.1
-    waiting_penalty: float = 0.005
+    load_cost: float = 0.005
+    switch_cost: float = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,26 +39,26 @@
     view: GroupView,
     floor: Position,
     now: float,
-    waiting: Mapping[str, int],
+    load: Mapping[str, float],
     settings: RoutingSettings,
     preferred: str = "",
 ) -> Route | None:
     """The replica expected to serve first, within the bound, else the primary, else None.
 
-    `waiting` counts the requests queued at each instance; an instance without an entry is not
-    open to this home. The preferred instance wins while it can serve without a longer wait.
+    `load` is the requests at each instance's pool, running or queued, divided by its connections;
+    an instance without an entry is not open to this home.
     """
     best: Route | None = None
     best_cost = 0.0
     for report in view.replicas(now):
-        if report.instance not in waiting:
+        if report.instance not in load:
             continue
         wait = view.expected_wait(report, floor, now)
         if wait > settings.longest_replica_wait:
             continue
-        cost = wait + waiting[report.instance] * settings.waiting_penalty
-        if report.instance == preferred:
-            cost -= settings.waiting_penalty
+        cost = wait + load[report.instance] * settings.load_cost
+        if report.instance != preferred:
+            cost += settings.switch_cost
         if best is None or cost < best_cost:
             must_wait = not report.replayed_covers(floor)
             best = Route(report.instance, True, must_wait, report.term)
--- a/src/orchidwind/network/front.py
+++ b/src/orchidwind/network/front.py
@@ -42,6 +42,7 @@
 _RETRY_SECONDS = 0.05
 _GRACE_SECONDS = 0.25
 _LOCAL_ORIGIN = "local"
+_CREDIT_BYTES = 128 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +76,7 @@
     def __init__(self, sink: ResultSink) -> None:
         self._sink = sink
         self.delivered = False
+        self.owed = 0
 
     async def columns(self, columns: tuple[Column, ...]) -> None:
         """Pass the columns on."""
@@ -158,7 +160,10 @@
     ) -> None:
         if isinstance(part, codec.ResultRows):
             await port.rows(part.encoded, part.count)
-            link.send(codec.Credit(part.number, len(part.encoded)))
+            port.owed += len(part.encoded)
+            if port.owed >= _CREDIT_BYTES:
+                link.send(codec.Credit(part.number, port.owed))
+                port.owed = 0
         elif isinstance(part, codec.ResultColumns):
             await port.columns(from_records(part.columns))
         else:
--- a/src/orchidwind/network/group_runner.py
+++ b/src/orchidwind/network/group_runner.py
@@ -62,6 +62,7 @@
         self._ports: dict[int, tuple[AnswerPort, OnFinished]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_due = float("inf")
         self._closed = False
         self.set_leaving(database)
         self._perform(self.group.tick(self._loop.time()))
@@ -133,15 +134,17 @@
         task.add_done_callback(self._tasks.discard)
 
     def _set_timer(self) -> None:
+        """Set an earlier timer; a later deadline waits for the timer that stands."""
+        due = self.group.deadline()
+        if self._closed or due >= self._timer_due:
+            return
         if self._timer is not None:
             self._timer.cancel()
-        if self._closed:
-            return
-        due = max(self.group.deadline(), self._loop.time() + _SHORTEST_TIMER_SECONDS)
-        self._timer = self._loop.call_at(due, self._on_timer)
+        self._timer_due = max(due, self._loop.time() + _SHORTEST_TIMER_SECONDS)
+        self._timer = self._loop.call_at(self._timer_due, self._on_timer)
 
     def _on_timer(self) -> None:
-        self._timer = None
+        self._timer_due = float("inf")
         self._perform(self.group.tick(self._loop.time()))
 
     def _target(self, instance: str, observer: bool) -> ConnectionTarget:
--- a/src/orchidwind/network/peer_link.py
+++ b/src/orchidwind/network/peer_link.py
@@ -35,18 +35,41 @@
 from orchidwind.network.home_service import HomeService
 
 _WINDOW_BYTES = 512 * 1024
+_READ_BYTES = 256 * 1024
+_GATHERED_BYTES = 32 * 1024
 _CONNECT_SECONDS = 1.0
 _STREAM_BUFFER_BYTES = 128 * 1024 * 1024
 
 AnswerPart = codec.ResultColumns | codec.ResultRows | codec.ResultTag | codec.Done | codec.Failed
 
 
-async def read_frame(stream: IOStream) -> codec.LinkMessage:
-    """The next message; raises StreamClosedError at the end, DecodeError for garbage."""
-    (length,) = codec.LENGTH.unpack(await stream.read_bytes(codec.LENGTH.size))
-    if length > codec.MAXIMUM_FRAME_BYTES:
-        raise codec.DecodeError(f"frame of {length} bytes")
-    return codec.decode_link(await stream.read_bytes(length))
+class FrameStream:
+    """Cuts the bytes of a link into messages; one read may bring many."""
+
+    def __init__(self, stream: IOStream) -> None:
+        self._stream = stream
+        self._buffer = bytearray()
+
+    async def next(self) -> codec.LinkMessage:
+        """The next message; raises StreamClosedError at the end, DecodeError for garbage."""
+        while True:
+            body = self._cut()
+            if body is not None:
+                return codec.decode_link(body)
+            self._buffer += await self._stream.read_bytes(_READ_BYTES, partial=True)
+
+    def _cut(self) -> bytes | None:
+        if len(self._buffer) < codec.LENGTH.size:
+            return None
+        (length,) = codec.LENGTH.unpack_from(self._buffer)
+        if length > codec.MAXIMUM_FRAME_BYTES:
+            raise codec.DecodeError(f"frame of {length} bytes")
+        end = codec.LENGTH.size + length
+        if len(self._buffer) < end:
+            return None
+        body = bytes(self._buffer[codec.LENGTH.size : end])
+        del self._buffer[:end]
+        return body
 
 
 # --- conversions ------------------------------------------------------------------------------
@@ -206,6 +229,7 @@
         self._stream = stream
         self._number = number
         self._outstanding = 0
+        self._gathered = bytearray()
         self._ended = False
         self._room = asyncio.Event()
 
@@ -217,6 +241,8 @@
         """Send rows; wait while the window is full."""
         self._write(codec.ResultRows(self._number, encoded, count))
         self._outstanding += len(encoded)
+        if self._outstanding > _WINDOW_BYTES:
+            self._flush()
         while self._outstanding > _WINDOW_BYTES and not self._ended:
             self._room.clear()
             await self._room.wait()
@@ -235,9 +261,23 @@
         self._ended = True
         self._room.set()
 
+    def finish(self, answer: codec.Done | codec.Failed) -> None:
+        """Send the last message of the answer with what was gathered before it."""
+        self._write(answer)
+        self._flush()
+        self.release()
+
     def _write(self, message: codec.LinkMessage) -> None:
-        if not self._stream.closed() and not self._ended:
-            self._stream.write(codec.encode_frame(message))
+        if self._ended:
+            return
+        self._gathered += codec.encode_frame(message)
+        if len(self._gathered) >= _GATHERED_BYTES:
+            self._flush()
+
+    def _flush(self) -> None:
+        data, self._gathered = bytes(self._gathered), bytearray()
+        if data and not self._stream.closed():
+            self._stream.write(data)
 
 
 class LinkServer(TCPServer):
@@ -293,12 +333,13 @@
 
     async def run(self) -> None:
         """Read messages until the link ends."""
-        hello = await read_frame(self._stream)
+        frames = FrameStream(self._stream)
+        hello = await frames.next()
         if not isinstance(hello, codec.Hello):
             raise codec.DecodeError("a link begins with Hello")
         self._origin = f"{hello.node}/{self._origin}"
         while True:
-            self._take(await read_frame(self._stream))
+            self._take(await frames.next())
 
     def end(self) -> None:
         """The link is gone, and so are its callers."""
@@ -333,9 +374,7 @@
 
         def finished(outcome: Outcome) -> None:
             self._ports.pop(message.number, None)
-            port.release()
-            if not self._stream.closed():
-                self._stream.write(codec.encode_frame(to_answer(outcome, message.number)))
+            port.finish(to_answer(outcome, message.number))
 
         self._homes.submit(request, port, finished)
 
@@ -413,9 +452,10 @@
             self._stream.close()
 
     async def _read(self, stream: IOStream) -> None:
+        frames = FrameStream(stream)
         try:
             while True:
-                self._take(await read_frame(stream))
+                self._take(await frames.next())
         except (StreamClosedError, codec.DecodeError) as error:
             stream.close()
             pending, self._pending = self._pending, {}
--- a/src/orchidwind/postgres/server_session.py
+++ b/src/orchidwind/postgres/server_session.py
@@ -63,48 +63,72 @@
         """Take a cancel request from another connection."""
 
 
+class OutputBuffer:
+    """Gathers messages for a caller, so that an answer leaves in few writes."""
+
+    def __init__(self, stream: IOStream) -> None:
+        self._stream = stream
+        self._data = bytearray()
+
+    def add(self, message: bytes) -> None:
+        """Gather a message."""
+        self._data += message
+
+    async def make_room(self) -> None:
+        """Send what was gathered once it is much; wait while the caller reads slowly."""
+        if len(self._data) >= _WRITE_HIGH_WATER_BYTES:
+            await self.flush()
+
+    async def flush(self) -> None:
+        """Send what was gathered."""
+        if self._data:
+            await self._stream.write(self._take())
+
+    def flush_now(self) -> None:
+        """Send what was gathered without waiting."""
+        if self._data and not self._stream.closed():
+            self._stream.write(self._take())
+
+    def _take(self) -> bytes:
+        data = bytes(self._data)
+        self._data.clear()
+        return data
+
+
 class StreamSink(ResultSink):
-    """Writes an answer to the caller as it comes.
+    """Passes an answer on to the caller as it comes.
 
     `describe` writes the columns before the rows; `no_data` says so where there are none, as a
     Describe message wants.
     """
 
     def __init__(
-        self, stream: IOStream, formats: tuple[int, ...], describe: bool, no_data: bool = False
+        self, out: OutputBuffer, formats: tuple[int, ...], describe: bool, no_data: bool = False
     ) -> None:
-        self._stream = stream
+        self._out = out
         self._formats = formats
         self._describe = describe
         self._no_data = no_data
-        self._pending = bytearray()
 
     async def columns(self, columns: tuple[Column, ...]) -> None:
         """Write RowDescription where the protocol asks for it."""
         self._no_data = False
         if self._describe:
-            self._pending += wire.row_description(columns, self._formats)
+            self._out.add(wire.row_description(columns, self._formats))
 
     async def rows(self, encoded: bytes, count: int) -> None:
-        """Pass rows on; wait while the caller reads slowly."""
-        self._pending += encoded
-        if len(self._pending) >= _WRITE_HIGH_WATER_BYTES:
-            await self._stream.write(self.take())
+        """Pass rows on."""
+        self._out.add(encoded)
+        await self._out.make_room()
 
     async def complete(self, command_tag: str) -> None:
         """Write CommandComplete or EmptyQueryResponse."""
         if self._no_data:
-            self._pending += codec.make_no_data()
+            self._out.add(codec.make_no_data())
         if command_tag:
-            self._pending += codec.make_command_complete(command_tag)
+            self._out.add(codec.make_command_complete(command_tag))
         else:
-            self._pending += codec.make_empty_query_response()
-
-    def take(self) -> bytes:
-        """The bytes not written yet."""
-        data = bytes(self._pending)
-        self._pending.clear()
-        return data
+            self._out.add(codec.make_empty_query_response())
 
 
 class PortalSink(ResultSink):
@@ -161,6 +185,7 @@
         self._reader = wire.FrameReader()
         self._portals = PortalTable()
         self._batch: list[tuple[bytes, bytes]] = []
+        self._out = OutputBuffer(stream)
         self._skip_until_sync = False
 
     async def run(self) -> None:
@@ -197,8 +222,8 @@
 
     def _fail(self, error: RequestError) -> None:
         self._on_error(error)
-        if not self._stream.closed():
-            self._stream.write(encode_error(error))
+        self._out.add(encode_error(error))
+        self._out.flush_now()
 
     async def _fill(self) -> None:
         self._reader.feed(await self._stream.read_bytes(_READ_BYTES, partial=True))
@@ -291,6 +316,7 @@
             await self._ready()
         elif tag == codec.FLUSH:
             await self._run_batch(at_sync=False)
+            await self._out.flush()
         elif tag in _EXTENDED_TAGS:
             self._batch.append((tag, body))
             if len(self._batch) > _MAXIMUM_BATCH_MESSAGES:
@@ -307,26 +333,24 @@
         self._skip_until_sync = False
         if self._status == wire.TRANSACTION_IDLE:
             self._portals.end_transaction()
-        await self._stream.write(codec.make_ready_for_query(self._status))
+        self._out.add(codec.make_ready_for_query(self._status))
+        await self._out.flush()
 
     async def _simple_query(self, body: bytes) -> None:
         assert self.executor is not None
         statement = Statement(codec.parse_query(body), simple=True)
-        sink = StreamSink(self._stream, (), describe=True)
+        sink = StreamSink(self._out, (), describe=True)
         try:
             await self.executor.execute(statement, sink)
         except RequestError as error:
-            self._answer_error(error, sink.take())
-            await self._ready()
-            return
-        self._stream.write(sink.take())
+            self._answer_error(error)
         await self._ready()
 
-    def _answer_error(self, error: RequestError, before: bytes = b"") -> None:
+    def _answer_error(self, error: RequestError) -> None:
         assert self.executor is not None
         self._on_error(error)
         self.executor.mark_failed()
-        self._stream.write(before + encode_error(error))
+        self._out.add(encode_error(error))
 
     async def _run_batch(self, at_sync: bool) -> None:
         """Run the messages up to a Sync or Flush.
@@ -362,10 +386,10 @@
     ) -> None:
         if tag == codec.PARSE:
             self._portals.parse(body)
-            self._stream.write(codec.make_parse_complete())
+            self._out.add(codec.make_parse_complete())
         elif tag == codec.BIND:
             self._portals.bind(body)
-            self._stream.write(codec.make_bind_complete())
+            self._out.add(codec.make_bind_complete())
         elif tag == codec.DESCRIBE:
             if not self._describe_with_execute(body, following):
                 await self._describe(body)
@@ -373,7 +397,7 @@
             await self._execute(body)
         else:
             self._portals.close(body)
-            self._stream.write(codec.make_close_complete())
+            self._out.add(codec.make_close_complete())
 
     def _describe_with_execute(self, body: bytes, following: tuple[bytes, bytes] | None) -> bool:
         """A portal that is executed next is described by its own result, without a round trip."""
@@ -403,7 +427,7 @@
             prepared.description = await self.executor.describe(
                 prepared.sql, prepared.parameter_types
             )
-        self._stream.write(_encode_description(prepared.description, is_statement, formats))
+        self._out.add(_encode_description(prepared.description, is_statement, formats))
 
     async def _execute(self, body: bytes) -> None:
         assert self.executor is not None
@@ -413,11 +437,8 @@
             await self._execute_limited(portal, execute.max_rows)
             return
         describe, portal.describe_next = portal.describe_next, False
-        sink = StreamSink(self._stream, portal.result_formats, describe, no_data=describe)
-        try:
-            await self.executor.execute(portal.statement, sink)
-        finally:
-            self._stream.write(sink.take())
+        sink = StreamSink(self._out, portal.result_formats, describe, no_data=describe)
+        await self.executor.execute(portal.statement, sink)
 
     async def _execute_limited(self, portal: Portal, limit: int) -> None:
         assert self.executor is not None
@@ -426,13 +447,14 @@
             await self.executor.execute(portal.statement, PortalSink(portal))
         count = limit if limit > 0 else len(portal.rest)
         part, portal.rest = portal.rest[:count], portal.rest[count:]
-        await self._stream.write(b"".join(part))
+        self._out.add(b"".join(part))
+        await self._out.make_room()
         if portal.rest:
-            self._stream.write(codec.make_portal_suspended())
+            self._out.add(codec.make_portal_suspended())
         elif portal.command_tag:
-            self._stream.write(codec.make_command_complete(portal.command_tag))
+            self._out.add(codec.make_command_complete(portal.command_tag))
         else:
-            self._stream.write(codec.make_empty_query_response())
+            self._out.add(codec.make_empty_query_response())
 
 
 _EXTENDED_TAGS = frozenset(
