--- a/src/orchidwind/core/group_view.py
+++ b/src/orchidwind/core/group_view.py
@@ -8,7 +8,7 @@
 
 from orchidwind.core.positions import ORIGIN, Position
 
-STALE_AFTER_SECONDS = 3.0
+STALE_AFTER_SECONDS = 6.0
 _LOG_SAMPLES = 512
 
 
--- a/src/orchidwind/core/polling.py
+++ b/src/orchidwind/core/polling.py
@@ -20,7 +20,7 @@
     """Intervals in seconds: between rounds of an idle group, while no primary is known, and the
     time after which an instance that has not answered counts as unreachable."""
 
-    idle_interval: float = 1.0
+    idle_interval: float = 2.0
     searching_interval: float = 0.05
     timeout: float = 0.4
 
--- a/src/orchidwind/network/backend.py
+++ b/src/orchidwind/network/backend.py
@@ -140,6 +140,22 @@
         ]
         return result
 
+    async def prepare(self, name: bytes, sql: str) -> None:
+        """Prepare a statement under a name; raises BackendRefused where it is wrong."""
+        self._start(lambda: self._connection.send_prepare(name, sql.encode()))
+        while (part := await self._next_result()) is not None:
+            error = self._error(part)
+            if error is not None:
+                raise BackendRefused(error.message, error.sqlstate)
+
+    async def run_prepared(self, name: bytes) -> RunResult:
+        """Run a prepared statement without parameters and keep its first row."""
+        self._start(lambda: self._connection.send_query_prepared(name, None))
+        result = RunResult()
+        while (part := await self._next_result()) is not None:
+            await self._take_part(part, result, None)
+        return result
+
     async def describe(self, statement: Statement) -> RunResult:
         """Tell the types of a statement, by the unnamed prepared statement."""
         result = RunResult()
--- a/src/orchidwind/network/group_runner.py
+++ b/src/orchidwind/network/group_runner.py
@@ -20,20 +20,11 @@
     RunOnConnection,
 )
 from orchidwind.core.pool import CloseConnection, OpenConnection
-from orchidwind.core.positions import Position, parse_lsn
 from orchidwind.core.routing import RoutingSettings
-from orchidwind.core.statements import ChannelKey, Outcome, Statement, StatementRequest
+from orchidwind.core.statements import ChannelKey, Outcome, StatementRequest
 from orchidwind.network.backend import AnswerPort, BackendConnection, ConnectionTarget
+from orchidwind.network.observer import Observer
 
-STATUS_QUERY = Statement(
-    "SELECT pg_is_in_recovery(),"
-    " CASE WHEN pg_is_in_recovery() THEN pg_last_wal_receive_lsn()"
-    " ELSE pg_current_wal_lsn() END,"
-    " CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn()"
-    " ELSE pg_current_wal_lsn() END,"
-    " (SELECT timeline_id FROM pg_control_checkpoint()),"
-    " (SELECT received_tli FROM pg_stat_wal_receiver)"
-)
 _CONNECT_SECONDS = 2.0
 _LIMIT_MET = "53300"
 _SHORTEST_TIMER_SECONDS = 0.0005
@@ -58,7 +49,7 @@
         self._addresses = {instance.name: instance for instance in database.instances}
         self._loop = asyncio.get_running_loop()
         self._connections: dict[int, BackendConnection] = {}
-        self._observers: dict[str, BackendConnection] = {}
+        self._observers: dict[str, Observer] = {}
         self._ports: dict[int, tuple[AnswerPort, OnFinished]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
@@ -97,8 +88,10 @@
             self._timer.cancel()
         for task in self._tasks:
             task.cancel()
-        for connection in [*self._connections.values(), *self._observers.values()]:
+        for connection in self._connections.values():
             connection.close()
+        for observer in self._observers.values():
+            observer.close()
 
     def _perform(self, effects: Iterable[GroupEffect]) -> None:
         for effect in effects:
@@ -207,18 +200,23 @@
         try:
             observer = self._observers.get(instance)
             if observer is None or observer.broken:
-                observer = await BackendConnection.open(
-                    self._target(instance, observer=True), lambda: None
-                )
+                observer = await Observer.open(self._target(instance, observer=True))
                 self._observers[instance] = observer
-            result = await observer.run(STATUS_QUERY, None)
-            if result.error is not None:
-                raise BackendRefused(result.error.message, result.error.sqlstate)
-            report = _report(effect, self._loop.time(), result.first_row)
-        except (BackendConnectionLost, BackendRefused, OSError, ValueError, IndexError):
+            status = await observer.ask()
+        except (BackendConnectionLost, BackendRefused, OSError):
             self._poll_failed(instance)
             return
-        self._perform(self.group.report(self._loop.time(), report))
+        now = self._loop.time()
+        report = InstanceReport(
+            instance=instance,
+            asked_at=effect.asked_at,
+            answered_at=now,
+            in_recovery=status.in_recovery,
+            term=status.term,
+            received=status.received,
+            replayed_lsn=status.replayed_lsn,
+        )
+        self._perform(self.group.report(now, report))
 
     def _poll_failed(self, instance: str) -> None:
         if self._closed:
@@ -227,24 +225,3 @@
         if observer is not None:
             observer.close()
         self._perform(self.group.poll_failed(self._loop.time(), instance))
-
-
-def _report(
-    effect: PollInstance, answered_at: float, row: tuple[bytes | None, ...]
-) -> InstanceReport:
-    """Read the row of the status query; raises ValueError or IndexError for any other row."""
-    in_recovery, received, replayed, term, received_term = (
-        (value or b"").decode() for value in row
-    )
-    is_replica = in_recovery in ("t", "true", "1")
-    known_term = int(term)
-    log_term = int(received_term) if is_replica and received_term else known_term
-    return InstanceReport(
-        instance=effect.instance,
-        asked_at=effect.asked_at,
-        answered_at=answered_at,
-        in_recovery=is_replica,
-        term=known_term,
-        received=Position(log_term, parse_lsn(received)),
-        replayed_lsn=parse_lsn(replayed or "0/0"),
-    )
--- a/src/orchidwind_bench/simulation/events.py
+++ b/src/orchidwind_bench/simulation/events.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from itertools import count
 
-Event = Callable[[], None]
+Event = Callable[[], object]
 
 
 class EventQueue:
