--- a/src/orchidwind/core/home_group.py
+++ b/src/orchidwind/core/home_group.py
@@ -42,6 +42,8 @@
 
 _TRANSACTION_IDLE_SECONDS = 60.0
 _REPLAY_CHECK_SECONDS = 0.003
+_CONFIRM_SECONDS = 2.0
+STILL_RUNNING_SECONDS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +88,13 @@
     connection: int
 
 
+@dataclass(frozen=True, slots=True)
+class StillRunning:
+    """A statement runs past its deadline on an instance that answers: the caller may wait on."""
+
+    number: int
+
+
 @dataclass(frozen=True, slots=True)
 class Finished:
     """A request has its outcome."""
@@ -101,6 +110,7 @@
     | ResetObserver
     | RunOnConnection
     | CancelConnection
+    | StillRunning
     | Finished
 )
 
@@ -109,6 +119,7 @@
 class _Running:
     request: StatementRequest
     flow: Flow
+    expires_at: float
     waits_for: Step | None = None
     since: float = 0.0
 
@@ -141,7 +152,8 @@
     def submit(self, now: float, request: StatementRequest) -> list[GroupEffect]:
         """A request came."""
         self.retries.earn()
-        running = _Running(request, self._flow_for(now, request), since=now)
+        flow = self._flow_for(now, request)
+        running = _Running(request, flow, request.expires_at, since=now)
         self._running[request.number] = running
         self._by_channel[request.channel] = request.number
         if request.expires_at <= now:
@@ -236,7 +248,7 @@
     def deadline(self) -> float:
         """When `tick` has something to do."""
         times = [self._poller.deadline()]
-        times.extend(running.request.expires_at for running in self._running.values())
+        times.extend(running.expires_at for running in self._running.values())
         for pool in self.pools.values():
             due = pool.deadline()
             if due is not None:
@@ -344,6 +356,7 @@
         if result is not None:
             return True, result
         if isinstance(step, flows.NeedConfirmation):
+            running.expires_at = max(running.expires_at, now + _CONFIRM_SECONDS)
             commit = PendingCommit(running.request.number, step.instance, step.term, now)
             decisions = self.barrier.add(commit)
             running.waits_for = step
@@ -537,13 +550,26 @@
             self._effects.append(ResetObserver(instance))
             self._suspect(now, instance)
         for running in list(self._running.values()):
-            if running.request.expires_at <= now:
+            if running.expires_at <= now and not self._may_run_on(now, running):
                 self._throw(now, running, _expired())
         for pool in self.pools.values():
             self._pool_effects(now, pool.tick(now))
         self._end_idle_transactions(now)
         self._recheck(now)
 
+    def _may_run_on(self, now: float, running: _Running) -> bool:
+        """The deadline bounds what comes before the statement; a statement that runs on an
+        instance that answers is let run."""
+        step = running.waits_for
+        if not isinstance(step, flows.Run):
+            return False
+        instance = self._instance_of.get(step.connection)
+        if instance is None or instance in self.view.unreachable:
+            return False
+        running.expires_at = now + STILL_RUNNING_SECONDS
+        self._effects.append(StillRunning(running.request.number))
+        return True
+
     def _end_idle_transactions(self, now: float) -> None:
         limit = self.options.transaction_idle_seconds
         for channel, transaction in list(self.transactions.items()):
--- a/src/orchidwind/core/statements.py
+++ b/src/orchidwind/core/statements.py
@@ -145,8 +145,8 @@
 class RunResult:
     """What a back end answered to one statement.
 
-    `delivered` tells whether any part of the answer went on to the caller. `tag_held` and
-    `columns_sent` belong to the connection that fills the result.
+    `delivered` tells whether any part of the answer went on to the caller. `tag_held`,
+    `columns_sent` and `chunk_tag` belong to the connection that fills the result.
     """
 
     tag: str = ""
@@ -157,3 +157,4 @@
     description: Description | None = None
     tag_held: bool = False
     columns_sent: bool = False
+    chunk_tag: str = ""
--- a/src/orchidwind/network/backend.py
+++ b/src/orchidwind/network/backend.py
@@ -53,6 +53,10 @@
     async def tag(self, command_tag: str) -> None:
         """A statement before the last of a query string ended."""
 
+    @abstractmethod
+    def still_running(self) -> None:
+        """The statement runs past its deadline, and is let run."""
+
 
 @dataclass(frozen=True, slots=True)
 class ConnectionTarget:
@@ -272,8 +276,13 @@
             return
         if part.status in _ROW_STATUSES:
             await self._take_rows(part, result, port)
-        if part.status != pq.ExecStatus.TUPLES_CHUNK:
-            await self._take_tag((part.command_status or b"").decode(), result, port)
+        # libpq puts the tag on whichever part it had in hand when CommandComplete came.
+        tag = (part.command_status or b"").decode()
+        if part.status == pq.ExecStatus.TUPLES_CHUNK:
+            result.chunk_tag = tag or result.chunk_tag
+            return
+        await self._take_tag(tag or result.chunk_tag, result, port)
+        result.chunk_tag = ""
 
     async def _take_tag(self, tag: str, result: RunResult, port: AnswerPort | None) -> None:
         """Hold the newest tag back: the caller sees the last one only once the outcome is known."""
--- a/src/orchidwind/network/codec.py
+++ b/src/orchidwind/network/codec.py
@@ -133,6 +133,12 @@
     transaction_status: bytes
 
 
+class StillRunning(msgspec.Struct, frozen=True):
+    """The statement runs on a reachable instance past its deadline: go on waiting."""
+
+    number: int
+
+
 class Credit(msgspec.Struct, frozen=True):
     """The caller took this many bytes of an answer."""
 
@@ -178,6 +184,7 @@
     | CloseChannel
     | ConfigurationRequest
     | ConfigurationReply
+    | StillRunning
 )
 _LINK_TYPES: dict[str, type[LinkMessage]] = {
     kind.__name__: kind
@@ -194,6 +201,7 @@
         CloseChannel,
         ConfigurationRequest,
         ConfigurationReply,
+        StillRunning,
     )
 }
 _WITH_RECORDS = (Execute, ResultColumns, Done)
--- a/src/orchidwind/network/front.py
+++ b/src/orchidwind/network/front.py
@@ -16,6 +16,7 @@
     Plan,
 )
 from orchidwind.core.errors import ErrorKind, PeerUnavailable, RequestError
+from orchidwind.core.home_group import STILL_RUNNING_SECONDS
 from orchidwind.core.link_loss import after_link_loss
 from orchidwind.core.statements import (
     ChannelKey,
@@ -41,6 +42,7 @@
 _TEXT_OID = 25
 _RETRY_SECONDS = 0.05
 _GRACE_SECONDS = 0.25
+_CONFIRM_GRACE_SECONDS = 2.5
 _LOCAL_ORIGIN = "local"
 _CREDIT_BYTES = 128 * 1024
 
@@ -93,6 +95,9 @@
         self.delivered = True
         await self._sink.complete(command_tag)
 
+    def still_running(self) -> None:
+        """The caller waits anyway."""
+
 
 class FrontService:
     """Sends requests to homes; shared by all callers of this node."""
@@ -138,13 +143,17 @@
         loop = asyncio.get_running_loop()
         pending = await link.execute(to_execute(request, loop.time()))
         try:
-            async with asyncio.timeout_at(request.expires_at + _GRACE_SECONDS):
+            async with asyncio.timeout_at(request.expires_at + _GRACE_SECONDS) as bound:
                 while True:
                     part = await pending.parts.get()
                     if isinstance(part, PeerUnavailable):
                         raise part
                     if isinstance(part, codec.Done | codec.Failed):
                         return from_answer(part)
+                    if isinstance(part, codec.StillRunning):
+                        later = loop.time() + STILL_RUNNING_SECONDS + _CONFIRM_GRACE_SECONDS
+                        bound.reschedule(later)
+                        continue
                     await self._pass_on(part, link, port)
         except TimeoutError as error:
             link.send(codec.CloseChannel(request.channel.number))
--- a/src/orchidwind/network/group_runner.py
+++ b/src/orchidwind/network/group_runner.py
@@ -18,14 +18,16 @@
     PollInstance,
     ResetObserver,
     RunOnConnection,
+    StillRunning,
 )
 from orchidwind.core.pool import CloseConnection, OpenConnection
 from orchidwind.core.routing import RoutingSettings
-from orchidwind.core.statements import ChannelKey, Outcome, StatementRequest
+from orchidwind.core.statements import ChannelKey, Column, Outcome, StatementRequest
 from orchidwind.network.backend import AnswerPort, BackendConnection, ConnectionTarget
 from orchidwind.network.observer import Observer
 
 _CONNECT_SECONDS = 2.0
+_STALLED_SECONDS = 2.0
 _LIMIT_MET = "53300"
 _SHORTEST_TIMER_SECONDS = 0.0005
 
@@ -38,6 +40,30 @@
     return GroupOptions(acknowledge=database.acknowledge, routing=routing)
 
 
+class _ImpatientPort(AnswerPort):
+    """Gives a caller that stops reading up, since it holds a scarce server connection."""
+
+    def __init__(self, port: AnswerPort) -> None:
+        self._port = port
+
+    async def columns(self, columns: tuple[Column, ...]) -> None:
+        """Pass the columns on."""
+        await self._port.columns(columns)
+
+    async def rows(self, encoded: bytes, count: int) -> None:
+        """Pass rows on; raises TimeoutError where the caller takes none for too long."""
+        async with asyncio.timeout(_STALLED_SECONDS):
+            await self._port.rows(encoded, count)
+
+    async def tag(self, command_tag: str) -> None:
+        """Pass a tag on."""
+        await self._port.tag(command_tag)
+
+    def still_running(self) -> None:
+        """Pass the word on."""
+        self._port.still_running()
+
+
 class GroupRunner:
     """One database at its home: the core class, and the sockets round it."""
 
@@ -106,20 +132,29 @@
             on_finished(effect.outcome)
         elif isinstance(effect, PollInstance):
             self._spawn(self._poll(effect))
-        elif isinstance(effect, OpenConnection):
+        elif isinstance(effect, StillRunning):
+            if effect.number in self._ports:
+                self._ports[effect.number][0].still_running()
+        else:
+            self._perform_on_connection(effect)
+
+    def _perform_on_connection(
+        self, effect: OpenConnection | CloseConnection | CancelConnection | ResetObserver
+    ) -> None:
+        if isinstance(effect, OpenConnection):
             self._spawn(self._open(effect))
         elif isinstance(effect, CloseConnection):
             connection = self._connections.pop(effect.connection, None)
             if connection is not None:
                 connection.close()
-        elif isinstance(effect, ResetObserver):
-            observer = self._observers.pop(effect.instance, None)
-            if observer is not None:
-                observer.close()
         elif isinstance(effect, CancelConnection):
             connection = self._connections.get(effect.connection)
             if connection is not None:
                 self._spawn(connection.cancel())
+        else:
+            observer = self._observers.pop(effect.instance, None)
+            if observer is not None:
+                observer.close()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = self._loop.create_task(work)
@@ -183,7 +218,7 @@
             return
         port = None
         if effect.deliver_to is not None and effect.deliver_to in self._ports:
-            port = self._ports[effect.deliver_to][0]
+            port = _ImpatientPort(self._ports[effect.deliver_to][0])
         try:
             if effect.describe:
                 result = await connection.describe(effect.statement)
@@ -192,6 +227,10 @@
         except BackendConnectionLost as lost:
             self._lost(effect.connection, lost)
             return
+        except TimeoutError:
+            stalled = BackendConnectionLost("the caller stopped reading", sent=True, delivered=True)
+            self._lost(effect.connection, stalled)
+            return
         now = self._loop.time()
         self._perform(self.group.run_finished(now, effect.connection, result))
 
--- a/src/orchidwind/network/peer_link.py
+++ b/src/orchidwind/network/peer_link.py
@@ -40,7 +40,14 @@
 _CONNECT_SECONDS = 1.0
 _STREAM_BUFFER_BYTES = 128 * 1024 * 1024
 
-AnswerPart = codec.ResultColumns | codec.ResultRows | codec.ResultTag | codec.Done | codec.Failed
+AnswerPart = (
+    codec.ResultColumns
+    | codec.ResultRows
+    | codec.ResultTag
+    | codec.StillRunning
+    | codec.Done
+    | codec.Failed
+)
 
 
 class FrameStream:
@@ -251,6 +258,11 @@
         """Send a tag."""
         self._write(codec.ResultTag(self._number, command_tag))
 
+    def still_running(self) -> None:
+        """Tell the caller's proxy to wait on."""
+        self._write(codec.StillRunning(self._number))
+        self._flush()
+
     def credit(self, count: int) -> None:
         """The caller took bytes."""
         self._outstanding -= count
--- a/src/orchidwind/postgres/server_session.py
+++ b/src/orchidwind/postgres/server_session.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import secrets
 from abc import ABC, abstractmethod
 from collections.abc import Callable
@@ -27,6 +28,7 @@
 from orchidwind.postgres.wire import Column, codec
 
 _READ_BYTES = 64 * 1024
+_LOGIN_SECONDS = 10.0
 _WRITE_HIGH_WATER_BYTES = 256 * 1024
 _SUSPENDED_ROWS_LIMIT = 10_000
 _MAXIMUM_BATCH_MESSAGES = 20_000
@@ -191,10 +193,14 @@
     async def run(self) -> None:
         """Serve the connection; returns when it is closed."""
         try:
-            if await self._log_in():
+            async with asyncio.timeout(_LOGIN_SECONDS):
+                logged_in = await self._log_in()
+            if logged_in:
                 await self._serve()
         except StreamClosedError:
             pass
+        except TimeoutError:
+            self._fail(RequestError(ErrorKind.PROTOCOL_VIOLATION, "the login took too long"))
         except wire.ProtocolViolation as violation:
             self._fail(RequestError(ErrorKind.PROTOCOL_VIOLATION, str(violation)))
         except RequestError as error:
--- a/src/orchidwind_standins/sql_translation.py
+++ b/src/orchidwind_standins/sql_translation.py
@@ -283,6 +283,9 @@
         parameter.replace(exp.Placeholder(this=parameter.name))
     for placeholder in tree.find_all(exp.Placeholder):
         placeholder.replace(exp.Var(this=f"?{placeholder.name}"))
+    for dot in list(tree.find_all(exp.Dot)):
+        if dot.this.name in _CATALOG_SCHEMAS:
+            dot.replace(dot.expression)
     for cast in list(tree.find_all(exp.Cast)):
         cast.replace(_rewrite_cast(cast))
     for now in list(tree.find_all(exp.CurrentTimestamp)):
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,137 @@
+"""What hostile or broken callers send gets an error or a close, and harms nobody else."""
+
+import json
+import os
+import socket
+import struct
+import time
+import urllib.request
+
+import psycopg
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from orchidwind.network import codec
+from orchidwind.postgres.wire import FrameReader, ProtocolViolation
+
+SILENT_CONNECTIONS = 5_000
+
+
+@given(st.binary(max_size=300), st.integers(1, 50))
+def test_frame_reader_ends_for_any_bytes(data, step):
+    reader = FrameReader()
+    taken = 0
+    try:
+        for start in range(0, len(data), step):
+            reader.feed(data[start : start + step])
+            while (message := reader.message()) is not None:
+                taken += 1 + 4 + len(message[1])
+    except ProtocolViolation:
+        return
+    assert taken <= len(data)
+
+
+@given(st.binary(max_size=200))
+def test_peer_codec_refuses_or_reads_any_bytes(data):
+    for decode in (codec.decode_link, codec.decode_datagram):
+        try:
+            decode(data)
+        except codec.DecodeError:
+            continue
+
+
+def raw(system, proxy=0):
+    return socket.create_connection(("127.0.0.1", system.caller_port(proxy)), timeout=10)
+
+
+def serves(system):
+    with psycopg.connect(system.dsn(0), autocommit=True) as opened:
+        return opened.execute("SELECT 1").fetchone() == (1,)
+
+
+def startup(user="app", database="tests"):
+    body = b"".join(part.encode() + b"\0" for part in ("user", user, "database", database))
+    return struct.pack("!II", len(body) + 9, 196608) + body + b"\0"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        struct.pack("!II", 2**31, 196608),
+        struct.pack("!II", 0, 196608),
+        struct.pack("!II", 9, 196608) + b"\0",
+        struct.pack("!II", 16, 3 << 20) + b"x" * 8,
+        startup() + b"p" + struct.pack("!I", 2**30),
+        startup() + b"Q" + struct.pack("!I", 5) + b"\0",
+        startup() + b"p" + struct.pack("!I", 8) + b"\xff\xff\xff\xff",
+        bytes(range(256)) * 40,
+    ],
+)
+def test_garbage_gets_an_error_or_a_close(system, data):
+    with raw(system) as opened:
+        opened.sendall(data)
+        received = b""
+        while chunk := opened.recv(4096):
+            received += chunk
+    assert b"08P01" in received or b"28P01" in received
+    assert serves(system)
+
+
+def databases(system):
+    result = []
+    for node in system.deployment.proxies:
+        with urllib.request.urlopen(f"{node.operator_url}/status", timeout=5) as answer:
+            result += json.load(answer)["databases"]
+    return result
+
+
+def wait_for(condition, seconds=15):
+    bound = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > bound:
+            return False
+        time.sleep(0.05)
+    return True
+
+
+def test_caller_that_vanishes_in_a_transaction_leaves_nothing(system):
+    with psycopg.connect(system.dsn(0), autocommit=True) as setup:
+        setup.execute("CREATE TABLE vanished (id int)")
+    for _ in range(12):
+        opened = psycopg.connect(system.dsn(0))
+        opened.execute("INSERT INTO vanished VALUES (1)")
+        with socket.socket(fileno=os.dup(opened.pgconn.socket)) as line:
+            line.shutdown(socket.SHUT_RDWR)
+    assert wait_for(lambda: all(item["open_transactions"] == 0 for item in databases(system)))
+    with psycopg.connect(system.dsn(0), autocommit=True) as check:
+        assert check.execute("SELECT count(*) FROM vanished").fetchone() == (0,)
+
+
+def test_caller_that_stops_reading_holds_up_nobody(system):
+    with psycopg.connect(system.dsn(0), autocommit=True) as setup:
+        setup.execute("CREATE TABLE wide (id int, t text)")
+        values = ", ".join(f"({n}, '{'x' * 2000}')" for n in range(500))
+        setup.execute(f"INSERT INTO wide VALUES {values}")
+    lazy = [psycopg.connect(system.dsn(0), autocommit=True) for _ in range(8)]
+    for opened in lazy:
+        opened.pgconn.send_query(b"SELECT a.t FROM wide a, wide b WHERE b.id < 20")
+    assert serves(system)
+    with psycopg.connect(system.dsn(0), autocommit=True) as writer:
+        writer.execute("INSERT INTO wide VALUES (-1, 'after')")
+    for opened in lazy:
+        opened.close()
+
+
+def test_silent_connections_do_not_hinder_others(system):
+    silent = []
+    try:
+        for _ in range(SILENT_CONNECTIONS):
+            silent.append(raw(system, proxy=1))
+        with psycopg.connect(system.dsn(1), autocommit=True) as opened:
+            assert opened.execute("SELECT 1").fetchone() == (1,)
+    finally:
+        for opened in silent:
+            opened.close()
+    assert serves(system)
