--- a/src/orchidwind/core/home_group.py
+++ b/src/orchidwind/core/home_group.py
@@ -81,6 +81,13 @@
     describe: bool
 
 
+@dataclass(frozen=True, slots=True)
+class AbandonConnection:
+    """Break a connection whose instance does not answer; `connection_lost` follows."""
+
+    connection: int
+
+
 @dataclass(frozen=True, slots=True)
 class CancelConnection:
     """Ask the database to cancel what runs on a connection."""
@@ -109,6 +116,7 @@
     | PollInstance
     | ResetObserver
     | RunOnConnection
+    | AbandonConnection
     | CancelConnection
     | StillRunning
     | Finished
@@ -549,6 +557,7 @@
         for instance in self._poller.overdue(now):
             self._effects.append(ResetObserver(instance))
             self._suspect(now, instance)
+            self._abandon_reads(instance)
         for running in list(self._running.values()):
             if running.expires_at <= now and not self._may_run_on(now, running):
                 self._throw(now, running, _expired())
@@ -557,6 +566,17 @@
         self._end_idle_transactions(now)
         self._recheck(now)
 
+    def _abandon_reads(self, instance: str) -> None:
+        """Reads that hang on an instance that does not answer are run elsewhere."""
+        for running in self._running.values():
+            step = running.waits_for
+            if not isinstance(step, flows.Run) or running.request.channel in self.transactions:
+                continue
+            if running.request.kind not in (RequestKind.READ, RequestKind.DESCRIBE):
+                continue
+            if self._instance_of.get(step.connection) == instance:
+                self._effects.append(AbandonConnection(step.connection))
+
     def _may_run_on(self, now: float, running: _Running) -> bool:
         """The deadline bounds what comes before the statement; a statement that runs on an
         instance that answers is let run."""
--- a/src/orchidwind/network/group_runner.py
+++ b/src/orchidwind/network/group_runner.py
@@ -10,6 +10,7 @@
 from orchidwind.core.errors import BackendConnectionLost, BackendRefused
 from orchidwind.core.group_view import InstanceReport
 from orchidwind.core.home_group import (
+    AbandonConnection,
     CancelConnection,
     Finished,
     GroupEffect,
@@ -139,7 +140,12 @@
             self._perform_on_connection(effect)
 
     def _perform_on_connection(
-        self, effect: OpenConnection | CloseConnection | CancelConnection | ResetObserver
+        self,
+        effect: OpenConnection
+        | CloseConnection
+        | AbandonConnection
+        | CancelConnection
+        | ResetObserver,
     ) -> None:
         if isinstance(effect, OpenConnection):
             self._spawn(self._open(effect))
@@ -147,6 +153,10 @@
             connection = self._connections.pop(effect.connection, None)
             if connection is not None:
                 connection.close()
+        elif isinstance(effect, AbandonConnection):
+            connection = self._connections.get(effect.connection)
+            if connection is not None:
+                connection.close()
         elif isinstance(effect, CancelConnection):
             connection = self._connections.get(effect.connection)
             if connection is not None:
--- a/src/orchidwind_bench/simulation/system.py
+++ b/src/orchidwind_bench/simulation/system.py
@@ -15,6 +15,7 @@
 from orchidwind.core.caller_session import CallerSession, Forward
 from orchidwind.core.errors import BackendConnectionLost, ErrorKind, Ran, RequestError
 from orchidwind.core.home_group import (
+    AbandonConnection,
     CancelConnection,
     Finished,
     GroupEffect,
@@ -119,6 +120,8 @@
                 self._run(effect)
             elif isinstance(effect, PollInstance):
                 self._poll(effect)
+            elif isinstance(effect, AbandonConnection):
+                self._abandon(effect.connection)
             elif isinstance(effect, CancelConnection):
                 continue
         self._timer.set(self.group.deadline())
@@ -183,6 +186,13 @@
         if connection is not None:
             self._end_session(connection)
 
+    def _abandon(self, number: int) -> None:
+        self._close(number)
+        lost = BackendConnectionLost("given up", sent=True)
+        self.system.events.after(
+            0.0, lambda: self._perform(self.group.connection_lost(self._now, number, lost))
+        )
+
     def _end_session(self, connection: _ServerConnection) -> None:
         """The close reaches the instance once it can, as TCP's retries have it."""
         instance, session = connection.instance, connection.session
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -152,6 +152,10 @@
     run(work())
 
 
+def test_statement_may_run_longer_than_the_deadline(connection):
+    assert connection.execute("SELECT pg_sleep(5.6)").statusmessage == "SELECT 1"
+
+
 def test_large_result_arrives_whole(connection, table):
     for start in range(0, 20_000, 2_000):
         values = ", ".join(f"({number})" for number in range(start, start + 2_000))
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -111,3 +111,18 @@
     share = sum(read.on_replica for read in system.history.reads) / len(system.history.reads)
     assert share > 0.8
     assert violations(system) == []
+
+
+def test_reads_that_hang_on_a_frozen_replica_run_elsewhere():
+    system = SimulatedSystem(seed=5, zones=ZONES, callers=9, write_share=0.1, think=0.01)
+    system.events.run_until(1.0)
+    primary = system.database.primary().name
+    replica = next(name for name in system.database.instances if name != primary)
+    system.network.pause(replica)
+    frozen_at = system.events.now
+    system.events.run_until(frozen_at + 4.0)
+    during = [read for read in system.history.reads if read.started >= frozen_at]
+    assert len(during) > 100
+    assert {read.result for read in during} == {Result.OK}
+    system.settle()
+    assert violations(system) == []
