--- a/src/orchidwind_bench/main.py
+++ b/src/orchidwind_bench/main.py
@@ -8,22 +8,83 @@
 import sys
 import time
 from pathlib import Path
+from typing import Literal
 
 import defopt
 import msgspec
 
 from orchidwind_bench import demo as demo_module
 from orchidwind_bench.capacity import ScaleFile, write_page
+from orchidwind_bench.experiments import ExperimentReport, run_experiment
 from orchidwind_bench.scale import measure_hollow
 from orchidwind_bench.scale_events import measure_events
 from orchidwind_bench.scale_real import measure_real
 
+Experiment = Literal[
+    "failover",
+    "freeze",
+    "cut-primary",
+    "roam",
+    "drain",
+    "switchover",
+    "config-race",
+    "store-outage",
+    "overload",
+    "leaving",
+]
+DeploymentName = Literal["dakar", "kalgara"]
+
 
 def demo() -> int:
     """Run a whole system on loopback, kill the primary, and check what sessions saw."""
     return demo_module.demo()
 
 
+def run(
+    experiment: Experiment,
+    *,
+    deployment: DeploymentName = "dakar",
+    seed: int = 1,
+    json: Path | None = None,
+) -> int:
+    """Run one experiment on real processes; the exit code is 1 where a promise was broken.
+
+    :param experiment: what to do under load
+    :param deployment: whose sizes, latencies and classes to use
+    :param seed: seed of the callers
+    :param json: file to write the report to
+    """
+    report = asyncio.run(run_experiment(experiment, deployment, seed, _progress))
+    if json is not None:
+        json.write_bytes(msgspec.json.format(msgspec.json.encode(report)))
+    _print_report(report)
+    return 1 if report.violations else 0
+
+
+def _print_report(report: ExperimentReport) -> None:
+    for remark in report.remarks:
+        print(remark)
+    for violation in report.violations[:10]:
+        print(f"violation {violation}")
+    if report.gaps_ms:
+        gaps = ", ".join(f"{gap:.0f}" for gap in report.gaps_ms)
+        promotions = ", ".join(f"{item:.0f}" for item in report.promotion_ms)
+        print(
+            f"gaps ms {gaps}; the group's own promotion ms {promotions}; reads in the gap"
+            f" {report.reads_during_gap}, answered within it {report.reads_answered_during_gap}"
+        )
+    print(
+        f"{report.experiment} on {report.deployment}:"
+        f" {report.statements_a_second:.0f} statements/s,"
+        f" replica share {report.replica_share:.3f}, read p50 {report.reads.median:.1f} ms"
+        f" p99 {report.reads.p99:.1f} ms, write p50 {report.writes.median:.1f} ms"
+        f" p99 {report.writes.p99:.1f} ms, writes ok {report.writes_ok}"
+        f" not run {report.writes_not_run} unknown {report.writes_unknown},"
+        f" reads failed {report.reads_failed}, errors {report.errors}"
+    )
+    print(f"violations {len(report.violations)}")
+
+
 def scale(
     *,
     json: Path,
@@ -71,4 +132,4 @@
 
 def main() -> None:
     """Entry point of `orchidwind-bench`."""
-    sys.exit(defopt.run([demo, scale, capacity]))
+    sys.exit(defopt.run([demo, run, scale, capacity]))
