--- a/src/orchidwind_bench/simulation/system.py
+++ b/src/orchidwind_bench/simulation/system.py
@@ -62,7 +62,7 @@
         self.system = system
         self.name = name
         self.alive = True
-        self.group = HomeGroup(
+        self.group = system.group_class(
             dict.fromkeys(system.database.instances, system.share), system.options
         )
         self._generation = generation
@@ -379,8 +379,10 @@
         timings: GroupTimings | None = None,
         options: GroupOptions | None = None,
         network: NetworkSettings | None = None,
+        group_class: type[HomeGroup] = HomeGroup,
     ) -> None:
         self.seed = seed
+        self.group_class = group_class
         self.share = share
         self.roaming = roaming
         self.write_share = write_share
--- /dev/null
+++ b/tests/test_checks_bite.py
@@ -0,0 +1,178 @@
+"""Each checker is seen to fail on a variant of the product's class with its guard removed.
+
+The variants live here alone. A check that passes on its variant could not fail at all.
+"""
+
+from dataclasses import replace
+
+from orchidwind.core import flows, home_group, routing
+from orchidwind.core.configuration_history import Adopt, ConfigurationHistory
+from orchidwind.core.home_group import HomeGroup
+from orchidwind.core.positions import ORIGIN, Position
+from orchidwind.core.statements import Floor, FloorMode, RequestKind
+from orchidwind_bench.checkers import (
+    History,
+    ReadEvent,
+    Result,
+    WriteEvent,
+    check_all,
+    check_at_most_once,
+    check_monotonic_reads,
+    check_not_run,
+    check_read_your_writes,
+)
+from orchidwind_bench.simulation.hollow import sample_configuration
+from orchidwind_bench.simulation.system import SimulatedSystem
+from orchidwind_standins.replication import GroupTimings
+
+ZONES = ["a", "b", "c"]
+
+
+def promises_broken(system):
+    primary = system.database.primary()
+    logs = system.database.marks_in_logs()
+    found = check_all(system.history, logs[primary.name], list(logs.values()))
+    return {violation.promise for violation in found}
+
+
+class EagerGroup(HomeGroup):
+    """A home whose commits wait for nobody."""
+
+    def _wait_for_view(self, now, running, step):
+        if isinstance(step, flows.NeedConfirmation):
+            return True, Position(step.term, 1)
+        return super()._wait_for_view(now, running, step)
+
+
+def cut_primary_under_load(group_class):
+    """The primary loses its replicas but not its callers; then a successor is elected."""
+    system = SimulatedSystem(
+        seed=4, zones=ZONES, write_share=0.9, named=False, group_class=group_class
+    )
+    system.events.run_until(1.0)
+    primary = system.database.primary()
+    for name in system.database.instances:
+        if name != primary.name:
+            own, other = system.network.zone_of[primary.name], system.network.zone_of[name]
+            system.network.cut(own, other)
+    system.events.run_until(4.0)
+    system.settle()
+    return promises_broken(system)
+
+
+def test_acknowledged_writes_are_lost_without_the_barrier():
+    assert "acknowledged-writes-last" in cut_primary_under_load(EagerGroup)
+    assert cut_primary_under_load(HomeGroup) == set()
+
+
+class FloorlessGroup(HomeGroup):
+    """A home that forgets the floor of each read."""
+
+    def submit(self, now, request):
+        return super().submit(now, replace(request, floor=Floor(FloorMode.KNOWN, ORIGIN)))
+
+
+def read_with_lag(group_class):
+    system = SimulatedSystem(
+        seed=2,
+        zones=ZONES,
+        timings=GroupTimings(replay_lag=0.2),
+        think=0.02,
+        group_class=group_class,
+    )
+    system.database.instances["db-c"].instance.set_replay_lag(0.8)
+    system.events.run_until(6.0)
+    system.settle()
+    return promises_broken(system)
+
+
+def test_reads_miss_writes_without_the_floor():
+    broken = read_with_lag(FloorlessGroup)
+    assert {"read-your-writes", "monotonic-reads"} <= broken
+    assert read_with_lag(HomeGroup) == set()
+
+
+def test_reads_are_too_early_when_an_estimate_counts_as_covered(monkeypatch):
+    chosen = routing.choose_read_route
+
+    def hasty(*arguments, **options):
+        route = chosen(*arguments, **options)
+        return None if route is None else replace(route, must_wait=False)
+
+    monkeypatch.setattr(home_group, "choose_read_route", hasty)
+    system = SimulatedSystem(seed=2, zones=ZONES, timings=GroupTimings(replay_lag=0.03))
+    system.events.run_until(6.0)
+    system.settle()
+    assert "read-your-writes" in promises_broken(system)
+
+
+class RepeatingGroup(HomeGroup):
+    """A home that sends a write again when its connection breaks."""
+
+    def _flow_for(self, now, request):
+        if request.kind is RequestKind.WRITE and not request.request_id:
+            return self._again(request)
+        return super()._flow_for(now, request)
+
+    def _again(self, request):
+        while True:
+            try:
+                return (yield from flows.write_flow(request))
+            except home_group.RequestError as error:
+                if error.kind is not home_group.ErrorKind.OUTCOME_UNKNOWN:
+                    raise
+
+
+def writes_through_failovers(group_class):
+    system = SimulatedSystem(
+        seed=9,
+        zones=ZONES,
+        callers=14,
+        write_share=1.0,
+        think=0.005,
+        named=False,
+        group_class=group_class,
+    )
+    for _ in range(4):
+        system.events.run_until(system.events.now + 1.5)
+        primary = system.database.primary()
+        if primary is not None:
+            system.database.instances[primary.name].drop_sessions()
+            other = next(name for name in system.database.instances if name != primary.name)
+            system.database.instances[other].switch_over()
+    system.settle()
+    return promises_broken(system)
+
+
+def test_writes_run_twice_when_they_are_sent_again():
+    assert "at-most-once" in writes_through_failovers(RepeatingGroup)
+    assert writes_through_failovers(HomeGroup) == set()
+
+
+class ForgetfulHistory(ConfigurationHistory):
+    """Takes whatever it is told."""
+
+    def _adopt(self, document):
+        self.current = document
+        return [Adopt(document)]
+
+
+def test_a_history_without_its_guard_goes_back():
+    newer, older = sample_configuration(2, ZONES, 1), sample_configuration(1, ZONES, 1)
+    for history, version in ((ForgetfulHistory(), 1), (ConfigurationHistory(), 2)):
+        history.on_platform(newer)
+        history.on_peer_document("peer", older, 1)
+        assert history.version == version
+
+
+def test_checkers_see_broken_histories():
+    write = WriteEvent("s", "k", 1, 0.0, 1.0, Result.OK)
+    blind = ReadEvent("s", "k", 2.0, 3.0, Result.OK, frozenset())
+    seeing = ReadEvent("s", "k", 1.5, 1.8, Result.OK, frozenset({1}))
+    assert check_read_your_writes(History([write], [blind]))
+    assert not check_read_your_writes(History([write], [seeing]))
+    other = replace(write, session="t")
+    assert check_monotonic_reads(History([other], [seeing, blind]))
+    refused = replace(write, result=Result.NOT_RUN)
+    assert check_not_run(History([refused], []), [{1: 1}])
+    assert check_at_most_once({1: 2})
