--- a/src/orchidwind/core/home_group.py
+++ b/src/orchidwind/core/home_group.py
@@ -265,6 +265,16 @@
         times.extend(item.last_used + idle for item in self.transactions.values())
         return min(times)
 
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a server connection."""
+        return sum(len(pool.queue) for pool in self.pools.values())
+
+    @property
+    def spare(self) -> int:
+        """Connections to each instance that nobody uses now."""
+        return min(pool.share - len(pool.busy) - len(pool.queue) for pool in self.pools.values())
+
     @property
     def idle(self) -> bool:
         """Whether no request and no transaction is in progress."""
--- a/src/orchidwind/core/placement.py
+++ b/src/orchidwind/core/placement.py
@@ -70,6 +70,12 @@
             return None
         return first(database.name, self._by_zone[serving])
 
+    def homes(self, database: DatabaseSettings) -> list[str]:
+        """The homes of a database in all zones that have a share of it."""
+        shares = self.zone_shares(database)
+        found = (first(database.name, self._by_zone[zone]) for zone in shares if shares[zone] > 0)
+        return [name for name in found if name is not None]
+
     def shares_of(self, database: DatabaseSettings, node: Node) -> int:
         """Connections to each instance that a node holds as home, 0 where it is not."""
         share = self.zone_shares(database).get(node.zone, 0)
--- a/src/orchidwind/daemon.py
+++ b/src/orchidwind/daemon.py
@@ -86,7 +86,8 @@
         self._settings = settings
         self._figures = Metrics()
         self._cluster = Cluster(settings, self._on_roles)
-        self._homes = HomeService(self._cluster.node)
+        self._homes = HomeService(self._cluster.node, self._cluster)
+        self._cluster.on_lease = self._homes.take_lease
         front = FrontService(self._cluster, self._homes, self._figures)
         host = CallerHost(self._cluster, front)
         self._listener = PostgresListener(
--- a/src/orchidwind/network/cluster.py
+++ b/src/orchidwind/network/cluster.py
@@ -16,8 +16,10 @@
     OperatorFile,
 )
 from orchidwind.core.configuration_history import Adopt, ConfigurationHistory, HistoryEffect
+from orchidwind.core.errors import PeerUnavailable
 from orchidwind.core.membership import Member, Membership, MemberState
 from orchidwind.core.placement import Node, Placement
+from orchidwind.core.slot_leases import LeaseAnswer
 from orchidwind.logs import log_event
 from orchidwind.network import codec
 from orchidwind.network.datagrams import MembershipService
@@ -41,6 +43,8 @@
         self.placement = Placement([], [])
         self._settings = settings
         self._on_roles = on_roles
+        self.on_lease: Callable[[str, str, LeaseAnswer], None] = lambda database, peer, answer: None
+        self._tasks: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
         self._classes = ClassMatcher([])
         self._homes: dict[str, Home | None] = {}
@@ -97,7 +101,7 @@
             return link
         if link is not None:
             link.close()
-        link = PeerLink(self.node.name, *address, on_configuration=self._peer_document(name))
+        link = PeerLink(self.node.name, *address, on_notice=self._notice_taker(name))
         self._links[name] = link
         return link
 
@@ -129,18 +133,27 @@
     def _on_peer_version(self, peer: str, version: int) -> None:
         self._take(self.history.on_peer_version(peer, version, self._peers_in_view()))
 
-    def _peer_document(self, peer: str) -> Callable[[codec.ConfigurationReply], None]:
-        def take(reply: codec.ConfigurationReply) -> None:
-            try:
-                content = msgspec.json.decode(reply.content, type=OperatorFile)
-            except msgspec.DecodeError:
-                log_event("peer_configuration_not_understood", peer=peer)
-                return
-            document = ConfigurationDocument(reply.version, content)
-            self._take(self.history.on_peer_document(peer, document, self._peers_in_view()))
+    def _notice_taker(
+        self, peer: str
+    ) -> Callable[[codec.ConfigurationReply | codec.LeaseReply], None]:
+        def take(notice: codec.ConfigurationReply | codec.LeaseReply) -> None:
+            if isinstance(notice, codec.LeaseReply):
+                answer = LeaseAnswer(notice.slots, notice.number, notice.duration)
+                self.on_lease(notice.database, peer, answer)
+            else:
+                self._take_peer_document(peer, notice)
 
         return take
 
+    def _take_peer_document(self, peer: str, reply: codec.ConfigurationReply) -> None:
+        try:
+            content = msgspec.json.decode(reply.content, type=OperatorFile)
+        except msgspec.DecodeError:
+            log_event("peer_configuration_not_understood", peer=peer)
+            return
+        document = ConfigurationDocument(reply.version, content)
+        self._take(self.history.on_peer_document(peer, document, self._peers_in_view()))
+
     def _take(self, effects: list[HistoryEffect]) -> None:
         for effect in effects:
             if isinstance(effect, Adopt):
@@ -155,15 +168,32 @@
         self._fetched[peer] = now
         link = self._link(peer)
         if link is not None:
-            self._loop.create_task(self._request_configuration(link))
+            self._send_soon(link, codec.ConfigurationRequest(self.history.version))
+
+    def _send_soon(self, link: PeerLink, message: codec.LinkMessage) -> None:
+        task = self._loop.create_task(self._send(link, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
-    async def _request_configuration(self, link: PeerLink) -> None:
+    async def _send(self, link: PeerLink, message: codec.LinkMessage) -> None:
         try:
             await link.open()
-        except Exception as error:  # the next gossip asks again
+        except PeerUnavailable as error:  # what asked will ask again
             log_event("peer_unavailable", reason=error)
             return
-        link.send(codec.ConfigurationRequest(self.history.version))
+        link.send(message)
+
+    # --- leases -------------------------------------------------------------------------------
+
+    def other_homes(self, database: DatabaseSettings) -> list[str]:
+        """The homes of a database in the other zones."""
+        return [name for name in self.placement.homes(database) if name != self.node.name]
+
+    def ask(self, lender: str, database: str, wanted: int) -> None:
+        """Ask another home for connections."""
+        link = self._link(lender)
+        if link is not None:
+            self._send_soon(link, codec.LeaseAsk(database, wanted))
 
     def _adopt(self, document: ConfigurationDocument) -> None:
         log_event("configuration_in_force", version=document.version)
--- a/src/orchidwind/network/codec.py
+++ b/src/orchidwind/network/codec.py
@@ -171,6 +171,22 @@
     content: bytes
 
 
+class LeaseAsk(msgspec.Struct, frozen=True):
+    """A home asks another for connections to a database."""
+
+    database: str
+    wanted: int
+
+
+class LeaseReply(msgspec.Struct, frozen=True):
+    """Connections to each instance that a home lends, for a time in seconds."""
+
+    database: str
+    slots: int
+    number: int
+    duration: float
+
+
 LinkMessage = (
     Hello
     | Execute
@@ -185,6 +201,8 @@
     | ConfigurationRequest
     | ConfigurationReply
     | StillRunning
+    | LeaseAsk
+    | LeaseReply
 )
 _LINK_TYPES: dict[str, type[LinkMessage]] = {
     kind.__name__: kind
@@ -202,6 +220,8 @@
         ConfigurationRequest,
         ConfigurationReply,
         StillRunning,
+        LeaseAsk,
+        LeaseReply,
     )
 }
 _WITH_RECORDS = (Execute, ResultColumns, Done)
--- a/src/orchidwind/network/group_runner.py
+++ b/src/orchidwind/network/group_runner.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable
-from typing import Any
+from typing import Any, Protocol
 
 from orchidwind.core.configuration import DatabaseSettings
 from orchidwind.core.errors import BackendConnectionLost, BackendRefused
@@ -23,12 +23,15 @@
 )
 from orchidwind.core.pool import CloseConnection, OpenConnection
 from orchidwind.core.routing import RoutingSettings
+from orchidwind.core.slot_leases import LeaseAnswer, SlotLeases
 from orchidwind.core.statements import ChannelKey, Column, Outcome, StatementRequest
 from orchidwind.network.backend import AnswerPort, BackendConnection, ConnectionTarget
 from orchidwind.network.observer import Observer
 
 _CONNECT_SECONDS = 2.0
 _STALLED_SECONDS = 2.0
+_SHORT_OF_SLOTS_SECONDS = 0.1
+_WANTED_SLOTS = 4
 _LIMIT_MET = "53300"
 _SHORTEST_TIMER_SECONDS = 0.0005
 
@@ -41,6 +44,16 @@
     return GroupOptions(acknowledge=database.acknowledge, routing=routing)
 
 
+class LeasePort(Protocol):
+    """How a home reaches the other homes of a database."""
+
+    def other_homes(self, database: DatabaseSettings) -> list[str]:
+        """The homes of the other zones."""
+
+    def ask(self, lender: str, database: str, wanted: int) -> None:
+        """Send a request for a lease; the answer comes by `take_lease`."""
+
+
 class _ImpatientPort(AnswerPort):
     """Gives a caller that stops reading up, since it holds a scarce server connection."""
 
@@ -68,8 +81,13 @@
 class GroupRunner:
     """One database at its home: the core class, and the sockets round it."""
 
-    def __init__(self, database: DatabaseSettings, share: int, zone: str) -> None:
+    def __init__(
+        self, database: DatabaseSettings, share: int, zone: str, leases: LeasePort
+    ) -> None:
         self.database = database
+        self.leases = SlotLeases(share)
+        self._lease_port = leases
+        self._lease_timer: asyncio.TimerHandle | None = None
         self._zone = zone
         shares = {instance.name: share for instance in database.instances}
         self.group = HomeGroup(shares, group_options(database))
@@ -99,9 +117,53 @@
         self._perform(self.group.close_channel(self._loop.time(), channel))
 
     def set_share(self, share: int) -> None:
-        """This home may hold so many connections to each instance."""
-        shares = dict.fromkeys(self.group.pools, share)
-        self._perform(self.group.set_shares(self._loop.time(), shares))
+        """The share that placement gives this home; leases come on top or off."""
+        self.leases.base_share = share
+        self._apply_share()
+
+    def _apply_share(self) -> None:
+        now = self._loop.time()
+        shares = dict.fromkeys(self.group.pools, self.leases.share(now))
+        self._perform(self.group.set_shares(now, shares))
+
+    def lend(self, borrower: str, wanted: int) -> LeaseAnswer:
+        """Another home asks for connections; they are given up here before the answer leaves."""
+        now = self._loop.time()
+        answer = self.leases.on_ask(now, borrower, wanted, self.group.spare)
+        self._apply_share()
+        self._set_lease_timer(self.leases.deadline())
+        return answer
+
+    def take_lease(self, lender: str, answer: LeaseAnswer) -> None:
+        """Another home answered."""
+        self.leases.on_answer(self._loop.time(), lender, answer)
+        self._apply_share()
+        self._set_lease_timer(self.leases.deadline())
+
+    def _look_for_leases(self) -> None:
+        """Requests wait: look again shortly, and borrow if they still do."""
+        if self._lease_timer is None:
+            self._set_lease_timer(self._loop.time() + _SHORT_OF_SLOTS_SECONDS)
+
+    def _set_lease_timer(self, due: float) -> None:
+        if self._closed or due == float("inf"):
+            return
+        if self._lease_timer is not None:
+            if self._lease_timer.when() <= due:
+                return
+            self._lease_timer.cancel()
+        self._lease_timer = self._loop.call_at(due, self._on_lease_timer)
+
+    def _on_lease_timer(self) -> None:
+        self._lease_timer = None
+        now = self._loop.time()
+        if self.group.queued > 0 and self.leases.base_share > 0:
+            lenders = self._lease_port.other_homes(self.database)
+            for ask in self.leases.asks(now, lenders, _WANTED_SLOTS):
+                self._lease_port.ask(ask.lender, self.database.name, ask.wanted)
+            self._set_lease_timer(now + _SHORT_OF_SLOTS_SECONDS)
+        self._apply_share()
+        self._set_lease_timer(self.leases.deadline())
 
     def set_leaving(self, database: DatabaseSettings) -> None:
         """Which instances get no new work."""
@@ -113,6 +175,8 @@
         self._closed = True
         if self._timer is not None:
             self._timer.cancel()
+        if self._lease_timer is not None:
+            self._lease_timer.cancel()
         for task in self._tasks:
             task.cancel()
         for connection in self._connections.values():
@@ -124,6 +188,8 @@
         for effect in effects:
             self._perform_one(effect)
         self._set_timer()
+        if self._lease_timer is None and self.group.queued > 0:
+            self._look_for_leases()
 
     def _perform_one(self, effect: GroupEffect) -> None:
         if isinstance(effect, RunOnConnection):
--- a/src/orchidwind/network/home_service.py
+++ b/src/orchidwind/network/home_service.py
@@ -7,16 +7,18 @@
 from orchidwind.core.configuration import DatabaseSettings, OperatorFile
 from orchidwind.core.errors import ErrorKind, RequestError
 from orchidwind.core.placement import Node, Placement
+from orchidwind.core.slot_leases import LeaseAnswer
 from orchidwind.core.statements import ChannelKey, Outcome, StatementRequest
 from orchidwind.network.backend import AnswerPort
-from orchidwind.network.group_runner import GroupRunner, OnFinished
+from orchidwind.network.group_runner import GroupRunner, LeasePort, OnFinished
 
 
 class HomeService:
     """Group runners by database, kept in step with configuration and placement."""
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Node, leases: LeasePort) -> None:
         self.runners: dict[str, GroupRunner] = {}
+        self._leases = leases
         self.numbers = count(1)
         self._node = node
         self._former: list[GroupRunner] = []
@@ -39,7 +41,7 @@
                 self.runners[name].set_leaving(database)
                 self.runners[name].set_share(share)
             else:
-                self.runners[name] = GroupRunner(database, share, self._node.zone)
+                self.runners[name] = GroupRunner(database, share, self._node.zone, self._leases)
         self._close_idle()
 
     def give_up_all(self) -> None:
@@ -61,6 +63,17 @@
             return
         runner.submit(request, port, on_finished)
 
+    def lend(self, database: str, borrower: str, wanted: int) -> LeaseAnswer | None:
+        """Another home asks for connections; None where this node is no home of the database."""
+        runner = self.runners.get(database)
+        return None if runner is None else runner.lend(borrower, wanted)
+
+    def take_lease(self, database: str, lender: str, answer: LeaseAnswer) -> None:
+        """Another home answered a request for connections."""
+        runner = self.runners.get(database)
+        if runner is not None:
+            runner.take_lease(lender, answer)
+
     def cancel(self, channel: ChannelKey) -> None:
         """Cancel what runs on a channel."""
         for runner in self.runners.values():
--- a/src/orchidwind/network/peer_link.py
+++ b/src/orchidwind/network/peer_link.py
@@ -339,6 +339,7 @@
         self._homes = homes
         self._configuration = configuration
         self._origin = f"link-{serial}"
+        self._peer = ""
         self._channels: set[int] = set()
         self._ports: dict[int, _LinkAnswerPort] = {}
         self._loop = asyncio.get_running_loop()
@@ -349,6 +350,7 @@
         hello = await frames.next()
         if not isinstance(hello, codec.Hello):
             raise codec.DecodeError("a link begins with Hello")
+        self._peer = hello.node
         self._origin = f"{hello.node}/{self._origin}"
         while True:
             self._take(await frames.next())
@@ -372,11 +374,19 @@
         elif isinstance(message, codec.CloseChannel):
             self._channels.discard(message.channel)
             self._homes.close_channel(ChannelKey(self._origin, message.channel))
+        elif isinstance(message, codec.LeaseAsk):
+            self._lend(message)
         elif isinstance(message, codec.ConfigurationRequest):
             reply = self._configuration()
             if reply is not None and reply.version > message.version:
                 self._stream.write(codec.encode_frame(reply))
 
+    def _lend(self, message: codec.LeaseAsk) -> None:
+        answer = self._homes.lend(message.database, self._peer, message.wanted)
+        if answer is not None:
+            reply = codec.LeaseReply(message.database, answer.slots, answer.number, answer.duration)
+            self._stream.write(codec.encode_frame(reply))
+
     def _execute(self, message: codec.Execute) -> None:
         self._channels.add(message.channel)
         port = _LinkAnswerPort(self._stream, message.number)
@@ -409,11 +419,12 @@
         own: str,
         host: str,
         port: int,
-        on_configuration: Callable[[codec.ConfigurationReply], None],
+        on_notice: Callable[[codec.ConfigurationReply | codec.LeaseReply], None],
     ) -> None:
+        """`on_notice` takes what is no part of a request's answer."""
         self._own = own
         self._address = (host, port)
-        self._on_configuration = on_configuration
+        self._on_notice = on_notice
         self._stream: IOStream | None = None
         self._connecting: asyncio.Lock = asyncio.Lock()
         self._pending: dict[int, PendingAnswer] = {}
@@ -475,8 +486,8 @@
                 item.parts.put_nowait(PeerUnavailable(str(error), sent=True))
 
     def _take(self, message: codec.LinkMessage) -> None:
-        if isinstance(message, codec.ConfigurationReply):
-            self._on_configuration(message)
+        if isinstance(message, codec.ConfigurationReply | codec.LeaseReply):
+            self._on_notice(message)
         elif isinstance(message, AnswerPart):
             pending = self._pending.get(message.number)
             if pending is not None:
--- a/src/orchidwind_bench/main.py
+++ b/src/orchidwind_bench/main.py
@@ -31,6 +31,7 @@
     "store-outage",
     "overload",
     "leaving",
+    "skewed",
 ]
 DeploymentName = Literal["dakar", "kalgara"]
 
--- /dev/null
+++ b/tests/test_slot_leases.py
@@ -0,0 +1,109 @@
+"""Leases of server connections between homes: never more out than there are."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from orchidwind.core import slot_leases
+from orchidwind.core.slot_leases import LEASE_SECONDS, LeaseAnswer, SlotLeases
+
+HOMES = ["a", "b", "c"]
+BASE = 3
+
+
+class Clocked:
+    """Homes with clocks of their own speeds, and a network that delays and repeats answers."""
+
+    def __init__(self, speeds):
+        self.leases = {name: SlotLeases(BASE) for name in HOMES}
+        self.speeds = dict(zip(HOMES, speeds, strict=True))
+        self.time = 0.0
+        self.late = []
+
+    def now(self, name):
+        return self.time * self.speeds[name]
+
+    def ask(self, borrower, lender, lost, busy=0):
+        for ask in self.leases[borrower].asks(self.now(borrower), [lender], 2):
+            spare = self.leases[lender].share(self.now(lender)) - busy
+            answer = self.leases[lender].on_ask(self.now(lender), borrower, ask.wanted, spare)
+            self.late.append((borrower, lender, answer))
+            if not lost:
+                self.leases[borrower].on_answer(self.now(borrower), lender, answer)
+
+    def repeat(self, number):
+        if self.late:
+            borrower, lender, answer = self.late[number % len(self.late)]
+            self.leases[borrower].on_answer(self.now(borrower), lender, answer)
+
+    def total(self):
+        return sum(leases.share(self.now(name)) for name, leases in self.leases.items())
+
+
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(["ask", "lose", "repeat", "wait", "pause"]),
+        st.integers(0, 5),
+        st.floats(0.0, 4.0),
+    ),
+    max_size=40,
+)
+
+
+@given(steps, st.tuples(*[st.floats(0.95, 1.05)] * 3))
+def test_never_more_connections_than_there_are(schedule, speeds):
+    world = Clocked(speeds)
+    pairs = [(x, y) for x in HOMES for y in HOMES if x != y]
+    for kind, number, seconds in schedule:
+        if kind in ("ask", "lose"):
+            world.ask(*pairs[number], lost=kind == "lose", busy=int(seconds))
+        elif kind == "repeat":
+            world.repeat(number)
+        else:
+            world.time += seconds
+        assert world.total() <= BASE * len(HOMES)
+
+
+def test_lease_is_used_and_ends():
+    lender, borrower = SlotLeases(4), SlotLeases(1)
+    (ask,) = borrower.asks(0.0, ["x"], 4)
+    answer = lender.on_ask(0.1, "y", ask.wanted, spare=4)
+    assert answer.slots == 3
+    borrower.on_answer(0.2, "x", answer)
+    assert (lender.share(0.2), borrower.share(0.2)) == (1, 4)
+    assert borrower.share(LEASE_SECONDS + 0.01) == 1
+    assert lender.share(LEASE_SECONDS + 0.2) == 1
+    assert lender.share(0.1 + LEASE_SECONDS * 1.2) == 4
+
+
+def test_paused_borrower_finds_its_lease_over():
+    borrower = SlotLeases(1)
+    borrower.asks(0.0, ["x"], 2)
+    borrower.on_answer(60.0, "x", LeaseAnswer(2, 1, LEASE_SECONDS))
+    assert borrower.share(60.0) == 1
+
+
+def test_lower_number_is_dropped():
+    borrower = SlotLeases(1)
+    borrower.asks(0.0, ["x"], 2)
+    borrower.on_answer(0.1, "x", LeaseAnswer(0, 5, LEASE_SECONDS))
+    borrower.on_answer(0.2, "x", LeaseAnswer(2, 4, LEASE_SECONDS))
+    assert borrower.share(0.3) == 1
+
+
+def test_borrowed_connections_are_not_lent_on():
+    middle = SlotLeases(2)
+    middle.asks(0.0, ["x"], 2)
+    middle.on_answer(0.0, "x", LeaseAnswer(2, 1, LEASE_SECONDS))
+    assert middle.on_ask(0.1, "z", 4, spare=4).slots == 0
+
+
+def test_without_the_margin_a_slow_clock_would_keep_too_much(monkeypatch):
+    def total_at_the_lenders_end():
+        world = Clocked((1.05, 0.95, 1.0))
+        world.ask("b", "a", lost=False)
+        world.time = LEASE_SECONDS / 1.05 + 0.001
+        return world.total()
+
+    assert total_at_the_lenders_end() <= BASE * len(HOMES)
+    monkeypatch.setattr(slot_leases, "_CLOCK_MARGIN", 0.0)
+    assert total_at_the_lenders_end() > BASE * len(HOMES)
