--- a/src/orchidwind/core/flows.py
+++ b/src/orchidwind/core/flows.py
@@ -291,17 +291,17 @@
 
 def write_flow(request: StatementRequest) -> Flow:
     """A write outside a transaction, sent at most once to an instance that takes it."""
+    if request.request_id:
+        return (yield from _named_flow(request))
     while True:
         primary, connection = yield from _connect_primary(request)
-        if request.request_id:
-            return (yield from _named_write(request, primary, connection))
         try:
             result = yield from _run(connection, request.statement, deliver=True)
         except _Lost as lost:
             if not lost.sent:
                 continue
             raise _write_lost() from lost
-        if _refused_by_replica(result):
+        if _refused_by_replica(result) and result.transaction_status == TRANSACTION_IDLE:
             yield Release(connection, reusable=True)
             yield Suspect(primary.instance)
             continue
@@ -311,7 +311,7 @@
 def _refused_by_replica(result: RunResult) -> bool:
     """The instance is no longer the primary; it refused the statement, so nothing ran."""
     refused = result.error is not None and result.error.sqlstate == READ_ONLY_TRANSACTION
-    return refused and result.transaction_status == TRANSACTION_IDLE and not result.delivered
+    return refused and not result.delivered
 
 
 def _end_write(
@@ -362,47 +362,92 @@
     return Outcome(request.number, tag=tag, instance=primary.instance, position=position)
 
 
-def _named_write(request: StatementRequest, primary: PrimaryReference, connection: int) -> Flow:
-    """A write with a ledger row in its own transaction.
+def _named_flow(request: StatementRequest) -> Flow:
+    """A named write: what may have run is settled by the ledger, so it is tried again here.
 
-    The row is claimed first: where it is there already, the request ran, and its recorded outcome
-    is confirmed and returned. A repeat that meets the first attempt still running waits on the
-    row's unique index until that attempt has ended. Until the commit is sent, a lost connection
-    means that the database rolls back, so the request did not run.
+    Where an attempt's commit lasted, the next attempt finds its row and returns the recorded
+    outcome; where it did not, nothing of it is left. Only a part of the answer that went out
+    already, a cancel, or the deadline ends the attempts.
     """
-    committing = False
-    try:
+    while True:
+        primary, connection = yield from _connect_primary(request)
+        attempt = _NamedAttempt()
+        try:
+            tag = yield from _named_attempt(request, primary, connection, attempt)
+            position = yield NeedConfirmation(primary.instance, primary.term)
+        except _Lost as lost:
+            error = lost.reason or (_write_lost() if attempt.committing else _transaction_lost())
+            if lost.reason is not None and attempt.committing:
+                error = _write_lost()
+            if lost.reason is not None or lost.delivered or not (yield TakeRetry()):
+                raise error from lost
+            continue
+        except RequestError as error:
+            if not attempt.committing or error.kind is ErrorKind.STATEMENT_FAILED:
+                raise
+            superseded = error.kind is ErrorKind.OUTCOME_UNKNOWN
+            if not superseded or attempt.delivered or not (yield TakeRetry()):
+                raise _write_lost() from error
+            continue
+        assert isinstance(position, Position)
+        return Outcome(request.number, tag=tag, instance=primary.instance, position=position)
+
+
+@dataclass(slots=True)
+class _NamedAttempt:
+    """How far an attempt came."""
+
+    committing: bool = False
+    delivered: bool = False
+
+
+def _named_attempt(
+    request: StatementRequest,
+    primary: PrimaryReference,
+    connection: int,
+    attempt: _NamedAttempt,
+) -> Generator[Step, StepResult, str]:
+    """Claim the ledger row, run the statement, record its outcome and commit; the command tag.
+
+    Where the row is there already, the request ran, and the recorded tag is returned. A repeat that
+    meets the first attempt still running waits on the row's unique index until that has ended.
+    """
+    claim = yield from _run(connection, claim_statement(request.request_id))
+    if claim.error is not None and claim.error.sqlstate == UNDEFINED_TABLE:
+        yield from _run(connection, CREATE_LEDGER)
         claim = yield from _run(connection, claim_statement(request.request_id))
-        if claim.error is not None and claim.error.sqlstate == UNDEFINED_TABLE:
-            yield from _run(connection, CREATE_LEDGER)
-            claim = yield from _run(connection, claim_statement(request.request_id))
-        if claim.error is not None:
-            yield Release(connection, reusable=False)
-            raise claim.error
-        if claim.tag.endswith(" 0"):
-            return (yield from _repeated_write(request, primary, connection))
-        result = yield from _run(connection, request.statement, deliver=True)
-        if result.error is not None:
-            yield Release(connection, reusable=False)
-            raise result.error
-        committing = True
-        ending = complete_statement(request.request_id, result.tag)
-        completed = yield from _run(connection, ending)
-    except _Lost as lost:
-        raise (_write_lost() if committing else _transaction_lost()) from lost
+    if _refused_by_replica(claim):
+        yield Release(connection, reusable=False)
+        yield Suspect(primary.instance)
+        raise _Lost(sent=False)
+    yield from _stop_on_error(connection, claim)
+    if claim.tag.endswith(" 0"):
+        attempt.committing = True
+        return (yield from _recorded_tag(request, connection))
+    result = yield from _run(connection, request.statement, deliver=True)
+    attempt.delivered = result.delivered
+    yield from _stop_on_error(connection, result)
+    attempt.committing = True
+    completed = yield from _run(connection, complete_statement(request.request_id, result.tag))
     yield Release(connection, reusable=completed.transaction_status == TRANSACTION_IDLE)
     if completed.error is not None:
         raise completed.error
-    return (yield from _confirmed(request, primary, result.tag))
+    return result.tag
+
+
+def _stop_on_error(connection: int, result: RunResult) -> Generator[Step, StepResult, None]:
+    """A failed statement ends the attempt; closing the connection rolls back."""
+    if result.error is not None:
+        yield Release(connection, reusable=False)
+        raise result.error
 
 
-def _repeated_write(request: StatementRequest, primary: PrimaryReference, connection: int) -> Flow:
+def _recorded_tag(request: StatementRequest, connection: int) -> Generator[Step, StepResult, str]:
     lookup = yield from _run(connection, lookup_statement(request.request_id))
     yield Release(connection, reusable=lookup.transaction_status == TRANSACTION_IDLE)
     if lookup.error is not None:
         raise lookup.error
-    tag = (lookup.first_row[0] or b"").decode() if lookup.first_row else ""
-    return (yield from _confirmed(request, primary, tag))
+    return (lookup.first_row[0] or b"").decode() if lookup.first_row else ""
 
 
 def begin_flow(request: StatementRequest) -> Flow:
--- a/src/orchidwind/daemon.py
+++ b/src/orchidwind/daemon.py
@@ -128,7 +128,8 @@
 
         First the others are told, so that their new requests go elsewhere; only then does this
         node stop taking requests as home, and those that come late are sent back untouched. Callers
-        between transactions are closed, the others when theirs ends.
+        are served, through the new homes, while they leave by themselves; those that stay are
+        closed between transactions.
         """
         log_event("drain_started", callers=len(self._listener.sessions))
         self._listener.stop()
@@ -136,10 +137,12 @@
         await asyncio.sleep(_ANNOUNCE_SECONDS)
         self._homes.give_up_all()
         loop = asyncio.get_running_loop()
+        lingers_until = loop.time() + self._settings.linger_seconds
         bound = loop.time() + self._settings.drain_seconds
         while loop.time() < bound:
-            for session in list(self._listener.sessions.values()):
-                session.stop()
+            if loop.time() >= lingers_until:
+                for session in list(self._listener.sessions.values()):
+                    session.stop()
             if not self._listener.sessions and self._homes.idle:
                 return
             await asyncio.sleep(_DRAIN_CHECK_SECONDS)
--- a/src/orchidwind/postgres/server_session.py
+++ b/src/orchidwind/postgres/server_session.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import secrets
+import socket
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
@@ -29,6 +31,7 @@
 
 _READ_BYTES = 64 * 1024
 _LOGIN_SECONDS = 10.0
+_FAREWELL_SECONDS = 2.0
 _WRITE_HIGH_WATER_BYTES = 256 * 1024
 _SUSPENDED_ROWS_LIMIT = 10_000
 _MAXIMUM_BATCH_MESSAGES = 20_000
@@ -189,6 +192,7 @@
         self._batch: list[tuple[bytes, bytes]] = []
         self._out = OutputBuffer(stream)
         self._skip_until_sync = False
+        self._said_farewell = False
 
     async def run(self) -> None:
         """Serve the connection; returns when it is closed."""
@@ -217,9 +221,20 @@
     def stop(self) -> None:
         """Planned stop: end now if nothing is in progress, else when it has ended."""
         self.stop_when_idle = True
-        if self._may_stop():
-            self._fail(RequestError(ErrorKind.PROXY_STOPPING, "the proxy is stopping"))
-            self._stream.close()
+        if self._may_stop() and not self._said_farewell:
+            self._say_farewell()
+
+    def _say_farewell(self) -> None:
+        """Tell the caller that the proxy stops, and close only this side of the connection.
+
+        A request may be on its way. Closing both sides would reset the connection, and the caller
+        could not know whether the request ran; so it reads this message as the answer instead.
+        """
+        self._said_farewell = True
+        self._fail(RequestError(ErrorKind.PROXY_STOPPING, "the proxy is stopping"))
+        asyncio.get_running_loop().call_later(_FAREWELL_SECONDS, self._stream.close)
+        with contextlib.suppress(OSError):
+            self._stream.socket.shutdown(socket.SHUT_WR)
 
     def _may_stop(self) -> bool:
         if self.busy or self._batch:
@@ -301,9 +316,11 @@
 
     async def _serve(self) -> None:
         while True:
-            if self.stop_when_idle and self._may_stop():
-                raise RequestError(ErrorKind.PROXY_STOPPING, "the proxy is stopping")
+            if self.stop_when_idle and self._may_stop() and not self._said_farewell:
+                self._say_farewell()
             tag, body = await self._message()
+            if self._said_farewell:
+                continue
             if tag == codec.TERMINATE:
                 return
             self.busy = True
--- a/src/orchidwind/settings.py
+++ b/src/orchidwind/settings.py
@@ -16,7 +16,9 @@
     """Where a proxy sits and listens.
 
     `seeds` are gossip addresses of other proxies, as "HOST:PORT". The callers' port listens on
-    `caller_host`, all others on `host`, the address that other proxies use.
+    `caller_host`, all others on `host`, the address that other proxies use. A planned stop serves
+    the callers that are there for `linger_seconds` more, then closes those that are between
+    transactions, and ends after `drain_seconds` in all.
     """
 
     name: str
@@ -30,6 +32,7 @@
     operator_port: int = 6435
     seeds: list[str] = []
     maximum_callers: int = 10_000
+    linger_seconds: float = 10.0
     drain_seconds: float = 30.0
     log_level: str = "INFO"
 
