--- a/src/orchidwind/core/caller_session.py
+++ b/src/orchidwind/core/caller_session.py
@@ -40,10 +40,10 @@
     StatementKind.BEGIN: RequestKind.BEGIN,
     StatementKind.BEGIN_READ_ONLY: RequestKind.BEGIN_READ_ONLY,
     StatementKind.SHOW: RequestKind.READ,
-    StatementKind.COMMIT: RequestKind.READ,
-    StatementKind.ROLLBACK: RequestKind.READ,
-    StatementKind.SAVEPOINT: RequestKind.READ,
-    StatementKind.SET_LOCAL: RequestKind.READ,
+    StatementKind.COMMIT: RequestKind.CONTROL,
+    StatementKind.ROLLBACK: RequestKind.CONTROL,
+    StatementKind.SAVEPOINT: RequestKind.CONTROL,
+    StatementKind.SET_LOCAL: RequestKind.CONTROL,
 }
 
 
@@ -127,13 +127,13 @@
     def _plan_after_failure(self, kind: StatementKind, sql: str) -> Plan:
         """A failed block only takes its end; a COMMIT then rolls back, as PostgreSQL has it."""
         if kind is StatementKind.SAVEPOINT and self._failed_here and _rolls_back(sql):
-            return Forward(RequestKind.READ)
+            return Forward(RequestKind.CONTROL)
         if kind not in (StatementKind.COMMIT, StatementKind.ROLLBACK):
             raise _aborted()
         if self._lost:
             self._end_transaction()
             return LocalAnswer("ROLLBACK")
-        return Forward(RequestKind.READ, sql="ROLLBACK")
+        return Forward(RequestKind.CONTROL, sql="ROLLBACK")
 
     def _plan_locally(self, classification: Classification) -> Plan | None:
         kind = classification.kind
--- a/src/orchidwind/core/statements.py
+++ b/src/orchidwind/core/statements.py
@@ -52,12 +52,13 @@
 
 @unique
 class RequestKind(Enum):
-    """What a request asks of the home proxy."""
+    """What a request asks of the home proxy. CONTROL ends or marks an open transaction."""
 
     READ = "read"
     WRITE = "write"
     BEGIN = "begin"
     BEGIN_READ_ONLY = "begin_read_only"
+    CONTROL = "control"
     DESCRIBE = "describe"
     TOKEN = "token"
 
--- a/src/orchidwind/metrics.py
+++ b/src/orchidwind/metrics.py
@@ -32,8 +32,8 @@
         )
         self._reads = Counter(
             "orchidwind_reads",
-            "Reads answered, by where they ran",
-            ["target"],
+            "Reads answered, by where they ran and by traffic class",
+            ["target", "traffic_class"],
             registry=self.registry,
         )
         self._seconds = Histogram(
@@ -62,15 +62,15 @@
             "orchidwind_gossip_bytes", "Bytes of membership datagrams, both ways"
         )
         self._children: dict[tuple[str, str], Counter] = {}
+        self._targets: dict[tuple[bool, str], Counter] = {}
         self._timers = {kind: self._seconds.labels(kind.value) for kind in RequestKind}
-        self._targets = {
-            is_replica: self._reads.labels(name) for is_replica, name in _TARGET_NAMES.items()
-        }
 
     def _gauge(self, name: str, text: str) -> Gauge:
         return Gauge(name, text, registry=self.registry)
 
-    def finished(self, kind: RequestKind, outcome: Outcome, seconds: float) -> None:
+    def finished(
+        self, kind: RequestKind, traffic_class: str, outcome: Outcome, seconds: float
+    ) -> None:
         """A request ended."""
         result = "ok" if outcome.error is None else outcome.error.kind.value
         key = (kind.value, result)
@@ -80,7 +80,15 @@
         child.inc()
         self._timers[kind].observe(seconds)
         if kind is RequestKind.READ and outcome.error is None and outcome.instance:
-            self._targets[outcome.is_replica].inc()
+            self._count_read(outcome.is_replica, traffic_class)
+
+    def _count_read(self, is_replica: bool, traffic_class: str) -> None:
+        key = (is_replica, traffic_class)
+        target = self._targets.get(key)
+        if target is None:
+            name = _TARGET_NAMES[is_replica]
+            target = self._targets[key] = self._reads.labels(name, traffic_class)
+        target.inc()
 
     def error_told(self, error: RequestError) -> None:
         """A caller was told an error."""
--- a/src/orchidwind/network/front.py
+++ b/src/orchidwind/network/front.py
@@ -68,8 +68,10 @@
 class RequestObserver(Protocol):
     """Takes measurements of finished requests."""
 
-    def finished(self, kind: RequestKind, outcome: Outcome, seconds: float) -> None:
-        """A request ended."""
+    def finished(
+        self, kind: RequestKind, traffic_class: str, outcome: Outcome, seconds: float
+    ) -> None:
+        """A request of a class ended."""
 
 
 class _SinkPort(AnswerPort):
@@ -265,7 +267,8 @@
         outcome = await self._send_until_taken(request, port)
         self.session.finished(outcome)
         if self._service.observer is not None:
-            self._service.observer.finished(kind, outcome, self._loop.time() - started)
+            elapsed = self._loop.time() - started
+            self._service.observer.finished(kind, traffic_class.name, outcome, elapsed)
         if outcome.error is not None:
             raise outcome.error
         return outcome
--- a/src/orchidwind_bench/main.py
+++ b/src/orchidwind_bench/main.py
@@ -15,6 +15,7 @@
 
 from orchidwind_bench import demo as demo_module
 from orchidwind_bench.capacity import ScaleFile, write_page
+from orchidwind_bench.day import run_day
 from orchidwind_bench.experiments import ExperimentReport, run_experiment
 from orchidwind_bench.scale import measure_hollow
 from orchidwind_bench.scale_events import measure_events
@@ -32,6 +33,7 @@
     "overload",
     "leaving",
     "skewed",
+    "day",
 ]
 DeploymentName = Literal["dakar", "kalgara"]
 
@@ -55,13 +57,27 @@
     :param seed: seed of the callers
     :param json: file to write the report to
     """
+    if experiment == "day":
+        day = asyncio.run(run_day(deployment, seed, _progress))
+        _write(json, day)
+        shares = ", ".join(f"{name} {share:.3f}" for name, share in day.replica_share.items())
+        spent = ", ".join(
+            f"{name} {value:.0f}" for name, value in day.processor_us_a_statement.items()
+        )
+        print(f"replica share by group: {shares}; processor us a statement: {spent}")
+        _print_report(day.report)
+        return 1 if day.report.violations else 0
     report = asyncio.run(run_experiment(experiment, deployment, seed, _progress))
-    if json is not None:
-        json.write_bytes(msgspec.json.format(msgspec.json.encode(report)))
+    _write(json, report)
     _print_report(report)
     return 1 if report.violations else 0
 
 
+def _write(path: Path | None, report: msgspec.Struct) -> None:
+    if path is not None:
+        path.write_bytes(msgspec.json.format(msgspec.json.encode(report)))
+
+
 def _print_report(report: ExperimentReport) -> None:
     for remark in report.remarks:
         print(remark)
