--- a/src/orchidwind/commands/main.py
+++ b/src/orchidwind/commands/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import signal
 import sys
@@ -53,6 +54,8 @@
 
 
 async def _run_proxy(settings: ProxySettings) -> None:
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
     daemon = ProxyDaemon(settings)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
