--- a/src/orchidwind/network/home_service.py
+++ b/src/orchidwind/network/home_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from itertools import count
 
 from orchidwind.core.configuration import DatabaseSettings, OperatorFile
@@ -12,6 +13,8 @@
 from orchidwind.network.backend import AnswerPort
 from orchidwind.network.group_runner import GroupRunner, LeasePort, OnFinished
 
+_LOOK_AGAIN_SECONDS = 1.0
+
 
 class HomeService:
     """Group runners by database, kept in step with configuration and placement."""
@@ -22,6 +25,7 @@
         self.numbers = count(1)
         self._node = node
         self._former: list[GroupRunner] = []
+        self._look_again: asyncio.TimerHandle | None = None
 
     def apply(self, content: OperatorFile, placement: Placement) -> None:
         """Take on and give up databases."""
@@ -31,17 +35,20 @@
             if (share := placement.shares_of(database, self._node)) > 0
         }
         for name, runner in list(self.runners.items()):
-            kept = name in wanted and _same_group(runner.database, wanted[name][0])
-            if not kept:
-                runner.set_share(0)
-            if name in wanted and not kept:
-                self._former.append(self.runners.pop(name))
+            if name not in wanted or not _same_group(runner.database, wanted[name][0]):
+                self._give_up(name)
         for name, (database, share) in wanted.items():
             if name in self.runners:
                 self.runners[name].set_leaving(database)
                 self.runners[name].set_share(share)
             else:
                 self.runners[name] = GroupRunner(database, share, self._node.zone, self._leases)
+
+    def _give_up(self, name: str) -> None:
+        """Take no new requests for a database; its open transactions end here."""
+        runner = self.runners.pop(name)
+        runner.set_share(0)
+        self._former.append(runner)
         self._close_idle()
 
     def give_up_all(self) -> None:
@@ -56,13 +63,21 @@
 
     def submit(self, request: StatementRequest, port: AnswerPort, on_finished: OnFinished) -> None:
         """Take a request for one of the databases."""
-        runner = self.runners.get(request.database)
+        runner = self._runner_for(request)
         if runner is None:
             error = RequestError(ErrorKind.NO_HOME, "this proxy does not serve the database")
             on_finished(Outcome(request.number, error=error))
             return
         runner.submit(request, port, on_finished)
 
+    def _runner_for(self, request: StatementRequest) -> GroupRunner | None:
+        """A transaction goes on where it began, though the role may have moved meanwhile."""
+        if request.in_transaction:
+            for runner in self._former:
+                if request.channel in runner.group.transactions:
+                    return runner
+        return self.runners.get(request.database)
+
     def lend(self, database: str, borrower: str, wanted: int) -> LeaseAnswer | None:
         """Another home asks for connections; None where this node is no home of the database."""
         runner = self.runners.get(database)
@@ -76,7 +91,7 @@
 
     def cancel(self, channel: ChannelKey) -> None:
         """Cancel what runs on a channel."""
-        for runner in self.runners.values():
+        for runner in [*self.runners.values(), *self._former]:
             runner.cancel(channel)
 
     def close_channel(self, channel: ChannelKey) -> None:
@@ -86,14 +101,24 @@
 
     def close(self) -> None:
         """Close every connection."""
+        if self._look_again is not None:
+            self._look_again.cancel()
         for runner in [*self.runners.values(), *self._former]:
             runner.close()
 
     def _close_idle(self) -> None:
+        """Close former homes once nothing runs there; look again while some remain."""
         for runner in list(self._former):
             if runner.group.idle:
                 runner.close()
                 self._former.remove(runner)
+        if self._former and self._look_again is None:
+            loop = asyncio.get_running_loop()
+            self._look_again = loop.call_later(_LOOK_AGAIN_SECONDS, self._on_look_again)
+
+    def _on_look_again(self) -> None:
+        self._look_again = None
+        self._close_idle()
 
 
 def _same_group(held: DatabaseSettings, wanted: DatabaseSettings) -> bool:
