--- a/src/orchidwind_bench/simulation/database.py
+++ b/src/orchidwind_bench/simulation/database.py
@@ -16,6 +16,7 @@
     RunResult,
     Statement,
 )
+from orchidwind_bench.checkers import Promotion
 from orchidwind_bench.simulation.events import EventQueue, Timer
 from orchidwind_bench.simulation.network import Network
 from orchidwind_standins.replication import (
@@ -133,6 +134,9 @@
     def _after_step(self) -> None:
         if self._was_primary and not self.instance.is_primary:
             self.drop_sessions()
+        if self.instance.is_primary and not self._was_primary:
+            promotion = Promotion(self.group.events.now, self.instance.term)
+            self.group.promotions.append(promotion)
         self._was_primary = self.instance.is_primary
         self._timer.set(self.instance.deadline())
 
@@ -315,6 +319,7 @@
     ) -> None:
         self.events = events
         self.network = network
+        self.promotions: list[Promotion] = []
         names = [f"db-{chr(ord('a') + index)}" for index in range(count)]
         self.instances = {
             name: SimulatedInstance(self, name, names, seed, timings or GroupTimings())
--- a/src/orchidwind_bench/simulation/system.py
+++ b/src/orchidwind_bench/simulation/system.py
@@ -315,7 +315,16 @@
                 )
                 return
             now = self.system.events.now
-            event = WriteEvent(self.identity, key, mark, started, now, result, request_id)
+            event = WriteEvent(
+                self.identity,
+                key,
+                mark,
+                started,
+                now,
+                result,
+                request_id,
+                outcome.position.term,
+            )
             self.system.history.writes.append(event)
             self._pause()
 
@@ -406,7 +415,7 @@
             self.events, self.network, zones, seed=seed, count=instances, timings=timings
         )
         self.database.on_session_ended = self._session_ended
-        self.history = History()
+        self.history = History(promotions=self.database.promotions)
         self.stopped = False
         self._numbers = count(1)
         self._marks = count(1)
