--- a/src/orchidwind_bench/day.py
+++ b/src/orchidwind_bench/day.py
@@ -20,7 +20,7 @@
 from orchidwind.core.configuration import ClassSettings
 from orchidwind_bench.callers import CallerOptions
 from orchidwind_bench.deployment import PLANS, DeploymentPlan
-from orchidwind_bench.experiments import ExperimentReport, Progress, Run, prepare
+from orchidwind_bench.loaded_run import ExperimentReport, Progress, Run, prepare
 from orchidwind_bench.processes import Program, Programs
 from orchidwind_bench.replica_share import read_counts
 
--- a/src/orchidwind_bench/main.py
+++ b/src/orchidwind_bench/main.py
@@ -16,7 +16,8 @@
 from orchidwind_bench import demo as demo_module
 from orchidwind_bench.capacity import ScaleFile, write_page
 from orchidwind_bench.day import run_day
-from orchidwind_bench.experiments import ExperimentReport, run_experiment
+from orchidwind_bench.experiments import run_experiment
+from orchidwind_bench.loaded_run import ExperimentReport
 from orchidwind_bench.scale import measure_hollow
 from orchidwind_bench.scale_events import measure_events
 from orchidwind_bench.scale_real import measure_real
