--- a/src/orchidwind/core/flows.py
+++ b/src/orchidwind/core/flows.py
@@ -366,31 +366,34 @@
     """A named write: what may have run is settled by the ledger, so it is tried again here.
 
     Where an attempt's commit lasted, the next attempt finds its row and returns the recorded
-    outcome; where it did not, nothing of it is left. Only a part of the answer that went out
-    already, a cancel, or the deadline ends the attempts.
+    outcome; where it did not, nothing of it is left, and what the database says of the next attempt
+    is definite. Only a part of the answer that went out already, a cancel, or the deadline ends the
+    attempts; if one of them had sent its commit, the outcome is then unknown, however the last one
+    ended.
     """
+    in_doubt = False
     while True:
-        primary, connection = yield from _connect_primary(request)
         attempt = _NamedAttempt()
         try:
+            primary, connection = yield from _connect_primary(request)
             tag = yield from _named_attempt(request, primary, connection, attempt)
             position = yield NeedConfirmation(primary.instance, primary.term)
         except _Lost as lost:
-            error = lost.reason or (_write_lost() if attempt.committing else _transaction_lost())
-            if lost.reason is not None and attempt.committing:
-                error = _write_lost()
-            if lost.reason is not None or lost.delivered or not (yield TakeRetry()):
-                raise error from lost
-            continue
-        except RequestError as error:
-            if not attempt.committing or error.kind is ErrorKind.STATEMENT_FAILED:
+            in_doubt = in_doubt or attempt.committing
+            error = lost.reason or _transaction_lost()
+            ends = lost.reason is not None or lost.delivered or not (yield TakeRetry())
+        except RequestError as failed:
+            if failed.kind is ErrorKind.STATEMENT_FAILED:
                 raise
-            superseded = error.kind is ErrorKind.OUTCOME_UNKNOWN
-            if not superseded or attempt.delivered or not (yield TakeRetry()):
-                raise _write_lost() from error
-            continue
-        assert isinstance(position, Position)
-        return Outcome(request.number, tag=tag, instance=primary.instance, position=position)
+            superseded = attempt.committing and failed.kind is ErrorKind.OUTCOME_UNKNOWN
+            in_doubt = in_doubt or attempt.committing
+            error = failed
+            ends = not superseded or attempt.delivered or not (yield TakeRetry())
+        else:
+            assert isinstance(position, Position)
+            return Outcome(request.number, tag=tag, instance=primary.instance, position=position)
+        if ends:
+            raise _write_lost() if in_doubt else error
 
 
 @dataclass(slots=True)
--- a/src/orchidwind/daemon.py
+++ b/src/orchidwind/daemon.py
@@ -15,6 +15,7 @@
 from orchidwind.network.front import FrontExecutor, FrontService
 from orchidwind.network.group_runner import GroupRunner
 from orchidwind.network.home_service import HomeService
+from orchidwind.network.link_server import LinkServer
 from orchidwind.network.operator_http import (
     DatabaseStatus,
     InstanceStatus,
@@ -22,7 +23,6 @@
     Operated,
     ProxyStatus,
 )
-from orchidwind.network.peer_link import LinkServer
 from orchidwind.network.platform_client import PlatformClient
 from orchidwind.network.platform_watch import PlatformWatch
 from orchidwind.postgres.executor import Executor, SessionParameters
--- a/src/orchidwind/network/front.py
+++ b/src/orchidwind/network/front.py
@@ -28,7 +28,8 @@
 from orchidwind.network import codec
 from orchidwind.network.backend import AnswerPort
 from orchidwind.network.home_service import HomeService
-from orchidwind.network.peer_link import PeerLink, from_answer, from_records, to_execute
+from orchidwind.network.link_messages import from_answer, from_records, to_execute
+from orchidwind.network.peer_link import PeerLink
 from orchidwind.postgres.executor import (
     Description,
     Executor,
--- a/src/orchidwind/postgres/server_session.py
+++ b/src/orchidwind/postgres/server_session.py
@@ -21,19 +21,18 @@
     Description,
     Executor,
     NullSink,
-    ResultSink,
     SessionParameters,
     Statement,
 )
+from orchidwind.postgres.output import OutputBuffer, PortalSink, StreamSink
 from orchidwind.postgres.portals import Portal, PortalTable
 from orchidwind.postgres.scram import MECHANISM, ScramExchange, ScramVerifier
-from orchidwind.postgres.wire import Column, codec
+from orchidwind.postgres.startup import session_parameters
+from orchidwind.postgres.wire import codec
 
 _READ_BYTES = 64 * 1024
 _LOGIN_SECONDS = 10.0
 _FAREWELL_SECONDS = 2.0
-_WRITE_HIGH_WATER_BYTES = 256 * 1024
-_SUSPENDED_ROWS_LIMIT = 10_000
 _MAXIMUM_BATCH_MESSAGES = 20_000
 _SECRET_BITS = 31
 _FIXED_PARAMETERS = {
@@ -68,107 +67,6 @@
         """Take a cancel request from another connection."""
 
 
-class OutputBuffer:
-    """Gathers messages for a caller, so that an answer leaves in few writes."""
-
-    def __init__(self, stream: IOStream) -> None:
-        self._stream = stream
-        self._data = bytearray()
-
-    def add(self, message: bytes) -> None:
-        """Gather a message."""
-        self._data += message
-
-    async def make_room(self) -> None:
-        """Send what was gathered once it is much; wait while the caller reads slowly."""
-        if len(self._data) >= _WRITE_HIGH_WATER_BYTES:
-            await self.flush()
-
-    async def flush(self) -> None:
-        """Send what was gathered."""
-        if self._data:
-            await self._stream.write(self._take())
-
-    def flush_now(self) -> None:
-        """Send what was gathered without waiting."""
-        if self._data and not self._stream.closed():
-            self._stream.write(self._take())
-
-    def _take(self) -> bytes:
-        data = bytes(self._data)
-        self._data.clear()
-        return data
-
-
-class StreamSink(ResultSink):
-    """Passes an answer on to the caller as it comes.
-
-    `describe` writes the columns before the rows; `no_data` says so where there are none, as a
-    Describe message wants.
-    """
-
-    def __init__(
-        self, out: OutputBuffer, formats: tuple[int, ...], describe: bool, no_data: bool = False
-    ) -> None:
-        self._out = out
-        self._formats = formats
-        self._describe = describe
-        self._no_data = no_data
-
-    async def columns(self, columns: tuple[Column, ...]) -> None:
-        """Write RowDescription where the protocol asks for it."""
-        self._no_data = False
-        if self._describe:
-            self._out.add(wire.row_description(columns, self._formats))
-
-    async def rows(self, encoded: bytes, count: int) -> None:
-        """Pass rows on."""
-        self._out.add(encoded)
-        await self._out.make_room()
-
-    async def complete(self, command_tag: str) -> None:
-        """Write CommandComplete or EmptyQueryResponse."""
-        if self._no_data:
-            self._out.add(codec.make_no_data())
-        if command_tag:
-            self._out.add(codec.make_command_complete(command_tag))
-        else:
-            self._out.add(codec.make_empty_query_response())
-
-
-class PortalSink(ResultSink):
-    """Keeps a bounded result, of which a limited Execute sends only a part."""
-
-    def __init__(self, portal: Portal) -> None:
-        self._portal = portal
-
-    async def columns(self, columns: tuple[Column, ...]) -> None:
-        """Execute does not describe."""
-
-    async def rows(self, encoded: bytes, count: int) -> None:
-        """Keep rows up to the bound."""
-        self._portal.rest.extend(_split_messages(encoded))
-        if len(self._portal.rest) > _SUSPENDED_ROWS_LIMIT:
-            raise RequestError(
-                ErrorKind.NOT_SUPPORTED,
-                f"a portal with a row limit may hold {_SUSPENDED_ROWS_LIMIT} rows at most",
-            )
-
-    async def complete(self, command_tag: str) -> None:
-        """Keep the tag for the last part."""
-        self._portal.command_tag = command_tag
-
-
-def _split_messages(encoded: bytes) -> list[bytes]:
-    messages = []
-    offset = 0
-    while offset < len(encoded):
-        end = offset + 1 + int.from_bytes(encoded[offset + 1 : offset + 5], "big")
-        messages.append(encoded[offset:end])
-        offset = end
-    return messages
-
-
 class ServerSession:
     """Drives one connection from its first byte to its end."""
 
@@ -193,9 +91,11 @@
         self._out = OutputBuffer(stream)
         self._skip_until_sync = False
         self._said_farewell = False
+        self._closing: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Serve the connection; returns when it is closed."""
+        self._stream.set_close_callback(self._on_gone)
         try:
             async with asyncio.timeout(_LOGIN_SECONDS):
                 logged_in = await self._log_in()
@@ -214,6 +114,11 @@
             if self.executor is not None:
                 await self.executor.close()
 
+    def _on_gone(self) -> None:
+        """The caller went while its statement ran: nobody waits for it any longer."""
+        if self.busy and self.executor is not None:
+            self._closing = asyncio.get_running_loop().create_task(self.executor.close())
+
     def close(self) -> None:
         """Cut the connection."""
         self._stream.close()
@@ -270,7 +175,7 @@
             return False
         if packet.code >> 16 != wire.PROTOCOL_VERSION_3 >> 16:
             raise wire.ProtocolViolation(f"protocol version {packet.code >> 16} is not supported")
-        parameters = _session_parameters(packet.parameters())
+        parameters = session_parameters(packet.parameters())
         await self._authenticate(parameters.user)
         self.executor = await self._host.open(parameters)
         self._reader.maximum_bytes = wire.MAXIMUM_MESSAGE_BYTES
@@ -501,28 +406,3 @@
     if description.columns:
         return encoded + wire.row_description(description.columns, formats)
     return encoded + codec.make_no_data()
-
-
-def _session_parameters(parameters: dict[str, str]) -> SessionParameters:
-    user = parameters.get("user", "")
-    if not user:
-        raise wire.ProtocolViolation("no user name in the start-up message")
-    options = dict(_parse_options(parameters.get("options", "")))
-    options.update((key, value) for key, value in parameters.items() if "." in key)
-    return SessionParameters(
-        user=user,
-        database=parameters.get("database") or user,
-        application_name=parameters.get("application_name", ""),
-        options=options,
-    )
-
-
-def _parse_options(text: str) -> list[tuple[str, str]]:
-    """Read `-c name=value` pairs, as libpq's `options` carries them."""
-    pairs = []
-    words = text.replace("-c ", "-c").split()
-    for word in words:
-        name, separator, value = word.removeprefix("-c").removeprefix("--").partition("=")
-        if separator:
-            pairs.append((name, value))
-    return pairs
--- /dev/null
+++ b/src/orchidwind/postgres/startup.py
@@ -0,0 +1,32 @@
+"""Reads the parameters of a start-up message."""
+
+from __future__ import annotations
+
+from orchidwind.postgres import wire
+from orchidwind.postgres.executor import SessionParameters
+
+
+def session_parameters(parameters: dict[str, str]) -> SessionParameters:
+    """Who connects, to what, and with which options; raises ProtocolViolation."""
+    user = parameters.get("user", "")
+    if not user:
+        raise wire.ProtocolViolation("no user name in the start-up message")
+    options = dict(_parse_options(parameters.get("options", "")))
+    options.update((key, value) for key, value in parameters.items() if "." in key)
+    return SessionParameters(
+        user=user,
+        database=parameters.get("database") or user,
+        application_name=parameters.get("application_name", ""),
+        options=options,
+    )
+
+
+def _parse_options(text: str) -> list[tuple[str, str]]:
+    """Read `-c name=value` pairs, as libpq's `options` carries them."""
+    pairs = []
+    words = text.replace("-c ", "-c").split()
+    for word in words:
+        name, separator, value = word.removeprefix("-c").removeprefix("--").partition("=")
+        if separator:
+            pairs.append((name, value))
+    return pairs
--- a/src/orchidwind_bench/simulation/database.py
+++ b/src/orchidwind_bench/simulation/database.py
@@ -100,7 +100,7 @@
         self.instance = Instance(
             name, members, self.store, seed=seed, timings=timings, first_primary=members[0]
         )
-        self.sessions: set[SimulatedSession] = set()
+        self.sessions: dict[SimulatedSession, None] = {}  # in order, so that runs repeat
         self.connection_limit = 1000
         self._was_primary = self.instance.is_primary
         self._timer = Timer(group.events, lambda: group.network.on_host(name, self._tick))
@@ -152,7 +152,7 @@
         if len(self.sessions) >= self.connection_limit:
             return None
         session = SimulatedSession(home)
-        self.sessions.add(session)
+        self.sessions[session] = None
         return session
 
     def drop_sessions(self) -> None:
@@ -165,7 +165,7 @@
         """Roll back and forget."""
         session.closed = True
         session.changes.clear()
-        self.sessions.discard(session)
+        self.sessions.pop(session, None)
         self._wake()
 
     def _wake(self) -> None:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -109,6 +109,22 @@
         assert check.execute("SELECT count(*) FROM vanished").fetchone() == (0,)
 
 
+def test_caller_that_vanishes_while_its_statement_runs_frees_the_connection(system):
+    opened = [psycopg.connect(system.dsn(0), autocommit=True) for _ in range(6)]
+    for item in opened:
+        item.pgconn.send_query(b"SELECT pg_sleep(600)")
+    assert wait_for(lambda: busy_sleepers(system) >= 2)
+    for item in opened:
+        with socket.socket(fileno=os.dup(item.pgconn.socket)) as line:
+            line.shutdown(socket.SHUT_RDWR)
+    with psycopg.connect(system.dsn(0), autocommit=True) as check:
+        assert check.execute("SELECT pg_sleep(0.01)").statusmessage == "SELECT 1"
+
+
+def busy_sleepers(system):
+    return sum(item["queued_requests"] for base in databases(system) for item in base["instances"])
+
+
 def test_caller_that_stops_reading_holds_up_nobody(system):
     with psycopg.connect(system.dsn(0), autocommit=True) as setup:
         setup.execute("CREATE TABLE wide (id int, t text)")
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -101,6 +101,22 @@
     assert violations(system) == []
 
 
+def test_named_write_in_doubt_is_not_told_not_run():
+    """Found by a longer search: the next attempt of a write in doubt met the deadline while it
+    waited for a primary, and the caller was told that the write had not run."""
+    steps = [
+        ("kill-replica", 0, 0.7923119088868038),
+        ("pause-home", 1, 0.8259716662211443),
+        ("cut-zone", 1, 1.4988219356592283),
+        ("cut-zone", 1, 0.9440367986905128),
+        ("pause-home", 2, 1.7004108652050574),
+        ("pause-primary", 0, 1.5495547260064233),
+    ]
+    system = SimulatedSystem(seed=300203, zones=ZONES)
+    run(system, steps)
+    assert violations(system) == []
+
+
 def test_quiet_system_answers_everything_and_reads_on_replicas():
     system = SimulatedSystem(seed=3, zones=ZONES)
     run(system, [])
