--- a/src/orchidwind/core/membership.py
+++ b/src/orchidwind/core/membership.py
@@ -174,6 +174,7 @@
         self.members: dict[str, Member] = {own.name: own}
         self.settings = settings or MembershipSettings()
         self.configuration_version = 0
+        self.suspicions = 0
         self.seeds = list(seeds)
         self._random = generator
         self._timers = _Timers()
@@ -377,14 +378,15 @@
             self._set_own(replace(self.own, incarnation=claim.incarnation + 1))
 
     def _set_own(self, own: Member) -> None:
+        self._changed = self._changed or own.leaving != self.own.leaving
         self.own = own
         self.members[own.name] = own
         self._spread(own)
-        self._changed = True
 
     def _suspect(self, now: float, name: str) -> None:
         member = self.members.get(name)
         if member is not None and member.state == MemberState.ALIVE:
+            self.suspicions += 1
             self._merge(now, replace(member, state=MemberState.SUSPECT))
 
     def _suspicion_time(self) -> float:
--- a/src/orchidwind/daemon.py
+++ b/src/orchidwind/daemon.py
@@ -173,6 +173,7 @@
         figures.homes.set(len(self._homes.runners))
         figures.configuration_version.set(self._cluster.history.version)
         members = self._cluster.members
+        figures.suspicions.set(members.membership.suspicions)
         figures.gossip_bytes.set(members.sent_bytes + members.received_bytes)
         return figures.render()
 
--- a/src/orchidwind/metrics.py
+++ b/src/orchidwind/metrics.py
@@ -61,6 +61,9 @@
         self.gossip_bytes = self._gauge(
             "orchidwind_gossip_bytes", "Bytes of membership datagrams, both ways"
         )
+        self.suspicions = self._gauge(
+            "orchidwind_suspicions", "Members that this proxy has suspected since its start"
+        )
         self._children: dict[tuple[str, str], Counter] = {}
         self._targets: dict[tuple[bool, str], Counter] = {}
         self._timers = {kind: self._seconds.labels(kind.value) for kind in RequestKind}
--- a/src/orchidwind_bench/capacity.py
+++ b/src/orchidwind_bench/capacity.py
@@ -10,7 +10,7 @@
 import matplotlib
 import msgspec
 
-from orchidwind_bench.scale import UDP_HEADER_BYTES, HollowResults, MembershipPoint
+from orchidwind_bench.scale import UDP_HEADER_BYTES, HollowResults, LossPoint, MembershipPoint
 from orchidwind_bench.scale_events import EventResults
 from orchidwind_bench.scale_real import RealResults
 
@@ -239,6 +239,14 @@
     return lines
 
 
+def _loss_text(points: Sequence[LossPoint]) -> list[str]:
+    return [
+        f"{p.loss * 100:.0f}% of the datagrams lost, {p.nodes} nodes, {p.seconds:.0f} s:"
+        f" {p.suspicions} wrong suspicions, {p.declared_dead} changes of any view."
+        for p in points
+    ]
+
+
 def _data_table(capacity: Capacity) -> list[str]:
     real = capacity.measured.real
     connections = CONNECTIONS / NODES
@@ -365,6 +373,8 @@
         " looked at every 0.1 s. `detect` is until nobody gives a killed node a role, `leave` the"
         " same after a planned stop, `configuration` until a new version is in force everywhere.",
         "",
+        *_loss_text(measured.hollow.loss),
+        "",
         "![membership by size](plots/membership.svg)",
         "",
         "## Data path",
--- a/src/orchidwind_bench/scale.py
+++ b/src/orchidwind_bench/scale.py
@@ -42,11 +42,13 @@
     StatementRequest,
 )
 from orchidwind_bench.simulation.hollow import HollowCluster, sample_configuration
+from orchidwind_bench.simulation.network import NetworkSettings
 
 UDP_HEADER_BYTES = 28
 _JOIN_BOUND_SECONDS = 120.0
 _STEADY_SECONDS = 30.0
 _EVENT_BOUND_SECONDS = 60.0
+_LOSS_SECONDS = 60.0
 
 
 class MembershipPoint(msgspec.Struct, frozen=True):
@@ -67,6 +69,19 @@
     leave_seconds: float
 
 
+class LossPoint(msgspec.Struct, frozen=True):
+    """A cluster whose network loses datagrams; no member ever fails.
+
+    `suspicions` and `declared_dead` are counted over all pairs of members in the whole time.
+    """
+
+    nodes: int
+    loss: float
+    seconds: float
+    suspicions: int
+    declared_dead: int
+
+
 class PlacementPoint(msgspec.Struct, frozen=True):
     """What a change of the view or of the configuration costs one node, in processor seconds."""
 
@@ -100,6 +115,7 @@
     """All hollow measurements."""
 
     membership: list[MembershipPoint] = []
+    loss: list[LossPoint] = []
     placement: list[PlacementPoint] = []
     homes: list[HomePoint] = []
     sessions: list[SessionPoint] = []
@@ -165,6 +181,24 @@
     )
 
 
+def measure_loss(nodes: int, loss: float, seconds: float, seed: int) -> LossPoint:
+    """Wrong suspicions and wrong declarations of death under loss."""
+    cluster = HollowCluster(target_zones(), seed=seed, network=NetworkSettings(loss=loss))
+    cluster.platform.document = sample_configuration(1, cluster.zones, 5)
+    cluster.add_nodes(nodes)
+    _until(cluster, lambda: _all_see_all(cluster), _JOIN_BOUND_SECONDS)
+    before = sum(node.membership.suspicions for node in cluster.live())
+    changes = sum(node.costs.view_changes for node in cluster.live())
+    cluster.events.run_until(cluster.events.now + seconds)
+    return LossPoint(
+        nodes=nodes,
+        loss=loss,
+        seconds=seconds,
+        suspicions=sum(node.membership.suspicions for node in cluster.live()) - before,
+        declared_dead=sum(node.costs.view_changes for node in cluster.live()) - changes,
+    )
+
+
 def _until(cluster: HollowCluster, condition: Callable[[], bool], bound: float) -> float:
     """Seconds until a condition holds, looked at every tenth of a second; inf past the bound."""
     started = cluster.events.now
@@ -371,6 +405,9 @@
         held = databases[min(number, len(databases) - 1)]
         progress(f"membership of {size} hollow nodes, {held} databases")
         results.membership.append(measure_membership(size, held, seed))
+    for size in (3, 30, nodes[-1]):
+        progress(f"2% loss among {size} hollow nodes")
+        results.loss.append(measure_loss(size, 0.02, _LOSS_SECONDS, seed))
     for held in databases:
         progress(f"placement of {held} databases over {nodes[-1]} nodes")
         results.placement.append(measure_placement(nodes[-1], held))
