--- a/src/orchidwind_bench/loaded_run.py
+++ b/src/orchidwind_bench/loaded_run.py
@@ -5,11 +5,13 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
 from hdrh.histogram import HdrHistogram
 
+from orchidwind.core.commit_barrier import Acknowledge
 from orchidwind_bench.callers import Caller, CallerOptions, Tally
 from orchidwind_bench.checkers import History, Result, Violation
 from orchidwind_bench.demo import create_tables, judge, write_gap
@@ -25,6 +27,14 @@
 Progress = Callable[[str], None]
 
 
+@dataclass(frozen=True)
+class RunOptions:
+    """What a run may vary: the replay lag of the replicas, and when commits are acknowledged."""
+
+    lag_ms: float | None = None
+    acknowledge: Acknowledge = Acknowledge.REPLICATED
+
+
 class Latencies(msgspec.Struct, frozen=True):
     """Percentiles of one kind of request, in milliseconds."""
 
