--- /dev/null
+++ b/src/orchidwind/core/flow_parts.py
@@ -0,0 +1,102 @@
+"""What the flows of all kinds of request have in common."""
+
+from __future__ import annotations
+
+from collections.abc import Generator
+
+from orchidwind.core.errors import BackendConnectionLost, ErrorKind, RequestError
+from orchidwind.core.group_view import PrimaryReference
+from orchidwind.core.statements import RunResult, Statement, StatementRequest
+from orchidwind.core.steps import (
+    ApplySettings,
+    NeedConnection,
+    NeedPrimary,
+    Release,
+    Run,
+    Step,
+    StepResult,
+)
+
+READ_ONLY_TRANSACTION = "25006"
+
+
+class Lost(Exception):
+    """A connection broke or the request was given up while a statement ran."""
+
+    def __init__(
+        self, sent: bool, reason: RequestError | None = None, delivered: bool = False
+    ) -> None:
+        super().__init__()
+        self.sent = sent
+        self.reason = reason
+        self.delivered = delivered
+
+
+def run(
+    connection: int, statement: Statement, **options: bool
+) -> Generator[Step, StepResult, RunResult]:
+    """Run a statement; a connection whose state is uncertain afterwards is closed."""
+    try:
+        result = yield Run(connection, statement, **options)
+    except BackendConnectionLost as lost:
+        raise Lost(lost.sent, delivered=lost.delivered) from lost
+    except RequestError as error:
+        yield Release(connection, reusable=False)
+        raise Lost(True, error) from error
+    assert isinstance(result, RunResult)
+    return result
+
+
+def connect(
+    request: StatementRequest, instance: str, primary_term: int = 0
+) -> Generator[Step, StepResult, int]:
+    """Get a connection that carries the session's settings."""
+    try:
+        connection = yield NeedConnection(instance, primary_term)
+    except BackendConnectionLost as lost:
+        raise Lost(sent=False) from lost
+    assert isinstance(connection, int)
+    statement = yield ApplySettings(connection, request.settings)
+    if isinstance(statement, Statement):
+        result = yield from run(connection, statement)
+        if result.error is not None:
+            yield Release(connection, reusable=False)
+            raise RequestError(ErrorKind.INVALID_SETTING, result.error.message)
+    return connection
+
+
+def connect_primary(
+    request: StatementRequest,
+) -> Generator[Step, StepResult, tuple[PrimaryReference, int]]:
+    """A connection to the primary; nothing was sent yet, so a lost one is simply replaced."""
+    while True:
+        primary = yield NeedPrimary()
+        assert isinstance(primary, PrimaryReference)
+        try:
+            connection = yield from connect(request, primary.instance, primary.term)
+        except Lost as lost:
+            if lost.reason is not None:
+                raise lost.reason from lost
+            continue
+        return primary, connection
+
+
+def write_lost() -> RequestError:
+    """The answer to a write that may have run."""
+    return RequestError(
+        ErrorKind.OUTCOME_UNKNOWN, "the answer to a write was lost; it may or may not have run"
+    )
+
+
+def refused_by_replica(result: RunResult) -> bool:
+    """The instance is no longer the primary; it refused the statement, so nothing ran."""
+    refused = result.error is not None and result.error.sqlstate == READ_ONLY_TRANSACTION
+    return refused and not result.delivered
+
+
+def transaction_lost() -> RequestError:
+    """The answer to a statement whose transaction is known to be rolled back."""
+    return RequestError(
+        ErrorKind.TRANSACTION_LOST,
+        "the transaction's server connection was lost; nothing of it ran",
+    )
--- a/src/orchidwind/core/home_group.py
+++ b/src/orchidwind/core/home_group.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from itertools import count
 
-from orchidwind.core import flows
+from orchidwind.core import flows, steps
 from orchidwind.core.admission import Refusal
 from orchidwind.core.commit_barrier import (
     Acknowledge,
@@ -20,14 +20,24 @@
     PendingCommit,
 )
 from orchidwind.core.errors import BackendConnectionLost, ErrorKind, OrchidwindError, RequestError
-from orchidwind.core.flows import Flow, OpenTransaction, Step, StepResult
+from orchidwind.core.group_effects import (
+    AbandonConnection,
+    CancelConnection,
+    Finished,
+    GroupEffect,
+    GroupOptions,
+    PollInstance,
+    ResetObserver,
+    RunOnConnection,
+    StillRunning,
+)
 from orchidwind.core.group_view import GroupView, InstanceReport, PrimaryReference
 from orchidwind.core.link_loss import may_commit
-from orchidwind.core.polling import PollingSettings, StatusPoller
+from orchidwind.core.polling import StatusPoller
 from orchidwind.core.pool import CloseConnection, Grant, InstancePool, OpenConnection, PoolEffect
 from orchidwind.core.positions import Position
 from orchidwind.core.retry_budget import RetryBudget
-from orchidwind.core.routing import RoutingSettings, choose_read_route
+from orchidwind.core.routing import choose_read_route
 from orchidwind.core.statements import (
     TRANSACTION_FAILED,
     TRANSACTION_IDLE,
@@ -39,90 +49,13 @@
     Statement,
     StatementRequest,
 )
+from orchidwind.core.steps import Flow, OpenTransaction, Step, StepResult
 
-_TRANSACTION_IDLE_SECONDS = 60.0
 _REPLAY_CHECK_SECONDS = 0.003
 _CONFIRM_SECONDS = 2.0
 STILL_RUNNING_SECONDS = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class GroupOptions:
-    """How a home serves a group."""
-
-    acknowledge: Acknowledge = Acknowledge.REPLICATED
-    routing: RoutingSettings = field(default_factory=RoutingSettings)
-    polling: PollingSettings = field(default_factory=PollingSettings)
-    transaction_idle_seconds: float = _TRANSACTION_IDLE_SECONDS
-
-
-@dataclass(frozen=True, slots=True)
-class PollInstance:
-    """Send a status query; answer with `report` or `poll_failed`."""
-
-    instance: str
-    asked_at: float
-
-
-@dataclass(frozen=True, slots=True)
-class ResetObserver:
-    """The status connection to an instance hangs: close it."""
-
-    instance: str
-
-
-@dataclass(frozen=True, slots=True)
-class RunOnConnection:
-    """Run a statement; `deliver_to` names the request whose caller gets the rows, if any."""
-
-    connection: int
-    statement: Statement
-    deliver_to: int | None
-    describe: bool
-
-
-@dataclass(frozen=True, slots=True)
-class AbandonConnection:
-    """Break a connection whose instance does not answer; `connection_lost` follows."""
-
-    connection: int
-
-
-@dataclass(frozen=True, slots=True)
-class CancelConnection:
-    """Ask the database to cancel what runs on a connection."""
-
-    connection: int
-
-
-@dataclass(frozen=True, slots=True)
-class StillRunning:
-    """A statement runs past its deadline on an instance that answers: the caller may wait on."""
-
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class Finished:
-    """A request has its outcome."""
-
-    request: StatementRequest
-    outcome: Outcome
-
-
-GroupEffect = (
-    OpenConnection
-    | CloseConnection
-    | PollInstance
-    | ResetObserver
-    | RunOnConnection
-    | AbandonConnection
-    | CancelConnection
-    | StillRunning
-    | Finished
-)
-
-
 @dataclass(slots=True)
 class _Running:
     request: StatementRequest
@@ -209,9 +142,9 @@
         running = self._running_on(channel)
         if running is None:
             return []
-        if isinstance(running.waits_for, flows.Run):
+        if isinstance(running.waits_for, steps.Run):
             return [CancelConnection(running.waits_for.connection)]
-        if isinstance(running.waits_for, flows.NeedConfirmation):
+        if isinstance(running.waits_for, steps.NeedConfirmation):
             return []
         error = RequestError(ErrorKind.CANCELLED, "canceling statement due to user request")
         return self._after(now, lambda: self._throw(now, running, error))
@@ -239,7 +172,7 @@
 
     def _hand_back(self, now: float) -> None:
         """The role has moved: requests that have not begun go back to be sent to the new home."""
-        waits = (flows.NeedPrimary, flows.NeedRoute, flows.NeedConnection)
+        waits = (steps.NeedPrimary, steps.NeedRoute, steps.NeedConnection)
         for running in list(self._running.values()):
             if isinstance(running.waits_for, waits):
                 self._throw(now, running, _moved())
@@ -345,26 +278,26 @@
 
     def _perform(self, now: float, running: _Running, step: Step) -> tuple[bool, StepResult]:
         """Carry out a step: whether it is done at once, and its result."""
-        if isinstance(step, flows.NeedConnection):
+        if isinstance(step, steps.NeedConnection):
             return self._need_connection(now, running, step)
-        if isinstance(step, flows.Run):
+        if isinstance(step, steps.Run):
             self._start_run(running, step)
             return False, None
-        if isinstance(step, flows.Release):
+        if isinstance(step, steps.Release):
             self._release(now, step)
             return True, None
-        if isinstance(step, flows.ApplySettings):
+        if isinstance(step, steps.ApplySettings):
             return True, self._settings_statement(step)
-        if isinstance(step, flows.Suspect):
+        if isinstance(step, steps.Suspect):
             self._suspect(now, step.instance)
             self._poller.want(now, now, [step.instance])
             return True, None
-        if isinstance(step, flows.TakeRetry):
+        if isinstance(step, steps.TakeRetry):
             return True, self.retries.take()
-        if isinstance(step, flows.BindTransaction):
+        if isinstance(step, steps.BindTransaction):
             self._bind(now, running.request.channel, step)
             return True, None
-        if isinstance(step, flows.EndTransaction):
+        if isinstance(step, steps.EndTransaction):
             self.transactions.pop(running.request.channel, None)
             return True, None
         return self._wait_for_view(now, running, step)
@@ -373,7 +306,7 @@
         result = self._view_result(now, step, now)
         if result is not None:
             return True, result
-        if isinstance(step, flows.NeedConfirmation):
+        if isinstance(step, steps.NeedConfirmation):
             running.expires_at = max(running.expires_at, now + _CONFIRM_SECONDS)
             commit = PendingCommit(running.request.number, step.instance, step.term, now)
             decisions = self.barrier.add(commit)
@@ -381,29 +314,29 @@
             if decisions:
                 raise RequestError(ErrorKind.OUTCOME_UNKNOWN, "a later term has begun")
             self._poller.want(now, now)
-        elif isinstance(step, flows.NeedFloor):
+        elif isinstance(step, steps.NeedFloor):
             self._poller.want(now, now)
         return False, None
 
     def _view_result(self, now: float, step: Step, since: float) -> StepResult:
         """What the view can answer now, None to wait."""
-        if isinstance(step, flows.NeedPrimary):
+        if isinstance(step, steps.NeedPrimary):
             primary = self.view.primary()
             return None if primary is None or primary.instance in self.view.leaving else primary
-        if isinstance(step, flows.NeedRoute):
+        if isinstance(step, steps.NeedRoute):
             return self._route(now, step)
-        if isinstance(step, flows.NeedFloor):
+        if isinstance(step, steps.NeedFloor):
             return self._fresh_floor(step, since)
-        if isinstance(step, flows.NeedReplay):
+        if isinstance(step, steps.NeedReplay):
             return self._replay_result(now, step, since)
         return None
 
-    def _route(self, now: float, step: flows.NeedRoute) -> StepResult:
+    def _route(self, now: float, step: steps.NeedRoute) -> StepResult:
         load = {name: pool.load for name, pool in self.pools.items() if pool.share > 0}
         routing = self.options.routing
         return choose_read_route(self.view, step.floor, now, load, routing, step.preferred)
 
-    def _fresh_floor(self, step: flows.NeedFloor, since: float) -> Position | None:
+    def _fresh_floor(self, step: steps.NeedFloor, since: float) -> Position | None:
         included = self.view.reports.get(step.include)
         reachable = step.include and step.include not in self.view.unreachable
         if reachable and (included is None or included.asked_at < since):
@@ -411,7 +344,7 @@
         require_primary = self.options.acknowledge is Acknowledge.CONFIRMED
         return self.view.quorum_floor(since, require_primary)
 
-    def _replay_result(self, now: float, step: flows.NeedReplay, since: float) -> bool | None:
+    def _replay_result(self, now: float, step: steps.NeedReplay, since: float) -> bool | None:
         report = self.view.reports.get(step.instance)
         if report is None or step.instance in self.view.unreachable:
             return False
@@ -424,7 +357,7 @@
         return None
 
     def _need_connection(
-        self, now: float, running: _Running, step: flows.NeedConnection
+        self, now: float, running: _Running, step: steps.NeedConnection
     ) -> tuple[bool, StepResult]:
         request = running.request
         running.waits_for = step
@@ -441,28 +374,28 @@
         self._pool_effects(now, effects)
         return False, None
 
-    def _start_run(self, running: _Running, step: flows.Run) -> None:
+    def _start_run(self, running: _Running, step: steps.Run) -> None:
         self._on_connection[step.connection] = running.request.number
         deliver_to = running.request.number if step.deliver else None
         self._effects.append(
             RunOnConnection(step.connection, step.statement, deliver_to, step.describe)
         )
 
-    def _release(self, now: float, step: flows.Release) -> None:
+    def _release(self, now: float, step: steps.Release) -> None:
         self._on_connection.pop(step.connection, None)
         instance = self._instance_of.get(step.connection)
         if instance is not None:
             pool = self.pools[instance]
             self._pool_effects(now, pool.release(step.connection, now, step.reusable))
 
-    def _settings_statement(self, step: flows.ApplySettings) -> Statement | None:
+    def _settings_statement(self, step: steps.ApplySettings) -> Statement | None:
         if self._settings_of.get(step.connection, ()) == step.settings:
             return None
         self._settings_of[step.connection] = step.settings
         assignments = "".join(f"; SET {item.name} = {item.value}" for item in step.settings)
         return Statement(f"RESET ALL{assignments}", simple=True)
 
-    def _bind(self, now: float, channel: ChannelKey, step: flows.BindTransaction) -> None:
+    def _bind(self, now: float, channel: ChannelKey, step: steps.BindTransaction) -> None:
         self.transactions[channel] = OpenTransaction(
             step.connection, step.instance, step.term, step.read_only, last_used=now
         )
@@ -505,7 +438,7 @@
             step = running.waits_for
             if step is None or running.request.number not in self._running:
                 continue
-            if isinstance(step, flows.NeedConnection):
+            if isinstance(step, steps.NeedConnection):
                 if not self._worth_waiting(step):
                     gone = BackendConnectionLost("the instance is away", sent=False)
                     self._throw(now, running, gone)
@@ -513,10 +446,10 @@
             result = self._view_result(now, step, running.since)
             if result is not None:
                 self._advance(now, running, result)
-            elif isinstance(step, flows.NeedFloor):
+            elif isinstance(step, steps.NeedFloor):
                 self._poller.want(now, running.since)
 
-    def _worth_waiting(self, step: flows.NeedConnection) -> bool:
+    def _worth_waiting(self, step: steps.NeedConnection) -> bool:
         """Whether a queued request should still wait for this instance."""
         if step.instance in self.view.unreachable:
             return False
@@ -557,7 +490,7 @@
             self._throw(now, running, error)
         transaction = self.transactions.pop(channel, None)
         if transaction is not None:
-            self._release(now, flows.Release(transaction.connection, reusable=False))
+            self._release(now, steps.Release(transaction.connection, reusable=False))
 
     def _running_on(self, channel: ChannelKey) -> _Running | None:
         number = self._by_channel.get(channel)
@@ -580,7 +513,7 @@
         """Reads that hang on an instance that does not answer are run elsewhere."""
         for running in self._running.values():
             step = running.waits_for
-            if not isinstance(step, flows.Run) or running.request.channel in self.transactions:
+            if not isinstance(step, steps.Run) or running.request.channel in self.transactions:
                 continue
             if running.request.kind not in (RequestKind.READ, RequestKind.DESCRIBE):
                 continue
@@ -591,7 +524,7 @@
         """The deadline bounds what comes before the statement; a statement that runs on an
         instance that answers is let run."""
         step = running.waits_for
-        if not isinstance(step, flows.Run):
+        if not isinstance(step, steps.Run):
             return False
         instance = self._instance_of.get(step.connection)
         if instance is None or instance in self.view.unreachable:
@@ -608,7 +541,7 @@
 
     def _forget_wait(self, running: _Running) -> None:
         number = running.request.number
-        if isinstance(running.waits_for, flows.NeedConnection):
+        if isinstance(running.waits_for, steps.NeedConnection):
             self.pools[running.waits_for.instance].cancel(number)
         self.barrier.drop(number)
 
@@ -635,7 +568,7 @@
             elif isinstance(effect, Grant):
                 running = self._running.get(effect.ticket)
                 if running is None:
-                    self._release(now, flows.Release(effect.connection, reusable=True))
+                    self._release(now, steps.Release(effect.connection, reusable=True))
                 else:
                     self._advance(now, running, effect.connection)
             else:
--- /dev/null
+++ b/src/orchidwind/core/named_write.py
@@ -0,0 +1,126 @@
+"""The flow of a write that its caller named: it runs at most once, whatever is repeated."""
+
+from __future__ import annotations
+
+from collections.abc import Generator
+from dataclasses import dataclass
+
+from orchidwind.core.errors import ErrorKind, RequestError
+from orchidwind.core.flow_parts import (
+    Lost,
+    connect_primary,
+    refused_by_replica,
+    run,
+    transaction_lost,
+    write_lost,
+)
+from orchidwind.core.group_view import PrimaryReference
+from orchidwind.core.ledger import (
+    CREATE_LEDGER,
+    UNDEFINED_TABLE,
+    claim_statement,
+    complete_statement,
+    lookup_statement,
+)
+from orchidwind.core.positions import Position
+from orchidwind.core.statements import TRANSACTION_IDLE, Outcome, RunResult, StatementRequest
+from orchidwind.core.steps import (
+    Flow,
+    NeedConfirmation,
+    Release,
+    Step,
+    StepResult,
+    Suspect,
+    TakeRetry,
+)
+
+
+def named_write_flow(request: StatementRequest) -> Flow:
+    """A named write: what may have run is settled by the ledger, so it is tried again here.
+
+    Where an attempt's commit lasted, the next attempt finds its row and returns the recorded
+    outcome; where it did not, nothing of it is left, and what the database says of the next attempt
+    is definite. Only a part of the answer that went out already, a cancel, or the deadline ends the
+    attempts; if one of them had sent its commit, the outcome is then unknown, however the last one
+    ended.
+    """
+    in_doubt = False
+    while True:
+        attempt = _NamedAttempt()
+        try:
+            primary, connection = yield from connect_primary(request)
+            tag = yield from _named_attempt(request, primary, connection, attempt)
+            position = yield NeedConfirmation(primary.instance, primary.term)
+        except Lost as lost:
+            in_doubt = in_doubt or attempt.committing
+            error = lost.reason or transaction_lost()
+            ends = lost.reason is not None or lost.delivered or not (yield TakeRetry())
+        except RequestError as failed:
+            if failed.kind is ErrorKind.STATEMENT_FAILED:
+                raise
+            superseded = attempt.committing and failed.kind is ErrorKind.OUTCOME_UNKNOWN
+            in_doubt = in_doubt or attempt.committing
+            error = failed
+            ends = not superseded or attempt.delivered or not (yield TakeRetry())
+        else:
+            assert isinstance(position, Position)
+            return Outcome(request.number, tag=tag, instance=primary.instance, position=position)
+        if ends:
+            raise write_lost() if in_doubt else error
+
+
+@dataclass(slots=True)
+class _NamedAttempt:
+    """How far an attempt came."""
+
+    committing: bool = False
+    delivered: bool = False
+
+
+def _named_attempt(
+    request: StatementRequest,
+    primary: PrimaryReference,
+    connection: int,
+    attempt: _NamedAttempt,
+) -> Generator[Step, StepResult, str]:
+    """Claim the ledger row, run the statement, record its outcome and commit; the command tag.
+
+    Where the row is there already, the request ran, and the recorded tag is returned. A repeat that
+    meets the first attempt still running waits on the row's unique index until that has ended.
+    """
+    claim = yield from run(connection, claim_statement(request.request_id))
+    if claim.error is not None and claim.error.sqlstate == UNDEFINED_TABLE:
+        yield from run(connection, CREATE_LEDGER)
+        claim = yield from run(connection, claim_statement(request.request_id))
+    if refused_by_replica(claim):
+        yield Release(connection, reusable=False)
+        yield Suspect(primary.instance)
+        raise Lost(sent=False)
+    yield from _stop_on_error(connection, claim)
+    if claim.tag.endswith(" 0"):
+        attempt.committing = True
+        return (yield from _recorded_tag(request, connection))
+    result = yield from run(connection, request.statement, deliver=True)
+    attempt.delivered = result.delivered
+    yield from _stop_on_error(connection, result)
+    attempt.committing = True
+    completed = yield from run(connection, complete_statement(request.request_id, result.tag))
+    yield Release(connection, reusable=completed.transaction_status == TRANSACTION_IDLE)
+    if completed.error is not None:
+        raise completed.error
+    return result.tag
+
+
+def _stop_on_error(connection: int, result: RunResult) -> Generator[Step, StepResult, None]:
+    """A failed statement ends the attempt; closing the connection rolls back."""
+    if result.error is not None:
+        yield Release(connection, reusable=False)
+        raise result.error
+
+
+def _recorded_tag(request: StatementRequest, connection: int) -> Generator[Step, StepResult, str]:
+    lookup = yield from run(connection, lookup_statement(request.request_id))
+    yield Release(connection, reusable=lookup.transaction_status == TRANSACTION_IDLE)
+    if lookup.error is not None:
+        raise lookup.error
+    return (lookup.first_row[0] or b"").decode() if lookup.first_row else ""
--- a/src/orchidwind/network/group_runner.py
+++ b/src/orchidwind/network/group_runner.py
@@ -8,19 +8,19 @@
 
 from orchidwind.core.configuration import DatabaseSettings
 from orchidwind.core.errors import BackendConnectionLost, BackendRefused
-from orchidwind.core.group_view import InstanceReport
-from orchidwind.core.home_group import (
+from orchidwind.core.group_effects import (
     AbandonConnection,
     CancelConnection,
     Finished,
     GroupEffect,
     GroupOptions,
-    HomeGroup,
     PollInstance,
     ResetObserver,
     RunOnConnection,
     StillRunning,
 )
+from orchidwind.core.group_view import InstanceReport
+from orchidwind.core.home_group import HomeGroup
 from orchidwind.core.pool import CloseConnection, OpenConnection
 from orchidwind.core.routing import RoutingSettings
 from orchidwind.core.slot_leases import LeaseAnswer, SlotLeases
--- a/src/orchidwind_bench/scale.py
+++ b/src/orchidwind_bench/scale.py
@@ -20,14 +20,9 @@
 from orchidwind.core.admission import TrafficClass
 from orchidwind.core.caller_session import CallerSession
 from orchidwind.core.configuration import ConfigurationDocument, OperatorFile
+from orchidwind.core.group_effects import Finished, GroupOptions, PollInstance, RunOnConnection
 from orchidwind.core.group_view import InstanceReport
-from orchidwind.core.home_group import (
-    Finished,
-    GroupOptions,
-    HomeGroup,
-    PollInstance,
-    RunOnConnection,
-)
+from orchidwind.core.home_group import HomeGroup
 from orchidwind.core.membership import Member, Membership
 from orchidwind.core.placement import Node, Placement
 from orchidwind.core.pool import OpenConnection
--- a/src/orchidwind_bench/simulation/system.py
+++ b/src/orchidwind_bench/simulation/system.py
@@ -14,16 +14,16 @@
 from orchidwind.core.admission import TrafficClass
 from orchidwind.core.caller_session import CallerSession, Forward
 from orchidwind.core.errors import BackendConnectionLost, ErrorKind, Ran, RequestError
-from orchidwind.core.home_group import (
+from orchidwind.core.group_effects import (
     AbandonConnection,
     CancelConnection,
     Finished,
     GroupEffect,
     GroupOptions,
-    HomeGroup,
     PollInstance,
     RunOnConnection,
 )
+from orchidwind.core.home_group import HomeGroup
 from orchidwind.core.link_loss import after_link_loss
 from orchidwind.core.pool import CloseConnection, OpenConnection
 from orchidwind.core.statements import ChannelKey, Outcome, Statement, StatementRequest
--- a/tests/test_home_service.py
+++ b/tests/test_home_service.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from orchidwind.core.flows import OpenTransaction
 from orchidwind.core.placement import Node, Placement
+from orchidwind.core.steps import OpenTransaction
 from orchidwind.network.home_service import HomeService
 from orchidwind_bench.simulation.hollow import sample_configuration
 
