--- a/src/orchidwind_bench/capacity.py
+++ b/src/orchidwind_bench/capacity.py
@@ -268,6 +268,13 @@
             f" {point.standin_seconds * 1e6:.0f} µs) |"
             f" {rate:.0f} statements/s, {rate * both:.2f} cores |"
         )
+    large = real.large_result
+    if large is not None:
+        lines.append(
+            f"| answer of {large.rows:,} rows, {large.answer_bytes / 1e6:.0f} MB | front grows by"
+            f" {large.front_growth / 1e6:.1f} MB at its peak, home by"
+            f" {large.home_growth / 1e6:.1f} MB | |"
+        )
     core = capacity.measured.hollow.homes
     read = median(point.read_seconds for point in core)
     write = median(point.write_seconds for point in core)
--- a/src/orchidwind_bench/processes.py
+++ b/src/orchidwind_bench/processes.py
@@ -84,6 +84,15 @@
             return 0
         return pages * os.sysconf("SC_PAGE_SIZE")
 
+    def peak_resident_bytes(self) -> int:
+        """The most resident memory so far; 0 once it has ended."""
+        try:
+            lines = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
+        except OSError:
+            return 0
+        peak = next((line for line in lines if line.startswith("VmHWM:")), "VmHWM: 0 kB")
+        return int(peak.split()[1]) * 1024
+
 
 class Programs:
     """All processes of one run; the context ends them whatever happens."""
--- a/src/orchidwind_bench/scale_real.py
+++ b/src/orchidwind_bench/scale_real.py
@@ -33,6 +33,7 @@
 _STATEMENT_SECONDS = 6.0
 _SELECT = "SELECT a FROM items WHERE id = %s"
 _ROWS = 200
+_WIDE_BYTES = 1000
 _PLAN = DeploymentPlan(
     name="scale",
     zones=("zone-a",),
@@ -77,6 +78,15 @@
     bytes_in: float
 
 
+class LargeResultPoint(msgspec.Struct, frozen=True):
+    """One large answer through a front and a home: what each grew by at its peak."""
+
+    rows: int
+    answer_bytes: int
+    front_growth: int
+    home_growth: int
+
+
 class RealResults(msgspec.Struct):
     """All measurements of real processes."""
 
@@ -84,6 +94,7 @@
     callers: list[CallerPoint] = []
     statements: list[StatementPoint] = []
     poll: PollCost | None = None
+    large_result: LargeResultPoint | None = None
 
 
 async def _start(programs: Programs, folder: Path, plan: DeploymentPlan) -> Deployment:
@@ -240,6 +251,27 @@
     return done
 
 
+async def measure_large_result() -> LargeResultPoint:
+    """Memory that a large answer takes in the two proxies that pass it on."""
+    plan = replace(_PLAN, databases=("shared",), proxies_a_zone=2)
+    with tempfile.TemporaryDirectory() as folder, Programs(Path(folder)) as programs:
+        deployment = await _start(programs, Path(folder), plan)
+        front, home = _front_and_home(deployment)
+        dsn = deployment.dsn(front, "shared")
+        await _fill_items(dsn)
+        async with await psycopg.AsyncConnection.connect(dsn, autocommit=True) as connection:
+            await connection.execute("CREATE TABLE wide (t text)")
+            await connection.execute("INSERT INTO wide VALUES (%s)", ("x" * _WIDE_BYTES,))
+            before = [node.program.peak_resident_bytes() for node in (front, home)]
+            query = "SELECT w.t FROM wide w, items a, items b"
+            cursor = await connection.execute(query, prepare=False)
+            rows = await cursor.fetchall()
+        after = [node.program.peak_resident_bytes() for node in (front, home)]
+        return LargeResultPoint(
+            len(rows), len(rows) * _WIDE_BYTES, after[0] - before[0], after[1] - before[1]
+        )
+
+
 # --- bytes of a status query --------------------------------------------------------------------
 
 
@@ -302,6 +334,8 @@
         results.idle.extend(await measure_idle(databases))
     progress("bytes of a status query")
     results.poll = await measure_poll()
+    progress("a large answer")
+    results.large_result = await measure_large_result()
     progress("idle callers of a real proxy")
     results.callers = await measure_callers([100, 500 * scale, 1000 * scale])
     for connections in (10, 100, 1000 * scale):
