--- a/src/orchidwind/core/home_group.py
+++ b/src/orchidwind/core/home_group.py
@@ -98,7 +98,7 @@
         self._running[request.number] = running
         self._by_channel[request.channel] = request.number
         if request.expires_at <= now:
-            return self._after(now, lambda: self._throw(now, running, _expired()))
+            return self._after(now, lambda: self._throw(now, running, _expired(None)))
         return self._after(now, lambda: self._advance(now, running, None))
 
     def connection_opened(self, now: float, connection: int) -> list[GroupEffect]:
@@ -503,7 +503,7 @@
             self._abandon_reads(instance)
         for running in list(self._running.values()):
             if running.expires_at <= now and not self._may_run_on(now, running):
-                self._throw(now, running, _expired())
+                self._throw(now, running, _expired(running.waits_for))
         for pool in self.pools.values():
             self._pool_effects(now, pool.tick(now))
         self._end_idle_transactions(now)
@@ -598,7 +598,12 @@
     return RequestError(ErrorKind.NO_HOME, "another proxy serves this database now")
 
 
-def _expired() -> RequestError:
+def _expired(step: Step | None) -> RequestError:
+    """The deadline passed; what the request waited for tells why."""
+    if isinstance(step, steps.NeedPrimary):
+        return RequestError(ErrorKind.NO_PRIMARY, "the group has no primary that can be reached")
+    if isinstance(step, steps.NeedRoute | steps.NeedFloor):
+        return RequestError(ErrorKind.NO_REPLICA, "no instance can serve the read in time")
     return RequestError(ErrorKind.DEADLINE_PASSED, "the deadline passed before the request ran")
 
 
--- a/src/orchidwind/network/backend.py
+++ b/src/orchidwind/network/backend.py
@@ -36,6 +36,8 @@
 _ROW_STATUSES = (pq.ExecStatus.TUPLES_OK, pq.ExecStatus.TUPLES_CHUNK)
 _COPY_STATUSES = (pq.ExecStatus.COPY_IN, pq.ExecStatus.COPY_OUT, pq.ExecStatus.COPY_BOTH)
 _TOO_MANY_CONNECTIONS = "53300"
+# libpq gives no SQLSTATE of a refused connection, so the server's words must do.
+_LIMIT_WORDS = ("too many clients", "connection slots", "too many connections")
 
 
 class AnswerPort(ABC):
@@ -358,7 +360,7 @@
             return
         if state == pq.PollingStatus.FAILED:
             message = connection.get_error_message()
-            met = "too many clients" in message or "connection slots" in message
+            met = any(words in message for words in _LIMIT_WORDS)
             raise BackendRefused(message, _TOO_MANY_CONNECTIONS if met else "08001")
         await _wait_socket(connection.socket, writable=state == pq.PollingStatus.WRITING)
 
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -5,6 +5,7 @@
 
 from orchidwind_bench.checkers import Result, check_all
 from orchidwind_bench.simulation.system import SimulatedSystem
+from orchidwind_standins.replication import GroupTimings
 
 ZONES = ["a", "b", "c"]
 
@@ -143,3 +144,21 @@
     assert max(read.ended - read.started for read in during) < 3.0
     system.settle()
     assert violations(system) == []
+
+
+def test_without_a_primary_writes_are_told_so_and_reads_go_on():
+    never = GroupTimings(election_minimum=500.0, election_maximum=600.0)
+    system = SimulatedSystem(seed=11, zones=ZONES, write_share=0.5, roaming=0.0, timings=never)
+    system.events.run_until(1.0)
+    primary = system.database.primary().name
+    system.database.kill(primary)
+    gone_at = system.events.now
+    system.events.run_until(gone_at + 6.0)
+    writes = [write for write in system.history.writes if write.started > gone_at]
+    reads = [read for read in system.history.reads if read.started > gone_at]
+    assert writes and {write.result for write in writes} == {Result.NOT_RUN}
+    assert reads and {read.result for read in reads} == {Result.OK}
+    assert {read.on_replica for read in reads} == {True}
+    system.database.restart(primary)
+    system.settle()
+    assert violations(system) == []
