--- a/src/orchidwind/network/group_runner.py
+++ b/src/orchidwind/network/group_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Protocol
 
@@ -25,6 +26,7 @@
 from orchidwind.core.routing import RoutingSettings
 from orchidwind.core.slot_leases import LeaseAnswer, SlotLeases
 from orchidwind.core.statements import ChannelKey, Column, Outcome, StatementRequest
+from orchidwind.logs import log_event
 from orchidwind.network.backend import AnswerPort, BackendConnection, ConnectionTarget
 from orchidwind.network.observer import Observer
 
@@ -307,6 +309,11 @@
             stalled = BackendConnectionLost("the caller stopped reading", sent=True, delivered=True)
             self._lost(effect.connection, stalled)
             return
+        except Exception as error:
+            log_event("statement_failed_unexpectedly", level=logging.ERROR, reason=repr(error))
+            failed = BackendConnectionLost(str(error), sent=True, delivered=True)
+            self._lost(effect.connection, failed)
+            return
         now = self._loop.time()
         self._perform(self.group.run_finished(now, effect.connection, result))
 
--- a/src/orchidwind/postgres/portals.py
+++ b/src/orchidwind/postgres/portals.py
@@ -9,6 +9,7 @@
 from orchidwind.postgres.wire import codec
 
 MAXIMUM_PREPARED_STATEMENTS = 2_000
+_OID_MASK = 0xFFFFFFFF  # the codec reads type identifiers as signed
 
 
 @dataclass(slots=True)
@@ -51,7 +52,7 @@
             )
         if len(self.statements) >= MAXIMUM_PREPARED_STATEMENTS:
             raise RequestError(ErrorKind.OVERLOADED, "too many prepared statements in one session")
-        types = tuple(parsed.param_oids)
+        types = tuple(oid & _OID_MASK for oid in parsed.param_oids)
         self.statements[parsed.statement_name] = PreparedStatement(parsed.sql, types)
 
     def statement(self, name: str) -> PreparedStatement:
--- a/src/orchidwind/postgres/server_session.py
+++ b/src/orchidwind/postgres/server_session.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import logging
 import secrets
 import socket
 from abc import ABC, abstractmethod
@@ -109,6 +110,9 @@
             self._fail(RequestError(ErrorKind.PROTOCOL_VIOLATION, str(violation)))
         except RequestError as error:
             self._fail(error)
+        except Exception:
+            logging.getLogger("orchidwind").exception("session_failed")
+            self._fail(RequestError(ErrorKind.INTERNAL, "internal error of the proxy"))
         finally:
             self._stream.close()
             if self.executor is not None:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -79,6 +79,26 @@
     assert serves(system)
 
 
+@pytest.mark.parametrize(
+    ("types", "formats", "values"),
+    [
+        ([2**32 - 1], [0], [b"x"]),
+        ([23], [1], [b"not four bytes"]),
+        ([23], [0], [b"not a number"]),
+        ([1082], [1], [b"\x7f\xff\xff\xff"]),
+        ([0], [0], [b"x", b"y"]),
+    ],
+)
+def test_bad_parameters_get_an_error_and_harm_nobody(system, types, formats, values):
+    with psycopg.connect(system.dsn(0), autocommit=True) as opened:
+        formats = formats * len(values)
+        sent = opened.pgconn.exec_params(
+            b"SELECT $1", values, param_types=types * len(values), param_formats=formats
+        )
+        assert sent.status in (psycopg.pq.ExecStatus.FATAL_ERROR, psycopg.pq.ExecStatus.TUPLES_OK)
+    assert serves(system)
+
+
 def databases(system):
     result = []
     for node in system.deployment.proxies:
