--- a/src/orchidwind/core/membership.py
+++ b/src/orchidwind/core/membership.py
@@ -120,7 +120,7 @@
     period: float = 1.0
     answer_timeout: float = 0.3
     indirect_probes: int = 3
-    suspicion_periods: float = 3.0
+    suspicion_periods: float = 2.0
     updates_a_message: int = 8
     spread_factor: float = 3.0
     exchange_interval: float = 30.0
@@ -368,6 +368,8 @@
         self._spread(member)
         if held is None or _role_view(held) != _role_view(member):
             self._changed = True
+        if held is not None and _is_urgent(held, member):
+            self._announce((member,))
 
     def _refute(self, claim: Member) -> None:
         if claim.incarnation < self.own.incarnation:
@@ -376,6 +378,7 @@
         restarted = (claim.host, claim.peer_port) != (self.own.host, self.own.peer_port)
         if claim.incarnation > self.own.incarnation or differs or restarted:
             self._set_own(replace(self.own, incarnation=claim.incarnation + 1))
+            self._announce()
 
     def _set_own(self, own: Member) -> None:
         self._changed = self._changed or own.leaving != self.own.leaving
@@ -387,7 +390,10 @@
         member = self.members.get(name)
         if member is not None and member.state == MemberState.ALIVE:
             self.suspicions += 1
-            self._merge(now, replace(member, state=MemberState.SUSPECT))
+            suspected = replace(member, state=MemberState.SUSPECT)
+            self._merge(now, suspected)
+            # The suspected member itself is told first, since it alone can refute.
+            self._send(member, Exchange(self.own, False, self.configuration_version, (suspected,)))
 
     def _suspicion_time(self) -> float:
         scale = max(1.0, math.log10(max(len(self.members), 2)))
@@ -420,11 +426,16 @@
                 del self._spreading[spread.member.name]
         return tuple(spread.member for spread in chosen)
 
-    def _announce(self) -> None:
+    def _announce(self, news: tuple[Member, ...] = ()) -> None:
+        """Tell some members at once; whoever first hears urgent news does the same.
+
+        Left to the probes alone, such news took several periods to reach all, while callers waited
+        for homes that were gone.
+        """
         others = [member for member in self.reachable() if member.name != self.own.name]
         count = min(self.settings.announce_fanout, len(others))
         for member in self._random.sample(others, count):
-            self._send(member, Exchange(self.own, False, self.configuration_version, ()))
+            self._send(member, Exchange(self.own, False, self.configuration_version, news))
 
     def _periodic_exchange(self, now: float) -> None:
         jitter = self._random.uniform(0.5, 1.5)
@@ -460,6 +471,14 @@
         return effects
 
 
+def _is_urgent(held: Member, member: Member) -> bool:
+    """A member is gone, or has refuted a suspicion."""
+    gone = member.leaving or member.state == MemberState.DEAD
+    was_gone = held.leaving or held.state == MemberState.DEAD
+    refuted = held.state != MemberState.ALIVE and member.state == MemberState.ALIVE
+    return gone != was_gone or refuted
+
+
 def _role_view(member: Member) -> tuple[bool, bool, str, int, str]:
     """What placement and links depend on."""
     dead = member.state == MemberState.DEAD
