--- a/src/orchidwind/core/home_group.py
+++ b/src/orchidwind/core/home_group.py
@@ -56,6 +56,10 @@
 STILL_RUNNING_SECONDS = 2.0
 
 
+# What a request waits for before anything of it was sent.
+_FIRST_WAITS = (steps.NeedPrimary, steps.NeedRoute, steps.NeedConnection)
+
+
 @dataclass(slots=True)
 class _Running:
     request: StatementRequest
@@ -172,9 +176,8 @@
 
     def _hand_back(self, now: float) -> None:
         """The role has moved: requests that have not begun go back to be sent to the new home."""
-        waits = (steps.NeedPrimary, steps.NeedRoute, steps.NeedConnection)
         for running in list(self._running.values()):
-            if isinstance(running.waits_for, waits):
+            if isinstance(running.waits_for, _FIRST_WAITS):
                 self._throw(now, running, _moved())
 
     def set_leaving(self, now: float, instances: set[str]) -> list[GroupEffect]:
@@ -278,6 +281,8 @@
 
     def _perform(self, now: float, running: _Running, step: Step) -> tuple[bool, StepResult]:
         """Carry out a step: whether it is done at once, and its result."""
+        if isinstance(step, _FIRST_WAITS) and not self.is_home:
+            raise _moved()
         if isinstance(step, steps.NeedConnection):
             return self._need_connection(now, running, step)
         if isinstance(step, steps.Run):
--- a/src/orchidwind/core/slot_leases.py
+++ b/src/orchidwind/core/slot_leases.py
@@ -51,9 +51,10 @@
 class SlotLeases:
     """The leases of one database at one home, as lender and as borrower."""
 
-    def __init__(self, base_share: int) -> None:
+    def __init__(self, base_share: int, first_number: int = 0) -> None:
+        """`first_number` must be above all that this home gave before a restart."""
         self.base_share = base_share
-        self._number = 0
+        self._number = first_number
         self._lent: dict[str, _Lease] = {}
         self._borrowed: dict[str, _Lease] = {}
         self._highest_seen: dict[str, int] = {}
@@ -129,10 +130,6 @@
         if answer.slots > 0 and expires_at > now:
             self._borrowed[lender] = _Lease(answer.slots, answer.number, expires_at)
 
-    def forget(self, lender: str) -> None:
-        """The lender was restarted and numbers its leases from the start."""
-        self._highest_seen.pop(lender, None)
-
     def _drop_expired(self, now: float) -> None:
         for held in (self._lent, self._borrowed):
             for name, lease in list(held.items()):
--- a/src/orchidwind/network/group_runner.py
+++ b/src/orchidwind/network/group_runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Protocol
 
@@ -87,7 +88,8 @@
         self, database: DatabaseSettings, share: int, zone: str, leases: LeasePort
     ) -> None:
         self.database = database
-        self.leases = SlotLeases(share)
+        # Milliseconds of the wall clock rise across restarts, and no lease takes one millisecond.
+        self.leases = SlotLeases(share, first_number=time.time_ns() // 1_000_000)
         self._lease_port = leases
         self._lease_timer: asyncio.TimerHandle | None = None
         self._zone = zone
--- a/src/orchidwind_bench/scale_run.py
+++ b/src/orchidwind_bench/scale_run.py
@@ -16,6 +16,7 @@
 from orchidwind_bench.capacity import ScaleFile
 from orchidwind_bench.scale import measure_loss, measure_membership, measure_small
 from orchidwind_bench.scale_events import (
+    EventPoint,
     measure_day,
     measure_machine_events,
     measure_parting,
@@ -81,7 +82,8 @@
         measured.events.primary_changes = _take(changes, "changes of primary", progress)
         _write(path, measured)
         for name, events in (("machines", machines), ("day", day), ("parted regions", parting)):
-            measured.events.events.extend(_take(events, name, progress))
+            points: list[EventPoint] = _take(events, name, progress)
+            measured.events.events += points
             _write(path, measured)
 
 
--- a/tests/test_slot_leases.py
+++ b/tests/test_slot_leases.py
@@ -107,3 +107,13 @@
     assert total_at_the_lenders_end() <= BASE * len(HOMES)
     monkeypatch.setattr(slot_leases, "_CLOCK_MARGIN", 0.0)
     assert total_at_the_lenders_end() > BASE * len(HOMES)
+
+
+def test_restarted_lender_is_believed_again():
+    borrower = SlotLeases(1)
+    borrower.asks(0.0, ["x"], 2)
+    borrower.on_answer(0.1, "x", SlotLeases(3, first_number=100).on_ask(0.0, "y", 2, 3))
+    assert borrower.share(0.2) == 3
+    borrower.asks(2.5, ["x"], 2)
+    borrower.on_answer(2.6, "x", SlotLeases(3, first_number=5000).on_ask(0.0, "y", 2, 3))
+    assert borrower.share(4.0) == 3
