--- a/src/orchidwind/network/group_runner.py
+++ b/src/orchidwind/network/group_runner.py
@@ -104,7 +104,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due = float("inf")
         self._closed = False
-        self.set_leaving(database)
+        self.reconfigure(database)
         self._perform(self.group.tick(self._loop.time()))
 
     def submit(self, request: StatementRequest, port: AnswerPort, on_finished: OnFinished) -> None:
@@ -169,8 +169,10 @@
         self._apply_share()
         self._set_lease_timer(self.leases.deadline())
 
-    def set_leaving(self, database: DatabaseSettings) -> None:
-        """Which instances get no new work."""
+    def reconfigure(self, database: DatabaseSettings) -> None:
+        """Take what may change while the group runs: its options, and which instances leave."""
+        self.database = database
+        self.group.options = group_options(database)
         leaving = {instance.name for instance in database.instances if instance.leaving}
         self._perform(self.group.set_leaving(self._loop.time(), leaving))
 
--- a/src/orchidwind/network/home_service.py
+++ b/src/orchidwind/network/home_service.py
@@ -39,7 +39,7 @@
                 self._give_up(name)
         for name, (database, share) in wanted.items():
             if name in self.runners:
-                self.runners[name].set_leaving(database)
+                self.runners[name].reconfigure(database)
                 self.runners[name].set_share(share)
             else:
                 self.runners[name] = GroupRunner(database, share, self._node.zone, self._leases)
@@ -133,7 +133,6 @@
             database.status_user,
             database.status_password,
             database.acknowledge,
-            database.replica_wait_ms,
         )
 
     return essence(held) == essence(wanted)
