--- a/tests/test_files_and_commands.py
+++ b/tests/test_files_and_commands.py
@@ -1,8 +1,10 @@
 """Settings and operators' files, the command line, logs, and the table of errors in the README."""
 
+import json
 import logging
 import subprocess
 import sys
+import urllib.request
 from pathlib import Path
 
 import pytest
@@ -103,6 +105,18 @@
     assert done.stderr.count("\n") == 1
 
 
+def test_status_and_operator_port(system):
+    node = system.deployment.proxies[0]
+    done = command("status", "--operator-url", node.operator_url)
+    shown = json.loads(done.stdout)
+    assert (shown["name"], shown["ready"], shown["draining"]) == (node.settings.name, True, False)
+    assert {member["state"] for member in shown["members"]} == {"alive"}
+    assert shown["databases"][0]["primary"]
+    for path, words in (("healthz", "ok"), ("readyz", "ready"), ("metrics", "orchidwind_homes")):
+        with urllib.request.urlopen(f"{node.operator_url}/{path}", timeout=5) as answer:
+            assert words in answer.read().decode()
+
+
 def test_log_line_is_key_value_pairs(snapshot):
     formatter = KeyValueFormatter(
         ["levelname", "message"], rename_fields={"levelname": "level", "message": "event"}
