--- a/src/orchidwind/core/caller_session.py
+++ b/src/orchidwind/core/caller_session.py
@@ -222,6 +222,9 @@
 
     def _show(self, name: str) -> Plan | None:
         if name == SETTING_TOKEN:
+            if self.in_transaction:
+                reason = "ask for the session's token outside a transaction"
+                raise RequestError(ErrorKind.NOT_SUPPORTED, reason)
             return AskToken()
         if name == SETTING_SESSION:
             return LocalAnswer("SHOW", name, self.identity)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -354,6 +354,14 @@
     assert not session.in_transaction
 
 
+def test_token_is_not_asked_for_inside_a_transaction():
+    session = CallerSession({})
+    session.finished(outcome(transaction_status=b"T"))
+    with pytest.raises(RequestError):
+        session.plan("SHOW orchidwind.session_token")
+    assert session.in_transaction
+
+
 @pytest.mark.parametrize(
     "sql",
     [
