--- a/src/orchidwind/core/slot_leases.py
+++ b/src/orchidwind/core/slot_leases.py
@@ -61,13 +61,17 @@
         self._asked_at: dict[str, float] = {}
 
     def share(self, now: float) -> int:
-        """Connections to each instance that this home may hold now."""
+        """Connections to each instance that this home may hold now.
+
+        At least one while it is home: placement may lower the base below what is lent, and a home
+        without any would refuse its callers until the lease ends.
+        """
         self._drop_expired(now)
         lent = sum(lease.slots for lease in self._lent.values())
         borrowed = sum(lease.slots for lease in self._borrowed.values())
         if self.base_share == 0:
             return 0
-        return max(self.base_share - lent, 0) + borrowed
+        return max(self.base_share - lent, _KEPT_FOR_ITSELF) + borrowed
 
     def active(self, now: float) -> bool:
         """Whether any lease is out or in."""
--- a/tests/test_slot_leases.py
+++ b/tests/test_slot_leases.py
@@ -117,3 +117,13 @@
     borrower.asks(2.5, ["x"], 2)
     borrower.on_answer(2.6, "x", SlotLeases(3, first_number=5000).on_ask(0.0, "y", 2, 3))
     assert borrower.share(4.0) == 3
+
+
+def test_home_keeps_one_when_placement_lowers_its_base_below_what_it_lent():
+    """Found in rolling restarts: reads were refused for the 3 s that the lease still ran."""
+    lender = SlotLeases(2)
+    assert lender.on_ask(0.0, "y", 2, spare=2).slots == 1
+    lender.base_share = 1
+    assert lender.share(0.1) == 1
+    lender.base_share = 0
+    assert lender.share(0.2) == 0
