--- a/src/orchidwind_bench/capacity.py
+++ b/src/orchidwind_bench/capacity.py
@@ -348,7 +348,7 @@
   makes of it; its processor time at the proxy is real.
 - TLS, on either edge; it is not built.
 - A statement's cost beyond 1,000 statements a second on one pair of proxies, and with large rows.
-- The full day of 124 failures and restarts: it is pressed into about six minutes, which is harder.
+- The full day of 124 failures and restarts: it is pressed into a few minutes, which is harder.
 - Memory over days: fragmentation and slow growth.
 - The platform at 20 watchers of a 460 KB object, 400 times a day: its own cost is not ours to tell.
 - Regions parted for a whole hour: {parted:.0f} s stand for it. Dead members are forgotten after
