--- a/src/orchidwind_standins/sql_session.py
+++ b/src/orchidwind_standins/sql_session.py
@@ -501,7 +501,7 @@
         return sql_error("42P01", f'relation "{text.rpartition(" ")[2]}" does not exist')
     if "already exists" in text:
         return sql_error("42P07", text)
-    if "no such column" in text:
+    if "no such column" in text or "has no column named" in text:
         return sql_error("42703", text)
     if "no such function" in text:
         return sql_error("42883", text)
