--- a/src/orchidwind/postgres/server_session.py
+++ b/src/orchidwind/postgres/server_session.py
@@ -33,6 +33,7 @@
 
 _READ_BYTES = 64 * 1024
 _LOGIN_SECONDS = 10.0
+_READ_AHEAD_BYTES = 256 * 1024
 _FAREWELL_SECONDS = 2.0
 _MAXIMUM_BATCH_MESSAGES = 20_000
 _SECRET_BITS = 31
@@ -93,10 +94,10 @@
         self._skip_until_sync = False
         self._said_farewell = False
         self._closing: asyncio.Task[None] | None = None
+        self._reading: asyncio.Future[bytes] | None = None
 
     async def run(self) -> None:
         """Serve the connection; returns when it is closed."""
-        self._stream.set_close_callback(self._on_gone)
         try:
             async with asyncio.timeout(_LOGIN_SECONDS):
                 logged_in = await self._log_in()
@@ -120,7 +121,7 @@
 
     def _on_gone(self) -> None:
         """The caller went while its statement ran: nobody waits for it any longer."""
-        if self.busy and self.executor is not None:
+        if self.busy and self.executor is not None and self._closing is None:
             self._closing = asyncio.get_running_loop().create_task(self.executor.close())
 
     def close(self) -> None:
@@ -156,7 +157,36 @@
         self._out.flush_now()
 
     async def _fill(self) -> None:
-        self._reader.feed(await self._stream.read_bytes(_READ_BYTES, partial=True))
+        reading = self._reading or self._start_reading()
+        data = await reading
+        self._reading = None
+        self._reader.feed(data)
+
+    def _start_reading(self) -> asyncio.Future[bytes]:
+        self._reading = asyncio.ensure_future(self._stream.read_bytes(_READ_BYTES, partial=True))
+        return self._reading
+
+    def _watch_while_busy(self) -> None:
+        """Read on while a statement runs, so that a caller that goes is noticed.
+
+        A driver that closes sends Terminate first. Were nothing read, those bytes would hide the
+        end of the connection behind them.
+        """
+        reading = self._reading or self._start_reading()
+        reading.add_done_callback(self._on_read_while_busy)
+
+    def _on_read_while_busy(self, reading: asyncio.Future[bytes]) -> None:
+        if reading.cancelled():
+            return
+        if reading.exception() is not None:
+            self._on_gone()
+        elif self.busy and reading is self._reading:
+            self._reading = None
+            self._reader.feed(reading.result())
+            if self._reader.ends:
+                self._on_gone()
+            elif self._reader.held < _READ_AHEAD_BYTES:
+                self._watch_while_busy()
 
     async def _startup_packet(self) -> wire.StartupPacket:
         while (packet := self._reader.startup_packet()) is None:
@@ -233,6 +263,8 @@
             if tag == codec.TERMINATE:
                 return
             self.busy = True
+            if tag in _RUNNING_TAGS:
+                self._watch_while_busy()
             try:
                 await self._dispatch(tag, body)
             except (ValueError, IndexError) as error:
@@ -389,6 +421,7 @@
             self._out.add(codec.make_empty_query_response())
 
 
+_RUNNING_TAGS = frozenset((codec.QUERY, codec.SYNC, codec.FLUSH))
 _EXTENDED_TAGS = frozenset(
     (codec.PARSE, codec.BIND, codec.DESCRIBE, codec.EXECUTE, codec.CLOSE),
 )
--- a/src/orchidwind/postgres/wire.py
+++ b/src/orchidwind/postgres/wire.py
@@ -72,6 +72,16 @@
         """Add bytes that arrived."""
         self._buffer += data
 
+    @property
+    def held(self) -> int:
+        """Bytes that are not cut into messages yet."""
+        return len(self._buffer)
+
+    @property
+    def ends(self) -> bool:
+        """Whether the next message is Terminate."""
+        return self._buffer[:1] == codec.TERMINATE
+
     def startup_packet(self) -> StartupPacket | None:
         """The next untagged message, None until it is complete."""
         if len(self._buffer) < _STARTUP_HEADER_BYTES:
