--- a/src/orchidwind/core/membership.py
+++ b/src/orchidwind/core/membership.py
@@ -140,7 +140,6 @@
     target: str
     sequence: int
     answer_due: float
-    period_end: float
     indirect: bool = False
 
 
@@ -283,7 +282,6 @@
             target.name,
             self._sequence,
             now + self.settings.answer_timeout,
-            now + self.settings.period,
         )
         self._send(target, self._probe(self._sequence, ""))
 
--- a/src/orchidwind/core/slot_leases.py
+++ b/src/orchidwind/core/slot_leases.py
@@ -73,11 +73,6 @@
             return 0
         return max(self.base_share - lent, _KEPT_FOR_ITSELF) + borrowed
 
-    def active(self, now: float) -> bool:
-        """Whether any lease is out or in."""
-        self._drop_expired(now)
-        return bool(self._lent or self._borrowed)
-
     def deadline(self) -> float:
         """When the next lease ends."""
         leases = [*self._lent.values(), *self._borrowed.values()]
