--- a/src/orchidwind/core/errors.py
+++ b/src/orchidwind/core/errors.py
@@ -39,6 +39,9 @@
     TOO_MANY_CALLERS = "too_many_callers"
     INVALID_SETTING = "invalid_setting"
     STATEMENT_FAILED = "statement_failed"
+    STATEMENT_TIMEOUT = "statement_timeout"
+    UNKNOWN_STATEMENT = "unknown_statement"
+    MESSAGE_TOO_LARGE = "message_too_large"
     INTERNAL = "internal"
 
 
@@ -73,6 +76,9 @@
     ErrorKind.TOO_MANY_CALLERS: Answer("53300", Ran.NO, 1000, "FATAL"),
     ErrorKind.INVALID_SETTING: Answer("22023", Ran.NO, None),
     ErrorKind.STATEMENT_FAILED: Answer("XX000", Ran.NO, None),
+    ErrorKind.STATEMENT_TIMEOUT: Answer("57014", Ran.UNKNOWN, None),
+    ErrorKind.UNKNOWN_STATEMENT: Answer("26000", Ran.NO, None),
+    ErrorKind.MESSAGE_TOO_LARGE: Answer("54000", Ran.NO, None, "FATAL"),
     ErrorKind.INTERNAL: Answer("XX000", Ran.UNKNOWN, None),
 }
 
@@ -99,6 +105,10 @@
     """The platform holds another version of the object than the one named."""
 
 
+class PlatformUncertain(PlatformError):
+    """No answer came to a call that changes something: it may have been done, or may be yet."""
+
+
 class PlatformVersionGone(PlatformError):
     """A watch asked for a version that the platform no longer holds."""
 
@@ -167,3 +177,7 @@
     def __init__(self, message: str, *, sent: bool) -> None:
         super().__init__(message)
         self.sent = sent
+
+
+class ProofMissing(OrchidwindError):
+    """It could not be shown that an instance is still the primary of its group."""
--- /dev/null
+++ b/src/orchidwind/core/managed/configuration.py
@@ -0,0 +1,69 @@
+"""The configuration of managed groups: databases as callers name them, and their groups."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum, unique
+
+DEFAULT_TRANSACTION_IDLE_SECONDS = 30.0
+
+
+@unique
+class ReadConsistency(Enum):
+    """Which commits a read must see.
+
+    LATEST: all acknowledged ones. BOUNDED: all older than the bound. SESSION: as BOUNDED, and all
+    of the session's own.
+    """
+
+    LATEST = "latest"
+    BOUNDED = "bounded"
+    SESSION = "session"
+
+
+@dataclass(frozen=True, slots=True)
+class ManagedDatabase:
+    """A database as callers name it. Times are in seconds; `priority` 0 is the highest."""
+
+    name: str
+    group: str
+    consistency: ReadConsistency
+    staleness: float
+    statement_timeout: float
+    target_latency: float
+    priority: int
+
+
+@dataclass(frozen=True, slots=True)
+class ManagedGroupSettings:
+    """A group: its connection limit over all callers, and how many replicas confirm a commit."""
+
+    name: str
+    maximum_connections: int
+    synchronous_replicas: int
+
+
+@dataclass(frozen=True, slots=True)
+class ManagedConfiguration:
+    """All databases and groups of one version. Versions only rise."""
+
+    version: int
+    databases: Mapping[str, ManagedDatabase] = field(default_factory=dict)
+    groups: Mapping[str, ManagedGroupSettings] = field(default_factory=dict)
+    transaction_idle: float = DEFAULT_TRANSACTION_IDLE_SECONDS
+
+
+@dataclass(frozen=True, slots=True)
+class DirectoryEntry:
+    """One instance as the directory lists it. `revision` is that of the entry's last change."""
+
+    instance: str
+    group: str
+    host: str
+    port: int
+    zone: str
+    claims_primary: bool
+    draining: bool
+    slots: int
+    revision: int
--- /dev/null
+++ b/src/orchidwind/core/managed/failover.py
@@ -0,0 +1,331 @@
+"""The change of a managed group's primary, as a generator without I/O.
+
+Why the order of steps is safe, with `s` replicas that must receive a commit before the primary
+acknowledges it, and `r` instances besides the primary that may have received commits:
+
+1. Only the holder of the promotion lock goes on, under a token that rises with each holder.
+2. A primary that answers is demoted first: it then takes no more commits, and its log is complete.
+3. The replicas are fenced with a term above every known one: they receive nothing more from the
+   old primary, so it can acknowledge nothing more once r - s + 1 of them are fenced.
+4. Those r - s + 1 and any `s` replicas that received an acknowledged commit share a replica; so the
+   most advanced of the fenced logs has every acknowledged commit. So has any log at least as long
+   as that of a demoted primary.
+5. A restart drops a fence: all fences are asked for again right before the promotion.
+6. The promotion is sent while the lock is surely held, and settled by asking the instance.
+7. Then the old primary is demoted by whoever reaches it, and the other replicas are freed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Generator, Mapping
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from orchidwind.core.errors import OrchidwindError
+from orchidwind.core.managed.commands import InstanceRole, InstanceStatus
+
+RETRY_SECONDS = 0.05
+LEAD_WAIT_SECONDS = 0.03
+_LEAD_POLLS = 40
+_SELECT_ATTEMPTS = 30
+
+
+@unique
+class FailoverReason(Enum):
+    """Why a change of primary is looked into."""
+
+    UNREACHABLE = "unreachable"
+    LEAVING = "leaving"
+    NOT_CONFIRMING = "not_confirming"
+
+
+@unique
+class FailoverOutcome(Enum):
+    """How a change of primary ended."""
+
+    DONE = "done"
+    NOT_NEEDED = "not_needed"
+    LOCK_HELD = "lock_held"
+    LOCK_LOST = "lock_lost"
+    NOT_SAFE = "not_safe"
+
+
+@dataclass(frozen=True, slots=True)
+class FailoverPlan:
+    """What the proxy believes when it begins.
+
+    `members` are all instances that may have confirmed commits; `leaving` those of them that must
+    not lead; `old_primary` is empty where none is known.
+    """
+
+    group: str
+    reason: FailoverReason
+    members: tuple[str, ...]
+    leaving: frozenset[str]
+    old_primary: str
+    synchronous_replicas: int
+
+
+@dataclass(frozen=True, slots=True)
+class FailoverResult:
+    """The outcome; `primary` and `term` where it is DONE."""
+
+    outcome: FailoverOutcome
+    primary: str = ""
+    term: int = 0
+
+
+class LockLost(OrchidwindError):
+    """The promotion lock's time has passed."""
+
+
+@unique
+class PromotionAnswer(Enum):
+    """What came back from the promotion call."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class TakeLock:
+    """Take the promotion lock; the result is a bool."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseLock:
+    """Give the lock back."""
+
+
+@dataclass(frozen=True, slots=True)
+class AskAll:
+    """Ask instances for their status; the result is a map of those that answered."""
+
+    instances: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FenceAll:
+    """Keep instances from receiving of primaries below `term`; the result as for AskAll."""
+
+    instances: tuple[str, ...]
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class UnfenceAll:
+    """Let instances receive again; the result as for AskAll."""
+
+    instances: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Demote:
+    """Turn a primary of a lower term into a replica; the result as for AskAll."""
+
+    instance: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class Promote:
+    """Send the promotion, if the lock is surely held (else LockLost is thrown in)."""
+
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Wait for some seconds; LockLost is thrown in where the lock's time has passed."""
+
+    seconds: float
+
+
+FailoverStep = TakeLock | ReleaseLock | AskAll | FenceAll | UnfenceAll | Demote | Promote | Wait
+Statuses = Mapping[str, InstanceStatus]
+FailoverStepResult = Statuses | PromotionAnswer | bool | None
+FailoverFlow = Generator[FailoverStep, FailoverStepResult, FailoverResult]
+_Part = Generator[FailoverStep, FailoverStepResult, Statuses]
+
+
+def leader_of(statuses: Statuses) -> InstanceStatus | None:
+    """The primary of the newest term among those that answered, if no other knows a later one."""
+    primaries = [item for item in statuses.values() if item.role is InstanceRole.PRIMARY]
+    best = max(primaries, key=lambda item: item.term, default=None)
+    if best is None or any(item.term > best.term for item in statuses.values()):
+        return None
+    return best
+
+
+def change_primary(plan: FailoverPlan) -> FailoverFlow:
+    """Replace the primary of a group, if that is still needed."""
+    statuses = yield from _ask(plan.members)
+    if _stands(plan, statuses) and not _fenced_ones(statuses):
+        return FailoverResult(FailoverOutcome.NOT_NEEDED)
+    taken = yield TakeLock()
+    if not taken:
+        return FailoverResult(FailoverOutcome.LOCK_HELD)
+    try:
+        result = yield from _change_under_lock(plan)
+    except LockLost:
+        # Another proxy may be at work by now: fences are left to it.
+        return FailoverResult(FailoverOutcome.LOCK_LOST)
+    yield ReleaseLock()
+    return result
+
+
+def _ask(instances: tuple[str, ...]) -> _Part:
+    statuses = yield AskAll(instances)
+    assert isinstance(statuses, Mapping)
+    return statuses
+
+
+def _stands(plan: FailoverPlan, statuses: Statuses) -> bool:
+    """Whether a primary is there that need not be replaced."""
+    leader = leader_of(statuses)
+    if leader is None or leader.instance in plan.leaving:
+        return False
+    same = leader.instance == plan.old_primary
+    return not (same and plan.reason is FailoverReason.NOT_CONFIRMING)
+
+
+def _fenced_ones(statuses: Statuses) -> tuple[str, ...]:
+    """Replicas that hold a fence above the term they follow."""
+    return tuple(
+        name
+        for name, item in statuses.items()
+        if item.role is InstanceRole.REPLICA and item.fence_term > item.term
+    )
+
+
+def _change_under_lock(plan: FailoverPlan) -> FailoverFlow:
+    statuses = yield from _ask(plan.members)
+    if _stands(plan, statuses):
+        return (yield from _stand_down(statuses))
+    newest = max((item.newest_term for item in statuses.values()), default=0)
+    fence_term = newest + 1
+    demoted = yield from _demote_leader(plan, statuses, fence_term)
+    for attempt in range(_SELECT_ATTEMPTS):
+        if attempt:
+            yield Wait(RETRY_SECONDS)
+        fenced = yield from _fence(plan, demoted, fence_term)
+        returned = fenced.get(plan.old_primary)
+        if returned is not None and demoted is None and returned.role is InstanceRole.PRIMARY:
+            statuses = yield from _ask(plan.members)
+            if _stands(plan, statuses):
+                return (yield from _stand_down(statuses))
+            demoted = yield from _demote_leader(plan, statuses, fence_term)
+            continue
+        candidate = choose_candidate(plan, fenced, demoted, fence_term)
+        if candidate is None:
+            continue
+        led = yield from _promote(plan, candidate, fenced, demoted, fence_term)
+        if led is not None:
+            yield from _settle(plan, led)
+            return FailoverResult(FailoverOutcome.DONE, led.instance, led.term)
+    statuses = yield from _ask(plan.members)
+    yield UnfenceAll(_fenced_ones(statuses))
+    return FailoverResult(FailoverOutcome.NOT_SAFE)
+
+
+def _stand_down(statuses: Statuses) -> FailoverFlow:
+    """The primary is there after all: free what an interrupted change left fenced."""
+    fenced = _fenced_ones(statuses)
+    if fenced:
+        yield UnfenceAll(fenced)
+    return FailoverResult(FailoverOutcome.NOT_NEEDED)
+
+
+def _demote_leader(
+    plan: FailoverPlan, statuses: Statuses, term: int
+) -> Generator[FailoverStep, FailoverStepResult, InstanceStatus | None]:
+    """Demote a primary that answers; its status afterwards, None where there was none."""
+    leader = leader_of(statuses)
+    if leader is None:
+        return None
+    answers = yield Demote(leader.instance, term)
+    assert isinstance(answers, Mapping)
+    status = answers.get(leader.instance)
+    if status is None or status.role is InstanceRole.PRIMARY:
+        return None
+    return status
+
+
+def _fence(plan: FailoverPlan, demoted: InstanceStatus | None, term: int) -> _Part:
+    """Fence all that may confirm; the old primary is asked too, as it may have come back."""
+    others = tuple(name for name in plan.members if demoted is None or name != demoted.instance)
+    statuses = yield FenceAll(others, term)
+    assert isinstance(statuses, Mapping)
+    return statuses
+
+
+def choose_candidate(
+    plan: FailoverPlan, fenced: Statuses, demoted: InstanceStatus | None, fence_term: int
+) -> InstanceStatus | None:
+    """The instance whose log surely has every acknowledged commit, None where none is known.
+
+    Of several, one that stays is taken.
+    """
+    replicas = [
+        item
+        for item in fenced.values()
+        if item.role is InstanceRole.REPLICA and item.fence_term >= fence_term
+    ]
+    old = demoted.instance if demoted is not None else plan.old_primary
+    if old:
+        replicas = [item for item in replicas if item.instance != old] or replicas
+    if not replicas:
+        return None
+    longest = max(item.received for item in replicas)
+    if demoted is not None and longest >= demoted.received:
+        return _best(plan, [item for item in replicas if item.received >= demoted.received])
+    confirming = {name for name in plan.members if name != old}
+    needed = len(confirming) - max(plan.synchronous_replicas, 1) + 1
+    counted = sum(1 for item in replicas if item.instance in confirming)
+    if counted < needed or counted == 0:
+        return None
+    return _best(plan, [item for item in replicas if item.received == longest])
+
+
+def _best(plan: FailoverPlan, able: list[InstanceStatus]) -> InstanceStatus | None:
+    staying = [item for item in able if item.instance not in plan.leaving]
+    chosen = staying or able
+    return max(chosen, key=lambda item: (item.received, item.instance), default=None)
+
+
+def _promote(
+    plan: FailoverPlan,
+    candidate: InstanceStatus,
+    fenced: Statuses,
+    demoted: InstanceStatus | None,
+    fence_term: int,
+) -> Generator[FailoverStep, FailoverStepResult, InstanceStatus | None]:
+    """Check the fences once more, promote, and wait until the instance leads."""
+    again = yield from _ask(tuple(fenced))
+    still = choose_candidate(plan, again, demoted, fence_term)
+    if still is None or again[candidate.instance].received < still.received:
+        return None
+    answer = yield Promote(candidate.instance)
+    if answer is PromotionAnswer.REFUSED:
+        return None
+    for _ in range(_LEAD_POLLS):
+        yield Wait(LEAD_WAIT_SECONDS)
+        statuses = yield from _ask((candidate.instance,))
+        status = statuses.get(candidate.instance)
+        if status is not None and status.role is InstanceRole.PRIMARY:
+            return status
+    return None
+
+
+def _settle(
+    plan: FailoverPlan, led: InstanceStatus
+) -> Generator[FailoverStep, FailoverStepResult, None]:
+    """Demote a replaced primary that can be reached, and free the other replicas."""
+    others = tuple(name for name in plan.members if name != led.instance)
+    statuses = yield AskAll(others)
+    assert isinstance(statuses, Mapping)
+    for name, item in statuses.items():
+        if item.role is InstanceRole.PRIMARY and item.term < led.term:
+            yield Demote(name, led.term)
+    yield UnfenceAll(tuple(statuses))
--- /dev/null
+++ b/src/orchidwind/core/managed/promotion_lock.py
@@ -0,0 +1,72 @@
+"""The lock that makes one proxy at a time the one that promotes. No I/O.
+
+The lock is one object in the store, changed by compare-and-put only. Its revision in the store is
+the fencing token: it rises with every change, so also with every holder. A holder uses the lock
+for a fixed time after it *sent* the call that took it. Others take it over only after they have
+seen it unchanged for longer than that, by their own steady clocks; the difference covers a
+promotion call that is still under way.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, unique
+
+HOLD_SECONDS = 2.5
+TAKE_OVER_SECONDS = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class LockRecord:
+    """The lock as the store holds it. `attempt` tells the calls of one holder apart."""
+
+    holder: str
+    attempt: str
+    released: bool
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class HeldLock:
+    """The lock in this proxy's hands, until `valid_until` of its steady clock."""
+
+    token: int
+    valid_until: float
+
+
+@unique
+class LockDecision(Enum):
+    """What a proxy that wants the lock does."""
+
+    CREATE = "create"
+    REPLACE = "replace"
+    WAIT = "wait"
+
+
+class LockObserver:
+    """Decides whether the lock may be taken, from what the store showed so far."""
+
+    def __init__(self, node: str) -> None:
+        self._node = node
+        self._seen_revision = -1
+        self._seen_at = 0.0
+
+    def decide(self, now: float, record: LockRecord | None) -> LockDecision:
+        """What to do about a record that was just read."""
+        if record is None:
+            return LockDecision.CREATE
+        if record.released or record.holder == self._node:
+            return LockDecision.REPLACE
+        if record.revision != self._seen_revision:
+            self._seen_revision = record.revision
+            self._seen_at = now
+        if now - self._seen_at >= TAKE_OVER_SECONDS:
+            return LockDecision.REPLACE
+        return LockDecision.WAIT
+
+
+def held_lock(sent_at: float, record: LockRecord, attempt: str) -> HeldLock | None:
+    """The lock, if the record shows this attempt's own call; it counts from the call's sending."""
+    if record.attempt != attempt or record.released:
+        return None
+    return HeldLock(record.revision, sent_at + HOLD_SECONDS)
--- /dev/null
+++ b/src/orchidwind/core/managed/steps.py
@@ -0,0 +1,63 @@
+"""The steps that a flow on a managed group asks its driver for."""
+
+from __future__ import annotations
+
+from collections.abc import Generator
+from dataclasses import dataclass
+
+from orchidwind.core.managed.commands import CommandResult, InstanceMessage, Reply
+from orchidwind.core.managed.topology import PrimaryView, ReadPlan
+from orchidwind.core.positions import Position
+
+
+@dataclass(frozen=True, slots=True)
+class NeedPrimary:
+    """Wait for a primary; the result is a PrimaryView."""
+
+
+@dataclass(frozen=True, slots=True)
+class NeedReadPlan:
+    """Wait for an instance that may serve a read; the result is a ReadPlan."""
+
+    session_floor: Position | None
+    excluded: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class NeedConnection:
+    """Wait for a server connection; the result is its number."""
+
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """Send messages in one write; the result is a tuple of Reply.
+
+    `proof_of_term` asks, at the same time, for the proof that no primary after that term has
+    begun; without it the step ends by ProofMissing after the replies came.
+    """
+
+    connection: int
+    messages: tuple[InstanceMessage, ...]
+    proof_of_term: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Give a connection back; done at once."""
+
+    connection: int
+    reusable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """Wait for some seconds, within the request's deadline."""
+
+    seconds: float
+
+
+Step = NeedPrimary | NeedReadPlan | NeedConnection | Exchange | Release | Pause
+StepResult = PrimaryView | ReadPlan | tuple[Reply, ...] | int | None
+Flow = Generator[Step, StepResult, CommandResult]
--- /dev/null
+++ b/src/orchidwind/core/managed/supervision.py
@@ -0,0 +1,149 @@
+"""Decides which instances to ask for their status, and when to change a primary. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from orchidwind.core.managed.failover import (
+    FailoverOutcome,
+    FailoverPlan,
+    FailoverReason,
+)
+from orchidwind.core.managed.topology import GroupTopology
+
+ASK_AGAIN_SECONDS = 0.2
+NO_PRIMARY_SECONDS = 0.15
+NOT_CONFIRMING_SECONDS = 0.6
+GONE_SECONDS = 1.0
+JITTER_SECONDS = 0.1
+IDLE_LOOK_SECONDS = 0.5
+BUSY_LOOK_SECONDS = 0.05
+
+_PAUSE_AFTER: dict[FailoverOutcome, float] = {
+    FailoverOutcome.DONE: 0.2,
+    FailoverOutcome.NOT_NEEDED: 0.3,
+    FailoverOutcome.LOCK_HELD: 0.2,
+    FailoverOutcome.LOCK_LOST: 0.3,
+    FailoverOutcome.NOT_SAFE: 0.3,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Look:
+    """What to do now, and after how many seconds to look again at the latest."""
+
+    ask: tuple[str, ...]
+    plan: FailoverPlan | None
+    again_after: float
+
+
+class GroupSupervisor:
+    """Watches over one group. Times are in seconds of the steady clock."""
+
+    def __init__(self, topology: GroupTopology) -> None:
+        self._topology = topology
+        self._asked_at: dict[str, float] = {}
+        self._leader = ""
+        self._no_primary_since: float | None = None
+        self._paused_until = 0.0
+        self._start_at: float | None = None
+
+    def look(
+        self, now: float, silent: list[str], oldest_write: float, random_fraction: float
+    ) -> Look:
+        """Decide. `oldest_write` is how long a write has waited for the primary's answer."""
+        ask = self._to_ask(now, silent)
+        reason = self._reason(now, oldest_write)
+        plan = None
+        if reason is None:
+            self._start_at = None
+        elif now >= self._paused_until:
+            plan = self._plan_when_due(now, reason, random_fraction)
+        restless = bool(silent) or reason is not None or self._no_primary_since is not None
+        again = BUSY_LOOK_SECONDS if restless or self._topology.unclear() else IDLE_LOOK_SECONDS
+        return Look(tuple(ask), plan, again)
+
+    def ended(self, now: float, outcome: FailoverOutcome) -> None:
+        """A change of primary that this proxy tried has ended."""
+        self._paused_until = now + _PAUSE_AFTER[outcome]
+        self._start_at = None
+
+    def _to_ask(self, now: float, silent: list[str]) -> list[str]:
+        views = self._topology.instances
+        wanted = set(self._topology.unclear()) | set(silent)
+        wanted |= {name for name, view in views.items() if view.unreachable_since is not None}
+        due = []
+        for name in sorted(wanted):
+            if now - self._asked_at.get(name, -ASK_AGAIN_SECONDS) >= ASK_AGAIN_SECONDS:
+                self._asked_at[name] = now
+                due.append(name)
+        return due
+
+    def _reason(self, now: float, oldest_write: float) -> FailoverReason | None:
+        primary = self._topology.primary(now)
+        if primary is not None:
+            self._leader = primary.instance
+            self._no_primary_since = None
+            if oldest_write > NOT_CONFIRMING_SECONDS:
+                return FailoverReason.NOT_CONFIRMING
+            return FailoverReason.LEAVING if self._leaves(self._leader, now) else None
+        leader = self._known_leader()
+        if leader and self._leaves(leader, now):
+            return FailoverReason.LEAVING
+        if self._no_primary_since is None:
+            self._no_primary_since = now
+        waited = now - self._no_primary_since
+        if waited < NO_PRIMARY_SECONDS or not self._some_replica_answers(leader):
+            return None
+        return FailoverReason.UNREACHABLE
+
+    def _known_leader(self) -> str:
+        """The last known primary; before one was known, the only instance that claims to be it."""
+        if self._leader in self._topology.instances:
+            return self._leader
+        claiming = [
+            name
+            for name, view in self._topology.instances.items()
+            if view.entry.claims_primary and view.listed
+        ]
+        return claiming[0] if len(claiming) == 1 else ""
+
+    def _leaves(self, instance: str, now: float) -> bool:
+        """Whether an instance announced its end, or left the directory alone of its group."""
+        view = self._topology.instances.get(instance)
+        if view is None:
+            return False
+        others = [item for name, item in self._topology.instances.items() if name != instance]
+        if not any(item.listed and not item.entry.draining for item in others):
+            return False
+        if view.entry.draining:
+            return True
+        return not view.listed and now - view.gone_at > GONE_SECONDS
+
+    def _some_replica_answers(self, leader: str) -> bool:
+        """An own cut from everything looks like the loss of the primary, but no replica answers."""
+        return any(
+            name != leader and view.status is not None and view.unreachable_since is None
+            for name, view in self._topology.instances.items()
+        )
+
+    def _plan_when_due(
+        self, now: float, reason: FailoverReason, random_fraction: float
+    ) -> FailoverPlan | None:
+        if self._start_at is None:
+            self._start_at = now + random_fraction * JITTER_SECONDS
+        if now < self._start_at:
+            return None
+        self._start_at = None
+        views = self._topology.instances
+        leaving = frozenset(
+            name for name, view in views.items() if view.entry.draining or not view.listed
+        )
+        return FailoverPlan(
+            group=self._topology.settings.name,
+            reason=reason,
+            members=tuple(sorted(self._topology.may_confirm())),
+            leaving=leaving,
+            old_primary=self._known_leader(),
+            synchronous_replicas=self._topology.settings.synchronous_replicas,
+        )
--- /dev/null
+++ b/src/orchidwind/core/managed/topology.py
@@ -0,0 +1,301 @@
+"""What a proxy knows of one managed group: instances, primary, floors. No I/O, no clock.
+
+A *floor* is a position that a read must see. A floor is *proven* for a time when the primary told
+it at or after that time, and it is known that no later primary had begun by then: either a write
+was acknowledged, which needs a replica that still follows that primary, or a replica was asked
+afterwards and knew of no later term. A change of primary fences every replica that may confirm
+commits before it begins (`failover`), so one replica without a later fence is proof enough.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from orchidwind.core.managed.commands import InstanceRole, InstanceStatus
+from orchidwind.core.managed.configuration import (
+    DirectoryEntry,
+    ManagedDatabase,
+    ManagedGroupSettings,
+    ReadConsistency,
+)
+from orchidwind.core.positions import Position
+
+_SAMPLE_SPACING_SECONDS = 0.1
+_SAMPLES_KEPT = 64
+GONE_USABLE_SECONDS = 2.0
+MAY_CONFIRM_SECONDS = 20.0
+_BEHIND_PAUSE_SECONDS = 0.15
+_BUSY_PAUSE_SECONDS = 0.02
+_UNREACHABLE_PAUSE_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class PrimaryView:
+    """The instance believed to be primary, and its term (0 while that is not known)."""
+
+    instance: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadPlan:
+    """Run a read on `instance`, at `floor` where given.
+
+    `needs_proof` asks for the proof that this is still the primary, as of the read's arrival.
+    """
+
+    instance: str
+    floor: Position | None
+    needs_proof: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Sample:
+    at: float
+    position: Position
+
+
+@dataclass(slots=True)
+class InstanceView:
+    """One instance: its entry, and what was heard from it."""
+
+    entry: DirectoryEntry
+    listed: bool = True
+    gone_at: float = 0.0
+    status: InstanceStatus | None = None
+    avoid_until: float = 0.0
+    unreachable_since: float | None = None
+    in_use: int = 0
+
+    def usable(self, now: float) -> bool:
+        """Whether new work may go there."""
+        if self.entry.draining:
+            return False
+        return self.listed or now - self.gone_at <= GONE_USABLE_SECONDS
+
+
+class GroupTopology:
+    """The instances of one group as this proxy sees them."""
+
+    def __init__(self, settings: ManagedGroupSettings, zone: str) -> None:
+        self.settings = settings
+        self.instances: dict[str, InstanceView] = {}
+        self._zone = zone
+        self._samples: deque[_Sample] = deque(maxlen=_SAMPLES_KEPT)
+
+    # --- directory ----------------------------------------------------------------------------
+
+    def entry_changed(self, entry: DirectoryEntry) -> bool:
+        """An instance is listed; returns whether its claim to be primary has changed."""
+        view = self.instances.get(entry.instance)
+        if view is None:
+            self.instances[entry.instance] = InstanceView(entry)
+            return True
+        changed = view.entry.claims_primary != entry.claims_primary or not view.listed
+        view.entry = entry
+        view.listed = True
+        return changed
+
+    def entry_gone(self, instance: str, now: float) -> None:
+        """An instance is no longer listed; it may still run for a while."""
+        view = self.instances.get(instance)
+        if view is not None and view.listed:
+            view.listed = False
+            view.gone_at = now
+
+    def forget_old(self, now: float) -> list[str]:
+        """Drop instances that left long ago; returns their names."""
+        old = [
+            name
+            for name, view in self.instances.items()
+            if not view.listed and now - view.gone_at > MAY_CONFIRM_SECONDS
+        ]
+        for name in old:
+            del self.instances[name]
+        return old
+
+    # --- what instances tell ------------------------------------------------------------------
+
+    def take_status(self, status: InstanceStatus) -> None:
+        """An instance told its status."""
+        view = self.instances.get(status.instance)
+        if view is None:
+            return
+        if view.status is None or view.status.asked_at <= status.asked_at:
+            view.status = status
+        view.unreachable_since = None
+
+    def answered(self, instance: str) -> None:
+        """An instance answered anything."""
+        view = self.instances.get(instance)
+        if view is not None:
+            view.unreachable_since = None
+
+    def unreachable(self, instance: str, now: float) -> None:
+        """An instance did not answer or its connection broke."""
+        view = self.instances.get(instance)
+        if view is not None:
+            if view.unreachable_since is None:
+                view.unreachable_since = now
+            view.avoid_until = max(view.avoid_until, now + _UNREACHABLE_PAUSE_SECONDS)
+
+    def behind(self, instance: str, now: float) -> None:
+        """A replica lacked a floor: let it catch up."""
+        self._avoid(instance, now + _BEHIND_PAUSE_SECONDS)
+
+    def busy(self, instance: str, now: float) -> None:
+        """An instance refused work beyond its queue."""
+        self._avoid(instance, now + _BUSY_PAUSE_SECONDS)
+
+    def _avoid(self, instance: str, until: float) -> None:
+        view = self.instances.get(instance)
+        if view is not None:
+            view.avoid_until = max(view.avoid_until, until)
+
+    def not_primary(self, instance: str, now: float) -> None:
+        """An instance refused a write: it leads no longer."""
+        view = self.instances.get(instance)
+        if view is None:
+            return
+        known = view.status
+        if known is not None:
+            view.status = InstanceStatus(
+                instance,
+                InstanceRole.REPLICA,
+                known.term,
+                known.received,
+                known.fence_term,
+                known.replay_delay_ms,
+                now,
+            )
+
+    # --- primary ------------------------------------------------------------------------------
+
+    @property
+    def newest_term(self) -> int:
+        """The highest term heard of in the group."""
+        terms = (view.status.newest_term for view in self.instances.values() if view.status)
+        return max(terms, default=0)
+
+    def primary_term(self, instance: str) -> int:
+        """The term in which an instance leads, 0 where it is not known to lead."""
+        view = self.instances.get(instance)
+        if view is None or view.status is None:
+            return 0
+        return view.status.term if view.status.role is InstanceRole.PRIMARY else 0
+
+    def primary(self, now: float) -> PrimaryView | None:
+        """The usable and reachable instance that leads in the newest term.
+
+        Only an instance's own word makes it primary: the directory lags, and a primary that is cut
+        off goes on claiming its lead there.
+        """
+        best: PrimaryView | None = None
+        for name, view in self.instances.items():
+            term = self.primary_term(name)
+            reachable = view.unreachable_since is None
+            if term and reachable and view.usable(now) and (best is None or term > best.term):
+                best = PrimaryView(name, term)
+        if best is None or best.term < self._newest_led_term():
+            return None
+        return best
+
+    def _newest_led_term(self) -> int:
+        """The highest term that some instance is known to be in; a fence alone is no new term."""
+        terms = (view.status.term for view in self.instances.values() if view.status)
+        return max(terms, default=0)
+
+    def unclear(self) -> list[str]:
+        """Instances to ask for their status: those whose listed role is not what they told."""
+        result = []
+        for name, view in self.instances.items():
+            leads = self.primary_term(name) > 0
+            if view.listed and (view.status is None or leads != view.entry.claims_primary):
+                result.append(name)
+        return result
+
+    def replicas(self, now: float) -> list[str]:
+        """Usable instances other than the primary, the nearest and least used first."""
+        primary = self.primary(now)
+        led = primary.instance if primary else ""
+        names = [name for name, view in self.instances.items() if name != led and view.usable(now)]
+        return sorted(names, key=lambda name: self._preference(name, now))
+
+    def _preference(self, name: str, now: float) -> tuple[bool, bool, bool, int]:
+        view = self.instances[name]
+        return (
+            view.unreachable_since is not None,
+            view.avoid_until > now,
+            view.entry.zone != self._zone,
+            view.in_use,
+        )
+
+    def may_confirm(self) -> list[str]:
+        """Instances that may have confirmed commits of the present primary.
+
+        One that left counts for a while: it serves on after its entry has gone, and its entry also
+        goes while it is only cut off from the directory.
+        """
+        return list(self.instances)
+
+    # --- floors -------------------------------------------------------------------------------
+
+    def prove(self, at: float, position: Position | None) -> None:
+        """A position told by the primary for a request sent `at` is proven."""
+        if position is None:
+            return
+        if self._samples and at < self._samples[-1].at + _SAMPLE_SPACING_SECONDS:
+            return
+        self._samples.append(_Sample(at, position))
+
+    def proven_floor(self, since: float) -> Position | None:
+        """The least proven position that holds every commit acknowledged before `since`."""
+        for sample in self._samples:
+            if sample.at >= since:
+                return sample.position
+        return None
+
+    def plan_read(
+        self,
+        database: ManagedDatabase,
+        session_floor: Position | None,
+        arrived_at: float,
+        now: float,
+        excluded: Iterable[str],
+    ) -> ReadPlan | None:
+        """Where a read runs next, None while no instance may serve it."""
+        primary = self.primary(now)
+        refused = set(excluded)
+        if database.consistency is not ReadConsistency.LATEST:
+            floor = self.proven_floor(arrived_at - database.staleness)
+            if floor is not None:
+                if database.consistency is ReadConsistency.SESSION and session_floor is not None:
+                    floor = max(floor, session_floor)
+                replica = self._replica_for_read(refused, now, primary)
+                if replica is not None:
+                    return ReadPlan(replica, floor, needs_proof=False)
+        if primary is None:
+            return None
+        return ReadPlan(primary.instance, None, needs_proof=True)
+
+    def _replica_for_read(
+        self, refused: set[str], now: float, primary: PrimaryView | None
+    ) -> str | None:
+        for name in self.replicas(now):
+            view = self.instances[name]
+            if name in refused or view.unreachable_since is not None:
+                continue
+            if view.avoid_until > now and primary is not None:
+                continue
+            return name
+        return None
+
+
+def knows_no_later_term(status: InstanceStatus, term: int) -> bool:
+    """Whether an instance's status proves that no primary after `term` has begun.
+
+    The proof holds for a replica only: a replaced primary does not know that it was replaced.
+    """
+    return status.role is InstanceRole.REPLICA and status.newest_term <= term
--- a/src/orchidwind/core/pool.py
+++ b/src/orchidwind/core/pool.py
@@ -47,7 +47,11 @@
 class InstancePool:
     """Connections, and the requests that wait for them."""
 
-    def __init__(self, instance: str, share: int, numbers: Iterator[int]) -> None:
+    def __init__(
+        self, instance: str, share: int, numbers: Iterator[int], eager: bool = True
+    ) -> None:
+        """Without `eager`, connections are opened only for requests that wait."""
+        self._eager = eager
         self.instance = instance
         self.share = share
         self.queue = AdmissionQueue()
@@ -146,12 +150,25 @@
     def deadline(self) -> float | None:
         """When `tick` has something to do."""
         times = [self.queue.deadline()]
-        if self.size < self.usable:
+        if self._wants_another():
             times.append(self._reopen_at)
         if self._limit < self.share:
             times.append(self._grow_at)
         return min((time for time in times if time is not None), default=None)
 
+    def borrow_idle(self, now: float) -> int | None:
+        """Take an idle connection for the proxy's own use, None where there is none."""
+        if not self.idle:
+            return None
+        connection = self.idle.pop()
+        self.busy[connection] = now
+        return connection
+
+    def _wants_another(self) -> bool:
+        if self.size >= self.usable:
+            return False
+        return self._eager or len(self.opening) < len(self.queue)
+
     def _settle(self, now: float) -> list[PoolEffect]:
         effects: list[PoolEffect] = []
         while self.idle and self.size > self.usable:
@@ -161,7 +178,7 @@
             self.busy[connection] = now
             effects.append(Grant(ticket, connection))
         if now >= self._reopen_at:
-            while self.size < self.usable:
+            while self._wants_another():
                 connection = next(self._numbers)
                 self.opening.add(connection)
                 effects.append(OpenConnection(self.instance, connection))
--- a/src/orchidwind/logs.py
+++ b/src/orchidwind/logs.py
@@ -1,4 +1,4 @@
-"""Structured logs: one line of key=value pairs for each event, on standard error."""
+"""Structured logs: one line of key=value pairs for each event, on standard output."""
 
 from __future__ import annotations
 
@@ -28,8 +28,8 @@
 
 
 def configure_logging(level: str, node: str) -> None:
-    """Send the project's events to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
+    """Send the project's events to standard output."""
+    handler = logging.StreamHandler(sys.stdout)
     formatter = KeyValueFormatter(
         ["levelname", "message"],
         rename_fields={"levelname": "level", "message": "event"},
--- /dev/null
+++ b/src/orchidwind/managed/__init__.py
@@ -0,0 +1,1 @@
+"""Runs the decisions of `core.managed`: connections, timers and watches, behind ports."""
--- /dev/null
+++ b/src/orchidwind/managed/failover_runner.py
@@ -0,0 +1,211 @@
+"""Carries out the steps of a change of primary: the lock in the store, calls to the instances."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from orchidwind.core.errors import (
+    PlatformConflict,
+    PlatformError,
+    PlatformUncertain,
+)
+from orchidwind.core.managed.commands import InstanceStatus
+from orchidwind.core.managed.failover import (
+    AskAll,
+    Demote,
+    FailoverFlow,
+    FailoverPlan,
+    FailoverResult,
+    FailoverStep,
+    FailoverStepResult,
+    FenceAll,
+    LockLost,
+    Promote,
+    ReleaseLock,
+    Statuses,
+    TakeLock,
+    UnfenceAll,
+    Wait,
+    change_primary,
+)
+from orchidwind.core.managed.promotion_lock import (
+    HeldLock,
+    LockDecision,
+    LockObserver,
+    LockRecord,
+    held_lock,
+)
+from orchidwind.logs import log_event
+from orchidwind.managed.group_service import GroupService
+from orchidwind.managed.ports import InstanceLink, PromotionLockStore, PromotionService
+
+_CALL_MARGIN_SECONDS = 0.2
+_LOCK_READ_BACKS = 6
+_LOCK_READ_BACK_SECONDS = 0.15
+
+
+class PromotionLockClient:
+    """Takes and gives back the promotion lock; one change of primary at a time uses it."""
+
+    def __init__(self, node: str, store: PromotionLockStore) -> None:
+        self._node = node
+        self._store = store
+        self._observer = LockObserver(node)
+        self._loop = asyncio.get_running_loop()
+        self.in_use = asyncio.Lock()
+
+    async def take(self) -> HeldLock | None:
+        """The lock, None where another holds it or the store does not answer."""
+        try:
+            record = await self._store.read()
+            decision = self._observer.decide(self._loop.time(), record)
+            if decision is LockDecision.WAIT:
+                return None
+            return await self._write(record)
+        except PlatformError as error:
+            log_event("promotion_lock_unavailable", reason=str(error))
+            return None
+
+    async def _write(self, record: LockRecord | None) -> HeldLock | None:
+        attempt = secrets.token_hex(8)
+        revision = record.revision if record is not None else 0
+        wanted = LockRecord(self._node, attempt, released=False, revision=revision)
+        sent_at = self._loop.time()
+        try:
+            written = await self._store.write(wanted, create=record is None)
+        except PlatformConflict:
+            return None
+        except PlatformUncertain:
+            return await self._read_back(sent_at, attempt)
+        return held_lock(sent_at, written, attempt)
+
+    async def _read_back(self, sent_at: float, attempt: str) -> HeldLock | None:
+        """The answer was lost: the record itself tells whether the call was carried out."""
+        for _ in range(_LOCK_READ_BACKS):
+            try:
+                record = await self._store.read()
+            except PlatformError:
+                record = None
+            if record is not None and record.attempt == attempt:
+                return held_lock(sent_at, record, attempt)
+            await asyncio.sleep(_LOCK_READ_BACK_SECONDS)
+        return None
+
+    async def release(self, held: HeldLock) -> None:
+        """Give the lock back; if that fails, others take it over when its time has passed."""
+        record = LockRecord(self._node, "", released=True, revision=held.token)
+        try:
+            await self._store.write(record, create=False)
+        except PlatformError as error:
+            log_event("promotion_lock_not_released", reason=str(error))
+
+
+class FailoverRunner:
+    """Drives one change of primary."""
+
+    def __init__(
+        self, group: GroupService, lock: PromotionLockClient, service: PromotionService
+    ) -> None:
+        self._group = group
+        self._lock = lock
+        self._service = service
+        self._held: HeldLock | None = None
+        self._loop = asyncio.get_running_loop()
+
+    async def run(self, plan: FailoverPlan) -> FailoverResult:
+        """Change the primary by a plan."""
+        async with self._lock.in_use:
+            return await self._drive(change_primary(plan), plan)
+
+    async def _drive(self, flow: FailoverFlow, plan: FailoverPlan) -> FailoverResult:
+        resume: Callable[[], FailoverStep] = lambda: next(flow)  # noqa: E731
+        while True:
+            try:
+                step = resume()
+            except StopIteration as ended:
+                result = ended.value
+                assert isinstance(result, FailoverResult)
+                return result
+            try:
+                outcome = await self._perform(step, plan)
+            except LockLost as lost:
+                resume = _throw(flow, lost)
+            else:
+                resume = _send(flow, outcome)
+
+    async def _perform(self, step: FailoverStep, plan: FailoverPlan) -> FailoverStepResult:
+        if isinstance(step, TakeLock):
+            self._held = await self._lock.take()
+            log_event(
+                "promotion_lock",
+                group=plan.group,
+                taken=self._held is not None,
+                token=self._held.token if self._held else 0,
+            )
+            return self._held is not None
+        if isinstance(step, ReleaseLock):
+            if self._held is not None:
+                await self._lock.release(self._held)
+            return None
+        if isinstance(step, Wait):
+            self._remaining()
+            await asyncio.sleep(step.seconds)
+            return None
+        if isinstance(step, Promote):
+            return await self._promote(step, plan)
+        return await self._call_instances(step)
+
+    def _remaining(self) -> float:
+        """Seconds for which the lock is surely held; raises LockLost where there are none."""
+        held = self._held
+        left = 0.0 if held is None else held.valid_until - self._loop.time()
+        if left <= _CALL_MARGIN_SECONDS:
+            raise LockLost("the promotion lock's time has passed")
+        return left
+
+    async def _promote(self, step: Promote, plan: FailoverPlan) -> FailoverStepResult:
+        seconds = self._remaining()
+        assert self._held is not None
+        token = self._held.token
+        answer = await self._service.promote(plan.group, step.instance, token, seconds)
+        log_event(
+            "promotion_sent",
+            group=plan.group,
+            instance=step.instance,
+            token=token,
+            reason=plan.reason.value,
+            old_primary=plan.old_primary,
+            answer=answer.value,
+        )
+        return answer
+
+    async def _call_instances(self, step: AskAll | FenceAll | UnfenceAll | Demote) -> Statuses:
+        if isinstance(step, AskAll):
+            return await self._all(step.instances, lambda link: link.status())
+        self._remaining()
+        if isinstance(step, FenceAll):
+            term = step.term
+            return await self._all(step.instances, lambda link: link.fence(term))
+        if isinstance(step, UnfenceAll):
+            return await self._all(step.instances, lambda link: link.unfence())
+        term = step.term
+        return await self._all((step.instance,), lambda link: link.demote(term))
+
+    async def _all(
+        self,
+        instances: tuple[str, ...],
+        call: Callable[[InstanceLink], Coroutine[Any, Any, InstanceStatus]],
+    ) -> Statuses:
+        answers = await asyncio.gather(*(self._group.ask(name, call) for name in instances))
+        return {item.instance: item for item in answers if item is not None}
+
+
+def _send(flow: FailoverFlow, outcome: FailoverStepResult) -> Callable[[], FailoverStep]:
+    return lambda: flow.send(outcome)
+
+
+def _throw(flow: FailoverFlow, error: LockLost) -> Callable[[], FailoverStep]:
+    return lambda: flow.throw(error)
--- /dev/null
+++ b/src/orchidwind/managed/metrics.py
@@ -0,0 +1,58 @@
+"""Figures of a managed proxy, in Prometheus' text form."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from orchidwind.core.errors import ErrorKind
+from orchidwind.core.managed.commands import CommandKind
+
+_LATENCY_BUCKETS = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
+
+
+class ManagedMetrics:
+    """All figures; one object a process."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._requests = Counter(
+            "orchidwind_requests",
+            "Commands finished, by consistency, kind and result",
+            ["consistency", "command", "result"],
+            registry=self.registry,
+        )
+        self._seconds = Histogram(
+            "orchidwind_request_seconds",
+            "Time from a command's arrival to its answer, by consistency",
+            ["consistency"],
+            buckets=_LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self._failovers = Counter(
+            "orchidwind_failovers",
+            "Changes of primary that this proxy tried, by reason and outcome",
+            ["reason", "outcome"],
+            registry=self.registry,
+        )
+        self.sessions = Gauge("orchidwind_callers", "Callers' sessions", registry=self.registry)
+        self.configuration_version = Gauge(
+            "orchidwind_configuration_version",
+            "Version of the configuration in force",
+            registry=self.registry,
+        )
+
+    def finished(
+        self, consistency: str, command: CommandKind, error: ErrorKind | None, seconds: float
+    ) -> None:
+        """A command ended."""
+        result = "ok" if error is None else error.value
+        self._requests.labels(consistency, command.value, result).inc()
+        self._seconds.labels(consistency).observe(seconds)
+
+    def failover(self, reason: str, outcome: str) -> None:
+        """A change of primary ended."""
+        self._failovers.labels(reason, outcome).inc()
+
+    def render(self) -> bytes:
+        """The text form."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/src/orchidwind/managed/node.py
@@ -0,0 +1,274 @@
+"""One proxy for managed groups: configuration, directory, groups and sessions."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from orchidwind.core.errors import ErrorKind
+from orchidwind.core.managed.commands import Command
+from orchidwind.core.managed.configuration import (
+    DEFAULT_TRANSACTION_IDLE_SECONDS,
+    DirectoryEntry,
+    ManagedConfiguration,
+    ManagedDatabase,
+)
+from orchidwind.core.managed.failover import FailoverPlan
+from orchidwind.core.managed.supervision import GroupSupervisor
+from orchidwind.logs import log_event
+from orchidwind.managed.executor import Databases
+from orchidwind.managed.failover_runner import FailoverRunner, PromotionLockClient
+from orchidwind.managed.group_service import GroupService
+from orchidwind.managed.metrics import ManagedMetrics
+from orchidwind.managed.ports import (
+    Changes,
+    ConfigurationSource,
+    DirectorySource,
+    InstanceConnector,
+    Listing,
+    PromotionLockStore,
+    PromotionService,
+)
+from orchidwind.managed.watch import CollectionWatch
+
+_FORGET_SECONDS = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class NodePorts:
+    """The adapters that a node is built on."""
+
+    connector: InstanceConnector
+    directory: DirectorySource
+    configuration: ConfigurationSource
+    lock_store: PromotionLockStore
+    promotions: PromotionService
+
+
+class ManagedNode(Databases):
+    """Keeps the groups in step with configuration and directory."""
+
+    def __init__(self, name: str, zone: str, ports: NodePorts) -> None:
+        self.name = name
+        self.zone = zone
+        self.metrics = ManagedMetrics()
+        self.configuration: ManagedConfiguration | None = None
+        self.transaction_idle = DEFAULT_TRANSACTION_IDLE_SECONDS
+        self.groups: dict[str, GroupService] = {}
+        self._ports = ports
+        self._directory: dict[str, DirectoryEntry] = {}
+        self._directory_listed = False
+        self._lock = PromotionLockClient(name, ports.lock_store)
+        self._wakes: dict[str, asyncio.Event] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._prepared = asyncio.Event()
+
+    def start(self) -> None:
+        """Begin to follow the store."""
+        directory = CollectionWatch("directory", self._ports.directory, _DirectoryFollower(self))
+        configuration = CollectionWatch(
+            "configuration", self._ports.configuration, _ConfigurationFollower(self)
+        )
+        self._spawn(directory.run)
+        self._spawn(configuration.run)
+        self._spawn(self._forget_old)
+
+    def _spawn(self, work: Callable[[], Awaitable[None]]) -> None:
+        async def run() -> None:
+            await work()
+
+        self._tasks.append(asyncio.get_running_loop().create_task(run()))
+
+    @property
+    def prepared(self) -> bool:
+        """Whether requests can be served."""
+        return self._prepared.is_set()
+
+    async def wait_prepared(self, seconds: float) -> bool:
+        """Wait until requests can be served; whether that came in time."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._prepared.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Stop following and close every connection."""
+        for task in self._tasks:
+            task.cancel()
+        for group in self.groups.values():
+            group.close()
+
+    # --- Databases ----------------------------------------------------------------------------
+
+    def database(self, name: str) -> ManagedDatabase | None:
+        """A database as callers name it."""
+        return None if self.configuration is None else self.configuration.databases.get(name)
+
+    def group(self, name: str) -> GroupService | None:
+        """A group by name."""
+        return self.groups.get(name)
+
+    def finished(
+        self, database: ManagedDatabase, command: Command, error: ErrorKind | None, seconds: float
+    ) -> None:
+        """A command ended."""
+        self.metrics.finished(database.consistency.value, command.kind, error, seconds)
+
+    # --- configuration ------------------------------------------------------------------------
+
+    def adopt(self, configuration: ManagedConfiguration) -> None:
+        """Put a configuration in force, unless a later one is."""
+        current = self.configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self.configuration = configuration
+        self.transaction_idle = configuration.transaction_idle
+        self.metrics.configuration_version.set(configuration.version)
+        log_event(
+            "configuration_in_force",
+            version=configuration.version,
+            databases=len(configuration.databases),
+            groups=len(configuration.groups),
+        )
+        for name, settings in configuration.groups.items():
+            if name in self.groups:
+                self.groups[name].settings = settings
+                self.groups[name].topology.settings = settings
+            else:
+                self._add_group(name)
+        self._note_prepared()
+
+    def _add_group(self, name: str) -> None:
+        assert self.configuration is not None
+        wake = asyncio.Event()
+        settings = self.configuration.groups[name]
+        group = GroupService(settings, self.zone, self._ports.connector, wake.set)
+        self.groups[name] = group
+        self._wakes[name] = wake
+        for entry in self._directory.values():
+            if entry.group == name:
+                group.entry_changed(entry)
+        self._spawn(lambda: self._supervise(group, wake))
+
+    # --- directory ----------------------------------------------------------------------------
+
+    def directory_listed(self, entries: tuple[DirectoryEntry, ...]) -> None:
+        """The whole directory was read."""
+        listed = {entry.instance for entry in entries}
+        for name in [name for name in self._directory if name not in listed]:
+            self.instance_gone(name)
+        for entry in entries:
+            self.instance_listed(entry)
+        self._directory_listed = True
+        self._note_prepared()
+
+    def instance_listed(self, entry: DirectoryEntry) -> None:
+        """An instance is listed, or its entry changed."""
+        self._directory[entry.instance] = entry
+        group = self.groups.get(entry.group)
+        if group is not None:
+            group.entry_changed(entry)
+
+    def instance_gone(self, instance: str) -> None:
+        """An instance is no longer listed."""
+        entry = self._directory.pop(instance, None)
+        group = self.groups.get(entry.group) if entry is not None else None
+        if group is not None:
+            group.entry_gone(instance)
+
+    def _note_prepared(self) -> None:
+        if self._directory_listed and self.configuration is not None:
+            if not self._prepared.is_set():
+                log_event("prepared", version=self.configuration.version)
+            self._prepared.set()
+
+    async def _forget_old(self) -> None:
+        while True:
+            await asyncio.sleep(_FORGET_SECONDS)
+            for group in self.groups.values():
+                group.forget_old()
+
+    # --- supervision --------------------------------------------------------------------------
+
+    async def _supervise(self, group: GroupService, wake: asyncio.Event) -> None:
+        supervisor = GroupSupervisor(group.topology)
+        loop = asyncio.get_running_loop()
+        running: asyncio.Task[None] | None = None
+        while True:
+            now = loop.time()
+            silent = group.silent_instances()
+            oldest = group.oldest_write()
+            look = supervisor.look(now, silent, oldest, random.random())
+            for instance in look.ask:
+                group.ask_soon(instance)
+            if look.plan is not None and (running is None or running.done()):
+                running = loop.create_task(self._change_primary(group, supervisor, look.plan))
+            try:
+                async with asyncio.timeout(look.again_after):
+                    await wake.wait()
+            except TimeoutError:
+                pass
+            wake.clear()
+
+    async def _change_primary(
+        self, group: GroupService, supervisor: GroupSupervisor, plan: FailoverPlan
+    ) -> None:
+        log_event(
+            "failover_started",
+            group=plan.group,
+            reason=plan.reason.value,
+            old_primary=plan.old_primary,
+            members=",".join(plan.members),
+        )
+        runner = FailoverRunner(group, self._lock, self._ports.promotions)
+        result = await runner.run(plan)
+        log_event(
+            "failover_ended",
+            group=plan.group,
+            reason=plan.reason.value,
+            outcome=result.outcome.value,
+            primary=result.primary,
+            term=result.term,
+        )
+        self.metrics.failover(plan.reason.value, result.outcome.value)
+        supervisor.ended(asyncio.get_running_loop().time(), result.outcome)
+        group.changed()
+
+
+class _DirectoryFollower:
+    """Passes the directory on to the node."""
+
+    def __init__(self, node: ManagedNode) -> None:
+        self._node = node
+
+    def listed(self, listing: Listing[DirectoryEntry]) -> None:
+        """All entries."""
+        self._node.directory_listed(listing.items)
+
+    def changed(self, changes: Changes[DirectoryEntry]) -> None:
+        """Later changes."""
+        for entry in changes.changed:
+            self._node.instance_listed(entry)
+        for name in changes.gone:
+            self._node.instance_gone(name)
+
+
+class _ConfigurationFollower:
+    """Passes configurations on to the node."""
+
+    def __init__(self, node: ManagedNode) -> None:
+        self._node = node
+
+    def listed(self, listing: Listing[ManagedConfiguration]) -> None:
+        """The configuration as it is."""
+        for item in listing.items:
+            self._node.adopt(item)
+
+    def changed(self, changes: Changes[ManagedConfiguration]) -> None:
+        """A later one."""
+        for item in changes.changed:
+            self._node.adopt(item)
--- /dev/null
+++ b/src/orchidwind/managed/ports.py
@@ -0,0 +1,100 @@
+"""The ports of a managed proxy. Each has an adapter for a protocol, and one in the tests."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Generic, Protocol, TypeVar
+
+from orchidwind.core.managed.commands import InstanceMessage, InstanceStatus, Reply
+from orchidwind.core.managed.configuration import DirectoryEntry, ManagedConfiguration
+from orchidwind.core.managed.failover import PromotionAnswer
+from orchidwind.core.managed.promotion_lock import LockRecord
+from orchidwind.core.positions import Position
+
+Item = TypeVar("Item", covariant=True)
+
+
+class InstanceLink(Protocol):
+    """One server connection."""
+
+    position: Position | None
+
+    async def exchange(self, messages: tuple[InstanceMessage, ...]) -> tuple[Reply, ...]:
+        """Send messages and wait for all replies; raises BackendConnectionLost."""
+
+    async def status(self) -> InstanceStatus:
+        """Ask for the status; raises BackendConnectionLost, or BackendRefused where busy."""
+
+    async def fence(self, term: int) -> InstanceStatus:
+        """Keep the instance from receiving of primaries below `term`; raises as `status`."""
+
+    async def unfence(self) -> InstanceStatus:
+        """Let the instance receive again; raises as `status`."""
+
+    async def demote(self, term: int) -> InstanceStatus:
+        """Turn a primary of a lower term into a replica; raises as `status`."""
+
+    def close(self) -> None:
+        """Close at once; the instance rolls back what is open."""
+
+
+class InstanceConnector(Protocol):
+    """Opens server connections."""
+
+    async def connect(self, entry: DirectoryEntry, on_lost: Callable[[], None]) -> InstanceLink:
+        """Open a connection; raises BackendRefused or BackendConnectionLost."""
+
+
+@dataclass(frozen=True, slots=True)
+class Listing(Generic[Item]):
+    """All items of a collection, as of a revision."""
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Changes(Generic[Item]):
+    """Items that changed and names that went, up to a revision."""
+
+    changed: tuple[Item, ...]
+    gone: tuple[str, ...]
+    revision: int
+
+
+class WatchedCollection(Protocol[Item]):
+    """A collection in the store that can be followed; calls raise PlatformError."""
+
+    async def list(self) -> Listing[Item]:
+        """Read all of it, freshly."""
+
+    async def watch(self, revision: int) -> Changes[Item]:
+        """Wait for changes after a revision; raises PlatformVersionGone where it is too old."""
+
+
+DirectorySource = WatchedCollection[DirectoryEntry]
+ConfigurationSource = WatchedCollection[ManagedConfiguration]
+
+
+class PromotionLockStore(Protocol):
+    """The promotion lock's object in the store."""
+
+    async def read(self) -> LockRecord | None:
+        """The record, None where there is none; raises PlatformError."""
+
+    async def write(self, record: LockRecord, create: bool) -> LockRecord:
+        """Write over `record.revision`, or create it; the record as it is now.
+
+        Raises PlatformConflict where it has changed, PlatformUncertain where no answer came, and
+        PlatformError where nothing was done.
+        """
+
+
+class PromotionService(Protocol):
+    """Makes an instance the primary of its group."""
+
+    async def promote(
+        self, group: str, instance: str, token: int, seconds: float
+    ) -> PromotionAnswer:
+        """Send one promotion, broken off after some seconds."""
--- /dev/null
+++ b/src/orchidwind/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the product and its first users' platform; decides nothing."""
--- /dev/null
+++ b/src/orchidwind/platform/callers.py
@@ -0,0 +1,126 @@
+"""Callers' connections: the line protocol on a socket, in front of a `SessionExecutor`."""
+
+from __future__ import annotations
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from orchidwind.core.errors import ErrorKind, RequestError
+from orchidwind.core.managed.commands import Command, TransactionState
+from orchidwind.logs import log_event
+from orchidwind.managed.executor import SessionExecutor
+from orchidwind.managed.node import ManagedNode
+from orchidwind.managed.sessions import SessionRegistry
+from orchidwind.network.sockets import watchful
+from orchidwind.platform import wire
+
+_READ_BYTES = 65536
+_PREPARED_SECONDS = 1.5
+_MALFORMED = RequestError(ErrorKind.PROTOCOL_VIOLATION, "the message is not of this protocol")
+_TOO_LARGE = RequestError(ErrorKind.MESSAGE_TOO_LARGE, "the message is too long")
+
+
+class CallerListener(TCPServer):
+    """Accepts callers."""
+
+    def __init__(self, node: ManagedNode, registry: SessionRegistry) -> None:
+        super().__init__()
+        self._node = node
+        self._registry = registry
+
+    async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+        """Serve one caller to its end."""
+        watchful(stream.socket)
+        connection = LineCaller(stream, self._node)
+        self._registry.sessions.add(connection)
+        self._node.metrics.sessions.set(len(self._registry.sessions))
+        try:
+            await connection.serve()
+        except StreamClosedError:
+            pass
+        finally:
+            self._registry.sessions.discard(connection)
+            self._node.metrics.sessions.set(len(self._registry.sessions))
+            connection.close()
+
+
+class LineCaller:
+    """One caller's connection."""
+
+    def __init__(self, stream: IOStream, node: ManagedNode) -> None:
+        self._stream = stream
+        self._node = node
+        self._lines = wire.LineReader()
+        self._executor: SessionExecutor | None = None
+        self._asked = False
+
+    @property
+    def resting(self) -> bool:
+        """Whether nothing is asked."""
+        return not self._asked
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open, or failed and not ended."""
+        executor = self._executor
+        return executor is not None and executor.state is not TransactionState.IDLE
+
+    def close(self) -> None:
+        """End the session; an open transaction is rolled back."""
+        executor, self._executor = self._executor, None
+        if executor is not None:
+            executor.close()
+        self._stream.close()
+
+    async def serve(self) -> None:
+        """Answer message after message."""
+        try:
+            if not await self._start():
+                return
+            while await self._answer_next():
+                pass
+        except wire.MessageTooLarge:
+            await self._stream.write(wire.error_line(_TOO_LARGE))
+        except wire.WireError:
+            await self._stream.write(wire.error_line(_MALFORMED))
+
+    async def _next_message(self) -> wire.CallerMessage:
+        while (line := self._lines.next_line()) is None:
+            self._asked = False
+            self._lines.feed(await self._stream.read_bytes(_READ_BYTES, partial=True))
+        self._asked = True
+        return wire.parse_caller_line(line)
+
+    async def _start(self) -> bool:
+        message = await self._next_message()
+        if not isinstance(message, wire.Startup):
+            raise wire.WireError("a session begins with its database")
+        error = await self._refusal(message.database)
+        if error is not None:
+            log_event("session_refused", database=message.database, reason=error.kind.value)
+            await self._stream.write(wire.error_line(error))
+            return False
+        self._executor = SessionExecutor(self._node, message.database)
+        await self._stream.write(wire.ready_line(TransactionState.IDLE))
+        return True
+
+    async def _refusal(self, database: str) -> RequestError | None:
+        if not await self._node.wait_prepared(_PREPARED_SECONDS):
+            return RequestError(ErrorKind.NO_HOME, "no configuration is known yet")
+        if self._node.database(database) is None:
+            return RequestError(ErrorKind.UNKNOWN_DATABASE, database)
+        return None
+
+    async def _answer_next(self) -> bool:
+        message = await self._next_message()
+        if isinstance(message, wire.Terminate):
+            return False
+        if not isinstance(message, Command) or self._executor is None:
+            raise wire.WireError("a session begins once")
+        executor = self._executor
+        try:
+            answer = wire.result_lines(await executor.execute(message))
+        except RequestError as error:
+            answer = wire.error_line(error)
+        await self._stream.write(answer + wire.ready_line(executor.state))
+        return True
--- /dev/null
+++ b/src/orchidwind/platform/instances.py
@@ -0,0 +1,160 @@
+"""Connections to instances: the line protocol on a socket, behind the port `InstanceLink`."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from orchidwind.core.errors import BackendConnectionLost, BackendRefused
+from orchidwind.core.managed.commands import InstanceMessage, InstanceStatus, Reply, ReplyCode
+from orchidwind.core.managed.configuration import DirectoryEntry
+from orchidwind.core.positions import Position
+from orchidwind.managed.group_service import CONNECTION_LIMIT_MET, INSTANCE_BUSY
+from orchidwind.network.sockets import client_socket
+from orchidwind.platform import wire
+
+_READ_BYTES = 65536
+_OTHER_REFUSAL = "08004"
+
+
+class LineLink:
+    """One connection; replies come in the order of the messages."""
+
+    def __init__(self, stream: IOStream, instance: str, on_lost: Callable[[], None]) -> None:
+        self.position: Position | None = None
+        self._stream = stream
+        self._instance = instance
+        self._on_lost = on_lost
+        self._lines = wire.LineReader()
+        self._replies = wire.ReplyReader()
+        self._pending: deque[asyncio.Future[Reply]] = deque()
+        self._reader: asyncio.Task[None] | None = None
+        self._lost = False
+        self._started = False
+
+    async def start(self, group: str) -> None:
+        """Name the instance that is wanted; raises BackendRefused, BackendConnectionLost."""
+        self._reader = asyncio.get_running_loop().create_task(self._read())
+        waiting = self._send(wire.startup_line(group, self._instance), 1)
+        reply = await waiting[0]
+        self._started = True
+        self.position = reply.position
+        if reply.code is not ReplyCode.DONE:
+            self.close()
+            raise _refusal(reply)
+
+    def _send(self, data: bytes, replies: int) -> list[asyncio.Future[Reply]]:
+        if self._lost or self._stream.closed():
+            raise BackendConnectionLost("the connection is closed", sent=False)
+        loop = asyncio.get_running_loop()
+        waiting: list[asyncio.Future[Reply]] = [loop.create_future() for _ in range(replies)]
+        self._pending.extend(waiting)
+        self._stream.write(data)
+        return waiting
+
+    async def exchange(self, messages: tuple[InstanceMessage, ...]) -> tuple[Reply, ...]:
+        """Send messages and wait for all replies; raises BackendConnectionLost."""
+        data = b"".join(wire.message_line(message) for message in messages)
+        waiting = self._send(data, len(messages))
+        replies = tuple([await item for item in waiting])
+        self.position = replies[-1].position
+        return replies
+
+    async def _read(self) -> None:
+        try:
+            while True:
+                data = await self._stream.read_bytes(_READ_BYTES, partial=True)
+                self._lines.feed(data)
+                self._take_lines()
+        except (StreamClosedError, wire.WireError) as error:
+            self._fail(str(error) or "closed")
+
+    def _take_lines(self) -> None:
+        while (line := self._lines.next_line()) is not None:
+            if not self._pending:
+                raise wire.WireError("an instance spoke unasked")
+            reply = self._replies.take(line) or self._refused_start(line)
+            if reply is not None:
+                waiting = self._pending.popleft()
+                if not waiting.done():
+                    waiting.set_result(reply)
+
+    def _refused_start(self, line: str) -> Reply | None:
+        """An instance that refuses a new connection sends an error and closes, without READY."""
+        if not self._started and line.startswith("ERROR "):
+            return self._replies.take("READY I -")
+        return None
+
+    def _fail(self, reason: str) -> None:
+        if self._lost:
+            return
+        self._lost = True
+        self._stream.close()
+        pending, self._pending = self._pending, deque()
+        for waiting in pending:
+            if not waiting.done():
+                waiting.set_exception(BackendConnectionLost(reason, sent=True))
+                waiting.exception()
+        self._on_lost()
+
+    async def status(self) -> InstanceStatus:
+        """Ask for the status."""
+        return await self._control("STATUS")
+
+    async def fence(self, term: int) -> InstanceStatus:
+        """Keep the instance from receiving of primaries below `term`."""
+        return await self._control(f"PAUSE {term}")
+
+    async def unfence(self) -> InstanceStatus:
+        """Let the instance receive again."""
+        return await self._control("RESUME")
+
+    async def demote(self, term: int) -> InstanceStatus:
+        """Turn a primary of a lower term into a replica."""
+        return await self._control(f"DEMOTE {term}")
+
+    async def _control(self, text: str) -> InstanceStatus:
+        reply = await self._send(wire.control_line(text), 1)[0]
+        if reply.code is not ReplyCode.DONE or not reply.rows:
+            raise _refusal(reply)
+        try:
+            return wire.parse_status(self._instance, reply.rows[0])
+        except wire.WireError as error:
+            raise BackendConnectionLost(str(error), sent=True) from error
+
+    def close(self) -> None:
+        """Close at once."""
+        if self._reader is not None:
+            self._reader.cancel()
+        self._fail("closed by this proxy")
+
+
+def _refusal(reply: Reply) -> BackendRefused:
+    code, _, _ = reply.text.partition(" ")
+    if code == "TOOMANYCON":
+        return BackendRefused(reply.text, CONNECTION_LIMIT_MET)
+    if reply.code is ReplyCode.BUSY:
+        return BackendRefused(reply.text, INSTANCE_BUSY)
+    return BackendRefused(reply.text, _OTHER_REFUSAL)
+
+
+class LineConnector:
+    """Opens connections to instances."""
+
+    async def connect(self, entry: DirectoryEntry, on_lost: Callable[[], None]) -> LineLink:
+        """Open a connection; raises BackendRefused or BackendConnectionLost."""
+        stream = IOStream(client_socket())
+        try:
+            await stream.connect((entry.host, entry.port))
+            link = LineLink(stream, entry.instance, on_lost)
+            await link.start(entry.group)
+        except (StreamClosedError, OSError) as error:
+            stream.close()
+            raise BackendConnectionLost(str(error), sent=False) from error
+        except asyncio.CancelledError:
+            stream.close()
+            raise
+        return link
--- /dev/null
+++ b/src/orchidwind/platform/promotions.py
@@ -0,0 +1,36 @@
+"""The platform's promotion call. Source: the users' page PROTOCOL.md, "Singleton duties"."""
+
+from __future__ import annotations
+
+import msgspec
+
+from orchidwind.core.managed.failover import PromotionAnswer
+from orchidwind.network.http_call import HttpCallFailed, HttpRequest, http_call
+
+_PATH = "/promotions"
+_HOLDER = "Duty-Holder"
+_TOKEN = "Fencing-Token"
+_LONGEST_CALL_SECONDS = 1.0
+
+
+class PromotionCall:
+    """Sends promotions in the name of this node."""
+
+    def __init__(self, address: tuple[str, int], node: str) -> None:
+        self._address = address
+        self._node = node
+
+    async def promote(
+        self, group: str, instance: str, token: int, seconds: float
+    ) -> PromotionAnswer:
+        """Send one promotion; its connection is ended when its time has passed."""
+        body = msgspec.json.encode({"service": group, "id": instance})
+        headers = {_HOLDER: self._node, _TOKEN: str(token)}
+        request = HttpRequest(self._address, "POST", _PATH, body, headers)
+        try:
+            answer = await http_call(request, min(seconds, _LONGEST_CALL_SECONDS))
+        except HttpCallFailed as error:
+            return PromotionAnswer.UNKNOWN if error.sent else PromotionAnswer.REFUSED
+        if 200 <= answer.status < 300:
+            return PromotionAnswer.ACCEPTED
+        return PromotionAnswer.REFUSED
--- /dev/null
+++ b/src/orchidwind/platform/settings.py
@@ -0,0 +1,76 @@
+"""The settings file that the platform lays for a process. Source: the users' page DEPLOY.md."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from orchidwind.core.errors import SettingsError
+from orchidwind.settings import parse_address
+
+SETTINGS_VARIABLE = "ORCHIDWIND_SETTINGS"
+
+
+class ListenAddresses(msgspec.Struct, frozen=True):
+    """Where the platform's callers and probes come to, as HOST:PORT."""
+
+    front: str
+    ready: str
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Bounds that the platform holds this process to."""
+
+    grace_s: float = 6.0
+
+
+class ServiceAddress(msgspec.Struct, frozen=True):
+    """Where a service of the platform listens, as HOST:PORT."""
+
+    address: str
+
+
+class PlatformSettings(msgspec.Struct, frozen=True):
+    """What this process uses of the file; other fields are passed over."""
+
+    node_name: str
+    ip: str
+    zone: str
+    listen: ListenAddresses
+    internal_port_range: list[int]
+    platform: ServiceAddress
+    cloud_api: ServiceAddress
+    bounds: Bounds = Bounds()
+
+
+def load_platform_settings(path: Path) -> PlatformSettings:
+    """Read and check; raises SettingsError with file, key and reason."""
+    source = str(path)
+    try:
+        settings = msgspec.json.decode(path.read_bytes(), type=PlatformSettings)
+    except OSError as error:
+        raise SettingsError(source, "$", error.strerror or str(error)) from error
+    except msgspec.ValidationError as error:
+        reason, _, key = str(error).partition(" - at ")
+        raise SettingsError(source, key.strip("`") or "$", reason) from error
+    except msgspec.DecodeError as error:
+        raise SettingsError(source, "$", str(error)) from error
+    _check(source, settings)
+    return settings
+
+
+def _check(source: str, settings: PlatformSettings) -> None:
+    addresses = {
+        "listen.front": settings.listen.front,
+        "listen.ready": settings.listen.ready,
+        "platform.address": settings.platform.address,
+        "cloud_api.address": settings.cloud_api.address,
+    }
+    for key, text in addresses.items():
+        try:
+            parse_address(text)
+        except ValueError as error:
+            raise SettingsError(source, key, str(error)) from error
+    if len(settings.internal_port_range) != 2:
+        raise SettingsError(source, "internal_port_range", "must hold the first and the last port")
