--- a/src/orchidwind/core/managed/failover.py
+++ b/src/orchidwind/core/managed/failover.py
@@ -25,8 +25,8 @@
 from orchidwind.core.managed.commands import InstanceRole, InstanceStatus
 
 RETRY_SECONDS = 0.05
-LEAD_WAIT_SECONDS = 0.03
-_LEAD_POLLS = 40
+LEAD_WAIT_SECONDS = 0.02
+_LEAD_POLLS = 60
 _SELECT_ATTEMPTS = 30
 
 
--- a/src/orchidwind/core/managed/group.py
+++ b/src/orchidwind/core/managed/group.py
@@ -51,8 +51,8 @@
     def settings_messages(
         self, connection: int, wanted: Mapping[str, str]
     ) -> list[InstanceMessage]:
-        """What brings a connection to exactly these settings."""
-        carried = self._carried[connection]
+        """What brings a connection to exactly these settings; an ended one carries nothing."""
+        carried = self._carried.get(connection) or _Carried()
         messages = []
         held: Mapping[str, str] = carried.settings
         if not held.keys() <= wanted.keys():
@@ -67,7 +67,8 @@
         self, connection: int, prepared: PreparedStatement, after_reset: bool
     ) -> list[InstanceMessage]:
         """What makes a prepared statement known on a connection."""
-        known = prepared.shared_name in self._carried[connection].prepared
+        carried = self._carried.get(connection)
+        known = carried is not None and prepared.shared_name in carried.prepared
         if known and not after_reset:
             return []
         message = InstanceMessage(MessageKind.PREPARE, name=prepared.shared_name, prepared=prepared)
--- a/src/orchidwind/core/managed/steps.py
+++ b/src/orchidwind/core/managed/steps.py
@@ -25,17 +25,20 @@
 
 @dataclass(frozen=True, slots=True)
 class NeedConnection:
-    """Wait for a server connection; the result is its number."""
+    """Wait for a server connection; the result is its number.
+
+    Ends by BackendConnectionLost where the instance does not answer.
+    """
 
     instance: str
 
 
 @dataclass(frozen=True, slots=True)
 class Exchange:
-    """Send messages in one write; the result is a tuple of Reply.
+    """Send messages in one write; the result is an ExchangeResult.
 
     `proof_of_term` asks, at the same time, for the proof that no primary after that term has
-    begun; without it the step ends by ProofMissing after the replies came.
+    begun.
     """
 
     connection: int
@@ -43,6 +46,14 @@
     proof_of_term: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ExchangeResult:
+    """The replies, and whether the proof that was asked for is there."""
+
+    replies: tuple[Reply, ...]
+    proven: bool = True
+
+
 @dataclass(frozen=True, slots=True)
 class Release:
     """Give a connection back; done at once."""
@@ -59,5 +70,5 @@
 
 
 Step = NeedPrimary | NeedReadPlan | NeedConnection | Exchange | Release | Pause
-StepResult = PrimaryView | ReadPlan | tuple[Reply, ...] | int | None
+StepResult = PrimaryView | ReadPlan | ExchangeResult | int | None
 Flow = Generator[Step, StepResult, CommandResult]
--- a/src/orchidwind/core/managed/supervision.py
+++ b/src/orchidwind/core/managed/supervision.py
@@ -11,13 +11,13 @@
 )
 from orchidwind.core.managed.topology import GroupTopology
 
-ASK_AGAIN_SECONDS = 0.2
-NO_PRIMARY_SECONDS = 0.15
+ASK_AGAIN_SECONDS = 0.15
+NO_PRIMARY_SECONDS = 0.1
 NOT_CONFIRMING_SECONDS = 0.6
 GONE_SECONDS = 1.0
-JITTER_SECONDS = 0.1
+JITTER_SECONDS = 0.06
 IDLE_LOOK_SECONDS = 0.5
-BUSY_LOOK_SECONDS = 0.05
+BUSY_LOOK_SECONDS = 0.03
 
 _PAUSE_AFTER: dict[FailoverOutcome, float] = {
     FailoverOutcome.DONE: 0.2,
@@ -49,17 +49,20 @@
         self._start_at: float | None = None
 
     def look(
-        self, now: float, silent: list[str], oldest_write: float, random_fraction: float
+        self, now: float, suspects: list[str], oldest_write: float, random_fraction: float
     ) -> Look:
-        """Decide. `oldest_write` is how long a write has waited for the primary's answer."""
-        ask = self._to_ask(now, silent)
+        """Decide.
+
+        `suspects` may have gone; `oldest_write` is how long a write has waited for the primary.
+        """
+        ask = self._to_ask(now, suspects)
         reason = self._reason(now, oldest_write)
         plan = None
         if reason is None:
             self._start_at = None
         elif now >= self._paused_until:
             plan = self._plan_when_due(now, reason, random_fraction)
-        restless = bool(silent) or reason is not None or self._no_primary_since is not None
+        restless = bool(suspects) or reason is not None or self._no_primary_since is not None
         again = BUSY_LOOK_SECONDS if restless or self._topology.unclear() else IDLE_LOOK_SECONDS
         return Look(tuple(ask), plan, again)
 
@@ -68,9 +71,9 @@
         self._paused_until = now + _PAUSE_AFTER[outcome]
         self._start_at = None
 
-    def _to_ask(self, now: float, silent: list[str]) -> list[str]:
+    def _to_ask(self, now: float, suspects: list[str]) -> list[str]:
         views = self._topology.instances
-        wanted = set(self._topology.unclear()) | set(silent)
+        wanted = set(self._topology.unclear()) | set(suspects)
         wanted |= {name for name, view in views.items() if view.unreachable_since is not None}
         due = []
         for name in sorted(wanted):
--- a/src/orchidwind/core/managed/topology.py
+++ b/src/orchidwind/core/managed/topology.py
@@ -43,12 +43,13 @@
 class ReadPlan:
     """Run a read on `instance`, at `floor` where given.
 
-    `needs_proof` asks for the proof that this is still the primary, as of the read's arrival.
+    `proof_of_term` asks for the proof that this is still the primary in that term, as of the
+    read's arrival; it is 0 where the floor alone makes the read fresh enough.
     """
 
     instance: str
     floor: Position | None
-    needs_proof: bool
+    proof_of_term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -275,10 +276,10 @@
                     floor = max(floor, session_floor)
                 replica = self._replica_for_read(refused, now, primary)
                 if replica is not None:
-                    return ReadPlan(replica, floor, needs_proof=False)
+                    return ReadPlan(replica, floor)
         if primary is None:
             return None
-        return ReadPlan(primary.instance, None, needs_proof=True)
+        return ReadPlan(primary.instance, None, primary.term)
 
     def _replica_for_read(
         self, refused: set[str], now: float, primary: PrimaryView | None
--- a/src/orchidwind/managed/executor.py
+++ b/src/orchidwind/managed/executor.py
@@ -12,13 +12,13 @@
     BackendConnectionLost,
     ErrorKind,
     OrchidwindError,
-    ProofMissing,
     RequestError,
 )
 from orchidwind.core.managed.commands import (
     Command,
     CommandKind,
     CommandResult,
+    MessageKind,
     TransactionState,
 )
 from orchidwind.core.managed.configuration import ManagedDatabase
@@ -73,7 +73,7 @@
     def __init__(self, databases: Databases, name: str) -> None:
         self.name = name
         self.session = ManagedSession()
-        self.busy = False
+        self.caller_gone = False
         self._databases = databases
         self._loop = asyncio.get_running_loop()
         self._group: GroupService | None = None
@@ -86,7 +86,6 @@
 
     async def execute(self, command: Command) -> CommandResult:
         """Carry a command out; raises RequestError."""
-        self.busy = True
         arrived_at = self._loop.time()
         self._expire_transaction(arrived_at)
         database = self._database_in_force()
@@ -98,7 +97,6 @@
             self._fail_transaction()
             raise
         finally:
-            self.busy = False
             seconds = self._loop.time() - arrived_at
             if database is not None:
                 self._databases.finished(database, command, kind, seconds)
@@ -206,7 +204,7 @@
                     return result
                 try:
                     outcome = await self._perform(step, context, group, deadline)
-                except (RequestError, BackendConnectionLost, ProofMissing) as error:
+                except (RequestError, BackendConnectionLost) as error:
                     resume = _resume_with_error(flow, error)
                 else:
                     resume = _resume(flow, outcome)
@@ -224,6 +222,8 @@
     async def _perform(
         self, step: Step, context: CommandContext, group: GroupService, deadline: float
     ) -> StepResult:
+        if self.caller_gone and not _only_ends(step):
+            raise RequestError(ErrorKind.CANCELLED, "the caller has gone")
         if isinstance(step, NeedPrimary):
             return await group.need_primary(deadline)
         if isinstance(step, NeedReadPlan):
@@ -267,6 +267,13 @@
         self._fail_transaction()
 
 
+def _only_ends(step: Step) -> bool:
+    """Whether a step only gives back what the session holds."""
+    if isinstance(step, Exchange):
+        return all(message.kind is MessageKind.ROLLBACK for message in step.messages)
+    return isinstance(step, Release)
+
+
 def _resume(flow: Flow, outcome: StepResult) -> Callable[[], Step]:
     return lambda: flow.send(outcome)
 
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -12,16 +12,16 @@
     BackendConnectionLost,
     BackendRefused,
     ErrorKind,
-    ProofMissing,
     RequestError,
 )
-from orchidwind.core.managed.commands import InstanceMessage, InstanceStatus, Reply
+from orchidwind.core.managed.commands import InstanceMessage, InstanceStatus
 from orchidwind.core.managed.configuration import (
     DirectoryEntry,
     ManagedDatabase,
     ManagedGroupSettings,
 )
 from orchidwind.core.managed.group import GroupState
+from orchidwind.core.managed.steps import ExchangeResult
 from orchidwind.core.managed.topology import PrimaryView, ReadPlan, knows_no_later_term
 from orchidwind.core.pool import CloseConnection, Grant, InstancePool, OpenConnection, PoolEffect
 from orchidwind.core.positions import Position
@@ -29,7 +29,8 @@
 from orchidwind.managed.ports import InstanceConnector, InstanceLink
 
 CONNECT_SECONDS = 0.6
-ASK_SECONDS = 0.3
+ASK_SECONDS = 0.2
+ASK_UNREACHABLE_SECONDS = 0.1
 SILENCE_SECONDS = 0.25
 _SHARE_OF_CONNECTIONS = 0.15
 _FEWEST_CONNECTIONS = 2
@@ -60,12 +61,13 @@
         self._pools: dict[str, InstancePool] = {}
         self._links: dict[int, InstanceLink] = {}
         self._instance_of: dict[int, str] = {}
-        self._grants: dict[int, asyncio.Future[int]] = {}
+        self._grants: dict[int, tuple[str, asyncio.Future[int]]] = {}
         self._waiters: set[asyncio.Future[None]] = set()
         self._control: dict[str, InstanceLink] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._running: dict[int, tuple[str, float]] = {}
         self._writing: set[int] = set()
+        self._suspects: set[str] = set()
         self._heard: dict[str, float] = {}
         self._proof: asyncio.Task[InstanceStatus | None] | None = None
         self._next_proof: asyncio.Task[InstanceStatus | None] | None = None
@@ -151,6 +153,7 @@
             for connection in list(pool.idle):
                 self._close_link(connection)
                 self._pool_effects(pool.lost(connection, self._loop.time()))
+            self._turn_away(pool)
         control = self._control.pop(instance, None)
         if control is not None:
             control.close()
@@ -209,11 +212,11 @@
     async def need_connection(
         self, instance: str, traffic_class: TrafficClass, deadline: float
     ) -> int:
-        """Wait for a server connection; raises RequestError."""
+        """Wait for a server connection; raises RequestError, BackendConnectionLost."""
         pool = self._pool(instance)
         ticket = next(self._tickets)
         granted: asyncio.Future[int] = self._loop.create_future()
-        self._grants[ticket] = granted
+        self._grants[ticket] = (instance, granted)
         now = self._loop.time()
         self._pool_effects(pool.acquire(ticket, traffic_class, now, deadline))
         try:
@@ -241,14 +244,14 @@
                 self._refuse(effect)
 
     def _grant(self, grant: Grant) -> None:
-        waiting = self._grants.get(grant.ticket)
+        _, waiting = self._grants.get(grant.ticket, ("", None))
         if waiting is not None and not waiting.done():
             waiting.set_result(grant.connection)
         else:
             self._loop.call_soon(self.release, grant.connection, True)
 
     def _refuse(self, refusal: Refusal) -> None:
-        waiting = self._grants.get(refusal.ticket)
+        _, waiting = self._grants.get(refusal.ticket, ("", None))
         if waiting is not None and not waiting.done():
             error = RequestError(
                 ErrorKind.OVERLOADED,
@@ -257,6 +260,13 @@
             )
             waiting.set_exception(error)
 
+    def _turn_away(self, pool: InstancePool) -> None:
+        """Requests that wait for an instance that does not answer may go elsewhere."""
+        for ticket, (instance, waiting) in list(self._grants.items()):
+            if instance == pool.instance and not waiting.done():
+                pool.cancel(ticket)
+                waiting.set_exception(BackendConnectionLost("no answer", sent=False))
+
     async def _open(self, effect: OpenConnection) -> None:
         number, instance = effect.connection, effect.instance
         pool = self._pool(instance)
@@ -304,7 +314,7 @@
             return
         self._close_link(connection)
         self._pool_effects(self._pool(instance).lost(connection, self._loop.time()))
-        self._on_wake()
+        self._suspect(instance)
 
     def _close_link(self, connection: int) -> None:
         link = self._links.pop(connection, None)
@@ -334,8 +344,8 @@
         messages: tuple[InstanceMessage, ...],
         proof_of_term: int,
         writes: bool,
-    ) -> tuple[Reply, ...]:
-        """Send and wait; raises BackendConnectionLost, ProofMissing."""
+    ) -> ExchangeResult:
+        """Send and wait; raises BackendConnectionLost."""
         link = self._links.get(connection)
         if link is None:
             raise BackendConnectionLost("the connection is closed", sent=False)
@@ -347,7 +357,7 @@
         try:
             replies = await link.exchange(messages)
         except BackendConnectionLost:
-            self._on_wake()
+            self._suspect(instance)
             raise
         finally:
             self._running.pop(connection, None)
@@ -357,13 +367,18 @@
             status = await asyncio.shield(proof)
             if status is None or not knows_no_later_term(status, proof_of_term):
                 self._on_wake()
-                raise ProofMissing("no replica shows that the primary still leads")
-        return replies
+                return ExchangeResult(replies, proven=False)
+        return ExchangeResult(replies)
 
-    def silent_instances(self) -> list[str]:
-        """Instances that have owed an answer for a while and said nothing."""
+    def _suspect(self, instance: str) -> None:
+        """A connection broke: ask the instance at once whether it is still there."""
+        self._suspects.add(instance)
+        self._on_wake()
+
+    def suspects(self) -> list[str]:
+        """Instances whose connections broke, or that have owed an answer for a while."""
         now = self._loop.time()
-        silent = set()
+        silent, self._suspects = self._suspects, set()
         for instance, since in self._running.values():
             heard = max(self._heard.get(instance, 0.0), since)
             if now - heard > SILENCE_SECONDS:
@@ -416,10 +431,15 @@
         self,
         instance: str,
         call: Callable[[InstanceLink], Coroutine[Any, Any, InstanceStatus]],
-        seconds: float = ASK_SECONDS,
     ) -> InstanceStatus | None:
-        """Make a status or control call; None where no status came in time."""
+        """Make a status or control call; None where no status came in time.
+
+        One that is not expected to answer is given less time, as a change of primary waits for it.
+        """
         asked_at = self._loop.time()
+        view = self.topology.instances.get(instance)
+        reachable = view is None or view.unreachable_since is None
+        seconds = ASK_SECONDS if reachable else ASK_UNREACHABLE_SECONDS
         try:
             async with asyncio.timeout(seconds):
                 status = await self._ask_on_some_link(instance, call)
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -200,9 +200,9 @@
         running: asyncio.Task[None] | None = None
         while True:
             now = loop.time()
-            silent = group.silent_instances()
+            suspects = group.suspects()
             oldest = group.oldest_write()
-            look = supervisor.look(now, silent, oldest, random.random())
+            look = supervisor.look(now, suspects, oldest, random.random())
             for instance in look.ask:
                 group.ask_soon(instance)
             if look.plan is not None and (running is None or running.done()):
--- a/src/orchidwind/platform/callers.py
+++ b/src/orchidwind/platform/callers.py
@@ -53,6 +53,7 @@
         self._lines = wire.LineReader()
         self._executor: SessionExecutor | None = None
         self._asked = False
+        stream.set_close_callback(self._on_closed)
 
     @property
     def resting(self) -> bool:
@@ -72,6 +73,10 @@
             executor.close()
         self._stream.close()
 
+    def _on_closed(self) -> None:
+        if self._executor is not None:
+            self._executor.caller_gone = True
+
     async def serve(self) -> None:
         """Answer message after message."""
         try:
--- /dev/null
+++ b/src/orchidwind_bench/managed/world.py
@@ -0,0 +1,298 @@
+"""The simulated world: network, store, promotion service, and the record of what happened."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from orchidwind.core.errors import PlatformConflict, PlatformError, PlatformUncertain
+from orchidwind.core.managed.configuration import (
+    DirectoryEntry,
+    ManagedConfiguration,
+    ManagedDatabase,
+    ManagedGroupSettings,
+    ReadConsistency,
+)
+from orchidwind.core.managed.failover import PromotionAnswer
+from orchidwind.core.managed.promotion_lock import LockRecord
+from orchidwind.core.positions import Position
+from orchidwind.managed.ports import Changes, Listing
+
+STORE = "store"
+LATENCY_SECONDS = 0.001
+STORE_SECONDS = 0.004
+_WATCH_SECONDS = 4.0
+_CALL_SECONDS = 1.0
+GROUP = "ledger"
+
+
+@dataclass(frozen=True, slots=True)
+class AcknowledgedCommit:
+    """A commit that its instance acknowledged, and when."""
+
+    at: float
+    position: Position
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ExpectedRequest:
+    """What a caller asked: the checks compare with it what instances run."""
+
+    arrived_at: float
+    consistency: ReadConsistency
+    staleness: float
+    session: int
+    settings: tuple[tuple[str, str], ...]
+    session_commits: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class History:
+    """What happened, and which promises were broken."""
+
+    acknowledged: list[AcknowledgedCommit] = field(default_factory=list)
+    expected: dict[str, ExpectedRequest] = field(default_factory=dict)
+    rolled_back: set[str] = field(default_factory=set)
+    broken: list[str] = field(default_factory=list)
+    promotions: list[tuple[float, str, int]] = field(default_factory=list)
+    greatest_token: int = 0
+
+    def blame(self, at: float, what: str) -> None:
+        """A promise was broken."""
+        self.broken.append(f"{at:.3f}: {what}")
+
+
+class Network:
+    """Which parties cannot reach each other; a cut swallows what is sent."""
+
+    def __init__(self) -> None:
+        self._cuts: set[tuple[str, str]] = set()
+
+    def cut(self, first: str, second: str, one_way: bool = False) -> None:
+        """Part two parties."""
+        self._cuts.add((first, second))
+        if not one_way:
+            self._cuts.add((second, first))
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self._cuts.clear()
+
+    def passes(self, sender: str, receiver: str) -> bool:
+        """Whether a message would arrive."""
+        return (sender, receiver) not in self._cuts
+
+    async def travel(self, sender: str, receiver: str, seconds: float = LATENCY_SECONDS) -> None:
+        """Carry a message; a lost one never arrives."""
+        await asyncio.sleep(seconds)
+        if not self.passes(sender, receiver):
+            await asyncio.get_running_loop().create_future()
+
+
+class World:
+    """Everything outside the proxies."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.network = Network()
+        self.history = History()
+        self.store = SimulatedStore(self)
+
+    @property
+    def now(self) -> float:
+        """Virtual seconds."""
+        return asyncio.get_running_loop().time()
+
+
+class SimulatedStore:
+    """The store: directory, configuration and promotion lock, with outages and lost answers."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self.down = False
+        self.lose_answers = 0.0
+        self.late_seconds = 0.0
+        self.revision = 1
+        self.entries: dict[str, DirectoryEntry] = {}
+        self.lock: LockRecord | None = None
+        self.configuration = _configuration()
+        self._events: list[tuple[int, str]] = []
+        self._changed = asyncio.Event()
+
+    def put_entry(self, entry: DirectoryEntry) -> None:
+        """An instance writes its entry."""
+        self.revision += 1
+        self.entries[entry.instance] = entry
+        self._note(entry.instance)
+
+    def drop_entry(self, instance: str) -> None:
+        """An instance's entry goes."""
+        if self.entries.pop(instance, None) is not None:
+            self.revision += 1
+            self._note(instance)
+
+    def _note(self, instance: str) -> None:
+        self._events.append((self.revision, instance))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def call(self, node: str) -> None:
+        """The way to the store and back; raises PlatformError where it is down or cut off."""
+        await asyncio.sleep(STORE_SECONDS)
+        network = self._world.network
+        if not network.passes(node, STORE) or not network.passes(STORE, node):
+            await asyncio.sleep(_CALL_SECONDS)
+            raise PlatformError("cut off")
+        if self.down:
+            raise PlatformError("down")
+
+    async def wait_event(self, revision: int) -> list[str]:
+        """Names that changed after a revision."""
+        found = [name for at, name in self._events if at > revision]
+        if not found:
+            try:
+                async with asyncio.timeout(_WATCH_SECONDS):
+                    await self._changed.wait()
+            except TimeoutError:
+                return []
+            found = [name for at, name in self._events if at > revision]
+        return found
+
+
+class SimulatedDirectory:
+    """The directory as one proxy sees it."""
+
+    def __init__(self, world: World, node: str) -> None:
+        self._store = world.store
+        self._node = node
+
+    async def list(self) -> Listing[DirectoryEntry]:
+        """All entries."""
+        await self._store.call(self._node)
+        return Listing(tuple(self._store.entries.values()), self._store.revision)
+
+    async def watch(self, revision: int) -> Changes[DirectoryEntry]:
+        """Changes after a revision."""
+        await self._store.call(self._node)
+        names = await self._store.wait_event(revision)
+        await self._store.call(self._node)
+        entries = self._store.entries
+        changed = tuple(entries[name] for name in names if name in entries)
+        gone = tuple(name for name in names if name not in entries)
+        return Changes(changed, gone, self._store.revision)
+
+
+class SimulatedConfiguration:
+    """The configuration as one proxy sees it; it never changes here."""
+
+    def __init__(self, world: World, node: str) -> None:
+        self._store = world.store
+        self._node = node
+
+    async def list(self) -> Listing[ManagedConfiguration]:
+        """The configuration."""
+        await self._store.call(self._node)
+        return Listing((self._store.configuration,), 1)
+
+    async def watch(self, revision: int) -> Changes[ManagedConfiguration]:
+        """Nothing, after a while."""
+        await asyncio.sleep(_WATCH_SECONDS)
+        await self._store.call(self._node)
+        return Changes((), (), revision)
+
+
+class SimulatedLockStore:
+    """The promotion lock's object as one proxy sees it."""
+
+    def __init__(self, world: World, node: str) -> None:
+        self._world = world
+        self._store = world.store
+        self._node = node
+
+    async def read(self) -> LockRecord | None:
+        """The record."""
+        await self._store.call(self._node)
+        return self._store.lock
+
+    async def write(self, record: LockRecord, create: bool) -> LockRecord:
+        """Compare and put; the answer may be lost, and the change may come late."""
+        await self._store.call(self._node)
+        if self._world.random.random() < self._store.lose_answers:
+            delay = self._store.late_seconds * self._world.random.random()
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, self._apply_quietly, record, create)
+            await asyncio.sleep(_CALL_SECONDS)
+            raise PlatformUncertain("the answer was lost")
+        return self._apply(record, create)
+
+    def _apply_quietly(self, record: LockRecord, create: bool) -> None:
+        try:
+            self._apply(record, create)
+        except PlatformConflict:
+            return
+
+    def _apply(self, record: LockRecord, create: bool) -> LockRecord:
+        held = self._store.lock
+        expected = 0 if held is None else held.revision
+        if create != (held is None) or (not create and record.revision != expected):
+            raise PlatformConflict("the lock has changed")
+        self._store.revision += 1
+        written = LockRecord(record.holder, record.attempt, record.released, self._store.revision)
+        self._store.lock = written
+        return written
+
+
+class Promotable:
+    """What the promotion service needs of a group."""
+
+    def promote(self, instance: str) -> bool:
+        """Begin to make an instance the primary; whether it runs."""
+        raise NotImplementedError
+
+
+class SimulatedPromotions:
+    """The promotion service as one proxy sees it."""
+
+    def __init__(self, world: World, node: str, group: Promotable) -> None:
+        self._world = world
+        self._node = node
+        self._group = group
+
+    async def promote(
+        self, group: str, instance: str, token: int, seconds: float
+    ) -> PromotionAnswer:
+        """Take one promotion."""
+        await asyncio.sleep(STORE_SECONDS)
+        history = self._world.history
+        if token < history.greatest_token:
+            history.blame(self._world.now, f"{self._node} promotes with an older token")
+        history.greatest_token = max(history.greatest_token, token)
+        if not self._group.promote(instance):
+            return PromotionAnswer.REFUSED
+        return PromotionAnswer.ACCEPTED
+
+
+def _configuration() -> ManagedConfiguration:
+    databases = _databases(
+        (ReadConsistency.LATEST, ReadConsistency.BOUNDED, ReadConsistency.SESSION)
+    )
+    groups = {GROUP: ManagedGroupSettings(GROUP, 32, 1)}
+    return ManagedConfiguration(1, databases, groups, transaction_idle=3.0)
+
+
+def _databases(kinds: Iterable[ReadConsistency]) -> dict[str, ManagedDatabase]:
+    return {
+        kind.value: ManagedDatabase(
+            name=kind.value,
+            group=GROUP,
+            consistency=kind,
+            staleness=1.5,
+            statement_timeout=0.8,
+            target_latency=0.2,
+            priority=1,
+        )
+        for kind in kinds
+    }
--- /dev/null
+++ b/tests/test_managed_promises.py
@@ -0,0 +1,174 @@
+"""The promises for managed groups under faults: the real drivers, on virtual time."""
+
+import asyncio
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from orchidwind_bench.managed.callers import NODES, ManagedSystem
+from orchidwind_bench.managed.virtual_time import run_virtual
+from orchidwind_bench.managed.world import STORE
+
+
+def play(seed, faults, seconds=8.0):
+    """Run a system with faults; returns it after its checks."""
+
+    async def work():
+        system = ManagedSystem(seed)
+        loop = asyncio.get_running_loop()
+        for at, fault in faults:
+            loop.call_later(at, fault, system)
+        await system.run(seconds)
+        return system
+
+    return run_virtual(work())
+
+
+def test_a_calm_day_breaks_nothing_and_serves_everything():
+    system = play(1, [])
+    assert system.world.history.broken == []
+    assert system.world.history.promotions == []
+    assert all(a.error is None or not a.request_ids or a.error for a in system.tally.attempts)
+    refused = [a for a in system.tally.attempts if a.error and a.error.value != "transaction_lost"]
+    assert refused == []
+    assert system.tally.reads_failed == 0
+    assert len(system.tally.attempts) > 200
+    assert system.tally.reads > 100
+
+
+def crash_primary(system):
+    system.group.primary().crash()
+
+
+def restart_all(system):
+    for instance in system.group.instances.values():
+        if not instance.alive:
+            instance.restart()
+
+
+def go_dark(system):
+    system.group.resets = False
+    system.group.primary().crash()
+
+
+def gap_after(system, at):
+    times = sorted(system.tally.write_times)
+    return min(time for time in times if time > at + 0.05) - at
+
+
+def test_a_crashed_primary_is_replaced_and_nothing_is_lost():
+    system = play(2, [(3.0, crash_primary)])
+    assert system.world.history.broken == []
+    assert len(system.world.history.promotions) == 1
+    assert gap_after(system, 3.0) < 0.3 + 0.5
+
+
+def test_a_primary_that_goes_dark_is_replaced():
+    system = play(3, [(3.0, go_dark)])
+    assert system.world.history.broken == []
+    assert len(system.world.history.promotions) == 1
+    assert gap_after(system, 3.0) < 0.3 + 1.2
+
+
+def test_a_primary_cut_from_its_replicas_is_replaced():
+    def cut(system):
+        for other in ("i-1", "i-2"):
+            system.world.network.cut("i-0", other)
+
+    system = play(4, [(3.0, cut)])
+    assert system.world.history.broken == []
+    assert len(system.world.history.promotions) >= 1
+
+
+def test_a_proxy_that_only_reaches_the_old_primary_reads_nothing_stale():
+    def part(system):
+        """The old primary and one proxy are parted from everything else."""
+        network = system.world.network
+        for other in ("i-1", "i-2"):
+            network.cut("i-0", other)
+            network.cut("proxy-a", other)
+        network.cut("proxy-a", STORE)
+        for node in NODES[1:]:
+            network.cut(node, "i-0")
+
+    system = play(5, [(2.0, part), (6.0, lambda system: system.world.network.heal())], 10.0)
+    assert system.world.history.broken == []
+    assert len(system.world.history.promotions) >= 1
+
+
+def test_a_leaving_primary_is_replaced_before_it_ends():
+    def drain(system):
+        system.group.announce(system.group.instances["i-0"], draining=True)
+
+    system = play(6, [(2.0, drain)])
+    assert system.world.history.broken == []
+    assert system.group.primary().name != "i-0"
+    failed = [a for a in system.tally.attempts if a.error and a.error.value != "transaction_lost"]
+    assert len(failed) <= 3
+
+
+FAULTS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["crash", "dark", "restart", "cut", "one_way", "node_cut", "heal", "store", "lost",
+             "lag", "drain", "silent"]
+        ),
+        st.integers(0, 2),
+        st.integers(0, 2),
+        st.floats(0.1, 2.0),
+    ),
+    min_size=1,
+    max_size=7,
+)  # fmt: skip
+
+
+def inflict(system, kind, first, second):
+    group, network, store = system.group, system.world.network, system.world.store
+    name, other = f"i-{first}", f"i-{second}"
+    instance = group.instances[name]
+    if kind in ("crash", "dark") and instance.alive:
+        group.resets = kind == "crash"
+        instance.crash()
+        asyncio.get_running_loop().call_later(2.5, restart_all, system)
+    elif kind == "restart":
+        restart_all(system)
+    elif kind in ("cut", "one_way") and name != other:
+        network.cut(name, other, one_way=kind == "one_way")
+    elif kind == "node_cut":
+        network.cut(NODES[first], other)
+    elif kind == "heal":
+        network.heal()
+    elif kind == "store":
+        store.down = not store.down
+    elif kind == "lost":
+        store.lose_answers, store.late_seconds = 0.5, 3.0
+    elif kind == "lag":
+        instance.receive_seconds = 0.5
+    elif kind == "drain":
+        group.announce(instance, draining=True)
+    elif kind == "silent":
+        instance.lose_answers = 0.1
+
+
+def settle(system):
+    system.world.network.heal()
+    system.world.store.down = False
+    system.world.store.lose_answers = 0.0
+    for instance in system.group.instances.values():
+        instance.lose_answers = 0.0
+        instance.receive_seconds = 0.001
+    restart_all(system)
+
+
+@settings(max_examples=40)
+@given(st.integers(0, 2**16), FAULTS)
+def test_promises_hold_under_random_faults(seed, faults):
+    plan = []
+    at = 1.0
+    for kind, first, second, pause in faults:
+        plan.append((at, lambda s, k=kind, f=first, o=second: inflict(s, k, f, o)))
+        at += pause
+    plan.append((at + 2.0, settle))
+    system = play(seed, plan, at + 8.0)
+    assert system.world.history.broken == []
+    assert max(system.tally.write_times, default=0.0) > at + 5.0, "no write after all was mended"
