--- a/src/orchidwind/core/managed/flows.py
+++ b/src/orchidwind/core/managed/flows.py
@@ -39,6 +39,7 @@
     Flow,
     NeedConnection,
     NeedPrimary,
+    NeedProof,
     NeedReadPlan,
     Pause,
     Release,
@@ -148,7 +149,7 @@
             continue
         except ProofMissing:
             yield Release(connection, reusable=True)
-            yield Pause(BUSY_PAUSE_SECONDS)
+            yield from _wait_for_proof(context)
             continue
         yield Release(connection, reusable=reply.state is TransactionState.IDLE)
         if reply.done:
@@ -171,6 +172,16 @@
         return plan, connection
 
 
+def _wait_for_proof(context: CommandContext) -> Generator[Step, StepResult, None]:
+    """Send nothing to a primary of doubtful lead until some replica confirms its term."""
+    while True:
+        yield Pause(BUSY_PAUSE_SECONDS)
+        primary = yield NeedPrimary()
+        assert isinstance(primary, PrimaryView)
+        if (yield NeedProof(primary.term)):
+            return
+
+
 def _leave_instance(context: CommandContext, plan: ReadPlan) -> Generator[Step, StepResult, None]:
     """A connection broke: try another replica next; the primary has no substitute."""
     if plan.proof_of_term:
@@ -333,7 +344,7 @@
             continue
         except ProofMissing:
             yield Release(connection, reusable=False)
-            yield Pause(BUSY_PAUSE_SECONDS)
+            yield from _wait_for_proof(context)
             continue
         if reply.done and reply.state is TransactionState.OPEN:
             transaction.connection = connection
@@ -359,7 +370,7 @@
             continue
         except ProofMissing:
             yield Release(connection, reusable=False)
-            yield Pause(BUSY_PAUSE_SECONDS)
+            yield from _wait_for_proof(context)
             continue
         if reply.done and reply.state is TransactionState.OPEN:
             transaction.connection = connection
--- a/src/orchidwind/core/managed/steps.py
+++ b/src/orchidwind/core/managed/steps.py
@@ -54,6 +54,13 @@
     proven: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class NeedProof:
+    """Ask now for the proof that no primary after `term` has begun; the result is a bool."""
+
+    term: int
+
+
 @dataclass(frozen=True, slots=True)
 class Release:
     """Give a connection back; done at once."""
@@ -69,6 +76,6 @@
     seconds: float
 
 
-Step = NeedPrimary | NeedReadPlan | NeedConnection | Exchange | Release | Pause
-StepResult = PrimaryView | ReadPlan | ExchangeResult | int | None
+Step = NeedPrimary | NeedReadPlan | NeedProof | NeedConnection | Exchange | Release | Pause
+StepResult = PrimaryView | ReadPlan | ExchangeResult | int | bool | None
 Flow = Generator[Step, StepResult, CommandResult]
--- a/src/orchidwind/core/managed/supervision.py
+++ b/src/orchidwind/core/managed/supervision.py
@@ -24,7 +24,7 @@
     FailoverOutcome.NOT_NEEDED: 0.3,
     FailoverOutcome.LOCK_HELD: 0.2,
     FailoverOutcome.LOCK_LOST: 0.3,
-    FailoverOutcome.NOT_SAFE: 0.3,
+    FailoverOutcome.NOT_SAFE: 1.0,
 }
 
 
--- a/src/orchidwind/managed/executor.py
+++ b/src/orchidwind/managed/executor.py
@@ -29,6 +29,7 @@
     Flow,
     NeedConnection,
     NeedPrimary,
+    NeedProof,
     NeedReadPlan,
     Pause,
     Release,
@@ -230,6 +231,8 @@
             return await group.need_read_plan(
                 context.database, step.session_floor, context.arrived_at, step.excluded, deadline
             )
+        if isinstance(step, NeedProof):
+            return await group.prove_lead(step.term, deadline)
         if isinstance(step, NeedConnection):
             wanted = traffic_class(context.database)
             connection = await group.need_connection(step.instance, wanted, deadline)
--- a/src/orchidwind/managed/failover_runner.py
+++ b/src/orchidwind/managed/failover_runner.py
@@ -24,6 +24,7 @@
     FenceAll,
     LockLost,
     Promote,
+    PromotionAnswer,
     ReleaseLock,
     Statuses,
     TakeLock,
@@ -113,6 +114,8 @@
         self._lock = lock
         self._service = service
         self._held: HeldLock | None = None
+        # A promotion without an answer may still arrive: the next holder must wait it out.
+        self._unsettled = False
         self._loop = asyncio.get_running_loop()
 
     async def run(self, plan: FailoverPlan) -> FailoverResult:
@@ -147,7 +150,7 @@
             )
             return self._held is not None
         if isinstance(step, ReleaseLock):
-            if self._held is not None:
+            if self._held is not None and not self._unsettled:
                 await self._lock.release(self._held)
             return None
         if isinstance(step, Wait):
@@ -171,6 +174,7 @@
         assert self._held is not None
         token = self._held.token
         answer = await self._service.promote(plan.group, step.instance, token, seconds)
+        self._unsettled = answer is PromotionAnswer.UNKNOWN
         log_event(
             "promotion_sent",
             group=plan.group,
@@ -183,6 +187,11 @@
         return answer
 
     async def _call_instances(self, step: AskAll | FenceAll | UnfenceAll | Demote) -> Statuses:
+        statuses = await self._statuses(step)
+        _log_statuses(step, statuses)
+        return statuses
+
+    async def _statuses(self, step: AskAll | FenceAll | UnfenceAll | Demote) -> Statuses:
         if isinstance(step, AskAll):
             return await self._all(step.instances, lambda link: link.status())
         self._remaining()
@@ -203,6 +212,14 @@
         return {item.instance: item for item in answers if item is not None}
 
 
+def _log_statuses(step: AskAll | FenceAll | UnfenceAll | Demote, statuses: Statuses) -> None:
+    told = [
+        f"{item.instance}:{item.role.value}:{item.term}:{item.received.lsn}:{item.fence_term}"
+        for item in statuses.values()
+    ]
+    log_event("failover_step", step=type(step).__name__, told=" ".join(told))
+
+
 def _send(flow: FailoverFlow, outcome: FailoverStepResult) -> Callable[[], FailoverStep]:
     return lambda: flow.send(outcome)
 
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -363,12 +363,24 @@
             self._running.pop(connection, None)
             self._writing.discard(connection)
         self._heard[instance] = self._loop.time()
-        if proof is not None:
-            status = await asyncio.shield(proof)
-            if status is None or not knows_no_later_term(status, proof_of_term):
-                self._on_wake()
-                return ExchangeResult(replies, proven=False)
-        return ExchangeResult(replies)
+        if proof is None:
+            return ExchangeResult(replies)
+        return ExchangeResult(replies, await self._proves(proof, proof_of_term))
+
+    async def _proves(self, proof: asyncio.Task[InstanceStatus | None], term: int) -> bool:
+        status = await asyncio.shield(proof)
+        proven = status is not None and knows_no_later_term(status, term)
+        if not proven:
+            self._on_wake()
+        return proven
+
+    async def prove_lead(self, term: int, deadline: float) -> bool:
+        """Ask a replica, now, whether it knows of no term after `term`."""
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await self._proves(self._join_proof(), term)
+        except TimeoutError:
+            return False
 
     def _suspect(self, instance: str) -> None:
         """A connection broke: ask the instance at once whether it is still there."""
--- a/src/orchidwind_bench/managed/callers.py
+++ b/src/orchidwind_bench/managed/callers.py
@@ -112,6 +112,9 @@
             self._system.world.history.blame(
                 self._system.world.now, f"MIXED: {command.request_id} got {result.signature}"
             )
+        stale = self._system.world.history.stale.get(command.request_id)
+        if stale is not None:
+            self._system.world.history.blame(self._system.world.now, stale)
         return result
 
     async def _read(self) -> None:
--- a/src/orchidwind_bench/managed/world.py
+++ b/src/orchidwind_bench/managed/world.py
@@ -55,6 +55,7 @@
 
     acknowledged: list[AcknowledgedCommit] = field(default_factory=list)
     expected: dict[str, ExpectedRequest] = field(default_factory=dict)
+    stale: dict[str, str] = field(default_factory=dict)
     rolled_back: set[str] = field(default_factory=set)
     broken: list[str] = field(default_factory=list)
     promotions: list[tuple[float, str, int]] = field(default_factory=list)
