--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -26,6 +26,7 @@
 from orchidwind.core.pool import CloseConnection, Grant, InstancePool, OpenConnection, PoolEffect
 from orchidwind.core.positions import Position
 from orchidwind.logs import log_event
+from orchidwind.managed.metrics import ManagedMetrics
 from orchidwind.managed.ports import InstanceConnector, InstanceLink
 
 CONNECT_SECONDS = 0.6
@@ -49,8 +50,10 @@
         zone: str,
         connector: InstanceConnector,
         on_wake: Callable[[], None],
+        metrics: ManagedMetrics,
     ) -> None:
         self.settings = settings
+        self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._on_wake = on_wake
         self._connector = connector
@@ -354,6 +357,8 @@
         if writes:
             self._writing.add(connection)
         proof = self._join_proof() if proof_of_term else None
+        for message in messages:
+            self._metrics.message(message.kind.value)
         try:
             replies = await link.exchange(messages)
         except BackendConnectionLost:
@@ -452,6 +457,7 @@
         view = self.topology.instances.get(instance)
         reachable = view is None or view.unreachable_since is None
         seconds = ASK_SECONDS if reachable else ASK_UNREACHABLE_SECONDS
+        self._metrics.message("status_or_control")
         try:
             async with asyncio.timeout(seconds):
                 status = await self._ask_on_some_link(instance, call)
--- a/src/orchidwind/managed/metrics.py
+++ b/src/orchidwind/managed/metrics.py
@@ -34,6 +34,13 @@
             ["reason", "outcome"],
             registry=self.registry,
         )
+        self._messages = Counter(
+            "orchidwind_instance_messages",
+            "Messages to instances, by kind; status and control calls are kinds of their own",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.message_counts: dict[str, int] = {}
         self.sessions = Gauge("orchidwind_callers", "Callers' sessions", registry=self.registry)
         self.configuration_version = Gauge(
             "orchidwind_configuration_version",
@@ -53,6 +60,11 @@
         """A change of primary ended."""
         self._failovers.labels(reason, outcome).inc()
 
+    def message(self, kind: str) -> None:
+        """A message went to an instance."""
+        self._messages.labels(kind).inc()
+        self.message_counts[kind] = self.message_counts.get(kind, 0) + 1
+
     def render(self) -> bytes:
         """The text form."""
         return generate_latest(self.registry)
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -34,6 +34,7 @@
 from orchidwind.managed.watch import CollectionWatch
 
 _FORGET_SECONDS = 5.0
+_FIGURES_SECONDS = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +75,7 @@
         self._spawn(directory.run)
         self._spawn(configuration.run)
         self._spawn(self._forget_old)
+        self._spawn(self._tell_figures)
 
     def _spawn(self, work: Callable[[], Awaitable[None]]) -> None:
         async def run() -> None:
@@ -146,7 +148,7 @@
         assert self.configuration is not None
         wake = asyncio.Event()
         settings = self.configuration.groups[name]
-        group = GroupService(settings, self.zone, self._ports.connector, wake.set)
+        group = GroupService(settings, self.zone, self._ports.connector, wake.set, self.metrics)
         self.groups[name] = group
         self._wakes[name] = wake
         for entry in self._directory.values():
@@ -186,6 +188,11 @@
                 log_event("prepared", version=self.configuration.version)
             self._prepared.set()
 
+    async def _tell_figures(self) -> None:
+        while True:
+            await asyncio.sleep(_FIGURES_SECONDS)
+            log_event("figures", **self.metrics.message_counts)
+
     async def _forget_old(self) -> None:
         while True:
             await asyncio.sleep(_FORGET_SECONDS)
