--- a/src/orchidwind/core/errors.py
+++ b/src/orchidwind/core/errors.py
@@ -105,6 +105,10 @@
     """The platform holds another version of the object than the one named."""
 
 
+class PlatformMissing(PlatformError):
+    """The platform holds no such object."""
+
+
 class PlatformUncertain(PlatformError):
     """No answer came to a call that changes something: it may have been done, or may be yet."""
 
--- a/src/orchidwind/core/managed/failover.py
+++ b/src/orchidwind/core/managed/failover.py
@@ -10,9 +10,10 @@
 4. Those r - s + 1 and any `s` replicas that received an acknowledged commit share a replica; so the
    most advanced of the fenced logs has every acknowledged commit. So has any log at least as long
    as that of a demoted primary.
-5. A restart drops a fence: all fences are asked for again right before the promotion.
-6. The promotion is sent while the lock is surely held, and settled by asking the instance.
-7. Then the old primary is demoted by whoever reaches it. The other replicas are freed when it is
+5. Lead leases are waited out, or confirmed to be dropped (`lead_lease`).
+6. A restart drops a fence: all fences are asked for again right before the promotion.
+7. The promotion is sent while the lock is surely held, and settled by asking the instance.
+8. Then the old primary is demoted by whoever reaches it. The other replicas are freed when it is
    known to be no primary, or when they follow the new one.
 """
 
@@ -131,6 +132,11 @@
     term: int
 
 
+@dataclass(frozen=True, slots=True)
+class AwaitRevocation:
+    """Wait until no proxy relies on the old primary by a lead lease."""
+
+
 @dataclass(frozen=True, slots=True)
 class Promote:
     """Send the promotion, if the lock is surely held (else LockLost is thrown in)."""
@@ -145,7 +151,17 @@
     seconds: float
 
 
-FailoverStep = TakeLock | ReleaseLock | AskAll | FenceAll | UnfenceAll | Demote | Promote | Wait
+FailoverStep = (
+    TakeLock
+    | ReleaseLock
+    | AskAll
+    | FenceAll
+    | UnfenceAll
+    | Demote
+    | AwaitRevocation
+    | Promote
+    | Wait
+)
 Statuses = Mapping[str, InstanceStatus]
 FailoverStepResult = Statuses | PromotionAnswer | bool | None
 FailoverFlow = Generator[FailoverStep, FailoverStepResult, FailoverResult]
@@ -336,6 +352,7 @@
     fence_term: int,
 ) -> Generator[FailoverStep, FailoverStepResult, InstanceStatus | None]:
     """Check the fences once more, promote, and wait until the instance leads."""
+    yield AwaitRevocation()
     if demoted is None or candidate.instance != demoted.instance:
         again = yield from _ask(tuple(fenced))
         still = choose_candidate(plan, again, demoted, fence_term)
--- a/src/orchidwind/core/managed/flows.py
+++ b/src/orchidwind/core/managed/flows.py
@@ -119,7 +119,6 @@
     proof_of_term: int = 0,
 ) -> Generator[Step, StepResult, Reply]:
     """Send and return the last reply; a connection whose preparation failed is closed."""
-    sent_at = context.group.now()
     result = yield Exchange(connection, messages, proof_of_term)
     assert isinstance(result, ExchangeResult)
     replies = result.replies
@@ -127,10 +126,10 @@
     context.group.note_messages(connection, messages)
     if not all(reply.done for reply in replies[:-1]):
         raise BackendConnectionLost("a setting or prepared statement was refused", sent=True)
-    if not result.proven:
-        raise ProofMissing("no replica shows that the primary still leads")
     if proof_of_term:
-        context.group.lead_proven(sent_at, replies[-1].position)
+        if result.led_at is None:
+            raise ProofMissing("no replica shows that the primary still leads")
+        context.group.lead_proven(result.led_at, replies[-1].position)
     return replies[-1]
 
 
--- a/src/orchidwind/core/managed/group.py
+++ b/src/orchidwind/core/managed/group.py
@@ -107,6 +107,6 @@
         """The primary acknowledged a commit: a replica still followed it, so the lead is proven."""
         self.topology.prove(sent_at, position)
 
-    def lead_proven(self, sent_at: float, position: Position | None) -> None:
-        """The primary answered, and no later term had begun when it was asked."""
-        self.topology.prove(sent_at, position)
+    def lead_proven(self, led_at: float, position: Position | None) -> None:
+        """The primary told its position after a time at which no later term had begun."""
+        self.topology.prove(led_at, position)
--- a/src/orchidwind/core/managed/promotion_lock.py
+++ b/src/orchidwind/core/managed/promotion_lock.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
-HOLD_SECONDS = 2.5
-TAKE_OVER_SECONDS = 4.0
+HOLD_SECONDS = 3.0
+TAKE_OVER_SECONDS = 4.3
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/orchidwind/core/managed/steps.py
+++ b/src/orchidwind/core/managed/steps.py
@@ -48,10 +48,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ExchangeResult:
-    """The replies, and whether the proof that was asked for is there."""
+    """The replies, and when the instance is proven to have led; None where that is not known."""
 
     replies: tuple[Reply, ...]
-    proven: bool = True
+    led_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/orchidwind/core/managed/supervision.py
+++ b/src/orchidwind/core/managed/supervision.py
@@ -12,6 +12,7 @@
 from orchidwind.core.managed.topology import GroupTopology
 
 ASK_AGAIN_SECONDS = 0.15
+LONGEST_ASK_SECONDS = 1.0
 NO_PRIMARY_SECONDS = 0.1
 NOT_CONFIRMING_SECONDS = 0.6
 GONE_SECONDS = 1.0
@@ -77,11 +78,19 @@
         wanted |= {name for name, view in views.items() if view.unreachable_since is not None}
         due = []
         for name in sorted(wanted):
-            if now - self._asked_at.get(name, -ASK_AGAIN_SECONDS) >= ASK_AGAIN_SECONDS:
+            if now - self._asked_at.get(name, float("-inf")) >= self._ask_interval(now, name):
                 self._asked_at[name] = now
                 due.append(name)
         return due
 
+    def _ask_interval(self, now: float, name: str) -> float:
+        """An instance that has not answered for long is asked less often."""
+        view = self._topology.instances.get(name)
+        if view is None or view.unreachable_since is None:
+            return ASK_AGAIN_SECONDS
+        silent = now - view.unreachable_since
+        return min(max(ASK_AGAIN_SECONDS, silent / 2), LONGEST_ASK_SECONDS)
+
     def _reason(self, now: float, oldest_write: float) -> FailoverReason | None:
         primary = self._topology.primary(now)
         if primary is not None:
--- a/src/orchidwind/managed/executor.py
+++ b/src/orchidwind/managed/executor.py
@@ -253,7 +253,11 @@
         try:
             async with asyncio.timeout_at(deadline):
                 return await group.exchange(
-                    step.connection, step.messages, step.proof_of_term, context.sent_write
+                    step.connection,
+                    step.messages,
+                    step.proof_of_term,
+                    context.sent_write,
+                    context.arrived_at,
                 )
         except TimeoutError as error:
             raise RequestError(
--- a/src/orchidwind/managed/failover_runner.py
+++ b/src/orchidwind/managed/failover_runner.py
@@ -12,9 +12,10 @@
     PlatformError,
     PlatformUncertain,
 )
-from orchidwind.core.managed.commands import InstanceStatus
+from orchidwind.core.managed.commands import InstanceRole, InstanceStatus
 from orchidwind.core.managed.failover import (
     AskAll,
+    AwaitRevocation,
     Demote,
     FailoverFlow,
     FailoverPlan,
@@ -41,6 +42,7 @@
 )
 from orchidwind.logs import log_event
 from orchidwind.managed.group_service import GroupService
+from orchidwind.managed.lead_lease import LeaseKeeper
 from orchidwind.managed.ports import InstanceLink, PromotionLockStore, PromotionService
 
 _CALL_MARGIN_SECONDS = 0.2
@@ -108,13 +110,21 @@
     """Drives one change of primary."""
 
     def __init__(
-        self, group: GroupService, lock: PromotionLockClient, service: PromotionService
+        self,
+        group: GroupService,
+        lock: PromotionLockClient,
+        service: PromotionService,
+        leases: LeaseKeeper,
     ) -> None:
+        self._leases = leases
+        self._taken_at = 0.0
+        self._promoted = ""
         self._group = group
         self._lock = lock
         self._service = service
         self._held: HeldLock | None = None
-        # A promotion without an answer may still arrive: the next holder must wait it out.
+        # A promotion that has not been seen to take effect may do so yet: the lock is not given
+        # back then, so that nobody relies on the old primary, and the next holder waits.
         self._unsettled = False
         self._loop = asyncio.get_running_loop()
 
@@ -142,6 +152,7 @@
     async def _perform(self, step: FailoverStep, plan: FailoverPlan) -> FailoverStepResult:
         if isinstance(step, TakeLock):
             self._held = await self._lock.take()
+            self._taken_at = self._loop.time()
             log_event(
                 "promotion_lock",
                 group=plan.group,
@@ -157,6 +168,11 @@
             self._remaining()
             await asyncio.sleep(step.seconds)
             return None
+        if isinstance(step, AwaitRevocation):
+            self._remaining()
+            assert self._held is not None
+            await self._leases.wait_for_others(self._held.token, self._taken_at)
+            return None
         if isinstance(step, Promote):
             return await self._promote(step, plan)
         return await self._call_instances(step)
@@ -174,7 +190,8 @@
         assert self._held is not None
         token = self._held.token
         answer = await self._service.promote(plan.group, step.instance, token, seconds)
-        self._unsettled = answer is PromotionAnswer.UNKNOWN
+        self._unsettled = answer is not PromotionAnswer.REFUSED
+        self._promoted = step.instance
         log_event(
             "promotion_sent",
             group=plan.group,
@@ -189,6 +206,9 @@
     async def _call_instances(self, step: AskAll | FenceAll | UnfenceAll | Demote) -> Statuses:
         statuses = await self._statuses(step)
         _log_statuses(step, statuses)
+        promoted = statuses.get(self._promoted)
+        if promoted is not None and promoted.role is InstanceRole.PRIMARY:
+            self._unsettled = False
         return statuses
 
     async def _statuses(self, step: AskAll | FenceAll | UnfenceAll | Demote) -> Statuses:
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -26,6 +26,7 @@
 from orchidwind.core.pool import CloseConnection, Grant, InstancePool, OpenConnection, PoolEffect
 from orchidwind.core.positions import Position
 from orchidwind.logs import log_event
+from orchidwind.managed.lead_lease import LeaseKeeper
 from orchidwind.managed.metrics import ManagedMetrics
 from orchidwind.managed.ports import InstanceConnector, InstanceLink
 
@@ -51,7 +52,10 @@
         connector: InstanceConnector,
         on_wake: Callable[[], None],
         metrics: ManagedMetrics,
+        leases: LeaseKeeper,
     ) -> None:
+        self._leases = leases
+        self._known_leader: tuple[str, int] | None = None
         self.settings = settings
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
@@ -347,6 +351,7 @@
         messages: tuple[InstanceMessage, ...],
         proof_of_term: int,
         writes: bool,
+        arrived_at: float,
     ) -> ExchangeResult:
         """Send and wait; raises BackendConnectionLost."""
         link = self._links.get(connection)
@@ -356,7 +361,10 @@
         self._running[connection] = (instance, self._loop.time())
         if writes:
             self._writing.add(connection)
-        proof = self._join_proof() if proof_of_term else None
+        leased = proof_of_term > 0 and self._leased(instance, arrived_at)
+        proof = self._join_proof() if proof_of_term and not leased else None
+        lock_revision = self._leases.free_revision
+        sent_at = self._loop.time()
         for message in messages:
             self._metrics.message(message.kind.value)
         try:
@@ -368,9 +376,21 @@
             self._running.pop(connection, None)
             self._writing.discard(connection)
         self._heard[instance] = self._loop.time()
-        if proof is None:
+        if leased:
+            return ExchangeResult(replies, arrived_at)
+        if proof is None or not await self._proves(proof, proof_of_term):
             return ExchangeResult(replies)
-        return ExchangeResult(replies, await self._proves(proof, proof_of_term))
+        if lock_revision is not None:
+            self._known_leader = (instance, lock_revision)
+        return ExchangeResult(replies, sent_at)
+
+    def _leased(self, instance: str, arrived_at: float) -> bool:
+        """Whether the lead lease spares the proof for a request that came at a time.
+
+        It does where the lead was proven once since the promotion lock was last given back.
+        """
+        covered = self._leases.covers(arrived_at)
+        return covered and self._known_leader == (instance, self._leases.free_revision)
 
     async def _proves(self, proof: asyncio.Task[InstanceStatus | None], term: int) -> bool:
         status = await asyncio.shield(proof)
--- /dev/null
+++ b/src/orchidwind/managed/lead_lease.py
@@ -0,0 +1,135 @@
+"""Keeps this proxy's lead lease, and collects the others' confirmations before a promotion."""
+
+from __future__ import annotations
+
+import asyncio
+
+from orchidwind.core.errors import PlatformError
+from orchidwind.core.managed.lead_lease import (
+    REFRESH_SECONDS,
+    REVOCATION_WAIT_SECONDS,
+    LeadLease,
+)
+from orchidwind.core.managed.promotion_lock import LockRecord
+from orchidwind.logs import log_event
+from orchidwind.managed.ports import Changes, LeaseRegistry, Listing, PromotionLockStore
+
+_RETRY_SECONDS = 0.25
+_ASK_AGAIN_SECONDS = 0.025
+
+
+class LeaseKeeper:
+    """One proxy's lease, while requests want it."""
+
+    def __init__(self, node: str, lock_store: PromotionLockStore, registry: LeaseRegistry) -> None:
+        self.lease = LeadLease()
+        self._node = node
+        self._lock_store = lock_store
+        self._registry = registry
+        self._registered = False
+        self._wanted = asyncio.Event()
+        self._confirmed = 0
+        self._to_confirm = 0
+        self._confirm_wanted = asyncio.Event()
+        self._loop = asyncio.get_running_loop()
+
+    def covers(self, at: float) -> bool:
+        """Whether no change of primary had taken effect at a time; asks for a lease by the way."""
+        self._wanted.set()
+        return self._registered and self.lease.covers(at)
+
+    @property
+    def free_revision(self) -> int | None:
+        """The promotion lock's revision while it is known to be free, else None."""
+        return self.lease.free_revision
+
+    async def run(self) -> None:
+        """Register, then read the lock as often as requests want the lease."""
+        while not await self._register():
+            await asyncio.sleep(_RETRY_SECONDS)
+        while True:
+            await self._wanted.wait()
+            self._wanted.clear()
+            await self._refresh()
+            await asyncio.sleep(REFRESH_SECONDS)
+
+    async def _register(self) -> bool:
+        """Others wait for this proxy from now on, so its lease may count."""
+        try:
+            await self._registry.confirm(self._node, 0)
+        except PlatformError as error:
+            log_event("lease_not_registered", reason=str(error))
+            return False
+        self._registered = True
+        return True
+
+    async def _refresh(self) -> None:
+        sent_at = self._loop.time()
+        try:
+            record = await self._lock_store.read()
+        except PlatformError:
+            return
+        self.lease.lock_read(sent_at, record)
+
+    # --- revocation ---------------------------------------------------------------------------
+
+    def listed(self, listing: Listing[LockRecord]) -> None:
+        """The lock as a fresh listing shows it."""
+        for record in listing.items:
+            self._take(record)
+
+    def changed(self, changes: Changes[LockRecord]) -> None:
+        """The lock changed."""
+        for record in changes.changed:
+            self._take(record)
+
+    def _take(self, record: LockRecord) -> None:
+        if record.released:
+            return
+        self.lease.lock_taken(record.revision)
+        if record.holder != self._node:
+            self._to_confirm = max(self._to_confirm, record.revision)
+            self._confirm_wanted.set()
+
+    async def confirm_drops(self) -> None:
+        """Tell each new holder of the lock that this proxy's lease is dropped."""
+        while True:
+            await self._confirm_wanted.wait()
+            self._confirm_wanted.clear()
+            revision = self._to_confirm
+            if revision <= self._confirmed:
+                continue
+            try:
+                await self._registry.confirm(self._node, revision)
+            except PlatformError as error:
+                log_event("lease_drop_not_confirmed", revision=revision, reason=str(error))
+                continue
+            self._confirmed = revision
+
+    async def leave(self) -> None:
+        """This proxy stops: nobody waits for it any more."""
+        self._registered = False
+        self.lease.drop()
+        try:
+            await self._registry.remove(self._node)
+        except PlatformError as error:
+            log_event("lease_not_removed", reason=str(error))
+
+    async def wait_for_others(self, token: int, taken_at: float) -> None:
+        """Wait until no other proxy's lease counts; `taken_at` is when the lock's answer came."""
+        self.lease.lock_taken(token)
+        deadline = taken_at + REVOCATION_WAIT_SECONDS
+        while (left := deadline - self._loop.time()) > 0:
+            if await self._all_dropped(token):
+                return
+            await asyncio.sleep(min(_ASK_AGAIN_SECONDS, left))
+
+    async def _all_dropped(self, token: int) -> bool:
+        try:
+            confirmed = await self._registry.confirmations()
+        except PlatformError:
+            return False
+        waiting = [
+            item.node for item in confirmed if item.node != self._node and item.revision < token
+        ]
+        return not waiting
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -21,13 +21,16 @@
 from orchidwind.managed.executor import Databases
 from orchidwind.managed.failover_runner import FailoverRunner, PromotionLockClient
 from orchidwind.managed.group_service import GroupService
+from orchidwind.managed.lead_lease import LeaseKeeper
 from orchidwind.managed.metrics import ManagedMetrics
 from orchidwind.managed.ports import (
     Changes,
     ConfigurationSource,
     DirectorySource,
     InstanceConnector,
+    LeaseRegistry,
     Listing,
+    LockSource,
     PromotionLockStore,
     PromotionService,
 )
@@ -45,6 +48,8 @@
     directory: DirectorySource
     configuration: ConfigurationSource
     lock_store: PromotionLockStore
+    lock_source: LockSource
+    leases: LeaseRegistry
     promotions: PromotionService
 
 
@@ -62,6 +67,7 @@
         self._directory: dict[str, DirectoryEntry] = {}
         self._directory_listed = False
         self._lock = PromotionLockClient(name, ports.lock_store)
+        self.leases = LeaseKeeper(name, ports.lock_store, ports.leases)
         self._wakes: dict[str, asyncio.Event] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._prepared = asyncio.Event()
@@ -72,7 +78,11 @@
         configuration = CollectionWatch(
             "configuration", self._ports.configuration, _ConfigurationFollower(self)
         )
+        lock = CollectionWatch("promotion_lock", self._ports.lock_source, self.leases)
         self._spawn(directory.run)
+        self._spawn(lock.run)
+        self._spawn(self.leases.run)
+        self._spawn(self.leases.confirm_drops)
         self._spawn(configuration.run)
         self._spawn(self._forget_old)
         self._spawn(self._tell_figures)
@@ -148,7 +158,9 @@
         assert self.configuration is not None
         wake = asyncio.Event()
         settings = self.configuration.groups[name]
-        group = GroupService(settings, self.zone, self._ports.connector, wake.set, self.metrics)
+        group = GroupService(
+            settings, self.zone, self._ports.connector, wake.set, self.metrics, self.leases
+        )
         self.groups[name] = group
         self._wakes[name] = wake
         for entry in self._directory.values():
@@ -231,7 +243,7 @@
             old_primary=plan.old_primary,
             members=",".join(plan.members),
         )
-        runner = FailoverRunner(group, self._lock, self._ports.promotions)
+        runner = FailoverRunner(group, self._lock, self._ports.promotions, self.leases)
         result = await runner.run(plan)
         log_event(
             "failover_ended",
--- a/src/orchidwind/managed/ports.py
+++ b/src/orchidwind/managed/ports.py
@@ -74,6 +74,7 @@
 
 
 DirectorySource = WatchedCollection[DirectoryEntry]
+LockSource = WatchedCollection[LockRecord]
 ConfigurationSource = WatchedCollection[ManagedConfiguration]
 
 
@@ -91,6 +92,27 @@
         """
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseConfirmation:
+    """A proxy that may hold a lead lease, and the lock's revision at which it last dropped it."""
+
+    node: str
+    revision: int
+
+
+class LeaseRegistry(Protocol):
+    """The proxies that may hold a lead lease; calls raise PlatformError."""
+
+    async def confirm(self, node: str, revision: int) -> None:
+        """Register a proxy, or tell that it dropped its lease."""
+
+    async def confirmations(self) -> tuple[LeaseConfirmation, ...]:
+        """All registered proxies, read freshly."""
+
+    async def remove(self, node: str) -> None:
+        """A proxy holds no lease any more."""
+
+
 class PromotionService(Protocol):
     """Makes an instance the primary of its group."""
 
--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -25,6 +25,8 @@
 from orchidwind.platform.store import (
     ConfigurationTranslation,
     InstanceTranslation,
+    LeaseObjects,
+    LockTranslation,
     ObjectStore,
     PromotionLockObject,
     WatchedKind,
@@ -63,6 +65,7 @@
         await self._stop.wait()
         await self._registry.drain(settings.bounds.grace_s)
         callers.stop()
+        await self._node.leases.leave()
         self._node.close()
         log_event("stopped")
 
@@ -100,6 +103,8 @@
         directory=WatchedKind(store, InstanceTranslation()),
         configuration=WatchedKind(store, ConfigurationTranslation()),
         lock_store=PromotionLockObject(store),
+        lock_source=WatchedKind(store, LockTranslation()),
+        leases=LeaseObjects(store),
         promotions=PromotionCall(parse_address(settings.cloud_api.address), settings.node_name),
     )
     return ManagedNode(settings.node_name, settings.zone, ports)
--- a/src/orchidwind/platform/store.py
+++ b/src/orchidwind/platform/store.py
@@ -14,6 +14,7 @@
 from orchidwind.core.errors import (
     PlatformConflict,
     PlatformError,
+    PlatformMissing,
     PlatformUncertain,
     PlatformVersionGone,
 )
@@ -25,7 +26,7 @@
     ReadConsistency,
 )
 from orchidwind.core.managed.promotion_lock import LockRecord
-from orchidwind.managed.ports import Changes, Listing
+from orchidwind.managed.ports import Changes, LeaseConfirmation, Listing
 from orchidwind.network.http_call import HttpAnswer, HttpCallFailed, HttpRequest, http_call
 
 CALL_SECONDS = 1.5
@@ -38,6 +39,7 @@
 _CONFIGURATION_NAME = "main"
 _LOCKS = "promotion-locks"
 _LOCK_NAME = "promotions"
+_LEASES = "lead-leases"
 _OK = (200, 201)
 _MILLISECONDS = 1000.0
 _DEFAULT_STALENESS_MS = 1000.0
@@ -122,6 +124,10 @@
     released: bool = True
 
 
+class _LeaseSpec(msgspec.Struct):
+    revision: int = 0
+
+
 Spec = TypeVar("Spec")
 
 
@@ -160,11 +166,31 @@
             raise PlatformError(f"the store cannot be reached: {error}") from error
         if answer.status == 409:
             raise PlatformConflict("the object has changed")
+        if answer.status == 404:
+            raise PlatformMissing("the object is not there")
         if answer.status not in _OK:
             raise PlatformError(f"the store answers {answer.status}")
         return answer
 
 
+async def read_all(store: ObjectStore, kind_path: str) -> Listing[StoredObject]:
+    """Read all objects of a kind, page by page; raises PlatformError."""
+    items: list[StoredObject] = []
+    after = ""
+    first_revision = 0
+    while True:
+        path = f"{kind_path}?after={quote(after)}" if after else kind_path
+        answer = await store.read(path, LIST_SECONDS)
+        if answer.status == 404:
+            raise PlatformError("the store does not know the kind")
+        page = _decode(answer.body, _ObjectList)
+        first_revision = page.at if not after else min(first_revision, page.at)
+        items.extend(page.items)
+        if not page.has_more or not page.items:
+            return Listing(tuple(items), first_revision)
+        after = page.items[-1].meta.name
+
+
 class Translation(Protocol[Translated]):
     """From objects of one kind to the product's items."""
 
@@ -183,21 +209,9 @@
         self._path = _OBJECTS + translation.kind
 
     async def list(self) -> Listing[Item]:
-        """Read all objects, page by page."""
-        items: list[StoredObject] = []
-        after = ""
-        first_revision = 0
-        while True:
-            path = f"{self._path}?after={quote(after)}" if after else self._path
-            answer = await self._store.read(path, LIST_SECONDS)
-            if answer.status == 404:
-                raise PlatformError("the store does not know the kind")
-            page = _decode(answer.body, _ObjectList)
-            first_revision = page.at if not after else min(first_revision, page.at)
-            items.extend(page.items)
-            if not page.has_more or not page.items:
-                return Listing(self._items(items), first_revision)
-            after = page.items[-1].meta.name
+        """Read all objects."""
+        listing = await read_all(self._store, self._path)
+        return Listing(self._items(listing.items), listing.revision)
 
     async def watch(self, revision: int) -> Changes[Item]:
         """Wait for changes after a revision."""
@@ -281,6 +295,45 @@
     )
 
 
+class LockTranslation:
+    """The promotion lock, as a collection of one."""
+
+    kind = _LOCKS
+
+    def item(self, stored: StoredObject) -> LockRecord | None:
+        """The lock's record."""
+        return _record(stored)
+
+
+class LeaseObjects:
+    """One object for each proxy that may hold a lead lease."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+        self._path = _OBJECTS + _LEASES
+
+    async def confirm(self, node: str, revision: int) -> None:
+        """Write the proxy's object, whether or not it is there; raises PlatformError."""
+        content = {"meta": {"name": node, "finalizers": []}, "spec": _LeaseSpec(revision)}
+        body = msgspec.json.encode(content)
+        try:
+            await self._store.change("PUT", f"{self._path}/{quote(node)}", body)
+        except PlatformMissing:
+            await self._store.change("POST", self._path, body)
+
+    async def confirmations(self) -> tuple[LeaseConfirmation, ...]:
+        """All objects; raises PlatformError."""
+        listing = await read_all(self._store, self._path)
+        return tuple(
+            LeaseConfirmation(item.meta.name, _decode(item.spec, _LeaseSpec).revision)
+            for item in listing.items
+        )
+
+    async def remove(self, node: str) -> None:
+        """Delete the proxy's object; raises PlatformError."""
+        await self._store.change("DELETE", f"{self._path}/{quote(node)}", b"")
+
+
 class PromotionLockObject:
     """The promotion lock as an object of the store."""
 
@@ -308,6 +361,9 @@
 
 
 def _lock_record(body: bytes) -> LockRecord:
-    stored = _decode(body, StoredObject)
+    return _record(_decode(body, StoredObject))
+
+
+def _record(stored: StoredObject) -> LockRecord:
     spec = _decode(stored.spec, _LockSpec)
     return LockRecord(spec.holder, spec.attempt, spec.released, stored.meta.revision)
--- a/src/orchidwind_bench/managed/callers.py
+++ b/src/orchidwind_bench/managed/callers.py
@@ -15,6 +15,8 @@
     ExpectedRequest,
     SimulatedConfiguration,
     SimulatedDirectory,
+    SimulatedLeases,
+    SimulatedLockSource,
     SimulatedLockStore,
     SimulatedPromotions,
     World,
@@ -188,6 +190,8 @@
             directory=SimulatedDirectory(self.world, name),
             configuration=SimulatedConfiguration(self.world, name),
             lock_store=SimulatedLockStore(self.world, name),
+            lock_source=SimulatedLockSource(self.world, name),
+            leases=SimulatedLeases(self.world, name),
             promotions=SimulatedPromotions(self.world, name, self.group),
         )
 
