--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -161,6 +161,7 @@
                 self._close_link(connection)
                 self._pool_effects(pool.lost(connection, self._loop.time()))
             self._turn_away(pool)
+            self._retry_open(pool)
         control = self._control.pop(instance, None)
         if control is not None:
             control.close()
@@ -320,7 +321,9 @@
         if instance is None or connection in self._running:
             return
         self._close_link(connection)
-        self._pool_effects(self._pool(instance).lost(connection, self._loop.time()))
+        pool = self._pool(instance)
+        self._pool_effects(pool.lost(connection, self._loop.time()))
+        self._retry_open(pool)
         self._suspect(instance)
 
     def _close_link(self, connection: int) -> None:
@@ -337,11 +340,7 @@
             return
         view = self.topology.instances.get(instance)
         keep = reusable and view is not None and view.unreachable_since is None
-        if not keep:
-            self._close_link(connection)
-            self._pool_effects(self._pool(instance).lost(connection, self._loop.time()))
-            return
-        self._pool_effects(self._pool(instance).release(connection, self._loop.time(), True))
+        self._pool_effects(self._pool(instance).release(connection, self._loop.time(), keep))
 
     # --- exchanges ----------------------------------------------------------------------------
 
--- /dev/null
+++ b/tests/test_platform_node.py
@@ -0,0 +1,495 @@
+"""One proxy on real sockets: line protocol on both sides, the store and promotions of stand-ins."""
+
+import asyncio
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from orchidwind.network.http_call import HttpRequest, http_call
+from orchidwind.platform.main import PlatformProxy
+from orchidwind_bench.processes import free_ports
+from orchidwind_standins.line_instance import StandinGroup, StandinServer
+from orchidwind_standins.object_store import StoreState, listen
+
+ROOT = Path(__file__).parents[1]
+HOST = "127.0.0.1"
+SERVICE = "svc1"
+ROUTES = {"latest": "primary", "bounded": "bounded_staleness", "own": "read_own_writes"}
+
+
+class LineClient:
+    """A caller."""
+
+    @classmethod
+    async def open(cls, port, database="latest"):
+        client = cls()
+        client.stream = await TCPClient().connect(HOST, port)
+        await client.stream.write(f"STARTUP {database} tests\r\n".encode())
+        client.greeting = await client.line()
+        return client
+
+    async def line(self):
+        async with asyncio.timeout(5):
+            return (await self.stream.read_until(b"\r\n"))[:-2].decode("latin-1")
+
+    async def ask(self, text, request_id="a1"):
+        await self.stream.write(f"QUERY {request_id} {text}\r\n".encode("latin-1"))
+        lines = []
+        while not lines or not lines[-1].startswith("READY"):
+            lines.append(await self.line())
+        return lines
+
+    async def closed(self):
+        try:
+            async with asyncio.timeout(5):
+                await self.stream.read_until_close()
+        except StreamClosedError:
+            pass
+        return True
+
+
+class PlatformSystem:
+    """The stand-ins, and what a proxy is told of them."""
+
+    def __init__(self, folder):
+        self.store = StoreState()
+        self.group = StandinGroup(SERVICE, ("i-0", "i-1", "i-2"))
+        self.ports = free_ports(7)
+        self.folder = folder
+        self.version = 3
+        self.servers = {}
+        self.store.on_promotion = lambda service, name: self.group.promote(name)
+        self.group.on_role = self.write_entry
+
+    @property
+    def front_port(self):
+        return self.ports[0]
+
+    def start(self):
+        self.http = listen(self.store, HOST, self.ports[3])
+        for index, instance in enumerate(self.group.instances.values()):
+            self.listen_instance(instance, self.ports[4 + index])
+            self.write_entry(instance)
+        self.write_configuration(ROUTES)
+        settings = {
+            "node_name": "front-1",
+            "ip": HOST,
+            "zone": "z1",
+            "unknown": {"later": 1},
+            "listen": {"front": f"{HOST}:{self.ports[0]}", "ready": f"{HOST}:{self.ports[1]}"},
+            "internal_port_range": [self.ports[2], self.ports[2] + 1],
+            "platform": {"address": f"{HOST}:{self.ports[3]}"},
+            "cloud_api": {"address": f"{HOST}:{self.ports[3]}"},
+            "bounds": {"grace_s": 2.0},
+        }
+        self.settings_path = self.folder / "local.json"
+        self.settings_path.write_text(json.dumps(settings))
+
+    def listen_instance(self, instance, port):
+        server = StandinServer(self.group, instance)
+        server.listen(port, HOST)
+        self.servers[instance.name] = (server, port)
+
+    def write_entry(self, instance, state="ready"):
+        port = self.servers[instance.name][1]
+        spec = {
+            "service": SERVICE,
+            "address": f"{HOST}:{port}",
+            "zone": "z1",
+            "slots": 3,
+            "state": state,
+            "db_role": instance.role,
+            "call_seq": 1,
+        }
+        self.store.put("servers", instance.name, spec)
+
+    def write_configuration(self, routes):
+        self.version += 2
+        spec = {
+            "version": self.version,
+            "routes": [
+                {
+                    "name": name,
+                    "hostname": name,
+                    "route_type": kind,
+                    "timeout_ms": 800,
+                    "target_latency_ms": 200,
+                    "priority": 1,
+                    "service": SERVICE,
+                    "max_staleness_ms": 1500,
+                }
+                for name, kind in routes.items()
+            ],
+            "services": [{"name": SERVICE, "max_connections": 34, "sync_replicas": 1}],
+            "limits": {"tx_idle_ms": 300},
+        }
+        self.store.put("config", "main", spec)
+
+    def crash(self, name):
+        instance = self.group.instances[name]
+        self.servers[name][0].stop()
+        for stream in list(instance.streams):
+            stream.close()
+
+    def runs(self, request_id):
+        return [
+            (instance.name, text)
+            for instance in self.group.instances.values()
+            for found, text in instance.ran
+            if found == request_id
+        ]
+
+    async def status_of(self, path, port):
+        return await http_call(HttpRequest((HOST, port), "GET", path), 2.0)
+
+    def stop(self):
+        self.http.stop()
+        for server, _ in self.servers.values():
+            server.stop()
+
+
+@asynccontextmanager
+async def running(folder):
+    system = PlatformSystem(folder)
+    system.start()
+    proxy = PlatformProxy(system.settings_path)
+    task = asyncio.create_task(proxy.run())
+    while not proxy._node.prepared:
+        await asyncio.sleep(0.01)
+    system.proxy = proxy
+    try:
+        yield system
+    finally:
+        proxy._stop.set()
+        async with asyncio.timeout(5):
+            await task
+        system.stop()
+
+
+def with_system(folder, scenario):
+    async def work():
+        async with running(folder) as system:
+            await scenario(system)
+
+    asyncio.run(work())
+
+
+@pytest.mark.parametrize("database", list(ROUTES))
+def test_each_kind_of_route_serves_reads_and_writes(tmp_path, database):
+    async def scenario(system):
+        client = await LineClient.open(system.front_port, database)
+        assert client.greeting == "READY I -"
+        assert await client.ask("WRITE t1 some data", "w1") == ["COMPLETE signed-w1", "READY I -"]
+        assert await client.ask("READ t1", "r1") == [
+            "DATAROW some data",
+            "COMPLETE signed-r1",
+            "READY I -",
+        ]
+        assert system.runs("w1") == [("i-0", "WRITE t1 some data")]
+
+    with_system(tmp_path, scenario)
+
+
+def test_reads_that_may_run_on_replicas_do(tmp_path):
+    async def scenario(system):
+        client = await LineClient.open(system.front_port, "own")
+        await client.ask("WRITE t1 x", "w1")
+        for number in range(5):
+            await client.ask("READ t1", f"r{number}")
+        ran_on = {name for number in range(5) for name, _ in system.runs(f"r{number}")}
+        assert "i-0" not in ran_on
+
+    with_system(tmp_path, scenario)
+
+
+def test_a_transaction_from_begin_to_commit(tmp_path):
+    async def scenario(system):
+        client = await LineClient.open(system.front_port)
+        assert await client.ask("BEGIN", "b1") == ["COMPLETE -", "READY T -"]
+        assert (await client.ask("WRITE t1 x", "w1"))[-1] == "READY T -"
+        assert await client.ask("COMMIT", "c1") == ["COMPLETE signed-c1", "READY I -"]
+        assert (await client.ask("READ t1", "r1"))[0] == "DATAROW x"
+        await client.ask("BEGIN")
+        await client.ask("WRITE t1 y", "w2")
+        assert await client.ask("ROLLBACK") == ["COMPLETE -", "READY I -"]
+        assert (await client.ask("READ t1", "r2"))[0] == "DATAROW x"
+        assert await client.ask("BEGIN READ") == ["COMPLETE -", "READY T -"]
+        assert (await client.ask("READ t1", "r3"))[0] == "DATAROW x"
+        assert await client.ask("COMMIT", "c3") == ["COMPLETE signed-c3", "READY I -"]
+        assert await client.ask("BEGIN") == ["COMPLETE -", "READY T -"]
+        assert await client.ask("COMMIT", "c4") == ["COMPLETE signed-c4", "READY I -"]
+
+    with_system(tmp_path, scenario)
+
+
+def test_a_failed_transaction_takes_only_its_end(tmp_path):
+    async def scenario(system):
+        client = await LineClient.open(system.front_port)
+        await client.ask("BEGIN")
+        await client.ask("WRITE t1 x", "w1")
+        system.group.instances["i-0"].answer_with = "FAILED"
+        lines = await client.ask("READ t1", "r1")
+        assert lines[0].startswith("ERROR FAILED")
+        assert lines[-1] == "READY E -"
+        assert (await client.ask("SET a 1"))[0].startswith("ERROR MALFORMED")
+        lines = await client.ask("COMMIT", "c1")
+        assert lines[0].startswith("ERROR ABORTED")
+        assert lines[-1] == "READY I -"
+        assert (await client.ask("READ t1", "r2"))[0] == "DATAROW none"
+
+    with_system(tmp_path, scenario)
+
+
+def test_a_transaction_that_rests_too_long_is_rolled_back(tmp_path):
+    async def scenario(system):
+        client = await LineClient.open(system.front_port)
+        await client.ask("BEGIN")
+        await client.ask("WRITE t1 x", "w1")
+        await asyncio.sleep(0.5)
+        assert (await client.ask("READ t1", "r1"))[0].startswith("ERROR MALFORMED")
+        assert (await client.ask("ROLLBACK"))[-1] == "READY I -"
+        assert (await client.ask("READ t1", "r2"))[0] == "DATAROW none"
+
+    with_system(tmp_path, scenario)
+
+
+def test_prepared_names_of_two_sessions_do_not_clash(tmp_path):
+    async def scenario(system):
+        first = await LineClient.open(system.front_port)
+        second = await LineClient.open(system.front_port)
+        await first.ask("PREPARE s1 WRITE q1")
+        await second.ask("PREPARE s1 READ q2")
+        assert (await first.ask("EXECUTE s1 t1 x", "w1"))[0] == "COMPLETE signed-w1"
+        assert (await second.ask("EXECUTE s1 t1", "r1"))[0] == "DATAROW x"
+        assert (await second.ask("EXECUTE s2 t1", "r2"))[0].startswith("ERROR NOSTMT")
+        assert await second.ask("DEALLOC s1") == ["COMPLETE -", "READY I -"]
+        assert (await second.ask("EXECUTE s1 t1", "r3"))[0].startswith("ERROR NOSTMT")
+
+    with_system(tmp_path, scenario)
+
+
+def test_settings_of_sessions_on_shared_connections_do_not_mix(tmp_path):
+    async def scenario(system):
+        first = await LineClient.open(system.front_port)
+        second = await LineClient.open(system.front_port)
+        assert await first.ask("SET a 1") == ["COMPLETE -", "READY I -"]
+        await first.ask("READ t1", "r1")
+        await second.ask("READ t1", "r2")
+        group = system.proxy._node.groups[SERVICE]
+        carried = [item.settings for item in group.state._carried.values()]
+        assert {} in carried
+        assert {"a": "2"} not in carried
+
+    with_system(tmp_path, scenario)
+
+
+def test_unknown_databases_and_routes_that_go(tmp_path):
+    async def scenario(system):
+        stranger = await LineClient.open(system.front_port, "nowhere")
+        assert stranger.greeting.startswith("ERROR NODB")
+        assert await stranger.closed()
+        client = await LineClient.open(system.front_port, "own")
+        await client.ask("BEGIN")
+        await client.ask("READ t1", "r1")
+        system.write_configuration({"latest": "primary"})
+        while system.proxy._node.configuration.version < system.version:
+            await asyncio.sleep(0.01)
+        assert (await client.ask("READ t1", "r2"))[-1] == "READY T -"
+        assert (await client.ask("COMMIT", "c1"))[-1] == "READY I -"
+        assert (await client.ask("READ t1", "r3"))[0].startswith("ERROR NODB")
+        assert system.runs("r3") == []
+
+    with_system(tmp_path, scenario)
+
+
+@pytest.mark.parametrize(
+    "data", [b"HELLO\r\n", b"QUERY\r\n", b"STARTUP latest x\n", b"STARTUP\r\n", b"\r\n"]
+)
+def test_bad_first_messages_end_the_session(tmp_path, data):
+    async def scenario(system):
+        stream = await TCPClient().connect(HOST, system.front_port)
+        await stream.write(data)
+        async with asyncio.timeout(5):
+            answer = await stream.read_until_close()
+        assert answer.startswith(b"ERROR MALFORMED")
+
+    with_system(tmp_path, scenario)
+
+
+def test_bad_messages_leave_no_connection_in_use(tmp_path):
+    async def scenario(system):
+        for data in (
+            b"QUERY x NONSENSE\r\n",
+            b"NONSENSE\r\n",
+            b"QUERY x READ a\n",
+            b"\xff\xfe\r\n",
+        ):
+            client = await LineClient.open(system.front_port)
+            await client.ask("BEGIN")
+            await client.ask("WRITE t1 x", "w1")
+            await client.stream.write(data)
+            assert "ERROR MALFORMED" in await client.line()
+            client.stream.close()
+        await asyncio.sleep(0.2)
+        group = system.proxy._node.groups[SERVICE]
+        assert all(not pool.busy for pool in group._pools.values())
+        fresh = await LineClient.open(system.front_port)
+        assert (await fresh.ask("READ t1", "r1"))[0] == "DATAROW none"
+
+    with_system(tmp_path, scenario)
+
+
+def test_a_message_beyond_the_limit_is_refused(tmp_path):
+    async def scenario(system):
+        client = await LineClient.open(system.front_port)
+        with pytest.raises(StreamClosedError):
+            for _ in range(40):
+                await client.stream.write(b"x" * 65536)
+            await client.stream.read_until_close()
+            raise StreamClosedError
+
+    with_system(tmp_path, scenario)
+
+
+def test_a_lost_answer_to_a_write_makes_no_promise(tmp_path):
+    async def scenario(system):
+        client = await LineClient.open(system.front_port)
+        await client.ask("READ t1", "r0")
+        system.group.instances["i-0"].silent = True
+        lines = await client.ask("WRITE t1 x", "w1")
+        assert re.match("ERROR (TIMEOUT|INDOUBT)", lines[0])
+        assert len(system.runs("w1")) == 1
+
+    with_system(tmp_path, scenario)
+
+
+def test_a_crashed_primary_is_replaced_through_the_store(tmp_path):
+    async def scenario(system):
+        client = await LineClient.open(system.front_port)
+        await client.ask("WRITE t1 x", "w1")
+        system.crash("i-0")
+        deadline = asyncio.get_running_loop().time() + 6
+        while asyncio.get_running_loop().time() < deadline:
+            lines = await client.ask("WRITE t1 y", f"w{deadline}")
+            if lines[0].startswith("COMPLETE"):
+                break
+        assert lines[0].startswith("COMPLETE")
+        assert len(system.store.promotions) == 1
+        service, name, holder, token = system.store.promotions[0]
+        assert (service, holder) == (SERVICE, "front-1")
+        assert name in ("i-1", "i-2")
+        assert token > 0
+        assert (await client.ask("READ t1", "r1"))[0] == "DATAROW y"
+
+    with_system(tmp_path, scenario)
+
+
+def test_a_store_that_refuses_forgets_and_loses_is_lived_with(tmp_path):
+    async def scenario(system):
+        client = await LineClient.open(system.front_port)
+        system.store.refuse_with = 503
+        await asyncio.sleep(0.3)
+        assert (await client.ask("WRITE t1 x", "w1"))[0].startswith("COMPLETE")
+        system.write_configuration({"latest": "primary", "later": "primary"})
+        system.store.forget_history()
+        system.store.refuse_with = 0
+        async with asyncio.timeout(12):
+            while system.proxy._node.configuration.version < system.version:
+                await asyncio.sleep(0.05)
+        assert (await LineClient.open(system.front_port, "later")).greeting == "READY I -"
+
+    with_system(tmp_path, scenario)
+
+
+def test_ready_and_metrics_addresses(tmp_path):
+    async def scenario(system):
+        client = await LineClient.open(system.front_port)
+        await client.ask("READ t1", "r1")
+        ready = await system.status_of("/orchidwind/ready", system.ports[1])
+        assert ready.status == 200
+        metrics = await system.status_of("/metrics", system.ports[2])
+        assert b"orchidwind_requests_total" in metrics.body
+        assert (await system.status_of("/else", system.ports[1])).status == 404
+
+    with_system(tmp_path, scenario)
+
+
+def test_the_process_drains_on_a_signal(tmp_path):
+    """SIGTERM: not ready at once, new sessions still taken, transactions end, then it exits."""
+
+    async def work():
+        system = PlatformSystem(tmp_path)
+        system.start()
+        environment = {**os.environ, "ORCHIDWIND_SETTINGS": str(system.settings_path)}
+        process = subprocess.Popen(
+            [sys.executable, "deploy/node.py"],
+            cwd=ROOT,
+            env=environment,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+        )
+        try:
+            await until_ready(system)
+            client = await LineClient.open(system.front_port)
+            idle = await LineClient.open(system.front_port)
+            await client.ask("BEGIN")
+            await client.ask("WRITE t1 x", "w1")
+            process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            ready = await system.status_of("/orchidwind/ready", system.ports[1])
+            assert ready.status == 503
+            late = await LineClient.open(system.front_port)
+            assert (await late.ask("READ t1", "r1"))[0] == "DATAROW none"
+            assert (await client.ask("COMMIT", "c1"))[0] == "COMPLETE signed-c1"
+            assert await idle.closed()
+            output, _ = await asyncio.to_thread(process.communicate, None, 10)
+        finally:
+            process.kill()
+            system.stop()
+        assert process.returncode == 0
+        assert b"event=started" in output
+        assert b"event=drain_started" in output
+        assert b"event=stopped" in output
+
+    asyncio.run(work())
+
+
+async def until_ready(system):
+    async with asyncio.timeout(10):
+        while True:
+            try:
+                answer = await system.status_of("/orchidwind/ready", system.ports[1])
+                if answer.status == 200:
+                    return
+            except Exception:  # not listening yet
+                pass
+            await asyncio.sleep(0.05)
+
+
+def test_nothing_outside_the_folder_knows_the_platforms_words():
+    words = re.compile(
+        r"DATAROW|READONLY|LAGGING|INDOUBT|WRONGNODE|TOOMANYCON|NOSTMT|db_role|"
+        r"bounded_staleness|read_own_writes|max_staleness_ms|cloud_api|Duty-Holder|Fencing-Token|"
+        r"/promotions|orchidwind/objects|internal_port_range"
+    )
+    source = ROOT / "src" / "orchidwind"
+    for path in source.rglob("*.py"):
+        if "platform" in path.relative_to(source).parts[:-1]:
+            continue
+        assert not words.search(path.read_text()), path
+
+
+def test_the_standard_library_keeps_its_module():
+    code = "import sys; sys.path.insert(0, 'src'); import platform; print(platform.__file__)"
+    run = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
+    assert "orchidwind" not in run.stdout
+    assert run.stdout.strip().endswith("platform.py")
