--- a/src/orchidwind/core/pool.py
+++ b/src/orchidwind/core/pool.py
@@ -63,6 +63,7 @@
         self._reopen_at = 0.0
         self._reopen_delay = _REOPEN_SECONDS
         self._grow_at = 0.0
+        self._most_needed = 0
 
     @property
     def size(self) -> int:
@@ -156,6 +157,21 @@
             times.append(self._grow_at)
         return min((time for time in times if time is not None), default=None)
 
+    def trim(self) -> list[PoolEffect]:
+        """Close idle connections beyond the most that were needed at once since the last trim.
+
+        One is kept. Fewer connections leave room for the new ones of proxies that lost power: an
+        instance counts their old ones for some seconds more.
+        """
+        spare = self.size - max(self._most_needed, 1)
+        self._most_needed = len(self.busy) + len(self.queue)
+        effects: list[PoolEffect] = []
+        while spare > 0 and self.idle:
+            # The connection that has been idle for longest is the first.
+            effects.append(CloseConnection(self.idle.pop(0)))
+            spare -= 1
+        return effects
+
     def borrow_idle(self, now: float) -> int | None:
         """Take an idle connection for the proxy's own use, None where there is none."""
         if not self.idle:
@@ -171,6 +187,7 @@
 
     def _settle(self, now: float) -> list[PoolEffect]:
         effects: list[PoolEffect] = []
+        self._most_needed = max(self._most_needed, len(self.busy) + len(self.queue))
         while self.idle and self.size > self.usable:
             effects.append(CloseConnection(self.idle.pop()))
         while self.idle and (ticket := self.queue.next()) is not None:
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -114,6 +114,11 @@
         log_event("instance_gone", group=self.settings.name, instance=instance)
         self.changed()
 
+    def trim(self) -> None:
+        """Close connections that were not needed lately."""
+        for pool in self._pools.values():
+            self._pool_effects(pool.trim())
+
     def forget_old(self) -> None:
         """Drop what belongs to instances that left long ago."""
         for instance in self.topology.forget_old(self._loop.time()):
@@ -456,6 +461,8 @@
             await asyncio.wait([earlier])
             self._proof, self._next_proof = self._next_proof, None
         for replica in self.topology.replicas(self._loop.time()):
+            if self.topology.instances[replica].unreachable_since is not None:
+                continue
             status = await self.ask(replica, lambda link: link.status())
             if status is not None:
                 return status
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -37,6 +37,7 @@
 from orchidwind.managed.watch import CollectionWatch
 
 _FORGET_SECONDS = 5.0
+_TRIM_SECONDS = 1.5
 _FIGURES_SECONDS = 10.0
 
 
@@ -85,6 +86,7 @@
         self._spawn(self.leases.confirm_drops)
         self._spawn(configuration.run)
         self._spawn(self._forget_old)
+        self._spawn(self._trim)
         self._spawn(self._tell_figures)
 
     def _spawn(self, work: Callable[[], Awaitable[None]]) -> None:
@@ -205,6 +207,12 @@
             await asyncio.sleep(_FIGURES_SECONDS)
             log_event("figures", **self.metrics.message_counts)
 
+    async def _trim(self) -> None:
+        while True:
+            await asyncio.sleep(_TRIM_SECONDS)
+            for group in self.groups.values():
+                group.trim()
+
     async def _forget_old(self) -> None:
         while True:
             await asyncio.sleep(_FORGET_SECONDS)
--- /dev/null
+++ b/tests/test_managed_core.py
@@ -0,0 +1,232 @@
+"""The core of managed groups by itself: pool, lock, lease, candidate, topology."""
+
+from itertools import count
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from orchidwind.core.admission import TrafficClass
+from orchidwind.core.managed.commands import InstanceRole, InstanceStatus
+from orchidwind.core.managed.configuration import (
+    DirectoryEntry,
+    ManagedDatabase,
+    ManagedGroupSettings,
+    ReadConsistency,
+)
+from orchidwind.core.managed.failover import FailoverPlan, FailoverReason, choose_candidate
+from orchidwind.core.managed.lead_lease import LEASE_SECONDS, LeadLease
+from orchidwind.core.managed.promotion_lock import (
+    HOLD_SECONDS,
+    TAKE_OVER_SECONDS,
+    LockDecision,
+    LockObserver,
+    LockRecord,
+    held_lock,
+)
+from orchidwind.core.managed.topology import GroupTopology
+from orchidwind.core.pool import CloseConnection, InstancePool, OpenConnection
+from orchidwind.core.positions import Position
+
+CLASS = TrafficClass("any")
+
+
+def opened_pool(needed):
+    pool = InstancePool("i-0", 6, count(1), eager=False)
+    for ticket in range(needed):
+        for effect in pool.acquire(ticket, CLASS, 0.0, 10.0):
+            if isinstance(effect, OpenConnection):
+                pool.opened(effect.connection, 0.0)
+    return pool
+
+
+def test_a_pool_that_opens_on_demand_opens_what_waits_and_no_more():
+    pool = InstancePool("i-0", 6, count(1), eager=False)
+    assert pool.tick(0.0) == []
+    assert len(pool.acquire(1, CLASS, 0.0, 10.0)) == 1
+    assert len(pool.acquire(2, CLASS, 0.0, 10.0)) == 1
+
+
+def test_a_pool_closes_what_was_not_needed_lately_and_keeps_one():
+    pool = opened_pool(4)
+    for connection in list(pool.busy):
+        pool.release(connection, 1.0, reusable=True)
+    assert pool.trim() == []
+    closed = pool.trim()
+    assert [type(effect) for effect in closed] == [CloseConnection] * 3
+    assert len(pool.idle) == 1
+    assert pool.trim() == []
+
+
+def test_a_connection_given_up_by_its_request_is_replaced_without_delay():
+    pool = opened_pool(1)
+    [connection] = pool.busy
+    pool.acquire(7, CLASS, 0.0, 10.0)
+    pool.release(connection, 0.1, reusable=False)
+    assert pool.opening, "the request that waits gets a new one"
+
+
+def lock(revision, holder="other", released=False, attempt="x"):
+    return LockRecord(holder, attempt, released, revision)
+
+
+def test_a_lock_is_taken_over_only_when_unchanged_for_long():
+    observer = LockObserver("me")
+    assert observer.decide(0.0, None) is LockDecision.CREATE
+    assert observer.decide(0.0, lock(5, released=True)) is LockDecision.REPLACE
+    assert observer.decide(0.0, lock(6, holder="me")) is LockDecision.REPLACE
+    assert observer.decide(1.0, lock(7)) is LockDecision.WAIT
+    assert observer.decide(1.0 + TAKE_OVER_SECONDS - 0.1, lock(7)) is LockDecision.WAIT
+    assert observer.decide(2.0 + TAKE_OVER_SECONDS, lock(8)) is LockDecision.WAIT
+    assert observer.decide(2.0 + 2 * TAKE_OVER_SECONDS, lock(8)) is LockDecision.REPLACE
+    assert HOLD_SECONDS < TAKE_OVER_SECONDS
+
+
+def test_a_lock_is_held_only_where_the_record_shows_the_own_attempt():
+    held = held_lock(3.0, lock(9, attempt="mine"), "mine")
+    assert (held.token, held.valid_until) == (9, 3.0 + HOLD_SECONDS)
+    assert held_lock(3.0, lock(9, attempt="theirs"), "mine") is None
+    assert held_lock(3.0, lock(9, attempt="mine", released=True), "mine") is None
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["read", "taken"]), st.floats(0, 10), st.integers(0, 5), st.booleans()
+        ),
+        max_size=20,
+    ),
+    st.floats(0, 12),
+)
+def test_a_lease_never_covers_a_time_after_the_lock_was_seen_taken(events, at):
+    """No read of a revision below the newest one known gives a lease back."""
+    lease = LeadLease()
+    newest, free_reads = 0, []
+    for kind, sent_at, revision, released in events:
+        if kind == "taken":
+            lease.lock_taken(revision)
+            if revision >= newest:
+                newest, free_reads = revision, []
+        else:
+            lease.lock_read(sent_at, lock(revision, released=released))
+            if revision >= newest:
+                free_reads = [*free_reads, sent_at] if released else []
+                newest = revision
+    expected = any(at <= sent_at + LEASE_SECONDS for sent_at in free_reads)
+    assert lease.covers(at) == expected
+
+
+def status(name, number, term=1, fence=2, role=InstanceRole.REPLICA):
+    return InstanceStatus(name, role, term, Position(term, number), fence, 0)
+
+
+def plan(members, old="p", leaving=(), synchronous=1):
+    return FailoverPlan(
+        "g",
+        FailoverReason.UNREACHABLE,
+        tuple(members),
+        frozenset(leaving),
+        old,
+        synchronous,
+    )
+
+
+def test_the_candidate_has_the_longest_of_enough_logs():
+    two = {"a": status("a", 5), "b": status("b", 7)}
+    assert choose_candidate(plan("pab"), two, None, 2).instance == "b"
+    assert choose_candidate(plan("pab"), {"b": two["b"]}, None, 2) is None
+    assert choose_candidate(plan("pabc"), two, None, 2) is None
+    assert choose_candidate(plan("pabc", synchronous=2), two, None, 2).instance == "b"
+
+
+def test_an_unfenced_log_does_not_count():
+    logs = {"a": status("a", 5), "b": status("b", 7, fence=0)}
+    assert choose_candidate(plan("pab"), logs, None, 2) is None
+
+
+def test_a_log_as_long_as_the_demoted_primarys_is_enough():
+    demoted = status("p", 7, fence=0)
+    assert choose_candidate(plan("pab"), {"b": status("b", 7)}, demoted, 2).instance == "b"
+    assert choose_candidate(plan("pab"), {"a": status("a", 6)}, demoted, 2) is None
+
+
+def test_one_that_stays_is_preferred_if_its_log_is_whole():
+    logs = {"a": status("a", 7), "b": status("b", 7)}
+    assert choose_candidate(plan("pab", leaving="b"), logs, None, 2).instance == "a"
+    logs = {"a": status("a", 6), "b": status("b", 7)}
+    assert choose_candidate(plan("pab", leaving="b"), logs, None, 2).instance == "b"
+
+
+@given(
+    st.integers(2, 5),
+    st.integers(1, 2),
+    st.data(),
+)
+def test_every_acknowledged_commit_is_on_the_candidate(replicas, synchronous, data):
+    """Any commit is on `synchronous` replicas; any fenced subset that is enough shares one."""
+    names = [f"r{number}" for number in range(replicas)]
+    synchronous = min(synchronous, replicas)
+    received = dict.fromkeys(names, 0)
+    acknowledged = 0
+    for number in range(1, data.draw(st.integers(1, 6)) + 1):
+        holders = data.draw(st.lists(st.sampled_from(names), unique=True, min_size=synchronous))
+        for name in holders:
+            received[name] = number
+        acknowledged = number
+    asked = data.draw(st.lists(st.sampled_from(names), unique=True))
+    fenced = {name: status(name, received[name]) for name in asked}
+    chosen = choose_candidate(plan(["p", *names], synchronous=synchronous), fenced, None, 2)
+    if chosen is not None:
+        assert chosen.received.lsn >= acknowledged
+
+
+DATABASE = ManagedDatabase("d", "g", ReadConsistency.SESSION, 2.5, 0.8, 0.2, 1)
+
+
+def topology():
+    built = GroupTopology(ManagedGroupSettings("g", 32, 1), "near")
+    for number, (name, zone) in enumerate([("p", "far"), ("a", "near"), ("b", "far")]):
+        entry = DirectoryEntry(name, "g", "h", number + 1, zone, name == "p", False, 3, number)
+        built.entry_changed(entry)
+    for name in "pab":
+        role = InstanceRole.PRIMARY if name == "p" else InstanceRole.REPLICA
+        built.take_status(status(name, 5, fence=0, role=role))
+    return built
+
+
+def test_reads_go_to_the_near_replica_at_a_proven_floor():
+    view = topology()
+    assert view.plan_read(DATABASE, None, 10.0, 10.0, ()).proof_of_term == 1
+    view.prove(9.0, Position(1, 4))
+    chosen = view.plan_read(DATABASE, None, 10.0, 10.0, ())
+    assert (chosen.instance, chosen.floor, chosen.proof_of_term) == ("a", Position(1, 4), 0)
+    own = view.plan_read(DATABASE, Position(1, 9), 10.0, 10.0, ())
+    assert own.floor == Position(1, 9)
+    assert view.plan_read(DATABASE, None, 12.0, 12.0, ()).instance == "p"
+    assert view.plan_read(DATABASE, None, 10.0, 10.0, {"a", "b"}).instance == "p"
+
+
+def test_the_primary_is_the_one_of_the_newest_term():
+    view = topology()
+    assert view.primary(1.0).instance == "p"
+    view.take_status(status("a", 6, term=2, fence=0, role=InstanceRole.PRIMARY))
+    assert view.primary(1.0).instance == "a"
+    view.unreachable("a", 1.0)
+    assert view.primary(1.0) is None, "the old one does not come back in its place"
+
+
+def test_a_replica_of_a_later_term_hides_the_old_primary():
+    view = topology()
+    view.take_status(status("b", 6, term=2, fence=0))
+    assert view.primary(1.0) is None
+
+
+@pytest.mark.parametrize("draining", [True, False])
+def test_a_leaving_instance_gets_no_new_work(draining):
+    view = topology()
+    view.prove(9.0, Position(1, 4))
+    if draining:
+        view.entry_changed(DirectoryEntry("a", "g", "h", 2, "near", False, True, 3, 9))
+    else:
+        view.entry_gone("a", 6.0)
+    assert view.plan_read(DATABASE, None, 10.0, 10.0, ()).instance == "b"
