--- /dev/null
+++ b/src/orchidwind/commands/explain.py
@@ -0,0 +1,87 @@
+"""Follows one request through the logs of the proxies, from its id to what decided it."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from pathlib import Path
+
+from orchidwind.core.errors import OrchidwindError
+
+_FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
+_BEFORE = timedelta(seconds=3)
+_BELIEFS = frozenset(
+    (
+        "configuration_in_force",
+        "drain_started",
+        "failover_ended",
+        "failover_started",
+        "instance_gone",
+        "instance_listed",
+        "instance_unreachable",
+        "primary_changed",
+        "promotion_sent",
+        "started",
+        "watch_connected",
+        "watch_lost",
+    )
+)
+
+
+class RequestNotFound(OrchidwindError):
+    """No line of the logs names the request."""
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line of a log."""
+
+    text: str
+    event: str
+    node: str
+    at: datetime
+    fields: dict[str, str]
+
+
+def parse_line(text: str) -> LogLine | None:
+    """Read a line; None where it is not one of ours."""
+    fields = {name: value.strip('"') for name, value in _FIELD.findall(text)}
+    if "event" not in fields or "at" not in fields:
+        return None
+    try:
+        at = datetime.fromisoformat(fields["at"])
+    except ValueError:
+        return None
+    return LogLine(text.strip(), fields["event"], fields.get("node", ""), at, fields)
+
+
+def read_logs(paths: Iterable[Path]) -> list[LogLine]:
+    """All lines of all files, by time."""
+    found: list[LogLine] = []
+    for path in paths:
+        with path.open(encoding="utf-8", errors="replace") as log:
+            found.extend(line for line in map(parse_line, log) if line is not None)
+    return sorted(found, key=lambda line: line.at)
+
+
+def story(lines: list[LogLine], request_id: str) -> list[str]:
+    """What the request's own lines say, after what its proxy had come to believe before.
+
+    Raises RequestNotFound.
+    """
+    own = [line for line in lines if line.fields.get("request_id") == request_id]
+    if not own:
+        raise RequestNotFound(f"no line names the request {request_id}")
+    told: list[str] = []
+    for line in own:
+        milliseconds = int(line.fields.get("milliseconds", "0"))
+        since = line.at - timedelta(milliseconds=milliseconds) - _BEFORE
+        told.extend(
+            f"  before: {other.text}"
+            for other in lines
+            if other.event in _BELIEFS and other.node == line.node and since <= other.at <= line.at
+        )
+        told.append(f"request: {line.text}")
+    return told
--- a/src/orchidwind/commands/main.py
+++ b/src/orchidwind/commands/main.py
@@ -12,9 +12,11 @@
 import defopt
 
 from orchidwind.commands import operations
+from orchidwind.commands.explain import read_logs, story
 from orchidwind.core.errors import OrchidwindError, SettingsError
 from orchidwind.daemon import ProxyDaemon
 from orchidwind.logs import configure_logging
+from orchidwind.platform.settings import load_platform_settings
 from orchidwind.settings import ProxyOverrides, ProxySettings, load_proxy_settings
 
 _BAD_FILE = 2
@@ -64,10 +66,14 @@
 
 
 def check(file: Path) -> None:
-    """Check an operators' file and change nothing.
+    """Check an operators' file, or a process's settings on the platform; changes nothing.
 
-    :param file: operators' file (TOML)
+    :param file: operators' file (TOML), or platform settings (JSON)
     """
+    if file.suffix == ".json":
+        loaded = load_platform_settings(file)
+        print(f"{file}: ok, node {loaded.node_name} in {loaded.zone}")
+        return
     content = operations.load(file)
     print(f"{file}: ok, {len(content.databases)} databases in {len(content.zones)} zones")
 
@@ -102,10 +108,20 @@
     print("draining")
 
 
+def explain(*logs: Path, request_id: str) -> None:
+    """Tell what decided a request, from the logs of the proxies.
+
+    :param logs: log files
+    :param request_id: the request's id, as the caller knows it
+    """
+    for line in story(read_logs(logs), request_id):
+        print(line)
+
+
 def main() -> None:
     """Entry point of `orchidwind`."""
     try:
-        defopt.run([proxy, check, apply, status, drain])
+        defopt.run([proxy, check, apply, status, drain, explain])
     except SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(_BAD_FILE)
--- a/src/orchidwind/core/managed/flows.py
+++ b/src/orchidwind/core/managed/flows.py
@@ -63,6 +63,11 @@
     arrived_at: float
     excluded: set[str] = field(default_factory=set)
     sent_write: bool = False
+    attempts: list[str] = field(default_factory=list)
+
+    def note(self, instance: str, what: str) -> None:
+        """Keep what one attempt was based on and how it ended, for the log."""
+        self.attempts.append(f"{instance}:{what}")
 
 
 def command_flow(context: CommandContext) -> Flow:
@@ -151,6 +156,7 @@
             yield from _wait_for_proof(context)
             continue
         yield Release(connection, reusable=reply.state is TransactionState.IDLE)
+        context.note(plan.instance, f"floor={plan.floor}:{reply.code.value}")
         if reply.done:
             return CommandResult(reply.rows, reply.signature)
         yield from _after_failed_read(context, plan.instance, reply)
@@ -177,12 +183,14 @@
         yield Pause(BUSY_PAUSE_SECONDS)
         primary = yield NeedPrimary()
         assert isinstance(primary, PrimaryView)
+        context.note(primary.instance, f"term={primary.term}:lead_not_proven")
         if (yield NeedProof(primary.term)):
             return
 
 
 def _leave_instance(context: CommandContext, plan: ReadPlan) -> Generator[Step, StepResult, None]:
     """A connection broke: try another replica next; the primary has no substitute."""
+    context.note(plan.instance, "connection_lost")
     if plan.proof_of_term:
         yield Pause(BUSY_PAUSE_SECONDS)
     else:
@@ -231,11 +239,13 @@
             reply = yield from _exchange(context, connection, messages)
         except BackendConnectionLost as lost:
             yield Release(connection, reusable=False)
+            context.note(primary.instance, f"term={primary.term}:connection_lost:sent={lost.sent}")
             if lost.sent:
                 raise write_in_doubt() from lost
             context.sent_write = False
             continue
         yield Release(connection, reusable=reply.state is TransactionState.IDLE)
+        context.note(primary.instance, f"term={primary.term}:{reply.code.value}")
         if reply.done:
             context.session.raise_floor(reply.position)
             context.group.commit_acknowledged(sent_at, reply.position)
@@ -266,6 +276,7 @@
         transaction.wrote = True
     messages = tuple(_statement_messages(context, transaction.connection))
     reply = yield from _transaction_exchange(context, transaction, messages)
+    context.note(transaction.instance, f"in_transaction:{reply.code.value}")
     if reply.done:
         return CommandResult(reply.rows, reply.signature)
     yield from _abandon(context, transaction)
@@ -392,6 +403,7 @@
     sent_at = context.group.now()
     reply = yield from _commit_exchange(context, transaction, message)
     connection = transaction.connection
+    context.note(transaction.instance, f"commit:wrote={transaction.wrote}:{reply.code.value}")
     context.session.end_transaction()
     if reply.state is TransactionState.IDLE:
         yield Release(connection, reusable=True)
--- a/src/orchidwind/managed/executor.py
+++ b/src/orchidwind/managed/executor.py
@@ -41,6 +41,7 @@
 
 _QUEUE_BOUND = 400
 _HIGHEST_WEIGHT = 8.0
+_LOGGED_ATTEMPTS = 6
 
 
 class Databases(Protocol):
@@ -54,6 +55,9 @@
     def group(self, name: str) -> GroupService | None:
         """The group of a database."""
 
+    def sample_success(self) -> bool:
+        """Whether this success is one of those that are logged."""
+
     def finished(
         self, database: ManagedDatabase, command: Command, error: ErrorKind | None, seconds: float
     ) -> None:
@@ -79,6 +83,7 @@
         self._loop = asyncio.get_running_loop()
         self._group: GroupService | None = None
         self._held: set[int] = set()
+        self._context: CommandContext | None = None
 
     @property
     def state(self) -> TransactionState:
@@ -88,6 +93,7 @@
     async def execute(self, command: Command) -> CommandResult:
         """Carry a command out; raises RequestError."""
         arrived_at = self._loop.time()
+        self._context = None
         self._expire_transaction(arrived_at)
         database = self._database_in_force()
         kind: ErrorKind | None = None
@@ -103,8 +109,30 @@
                 self._databases.finished(database, command, kind, seconds)
             if kind is not None:
                 self._log_failure(command, kind, seconds)
+            elif self._databases.sample_success():
+                self._log_success(command, seconds)
+
+    def _log_success(self, command: Command, seconds: float) -> None:
+        log_event(
+            "request_served",
+            request_id=command.request_id,
+            command=command.kind.value,
+            database=self.name,
+            attempts=self._attempts(),
+            milliseconds=int(seconds * 1000),
+        )
+
+    def _attempts(self) -> str:
+        """What the command's attempts were based on and how they ended; the last ones."""
+        context = self._context
+        if context is None:
+            return ""
+        shown = " ".join(context.attempts[-_LOGGED_ATTEMPTS:])
+        return f"{len(context.attempts)}: {shown}" if shown else ""
 
     def _log_failure(self, command: Command, kind: ErrorKind, seconds: float) -> None:
+        group = self._group
+        primary = group.topology.primary(self._loop.time()) if group is not None else None
         log_event(
             "request_failed",
             request_id=command.request_id,
@@ -112,6 +140,9 @@
             database=self.name,
             reason=kind.value,
             ran=ANSWERS[kind].ran.value,
+            primary=primary.instance if primary else "",
+            term=primary.term if primary else 0,
+            attempts=self._attempts(),
             milliseconds=int(seconds * 1000),
         )
 
@@ -157,6 +188,7 @@
         group = self._group_of(database)
         deadline = arrived_at + database.statement_timeout
         context = CommandContext(session, group.state, database, command, arrived_at)
+        self._context = context
         return await self._drive(command_flow(context), context, group, deadline)
 
     def _group_of(self, database: ManagedDatabase) -> GroupService:
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import dataclass
 from itertools import count
 from typing import Any, TypeVar
 
@@ -42,6 +43,14 @@
 T = TypeVar("T")
 
 
+@dataclass(frozen=True, slots=True)
+class PoolUsage:
+    """The connections to one instance, and the requests that wait for one."""
+
+    connections: int
+    queued: int
+
+
 class GroupService:
     """Drives the core classes of one group; calls `on_wake` when its supervisor should look."""
 
@@ -222,6 +231,11 @@
             self._pools[instance] = pool
         return pool
 
+    def pool_usage(self, instance: str) -> PoolUsage:
+        """How many connections to an instance are open, and how many requests wait."""
+        pool = self._pools.get(instance)
+        return PoolUsage(pool.size, len(pool.queue)) if pool else PoolUsage(0, 0)
+
     async def need_connection(
         self, instance: str, traffic_class: TrafficClass, deadline: float
     ) -> int:
--- a/src/orchidwind/managed/lead_lease.py
+++ b/src/orchidwind/managed/lead_lease.py
@@ -23,6 +23,7 @@
 
     def __init__(self, node: str, lock_store: PromotionLockStore, registry: LeaseRegistry) -> None:
         self.lease = LeadLease()
+        self.holder = ""
         self._node = node
         self._lock_store = lock_store
         self._registry = registry
@@ -84,6 +85,7 @@
             self._take(record)
 
     def _take(self, record: LockRecord) -> None:
+        self.holder = "" if record.released else record.holder
         if record.released:
             return
         self.lease.lock_taken(record.revision)
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -34,9 +34,11 @@
     PromotionLockStore,
     PromotionService,
 )
+from orchidwind.managed.status import ManagedStatus, group_status
 from orchidwind.managed.watch import CollectionWatch
 
 _FORGET_SECONDS = 5.0
+_LOGGED_SUCCESSES = 200
 _TRIM_SECONDS = 1.5
 _FIGURES_SECONDS = 10.0
 
@@ -72,6 +74,7 @@
         self._wakes: dict[str, asyncio.Event] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._prepared = asyncio.Event()
+        self._successes = 0
 
     def start(self) -> None:
         """Begin to follow the store."""
@@ -126,6 +129,11 @@
         """A group by name."""
         return self.groups.get(name)
 
+    def sample_success(self) -> bool:
+        """One success in some hundred is logged; failures are all logged."""
+        self._successes += 1
+        return self._successes % _LOGGED_SUCCESSES == 0
+
     def finished(
         self, database: ManagedDatabase, command: Command, error: ErrorKind | None, seconds: float
     ) -> None:
@@ -213,6 +221,19 @@
             for group in self.groups.values():
                 group.trim()
 
+    def status(self) -> ManagedStatus:
+        """What this proxy believes, for operators."""
+        now = asyncio.get_running_loop().time()
+        return ManagedStatus(
+            node=self.name,
+            zone=self.zone,
+            prepared=self.prepared,
+            configuration_version=self.configuration.version if self.configuration else 0,
+            lead_lease=self.leases.covers(now),
+            promotion_lock_holder=self.leases.holder,
+            groups=[group_status(group, now) for group in self.groups.values()],
+        )
+
     async def _forget_old(self) -> None:
         while True:
             await asyncio.sleep(_FORGET_SECONDS)
--- /dev/null
+++ b/src/orchidwind/managed/status.py
@@ -0,0 +1,74 @@
+"""What a managed proxy believes, in the form that operators are shown."""
+
+from __future__ import annotations
+
+import msgspec
+
+from orchidwind.managed.group_service import GroupService
+
+
+class ManagedInstanceStatus(msgspec.Struct, frozen=True):
+    """One instance. `view_age_ms` is the age of its last status, -1 where none is known."""
+
+    name: str
+    role: str
+    term: int
+    received: str
+    fence_term: int
+    listed: bool
+    leaving: bool
+    reachable: bool
+    view_age_ms: int
+    connections: int
+    queued: int
+
+
+class ManagedGroupStatus(msgspec.Struct, frozen=True):
+    """One group; `primary` is empty while none is known."""
+
+    name: str
+    primary: str
+    term: int
+    instances: list[ManagedInstanceStatus]
+
+
+class ManagedStatus(msgspec.Struct, frozen=True):
+    """One proxy. `promotion_lock_holder` is the proxy that changes a primary now, if any."""
+
+    node: str
+    zone: str
+    prepared: bool
+    configuration_version: int
+    lead_lease: bool
+    promotion_lock_holder: str
+    groups: list[ManagedGroupStatus]
+
+
+def group_status(group: GroupService, now: float) -> ManagedGroupStatus:
+    """The state of one group at a time of the steady clock."""
+    primary = group.topology.primary(now)
+    instances = []
+    for name, view in group.topology.instances.items():
+        status = view.status
+        usage = group.pool_usage(name)
+        instances.append(
+            ManagedInstanceStatus(
+                name=name,
+                role=status.role.value if status else "",
+                term=status.term if status else 0,
+                received=str(status.received) if status else "",
+                fence_term=status.fence_term if status else 0,
+                listed=view.listed,
+                leaving=view.entry.draining,
+                reachable=view.unreachable_since is None,
+                view_age_ms=int((now - status.asked_at) * 1000) if status else -1,
+                connections=usage.connections,
+                queued=usage.queued,
+            )
+        )
+    return ManagedGroupStatus(
+        name=group.settings.name,
+        primary=primary.instance if primary else "",
+        term=primary.term if primary else 0,
+        instances=instances,
+    )
--- a/src/orchidwind/platform/callers.py
+++ b/src/orchidwind/platform/callers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
@@ -38,6 +40,8 @@
             await connection.serve()
         except StreamClosedError:
             pass
+        except Exception as error:  # a fault of this program ends one session, not all
+            log_event("session_failed_unexpectedly", level=logging.ERROR, reason=repr(error))
         finally:
             self._registry.sessions.discard(connection)
             self._node.metrics.sessions.set(len(self._registry.sessions))
--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import gc
+import logging
 import os
 import signal
 from pathlib import Path
 
+import msgspec
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
+from orchidwind.core.errors import SettingsError
 from orchidwind.logs import configure_logging, log_event
 from orchidwind.managed.node import ManagedNode, NodePorts
 from orchidwind.managed.sessions import SessionRegistry
@@ -35,6 +38,7 @@
 
 READY_PATH = "/orchidwind/ready"
 METRICS_PATH = "/metrics"
+STATUS_PATH = "/status"
 _BACKLOG = 1024
 
 
@@ -71,7 +75,11 @@
 
     def _reload(self) -> None:
         """The settings file changed; what runs keeps its addresses."""
-        self._settings = load_platform_settings(self._path)
+        try:
+            self._settings = load_platform_settings(self._path)
+        except SettingsError as error:
+            log_event("settings_refused", level=logging.ERROR, reason=str(error))
+            return
         log_event("settings_reloaded")
 
     def _listen_http(self, address: tuple[str, int]) -> None:
@@ -82,6 +90,8 @@
         if request.path == READY_PATH:
             ready = self._node.prepared and not self._registry.draining
             _respond(request, 200 if ready else 503, b"")
+        elif request.path == STATUS_PATH:
+            _respond(request, 200, msgspec.json.encode(self._node.status()))
         elif request.path == METRICS_PATH:
             _respond(request, 200, self._node.metrics.render())
         else:
--- /dev/null
+++ b/tests/test_logs_and_explain.py
@@ -0,0 +1,92 @@
+"""Logs that never wait for their reader, and the walk from a request's id to its cause."""
+
+import logging
+import os
+import subprocess
+import sys
+
+import pytest
+
+from orchidwind.commands.explain import RequestNotFound, read_logs, story
+from orchidwind.core.errors import SettingsError
+from orchidwind.logs import NonBlockingHandler, configure_logging, log_event
+from orchidwind.platform.settings import load_platform_settings
+
+
+def record(text):
+    return logging.LogRecord("x", logging.INFO, "", 0, text, None, None)
+
+
+def test_a_reader_that_stops_blocks_nothing_and_is_told_what_it_missed():
+    reading, writing = os.pipe()
+    handler = NonBlockingHandler(writing, kept_lines=50)
+    handler.setFormatter(logging.Formatter("%(message)s"))
+    line = "x" * 1000
+    for _ in range(2000):  # far more than the pipe and the bound hold
+        handler.emit(record(line))
+    assert handler.dropped > 1500
+    os.set_blocking(reading, False)
+    received = b""
+    for _ in range(200):
+        try:
+            received += os.read(reading, 65536)
+        except BlockingIOError:
+            handler.emit(record("again"))
+            if b"again" in received:
+                break
+    lines = received.split(b"\n")
+    assert all(set(item) <= set(b"x") for item in lines[:50])
+    assert any(item.startswith(b"level=WARNING event=log_lines_dropped count=") for item in lines)
+    os.close(reading)
+    os.close(writing)
+
+
+def test_a_closed_reader_is_no_error():
+    reading, writing = os.pipe()
+    handler = NonBlockingHandler(writing)
+    handler.setFormatter(logging.Formatter("%(message)s"))
+    os.close(reading)
+    handler.emit(record("gone"))
+    os.close(writing)
+
+
+def test_a_request_is_followed_from_its_id_to_what_its_proxy_believed(tmp_path, capfd):
+    path = tmp_path / "proxy.log"
+    root = logging.getLogger()
+    before = (root.handlers, root.level)
+    with path.open("wb") as log:
+        configure_logging("INFO", "front-1", log.fileno())
+        try:
+            log_event("primary_changed", group="g", instance="i-2", term=4)
+            log_event("request_served", request_id="other", milliseconds=1)
+            log_event("request_failed", request_id="a1", reason="outcome_unknown", milliseconds=80)
+        finally:
+            root.handlers, root.level = before
+    told = story(read_logs([path]), "a1")
+    assert len(told) == 2
+    assert told[0].startswith("  before:")
+    assert "event=primary_changed" in told[0]
+    assert "reason=outcome_unknown" in told[1]
+    with pytest.raises(RequestNotFound):
+        story(read_logs([path]), "a2")
+
+
+def test_platform_settings_are_checked_with_file_key_and_reason(tmp_path):
+    path = tmp_path / "local.json"
+    path.write_text('{"node_name": 3}')
+    with pytest.raises(SettingsError) as refused:
+        load_platform_settings(path)
+    assert refused.value.key == "$.node_name"
+    run = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            "from orchidwind.commands.main import main; main()",
+            "check",
+            str(path),
+        ],
+        capture_output=True,
+        text=True,
+    )
+    assert run.returncode == 2
+    assert f"{path}: $.node_name:" in run.stderr
