--- a/src/orchidwind/core/managed/flows.py
+++ b/src/orchidwind/core/managed/flows.py
@@ -64,6 +64,7 @@
     excluded: set[str] = field(default_factory=set)
     sent_write: bool = False
     attempts: list[str] = field(default_factory=list)
+    sent_to: str = ""
 
     def note(self, instance: str, what: str) -> None:
         """Keep what one attempt was based on and how it ended, for the log."""
@@ -145,6 +146,7 @@
     while True:
         plan, connection = yield from _read_connection(context)
         messages = _with_floor(_statement_messages(context, connection), plan)
+        context.sent_to = plan.instance
         try:
             reply = yield from _exchange(context, connection, messages, plan.proof_of_term)
         except BackendConnectionLost:
@@ -234,6 +236,7 @@
         primary, connection = yield from _primary_connection(context)
         messages = tuple(_statement_messages(context, connection))
         context.sent_write = True
+        context.sent_to = primary.instance
         sent_at = context.group.now()
         try:
             reply = yield from _exchange(context, connection, messages)
@@ -275,6 +278,7 @@
     if context.session.writes(context.command):
         transaction.wrote = True
     messages = tuple(_statement_messages(context, transaction.connection))
+    context.sent_to = transaction.instance
     reply = yield from _transaction_exchange(context, transaction, messages)
     context.note(transaction.instance, f"in_transaction:{reply.code.value}")
     if reply.done:
@@ -426,6 +430,7 @@
         if attempt:
             yield Pause(BUSY_PAUSE_SECONDS)
         context.sent_write = transaction.wrote
+        context.sent_to = transaction.instance
         try:
             reply = yield from _exchange(context, transaction.connection, (message,))
         except (BackendConnectionLost, RequestError) as error:
--- a/src/orchidwind/managed/executor.py
+++ b/src/orchidwind/managed/executor.py
@@ -143,6 +143,7 @@
             primary=primary.instance if primary else "",
             term=primary.term if primary else 0,
             attempts=self._attempts(),
+            sent_to=self._context.sent_to if self._context is not None else "",
             milliseconds=int(seconds * 1000),
         )
 
