--- a/src/orchidwind/core/managed/failover.py
+++ b/src/orchidwind/core/managed/failover.py
@@ -182,6 +182,8 @@
     statuses = yield from _ask(plan.members)
     if _stands(plan, statuses) and not _fenced_ones(statuses):
         return FailoverResult(FailoverOutcome.NOT_NEEDED)
+    if not _may_succeed(plan, statuses):
+        return FailoverResult(FailoverOutcome.NOT_SAFE)
     taken = yield TakeLock()
     if not taken:
         return FailoverResult(FailoverOutcome.LOCK_HELD)
@@ -195,6 +197,20 @@
     return result
 
 
+def _may_succeed(plan: FailoverPlan, statuses: Statuses) -> bool:
+    """Whether enough instances answer; without them the lock would only keep others from trying."""
+    if leader_of(statuses) is not None or _fenced_ones(statuses):
+        return True
+    replicas = [name for name in statuses if name != plan.old_primary]
+    return len(replicas) >= _needed(plan, plan.old_primary)
+
+
+def _needed(plan: FailoverPlan, old_primary: str) -> int:
+    """How many fenced replicas surely share one with the confirmations of any commit."""
+    confirming = sum(1 for name in plan.members if name != old_primary)
+    return max(1, confirming - max(plan.synchronous_replicas, 1) + 1)
+
+
 def _ask(instances: tuple[str, ...]) -> _Part:
     statuses = yield AskAll(instances)
     assert isinstance(statuses, Mapping)
@@ -330,10 +346,8 @@
     longest = max(item.received for item in replicas)
     if demoted is not None and longest >= demoted.received:
         return _best(plan, [item for item in replicas if item.received >= demoted.received])
-    confirming = {name for name in plan.members if name != old}
-    needed = len(confirming) - max(plan.synchronous_replicas, 1) + 1
-    counted = sum(1 for item in replicas if item.instance in confirming)
-    if counted < needed or counted == 0:
+    counted = sum(1 for item in replicas if item.instance in plan.members and item.instance != old)
+    if counted < _needed(plan, old):
         return None
     return _best(plan, [item for item in replicas if item.received == longest])
 
--- a/src/orchidwind/core/managed/group.py
+++ b/src/orchidwind/core/managed/group.py
@@ -32,8 +32,9 @@
         zone: str,
         now: Callable[[], float],
         on_change: Callable[[], None],
+        entry_outlives: float,
     ) -> None:
-        self.topology = GroupTopology(settings, zone)
+        self.topology = GroupTopology(settings, zone, entry_outlives)
         self.now = now
         self._on_change = on_change
         self._carried: dict[int, _Carried] = {}
--- a/src/orchidwind/core/managed/supervision.py
+++ b/src/orchidwind/core/managed/supervision.py
@@ -20,12 +20,13 @@
 IDLE_LOOK_SECONDS = 0.5
 BUSY_LOOK_SECONDS = 0.03
 
+_MOST_DOUBLINGS = 2
 _PAUSE_AFTER: dict[FailoverOutcome, float] = {
     FailoverOutcome.DONE: 0.2,
     FailoverOutcome.NOT_NEEDED: 0.3,
     FailoverOutcome.LOCK_HELD: 0.2,
     FailoverOutcome.LOCK_LOST: 0.3,
-    FailoverOutcome.NOT_SAFE: 1.0,
+    FailoverOutcome.NOT_SAFE: 0.25,
 }
 
 
@@ -47,6 +48,7 @@
         self._leader = ""
         self._no_primary_since: float | None = None
         self._paused_until = 0.0
+        self._failures = 0
         self._start_at: float | None = None
 
     def look(
@@ -69,7 +71,10 @@
 
     def ended(self, now: float, outcome: FailoverOutcome) -> None:
         """A change of primary that this proxy tried has ended."""
-        self._paused_until = now + _PAUSE_AFTER[outcome]
+        failed = outcome in (FailoverOutcome.NOT_SAFE, FailoverOutcome.LOCK_LOST)
+        self._failures = self._failures + 1 if failed else 0
+        pause = _PAUSE_AFTER[outcome] * 2 ** min(self._failures, _MOST_DOUBLINGS)
+        self._paused_until = now + pause
         self._start_at = None
 
     def _to_ask(self, now: float, suspects: list[str]) -> list[str]:
--- a/src/orchidwind/core/managed/topology.py
+++ b/src/orchidwind/core/managed/topology.py
@@ -26,6 +26,8 @@
 _SAMPLES_KEPT = 64
 GONE_USABLE_SECONDS = 2.0
 MAY_CONFIRM_SECONDS = 20.0
+# An entry goes when its instance has been silent for three heartbeats.
+DEFAULT_ENTRY_OUTLIVES_SECONDS = 3.6
 _BEHIND_PAUSE_SECONDS = 0.15
 _BUSY_PAUSE_SECONDS = 0.02
 _UNREACHABLE_PAUSE_SECONDS = 1.0
@@ -67,6 +69,7 @@
     gone_at: float = 0.0
     status: InstanceStatus | None = None
     avoid_until: float = 0.0
+    heard_at: float = float("-inf")
     unreachable_since: float | None = None
     in_use: int = 0
 
@@ -80,11 +83,20 @@
 class GroupTopology:
     """The instances of one group as this proxy sees them."""
 
-    def __init__(self, settings: ManagedGroupSettings, zone: str) -> None:
+    def __init__(
+        self,
+        settings: ManagedGroupSettings,
+        zone: str,
+        entry_outlives: float = DEFAULT_ENTRY_OUTLIVES_SECONDS,
+    ) -> None:
+        """`entry_outlives` is how long an entry stays after its instance's last sign of life."""
+        self._entry_outlives = entry_outlives
         self.settings = settings
         self.instances: dict[str, InstanceView] = {}
         self._zone = zone
         self._samples: deque[_Sample] = deque(maxlen=_SAMPLES_KEPT)
+        self._led_term = 0
+        self._term_seen_at = 0.0
 
     # --- directory ----------------------------------------------------------------------------
 
@@ -127,12 +139,17 @@
         if view.status is None or view.status.asked_at <= status.asked_at:
             view.status = status
         view.unreachable_since = None
+        view.heard_at = max(view.heard_at, status.asked_at)
+        if status.term > self._led_term:
+            self._led_term = status.term
+            self._term_seen_at = status.asked_at
 
-    def answered(self, instance: str) -> None:
+    def answered(self, instance: str, now: float) -> None:
         """An instance answered anything."""
         view = self.instances.get(instance)
         if view is not None:
             view.unreachable_since = None
+            view.heard_at = now
 
     def unreachable(self, instance: str, now: float) -> None:
         """An instance did not answer or its connection broke."""
@@ -234,12 +251,19 @@
         )
 
     def may_confirm(self) -> list[str]:
-        """Instances that may have confirmed commits of the present primary.
+        """Instances that may have confirmed commits of the present term.
 
-        One that left counts for a while: it serves on after its entry has gone, and its entry also
-        goes while it is only cut off from the directory.
+        Commits of earlier terms are in the log of the present primary, else it would not lead. An
+        instance that left counts for a while: it serves on after its entry has gone, and its entry
+        also goes while it is only cut off from the directory. One that neither this proxy nor the
+        directory has heard of since the present term began does not count.
         """
-        return list(self.instances)
+        return [name for name, view in self.instances.items() if self._may_have_confirmed(view)]
+
+    def _may_have_confirmed(self, view: InstanceView) -> bool:
+        if view.listed or view.heard_at >= self._term_seen_at:
+            return True
+        return view.gone_at - self._entry_outlives >= self._term_seen_at
 
     # --- floors -------------------------------------------------------------------------------
 
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -62,6 +62,7 @@
         on_wake: Callable[[], None],
         metrics: ManagedMetrics,
         leases: LeaseKeeper,
+        entry_outlives: float,
     ) -> None:
         self._leases = leases
         self._known_leader: tuple[str, int] | None = None
@@ -70,7 +71,7 @@
         self._loop = asyncio.get_running_loop()
         self._on_wake = on_wake
         self._connector = connector
-        self.state = GroupState(settings, zone, self._loop.time, self.changed)
+        self.state = GroupState(settings, zone, self._loop.time, self.changed, entry_outlives)
         self.topology = self.state.topology
         self._numbers = count(1)
         self._tickets = count(1)
@@ -314,7 +315,7 @@
         self._links[number] = link
         self._instance_of[number] = instance
         self.state.connection_opened(number)
-        self.topology.answered(instance)
+        self.topology.answered(instance, self._loop.time())
         self._heard[instance] = self._loop.time()
         self._pool_effects(pool.opened(number, self._loop.time()))
 
@@ -394,6 +395,7 @@
             self._running.pop(connection, None)
             self._writing.discard(connection)
         self._heard[instance] = self._loop.time()
+        self.topology.answered(instance, self._loop.time())
         if leased:
             return ExchangeResult(replies, arrived_at)
         if proof is None or not await self._proves(proof, proof_of_term):
@@ -502,7 +504,7 @@
             async with asyncio.timeout(seconds):
                 status = await self._ask_on_some_link(instance, call)
         except BackendRefused:
-            self.topology.answered(instance)
+            self.topology.answered(instance, self._loop.time())
             return None
         except (BackendConnectionLost, TimeoutError) as error:
             self._drop_control(instance)
--- a/src/orchidwind/managed/lead_lease.py
+++ b/src/orchidwind/managed/lead_lease.py
@@ -10,7 +10,7 @@
     REVOCATION_WAIT_SECONDS,
     LeadLease,
 )
-from orchidwind.core.managed.promotion_lock import LockRecord
+from orchidwind.core.managed.promotion_lock import TAKE_OVER_SECONDS, LockRecord
 from orchidwind.logs import log_event
 from orchidwind.managed.ports import Changes, LeaseRegistry, Listing, PromotionLockStore
 
@@ -24,6 +24,7 @@
     def __init__(self, node: str, lock_store: PromotionLockStore, registry: LeaseRegistry) -> None:
         self.lease = LeadLease()
         self.holder = ""
+        self._held_since = 0.0
         self._node = node
         self._lock_store = lock_store
         self._registry = registry
@@ -72,6 +73,12 @@
             return
         self.lease.lock_read(sent_at, record)
 
+    def held_by_another(self) -> bool:
+        """Whether another proxy is known to hold the promotion lock, not for too long yet."""
+        if self.holder in ("", self._node):
+            return False
+        return self._loop.time() - self._held_since < TAKE_OVER_SECONDS
+
     # --- revocation ---------------------------------------------------------------------------
 
     def listed(self, listing: Listing[LockRecord]) -> None:
@@ -86,6 +93,7 @@
 
     def _take(self, record: LockRecord) -> None:
         self.holder = "" if record.released else record.holder
+        self._held_since = self._loop.time()
         if record.released:
             return
         self.lease.lock_taken(record.revision)
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -17,6 +17,7 @@
 )
 from orchidwind.core.managed.failover import FailoverPlan
 from orchidwind.core.managed.supervision import GroupSupervisor
+from orchidwind.core.managed.topology import DEFAULT_ENTRY_OUTLIVES_SECONDS
 from orchidwind.logs import log_event
 from orchidwind.managed.executor import Databases
 from orchidwind.managed.failover_runner import FailoverRunner, PromotionLockClient
@@ -59,7 +60,15 @@
 class ManagedNode(Databases):
     """Keeps the groups in step with configuration and directory."""
 
-    def __init__(self, name: str, zone: str, ports: NodePorts) -> None:
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        ports: NodePorts,
+        entry_outlives: float = DEFAULT_ENTRY_OUTLIVES_SECONDS,
+    ) -> None:
+        """`entry_outlives` is how long a directory entry stays after its last renewal."""
+        self._entry_outlives = entry_outlives
         self.name = name
         self.zone = zone
         self.metrics = ManagedMetrics()
@@ -169,7 +178,13 @@
         wake = asyncio.Event()
         settings = self.configuration.groups[name]
         group = GroupService(
-            settings, self.zone, self._ports.connector, wake.set, self.metrics, self.leases
+            settings,
+            self.zone,
+            self._ports.connector,
+            wake.set,
+            self.metrics,
+            self.leases,
+            self._entry_outlives,
         )
         self.groups[name] = group
         self._wakes[name] = wake
@@ -253,7 +268,8 @@
             look = supervisor.look(now, suspects, oldest, random.random())
             for instance in look.ask:
                 group.ask_soon(instance)
-            if look.plan is not None and (running is None or running.done()):
+            may_start = running is None or running.done()
+            if look.plan is not None and may_start and not self.leases.held_by_another():
                 running = loop.create_task(self._change_primary(group, supervisor, look.plan))
             try:
                 async with asyncio.timeout(look.again_after):
--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -40,6 +40,7 @@
 METRICS_PATH = "/metrics"
 STATUS_PATH = "/status"
 _BACKLOG = 1024
+_SILENT_HEARTBEATS = 3
 
 
 class PlatformProxy:
@@ -117,7 +118,8 @@
         leases=LeaseObjects(store),
         promotions=PromotionCall(parse_address(settings.cloud_api.address), settings.node_name),
     )
-    return ManagedNode(settings.node_name, settings.zone, ports)
+    entry_outlives = settings.heartbeat_ms * _SILENT_HEARTBEATS / 1000.0
+    return ManagedNode(settings.node_name, settings.zone, ports, entry_outlives)
 
 
 async def _run(path: Path) -> None:
--- a/src/orchidwind/platform/settings.py
+++ b/src/orchidwind/platform/settings.py
@@ -42,6 +42,7 @@
     platform: ServiceAddress
     cloud_api: ServiceAddress
     bounds: Bounds = Bounds()
+    heartbeat_ms: float = 1200.0
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
--- a/src/orchidwind_bench/managed/callers.py
+++ b/src/orchidwind_bench/managed/callers.py
@@ -177,7 +177,7 @@
 
     def __init__(self, seed: int, instances: int = 3) -> None:
         self.world = World(seed)
-        self.group = SimulatedGroup(self.world, ZONES[:instances])
+        self.group = SimulatedGroup(self.world, (ZONES * 2)[:instances])
         self.tally = Tally()
         self.nodes: dict[str, ManagedNode] = {}
         for name, zone in zip(NODES, ZONES, strict=True):
