--- a/src/orchidwind/core/managed/failover.py
+++ b/src/orchidwind/core/managed/failover.py
@@ -59,7 +59,8 @@
     """What the proxy believes when it begins.
 
     `members` are all instances that may have confirmed commits; `leaving` those of them that must
-    not lead; `old_primary` is empty where none is known.
+    not lead; `old_primary` is empty where none is known. Without `members_known` there may be
+    others, of which this proxy has not been told: then only a demoted primary's log is a measure.
     """
 
     group: str
@@ -68,6 +69,7 @@
     leaving: frozenset[str]
     old_primary: str
     synchronous_replicas: int
+    members_known: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,6 +204,8 @@
     if leader_of(statuses) is not None or _fenced_ones(statuses):
         return True
     replicas = [name for name in statuses if name != plan.old_primary]
+    if not plan.members_known:
+        return False
     return len(replicas) >= _needed(plan, plan.old_primary)
 
 
@@ -347,7 +351,7 @@
     if demoted is not None and longest >= demoted.received:
         return _best(plan, [item for item in replicas if item.received >= demoted.received])
     counted = sum(1 for item in replicas if item.instance in plan.members and item.instance != old)
-    if counted < _needed(plan, old):
+    if counted < _needed(plan, old) or not plan.members_known:
         return None
     return _best(plan, [item for item in replicas if item.received == longest])
 
--- a/src/orchidwind/core/managed/supervision.py
+++ b/src/orchidwind/core/managed/supervision.py
@@ -52,11 +52,17 @@
         self._start_at: float | None = None
 
     def look(
-        self, now: float, suspects: list[str], oldest_write: float, random_fraction: float
+        self,
+        now: float,
+        suspects: list[str],
+        oldest_write: float,
+        random_fraction: float,
+        members_known: bool = True,
     ) -> Look:
         """Decide.
 
         `suspects` may have gone; `oldest_write` is how long a write has waited for the primary.
+        `members_known` says that no instance can have left unknown to this proxy.
         """
         ask = self._to_ask(now, suspects)
         reason = self._reason(now, oldest_write)
@@ -64,7 +70,7 @@
         if reason is None:
             self._start_at = None
         elif now >= self._paused_until:
-            plan = self._plan_when_due(now, reason, random_fraction)
+            plan = self._plan_when_due(now, reason, random_fraction, members_known)
         restless = bool(suspects) or reason is not None or self._no_primary_since is not None
         again = BUSY_LOOK_SECONDS if restless or self._topology.unclear() else IDLE_LOOK_SECONDS
         return Look(tuple(ask), plan, again)
@@ -145,7 +151,7 @@
         )
 
     def _plan_when_due(
-        self, now: float, reason: FailoverReason, random_fraction: float
+        self, now: float, reason: FailoverReason, random_fraction: float, members_known: bool
     ) -> FailoverPlan | None:
         if self._start_at is None:
             self._start_at = now + random_fraction * JITTER_SECONDS
@@ -163,4 +169,5 @@
             leaving=leaving,
             old_primary=self._known_leader(),
             synchronous_replicas=self._topology.settings.synchronous_replicas,
+            members_known=members_known,
         )
--- a/src/orchidwind/core/managed/topology.py
+++ b/src/orchidwind/core/managed/topology.py
@@ -250,6 +250,11 @@
             view.in_use,
         )
 
+    @property
+    def listed_count(self) -> int:
+        """How many instances the directory lists."""
+        return sum(1 for view in self.instances.values() if view.listed)
+
     def may_confirm(self) -> list[str]:
         """Instances that may have confirmed commits of the present term.
 
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -17,7 +17,7 @@
 )
 from orchidwind.core.managed.failover import FailoverPlan
 from orchidwind.core.managed.supervision import GroupSupervisor
-from orchidwind.core.managed.topology import DEFAULT_ENTRY_OUTLIVES_SECONDS
+from orchidwind.core.managed.topology import DEFAULT_ENTRY_OUTLIVES_SECONDS, MAY_CONFIRM_SECONDS
 from orchidwind.logs import log_event
 from orchidwind.managed.executor import Databases
 from orchidwind.managed.failover_runner import FailoverRunner, PromotionLockClient
@@ -84,6 +84,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._prepared = asyncio.Event()
         self._successes = 0
+        self._started_at = asyncio.get_running_loop().time()
 
     def start(self) -> None:
         """Begin to follow the store."""
@@ -265,7 +266,9 @@
             now = loop.time()
             suspects = group.suspects()
             oldest = group.oldest_write()
-            look = supervisor.look(now, suspects, oldest, random.random())
+            look = supervisor.look(
+                now, suspects, oldest, random.random(), self._members_known(group, now)
+            )
             for instance in look.ask:
                 group.ask_soon(instance)
             may_start = running is None or running.done()
@@ -278,6 +281,17 @@
                 pass
             wake.clear()
 
+    def _members_known(self, group: GroupService, now: float) -> bool:
+        """Whether an instance of the group cannot have left unknown to this proxy.
+
+        A proxy that has just started has not seen who left before. It takes a group for whole that
+        lists as many instances as the largest one.
+        """
+        if now - self._started_at >= MAY_CONFIRM_SECONDS:
+            return True
+        counts = [item.topology.listed_count for item in self.groups.values()]
+        return group.topology.listed_count >= max(counts, default=0)
+
     async def _change_primary(
         self, group: GroupService, supervisor: GroupSupervisor, plan: FailoverPlan
     ) -> None:
