--- a/src/orchidwind/managed/executor.py
+++ b/src/orchidwind/managed/executor.py
@@ -42,6 +42,7 @@
 _QUEUE_BOUND = 400
 _HIGHEST_WEIGHT = 8.0
 _LOGGED_ATTEMPTS = 6
+_HOLD_SHARE = 0.4
 
 
 class Databases(Protocol):
@@ -258,17 +259,18 @@
     ) -> StepResult:
         if self.caller_gone and not _only_ends(step):
             raise RequestError(ErrorKind.CANCELLED, "the caller has gone")
+        hold_until = self._hold_until(context, deadline)
         if isinstance(step, NeedPrimary):
-            return await group.need_primary(deadline)
+            return await group.need_primary(hold_until)
         if isinstance(step, NeedReadPlan):
             return await group.need_read_plan(
-                context.database, step.session_floor, context.arrived_at, step.excluded, deadline
+                context.database, step.session_floor, context.arrived_at, step.excluded, hold_until
             )
         if isinstance(step, NeedProof):
             return await group.prove_lead(step.term, deadline)
         if isinstance(step, NeedConnection):
             wanted = traffic_class(context.database)
-            connection = await group.need_connection(step.instance, wanted, deadline)
+            connection = await group.need_connection(step.instance, wanted, hold_until)
             self._held.add(connection)
             return connection
         if isinstance(step, Exchange):
@@ -280,6 +282,11 @@
         await self._pause(step, deadline)
         return None
 
+    def _hold_until(self, context: CommandContext, deadline: float) -> float:
+        """How long a command may wait without being sent: its caller may come back elsewhere."""
+        held = context.database.statement_timeout * _HOLD_SHARE
+        return min(deadline, context.arrived_at + held)
+
     async def _exchange(
         self, step: Exchange, context: CommandContext, group: GroupService, deadline: float
     ) -> StepResult:
