--- a/src/orchidwind/core/managed/failover.py
+++ b/src/orchidwind/core/managed/failover.py
@@ -250,6 +250,7 @@
         if refused is not None:
             return refused
     demoted = yield from _demote_leader(plan, statuses, fence_term)
+    sent = False  # once a promotion may have been sent, fences below the new term stay
     for attempt in range(_SELECT_ATTEMPTS):
         if attempt:
             yield Wait(RETRY_SECONDS)
@@ -267,12 +268,14 @@
             candidate = demoted
         if candidate is None:
             continue
+        sent = True
         led = yield from _promote(plan, candidate, fenced, demoted, fence_term)
         if led is not None:
             yield from _settle(plan, led)
             return FailoverResult(FailoverOutcome.DONE, led.instance, led.term)
-    statuses = yield from _ask(plan.members)
-    yield UnfenceAll(_fenced_ones(statuses))
+    if not sent:
+        statuses = yield from _ask(plan.members)
+        yield UnfenceAll(_fenced_ones(statuses))
     return FailoverResult(FailoverOutcome.NOT_SAFE)
 
 
@@ -301,7 +304,11 @@
 
 def _stand_down(statuses: Statuses) -> FailoverFlow:
     """The primary is there after all: free what an interrupted change left fenced."""
+    leader = leader_of(statuses)
     fenced = _fenced_ones(statuses)
+    if leader is not None:
+        # One that has not moved to the leader's term might follow an older primary.
+        fenced = tuple(name for name in fenced if statuses[name].term >= leader.term)
     if fenced:
         yield UnfenceAll(fenced)
     return FailoverResult(FailoverOutcome.NOT_NEEDED)
@@ -394,7 +401,8 @@
     """Demote a replaced primary that can be reached, and free the other replicas.
 
     A replica that is freed before it follows the new primary could confirm commits of the old one.
-    So the fences stay until the old primary is known to lead no more, or the replicas have moved.
+    So a fence stays until the old primary is known to lead no more, or the replica has moved, which
+    ends the fence by itself.
     """
     others = tuple(name for name in plan.members if name != led.instance)
     for _ in range(_SETTLE_POLLS):
@@ -408,10 +416,12 @@
             yield Demote(item.instance, led.term)
         waiting = [item for item in statuses.values() if _fenced_below(item, led.term)]
         old = statuses.get(plan.old_primary)
-        if not waiting or (old is not None and old.role is InstanceRole.REPLICA):
+        if not waiting:
+            break
+        if old is not None and old.role is InstanceRole.REPLICA:
+            yield UnfenceAll(tuple(item.instance for item in waiting))
             break
         yield Wait(LEAD_WAIT_SECONDS)
-    yield UnfenceAll(tuple(item.instance for item in statuses.values() if item.fence_term))
 
 
 def _fenced_below(status: InstanceStatus, term: int) -> bool:
--- a/src/orchidwind/managed/executor.py
+++ b/src/orchidwind/managed/executor.py
@@ -42,7 +42,7 @@
 _QUEUE_BOUND = 400
 _HIGHEST_WEIGHT = 8.0
 _LOGGED_ATTEMPTS = 6
-_HOLD_SHARE = 0.4
+_HOLD_SHARE = 0.5
 
 
 class Databases(Protocol):
--- a/tests/test_managed_promises.py
+++ b/tests/test_managed_promises.py
@@ -270,6 +270,19 @@
             ("drain", 0, 0, 1.26),
         ],
     ),
+    # The same, where the new primary could not reach the replica at all.
+    (
+        62052,
+        [
+            ("one_way", 2, 1, 0.3),
+            ("restart", 2, 2, 1.41),
+            ("node_cut", 1, 0, 1.52),
+            ("silent", 2, 0, 1.24),
+            ("dark", 0, 0, 0.86),
+            ("cut", 1, 0, 1.18),
+            ("store", 2, 0, 1.88),
+        ],
+    ),
 ]
 
 
