--- a/src/orchidwind/commands/explain.py
+++ b/src/orchidwind/commands/explain.py
@@ -66,6 +66,14 @@
     return sorted(found, key=lambda line: line.at)
 
 
+def _bears_on(other: LogLine, request: LogLine) -> bool:
+    """Whether a line tells what the request's proxy believed of itself or of its group."""
+    if other.event not in _BELIEFS or other.node != request.node:
+        return False
+    group = request.fields.get("group", "")
+    return group == "" or other.fields.get("group", "") in ("", group)
+
+
 def story(lines: list[LogLine], request_id: str) -> list[str]:
     """What the request's own lines say, after what its proxy had come to believe before.
 
@@ -81,7 +89,7 @@
         told.extend(
             f"  before: {other.text}"
             for other in lines
-            if other.event in _BELIEFS and other.node == line.node and since <= other.at <= line.at
+            if _bears_on(other, line) and since <= other.at <= line.at
         )
         told.append(f"request: {line.text}")
     return told
--- /dev/null
+++ b/src/orchidwind/managed/connections.py
@@ -0,0 +1,248 @@
+"""The server connections of one managed group, and the requests that wait for one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import dataclass
+from itertools import count
+from typing import Any, TypeVar
+
+from orchidwind.core.admission import Refusal, TrafficClass
+from orchidwind.core.errors import (
+    BackendConnectionLost,
+    BackendRefused,
+    ErrorKind,
+    RequestError,
+)
+from orchidwind.core.managed.group import GroupState
+from orchidwind.core.pool import CloseConnection, Grant, InstancePool, OpenConnection, PoolEffect
+from orchidwind.logs import log_event
+from orchidwind.managed.ports import InstanceConnector, InstanceLink
+
+CONNECT_SECONDS = 0.6
+CONNECTION_LIMIT_MET = "53300"
+_SHORTEST_RETRY_SECONDS = 0.01
+_SHARE_OF_CONNECTIONS = 0.15
+_FEWEST_CONNECTIONS = 2
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class PoolUsage:
+    """The connections to one instance, and the requests that wait for one."""
+
+    connections: int
+    queued: int
+
+
+class GroupConnections:
+    """Pools and links. `on_suspect` is told of instances whose connections broke."""
+
+    def __init__(
+        self,
+        state: GroupState,
+        connector: InstanceConnector,
+        on_suspect: Callable[[str], None],
+        on_unreachable: Callable[[str], None],
+    ) -> None:
+        self.links: dict[int, InstanceLink] = {}
+        self.instance_of: dict[int, str] = {}
+        self.in_exchange: dict[int, float] = {}
+        self._state = state
+        self._topology = state.topology
+        self._connector = connector
+        self._on_suspect = on_suspect
+        self._on_unreachable = on_unreachable
+        self._loop = asyncio.get_running_loop()
+        self._numbers = count(1)
+        self._tickets = count(1)
+        self._pools: dict[str, InstancePool] = {}
+        self._grants: dict[int, tuple[str, asyncio.Future[int]]] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._closed = False
+
+    # --- requests -----------------------------------------------------------------------------
+
+    async def need(self, instance: str, traffic_class: TrafficClass, deadline: float) -> int:
+        """Wait for a server connection; raises RequestError, BackendConnectionLost."""
+        pool = self.pool(instance)
+        ticket = next(self._tickets)
+        granted: asyncio.Future[int] = self._loop.create_future()
+        self._grants[ticket] = (instance, granted)
+        self._perform(pool.acquire(ticket, traffic_class, self._loop.time(), deadline))
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await granted
+        except TimeoutError as error:
+            pool.cancel(ticket)
+            raise RequestError(
+                ErrorKind.DEADLINE_PASSED, f"no connection to {instance} was free in time"
+            ) from error
+        finally:
+            self._grants.pop(ticket, None)
+            if granted.cancelled():
+                pool.cancel(ticket)
+
+    def release(self, connection: int, reusable: bool) -> None:
+        """Give a connection back."""
+        instance = self.instance_of.get(connection)
+        if instance is None:
+            return
+        view = self._topology.instances.get(instance)
+        keep = reusable and view is not None and view.unreachable_since is None
+        self._perform(self.pool(instance).release(connection, self._loop.time(), keep))
+
+    def borrow_idle(self, instance: str) -> int | None:
+        """Take an idle connection for the proxy's own use, None where there is none."""
+        return self.pool(instance).borrow_idle(self._loop.time())
+
+    def usage(self, instance: str) -> PoolUsage:
+        """How many connections to an instance are open, and how many requests wait."""
+        pool = self._pools.get(instance)
+        return PoolUsage(pool.size, len(pool.queue)) if pool else PoolUsage(0, 0)
+
+    @property
+    def busy(self) -> int:
+        """Connections that requests or transactions hold."""
+        return sum(len(pool.busy) for pool in self._pools.values())
+
+    # --- upkeep -------------------------------------------------------------------------------
+
+    def pool(self, instance: str) -> InstancePool:
+        """The pool of an instance."""
+        pool = self._pools.get(instance)
+        if pool is None:
+            limit = int(self._topology.settings.maximum_connections * _SHARE_OF_CONNECTIONS)
+            share = max(limit, _FEWEST_CONNECTIONS)
+            pool = InstancePool(instance, share, self._numbers, eager=False)
+            self._pools[instance] = pool
+        return pool
+
+    def trim(self) -> None:
+        """Close connections that were not needed lately."""
+        for pool in self._pools.values():
+            self._perform(pool.trim())
+
+    def drop_idle(self, instance: str) -> None:
+        """Close idle connections to an instance that does not answer; who waits goes elsewhere."""
+        pool = self._pools.get(instance)
+        if pool is None:
+            return
+        for connection in list(pool.idle):
+            self._close(connection)
+            self._perform(pool.lost(connection, self._loop.time()))
+        self._turn_away(pool)
+        self._retry_open(pool)
+
+    def forget(self, instance: str) -> None:
+        """An instance left long ago."""
+        self.drop_idle(instance)
+        self._pools.pop(instance, None)
+
+    def _perform(self, effects: Iterable[PoolEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Grant):
+                self._grant(effect)
+            elif isinstance(effect, OpenConnection):
+                self._spawn(self._open(effect))
+            elif isinstance(effect, CloseConnection):
+                self._close(effect.connection)
+            else:
+                self._refuse(effect)
+
+    def _grant(self, grant: Grant) -> None:
+        _, waiting = self._grants.get(grant.ticket, ("", None))
+        if waiting is not None and not waiting.done():
+            waiting.set_result(grant.connection)
+        else:
+            self._loop.call_soon(self.release, grant.connection, True)
+
+    def _refuse(self, refusal: Refusal) -> None:
+        _, waiting = self._grants.get(refusal.ticket, ("", None))
+        if waiting is not None and not waiting.done():
+            error = RequestError(
+                ErrorKind.OVERLOADED,
+                "too many requests wait",
+                retry_after_milliseconds=int(refusal.retry_after * 1000),
+            )
+            waiting.set_exception(error)
+
+    def _turn_away(self, pool: InstancePool) -> None:
+        for ticket, (instance, waiting) in list(self._grants.items()):
+            if instance == pool.instance and not waiting.done():
+                pool.cancel(ticket)
+                waiting.set_exception(BackendConnectionLost("no answer", sent=False))
+
+    # --- links --------------------------------------------------------------------------------
+
+    async def connect(self, instance: str, on_lost: Callable[[], None]) -> InstanceLink:
+        """Open a connection; raises BackendRefused, BackendConnectionLost."""
+        view = self._topology.instances.get(instance)
+        if view is None:
+            raise BackendConnectionLost("the instance is unknown", sent=False)
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                return await self._connector.connect(view.entry, on_lost)
+        except TimeoutError as error:
+            raise BackendConnectionLost("no answer to a new connection", sent=False) from error
+
+    async def _open(self, effect: OpenConnection) -> None:
+        number, instance = effect.connection, effect.instance
+        pool = self.pool(instance)
+        try:
+            link = await self.connect(instance, lambda: self._lost_outside_exchange(number))
+        except BackendRefused as refused:
+            limit_met = refused.sqlstate == CONNECTION_LIMIT_MET
+            log_event("connection_refused", instance=instance, reason=str(refused))
+            self._perform(pool.open_failed(number, self._loop.time(), limit_met))
+            self._retry_open(pool)
+            return
+        except BackendConnectionLost as lost:
+            log_event("connection_failed", instance=instance, reason=str(lost))
+            self._on_unreachable(instance)
+            self._perform(pool.open_failed(number, self._loop.time(), limit_met=False))
+            self._retry_open(pool)
+            return
+        self.links[number] = link
+        self.instance_of[number] = instance
+        self._state.connection_opened(number)
+        self._topology.answered(instance, self._loop.time())
+        self._perform(pool.opened(number, self._loop.time()))
+
+    def _retry_open(self, pool: InstancePool) -> None:
+        due = pool.deadline()
+        if due is not None and not self._closed:
+            wait = max(due, self._loop.time() + _SHORTEST_RETRY_SECONDS)
+            self._loop.call_at(wait, lambda: self._perform(pool.tick(self._loop.time())))
+
+    def _lost_outside_exchange(self, connection: int) -> None:
+        instance = self.instance_of.get(connection)
+        if instance is None or connection in self.in_exchange:
+            return
+        self._close(connection)
+        pool = self.pool(instance)
+        self._perform(pool.lost(connection, self._loop.time()))
+        self._retry_open(pool)
+        self._on_suspect(instance)
+
+    def _close(self, connection: int) -> None:
+        link = self.links.pop(connection, None)
+        self.instance_of.pop(connection, None)
+        self._state.connection_closed(connection)
+        if link is not None:
+            link.close()
+
+    def _spawn(self, work: Coroutine[Any, Any, T]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._closed = True
+        for task in self._tasks:
+            task.cancel()
+        for connection in list(self.links):
+            self._close(connection)
--- a/src/orchidwind/managed/executor.py
+++ b/src/orchidwind/managed/executor.py
@@ -139,6 +139,7 @@
             request_id=command.request_id,
             command=command.kind.value,
             database=self.name,
+            group=group.settings.name if group is not None else "",
             reason=kind.value,
             ran=ANSWERS[kind].ran.value,
             primary=primary.instance if primary else "",
--- /dev/null
+++ b/src/orchidwind/managed/lead_proofs.py
@@ -0,0 +1,76 @@
+"""Proofs that the known primary of a group still leads: by lead lease, or by asking a replica."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from orchidwind.core.managed.commands import InstanceStatus
+from orchidwind.core.managed.topology import GroupTopology, knows_no_later_term
+from orchidwind.managed.lead_lease import LeaseKeeper
+
+AskStatus = Callable[[str], Awaitable[InstanceStatus | None]]
+StatusTask = asyncio.Task[InstanceStatus | None]
+
+
+class LeadProver:
+    """One status query of a replica serves all requests that came before it was sent."""
+
+    def __init__(self, topology: GroupTopology, leases: LeaseKeeper, ask: AskStatus) -> None:
+        self._topology = topology
+        self._leases = leases
+        self._ask = ask
+        self._loop = asyncio.get_running_loop()
+        self._query: StatusTask | None = None
+        self._next_query: StatusTask | None = None
+        self._known_leader: tuple[str, int] | None = None
+
+    def leased(self, instance: str, arrived_at: float) -> bool:
+        """Whether the lead lease spares the proof for a request that came at a time.
+
+        It does where the lead was proven once since the promotion lock was last given back.
+        """
+        covered = self._leases.covers(arrived_at)
+        return covered and self._known_leader == (instance, self._leases.free_revision)
+
+    @property
+    def lock_revision(self) -> int | None:
+        """The promotion lock's revision while it is known to be free."""
+        return self._leases.free_revision
+
+    def proven_under(self, instance: str, lock_revision: int | None) -> None:
+        """An instance was proven to lead by a query sent while the lock stood at a revision."""
+        if lock_revision is not None:
+            self._known_leader = (instance, lock_revision)
+
+    def join(self) -> StatusTask:
+        """A status query of a replica that is sent after now."""
+        if self._query is None or self._query.done():
+            self._query = self._loop.create_task(self._query_replica(None))
+            return self._query
+        if self._next_query is None or self._next_query.done():
+            self._next_query = self._loop.create_task(self._query_replica(self._query))
+        return self._next_query
+
+    async def _query_replica(self, earlier: StatusTask | None) -> InstanceStatus | None:
+        if earlier is not None:
+            await asyncio.wait([earlier])
+            self._query, self._next_query = self._next_query, None
+        for replica in self._topology.replicas(self._loop.time()):
+            if self._topology.instances[replica].unreachable_since is not None:
+                continue
+            status = await self._ask(replica)
+            if status is not None:
+                return status
+        return None
+
+    async def proves(self, query: StatusTask, term: int) -> bool:
+        """Whether a query shows that no primary after `term` had begun when it was sent."""
+        status = await asyncio.shield(query)
+        return status is not None and knows_no_later_term(status, term)
+
+    def close(self) -> None:
+        """Give up what is under way."""
+        for query in (self._query, self._next_query):
+            if query is not None:
+                query.cancel()
--- a/src/orchidwind/managed/status.py
+++ b/src/orchidwind/managed/status.py
@@ -50,7 +50,7 @@
     instances = []
     for name, view in group.topology.instances.items():
         status = view.status
-        usage = group.pool_usage(name)
+        usage = group.connections.usage(name)
         instances.append(
             ManagedInstanceStatus(
                 name=name,
--- a/src/orchidwind/platform/instances.py
+++ b/src/orchidwind/platform/instances.py
@@ -12,12 +12,13 @@
 from orchidwind.core.managed.commands import InstanceMessage, InstanceStatus, Reply, ReplyCode
 from orchidwind.core.managed.configuration import DirectoryEntry
 from orchidwind.core.positions import Position
-from orchidwind.managed.group_service import CONNECTION_LIMIT_MET, INSTANCE_BUSY
+from orchidwind.managed.connections import CONNECTION_LIMIT_MET
 from orchidwind.network.sockets import client_socket
 from orchidwind.platform import wire
 
 _READ_BYTES = 65536
 _OTHER_REFUSAL = "08004"
+_BUSY = "53000"
 
 
 class LineLink:
@@ -137,7 +138,7 @@
     if code == "TOOMANYCON":
         return BackendRefused(reply.text, CONNECTION_LIMIT_MET)
     if reply.code is ReplyCode.BUSY:
-        return BackendRefused(reply.text, INSTANCE_BUSY)
+        return BackendRefused(reply.text, _BUSY)
     return BackendRefused(reply.text, _OTHER_REFUSAL)
 
 
