--- /dev/null
+++ b/src/orchidwind/core/managed/flow_parts.py
@@ -0,0 +1,190 @@
+"""What the flows on a managed group have in common: context, exchanges, finding an instance."""
+
+from __future__ import annotations
+
+from collections.abc import Generator
+from dataclasses import dataclass, field
+
+from orchidwind.core.errors import (
+    BackendConnectionLost,
+    ProofMissing,
+)
+from orchidwind.core.managed.answers import reported
+from orchidwind.core.managed.commands import (
+    Command,
+    CommandKind,
+    InstanceMessage,
+    MessageKind,
+    Reply,
+    ReplyCode,
+)
+from orchidwind.core.managed.configuration import ManagedDatabase
+from orchidwind.core.managed.group import GroupState
+from orchidwind.core.managed.session import ManagedSession
+from orchidwind.core.managed.steps import (
+    Exchange,
+    ExchangeResult,
+    NeedConnection,
+    NeedPrimary,
+    NeedProof,
+    NeedReadPlan,
+    Pause,
+    Step,
+    StepResult,
+)
+from orchidwind.core.managed.topology import PrimaryView, ReadPlan
+
+BUSY_PAUSE_SECONDS = 0.015
+
+
+@dataclass(slots=True)
+class CommandContext:
+    """What the flows of one command share. Times are in seconds of the steady clock."""
+
+    session: ManagedSession
+    group: GroupState
+    database: ManagedDatabase
+    command: Command
+    arrived_at: float
+    excluded: set[str] = field(default_factory=set)
+    sent_write: bool = False
+    attempts: list[str] = field(default_factory=list)
+    sent_to: str = ""
+
+    def note(self, instance: str, what: str) -> None:
+        """Keep what one attempt was based on and how it ended, for the log."""
+        self.attempts.append(f"{instance}:{what}")
+
+
+def statement_messages(context: CommandContext, connection: int) -> list[InstanceMessage]:
+    """Bring a connection to the session's settings, then the statement itself."""
+    messages = context.group.settings_messages(connection, context.session.settings)
+    command = context.command
+    if command.kind is CommandKind.EXECUTE:
+        prepared = context.session.prepared_for(command)
+        after_reset = bool(messages) and messages[0].kind is MessageKind.RESET
+        messages.extend(context.group.prepare_messages(connection, prepared, after_reset))
+        messages.append(
+            InstanceMessage(
+                MessageKind.EXECUTE,
+                command.request_id,
+                command.argument,
+                name=prepared.shared_name,
+                prepared=prepared,
+            )
+        )
+    else:
+        messages.append(InstanceMessage(MessageKind.STATEMENT, command.request_id, command.text))
+    return messages
+
+
+def with_floor(messages: list[InstanceMessage], plan: ReadPlan) -> tuple[InstanceMessage, ...]:
+    """The same messages, the last of them at the floor of a plan."""
+    last = messages[-1]
+    at_floor = InstanceMessage(
+        last.kind, last.request_id, last.text, last.name, last.prepared, plan.floor
+    )
+    return (*messages[:-1], at_floor)
+
+
+def exchange(
+    context: CommandContext,
+    connection: int,
+    messages: tuple[InstanceMessage, ...],
+    proof_of_term: int = 0,
+) -> Generator[Step, StepResult, Reply]:
+    """Send and return the last reply; a connection whose preparation failed is closed."""
+    result = yield Exchange(connection, messages, proof_of_term)
+    assert isinstance(result, ExchangeResult)
+    replies = result.replies
+    # What the connection carries now counts whatever becomes of the reply.
+    context.group.note_messages(connection, messages)
+    if not all(reply.done for reply in replies[:-1]):
+        raise BackendConnectionLost("a setting or prepared statement was refused", sent=True)
+    if proof_of_term:
+        if result.led_at is None:
+            raise ProofMissing("no replica shows that the primary still leads")
+        context.group.lead_proven(result.led_at, replies[-1].position)
+    return replies[-1]
+
+
+def read_connection(
+    context: CommandContext,
+) -> Generator[Step, StepResult, tuple[ReadPlan, int]]:
+    """An instance that may serve a read, and a connection to it."""
+    while True:
+        plan = yield NeedReadPlan(context.session.floor, frozenset(context.excluded))
+        assert isinstance(plan, ReadPlan)
+        try:
+            connection = yield NeedConnection(plan.instance)
+        except BackendConnectionLost:
+            yield from leave_instance(context, plan)
+            continue
+        assert isinstance(connection, int)
+        return plan, connection
+
+
+def wait_for_proof(context: CommandContext) -> Generator[Step, StepResult, None]:
+    """Send nothing to a primary of doubtful lead until some replica confirms its term."""
+    while True:
+        yield Pause(BUSY_PAUSE_SECONDS)
+        primary = yield NeedPrimary()
+        assert isinstance(primary, PrimaryView)
+        context.note(primary.instance, f"term={primary.term}:lead_not_proven")
+        if (yield NeedProof(primary.term)):
+            return
+
+
+def leave_instance(context: CommandContext, plan: ReadPlan) -> Generator[Step, StepResult, None]:
+    """A connection broke: try another replica next; the primary has no substitute."""
+    context.note(plan.instance, "connection_lost")
+    if plan.proof_of_term:
+        yield Pause(BUSY_PAUSE_SECONDS)
+    else:
+        context.excluded.add(plan.instance)
+
+
+def after_failed_read(
+    context: CommandContext, instance: str, reply: Reply
+) -> Generator[Step, StepResult, None]:
+    """Prepare another attempt, or raise what the caller is told."""
+    if reply.code is ReplyCode.BEHIND:
+        context.group.replica_behind(instance)
+        context.excluded.add(instance)
+        return
+    if reply.code is ReplyCode.BUSY:
+        context.group.instance_busy(instance)
+        yield Pause(BUSY_PAUSE_SECONDS)
+        return
+    if reply.code in (ReplyCode.UNKNOWN_STATEMENT, ReplyCode.READ_ONLY):
+        yield Pause(BUSY_PAUSE_SECONDS)
+        return
+    raise reported(reply)
+
+
+def primary_connection(
+    context: CommandContext,
+) -> Generator[Step, StepResult, tuple[PrimaryView, int]]:
+    """The primary, and a connection to it."""
+    while True:
+        primary = yield NeedPrimary()
+        assert isinstance(primary, PrimaryView)
+        try:
+            connection = yield NeedConnection(primary.instance)
+        except BackendConnectionLost:
+            continue
+        assert isinstance(connection, int)
+        return primary, connection
+
+
+def after_refused_write(
+    context: CommandContext, instance: str, reply: Reply
+) -> Generator[Step, StepResult, None]:
+    """Prepare another attempt of a write that did not run, or raise what the caller is told."""
+    if reply.code is ReplyCode.READ_ONLY:
+        context.group.refused_write(instance)
+        return
+    if reply.code in (ReplyCode.BUSY, ReplyCode.UNKNOWN_STATEMENT, ReplyCode.BEHIND):
+        yield Pause(BUSY_PAUSE_SECONDS)
+        return
+    raise reported(reply)
--- a/src/orchidwind/managed/executor.py
+++ b/src/orchidwind/managed/executor.py
@@ -14,6 +14,7 @@
     OrchidwindError,
     RequestError,
 )
+from orchidwind.core.managed.answers import transaction_lost
 from orchidwind.core.managed.commands import (
     Command,
     CommandKind,
@@ -22,7 +23,8 @@
     TransactionState,
 )
 from orchidwind.core.managed.configuration import ManagedDatabase
-from orchidwind.core.managed.flows import CommandContext, command_flow, transaction_lost
+from orchidwind.core.managed.flow_parts import CommandContext
+from orchidwind.core.managed.flows import command_flow
 from orchidwind.core.managed.session import ManagedSession, OpenTransaction
 from orchidwind.core.managed.steps import (
     Exchange,
--- a/src/orchidwind/managed/failover_runner.py
+++ b/src/orchidwind/managed/failover_runner.py
@@ -228,7 +228,9 @@
         instances: tuple[str, ...],
         call: Callable[[InstanceLink], Coroutine[Any, Any, InstanceStatus]],
     ) -> Statuses:
-        answers = await asyncio.gather(*(self._group.ask(name, call) for name in instances))
+        answers = await asyncio.gather(
+            *(self._group.ask(name, call, hurried=True) for name in instances)
+        )
         return {item.instance: item for item in answers if item is not None}
 
 
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -280,10 +280,12 @@
 
     # --- status and control -------------------------------------------------------------------
 
-    async def ask(self, instance: str, call: StatusCall) -> InstanceStatus | None:
+    async def ask(
+        self, instance: str, call: StatusCall, hurried: bool = False
+    ) -> InstanceStatus | None:
         """Make a status or control call; None where no status came in time."""
         self._metrics.message("status_or_control")
-        status = await self._calls.ask(instance, call)
+        status = await self._calls.ask(instance, call, hurried)
         if status is not None:
             self.take_status(status)
         return status
--- a/src/orchidwind/managed/status_calls.py
+++ b/src/orchidwind/managed/status_calls.py
@@ -15,7 +15,7 @@
 from orchidwind.managed.ports import InstanceLink
 
 ASK_SECONDS = 0.2
-ASK_UNREACHABLE_SECONDS = 0.1
+HURRIED_SECONDS = 0.07
 
 StatusCall = Callable[[InstanceLink], Coroutine[Any, Any, InstanceStatus]]
 
@@ -35,16 +35,18 @@
         self._loop = asyncio.get_running_loop()
         self._control: dict[str, InstanceLink] = {}
 
-    async def ask(self, instance: str, call: StatusCall) -> InstanceStatus | None:
+    async def ask(
+        self, instance: str, call: StatusCall, hurried: bool = False
+    ) -> InstanceStatus | None:
         """Make a call; None where no status came in time.
 
-        An instance that is not expected to answer is given less time, as a change of primary waits
-        for it.
+        `hurried` gives an instance that is not expected to answer less time, as a change of
+        primary waits for it.
         """
         asked_at = self._loop.time()
         view = self._topology.instances.get(instance)
-        reachable = view is None or view.unreachable_since is None
-        seconds = ASK_SECONDS if reachable else ASK_UNREACHABLE_SECONDS
+        unreachable = view is not None and view.unreachable_since is not None
+        seconds = HURRIED_SECONDS if hurried and unreachable else ASK_SECONDS
         try:
             async with asyncio.timeout(seconds):
                 status = await self._ask_on_some_link(instance, call)
