--- a/src/orchidwind/core/configuration.py
+++ b/src/orchidwind/core/configuration.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from orchidwind.core.admission import TrafficClass
+from orchidwind.core.checked_decoding import decode_checked
 from orchidwind.core.commit_barrier import Acknowledge
 from orchidwind.core.errors import SettingsError
 
@@ -93,13 +94,7 @@
 
 def parse_operator_file(text: bytes, source: str) -> OperatorFile:
     """Read and check a file (TOML); raises SettingsError with file, key and reason."""
-    try:
-        content = msgspec.toml.decode(text, type=OperatorFile)
-    except msgspec.ValidationError as error:
-        reason, _, path = str(error).partition(" - at ")
-        raise SettingsError(source, path.strip("`") or "$", reason) from error
-    except (msgspec.DecodeError, ValueError) as error:
-        raise SettingsError(source, "$", str(error)) from error
+    content = decode_checked(source, lambda: msgspec.toml.decode(text, type=OperatorFile))
     check_operator_file(content, source)
     return content
 
--- a/src/orchidwind/core/managed/failover.py
+++ b/src/orchidwind/core/managed/failover.py
@@ -249,7 +249,7 @@
         refused = yield from _check_not_confirming(plan, statuses, fence_term)
         if refused is not None:
             return refused
-    demoted = yield from _demote_leader(plan, statuses, fence_term)
+    demoted = yield from _demote_leader(statuses, fence_term)
     sent = False  # once a promotion may have been sent, fences below the new term stay
     for attempt in range(_SELECT_ATTEMPTS):
         if attempt:
@@ -260,7 +260,7 @@
             statuses = yield from _ask(plan.members)
             if _stands(plan, statuses):
                 return (yield from _stand_down(statuses))
-            demoted = yield from _demote_leader(plan, statuses, fence_term)
+            demoted = yield from _demote_leader(statuses, fence_term)
             continue
         candidate = choose_candidate(plan, fenced, demoted, fence_term)
         if candidate is None and attempt >= _ATTEMPTS_FOR_ANOTHER:
@@ -315,7 +315,7 @@
 
 
 def _demote_leader(
-    plan: FailoverPlan, statuses: Statuses, term: int
+    statuses: Statuses, term: int
 ) -> Generator[FailoverStep, FailoverStepResult, InstanceStatus | None]:
     """Demote a primary that answers; its status afterwards, None where there was none."""
     leader = leader_of(statuses)
--- a/src/orchidwind/core/managed/flow_parts.py
+++ b/src/orchidwind/core/managed/flow_parts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Generator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from orchidwind.core.errors import (
     BackendConnectionLost,
@@ -29,6 +29,7 @@
     NeedProof,
     NeedReadPlan,
     Pause,
+    Release,
     Step,
     StepResult,
 )
@@ -80,11 +81,7 @@
 
 def with_floor(messages: list[InstanceMessage], plan: ReadPlan) -> tuple[InstanceMessage, ...]:
     """The same messages, the last of them at the floor of a plan."""
-    last = messages[-1]
-    at_floor = InstanceMessage(
-        last.kind, last.request_id, last.text, last.name, last.prepared, plan.floor
-    )
-    return (*messages[:-1], at_floor)
+    return (*messages[:-1], replace(messages[-1], floor=plan.floor))
 
 
 def exchange(
@@ -124,6 +121,29 @@
         return plan, connection
 
 
+def exchange_by_plan(
+    context: CommandContext,
+    connection: int,
+    messages: tuple[InstanceMessage, ...],
+    plan: ReadPlan,
+    idle_without_proof: bool,
+) -> Generator[Step, StepResult, Reply | None]:
+    """Send as planned; None where another attempt is due, and the connection was given back.
+
+    `idle_without_proof` tells whether the connection is free for others if only the proof of the
+    lead is missing.
+    """
+    try:
+        return (yield from exchange(context, connection, messages, plan.proof_of_term))
+    except BackendConnectionLost:
+        yield Release(connection, reusable=False)
+        yield from leave_instance(context, plan)
+    except ProofMissing:
+        yield Release(connection, reusable=idle_without_proof)
+        yield from wait_for_proof(context)
+    return None
+
+
 def wait_for_proof(context: CommandContext) -> Generator[Step, StepResult, None]:
     """Send nothing to a primary of doubtful lead until some replica confirms its term."""
     while True:
--- a/src/orchidwind/core/managed/flows.py
+++ b/src/orchidwind/core/managed/flows.py
@@ -13,7 +13,6 @@
 
 from orchidwind.core.errors import (
     BackendConnectionLost,
-    ProofMissing,
 )
 from orchidwind.core.managed.answers import write_in_doubt
 from orchidwind.core.managed.commands import (
@@ -26,11 +25,10 @@
     after_failed_read,
     after_refused_write,
     exchange,
-    leave_instance,
+    exchange_by_plan,
     primary_connection,
     read_connection,
     statement_messages,
-    wait_for_proof,
     with_floor,
 )
 from orchidwind.core.managed.steps import (
@@ -63,15 +61,10 @@
         plan, connection = yield from read_connection(context)
         messages = with_floor(statement_messages(context, connection), plan)
         context.sent_to = plan.instance
-        try:
-            reply = yield from exchange(context, connection, messages, plan.proof_of_term)
-        except BackendConnectionLost:
-            yield Release(connection, reusable=False)
-            yield from leave_instance(context, plan)
-            continue
-        except ProofMissing:
-            yield Release(connection, reusable=True)
-            yield from wait_for_proof(context)
+        reply = yield from exchange_by_plan(
+            context, connection, messages, plan, idle_without_proof=True
+        )
+        if reply is None:
             continue
         yield Release(connection, reusable=reply.state is TransactionState.IDLE)
         context.note(plan.instance, f"floor={plan.floor}:{reply.code.value}")
--- a/src/orchidwind/core/managed/session.py
+++ b/src/orchidwind/core/managed/session.py
@@ -23,7 +23,7 @@
     """A transaction of a session.
 
     `connection` and `instance` are empty until its first statement runs. `database` holds the
-    rules in force when it began. `arrived_at` is when its first statement came.
+    rules in force when it began. `last_used` is in seconds of the steady clock.
     """
 
     database: ManagedDatabase
--- a/src/orchidwind/core/managed/topology.py
+++ b/src/orchidwind/core/managed/topology.py
@@ -11,7 +11,7 @@
 
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from orchidwind.core.managed.commands import InstanceRole, InstanceStatus
 from orchidwind.core.managed.configuration import (
@@ -71,7 +71,6 @@
     avoid_until: float = 0.0
     heard_at: float = float("-inf")
     unreachable_since: float | None = None
-    in_use: int = 0
 
     def usable(self, now: float) -> bool:
         """Whether new work may go there."""
@@ -177,26 +176,11 @@
         view = self.instances.get(instance)
         if view is None:
             return
-        known = view.status
-        if known is not None:
-            view.status = InstanceStatus(
-                instance,
-                InstanceRole.REPLICA,
-                known.term,
-                known.received,
-                known.fence_term,
-                known.replay_delay_ms,
-                now,
-            )
+        if view.status is not None:
+            view.status = replace(view.status, role=InstanceRole.REPLICA, asked_at=now)
 
     # --- primary ------------------------------------------------------------------------------
 
-    @property
-    def newest_term(self) -> int:
-        """The highest term heard of in the group."""
-        terms = (view.status.newest_term for view in self.instances.values() if view.status)
-        return max(terms, default=0)
-
     def primary_term(self, instance: str) -> int:
         """The term in which an instance leads, 0 where it is not known to lead."""
         view = self.instances.get(instance)
@@ -235,19 +219,18 @@
         return result
 
     def replicas(self, now: float) -> list[str]:
-        """Usable instances other than the primary, the nearest and least used first."""
+        """Usable instances other than the primary, the nearest first."""
         primary = self.primary(now)
         led = primary.instance if primary else ""
         names = [name for name, view in self.instances.items() if name != led and view.usable(now)]
         return sorted(names, key=lambda name: self._preference(name, now))
 
-    def _preference(self, name: str, now: float) -> tuple[bool, bool, bool, int]:
+    def _preference(self, name: str, now: float) -> tuple[bool, bool, bool]:
         view = self.instances[name]
         return (
             view.unreachable_since is not None,
             view.avoid_until > now,
             view.entry.zone != self._zone,
-            view.in_use,
         )
 
     @property
--- a/src/orchidwind/core/managed/transaction_flows.py
+++ b/src/orchidwind/core/managed/transaction_flows.py
@@ -6,7 +6,6 @@
 
 from orchidwind.core.errors import (
     BackendConnectionLost,
-    ProofMissing,
     RequestError,
 )
 from orchidwind.core.managed.answers import (
@@ -29,11 +28,10 @@
     after_failed_read,
     after_refused_write,
     exchange,
-    leave_instance,
+    exchange_by_plan,
     primary_connection,
     read_connection,
     statement_messages,
-    wait_for_proof,
 )
 from orchidwind.core.managed.session import OpenTransaction
 from orchidwind.core.managed.steps import (
@@ -132,15 +130,10 @@
             primary, connection = yield from primary_connection(context)
             plan = ReadPlan(primary.instance, None, primary.term)
         messages = _begin_messages(context, connection, plan, read_only)
-        try:
-            reply = yield from exchange(context, connection, messages, plan.proof_of_term)
-        except BackendConnectionLost:
-            yield Release(connection, reusable=False)
-            yield from leave_instance(context, plan)
-            continue
-        except ProofMissing:
-            yield Release(connection, reusable=False)
-            yield from wait_for_proof(context)
+        reply = yield from exchange_by_plan(
+            context, connection, messages, plan, idle_without_proof=False
+        )
+        if reply is None:
             continue
         if reply.done and reply.state is TransactionState.OPEN:
             transaction.connection = connection
@@ -164,9 +157,7 @@
 def commit_flow(context: CommandContext) -> Flow:
     """COMMIT: it leaves once, and the connection is free afterwards."""
     transaction = context.session.transaction
-    if transaction is None:
-        context.session.end_transaction()
-        raise transaction_lost()
+    assert transaction is not None, "the executor refuses an end without a transaction"
     if not transaction.connection:
         yield from _begin(context, transaction)
     message = InstanceMessage(
--- /dev/null
+++ b/src/orchidwind/managed/driving.py
@@ -0,0 +1,36 @@
+"""Drives a flow: carries out each step that it yields, and sends it the outcome."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Generator
+from typing import TypeVar
+
+from orchidwind.core.errors import OrchidwindError
+
+Step = TypeVar("Step")
+Outcome = TypeVar("Outcome")
+Result = TypeVar("Result")
+
+
+async def drive(
+    flow: Generator[Step, Outcome | None, Result],
+    perform: Callable[[Step], Awaitable[Outcome]],
+    thrown_in: tuple[type[OrchidwindError], ...],
+) -> Result:
+    """Run a flow to its end and return its result.
+
+    Errors of the kinds `thrown_in` that a step raises are thrown into the flow; others end it.
+    """
+    outcome: Outcome | None = None
+    error: OrchidwindError | None = None
+    while True:
+        try:
+            step = flow.send(outcome) if error is None else flow.throw(error)
+        except StopIteration as ended:
+            result: Result = ended.value
+            return result
+        outcome = error = None
+        try:
+            outcome = await perform(step)
+        except thrown_in as raised:
+            error = raised
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -44,7 +44,6 @@
         leases: LeaseKeeper,
         entry_outlives: float,
     ) -> None:
-        self.settings = settings
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._on_wake = on_wake
@@ -60,6 +59,11 @@
         self._writing: set[int] = set()
         self._suspects: set[str] = set()
 
+    @property
+    def settings(self) -> ManagedGroupSettings:
+        """The group's settings in force."""
+        return self.topology.settings
+
     # --- changes of the view ------------------------------------------------------------------
 
     def changed(self) -> None:
--- a/src/orchidwind/managed/lead_lease.py
+++ b/src/orchidwind/managed/lead_lease.py
@@ -35,9 +35,12 @@
         self._confirm_wanted = asyncio.Event()
         self._loop = asyncio.get_running_loop()
 
-    def covers(self, at: float) -> bool:
-        """Whether no change of primary had taken effect at a time; asks for a lease by the way."""
+    def want(self) -> None:
+        """A request could use the lease: have it read, or read again."""
         self._wanted.set()
+
+    def covers(self, at: float) -> bool:
+        """Whether no change of primary had taken effect at a time."""
         return self._registered and self.lease.covers(at)
 
     @property
--- a/src/orchidwind/managed/lead_proofs.py
+++ b/src/orchidwind/managed/lead_proofs.py
@@ -30,6 +30,7 @@
 
         It does where the lead was proven once since the promotion lock was last given back.
         """
+        self._leases.want()
         covered = self._leases.covers(arrived_at)
         return covered and self._known_leader == (instance, self._leases.free_revision)
 
--- a/src/orchidwind/managed/metrics.py
+++ b/src/orchidwind/managed/metrics.py
@@ -40,7 +40,6 @@
             ["kind"],
             registry=self.registry,
         )
-        self.message_counts: dict[str, int] = {}
         self.sessions = Gauge("orchidwind_callers", "Callers' sessions", registry=self.registry)
         self.configuration_version = Gauge(
             "orchidwind_configuration_version",
@@ -63,7 +62,15 @@
     def message(self, kind: str) -> None:
         """A message went to an instance."""
         self._messages.labels(kind).inc()
-        self.message_counts[kind] = self.message_counts.get(kind, 0) + 1
+
+    def message_counts(self) -> dict[str, int]:
+        """Messages so far, by kind."""
+        return {
+            sample.labels["kind"]: int(sample.value)
+            for metric in self._messages.collect()
+            for sample in metric.samples
+            if sample.name.endswith("_total")
+        }
 
     def render(self) -> bytes:
         """The text form."""
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -80,7 +80,6 @@
         self._directory_listed = False
         self._lock = PromotionLockClient(name, ports.lock_store)
         self.leases = LeaseKeeper(name, ports.lock_store, ports.leases)
-        self._wakes: dict[str, asyncio.Event] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._prepared = asyncio.Event()
         self._successes = 0
@@ -168,7 +167,6 @@
         )
         for name, settings in configuration.groups.items():
             if name in self.groups:
-                self.groups[name].settings = settings
                 self.groups[name].topology.settings = settings
             else:
                 self._add_group(name)
@@ -188,7 +186,6 @@
             self._entry_outlives,
         )
         self.groups[name] = group
-        self._wakes[name] = wake
         for entry in self._directory.values():
             if entry.group == name:
                 group.entry_changed(entry)
@@ -229,7 +226,7 @@
     async def _tell_figures(self) -> None:
         while True:
             await asyncio.sleep(_FIGURES_SECONDS)
-            log_event("figures", **self.metrics.message_counts)
+            log_event("figures", **self.metrics.message_counts())
 
     async def _trim(self) -> None:
         while True:
--- a/src/orchidwind/managed/ports.py
+++ b/src/orchidwind/managed/ports.py
@@ -10,7 +10,6 @@
 from orchidwind.core.managed.configuration import DirectoryEntry, ManagedConfiguration
 from orchidwind.core.managed.failover import PromotionAnswer
 from orchidwind.core.managed.promotion_lock import LockRecord
-from orchidwind.core.positions import Position
 
 Item = TypeVar("Item", covariant=True)
 
@@ -18,8 +17,6 @@
 class InstanceLink(Protocol):
     """One server connection."""
 
-    position: Position | None
-
     async def exchange(self, messages: tuple[InstanceMessage, ...]) -> tuple[Reply, ...]:
         """Send messages and wait for all replies; raises BackendConnectionLost."""
 
--- a/src/orchidwind/platform/instances.py
+++ b/src/orchidwind/platform/instances.py
@@ -11,7 +11,6 @@
 from orchidwind.core.errors import BackendConnectionLost, BackendRefused
 from orchidwind.core.managed.commands import InstanceMessage, InstanceStatus, Reply, ReplyCode
 from orchidwind.core.managed.configuration import DirectoryEntry
-from orchidwind.core.positions import Position
 from orchidwind.managed.connections import CONNECTION_LIMIT_MET
 from orchidwind.network.sockets import client_socket
 from orchidwind.platform import wire
@@ -25,7 +24,6 @@
     """One connection; replies come in the order of the messages."""
 
     def __init__(self, stream: IOStream, instance: str, on_lost: Callable[[], None]) -> None:
-        self.position: Position | None = None
         self._stream = stream
         self._instance = instance
         self._on_lost = on_lost
@@ -42,7 +40,6 @@
         waiting = self._send(wire.startup_line(group, self._instance), 1)
         reply = await waiting[0]
         self._started = True
-        self.position = reply.position
         if reply.code is not ReplyCode.DONE:
             self.close()
             raise _refusal(reply)
@@ -60,9 +57,7 @@
         """Send messages and wait for all replies; raises BackendConnectionLost."""
         data = b"".join(wire.message_line(message) for message in messages)
         waiting = self._send(data, len(messages))
-        replies = tuple([await item for item in waiting])
-        self.position = replies[-1].position
-        return replies
+        return tuple([await item for item in waiting])
 
     async def _read(self) -> None:
         try:
--- a/src/orchidwind/platform/settings.py
+++ b/src/orchidwind/platform/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from orchidwind.core.checked_decoding import decode_checked
 from orchidwind.core.errors import SettingsError
 from orchidwind.settings import parse_address
 
@@ -48,15 +49,9 @@
 def load_platform_settings(path: Path) -> PlatformSettings:
     """Read and check; raises SettingsError with file, key and reason."""
     source = str(path)
-    try:
-        settings = msgspec.json.decode(path.read_bytes(), type=PlatformSettings)
-    except OSError as error:
-        raise SettingsError(source, "$", error.strerror or str(error)) from error
-    except msgspec.ValidationError as error:
-        reason, _, key = str(error).partition(" - at ")
-        raise SettingsError(source, key.strip("`") or "$", reason) from error
-    except msgspec.DecodeError as error:
-        raise SettingsError(source, "$", str(error)) from error
+    settings = decode_checked(
+        source, lambda: msgspec.json.decode(path.read_bytes(), type=PlatformSettings)
+    )
     _check(source, settings)
     return settings
 
--- a/src/orchidwind/settings.py
+++ b/src/orchidwind/settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from orchidwind.core.checked_decoding import decode_checked
 from orchidwind.core.errors import SettingsError
 
 _PORT_MAXIMUM = 65535
@@ -53,15 +54,9 @@
 def load_proxy_settings(path: Path, overrides: ProxyOverrides | None = None) -> ProxySettings:
     """Read, override and check; raises SettingsError with file, key and reason."""
     source = str(path)
-    try:
-        settings = msgspec.toml.decode(path.read_bytes(), type=ProxySettings)
-    except OSError as error:
-        raise SettingsError(source, "$", error.strerror or str(error)) from error
-    except msgspec.ValidationError as error:
-        reason, _, key = str(error).partition(" - at ")
-        raise SettingsError(source, key.strip("`") or "$", reason) from error
-    except (msgspec.DecodeError, ValueError) as error:
-        raise SettingsError(source, "$", str(error)) from error
+    settings = decode_checked(
+        source, lambda: msgspec.toml.decode(path.read_bytes(), type=ProxySettings)
+    )
     if overrides is not None:
         given = {
             name: value
