--- a/src/orchidwind/core/managed/topology.py
+++ b/src/orchidwind/core/managed/topology.py
@@ -28,6 +28,8 @@
 MAY_CONFIRM_SECONDS = 20.0
 # An entry goes when its instance has been silent for three heartbeats.
 DEFAULT_ENTRY_OUTLIVES_SECONDS = 3.6
+# A promotion takes effect some hundred milliseconds after its call, which follows the last proof.
+_SHORTEST_PROMOTION_SECONDS = 0.2
 _BEHIND_PAUSE_SECONDS = 0.15
 _BUSY_PAUSE_SECONDS = 0.02
 _UNREACHABLE_PAUSE_SECONDS = 1.0
@@ -93,14 +95,21 @@
         self.settings = settings
         self.instances: dict[str, InstanceView] = {}
         self._zone = zone
+        self._departed: dict[str, float] = {}
+        self._forgotten: set[str] = set()
         self._samples: deque[_Sample] = deque(maxlen=_SAMPLES_KEPT)
         self._led_term = 0
-        self._term_seen_at = 0.0
+        # The present term began after this time; nothing is known where this proxy did not see the
+        # term before.
+        self._term_began_after = float("-inf")
+        self._led_until = float("-inf")
 
     # --- directory ----------------------------------------------------------------------------
 
     def entry_changed(self, entry: DirectoryEntry) -> bool:
         """An instance is listed; returns whether its claim to be primary has changed."""
+        self._departed.pop(entry.instance, None)
+        self._forgotten.discard(entry.instance)
         view = self.instances.get(entry.instance)
         if view is None:
             self.instances[entry.instance] = InstanceView(entry)
@@ -126,8 +135,27 @@
         ]
         for name in old:
             del self.instances[name]
+        departed = [name for name, at in self._departed.items() if now - at > MAY_CONFIRM_SECONDS]
+        for name in departed:
+            del self._departed[name]
+        self._forgotten.update(old, departed)
         return old
 
+    def roster_told(self, members: Iterable[str], now: float) -> None:
+        """The group's roster names these; those not seen here left before, some time ago."""
+        for name in members:
+            if name not in self.instances and name not in self._forgotten:
+                self._departed.setdefault(name, now)
+
+    def roster(self, held: Iterable[str]) -> tuple[str, ...]:
+        """What the group's roster should name, sorted, where it names `held` now.
+
+        Only what is listed is added and only what this proxy saw leave long ago is taken off, so
+        that proxies that know different things do not undo each other's changes.
+        """
+        listed = {name for name, view in self.instances.items() if view.listed}
+        return tuple(sorted(set(held) - self._forgotten | listed))
+
     # --- what instances tell ------------------------------------------------------------------
 
     def take_status(self, status: InstanceStatus) -> None:
@@ -141,7 +169,7 @@
         view.heard_at = max(view.heard_at, status.asked_at)
         if status.term > self._led_term:
             self._led_term = status.term
-            self._term_seen_at = status.asked_at
+            self._term_began_after = self._led_until + _SHORTEST_PROMOTION_SECONDS
 
     def answered(self, instance: str, now: float) -> None:
         """An instance answered anything."""
@@ -233,30 +261,27 @@
             view.entry.zone != self._zone,
         )
 
-    @property
-    def listed_count(self) -> int:
-        """How many instances the directory lists."""
-        return sum(1 for view in self.instances.values() if view.listed)
-
     def may_confirm(self) -> list[str]:
         """Instances that may have confirmed commits of the present term.
 
         Commits of earlier terms are in the log of the present primary, else it would not lead. An
         instance that left counts for a while: it serves on after its entry has gone, and its entry
         also goes while it is only cut off from the directory. One that neither this proxy nor the
-        directory has heard of since the present term began does not count.
+        directory has heard of since the present term began does not count. When that was is bounded
+        by the last proof that the primary of the term before still led.
         """
-        return [name for name, view in self.instances.items() if self._may_have_confirmed(view)]
+        present = [name for name, view in self.instances.items() if self._may_have_confirmed(view)]
+        return [*present, *self._departed]
 
     def _may_have_confirmed(self, view: InstanceView) -> bool:
-        if view.listed or view.heard_at >= self._term_seen_at:
-            return True
-        return view.gone_at - self._entry_outlives >= self._term_seen_at
+        last_renewal = view.gone_at - self._entry_outlives
+        return view.listed or max(view.heard_at, last_renewal) >= self._term_began_after
 
     # --- floors -------------------------------------------------------------------------------
 
     def prove(self, at: float, position: Position | None) -> None:
         """A position told by the primary for a request sent `at` is proven."""
+        self._led_until = max(self._led_until, at)
         if position is None:
             return
         if self._samples and at < self._samples[-1].at + _SAMPLE_SPACING_SECONDS:
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -17,7 +17,7 @@
 )
 from orchidwind.core.managed.failover import FailoverPlan
 from orchidwind.core.managed.supervision import GroupSupervisor
-from orchidwind.core.managed.topology import DEFAULT_ENTRY_OUTLIVES_SECONDS, MAY_CONFIRM_SECONDS
+from orchidwind.core.managed.topology import DEFAULT_ENTRY_OUTLIVES_SECONDS
 from orchidwind.logs import log_event
 from orchidwind.managed.executor import Databases
 from orchidwind.managed.failover_runner import FailoverRunner, PromotionLockClient
@@ -34,7 +34,10 @@
     LockSource,
     PromotionLockStore,
     PromotionService,
+    RosterSource,
+    RosterStore,
 )
+from orchidwind.managed.rosters import RosterKeeper
 from orchidwind.managed.status import ManagedStatus, group_status
 from orchidwind.managed.watch import CollectionWatch
 
@@ -54,6 +57,8 @@
     lock_store: PromotionLockStore
     lock_source: LockSource
     leases: LeaseRegistry
+    roster_source: RosterSource
+    roster_store: RosterStore
     promotions: PromotionService
 
 
@@ -80,10 +85,10 @@
         self._directory_listed = False
         self._lock = PromotionLockClient(name, ports.lock_store)
         self.leases = LeaseKeeper(name, ports.lock_store, ports.leases)
+        self.rosters = RosterKeeper(self.groups, ports.roster_store)
         self._tasks: list[asyncio.Task[None]] = []
         self._prepared = asyncio.Event()
         self._successes = 0
-        self._started_at = asyncio.get_running_loop().time()
 
     def start(self) -> None:
         """Begin to follow the store."""
@@ -93,7 +98,10 @@
         )
         lock = CollectionWatch("promotion_lock", self._ports.lock_source, self.leases)
         self._spawn(directory.run)
+        rosters = CollectionWatch("rosters", self._ports.roster_source, self.rosters)
         self._spawn(lock.run)
+        self._spawn(rosters.run)
+        self._spawn(self.rosters.run)
         self._spawn(self.leases.run)
         self._spawn(self.leases.confirm_drops)
         self._spawn(configuration.run)
@@ -189,6 +197,7 @@
         for entry in self._directory.values():
             if entry.group == name:
                 group.entry_changed(entry)
+        self.rosters.tell(name)
         self._spawn(lambda: self._supervise(group, wake))
 
     # --- directory ----------------------------------------------------------------------------
@@ -263,9 +272,7 @@
             now = loop.time()
             suspects = group.suspects()
             oldest = group.oldest_write()
-            look = supervisor.look(
-                now, suspects, oldest, random.random(), self._members_known(group, now)
-            )
+            look = supervisor.look(now, suspects, oldest, random.random(), self.rosters.known)
             for instance in look.ask:
                 group.ask_soon(instance)
             may_start = running is None or running.done()
@@ -278,17 +285,6 @@
                 pass
             wake.clear()
 
-    def _members_known(self, group: GroupService, now: float) -> bool:
-        """Whether an instance of the group cannot have left unknown to this proxy.
-
-        A proxy that has just started has not seen who left before. It takes a group for whole that
-        lists as many instances as the largest one.
-        """
-        if now - self._started_at >= MAY_CONFIRM_SECONDS:
-            return True
-        counts = [item.topology.listed_count for item in self.groups.values()]
-        return group.topology.listed_count >= max(counts, default=0)
-
     async def _change_primary(
         self, group: GroupService, supervisor: GroupSupervisor, plan: FailoverPlan
     ) -> None:
--- a/src/orchidwind/managed/ports.py
+++ b/src/orchidwind/managed/ports.py
@@ -10,6 +10,7 @@
 from orchidwind.core.managed.configuration import DirectoryEntry, ManagedConfiguration
 from orchidwind.core.managed.failover import PromotionAnswer
 from orchidwind.core.managed.promotion_lock import LockRecord
+from orchidwind.core.managed.roster import Roster
 
 Item = TypeVar("Item", covariant=True)
 
@@ -72,6 +73,7 @@
 
 DirectorySource = WatchedCollection[DirectoryEntry]
 LockSource = WatchedCollection[LockRecord]
+RosterSource = WatchedCollection[Roster]
 ConfigurationSource = WatchedCollection[ManagedConfiguration]
 
 
@@ -97,6 +99,16 @@
     revision: int
 
 
+class RosterStore(Protocol):
+    """The rosters' objects in the store."""
+
+    async def write(self, roster: Roster, create: bool) -> Roster:
+        """Write over `roster.revision`, or create it; the roster as it is now.
+
+        Raises as `PromotionLockStore.write`.
+        """
+
+
 class LeaseRegistry(Protocol):
     """The proxies that may hold a lead lease; calls raise PlatformError."""
 
--- /dev/null
+++ b/src/orchidwind/managed/rosters.py
@@ -0,0 +1,85 @@
+"""Keeps, in the store, which instances may hold commits of each group.
+
+A proxy that starts cannot have seen who left before; after the loss of all proxies none can. So
+each instance that is listed is written to its group's roster, and taken off only when a proxy has
+seen it gone for as long as it may matter.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Mapping
+from dataclasses import replace
+
+from orchidwind.core.errors import PlatformError
+from orchidwind.core.managed.roster import Roster
+from orchidwind.logs import log_event
+from orchidwind.managed.group_service import GroupService
+from orchidwind.managed.ports import Changes, Listing, RosterStore
+
+_LOOK_SECONDS = 0.5
+# Proxies see the same change at the same time: the first to write spares the others.
+_JITTER_SECONDS = 0.4
+
+
+class RosterKeeper:
+    """Follows the rosters and brings them up to date with what this proxy sees."""
+
+    def __init__(self, groups: Mapping[str, GroupService], store: RosterStore) -> None:
+        self.known = False
+        self._groups = groups
+        self._store = store
+        self._rosters: dict[str, Roster] = {}
+        self._loop = asyncio.get_running_loop()
+
+    def listed(self, listing: Listing[Roster]) -> None:
+        """All rosters, read freshly: from now on nobody can have left unknown to this proxy."""
+        for roster in listing.items:
+            self._take(roster)
+        self.known = True
+
+    def changed(self, changes: Changes[Roster]) -> None:
+        """Rosters that changed."""
+        for roster in changes.changed:
+            self._take(roster)
+
+    def _take(self, roster: Roster) -> None:
+        held = self._rosters.get(roster.group)
+        if held is None or held.revision < roster.revision:
+            self._rosters[roster.group] = roster
+        self.tell(roster.group)
+
+    def tell(self, group: str) -> None:
+        """Pass a roster on to its group, which may be newer than the roster."""
+        roster = self._rosters.get(group)
+        service = self._groups.get(group)
+        if roster is not None and service is not None:
+            service.topology.roster_told(roster.members, self._loop.time())
+
+    async def run(self) -> None:
+        """Write what differs."""
+        while True:
+            await asyncio.sleep(_LOOK_SECONDS)
+            if not self.known or not any(self._wanted(name) for name in self._groups):
+                continue
+            await asyncio.sleep(random.random() * _JITTER_SECONDS)
+            for name in list(self._groups):
+                wanted = self._wanted(name)
+                if wanted is not None:
+                    await self._write(wanted)
+
+    def _wanted(self, group: str) -> Roster | None:
+        """The roster as it should be, None where it is so."""
+        held = self._rosters.get(group, Roster(group, (), revision=0))
+        members = self._groups[group].topology.roster(held.members)
+        return None if members == held.members else replace(held, members=members)
+
+    async def _write(self, wanted: Roster) -> None:
+        try:
+            written = await self._store.write(wanted, create=wanted.revision == 0)
+        except PlatformError as error:  # a conflict, too: the watch brings what is there now
+            log_event("roster_not_written", group=wanted.group, reason=str(error))
+            return
+        log_event("roster_written", group=wanted.group, members=",".join(written.members))
+        self._take(written)
--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -32,6 +32,8 @@
     LockTranslation,
     ObjectStore,
     PromotionLockObject,
+    RosterObjects,
+    RosterTranslation,
     WatchedKind,
 )
 from orchidwind.settings import parse_address
@@ -116,6 +118,8 @@
         lock_store=PromotionLockObject(store),
         lock_source=WatchedKind(store, LockTranslation()),
         leases=LeaseObjects(store),
+        roster_source=WatchedKind(store, RosterTranslation()),
+        roster_store=RosterObjects(store),
         promotions=PromotionCall(parse_address(settings.cloud_api.address), settings.node_name),
     )
     entry_outlives = settings.heartbeat_ms * _SILENT_HEARTBEATS / 1000.0
--- a/src/orchidwind/platform/store.py
+++ b/src/orchidwind/platform/store.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Any, Generic, Protocol, TypeVar
 from urllib.parse import quote
 
@@ -26,6 +27,7 @@
     ReadConsistency,
 )
 from orchidwind.core.managed.promotion_lock import LockRecord
+from orchidwind.core.managed.roster import Roster
 from orchidwind.managed.ports import Changes, LeaseConfirmation, Listing
 from orchidwind.network.http_call import HttpAnswer, HttpCallFailed, HttpRequest, http_call
 
@@ -40,6 +42,7 @@
 _LOCKS = "promotion-locks"
 _LOCK_NAME = "promotions"
 _LEASES = "lead-leases"
+_ROSTERS = "group-members"
 _OK = (200, 201)
 _MILLISECONDS = 1000.0
 _DEFAULT_STALENESS_MS = 1000.0
@@ -124,6 +127,10 @@
     released: bool = True
 
 
+class _RosterSpec(msgspec.Struct):
+    members: list[str] = []
+
+
 class _LeaseSpec(msgspec.Struct):
     revision: int = 0
 
@@ -172,6 +179,29 @@
             raise PlatformError(f"the store answers {answer.status}")
         return answer
 
+    async def keep(self, kept: KeptObject, spec: msgspec.Struct) -> StoredObject:
+        """Create or replace an object by compare-and-put; raises as `change`."""
+        meta: dict[str, Any] = {"name": kept.name, "finalizers": []}
+        if not kept.create:
+            meta["revision"] = kept.revision
+        body = msgspec.json.encode({"meta": meta, "spec": spec})
+        path = _OBJECTS + kept.kind
+        if kept.create:
+            answer = await self.change("POST", path, body)
+        else:
+            answer = await self.change("PUT", f"{path}/{quote(kept.name)}", body)
+        return _decode(answer.body, StoredObject)
+
+
+@dataclass(frozen=True, slots=True)
+class KeptObject:
+    """An object of the product's own, to be created, or replaced at a revision."""
+
+    kind: str
+    name: str
+    revision: int
+    create: bool
+
 
 async def read_all(store: ObjectStore, kind_path: str) -> Listing[StoredObject]:
     """Read all objects of a kind, page by page; raises PlatformError."""
@@ -305,6 +335,33 @@
         return _record(stored)
 
 
+class RosterTranslation:
+    """The rosters of the groups."""
+
+    kind = _ROSTERS
+
+    def item(self, stored: StoredObject) -> Roster | None:
+        """The roster of a group."""
+        return _roster(stored)
+
+
+def _roster(stored: StoredObject) -> Roster:
+    members = _decode(stored.spec, _RosterSpec).members
+    return Roster(stored.meta.name, tuple(members), stored.meta.revision)
+
+
+class RosterObjects:
+    """One object for each group."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+
+    async def write(self, roster: Roster, create: bool) -> Roster:
+        """Create or replace one; raises PlatformConflict, -Uncertain, -Error."""
+        kept = KeptObject(_ROSTERS, roster.group, roster.revision, create)
+        return _roster(await self._store.keep(kept, _RosterSpec(list(roster.members))))
+
+
 class LeaseObjects:
     """One object for each proxy that may hold a lead lease."""
 
@@ -348,16 +405,9 @@
 
     async def write(self, record: LockRecord, create: bool) -> LockRecord:
         """Create or replace it; raises PlatformConflict, -Uncertain, -Error."""
-        meta: dict[str, Any] = {"name": _LOCK_NAME, "finalizers": []}
-        if not create:
-            meta["revision"] = record.revision
         spec = _LockSpec(record.holder, record.attempt, record.released)
-        body = msgspec.json.encode({"meta": meta, "spec": spec})
-        if create:
-            answer = await self._store.change("POST", _OBJECTS + _LOCKS, body)
-        else:
-            answer = await self._store.change("PUT", self._path, body)
-        return _lock_record(answer.body)
+        kept = KeptObject(_LOCKS, _LOCK_NAME, record.revision, create)
+        return _record(await self._store.keep(kept, spec))
 
 
 def _lock_record(body: bytes) -> LockRecord:
--- a/src/orchidwind_standins/platform/line_instance.py
+++ b/src/orchidwind_standins/platform/line_instance.py
@@ -54,6 +54,11 @@
         }
         self.on_role: Callable[[StandinInstance], None] = lambda instance: None
 
+    def add(self, name: str) -> StandinInstance:
+        """One more replica."""
+        self.instances[name] = StandinInstance(name, "replica")
+        return self.instances[name]
+
     def confirm(self, leader: StandinInstance) -> bool:
         """Ship a commit; whether one replica received it."""
         received = 0
--- a/tests/test_managed_core.py
+++ b/tests/test_managed_core.py
@@ -1,5 +1,6 @@
 """The core of managed groups by itself: pool, lock, lease, candidate, topology."""
 
+from dataclasses import replace
 from itertools import count
 
 import pytest
@@ -24,7 +25,7 @@
     LockRecord,
     held_lock,
 )
-from orchidwind.core.managed.topology import GroupTopology
+from orchidwind.core.managed.topology import MAY_CONFIRM_SECONDS, GroupTopology
 from orchidwind.core.pool import CloseConnection, InstancePool, OpenConnection
 from orchidwind.core.positions import Position
 
@@ -191,11 +192,16 @@
 DATABASE = ManagedDatabase("d", "g", ReadConsistency.SESSION, 2.5, 0.8, 0.2, 1)
 
 
-def topology():
+def listed_topology():
     built = GroupTopology(ManagedGroupSettings("g", 32, 1), "near")
     for number, (name, zone) in enumerate([("p", "far"), ("a", "near"), ("b", "far")]):
         entry = DirectoryEntry(name, "g", "h", number + 1, zone, name == "p", False, 3, number)
         built.entry_changed(entry)
+    return built
+
+
+def topology():
+    built = listed_topology()
     for name in "pab":
         role = InstanceRole.PRIMARY if name == "p" else InstanceRole.REPLICA
         built.take_status(status(name, 5, fence=0, role=role))
@@ -238,3 +244,55 @@
     else:
         view.entry_gone("a", 6.0)
     assert view.plan_read(DATABASE, None, 10.0, 10.0, ()).instance == "b"
+
+
+def gone_replica(view, heard_at, gone_at):
+    """Replica b answers for the last time, and its entry goes."""
+    view.answered("b", heard_at)
+    view.entry_gone("b", gone_at)
+
+
+def test_a_proxy_that_did_not_see_the_term_begin_counts_who_left():
+    """It may have confirmed before this proxy first heard of the term."""
+    view = listed_topology()
+    leader = status("p", 6, term=2, fence=0, role=InstanceRole.PRIMARY)
+    view.take_status(replace(leader, asked_at=1.002))
+    view.take_status(replace(status("b", 6, term=2, fence=0), asked_at=1.0))
+    view.entry_gone("b", 1.8)
+    assert "b" in view.may_confirm()
+
+
+def test_one_silent_since_before_the_term_began_does_not_count():
+    view = topology()
+    view.prove(10.0, Position(1, 5))
+    gone_replica(view, 10.1, 13.7)
+    view.take_status(replace(status("a", 6, term=2, fence=0), asked_at=11.0))
+    assert "b" not in view.may_confirm()
+
+
+@pytest.mark.parametrize(("heard_at", "gone_at"), [(10.5, 13.7), (10.1, 14.5)])
+def test_one_heard_of_since_the_last_proof_of_the_old_term_counts(heard_at, gone_at):
+    """A term may have begun long before this proxy hears of it: only the last proof is a bound."""
+    view = topology()
+    view.prove(10.0, Position(1, 5))
+    gone_replica(view, heard_at, gone_at)
+    view.take_status(replace(status("a", 6, term=2, fence=0), asked_at=20.0))
+    assert "b" in view.may_confirm()
+
+
+def test_a_roster_names_who_may_hold_commits_and_loses_who_left_long_ago():
+    view = topology()
+    assert view.roster(()) == ("a", "b", "p")
+    view.roster_told(("a", "b", "x", "p"), 5.0)
+    assert "x" in view.may_confirm(), "it left before this proxy began"
+    assert view.roster(("a", "b", "p", "x")) == ("a", "b", "p", "x")
+    assert view.roster(("a", "b", "p")) == ("a", "b", "p"), "another saw it leave long ago"
+    view.entry_gone("b", 6.0)
+    assert view.roster(("a", "b", "p", "x")) == ("a", "b", "p", "x")
+    view.forget_old(5.0 + MAY_CONFIRM_SECONDS + 0.5)
+    assert "x" not in view.may_confirm()
+    assert view.roster(("a", "b", "p", "x")) == ("a", "b", "p")
+    view.roster_told(("x",), 26.0)
+    assert "x" not in view.may_confirm()
+    view.forget_old(6.0 + MAY_CONFIRM_SECONDS + 0.5)
+    assert view.roster(("a", "b", "p")) == ("a", "p")
--- a/tests/test_managed_promises.py
+++ b/tests/test_managed_promises.py
@@ -187,6 +187,34 @@
     assert len(system.world.history.promotions) == 2
 
 
+def leave_alone_with_its_primary(system):
+    """i-3, which is leaving, is the only replica that confirms."""
+    system.group.announce(system.group.instances["i-3"], draining=True)
+    for other in ("i-1", "i-2"):
+        system.world.network.cut("i-0", other)
+
+
+def end_leaving(system):
+    system.group.instances["i-3"].crash()
+    system.world.store.drop_entry("i-3")
+
+
+@pytest.mark.parametrize("gone_before_restart", [True, False])
+def test_fresh_proxies_promote_none_that_lacks_what_a_leaver_confirmed(gone_before_restart):
+    """Its log left with it, so the only whole one is the primary's."""
+    restart_at = 4.5 if gone_before_restart else 3.5
+    plan = [
+        (2.0, leave_alone_with_its_primary),
+        (restart_at, lambda system: system.start_proxies()),
+        (4.0, end_leaving),
+        (12.0, lambda system: system.world.network.heal()),
+    ]
+    system = play(10, plan, 16.0, instances=4)
+    assert system.world.history.broken == []
+    assert system.group.primary().name == "i-0"
+    assert gap_after(system, 12.0) < 1.0, "writes go on as soon as a replica is reached"
+
+
 FAULTS = st.lists(
     st.tuples(
         st.sampled_from(
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -412,6 +412,22 @@
     with_system(tmp_path, scenario)
 
 
+def test_the_rosters_of_groups_are_kept_in_the_store(tmp_path):
+    async def scenario(system):
+        async with asyncio.timeout(8):
+            while ("group-members", SERVICE) not in system.store.objects:
+                await asyncio.sleep(0.05)
+            system.listen_instance(system.group.add("i-3"), free_ports(1)[0])
+            system.write_entry(system.group.instances["i-3"])
+            while "i-3" not in system.store.objects[("group-members", SERVICE)].spec["members"]:
+                await asyncio.sleep(0.05)
+        system.store.remove("servers", "i-3")
+        members = system.store.objects[("group-members", SERVICE)].spec["members"]
+        assert members == ["i-0", "i-1", "i-2", "i-3"], "it may still hold commits"
+
+    with_system(tmp_path, scenario)
+
+
 def test_ready_and_metrics_addresses(tmp_path):
     async def scenario(system):
         client = await LineClient.open(system.front_port)
