--- /dev/null
+++ b/src/orchidwind/core/managed/peer_loss.py
@@ -0,0 +1,29 @@
+"""What becomes of a command whose home proxy went away under it. No I/O."""
+
+from __future__ import annotations
+
+from orchidwind.core.errors import RequestError
+from orchidwind.core.managed.answers import read_interrupted, transaction_lost, write_in_doubt
+from orchidwind.core.managed.commands import Command, CommandKind
+from orchidwind.core.managed.session import ManagedSession
+
+
+def after_lost_home(
+    session: ManagedSession, command: Command, opened: bool, sent: bool
+) -> RequestError | None:
+    """What the caller is told; None where the command may be sent to another home.
+
+    `opened` tells that the transaction was open at that home, `sent` that this command had left.
+    The instance rolls a transaction back when its home is gone, so without a COMMIT on its way
+    nothing of it is kept. A single write that left is not sent again.
+    """
+    if command.kind is CommandKind.COMMIT and sent:
+        wrote = session.transaction is not None and session.transaction.wrote
+        return write_in_doubt() if wrote else read_interrupted()
+    if opened:
+        return transaction_lost()
+    if not sent:
+        return None
+    if session.transaction is not None:
+        return transaction_lost()
+    return write_in_doubt() if session.writes(command) else None
--- /dev/null
+++ b/src/orchidwind/core/managed/peer_messages.py
@@ -0,0 +1,88 @@
+"""What proxies for managed groups tell one another on a link. `network.peer_codec` encodes it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from orchidwind.core.managed.commands import PreparedStatement
+from orchidwind.core.positions import Position
+
+
+class SettingValue(msgspec.Struct, frozen=True):
+    """A setting of a session."""
+
+    name: str
+    value: str
+
+
+class Greeting(msgspec.Struct, frozen=True):
+    """First message of the proxy that opened the link."""
+
+    proxy: str
+
+
+class RunCommand(msgspec.Struct, frozen=True):
+    """A command for the home of its group. Times are in seconds.
+
+    `channel` stands for the session on this link. `transaction` is "none", "begins" for the first
+    command that a transaction sends to an instance, or "continues". The rules of the database are
+    those in force at the sender. `remaining` is the time until the command's deadline, `hold` the
+    time for which it may wait unsent.
+    """
+
+    number: int
+    channel: int
+    group: str
+    database: str
+    consistency: str
+    staleness: float
+    priority: int
+    timeout: float
+    kind: str
+    request_id: str
+    text: str
+    argument: str
+    prepared: PreparedStatement | None
+    settings: tuple[SettingValue, ...]
+    floor: Position | None
+    transaction: str
+    read_only: bool
+    remaining: float
+    hold: float
+
+
+class CommandAnswer(msgspec.Struct, frozen=True):
+    """How a command ended; `error` is empty for success.
+
+    `floor` is the position that the session must see from now on. `sent_to` and `attempts` are for
+    the log.
+    """
+
+    number: int
+    error: str
+    message: str
+    retry_after_milliseconds: int | None
+    rows: tuple[str, ...]
+    signature: str
+    floor: Position | None
+    sent_to: str
+    attempts: str
+
+
+class CloseChannel(msgspec.Struct, frozen=True):
+    """The session has gone, or gave its transaction up: roll back what is open."""
+
+    channel: int
+
+
+class Probe(msgspec.Struct, frozen=True):
+    """Asks for an `Alive`."""
+
+
+class Alive(msgspec.Struct, frozen=True):
+    """The proxy runs; `leaving` tells that it takes no new transactions or statements."""
+
+    leaving: bool
+
+
+PeerMessage = Greeting | RunCommand | CommandAnswer | CloseChannel | Probe | Alive
--- a/src/orchidwind/core/placement.py
+++ b/src/orchidwind/core/placement.py
@@ -10,9 +10,8 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-import xxhash
-
 from orchidwind.core.configuration import DatabaseSettings, ZoneSettings
+from orchidwind.core.rendezvous import first, rank
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,20 +22,6 @@
     zone: str
 
 
-def rank(key: str, names: Sequence[str]) -> list[str]:
-    """Names in falling order of their hash with the key."""
-    return sorted(names, key=lambda name: _weight(key, name), reverse=True)
-
-
-def first(key: str, names: Sequence[str]) -> str | None:
-    """The name with the highest hash, None without names."""
-    return max(names, key=lambda name: _weight(key, name), default=None)
-
-
-def _weight(key: str, name: str) -> int:
-    return int(xxhash.xxh64_intdigest(f"{key}/{name}".encode()))
-
-
 class Placement:
     """The roles that follow from a set of nodes."""
 
--- /dev/null
+++ b/src/orchidwind/managed/command_runner.py
@@ -0,0 +1,134 @@
+"""Runs the commands of one session on a group of this proxy: drives the flows of `core.managed`."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from orchidwind.core.admission import TrafficClass
+from orchidwind.core.errors import BackendConnectionLost, ErrorKind, RequestError
+from orchidwind.core.managed.commands import CommandResult, MessageKind
+from orchidwind.core.managed.configuration import ManagedDatabase
+from orchidwind.core.managed.flow_parts import CommandContext
+from orchidwind.core.managed.flows import command_flow
+from orchidwind.core.managed.session import ManagedSession
+from orchidwind.core.managed.steps import (
+    Exchange,
+    NeedConnection,
+    NeedPrimary,
+    NeedProof,
+    NeedReadPlan,
+    Pause,
+    Release,
+    Step,
+    StepResult,
+)
+from orchidwind.managed.driving import drive
+from orchidwind.managed.group_service import GroupService
+
+_QUEUE_BOUND = 400
+_HIGHEST_WEIGHT = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class TimeLimits:
+    """Until when a command may run, and until when it may wait unsent; steady clock, seconds."""
+
+    deadline: float
+    hold_until: float
+
+
+def traffic_class(database: ManagedDatabase) -> TrafficClass:
+    """The class of a database's requests: each step of priority halves the weight."""
+    weight = _HIGHEST_WEIGHT / 2**database.priority
+    return TrafficClass(
+        f"priority-{database.priority}", weight, database.statement_timeout, _QUEUE_BOUND
+    )
+
+
+class CommandRunner:
+    """The commands of one session, one at a time."""
+
+    def __init__(self, session: ManagedSession) -> None:
+        self.caller_gone = False
+        self._session = session
+        self._loop = asyncio.get_running_loop()
+        self._held: set[int] = set()
+
+    async def run(
+        self, context: CommandContext, group: GroupService, limits: TimeLimits
+    ) -> CommandResult:
+        """Carry a command out; raises RequestError."""
+        try:
+            return await drive(
+                command_flow(context),
+                lambda step: self._perform(step, context, group, limits),
+                thrown_in=(RequestError, BackendConnectionLost),
+            )
+        finally:
+            self._close_leftovers(group)
+
+    def _close_leftovers(self, group: GroupService) -> None:
+        """Close connections that the flow left without a word: their state is uncertain."""
+        transaction = self._session.transaction
+        kept = transaction.connection if transaction is not None else 0
+        for connection in self._held - {kept}:
+            group.release(connection, False)
+        self._held.clear()
+
+    async def _perform(
+        self, step: Step, context: CommandContext, group: GroupService, limits: TimeLimits
+    ) -> StepResult:
+        if self.caller_gone and not _only_ends(step):
+            raise RequestError(ErrorKind.CANCELLED, "the caller has gone")
+        hold_until = limits.hold_until
+        if isinstance(step, NeedPrimary):
+            return await group.need_primary(hold_until)
+        if isinstance(step, NeedReadPlan):
+            return await group.need_read_plan(
+                context.database, step.session_floor, context.arrived_at, step.excluded, hold_until
+            )
+        if isinstance(step, NeedProof):
+            return await group.prove_lead(step.term, limits.deadline)
+        if isinstance(step, NeedConnection):
+            wanted = traffic_class(context.database)
+            connection = await group.need_connection(step.instance, wanted, hold_until)
+            self._held.add(connection)
+            return connection
+        if isinstance(step, Exchange):
+            return await self._exchange(step, context, group, limits.deadline)
+        if isinstance(step, Release):
+            self._held.discard(step.connection)
+            group.release(step.connection, step.reusable)
+            return None
+        await self._pause(step, limits.deadline)
+        return None
+
+    async def _exchange(
+        self, step: Exchange, context: CommandContext, group: GroupService, deadline: float
+    ) -> StepResult:
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await group.exchange(
+                    step.connection,
+                    step.messages,
+                    step.proof_of_term,
+                    context.sent_write,
+                    context.arrived_at,
+                )
+        except TimeoutError as error:
+            raise RequestError(
+                ErrorKind.STATEMENT_TIMEOUT, "the statement's time passed"
+            ) from error
+
+    async def _pause(self, step: Pause, deadline: float) -> None:
+        if self._loop.time() + step.seconds >= deadline:
+            raise RequestError(ErrorKind.OVERLOADED, "the instances refused it until its deadline")
+        await asyncio.sleep(step.seconds)
+
+
+def _only_ends(step: Step) -> bool:
+    """Whether a step only gives back what the session holds."""
+    if isinstance(step, Exchange):
+        return all(message.kind is MessageKind.ROLLBACK for message in step.messages)
+    return isinstance(step, Release)
--- a/src/orchidwind/managed/connections.py
+++ b/src/orchidwind/managed/connections.py
@@ -23,7 +23,6 @@
 CONNECT_SECONDS = 0.6
 CONNECTION_LIMIT_MET = "53300"
 _SHORTEST_RETRY_SECONDS = 0.01
-_SHARE_OF_CONNECTIONS = 0.15
 _FEWEST_CONNECTIONS = 2
 
 T = TypeVar("T")
@@ -61,12 +60,15 @@
         self._pools: dict[str, InstancePool] = {}
         self._grants: dict[int, tuple[str, asyncio.Future[int]]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._share = _FEWEST_CONNECTIONS
         self._closed = False
 
     # --- requests -----------------------------------------------------------------------------
 
     async def need(self, instance: str, traffic_class: TrafficClass, deadline: float) -> int:
         """Wait for a server connection; raises RequestError, BackendConnectionLost."""
+        if self._closed:
+            raise RequestError(ErrorKind.PROXY_STOPPING, "this proxy has stopped")
         pool = self.pool(instance)
         ticket = next(self._tickets)
         granted: asyncio.Future[int] = self._loop.create_future()
@@ -114,17 +116,30 @@
         """The pool of an instance."""
         pool = self._pools.get(instance)
         if pool is None:
-            limit = int(self._topology.settings.maximum_connections * _SHARE_OF_CONNECTIONS)
-            share = max(limit, _FEWEST_CONNECTIONS)
-            pool = InstancePool(instance, share, self._numbers, eager=False)
+            pool = InstancePool(instance, self._share, self._numbers, eager=False)
             self._pools[instance] = pool
         return pool
 
+    def set_share(self, share: int) -> None:
+        """Hold at most this many connections to each instance; fewer close idle ones."""
+        if share == self._share:
+            return
+        self._share = share
+        for pool in self._pools.values():
+            self._perform(pool.set_share(share, self._loop.time()))
+
     def trim(self) -> None:
         """Close connections that were not needed lately."""
         for pool in self._pools.values():
             self._perform(pool.trim())
 
+    def close_idle(self) -> None:
+        """Close every connection that no request holds."""
+        for pool in self._pools.values():
+            for connection in list(pool.idle):
+                self._close(connection)
+                self._perform(pool.lost(connection, self._loop.time()))
+
     def drop_idle(self, instance: str) -> None:
         """Close idle connections to an instance that does not answer; who waits goes elsewhere."""
         pool = self._pools.get(instance)
@@ -179,6 +194,8 @@
 
     async def connect(self, instance: str, on_lost: Callable[[], None]) -> InstanceLink:
         """Open a connection; raises BackendRefused, BackendConnectionLost."""
+        if self._closed:
+            raise BackendConnectionLost("this proxy has stopped", sent=False)
         view = self._topology.instances.get(instance)
         if view is None:
             raise BackendConnectionLost("the instance is unknown", sent=False)
@@ -246,3 +263,4 @@
             task.cancel()
         for connection in list(self.links):
             self._close(connection)
+        self._pools.clear()
--- a/src/orchidwind/managed/executor.py
+++ b/src/orchidwind/managed/executor.py
@@ -1,47 +1,26 @@
-"""Runs the commands of one caller's session: drives the flows of `core.managed.flows`."""
+"""Carries out the commands of one caller's session, at this proxy or at the group's home."""
 
 from __future__ import annotations
 
 import asyncio
 from typing import Protocol
 
-from orchidwind.core.admission import TrafficClass
-from orchidwind.core.errors import (
-    ANSWERS,
-    BackendConnectionLost,
-    ErrorKind,
-    RequestError,
-)
+from orchidwind.core.errors import ANSWERS, ErrorKind, RequestError
 from orchidwind.core.managed.answers import transaction_lost
 from orchidwind.core.managed.commands import (
     Command,
     CommandKind,
     CommandResult,
-    MessageKind,
     TransactionState,
 )
 from orchidwind.core.managed.configuration import ManagedDatabase
 from orchidwind.core.managed.flow_parts import CommandContext
-from orchidwind.core.managed.flows import command_flow
 from orchidwind.core.managed.session import ManagedSession, OpenTransaction
-from orchidwind.core.managed.steps import (
-    Exchange,
-    Flow,
-    NeedConnection,
-    NeedPrimary,
-    NeedProof,
-    NeedReadPlan,
-    Pause,
-    Release,
-    Step,
-    StepResult,
-)
 from orchidwind.logs import log_event
-from orchidwind.managed.driving import drive
+from orchidwind.managed.command_runner import CommandRunner, TimeLimits
+from orchidwind.managed.forwarding import CommandForwarder, Homes
 from orchidwind.managed.group_service import GroupService
 
-_QUEUE_BOUND = 400
-_HIGHEST_WEIGHT = 8.0
 _LOGGED_ATTEMPTS = 6
 _HOLD_SHARE = 0.5
 
@@ -51,6 +30,10 @@
 
     transaction_idle: float
 
+    @property
+    def homes(self) -> Homes:
+        """Where the groups' connections are held."""
+
     def database(self, name: str) -> ManagedDatabase | None:
         """A database as callers name it."""
 
@@ -66,25 +49,17 @@
         """A command ended; takes its measurement."""
 
 
-def traffic_class(database: ManagedDatabase) -> TrafficClass:
-    """The class of a database's requests: each step of priority halves the weight."""
-    weight = _HIGHEST_WEIGHT / 2**database.priority
-    return TrafficClass(
-        f"priority-{database.priority}", weight, database.statement_timeout, _QUEUE_BOUND
-    )
-
-
 class SessionExecutor:
     """One session. `execute` is called for one command at a time."""
 
     def __init__(self, databases: Databases, name: str) -> None:
         self.name = name
         self.session = ManagedSession()
-        self.caller_gone = False
         self._databases = databases
         self._loop = asyncio.get_running_loop()
         self._group: GroupService | None = None
-        self._held: set[int] = set()
+        self._runner = CommandRunner(self.session)
+        self._forwarder = CommandForwarder(self.session, databases.homes)
         self._context: CommandContext | None = None
 
     @property
@@ -92,6 +67,11 @@
         """The state that the caller is told."""
         return self.session.state
 
+    def caller_left(self) -> None:
+        """The caller has gone: nothing more is begun for it."""
+        self._runner.caller_gone = True
+        self._forwarder.caller_left()
+
     async def execute(self, command: Command) -> CommandResult:
         """Carry a command out; raises RequestError."""
         arrived_at = self._loop.time()
@@ -170,6 +150,7 @@
         transaction = self.session.transaction
         if transaction is not None and transaction.connection and self._group is not None:
             self._group.release(transaction.connection, False)
+        self._forwarder.give_up()
         self.session.fail_transaction()
 
     async def _execute(
@@ -189,14 +170,31 @@
         ends = command.kind in (CommandKind.COMMIT, CommandKind.ROLLBACK)
         if ends and session.transaction is None:
             raise RequestError(ErrorKind.PROTOCOL_VIOLATION, "no transaction is open")
+        return await self._run(command, database, arrived_at)
+
+    async def _run(
+        self, command: Command, database: ManagedDatabase, arrived_at: float
+    ) -> CommandResult:
+        """Carry out a command that needs an instance, here or at the group's home."""
         group = self._group_of(database)
-        deadline = arrived_at + database.statement_timeout
-        context = CommandContext(session, group.state, database, command, arrived_at)
+        context = CommandContext(self.session, group.state, database, command, arrived_at)
         self._context = context
-        return await self._drive(command_flow(context), context, group, deadline)
+        held = database.statement_timeout * _HOLD_SHARE
+        limits = TimeLimits(arrived_at + database.statement_timeout, arrived_at + held)
+        if not self._opened_here and self._forwarder.serves(database.group):
+            forwarded = await self._forwarder.run(context, limits)
+            if forwarded is not None:
+                return forwarded
+        return await self._runner.run(context, group, limits)
+
+    @property
+    def _opened_here(self) -> bool:
+        """Whether a transaction is open on a connection of this proxy."""
+        transaction = self.session.transaction
+        return transaction is not None and transaction.connection > 0
 
     def _group_of(self, database: ManagedDatabase) -> GroupService:
-        if self.session.transaction is not None and self.session.transaction.connection:
+        if self._opened_here:
             assert self._group is not None
             return self._group
         group = self._databases.group(database.group)
@@ -225,90 +223,7 @@
         self.session.transaction = OpenTransaction(database, read_only, last_used=arrived_at)
         return CommandResult()
 
-    # --- flows --------------------------------------------------------------------------------
-
-    async def _drive(
-        self, flow: Flow, context: CommandContext, group: GroupService, deadline: float
-    ) -> CommandResult:
-        try:
-            return await drive(
-                flow,
-                lambda step: self._perform(step, context, group, deadline),
-                thrown_in=(RequestError, BackendConnectionLost),
-            )
-        finally:
-            self._close_leftovers(group)
-
-    def _close_leftovers(self, group: GroupService) -> None:
-        """Close connections that the flow left without a word: their state is uncertain."""
-        transaction = self.session.transaction
-        kept = transaction.connection if transaction is not None else 0
-        for connection in self._held - {kept}:
-            group.release(connection, False)
-        self._held.clear()
-
-    async def _perform(
-        self, step: Step, context: CommandContext, group: GroupService, deadline: float
-    ) -> StepResult:
-        if self.caller_gone and not _only_ends(step):
-            raise RequestError(ErrorKind.CANCELLED, "the caller has gone")
-        hold_until = self._hold_until(context, deadline)
-        if isinstance(step, NeedPrimary):
-            return await group.need_primary(hold_until)
-        if isinstance(step, NeedReadPlan):
-            return await group.need_read_plan(
-                context.database, step.session_floor, context.arrived_at, step.excluded, hold_until
-            )
-        if isinstance(step, NeedProof):
-            return await group.prove_lead(step.term, deadline)
-        if isinstance(step, NeedConnection):
-            wanted = traffic_class(context.database)
-            connection = await group.need_connection(step.instance, wanted, hold_until)
-            self._held.add(connection)
-            return connection
-        if isinstance(step, Exchange):
-            return await self._exchange(step, context, group, deadline)
-        if isinstance(step, Release):
-            self._held.discard(step.connection)
-            group.release(step.connection, step.reusable)
-            return None
-        await self._pause(step, deadline)
-        return None
-
-    def _hold_until(self, context: CommandContext, deadline: float) -> float:
-        """How long a command may wait without being sent: its caller may come back elsewhere."""
-        held = context.database.statement_timeout * _HOLD_SHARE
-        return min(deadline, context.arrived_at + held)
-
-    async def _exchange(
-        self, step: Exchange, context: CommandContext, group: GroupService, deadline: float
-    ) -> StepResult:
-        try:
-            async with asyncio.timeout_at(deadline):
-                return await group.exchange(
-                    step.connection,
-                    step.messages,
-                    step.proof_of_term,
-                    context.sent_write,
-                    context.arrived_at,
-                )
-        except TimeoutError as error:
-            raise RequestError(
-                ErrorKind.STATEMENT_TIMEOUT, "the statement's time passed"
-            ) from error
-
-    async def _pause(self, step: Pause, deadline: float) -> None:
-        if self._loop.time() + step.seconds >= deadline:
-            raise RequestError(ErrorKind.OVERLOADED, "the instances refused it until its deadline")
-        await asyncio.sleep(step.seconds)
-
     def close(self) -> None:
         """The caller is gone: an open transaction is rolled back."""
+        self.caller_left()
         self._fail_transaction()
-
-
-def _only_ends(step: Step) -> bool:
-    """Whether a step only gives back what the session holds."""
-    if isinstance(step, Exchange):
-        return all(message.kind is MessageKind.ROLLBACK for message in step.messages)
-    return isinstance(step, Release)
--- /dev/null
+++ b/src/orchidwind/managed/forwarding.py
@@ -0,0 +1,179 @@
+"""Sends the commands of one caller's session to the homes of its group."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import Protocol
+
+from orchidwind.core.errors import ErrorKind, PeerUnavailable, RequestError
+from orchidwind.core.managed.commands import CommandKind, CommandResult
+from orchidwind.core.managed.flow_parts import CommandContext
+from orchidwind.core.managed.peer_loss import after_lost_home
+from orchidwind.core.managed.peer_messages import (
+    CloseChannel,
+    CommandAnswer,
+    RunCommand,
+    SettingValue,
+)
+from orchidwind.core.managed.session import ManagedSession
+from orchidwind.managed.command_runner import TimeLimits
+from orchidwind.managed.peer_link import PeerLink
+
+# The home answers at the deadline by itself; this is for the way back.
+_ANSWER_GRACE_SECONDS = 0.05
+
+
+class Homes(Protocol):
+    """Where the groups' connections are held."""
+
+    def home_link(self, group: str) -> PeerLink | None:
+        """The link to the home that this proxy sends a group's commands to; None: this proxy."""
+
+    def next_channel(self) -> int:
+        """A number for a session at a home, not used before."""
+
+
+@dataclass(frozen=True, slots=True)
+class _OpenChannel:
+    """Where the session's transaction is open."""
+
+    link: PeerLink
+    number: int
+
+
+class CommandForwarder:
+    """The commands of one session, one at a time."""
+
+    def __init__(self, session: ManagedSession, homes: Homes) -> None:
+        self._session = session
+        self._homes = homes
+        self._loop = asyncio.get_running_loop()
+        self._open: _OpenChannel | None = None
+        self._running: _OpenChannel | None = None
+
+    def serves(self, group: str) -> bool:
+        """Whether a group's commands go to another proxy now."""
+        return self._open is not None or self._homes.home_link(group) is not None
+
+    async def run(self, context: CommandContext, limits: TimeLimits) -> CommandResult | None:
+        """Carry a command out; None where no home is left. Raises RequestError."""
+        session, command = self._session, context.command
+        if command.kind is CommandKind.ROLLBACK and self._open is None:
+            session.end_transaction()
+            return CommandResult()
+        while (channel := self._channel(context.database.group)) is not None:
+            try:
+                answer = await self._ask(channel, context, limits)
+            except PeerUnavailable as lost:
+                context.note(channel.link.member.name, f"home_lost:sent={lost.sent}")
+                opened = self._open is not None
+                self._open = None
+                error = after_lost_home(session, command, opened, lost.sent)
+                if command.kind is CommandKind.ROLLBACK:
+                    session.end_transaction()
+                    return CommandResult()
+                if error is not None:
+                    self._end_if_commit(command.kind)
+                    raise error from lost
+                continue
+            return self._take(channel, context, answer)
+        return None
+
+    def _channel(self, group: str) -> _OpenChannel | None:
+        if self._open is not None:
+            return self._open
+        link = self._homes.home_link(group)
+        return None if link is None else _OpenChannel(link, self._homes.next_channel())
+
+    async def _ask(
+        self, channel: _OpenChannel, context: CommandContext, limits: TimeLimits
+    ) -> CommandAnswer:
+        transaction = self._session.transaction
+        if transaction is not None and self._session.writes(context.command):
+            transaction.wrote = True
+        message = self._message(channel, context, limits)
+        context.sent_to = channel.link.member.name
+        self._running = channel
+        try:
+            async with asyncio.timeout_at(limits.deadline + _ANSWER_GRACE_SECONDS):
+                return await channel.link.ask(message)
+        except TimeoutError as error:
+            channel.link.tell(CloseChannel(channel.number))
+            self._open = None
+            self._end_if_commit(context.command.kind)
+            raise RequestError(
+                ErrorKind.STATEMENT_TIMEOUT, "the home did not answer in time"
+            ) from error
+        finally:
+            self._running = None
+
+    def _message(
+        self, channel: _OpenChannel, context: CommandContext, limits: TimeLimits
+    ) -> RunCommand:
+        session, command, database = self._session, context.command, context.database
+        transaction = session.transaction
+        now = self._loop.time()
+        progress = "none"
+        if transaction is not None:
+            progress = "begins" if self._open is None else "continues"
+        executes = command.kind is CommandKind.EXECUTE
+        return RunCommand(
+            number=channel.link.next_number(),
+            channel=channel.number,
+            group=database.group,
+            database=database.name,
+            consistency=database.consistency.value,
+            staleness=database.staleness,
+            priority=database.priority,
+            timeout=database.statement_timeout,
+            kind=command.kind.value,
+            request_id=command.request_id,
+            text=command.text,
+            argument=command.argument,
+            prepared=session.prepared_for(command) if executes else None,
+            settings=tuple(SettingValue(*item) for item in session.settings.items()),
+            floor=session.floor,
+            transaction=progress,
+            read_only=transaction is not None and transaction.read_only,
+            remaining=limits.deadline - now,
+            hold=limits.hold_until - now,
+        )
+
+    def _take(
+        self, channel: _OpenChannel, context: CommandContext, answer: CommandAnswer
+    ) -> CommandResult:
+        session, kind = self._session, context.command.kind
+        session.raise_floor(answer.floor)
+        context.note(channel.link.member.name, f"home:{answer.attempts}")
+        if answer.sent_to:
+            context.sent_to = f"{channel.link.member.name}/{answer.sent_to}"
+        self._open = None
+        if answer.error:
+            self._end_if_commit(kind)
+            raise RequestError(
+                ErrorKind(answer.error),
+                answer.message,
+                retry_after_milliseconds=answer.retry_after_milliseconds,
+            )
+        if kind in (CommandKind.COMMIT, CommandKind.ROLLBACK):
+            session.end_transaction()
+        elif session.transaction is not None:
+            self._open = channel
+        return CommandResult(answer.rows, answer.signature)
+
+    def _end_if_commit(self, kind: CommandKind) -> None:
+        """However a COMMIT ends, the transaction is over."""
+        if kind is CommandKind.COMMIT:
+            self._session.end_transaction()
+
+    def give_up(self) -> None:
+        """The transaction is given up: the home rolls it back."""
+        opened, self._open = self._open, None
+        if opened is not None:
+            opened.link.tell(CloseChannel(opened.number))
+
+    def caller_left(self) -> None:
+        """The caller has gone: the home begins nothing more for it."""
+        if self._running is not None:
+            self._running.link.tell(CloseChannel(self._running.number))
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -27,6 +27,9 @@
 from orchidwind.managed.status_calls import StatusCall, StatusCalls
 
 SILENCE_SECONDS = 0.25
+_SUPERVISED_AFTER_USE_SECONDS = 5.0
+# What a proxy takes that is no home, while no home can be reached.
+_CONNECTIONS_WITHOUT_HOME = 1
 
 T = TypeVar("T")
 
@@ -58,6 +61,22 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._writing: set[int] = set()
         self._suspects: set[str] = set()
+        self._home = False
+        self._used_at = float("-inf")
+
+    @property
+    def supervised(self) -> bool:
+        """Whether this proxy watches over the group: as a home, or while it serves it anyway."""
+        return self._home or self._loop.time() - self._used_at < _SUPERVISED_AFTER_USE_SECONDS
+
+    def set_home(self, home: bool, connections: int) -> None:
+        """Whether this proxy is a home, and how many connections a home may hold an instance."""
+        if self._home and not home:
+            self._calls.close()
+            self.connections.close_idle()
+        self._home = home
+        self.connections.set_share(connections if home else _CONNECTIONS_WITHOUT_HOME)
+        self._on_wake()
 
     @property
     def settings(self) -> ManagedGroupSettings:
@@ -99,8 +118,12 @@
         self.changed()
 
     def trim(self) -> None:
-        """Close connections that were not needed lately."""
-        self.connections.trim()
+        """Close connections that were not needed lately; a home keeps one to each instance."""
+        if self.supervised:
+            self.connections.trim()
+        else:
+            self._calls.close()
+            self.connections.close_idle()
 
     def forget_old(self) -> None:
         """Drop what belongs to instances that left long ago."""
@@ -153,6 +176,7 @@
                 return found
             waiter: asyncio.Future[None] = self._loop.create_future()
             self._waiters.add(waiter)
+            self._used_at = self._loop.time()
             self._on_wake()
             try:
                 async with asyncio.timeout_at(deadline):
@@ -188,6 +212,7 @@
         self, instance: str, traffic_class: TrafficClass, deadline: float
     ) -> int:
         """Wait for a server connection; raises RequestError, BackendConnectionLost."""
+        self._used_at = self._loop.time()
         return await self.connections.need(instance, traffic_class, deadline)
 
     def release(self, connection: int, reusable: bool) -> None:
--- a/src/orchidwind/managed/lead_lease.py
+++ b/src/orchidwind/managed/lead_lease.py
@@ -49,7 +49,8 @@
         return self.lease.free_revision
 
     async def run(self) -> None:
-        """Register, then read the lock as often as requests want the lease."""
+        """Register with the first request, then read the lock as often as they want the lease."""
+        await self._wanted.wait()
         while not await self._register():
             await asyncio.sleep(_RETRY_SECONDS)
         while True:
@@ -110,7 +111,7 @@
             await self._confirm_wanted.wait()
             self._confirm_wanted.clear()
             revision = self._to_confirm
-            if revision <= self._confirmed:
+            if revision <= self._confirmed or not self._registered:
                 continue
             try:
                 await self._registry.confirm(self._node, revision)
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -15,15 +14,15 @@
     ManagedConfiguration,
     ManagedDatabase,
 )
-from orchidwind.core.managed.failover import FailoverPlan
-from orchidwind.core.managed.supervision import GroupSupervisor
+from orchidwind.core.managed.homes import ProxyMember
 from orchidwind.core.managed.topology import DEFAULT_ENTRY_OUTLIVES_SECONDS
 from orchidwind.logs import log_event
-from orchidwind.managed.executor import Databases
-from orchidwind.managed.failover_runner import FailoverRunner, PromotionLockClient
+from orchidwind.managed.failover_runner import PromotionLockClient
 from orchidwind.managed.group_service import GroupService
 from orchidwind.managed.lead_lease import LeaseKeeper
 from orchidwind.managed.metrics import ManagedMetrics
+from orchidwind.managed.peer_service import PeerService
+from orchidwind.managed.peers import PeerNetwork
 from orchidwind.managed.ports import (
     Changes,
     ConfigurationSource,
@@ -32,13 +31,18 @@
     LeaseRegistry,
     Listing,
     LockSource,
+    MemberSource,
+    MemberStore,
+    PeerConnector,
     PromotionLockStore,
     PromotionService,
     RosterSource,
     RosterStore,
 )
 from orchidwind.managed.rosters import RosterKeeper
+from orchidwind.managed.sessions import SessionRegistry
 from orchidwind.managed.status import ManagedStatus, group_status
+from orchidwind.managed.supervising import GroupSupervision
 from orchidwind.managed.watch import CollectionWatch
 
 _FORGET_SECONDS = 5.0
@@ -60,22 +64,24 @@
     roster_source: RosterSource
     roster_store: RosterStore
     promotions: PromotionService
+    member_source: MemberSource
+    member_store: MemberStore
+    peers: PeerConnector
 
 
-class ManagedNode(Databases):
+class ManagedNode:
     """Keeps the groups in step with configuration and directory."""
 
     def __init__(
         self,
-        name: str,
-        zone: str,
+        own: ProxyMember,
         ports: NodePorts,
         entry_outlives: float = DEFAULT_ENTRY_OUTLIVES_SECONDS,
     ) -> None:
         """`entry_outlives` is how long a directory entry stays after its last renewal."""
         self._entry_outlives = entry_outlives
-        self.name = name
-        self.zone = zone
+        self.name = name = own.name
+        self.zone = own.zone
         self.metrics = ManagedMetrics()
         self.configuration: ManagedConfiguration | None = None
         self.transaction_idle = DEFAULT_TRANSACTION_IDLE_SECONDS
@@ -86,6 +92,12 @@
         self._lock = PromotionLockClient(name, ports.lock_store)
         self.leases = LeaseKeeper(name, ports.lock_store, ports.leases)
         self.rosters = RosterKeeper(self.groups, ports.roster_store)
+        self.registry = SessionRegistry()
+        self.homes = PeerNetwork(
+            own, ports.peers, ports.member_store, self._connection_limit, self._homes_changed
+        )
+        self.peer_service = PeerService(self.group, self.registry)
+        self._coordinating = False
         self._tasks: list[asyncio.Task[None]] = []
         self._prepared = asyncio.Event()
         self._successes = 0
@@ -96,18 +108,27 @@
         configuration = CollectionWatch(
             "configuration", self._ports.configuration, _ConfigurationFollower(self)
         )
-        lock = CollectionWatch("promotion_lock", self._ports.lock_source, self.leases)
+        members = CollectionWatch("members", self._ports.member_source, self.homes)
         self._spawn(directory.run)
+        self._spawn(self.homes.keep_own)
+        self._spawn(members.run)
+        self._spawn(configuration.run)
+        self._spawn(self._forget_old)
+        self._spawn(self._trim)
+        self._spawn(self._tell_figures)
+
+    def _coordinate(self) -> None:
+        """Follow what only homes need: the promotion lock, rosters, the lead lease."""
+        if self._coordinating:
+            return
+        self._coordinating = True
+        lock = CollectionWatch("promotion_lock", self._ports.lock_source, self.leases)
         rosters = CollectionWatch("rosters", self._ports.roster_source, self.rosters)
         self._spawn(lock.run)
         self._spawn(rosters.run)
         self._spawn(self.rosters.run)
         self._spawn(self.leases.run)
         self._spawn(self.leases.confirm_drops)
-        self._spawn(configuration.run)
-        self._spawn(self._forget_old)
-        self._spawn(self._trim)
-        self._spawn(self._tell_figures)
 
     def _spawn(self, work: Callable[[], Awaitable[None]]) -> None:
         async def run() -> None:
@@ -133,6 +154,7 @@
         """Stop following and close every connection."""
         for task in self._tasks:
             task.cancel()
+        self.homes.close()
         for group in self.groups.values():
             group.close()
 
@@ -178,6 +200,8 @@
                 self.groups[name].topology.settings = settings
             else:
                 self._add_group(name)
+        if current is None or current.groups != configuration.groups:
+            self.homes.limits_changed()
         self._note_prepared()
 
     def _add_group(self, name: str) -> None:
@@ -198,7 +222,33 @@
             if entry.group == name:
                 group.entry_changed(entry)
         self.rosters.tell(name)
-        self._spawn(lambda: self._supervise(group, wake))
+        supervision = GroupSupervision(
+            group,
+            wake,
+            self._lock,
+            self._ports.promotions,
+            self.leases,
+            self.rosters,
+            self.metrics,
+        )
+        self._spawn(supervision.run)
+
+    def _connection_limit(self, group: str) -> int:
+        """How many connections an instance of a group takes, over all proxies."""
+        settings = None if self.configuration is None else self.configuration.groups.get(group)
+        return 0 if settings is None else settings.maximum_connections
+
+    def _homes_changed(self) -> None:
+        """Members or limits changed: take on or give up the groups' connections."""
+        if not self.homes.known:
+            return
+        for name, group in self.groups.items():
+            placed = self.homes.placement(name)
+            home = placed.includes(self.name)
+            group.set_home(home, placed.connections)
+            if home:
+                self._coordinate()
+        self._note_prepared()
 
     # --- directory ----------------------------------------------------------------------------
 
@@ -227,7 +277,7 @@
             group.entry_gone(instance)
 
     def _note_prepared(self) -> None:
-        if self._directory_listed and self.configuration is not None:
+        if self._directory_listed and self.homes.known and self.configuration is not None:
             if not self._prepared.is_set():
                 log_event("prepared", version=self.configuration.version)
             self._prepared.set()
@@ -262,53 +312,6 @@
             for group in self.groups.values():
                 group.forget_old()
 
-    # --- supervision --------------------------------------------------------------------------
-
-    async def _supervise(self, group: GroupService, wake: asyncio.Event) -> None:
-        supervisor = GroupSupervisor(group.topology)
-        loop = asyncio.get_running_loop()
-        running: asyncio.Task[None] | None = None
-        while True:
-            now = loop.time()
-            suspects = group.suspects()
-            oldest = group.oldest_write()
-            look = supervisor.look(now, suspects, oldest, random.random(), self.rosters.known)
-            for instance in look.ask:
-                group.ask_soon(instance)
-            may_start = running is None or running.done()
-            if look.plan is not None and may_start and not self.leases.held_by_another():
-                running = loop.create_task(self._change_primary(group, supervisor, look.plan))
-            try:
-                async with asyncio.timeout(look.again_after):
-                    await wake.wait()
-            except TimeoutError:
-                pass
-            wake.clear()
-
-    async def _change_primary(
-        self, group: GroupService, supervisor: GroupSupervisor, plan: FailoverPlan
-    ) -> None:
-        log_event(
-            "failover_started",
-            group=plan.group,
-            reason=plan.reason.value,
-            old_primary=plan.old_primary,
-            members=",".join(plan.members),
-        )
-        runner = FailoverRunner(group, self._lock, self._ports.promotions, self.leases)
-        result = await runner.run(plan)
-        log_event(
-            "failover_ended",
-            group=plan.group,
-            reason=plan.reason.value,
-            outcome=result.outcome.value,
-            primary=result.primary,
-            term=result.term,
-        )
-        self.metrics.failover(plan.reason.value, result.outcome.value)
-        supervisor.ended(asyncio.get_running_loop().time(), result.outcome)
-        group.changed()
-
 
 class _DirectoryFollower:
     """Passes the directory on to the node."""
--- /dev/null
+++ b/src/orchidwind/managed/peer_service.py
@@ -0,0 +1,248 @@
+"""Carries out the commands that other proxies send to this one as the home of their groups."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from orchidwind.core.errors import ErrorKind, RequestError
+from orchidwind.core.managed.answers import transaction_lost
+from orchidwind.core.managed.commands import (
+    Command,
+    CommandKind,
+    CommandResult,
+    TransactionState,
+)
+from orchidwind.core.managed.configuration import ManagedDatabase, ReadConsistency
+from orchidwind.core.managed.flow_parts import CommandContext
+from orchidwind.core.managed.peer_messages import (
+    Alive,
+    CloseChannel,
+    CommandAnswer,
+    Greeting,
+    PeerMessage,
+    Probe,
+    RunCommand,
+)
+from orchidwind.core.managed.session import ManagedSession, OpenTransaction
+from orchidwind.logs import log_event
+from orchidwind.managed.command_runner import CommandRunner, TimeLimits
+from orchidwind.managed.group_service import GroupService
+from orchidwind.managed.sessions import SessionRegistry
+
+_PREPARED_NAME = "forwarded"
+_LOGGED_ATTEMPTS = 4
+
+SendBack = Callable[[PeerMessage], None]
+GroupLookup = Callable[[str], GroupService | None]
+
+
+class PeerService:
+    """All links that other proxies opened to this one."""
+
+    def __init__(self, groups: GroupLookup, registry: SessionRegistry) -> None:
+        self.leaving = False
+        self._groups = groups
+        self._registry = registry
+        self._links: set[ServedLink] = set()
+
+    def link(self, send: SendBack) -> ServedLink:
+        """A link was opened; `send` writes on it."""
+        served = ServedLink(self._groups, self._registry, send, lambda: self.leaving)
+        self._links.add(served)
+        return served
+
+    def ended(self, served: ServedLink) -> None:
+        """A link has gone: what was open on it is rolled back."""
+        self._links.discard(served)
+        served.end()
+
+    def leave(self) -> None:
+        """This proxy stops: others send their next transactions and statements elsewhere."""
+        self.leaving = True
+        for served in self._links:
+            served.tell_leaving()
+
+
+class ServedLink:
+    """One link at the home's side."""
+
+    def __init__(
+        self,
+        groups: GroupLookup,
+        registry: SessionRegistry,
+        send: SendBack,
+        leaving: Callable[[], bool],
+    ) -> None:
+        self._groups = groups
+        self._registry = registry
+        self._send = send
+        self._leaving = leaving
+        self._channels: dict[int, _Channel] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def take(self, message: PeerMessage) -> None:
+        """A message came."""
+        if isinstance(message, RunCommand):
+            self._run(message)
+        elif isinstance(message, Probe):
+            self._send(Alive(self._leaving()))
+        elif isinstance(message, CloseChannel):
+            channel = self._channels.get(message.channel)
+            if channel is not None:
+                channel.close()
+                self._drop_if_done(message.channel)
+        elif isinstance(message, Greeting):
+            log_event("peer_connected", peer=message.proxy)
+            if self._leaving():
+                self.tell_leaving()
+
+    def tell_leaving(self) -> None:
+        """Tell the other side that this proxy stops."""
+        self._send(Alive(leaving=True))
+
+    def end(self) -> None:
+        """The link is gone, and so are its sessions."""
+        for number, channel in list(self._channels.items()):
+            channel.close()
+            self._drop_if_done(number)
+
+    def _run(self, message: RunCommand) -> None:
+        channel = self._channels.get(message.channel)
+        if channel is None:
+            channel = self._channels[message.channel] = _Channel(self._registry)
+            self._registry.sessions.add(channel)
+        channel.resting = False
+        task = asyncio.get_running_loop().create_task(self._answer(channel, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, channel: _Channel, message: RunCommand) -> None:
+        answer = await channel.run(message, self._groups(message.group))
+        channel.resting = True
+        self._send(answer)
+        self._drop_if_done(message.channel)
+
+    def _drop_if_done(self, number: int) -> None:
+        """A channel is kept only while it runs a command or a transaction is open on it."""
+        channel = self._channels.get(number)
+        if channel is not None and channel.resting and not channel.in_transaction:
+            del self._channels[number]
+            self._registry.sessions.discard(channel)
+
+
+class _Channel:
+    """One session of another proxy's caller, while it has work here."""
+
+    def __init__(self, registry: SessionRegistry) -> None:
+        self.resting = True
+        self._registry = registry
+        self._session = ManagedSession()
+        self._runner = CommandRunner(self._session)
+        self._group: GroupService | None = None
+        self._loop = asyncio.get_running_loop()
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open."""
+        return self._session.state is TransactionState.OPEN
+
+    def close(self) -> None:
+        """Begin nothing more; a transaction that is open is rolled back."""
+        self._runner.caller_gone = True
+        if self.resting:
+            self._fail_transaction()
+            self._registry.sessions.discard(self)
+
+    def _fail_transaction(self) -> None:
+        transaction = self._session.transaction
+        if transaction is not None and transaction.connection and self._group is not None:
+            self._group.release(transaction.connection, False)
+        self._session.end_transaction()
+
+    async def run(self, message: RunCommand, group: GroupService | None) -> CommandAnswer:
+        """Carry a command out."""
+        context: CommandContext | None = None
+        try:
+            if group is None:
+                raise RequestError(ErrorKind.NO_HOME, "the home does not know the group yet")
+            context = self._context(message, group)
+            now = self._loop.time()
+            limits = TimeLimits(now + message.remaining, now + message.hold)
+            result = await self._runner.run(context, group, limits)
+        except RequestError as error:
+            self._fail_transaction()
+            return self._failed(message, context, error)
+        except Exception as error:  # a fault of this program ends one command, not all
+            log_event("peer_command_failed", level=logging.ERROR, reason=repr(error))
+            self._fail_transaction()
+            unknown = RequestError(ErrorKind.OUTCOME_UNKNOWN, "the home failed")
+            return self._failed(message, context, unknown)
+        if self._runner.caller_gone:
+            self._fail_transaction()
+        return self._done(message, context, result)
+
+    def _context(self, message: RunCommand, group: GroupService) -> CommandContext:
+        session = self._session
+        database = ManagedDatabase(
+            name=message.database,
+            group=message.group,
+            consistency=ReadConsistency(message.consistency),
+            staleness=message.staleness,
+            statement_timeout=message.timeout,
+            target_latency=message.timeout,
+            priority=message.priority,
+        )
+        session.settings = {item.name: item.value for item in message.settings}
+        session.raise_floor(message.floor)
+        if message.prepared is not None:
+            session.prepared = {_PREPARED_NAME: message.prepared}
+        if message.transaction == "continues" and session.transaction is None:
+            raise transaction_lost()
+        if message.transaction == "begins" and session.transaction is None:
+            session.transaction = OpenTransaction(database, message.read_only)
+        self._group = group
+        command = Command(
+            message.request_id,
+            CommandKind(message.kind),
+            message.text,
+            _PREPARED_NAME if message.prepared is not None else "",
+            message.argument,
+        )
+        return CommandContext(session, group.state, database, command, self._loop.time())
+
+    def _failed(
+        self, message: RunCommand, context: CommandContext | None, error: RequestError
+    ) -> CommandAnswer:
+        return CommandAnswer(
+            number=message.number,
+            error=error.kind.value,
+            message=error.message,
+            retry_after_milliseconds=error.retry_after_milliseconds,
+            rows=(),
+            signature="",
+            floor=self._session.floor,
+            sent_to=context.sent_to if context else "",
+            attempts=_attempts(context),
+        )
+
+    def _done(
+        self, message: RunCommand, context: CommandContext, result: CommandResult
+    ) -> CommandAnswer:
+        return CommandAnswer(
+            number=message.number,
+            error="",
+            message="",
+            retry_after_milliseconds=None,
+            rows=result.rows,
+            signature=result.signature,
+            floor=self._session.floor,
+            sent_to=context.sent_to,
+            attempts=_attempts(context),
+        )
+
+
+def _attempts(context: CommandContext | None) -> str:
+    return "" if context is None else " ".join(context.attempts[-_LOGGED_ATTEMPTS:])
--- /dev/null
+++ b/src/orchidwind/managed/peers.py
@@ -0,0 +1,164 @@
+"""The other proxies as this one knows them: members, homes of the groups, links."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from itertools import count
+
+from orchidwind.core.errors import PlatformError
+from orchidwind.core.managed.homes import GroupHomes, ProxyMember, group_homes
+from orchidwind.logs import log_event
+from orchidwind.managed.peer_link import PeerLink
+from orchidwind.managed.ports import Changes, Listing, MemberStore, PeerConnector
+
+FORGET_SECONDS = 30.0
+_RETRY_SECONDS = 0.25
+
+LimitLookup = Callable[[str], int]
+
+
+class PeerNetwork:
+    """Follows the members; tells where each group's commands go. `on_change` is called after."""
+
+    def __init__(
+        self,
+        own: ProxyMember,
+        connector: PeerConnector,
+        store: MemberStore,
+        limit_of: LimitLookup,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.known = False
+        self._own = own
+        self._connector = connector
+        self._store = store
+        self._limit_of = limit_of
+        self._on_change = on_change
+        self._members: dict[str, ProxyMember] = {own.name: own}
+        self._links: dict[str, PeerLink] = {}
+        self._placed: dict[str, GroupHomes] = {}
+        self._preferred: dict[str, list[ProxyMember]] = {}
+        self._channels = count(1)
+        self._write_wanted = asyncio.Event()
+        self._write_wanted.set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._loop = asyncio.get_running_loop()
+
+    # --- members ------------------------------------------------------------------------------
+
+    async def keep_own(self) -> None:
+        """Have this proxy listed among the members."""
+        while True:
+            await self._write_wanted.wait()
+            self._write_wanted.clear()
+            try:
+                await self._store.write(self._own)
+            except PlatformError as error:
+                log_event("member_not_written", reason=str(error))
+                await asyncio.sleep(_RETRY_SECONDS)
+                self._write_wanted.set()
+
+    def listed(self, listing: Listing[ProxyMember]) -> None:
+        """All members, read freshly."""
+        self._members = {member.name: member for member in listing.items}
+        self._members[self._own.name] = self._own
+        self.known = True
+        self._changed()
+
+    def changed(self, changes: Changes[ProxyMember]) -> None:
+        """Members that came, changed or went."""
+        for member in changes.changed:
+            self._members[member.name] = member
+        for name in changes.gone:
+            self._members.pop(name, None)
+        if self._own.name in changes.gone:
+            # Another proxy could not reach this one for long, but it is here.
+            self._write_wanted.set()
+        self._members[self._own.name] = self._own
+        self._changed()
+
+    def _changed(self) -> None:
+        for name, link in list(self._links.items()):
+            if self._members.get(name) != link.member:
+                del self._links[name]
+                link.close()
+        self.limits_changed()
+
+    def limits_changed(self) -> None:
+        """The configuration may give other connection limits: place the groups anew."""
+        self._placed.clear()
+        self._preferred.clear()
+        self._on_change()
+
+    # --- homes --------------------------------------------------------------------------------
+
+    def placement(self, group: str) -> GroupHomes:
+        """The homes of a group."""
+        placed = self._placed.get(group)
+        if placed is None:
+            placed = group_homes(group, self._limit_of(group), self._members.values())
+            self._placed[group] = placed
+            log_event(
+                "homes_placed",
+                group=group,
+                members=len(self._members),
+                homes=",".join(member.name for member in placed.homes),
+                connections=placed.connections,
+            )
+        return placed
+
+    def is_home(self, group: str) -> bool:
+        """Whether this proxy holds connections of a group."""
+        return self.placement(group).includes(self._own.name)
+
+    def home_link(self, group: str) -> PeerLink | None:
+        """The link to the home that this proxy sends a group's commands to; None: this proxy."""
+        preferred = self._preferred.get(group)
+        if preferred is None:
+            preferred = self.placement(group).preferred(self._own.name, self._own.zone)
+            self._preferred[group] = preferred
+        for member in preferred:
+            if member.name == self._own.name:
+                return None
+            link = self._link(member)
+            if link.usable():
+                return link
+            self._forget_if_gone(link)
+        return None
+
+    def next_channel(self) -> int:
+        """A number for a session at a home, not used before."""
+        return next(self._channels)
+
+    def _link(self, member: ProxyMember) -> PeerLink:
+        link = self._links.get(member.name)
+        if link is None:
+            link = PeerLink(self._own.name, member, self._connector)
+            self._links[member.name] = link
+        return link
+
+    def _forget_if_gone(self, link: PeerLink) -> None:
+        """Take a member off the list that has not been reached for long; it may list itself."""
+        since = link.lost_since
+        if since is None or self._loop.time() - since < FORGET_SECONDS:
+            return
+        link.lost_since = self._loop.time()
+        task = self._loop.create_task(self._remove(link.member.name))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _remove(self, name: str) -> None:
+        try:
+            await self._store.remove(name)
+        except PlatformError as error:
+            log_event("member_not_removed", member=name, reason=str(error))
+            return
+        log_event("member_removed", member=name)
+
+    def close(self) -> None:
+        """Cut all links."""
+        for task in self._tasks:
+            task.cancel()
+        for link in self._links.values():
+            link.close()
--- a/src/orchidwind/managed/ports.py
+++ b/src/orchidwind/managed/ports.py
@@ -9,6 +9,8 @@
 from orchidwind.core.managed.commands import InstanceMessage, InstanceStatus, Reply
 from orchidwind.core.managed.configuration import DirectoryEntry, ManagedConfiguration
 from orchidwind.core.managed.failover import PromotionAnswer
+from orchidwind.core.managed.homes import ProxyMember
+from orchidwind.core.managed.peer_messages import PeerMessage
 from orchidwind.core.managed.promotion_lock import LockRecord
 from orchidwind.core.managed.roster import Roster
 
@@ -74,6 +76,7 @@
 DirectorySource = WatchedCollection[DirectoryEntry]
 LockSource = WatchedCollection[LockRecord]
 RosterSource = WatchedCollection[Roster]
+MemberSource = WatchedCollection[ProxyMember]
 ConfigurationSource = WatchedCollection[ManagedConfiguration]
 
 
@@ -99,6 +102,38 @@
     revision: int
 
 
+class MemberStore(Protocol):
+    """The proxies' own objects in the store; calls raise PlatformError."""
+
+    async def write(self, member: ProxyMember) -> None:
+        """Write a proxy's object, whether or not it is there."""
+
+    async def remove(self, name: str) -> None:
+        """Delete a proxy's object."""
+
+
+class PeerConnection(Protocol):
+    """An open connection to another proxy."""
+
+    def send(self, message: PeerMessage) -> None:
+        """Send a message; nothing happens where the connection is gone."""
+
+    def close(self) -> None:
+        """Close at once."""
+
+
+class PeerConnector(Protocol):
+    """Opens connections to other proxies."""
+
+    async def connect(
+        self,
+        member: ProxyMember,
+        on_message: Callable[[PeerMessage], None],
+        on_lost: Callable[[str], None],
+    ) -> PeerConnection:
+        """Open a connection; raises PeerUnavailable. `on_lost` is told the reason."""
+
+
 class RosterStore(Protocol):
     """The rosters' objects in the store."""
 
--- /dev/null
+++ b/src/orchidwind/managed/supervising.py
@@ -0,0 +1,101 @@
+"""Watches over one managed group: asks for statuses, and has a primary changed when needed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from orchidwind.core.managed.failover import FailoverPlan
+from orchidwind.core.managed.supervision import GroupSupervisor, Look
+from orchidwind.logs import log_event
+from orchidwind.managed.failover_runner import FailoverRunner, PromotionLockClient
+from orchidwind.managed.group_service import GroupService
+from orchidwind.managed.lead_lease import LeaseKeeper
+from orchidwind.managed.metrics import ManagedMetrics
+from orchidwind.managed.ports import PromotionService
+from orchidwind.managed.rosters import RosterKeeper
+
+_UNSUPERVISED_LOOK_SECONDS = 1.0
+
+
+class GroupSupervision:
+    """One group's supervisor, while this proxy has a part in the group."""
+
+    def __init__(
+        self,
+        group: GroupService,
+        wake: asyncio.Event,
+        lock: PromotionLockClient,
+        promotions: PromotionService,
+        leases: LeaseKeeper,
+        rosters: RosterKeeper,
+        metrics: ManagedMetrics,
+    ) -> None:
+        self._group = group
+        self._wake = wake
+        self._lock = lock
+        self._promotions = promotions
+        self._leases = leases
+        self._rosters = rosters
+        self._metrics = metrics
+        self._supervisor = GroupSupervisor(group.topology)
+        self._running: asyncio.Task[None] | None = None
+        self._loop = asyncio.get_running_loop()
+
+    async def run(self) -> None:
+        """Look again and again, until cancelled."""
+        try:
+            await self._look_again_and_again()
+        finally:
+            if self._running is not None:
+                self._running.cancel()
+
+    async def _look_again_and_again(self) -> None:
+        while True:
+            again_after = _UNSUPERVISED_LOOK_SECONDS
+            if self._group.supervised:
+                again_after = self._look().again_after
+            try:
+                async with asyncio.timeout(again_after):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+
+    def _look(self) -> Look:
+        group = self._group
+        look = self._supervisor.look(
+            self._loop.time(),
+            group.suspects(),
+            group.oldest_write(),
+            random.random(),
+            self._rosters.known,
+        )
+        for instance in look.ask:
+            group.ask_soon(instance)
+        may_start = self._running is None or self._running.done()
+        if look.plan is not None and may_start and not self._leases.held_by_another():
+            self._running = self._loop.create_task(self._change_primary(look.plan))
+        return look
+
+    async def _change_primary(self, plan: FailoverPlan) -> None:
+        log_event(
+            "failover_started",
+            group=plan.group,
+            reason=plan.reason.value,
+            old_primary=plan.old_primary,
+            members=",".join(plan.members),
+        )
+        runner = FailoverRunner(self._group, self._lock, self._promotions, self._leases)
+        result = await runner.run(plan)
+        log_event(
+            "failover_ended",
+            group=plan.group,
+            reason=plan.reason.value,
+            outcome=result.outcome.value,
+            primary=result.primary,
+            term=result.term,
+        )
+        self._metrics.failover(plan.reason.value, result.outcome.value)
+        self._supervisor.ended(self._loop.time(), result.outcome)
+        self._group.changed()
--- a/src/orchidwind/network/codec.py
+++ b/src/orchidwind/network/codec.py
@@ -6,13 +6,8 @@
 
 from __future__ import annotations
 
-import json
-import struct
-from importlib import resources
-from io import BytesIO
 from typing import Any
 
-import fastavro
 import msgspec
 
 from orchidwind.core.membership import (
@@ -24,13 +19,14 @@
     ProbeAnswer,
     ProbeRequest,
 )
-
-LENGTH = struct.Struct("!I")
-MAXIMUM_FRAME_BYTES = 80 * 1024 * 1024
-
-
-class DecodeError(Exception):
-    """Bytes of another process that are no message of the schema."""
+from orchidwind.network.avro_records import (
+    DECODE_FAULTS,
+    DecodeError,
+    encode_frame_record,
+    encode_record,
+    load_schema,
+    read_record,
+)
 
 
 class Setting(msgspec.Struct, frozen=True):
@@ -248,26 +244,16 @@
 _MEMBER_FIELDS = ("name", "zone", "host", "peer_port", "gossip_port", "incarnation", "leaving")
 
 
-def _load_schemas() -> tuple[Any, Any]:
-    text = resources.files("orchidwind.network").joinpath("messages.avsc").read_text()
-    document = json.loads(text)
-    return fastavro.parse_schema(document["link"]), fastavro.parse_schema(document["datagram"])
-
-
-_LINK_SCHEMA, _DATAGRAM_SCHEMA = _load_schemas()
+_LINK_SCHEMA = load_schema("link")
+_DATAGRAM_SCHEMA = load_schema("datagram")
 
 
 def encode_frame(message: LinkMessage) -> bytes:
     """A link message with its length before it."""
-    buffer = BytesIO()
-    buffer.write(b"\0" * LENGTH.size)
     fields = msgspec.structs.asdict(message)
     if isinstance(message, _WITH_RECORDS):
         _flatten(fields)
-    fastavro.schemaless_writer(buffer, _LINK_SCHEMA, (type(message).__name__, fields))
-    data = buffer.getbuffer()
-    LENGTH.pack_into(data, 0, len(data) - LENGTH.size)
-    return buffer.getvalue()
+    return encode_frame_record(_LINK_SCHEMA, type(message).__name__, fields)
 
 
 def _flatten(fields: dict[str, Any]) -> None:
@@ -276,27 +262,12 @@
             fields[name] = [msgspec.structs.asdict(item) for item in fields[name]]
 
 
-def _read_record(body: bytes, schema: Any) -> tuple[str, dict[str, Any]]:
-    """The name and the fields of a record of a union."""
-    record: Any = fastavro.schemaless_reader(BytesIO(body), schema, None, return_record_name=True)
-    name, fields = record
-    return name, fields
-
-
 def decode_link(body: bytes) -> LinkMessage:
     """The message of a frame; raises DecodeError."""
     try:
-        name, fields = _read_record(body, _LINK_SCHEMA)
+        name, fields = read_record(body, _LINK_SCHEMA)
         return msgspec.convert(fields, _LINK_TYPES[name], builtin_types=(bytes,))
-    except (
-        msgspec.ValidationError,
-        EOFError,
-        ValueError,
-        IndexError,
-        KeyError,
-        TypeError,
-        OverflowError,
-    ) as error:
+    except (msgspec.ValidationError, *DECODE_FAULTS) as error:
         raise DecodeError(str(error)) from error
 
 
@@ -306,10 +277,7 @@
     fields["sender"] = _member_fields(message.sender)
     fields["configuration_version"] = message.configuration_version
     fields["updates"] = [_member_fields(member) for member in message.updates]
-    buffer = BytesIO()
-    name = _DATAGRAM_NAMES[type(message)]
-    fastavro.schemaless_writer(buffer, _DATAGRAM_SCHEMA, (name, fields))
-    return buffer.getvalue()
+    return encode_record(_DATAGRAM_SCHEMA, _DATAGRAM_NAMES[type(message)], fields)
 
 
 def _member_fields(member: Member) -> dict[str, Any]:
@@ -321,11 +289,11 @@
 def decode_datagram(body: bytes) -> MembershipMessage:
     """A membership message; raises DecodeError."""
     try:
-        name, fields = _read_record(body, _DATAGRAM_SCHEMA)
+        name, fields = read_record(body, _DATAGRAM_SCHEMA)
         fields["sender"] = _member(fields["sender"])
         fields["updates"] = tuple(_member(item) for item in fields["updates"])
         return _DATAGRAM_TYPES[name](**fields)
-    except (EOFError, ValueError, IndexError, KeyError, TypeError, OverflowError) as error:
+    except DECODE_FAULTS as error:
         raise DecodeError(str(error)) from error
 
 
--- /dev/null
+++ b/src/orchidwind/network/peer_codec.py
@@ -0,0 +1,49 @@
+"""Avro encoding of the messages between proxies for managed groups (union `peer`)."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from orchidwind.core.managed import peer_messages
+from orchidwind.core.managed.peer_messages import PeerMessage
+from orchidwind.network.avro_records import (
+    DECODE_FAULTS,
+    DecodeError,
+    FrameCutter,
+    encode_frame_record,
+    load_schema,
+    read_record,
+)
+
+__all__ = ["MAXIMUM_PEER_FRAME_BYTES", "DecodeError", "FrameCutter", "decode_peer", "encode_peer"]
+
+MAXIMUM_PEER_FRAME_BYTES = 4 * 1024 * 1024
+_TYPES: dict[str, type[PeerMessage]] = {
+    kind.__name__: kind
+    for kind in (
+        peer_messages.Greeting,
+        peer_messages.RunCommand,
+        peer_messages.CommandAnswer,
+        peer_messages.CloseChannel,
+        peer_messages.Probe,
+        peer_messages.Alive,
+    )
+}
+_SCHEMA = load_schema("peer")
+
+
+def encode_peer(message: PeerMessage) -> bytes:
+    """A frame."""
+    fields: Any = msgspec.to_builtins(message, builtin_types=(bytes,))
+    return encode_frame_record(_SCHEMA, type(message).__name__, fields)
+
+
+def decode_peer(body: bytes) -> PeerMessage:
+    """The message of a frame's body; raises DecodeError."""
+    try:
+        name, fields = read_record(body, _SCHEMA)
+        return msgspec.convert(fields, _TYPES[name], builtin_types=(bytes,))
+    except (msgspec.ValidationError, *DECODE_FAULTS) as error:
+        raise DecodeError(str(error)) from error
--- a/src/orchidwind/platform/callers.py
+++ b/src/orchidwind/platform/callers.py
@@ -79,7 +79,7 @@
 
     def _on_closed(self) -> None:
         if self._executor is not None:
-            self._executor.caller_gone = True
+            self._executor.caller_left()
 
     async def serve(self) -> None:
         """Answer message after message."""
--- /dev/null
+++ b/src/orchidwind/platform/coordination.py
@@ -0,0 +1,167 @@
+"""The product's own objects in the store: promotion lock, rosters, lead leases, members.
+
+Source: the users' page PROTOCOL.md, "The platform's metadata store".
+"""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+import msgspec
+
+from orchidwind.core.managed.homes import ProxyMember
+from orchidwind.core.managed.promotion_lock import LockRecord
+from orchidwind.core.managed.roster import Roster
+from orchidwind.managed.ports import LeaseConfirmation
+from orchidwind.platform.store import (
+    CALL_SECONDS,
+    OBJECTS,
+    KeptObject,
+    ObjectStore,
+    StoredObject,
+    decode,
+    read_all,
+)
+
+_LOCKS = "promotion-locks"
+_LOCK_NAME = "promotions"
+_LEASES = "lead-leases"
+_ROSTERS = "group-members"
+_MEMBERS = "proxies"
+
+
+class _LockSpec(msgspec.Struct):
+    holder: str = ""
+    attempt: str = ""
+    released: bool = True
+
+
+class _RosterSpec(msgspec.Struct):
+    members: list[str] = []
+
+
+class _LeaseSpec(msgspec.Struct):
+    revision: int = 0
+
+
+class _MemberSpec(msgspec.Struct):
+    zone: str
+    host: str
+    port: int
+    capacity: float = 1.0
+
+
+class LockTranslation:
+    """The promotion lock, as a collection of one."""
+
+    kind = _LOCKS
+
+    def item(self, stored: StoredObject) -> LockRecord | None:
+        """The lock's record."""
+        return _record(stored)
+
+
+class RosterTranslation:
+    """The rosters of the groups."""
+
+    kind = _ROSTERS
+
+    def item(self, stored: StoredObject) -> Roster | None:
+        """The roster of a group."""
+        return _roster(stored)
+
+
+def _roster(stored: StoredObject) -> Roster:
+    members = decode(stored.spec, _RosterSpec).members
+    return Roster(stored.meta.name, tuple(members), stored.meta.revision)
+
+
+class RosterObjects:
+    """One object for each group."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+
+    async def write(self, roster: Roster, create: bool) -> Roster:
+        """Create or replace one; raises PlatformConflict, -Uncertain, -Error."""
+        kept = KeptObject(_ROSTERS, roster.group, roster.revision, create)
+        return _roster(await self._store.keep(kept, _RosterSpec(list(roster.members))))
+
+
+class LeaseObjects:
+    """One object for each proxy that may hold a lead lease."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+        self._path = OBJECTS + _LEASES
+
+    async def confirm(self, node: str, revision: int) -> None:
+        """Write the proxy's object, whether or not it is there; raises PlatformError."""
+        await self._store.put_anyway(_LEASES, node, _LeaseSpec(revision))
+
+    async def confirmations(self) -> tuple[LeaseConfirmation, ...]:
+        """All objects; raises PlatformError."""
+        listing = await read_all(self._store, self._path)
+        return tuple(
+            LeaseConfirmation(item.meta.name, decode(item.spec, _LeaseSpec).revision)
+            for item in listing.items
+        )
+
+    async def remove(self, node: str) -> None:
+        """Delete the proxy's object; raises PlatformError."""
+        await self._store.change("DELETE", f"{self._path}/{quote(node)}", b"")
+
+
+class PromotionLockObject:
+    """The promotion lock as an object of the store."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+        self._path = f"{OBJECTS}{_LOCKS}/{_LOCK_NAME}"
+
+    async def read(self) -> LockRecord | None:
+        """The record; raises PlatformError."""
+        answer = await self._store.read(self._path, CALL_SECONDS)
+        return None if answer.status == 404 else _lock_record(answer.body)
+
+    async def write(self, record: LockRecord, create: bool) -> LockRecord:
+        """Create or replace it; raises PlatformConflict, -Uncertain, -Error."""
+        spec = _LockSpec(record.holder, record.attempt, record.released)
+        kept = KeptObject(_LOCKS, _LOCK_NAME, record.revision, create)
+        return _record(await self._store.keep(kept, spec))
+
+
+def _lock_record(body: bytes) -> LockRecord:
+    return _record(decode(body, StoredObject))
+
+
+def _record(stored: StoredObject) -> LockRecord:
+    spec = decode(stored.spec, _LockSpec)
+    return LockRecord(spec.holder, spec.attempt, spec.released, stored.meta.revision)
+
+
+class MemberTranslation:
+    """The proxies that list themselves."""
+
+    kind = _MEMBERS
+
+    def item(self, stored: StoredObject) -> ProxyMember | None:
+        """A proxy."""
+        spec = decode(stored.spec, _MemberSpec)
+        return ProxyMember(stored.meta.name, spec.zone, spec.host, spec.port, spec.capacity)
+
+
+class MemberObjects:
+    """One object for each proxy."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+
+    async def write(self, member: ProxyMember) -> None:
+        """Write a proxy's object, whether or not it is there; raises PlatformError."""
+        spec = _MemberSpec(member.zone, member.host, member.port, member.capacity)
+        await self._store.put_anyway(_MEMBERS, member.name, spec)
+
+    async def remove(self, name: str) -> None:
+        """Delete a proxy's object; raises PlatformError."""
+        await self._store.change("DELETE", f"{OBJECTS}{_MEMBERS}/{quote(name)}", b"")
--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -14,28 +14,29 @@
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
 from orchidwind.core.errors import SettingsError
+from orchidwind.core.managed.homes import ProxyMember
 from orchidwind.logs import configure_logging, log_event
 from orchidwind.managed.node import ManagedNode, NodePorts
-from orchidwind.managed.sessions import SessionRegistry
+from orchidwind.network.peer_streams import PeerListener, PeerStreamConnector
 from orchidwind.platform.callers import CallerListener
+from orchidwind.platform.coordination import (
+    LeaseObjects,
+    LockTranslation,
+    MemberObjects,
+    MemberTranslation,
+    PromotionLockObject,
+    RosterObjects,
+    RosterTranslation,
+)
 from orchidwind.platform.instances import LineConnector
 from orchidwind.platform.promotions import PromotionCall
+from orchidwind.platform.published import ConfigurationTranslation, InstanceTranslation
 from orchidwind.platform.settings import (
     SETTINGS_VARIABLE,
     PlatformSettings,
     load_platform_settings,
 )
-from orchidwind.platform.store import (
-    ConfigurationTranslation,
-    InstanceTranslation,
-    LeaseObjects,
-    LockTranslation,
-    ObjectStore,
-    PromotionLockObject,
-    RosterObjects,
-    RosterTranslation,
-    WatchedKind,
-)
+from orchidwind.platform.store import ObjectStore, WatchedKind
 from orchidwind.settings import parse_address
 
 READY_PATH = "/orchidwind/ready"
@@ -51,9 +52,9 @@
     def __init__(self, path: Path) -> None:
         self._path = path
         self._settings = load_platform_settings(path)
-        self._registry = SessionRegistry()
         self._stop = asyncio.Event()
         self._node = _node(self._settings)
+        self._registry = self._node.registry
 
     async def run(self) -> None:
         """Serve until SIGTERM, then drain."""
@@ -66,12 +67,18 @@
         callers = CallerListener(self._node, self._registry)
         host, port = parse_address(settings.listen.front)
         callers.listen(port, host, backlog=_BACKLOG)
+        links = PeerListener(self._node.peer_service)
+        host, port = parse_address(settings.listen.control)
+        links.listen(port, host, backlog=_BACKLOG)
         self._listen_http(parse_address(settings.listen.ready))
         self._listen_http((settings.ip, settings.internal_port_range[0]))
         log_event("started", zone=settings.zone, callers=settings.listen.front)
         await self._stop.wait()
+        self._node.peer_service.leave()
         await self._registry.drain(settings.bounds.grace_s)
         callers.stop()
+        links.stop()
+        links.close_links()
         await self._node.leases.leave()
         self._node.close()
         log_event("stopped")
@@ -120,10 +127,20 @@
         leases=LeaseObjects(store),
         roster_source=WatchedKind(store, RosterTranslation()),
         roster_store=RosterObjects(store),
+        member_source=WatchedKind(store, MemberTranslation()),
+        member_store=MemberObjects(store),
+        peers=PeerStreamConnector(),
         promotions=PromotionCall(parse_address(settings.cloud_api.address), settings.node_name),
     )
     entry_outlives = settings.heartbeat_ms * _SILENT_HEARTBEATS / 1000.0
-    return ManagedNode(settings.node_name, settings.zone, ports, entry_outlives)
+    return ManagedNode(_own_member(settings), ports, entry_outlives)
+
+
+def _own_member(settings: PlatformSettings) -> ProxyMember:
+    """This proxy as the others list it."""
+    host, port = parse_address(settings.listen.control)
+    capacity = settings.limits.cpu_share * settings.limits.cpu_cores
+    return ProxyMember(settings.node_name, settings.zone, host, port, capacity)
 
 
 async def _run(path: Path) -> None:
--- a/src/orchidwind/platform/settings.py
+++ b/src/orchidwind/platform/settings.py
@@ -14,10 +14,18 @@
 
 
 class ListenAddresses(msgspec.Struct, frozen=True):
-    """Where the platform's callers and probes come to, as HOST:PORT."""
+    """Where callers, probes and the other proxies come to, as HOST:PORT."""
 
     front: str
     ready: str
+    control: str
+
+
+class MachineLimits(msgspec.Struct, frozen=True):
+    """What the machine gives this process: a share of a core that is so many times as fast."""
+
+    cpu_share: float = 1.0
+    cpu_cores: float = 1.0
 
 
 class Bounds(msgspec.Struct, frozen=True):
@@ -43,6 +51,7 @@
     platform: ServiceAddress
     cloud_api: ServiceAddress
     bounds: Bounds = Bounds()
+    limits: MachineLimits = MachineLimits()
     heartbeat_ms: float = 1200.0
 
 
@@ -60,6 +69,7 @@
     addresses = {
         "listen.front": settings.listen.front,
         "listen.ready": settings.listen.ready,
+        "listen.control": settings.listen.control,
         "platform.address": settings.platform.address,
         "cloud_api.address": settings.cloud_api.address,
     }
--- /dev/null
+++ b/src/orchidwind_bench/managed/peers.py
@@ -0,0 +1,98 @@
+"""Links between the proxies of the simulated world."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+from orchidwind.core.errors import PeerUnavailable
+from orchidwind.core.managed.homes import ProxyMember
+from orchidwind.core.managed.peer_messages import PeerMessage
+from orchidwind.managed.node import ManagedNode
+from orchidwind.managed.peer_service import ServedLink
+from orchidwind_bench.managed.world import LATENCY_SECONDS, World
+
+
+class SimulatedLinks:
+    """All links that are open; the proxies come and go."""
+
+    def __init__(self, world: World, nodes: Mapping[str, ManagedNode]) -> None:
+        self.world = world
+        self.nodes = nodes
+        self.links: set[SimulatedPeerLink] = set()
+
+    def break_off(self, node: str) -> None:
+        """A proxy has ended: its links break."""
+        for link in list(self.links):
+            if node in (link.front, link.home):
+                link.end("the other proxy has ended")
+
+
+class SimulatedPeerLink:
+    """One link; messages arrive in order, and are swallowed by a cut."""
+
+    def __init__(
+        self,
+        links: SimulatedLinks,
+        front: str,
+        home: str,
+        on_message: Callable[[PeerMessage], None],
+        on_lost: Callable[[str], None],
+    ) -> None:
+        self.front = front
+        self.home = home
+        self._links = links
+        self._on_message = on_message
+        self._on_lost = on_lost
+        self._service = links.nodes[home].peer_service
+        self._served: ServedLink = self._service.link(self._send_back)
+        self._open = True
+        links.links.add(self)
+
+    def send(self, message: PeerMessage) -> None:
+        """From the front to the home."""
+        self._carry(self.front, self.home, lambda: self._served.take(message))
+
+    def _send_back(self, message: PeerMessage) -> None:
+        self._carry(self.home, self.front, lambda: self._on_message(message))
+
+    def _carry(self, sender: str, receiver: str, deliver: Callable[[], None]) -> None:
+        def arrive() -> None:
+            if self._open and self._links.world.network.passes(sender, receiver):
+                deliver()
+
+        asyncio.get_running_loop().call_later(LATENCY_SECONDS, arrive)
+
+    def close(self) -> None:
+        """The front gives the link up."""
+        self.end("closed")
+
+    def end(self, reason: str) -> None:
+        """The link has ended for both sides."""
+        if not self._open:
+            return
+        self._open = False
+        self._links.links.discard(self)
+        self._service.ended(self._served)
+        self._on_lost(reason)
+
+
+class SimulatedPeerConnector:
+    """Opens links of one proxy."""
+
+    def __init__(self, links: SimulatedLinks, node: str) -> None:
+        self._links = links
+        self._node = node
+
+    async def connect(
+        self,
+        member: ProxyMember,
+        on_message: Callable[[PeerMessage], None],
+        on_lost: Callable[[str], None],
+    ) -> SimulatedPeerLink:
+        """Open a link; hangs where the way is cut."""
+        await self._links.world.network.travel(self._node, member.name)
+        await self._links.world.network.travel(member.name, self._node)
+        if member.name not in self._links.nodes:
+            raise PeerUnavailable("no such proxy", sent=False)
+        return SimulatedPeerLink(self._links, self._node, member.name, on_message, on_lost)
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,246 @@
+"""More proxies than an instance's connections: some forward to the homes of their group."""
+
+import asyncio
+
+import pytest
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from orchidwind.core.errors import ErrorKind, RequestError
+from orchidwind.core.managed.commands import Command, CommandKind
+from orchidwind.core.managed.peer_loss import after_lost_home
+from orchidwind.core.managed.session import ManagedSession, OpenTransaction
+from orchidwind.managed.executor import SessionExecutor
+from orchidwind_bench.managed.callers import ManagedSystem
+from orchidwind_bench.managed.virtual_time import run_virtual
+from orchidwind_bench.managed.world import GROUP
+
+PROXIES = tuple(f"proxy-{letter}" for letter in "abcdef")
+LIMIT = 12
+
+
+def play(seed, faults, seconds=6.0, callers_a_node=3):
+    async def work():
+        system = ManagedSystem(seed, connection_limit=LIMIT, proxies=PROXIES)
+        loop = asyncio.get_running_loop()
+        for at, fault in faults:
+            loop.call_later(at, fault, system)
+        await system.run(seconds, callers_a_node)
+        return system
+
+    return run_virtual(work())
+
+
+def homes(system):
+    views = [node.homes.placement(GROUP) for node in system.nodes.values() if node.homes.known]
+    placed = max(views, key=lambda view: len(view.homes))
+    return [member.name for member in placed.homes]
+
+
+def front_of(system):
+    return next(name for name in PROXIES if name not in homes(system))
+
+
+def test_a_calm_day_through_few_homes_serves_everything():
+    system = play(1, [])
+    assert system.world.history.broken == []
+    assert len(homes(system)) == 2
+    refused = [a for a in system.tally.attempts if a.error and a.error.value != "transaction_lost"]
+    assert refused == []
+    assert system.tally.reads_failed == 0
+    assert len(system.tally.attempts) > 200
+
+
+def test_instances_see_connections_of_homes_only():
+    system = play(2, [])
+    for instance in system.group.instances.values():
+        assert {link.node for link in instance.links} <= set(homes(system))
+
+
+def kill_a_home(system):
+    system.restart_proxy(homes(system)[0])
+
+
+def test_a_home_that_is_killed_is_replaced_by_another():
+    system = play(3, [(2.0, kill_a_home), (3.0, kill_a_home)])
+    assert system.world.history.broken == []
+    times = [time for time in system.tally.write_times if time > 2.05]
+    assert times[0] < 2.6
+
+
+def cut_fronts_from_a_home(system):
+    home = homes(system)[0]
+    for name in PROXIES:
+        if name != home:
+            system.world.network.cut(name, home)
+
+
+def test_a_home_that_goes_silent_is_left():
+    system = play(4, [(2.0, cut_fronts_from_a_home)], 8.0, callers_a_node=1)
+    assert system.world.history.broken == []
+    later = [a for a in system.tally.attempts if a.ended_at > 3.0]
+    failed = [a for a in later if a.error and a.error is not ErrorKind.TRANSACTION_LOST]
+    assert failed == []
+    assert len(later) > 100
+
+
+def test_a_crashed_primary_is_replaced_by_the_homes():
+    system = play(5, [(2.0, lambda system: system.group.primary().crash())])
+    assert system.world.history.broken == []
+    assert len(system.world.history.promotions) == 1
+
+
+def test_without_homes_a_proxy_serves_by_itself():
+    def cut_off(system):
+        front = front_of(system)
+        for home in homes(system):
+            system.world.network.cut(front, home)
+
+    system = play(6, [(2.0, cut_off)], 8.0)
+    assert system.world.history.broken == []
+    front = front_of(system)
+    assert any(
+        link.node == front for item in system.group.instances.values() for link in item.links
+    )
+
+
+def with_front(scenario):
+    async def work():
+        system = ManagedSystem(7, connection_limit=LIMIT, proxies=PROXIES)
+        shipping = asyncio.get_running_loop().create_task(system.group.keep_shipping())
+        for node in system.nodes.values():
+            assert await node.wait_prepared(5.0)
+        await asyncio.sleep(1.0)
+        node = system.nodes[front_of(system)]
+        await scenario(system, SessionExecutor(node, "latest"))
+        shipping.cancel()
+
+    run_virtual(work())
+
+
+def command(kind, text, request_id="q1", **more):
+    return Command(request_id, kind, text, **more)
+
+
+def test_settings_prepared_statements_and_floors_go_along():
+    async def scenario(system, executor):
+        await executor.execute(command(CommandKind.SET, "SET a 1", name="a", argument="1"))
+        prepare = command(
+            CommandKind.PREPARE, "PREPARE s WRITE q", name="s", writes=True, shape="q"
+        )
+        await executor.execute(prepare)
+        execute = command(CommandKind.EXECUTE, "EXECUTE s x y", "w1", name="s", argument="x y")
+        result = await executor.execute(execute)
+        assert result.signature.endswith("-w1")
+        assert executor.session.floor == system.group.primary().position
+
+    with_front(scenario)
+
+
+def test_a_transaction_whose_home_is_lost_is_told_so():
+    async def scenario(system, executor):
+        await executor.execute(command(CommandKind.BEGIN, "BEGIN"))
+        await executor.execute(command(CommandKind.WRITE, "WRITE x y", "w1"))
+        holder = next(name for name in PROXIES if system.nodes[name].registry.sessions)
+        assert holder in homes(system)
+        system.restart_proxy(holder)
+        with pytest.raises(RequestError) as caught:
+            await executor.execute(command(CommandKind.WRITE, "WRITE x z", "w2"))
+        assert caught.value.kind is ErrorKind.TRANSACTION_LOST
+        await executor.execute(command(CommandKind.ROLLBACK, "ROLLBACK"))
+        assert system.group.primary().log == []
+
+    with_front(scenario)
+
+
+def test_a_caller_that_leaves_has_its_transaction_rolled_back_at_the_home():
+    async def scenario(system, executor):
+        await executor.execute(command(CommandKind.BEGIN, "BEGIN"))
+        await executor.execute(command(CommandKind.WRITE, "WRITE x y", "w1"))
+        executor.close()
+        await asyncio.sleep(0.1)
+        busy = [node.groups[GROUP].connections.busy for node in system.nodes.values()]
+        assert sum(busy) == 0
+        assert all(not node.registry.sessions for node in system.nodes.values())
+
+    with_front(scenario)
+
+
+def test_a_leaving_home_gets_nothing_new_and_ends_what_is_open():
+    async def scenario(system, executor):
+        await executor.execute(command(CommandKind.BEGIN, "BEGIN"))
+        await executor.execute(command(CommandKind.WRITE, "WRITE x y", "w1"))
+        holder = next(name for name in homes(system) if system.nodes[name].registry.sessions)
+        system.nodes[holder].peer_service.leave()
+        await asyncio.sleep(0.05)
+        await executor.execute(command(CommandKind.COMMIT, "COMMIT", "c1"))
+        await executor.execute(command(CommandKind.WRITE, "WRITE x z", "w2"))
+        link = executor._databases.homes.home_link(GROUP)
+        assert link is None or link.member.name != holder
+        assert len(system.group.primary().log) == 2
+
+    with_front(scenario)
+
+
+@pytest.mark.parametrize(
+    ("kind", "in_transaction", "wrote", "opened", "sent", "told"),
+    [
+        (CommandKind.READ, False, False, False, True, None),
+        (CommandKind.WRITE, False, False, False, False, None),
+        (CommandKind.WRITE, False, False, False, True, ErrorKind.OUTCOME_UNKNOWN),
+        (CommandKind.WRITE, True, True, False, False, None),
+        (CommandKind.WRITE, True, True, False, True, ErrorKind.TRANSACTION_LOST),
+        (CommandKind.READ, True, True, True, False, ErrorKind.TRANSACTION_LOST),
+        (CommandKind.COMMIT, True, True, True, False, ErrorKind.TRANSACTION_LOST),
+        (CommandKind.COMMIT, True, True, True, True, ErrorKind.OUTCOME_UNKNOWN),
+        (CommandKind.COMMIT, True, False, True, True, ErrorKind.READ_INTERRUPTED),
+    ],
+)
+def test_what_a_lost_home_means(kind, in_transaction, wrote, opened, sent, told):
+    session = ManagedSession()
+    if in_transaction:
+        session.transaction = OpenTransaction(None, False, wrote=wrote)
+    error = after_lost_home(session, command(kind, ""), opened, sent)
+    assert (error.kind if error else None) is told
+
+
+FAULTS = {
+    "kill_home": kill_a_home,
+    "kill_any": lambda system: system.restart_proxy(system.world.random.choice(PROXIES)),
+    "cut": lambda system: system.world.network.cut(*system.world.random.sample(PROXIES, 2)),
+    "crash_primary": lambda system: system.group.primary().crash(),
+    "restart": lambda system: [
+        item.restart() for item in system.group.instances.values() if not item.alive
+    ],
+    "heal": lambda system: system.world.network.heal(),
+}
+schedules = st.lists(
+    st.tuples(st.floats(0.8, 5.0), st.sampled_from(sorted(FAULTS))), min_size=1, max_size=6
+)
+
+
+@settings(max_examples=10, phases=[Phase.generate])
+@given(st.integers(0, 10**6), schedules)
+def test_promises_hold_through_homes_under_random_faults(seed, schedule):
+    faults = [(at, FAULTS[name]) for at, name in schedule]
+    faults += [(5.2, FAULTS["heal"]), (5.2, FAULTS["restart"])]
+    system = play(seed, faults, 7.0)
+    assert system.world.history.broken == []
+
+
+@pytest.mark.parametrize("text", ["READ x", "WRITE x y"])
+def test_a_proxy_that_has_stopped_refuses_what_comes_late(text):
+    async def work():
+        system = ManagedSystem(8)
+        node = system.nodes["proxy-a"]
+        assert await node.wait_prepared(5.0)
+        await asyncio.sleep(1.0)
+        executor = SessionExecutor(node, "latest")
+        kind = CommandKind.READ if text.startswith("READ") else CommandKind.WRITE
+        await executor.execute(command(kind, text, "q1"))
+        node.close()
+        with pytest.raises(RequestError) as caught:
+            await executor.execute(command(kind, text, "q2"))
+        assert caught.value.kind is ErrorKind.PROXY_STOPPING
+
+    run_virtual(work())
