--- a/src/orchidwind/managed/peer_link.py
+++ b/src/orchidwind/managed/peer_link.py
@@ -93,13 +93,14 @@
             opened.send(Greeting(self._own))
             self._connection = opened
             self._heard_at = self._loop.time()
-            self._pause = _FIRST_PAUSE_SECONDS
-            self.lost_since = None
             log_event("home_connected", home=self.member.name)
             return opened
 
     def _take(self, message: PeerMessage) -> None:
         self._heard_at = self._loop.time()
+        # One that takes links but never answers must not be tried at every command.
+        self._pause = _FIRST_PAUSE_SECONDS
+        self.lost_since = None
         if isinstance(message, CommandAnswer):
             waiting = self._pending.get(message.number)
             if waiting is not None and not waiting.done():
--- a/src/orchidwind/network/avro_records.py
+++ b/src/orchidwind/network/avro_records.py
@@ -46,7 +46,9 @@
 
 def read_record(body: bytes, schema: Any) -> tuple[str, Fields]:
     """The name and the fields of a record of a union; raises one of DECODE_FAULTS."""
-    record: Any = fastavro.schemaless_reader(BytesIO(body), schema, None, return_record_name=True)
+    record: Any = fastavro.schemaless_reader(
+        BytesIO(body), schema, None, return_record_name=True, return_record_name_override=True
+    )
     name, fields = record
     return name, fields
 
--- /dev/null
+++ b/tests/test_peer_streams.py
@@ -0,0 +1,158 @@
+"""Links between proxies: their messages as bytes, and on real sockets."""
+
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from orchidwind.core.managed import peer_messages
+from orchidwind.core.managed.commands import PreparedStatement
+from orchidwind.core.managed.homes import ProxyMember
+from orchidwind.core.managed.peer_messages import (
+    Alive,
+    CloseChannel,
+    CommandAnswer,
+    Greeting,
+    Probe,
+    RunCommand,
+    SettingValue,
+)
+from orchidwind.core.positions import Position
+from orchidwind.managed.peer_service import PeerService
+from orchidwind.managed.sessions import SessionRegistry
+from orchidwind.network.peer_codec import DecodeError, FrameCutter, decode_peer, encode_peer
+from orchidwind.network.peer_streams import PeerListener, PeerStreamConnector
+from orchidwind_bench.processes import free_ports
+
+numbers = st.integers(0, 2**62)
+texts = st.text(max_size=30)
+positions = st.none() | st.builds(Position, numbers, numbers)
+messages = st.one_of(
+    st.builds(Greeting, texts),
+    st.builds(
+        RunCommand,
+        number=numbers,
+        channel=numbers,
+        group=texts,
+        database=texts,
+        consistency=texts,
+        staleness=st.floats(0, 100),
+        priority=st.integers(0, 9),
+        timeout=st.floats(0, 100),
+        kind=texts,
+        request_id=texts,
+        text=texts,
+        argument=texts,
+        prepared=st.none() | st.builds(PreparedStatement, st.booleans(), texts),
+        settings=st.lists(st.builds(SettingValue, texts, texts), max_size=3).map(tuple),
+        floor=positions,
+        transaction=texts,
+        read_only=st.booleans(),
+        remaining=st.floats(-1, 100),
+        hold=st.floats(-1, 100),
+    ),
+    st.builds(
+        CommandAnswer,
+        number=numbers,
+        error=texts,
+        message=texts,
+        retry_after_milliseconds=st.none() | st.integers(0, 10**6),
+        rows=st.lists(texts, max_size=3).map(tuple),
+        signature=texts,
+        floor=positions,
+        sent_to=texts,
+        attempts=texts,
+    ),
+    st.builds(CloseChannel, numbers),
+    st.just(Probe()),
+    st.builds(Alive, st.booleans()),
+)
+
+
+@given(st.lists(messages, max_size=5), st.integers(1, 40))
+def test_messages_survive_any_cut_of_the_stream(sent, step):
+    data = b"".join(encode_peer(message) for message in sent)
+    frames = FrameCutter()
+    got = []
+    for start in range(0, len(data), step):
+        frames.feed(data[start : start + step])
+        while (body := frames.next_body()) is not None:
+            got.append(decode_peer(body))
+    assert got == sent
+
+
+@given(st.binary(max_size=60))
+def test_garbage_is_refused(data):
+    try:
+        message = decode_peer(data)
+    except DecodeError:
+        return
+    assert isinstance(message, peer_messages.PeerMessage)
+
+
+def test_a_frame_beyond_the_limit_is_refused():
+    frames = FrameCutter(maximum=100)
+    frames.feed(b"\0\0\1\0")
+    with pytest.raises(DecodeError):
+        frames.next_body()
+
+
+def with_listener(scenario):
+    async def work():
+        port = free_ports(1)[0]
+        listener = PeerListener(PeerService(lambda group: None, SessionRegistry()))
+        listener.listen(port, "127.0.0.1")
+        got, lost = asyncio.Queue(), asyncio.Queue()
+        member = ProxyMember("home", "z", "127.0.0.1", port)
+        connection = await PeerStreamConnector().connect(member, got.put_nowait, lost.put_nowait)
+        async with asyncio.timeout(5):
+            await scenario(listener, connection, got, lost)
+        connection.close()
+        listener.stop()
+        listener.close_links()
+
+    asyncio.run(work())
+
+
+def test_a_probe_is_answered_and_a_link_stays():
+    async def scenario(listener, connection, got, lost):
+        connection.send(Greeting("front"))
+        for _ in range(3):
+            connection.send(Probe())
+            assert await got.get() == Alive(False)
+        assert lost.empty()
+
+    with_listener(scenario)
+
+
+def test_a_link_that_is_cut_is_told():
+    async def scenario(listener, connection, got, lost):
+        connection.send(Probe())
+        await got.get()
+        listener.close_links()
+        assert await lost.get()
+
+    with_listener(scenario)
+
+
+def test_what_the_other_side_gave_up_is_not_carried_out():
+    """After a freeze a home reads what is long out of date; its sender has gone by then."""
+
+    async def scenario(listener, connection, got, lost):
+        connection.send(Probe())
+        await got.get()
+        taken = []
+        served = next(iter(listener._service._links))
+        served.take = taken.append
+        stream = next(iter(listener._streams))
+        stream._stream._handle_read, handle = (lambda: None), stream._stream._handle_read
+        connection.send(Probe())
+        await asyncio.sleep(0.05)
+        connection._stream.socket.shutdown(1)
+        await asyncio.sleep(0.05)
+        stream._stream._handle_read = handle
+        await asyncio.sleep(0.05)
+        assert taken == []
+
+    with_listener(scenario)
