--- a/src/orchidwind/core/managed/lead_lease.py
+++ b/src/orchidwind/core/managed/lead_lease.py
@@ -6,6 +6,9 @@
 its lease, or until all leases have run out. So for `LEASE_SECONDS` after the sending no new
 primary can lead, and answers of the known primary need no further proof.
 
+One reading of the lock serves several proxies: one reads it from the store, the others ask that
+one. What they are told is as old as the reading, so the lease runs out at the same time.
+
 Weighed: a status query of a replica for each such read (works without the store, and is what is
 done without a lease), and leases granted by peers (needs a majority, and any number of machines
 may be lost at once).
@@ -13,14 +16,41 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from orchidwind.core.managed.promotion_lock import LockRecord
 
 LEASE_SECONDS = 1.0
-REFRESH_SECONDS = 0.75
+# A lease is renewed this long before it runs out.
+RENEWAL_MARGIN_SECONDS = 0.25
 # Steady clocks of two machines run at slightly different rates.
 REVOCATION_WAIT_SECONDS = 1.1
 
 
+@dataclass(frozen=True, slots=True)
+class LockReading:
+    """What a read of the lock showed; `sent_at` is when its call was sent, or earlier."""
+
+    sent_at: float
+    revision: int
+    free: bool
+
+    @classmethod
+    def of(cls, sent_at: float, record: LockRecord | None) -> LockReading:
+        """The reading of a record; without one the lock was never taken."""
+        if record is None:
+            return cls(sent_at, 0, free=True)
+        return cls(sent_at, record.revision, record.released)
+
+    @classmethod
+    def told(cls, asked_at: float, age: float, revision: int, free: bool) -> LockReading:
+        """Another proxy's reading, which was `age` seconds old when it answered.
+
+        It answered after it was asked, so its call was sent no earlier than `age` before that.
+        """
+        return cls(asked_at - age, revision, free)
+
+
 class LeadLease:
     """What one proxy may rely on. Times are in seconds of its steady clock."""
 
@@ -41,15 +71,23 @@
         """Whether no change of primary had taken effect at a time."""
         return at <= self._covered_until
 
+    @property
+    def covered_until(self) -> float:
+        """Until when no change of primary can take effect."""
+        return self._covered_until
+
     def lock_read(self, sent_at: float, record: LockRecord | None) -> None:
         """The lock was read by a call that was sent at a time."""
-        revision = 0 if record is None else record.revision
-        if revision < self._newest_revision:
+        self.lock_seen(LockReading.of(sent_at, record))
+
+    def lock_seen(self, reading: LockReading) -> None:
+        """The lock was read, by this proxy or by another that told of it."""
+        if reading.revision < self._newest_revision:
             return
-        self._newest_revision = revision
-        if record is None or record.released:
+        self._newest_revision = reading.revision
+        if reading.free:
             self._free = True
-            self._covered_until = max(self._covered_until, sent_at + LEASE_SECONDS)
+            self._covered_until = max(self._covered_until, reading.sent_at + LEASE_SECONDS)
         else:
             self.drop()
 
--- a/src/orchidwind/core/managed/peer_messages.py
+++ b/src/orchidwind/core/managed/peer_messages.py
@@ -85,4 +85,25 @@
     leaving: bool
 
 
-PeerMessage = Greeting | RunCommand | CommandAnswer | CloseChannel | Probe | Alive
+class LockQuery(msgspec.Struct, frozen=True):
+    """Asks the proxy that reads the promotion lock for others."""
+
+    number: int
+
+
+class LockReport(msgspec.Struct, frozen=True):
+    """The lock's revision and whether it was free, by a read sent `age` seconds before this.
+
+    Without `known` the store did not answer.
+    """
+
+    number: int
+    known: bool
+    age: float
+    revision: int
+    free: bool
+
+
+PeerMessage = (
+    Greeting | RunCommand | CommandAnswer | CloseChannel | Probe | Alive | LockQuery | LockReport
+)
--- a/src/orchidwind/managed/lead_lease.py
+++ b/src/orchidwind/managed/lead_lease.py
@@ -3,25 +3,45 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
-from orchidwind.core.errors import PlatformError
+from orchidwind.core.errors import PeerUnavailable, PlatformError
 from orchidwind.core.managed.lead_lease import (
-    REFRESH_SECONDS,
+    RENEWAL_MARGIN_SECONDS,
     REVOCATION_WAIT_SECONDS,
     LeadLease,
+    LockReading,
 )
+from orchidwind.core.managed.peer_messages import LockReport
 from orchidwind.core.managed.promotion_lock import TAKE_OVER_SECONDS, LockRecord
 from orchidwind.logs import log_event
+from orchidwind.managed.peer_link import PeerLink
 from orchidwind.managed.ports import Changes, LeaseRegistry, Listing, PromotionLockStore
 
 _RETRY_SECONDS = 0.25
 _ASK_AGAIN_SECONDS = 0.025
+_SHORTEST_RENEWAL_SECONDS = 0.1
+_WITHOUT_LEASE_SECONDS = 0.75
+# A reading older than this is not passed on: too little of the lease is left.
+_OLDEST_REPORT_SECONDS = 0.5
+_REPORT_SECONDS = 0.1
 
 
 class LeaseKeeper:
     """One proxy's lease, while requests want it."""
 
-    def __init__(self, node: str, lock_store: PromotionLockStore, registry: LeaseRegistry) -> None:
+    def __init__(
+        self,
+        node: str,
+        lock_store: PromotionLockStore,
+        registry: LeaseRegistry,
+        reader: Callable[[], PeerLink | None] = lambda: None,
+    ) -> None:
+        """`reader` gives the link to the proxy that reads the lock for others; None: this one."""
+        self._reader = reader
+        self._reading: LockReading | None = None
+        self._read_again = asyncio.Lock()
+        self._released = asyncio.Event()
         self.lease = LeadLease()
         self.holder = ""
         self._held_since = 0.0
@@ -56,8 +76,21 @@
         while True:
             await self._wanted.wait()
             self._wanted.clear()
-            await self._refresh()
-            await asyncio.sleep(REFRESH_SECONDS)
+            await self._renew()
+            await self._rest()
+
+    async def _rest(self) -> None:
+        """Wait until the lease is due, or another change of primary is over."""
+        self._released.clear()
+        left = self.lease.covered_until - self._loop.time() - RENEWAL_MARGIN_SECONDS
+        due = max(left, _SHORTEST_RENEWAL_SECONDS)
+        try:
+            async with asyncio.timeout(
+                due if self.lease.free_revision is not None else _WITHOUT_LEASE_SECONDS
+            ):
+                await self._released.wait()
+        except TimeoutError:
+            return
 
     async def _register(self) -> bool:
         """Others wait for this proxy from now on, so its lease may count."""
@@ -69,13 +102,48 @@
         self._registered = True
         return True
 
-    async def _refresh(self) -> None:
+    async def _renew(self) -> None:
+        reading = await self._told_reading()
+        if reading is None:
+            reading = await self._own_reading()
+        if reading is not None:
+            self.lease.lock_seen(reading)
+
+    async def _told_reading(self) -> LockReading | None:
+        """What the proxy that reads the lock tells, None where that is of no use."""
+        link = self._reader()
+        if link is None:
+            return None
+        asked_at = self._loop.time()
+        try:
+            async with asyncio.timeout(_REPORT_SECONDS):
+                report = await link.ask_lock()
+        except (PeerUnavailable, TimeoutError):
+            return None
+        if not report.known or report.age > _OLDEST_REPORT_SECONDS:
+            return None
+        return LockReading.told(asked_at, report.age, report.revision, report.free)
+
+    async def _own_reading(self) -> LockReading | None:
+        """Read the lock from the store, None where it does not answer."""
         sent_at = self._loop.time()
         try:
             record = await self._lock_store.read()
         except PlatformError:
-            return
-        self.lease.lock_read(sent_at, record)
+            return None
+        self._reading = LockReading.of(sent_at, record)
+        return self._reading
+
+    async def report(self, number: int) -> LockReport:
+        """Another proxy asks what the lock is: one reading serves all that ask meanwhile."""
+        async with self._read_again:
+            reading = self._reading
+            if reading is None or self._loop.time() - reading.sent_at > _OLDEST_REPORT_SECONDS:
+                reading = await self._own_reading()
+        if reading is None:
+            return LockReport(number, known=False, age=0.0, revision=0, free=False)
+        age = self._loop.time() - reading.sent_at
+        return LockReport(number, known=True, age=age, revision=reading.revision, free=reading.free)
 
     def held_by_another(self) -> bool:
         """Whether another proxy is known to hold the promotion lock, not for too long yet."""
@@ -99,6 +167,7 @@
         self.holder = "" if record.released else record.holder
         self._held_since = self._loop.time()
         if record.released:
+            self._released.set()
             return
         self.lease.lock_taken(record.revision)
         if record.holder != self._node:
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -46,6 +46,7 @@
 from orchidwind.managed.watch import CollectionWatch
 
 _FORGET_SECONDS = 5.0
+_GATHER_MEMBERS_SECONDS = 0.6
 _LOGGED_SUCCESSES = 200
 _TRIM_SECONDS = 1.5
 _FIGURES_SECONDS = 10.0
@@ -90,13 +91,13 @@
         self._directory: dict[str, DirectoryEntry] = {}
         self._directory_listed = False
         self._lock = PromotionLockClient(name, ports.lock_store)
-        self.leases = LeaseKeeper(name, ports.lock_store, ports.leases)
         self.rosters = RosterKeeper(self.groups, ports.roster_store)
         self.registry = SessionRegistry()
         self.homes = PeerNetwork(
             own, ports.peers, ports.member_store, self._connection_limit, self._homes_changed
         )
-        self.peer_service = PeerService(self.group, self.registry)
+        self.leases = LeaseKeeper(name, ports.lock_store, ports.leases, self.homes.lock_reader)
+        self.peer_service = PeerService(self.group, self.registry, self.leases.report)
         self._coordinating = False
         self._tasks: list[asyncio.Task[None]] = []
         self._prepared = asyncio.Event()
@@ -108,7 +109,9 @@
         configuration = CollectionWatch(
             "configuration", self._ports.configuration, _ConfigurationFollower(self)
         )
-        members = CollectionWatch("members", self._ports.member_source, self.homes)
+        members = CollectionWatch(
+            "members", self._ports.member_source, self.homes, _GATHER_MEMBERS_SECONDS
+        )
         self._spawn(directory.run)
         self._spawn(self.homes.keep_own)
         self._spawn(members.run)
--- a/src/orchidwind/managed/peer_link.py
+++ b/src/orchidwind/managed/peer_link.py
@@ -11,6 +11,8 @@
     Alive,
     CommandAnswer,
     Greeting,
+    LockQuery,
+    LockReport,
     PeerMessage,
     Probe,
     RunCommand,
@@ -26,6 +28,9 @@
 _LONGEST_PAUSE_SECONDS = 4.0
 
 
+Answer = CommandAnswer | LockReport
+
+
 class PeerLink:
     """One link, opened when it is first needed."""
 
@@ -38,7 +43,7 @@
         self._loop = asyncio.get_running_loop()
         self._connection: PeerConnection | None = None
         self._connecting = asyncio.Lock()
-        self._pending: dict[int, asyncio.Future[CommandAnswer]] = {}
+        self._pending: dict[int, asyncio.Future[Answer]] = {}
         self._numbers = count(1)
         self._heard_at = 0.0
         self._asked_at = 0.0
@@ -56,8 +61,19 @@
 
     async def ask(self, message: RunCommand) -> CommandAnswer:
         """Send a command and wait for its answer; raises PeerUnavailable."""
+        answer = await self._ask(message)
+        assert isinstance(answer, CommandAnswer)
+        return answer
+
+    async def ask_lock(self) -> LockReport:
+        """Ask what the promotion lock is; raises PeerUnavailable."""
+        answer = await self._ask(LockQuery(self.next_number()))
+        assert isinstance(answer, LockReport)
+        return answer
+
+    async def _ask(self, message: RunCommand | LockQuery) -> Answer:
         connection = await self._open()
-        answered: asyncio.Future[CommandAnswer] = self._loop.create_future()
+        answered: asyncio.Future[Answer] = self._loop.create_future()
         if not self._pending:
             self._asked_at = self._loop.time()
         self._pending[message.number] = answered
@@ -101,7 +117,7 @@
         # One that takes links but never answers must not be tried at every command.
         self._pause = _FIRST_PAUSE_SECONDS
         self.lost_since = None
-        if isinstance(message, CommandAnswer):
+        if isinstance(message, Answer):
             waiting = self._pending.get(message.number)
             if waiting is not None and not waiting.done():
                 waiting.set_result(message)
--- a/src/orchidwind/managed/peer_service.py
+++ b/src/orchidwind/managed/peer_service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from orchidwind.core.errors import ErrorKind, RequestError
@@ -22,6 +22,8 @@
     CloseChannel,
     CommandAnswer,
     Greeting,
+    LockQuery,
+    LockReport,
     PeerMessage,
     Probe,
     RunCommand,
@@ -37,20 +39,24 @@
 
 SendBack = Callable[[PeerMessage], None]
 GroupLookup = Callable[[str], GroupService | None]
+ReadLock = Callable[[int], Awaitable[LockReport]]
 
 
 class PeerService:
     """All links that other proxies opened to this one."""
 
-    def __init__(self, groups: GroupLookup, registry: SessionRegistry) -> None:
+    def __init__(self, groups: GroupLookup, registry: SessionRegistry, read_lock: ReadLock) -> None:
         self.leaving = False
         self._groups = groups
         self._registry = registry
+        self._read_lock = read_lock
         self._links: set[ServedLink] = set()
 
     def link(self, send: SendBack) -> ServedLink:
         """A link was opened; `send` writes on it."""
-        served = ServedLink(self._groups, self._registry, send, lambda: self.leaving)
+        served = ServedLink(
+            self._groups, self._registry, self._read_lock, send, lambda: self.leaving
+        )
         self._links.add(served)
         return served
 
@@ -73,11 +79,13 @@
         self,
         groups: GroupLookup,
         registry: SessionRegistry,
+        read_lock: ReadLock,
         send: SendBack,
         leaving: Callable[[], bool],
     ) -> None:
         self._groups = groups
         self._registry = registry
+        self._read_lock = read_lock
         self._send = send
         self._leaving = leaving
         self._channels: dict[int, _Channel] = {}
@@ -87,6 +95,8 @@
         """A message came."""
         if isinstance(message, RunCommand):
             self._run(message)
+        elif isinstance(message, LockQuery):
+            self._spawn(self._report_lock(message))
         elif isinstance(message, Probe):
             self._send(Alive(self._leaving()))
         elif isinstance(message, CloseChannel):
@@ -115,10 +125,16 @@
             channel = self._channels[message.channel] = _Channel(self._registry)
             self._registry.sessions.add(channel)
         channel.resting = False
-        task = asyncio.get_running_loop().create_task(self._answer(channel, message))
+        self._spawn(self._answer(channel, message))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _report_lock(self, message: LockQuery) -> None:
+        self._send(await self._read_lock(message.number))
+
     async def _answer(self, channel: _Channel, message: RunCommand) -> None:
         answer = await channel.run(message, self._groups(message.group))
         channel.resting = True
--- a/src/orchidwind/managed/peers.py
+++ b/src/orchidwind/managed/peers.py
@@ -8,12 +8,14 @@
 
 from orchidwind.core.errors import PlatformError
 from orchidwind.core.managed.homes import GroupHomes, ProxyMember, group_homes
+from orchidwind.core.rendezvous import first
 from orchidwind.logs import log_event
 from orchidwind.managed.peer_link import PeerLink
 from orchidwind.managed.ports import Changes, Listing, MemberStore, PeerConnector
 
 FORGET_SECONDS = 30.0
 _RETRY_SECONDS = 0.25
+_LOCK_READER_KEY = "promotion-lock"
 
 LimitLookup = Callable[[str], int]
 
@@ -39,6 +41,7 @@
         self._links: dict[str, PeerLink] = {}
         self._placed: dict[str, GroupHomes] = {}
         self._preferred: dict[str, list[ProxyMember]] = {}
+        self._reader: str | None = None
         self._channels = count(1)
         self._write_wanted = asyncio.Event()
         self._write_wanted.set()
@@ -87,6 +90,7 @@
 
     def limits_changed(self) -> None:
         """The configuration may give other connection limits: place the groups anew."""
+        self._reader = None
         self._placed.clear()
         self._preferred.clear()
         self._on_change()
@@ -127,6 +131,15 @@
             self._forget_if_gone(link)
         return None
 
+    def lock_reader(self) -> PeerLink | None:
+        """The link to the proxy that reads the promotion lock for others; None: this proxy."""
+        if self._reader is None:
+            self._reader = first(_LOCK_READER_KEY, sorted(self._members)) or self._own.name
+        if self._reader == self._own.name:
+            return None
+        link = self._link(self._members[self._reader])
+        return link if link.usable() else None
+
     def next_channel(self) -> int:
         """A number for a session at a home, not used before."""
         return next(self._channels)
--- a/src/orchidwind/managed/watch.py
+++ b/src/orchidwind/managed/watch.py
@@ -30,8 +30,17 @@
     """Keeps a follower up to date; goes on through outages of the store."""
 
     def __init__(
-        self, name: str, source: WatchedCollection[Item], follower: CollectionFollower[Item]
+        self,
+        name: str,
+        source: WatchedCollection[Item],
+        follower: CollectionFollower[Item],
+        gather_seconds: float = 0.0,
     ) -> None:
+        """`gather_seconds` after a change is the wait for more, where it need not be known at once.
+
+        When many processes start together, each of them would else ask again for each of them.
+        """
+        self._gather_seconds = gather_seconds
         self._name = name
         self._source = source
         self._follower = follower
@@ -56,11 +65,14 @@
             self._note_connected(listing.revision)
             self._revision = listing.revision
             self._follower.listed(listing)
+            await asyncio.sleep(self._gather_seconds)
             return
         changes = await self._source.watch(self._revision)
         self._note_connected(changes.revision)
         self._revision = max(self._revision, changes.revision)
         self._follower.changed(changes)
+        if self._gather_seconds and (changes.changed or changes.gone):
+            await asyncio.sleep(self._gather_seconds)
 
     def _note_connected(self, revision: int) -> None:
         self._retry = _FIRST_RETRY_SECONDS
--- a/src/orchidwind/network/peer_codec.py
+++ b/src/orchidwind/network/peer_codec.py
@@ -29,6 +29,8 @@
         peer_messages.CloseChannel,
         peer_messages.Probe,
         peer_messages.Alive,
+        peer_messages.LockQuery,
+        peer_messages.LockReport,
     )
 }
 _SCHEMA = load_schema("peer")
--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -36,7 +36,7 @@
     PlatformSettings,
     load_platform_settings,
 )
-from orchidwind.platform.store import ObjectStore, WatchedKind
+from orchidwind.platform.store import LONG_WATCH_MILLISECONDS, ObjectStore, WatchedKind
 from orchidwind.settings import parse_address
 
 READY_PATH = "/orchidwind/ready"
@@ -127,7 +127,7 @@
         leases=LeaseObjects(store),
         roster_source=WatchedKind(store, RosterTranslation()),
         roster_store=RosterObjects(store),
-        member_source=WatchedKind(store, MemberTranslation()),
+        member_source=WatchedKind(store, MemberTranslation(), LONG_WATCH_MILLISECONDS),
         member_store=MemberObjects(store),
         peers=PeerStreamConnector(),
         promotions=PromotionCall(parse_address(settings.cloud_api.address), settings.node_name),
--- a/src/orchidwind/platform/store.py
+++ b/src/orchidwind/platform/store.py
@@ -25,6 +25,7 @@
 CALL_SECONDS = 1.5
 LIST_SECONDS = 4.0
 WATCH_MILLISECONDS = 8000
+LONG_WATCH_MILLISECONDS = 30_000
 _WATCH_EXTRA_SECONDS = 3.0
 OBJECTS = "/orchidwind/objects/"
 _OK = (200, 201)
@@ -173,7 +174,14 @@
 class WatchedKind(Generic[Item]):
     """A kind of objects as a collection that can be followed."""
 
-    def __init__(self, store: ObjectStore, translation: Translation[Item]) -> None:
+    def __init__(
+        self,
+        store: ObjectStore,
+        translation: Translation[Item],
+        wait_milliseconds: int = WATCH_MILLISECONDS,
+    ) -> None:
+        """`wait_milliseconds` is how long a watch waits: so long a lost one goes unnoticed."""
+        self._wait_milliseconds = wait_milliseconds
         self._store = store
         self._translation = translation
         self._path = OBJECTS + translation.kind
@@ -185,8 +193,8 @@
 
     async def watch(self, revision: int) -> Changes[Item]:
         """Wait for changes after a revision."""
-        path = f"{self._path}?watch={revision}&wait_ms={WATCH_MILLISECONDS}"
-        seconds = WATCH_MILLISECONDS / MILLISECONDS + _WATCH_EXTRA_SECONDS
+        path = f"{self._path}?watch={revision}&wait_ms={self._wait_milliseconds}"
+        seconds = self._wait_milliseconds / MILLISECONDS + _WATCH_EXTRA_SECONDS
         answer = await self._store.read(path, seconds)
         if answer.status == 404:
             raise PlatformVersionGone("the store does not know the kind")
--- a/src/orchidwind_bench/managed/world.py
+++ b/src/orchidwind_bench/managed/world.py
@@ -128,6 +128,7 @@
         self.revision = 1
         self.entries: dict[str, DirectoryEntry] = {}
         self.lock: LockRecord | None = None
+        self.lock_reads: dict[str, int] = {}
         self.leases: dict[str, int] = {}
         self.rosters: dict[str, Roster] = {}
         self.members: dict[str, ProxyMember] = {}
@@ -228,6 +229,8 @@
 
     async def read(self) -> LockRecord | None:
         """The record."""
+        reads = self._store.lock_reads
+        reads[self._node] = reads.get(self._node, 0) + 1
         await self._store.call(self._node)
         return self._store.lock
 
--- a/tests/test_managed_core.py
+++ b/tests/test_managed_core.py
@@ -16,7 +16,7 @@
     ReadConsistency,
 )
 from orchidwind.core.managed.failover import FailoverPlan, FailoverReason, choose_candidate
-from orchidwind.core.managed.lead_lease import LEASE_SECONDS, LeadLease
+from orchidwind.core.managed.lead_lease import LEASE_SECONDS, LeadLease, LockReading
 from orchidwind.core.managed.promotion_lock import (
     HOLD_SECONDS,
     TAKE_OVER_SECONDS,
@@ -296,3 +296,19 @@
     assert "x" not in view.may_confirm()
     view.forget_old(6.0 + MAY_CONFIRM_SECONDS + 0.5)
     assert view.roster(("a", "b", "p")) == ("a", "p")
+
+
+@given(
+    st.floats(0, 100), st.floats(0, 0.5), st.floats(0, 0.2), st.floats(0, 0.2), st.floats(-50, 50)
+)
+def test_a_lease_told_by_another_ends_no_later_than_the_readings_own(
+    read_at, rest, there, back, clock_offset
+):
+    """`clock_offset` parts the two proxies' clocks; the ways take `there` and `back`."""
+    answered_at = read_at + rest
+    asked_at = answered_at - there
+    own_clock = asked_at + clock_offset
+    age = answered_at - read_at
+    lease = LeadLease()
+    lease.lock_seen(LockReading.told(own_clock, age, 1, free=True))
+    assert lease.covered_until - clock_offset <= read_at + LEASE_SECONDS + 1e-6
--- a/tests/test_managed_promises.py
+++ b/tests/test_managed_promises.py
@@ -102,6 +102,38 @@
     assert len(system.world.history.promotions) >= 1
 
 
+def lock_reader(system):
+    link = system.nodes["proxy-a"].homes.lock_reader()
+    return "proxy-a" if link is None else link.member.name
+
+
+def test_one_proxy_reads_the_lock_for_all():
+    system = play(40, [], 6.0)
+    reads = system.world.store.lock_reads
+    others = [name for name in NODES if name != lock_reader(system)]
+    assert sum(reads.get(name, 0) for name in others) <= 4, reads
+    assert reads[lock_reader(system)] <= 12
+    asked = [node.metrics.message_counts().get("status_or_control", 0) for node in nodes(system)]
+    assert sum(asked) < 60, "leases spare the status queries"
+
+
+def nodes(system):
+    return system.nodes.values()
+
+
+def test_a_proxy_that_does_not_reach_the_lock_reader_reads_by_itself():
+    def cut(system):
+        reader = lock_reader(system)
+        for name in NODES:
+            if name != reader:
+                system.world.network.cut(name, reader)
+
+    system = play(41, [(2.0, cut)], 6.0)
+    assert system.world.history.broken == []
+    assert all(system.world.store.lock_reads.get(name, 0) >= 3 for name in NODES)
+    assert all(node.leases.covers(system.world.now - 0.5) for node in nodes(system))
+
+
 def test_the_check_for_stale_reads_bites_without_the_wait_for_leases(monkeypatch):
     async def no_wait(keeper, token, taken_at):
         return None
