--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -46,7 +46,10 @@
         metrics: ManagedMetrics,
         leases: LeaseKeeper,
         entry_outlives: float,
+        on_used: Callable[[], None],
     ) -> None:
+        """`on_used` is called when requests are served here."""
+        self._on_used = on_used
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._on_wake = on_wake
@@ -69,6 +72,10 @@
         """Whether this proxy watches over the group: as a home, or while it serves it anyway."""
         return self._home or self._loop.time() - self._used_at < _SUPERVISED_AFTER_USE_SECONDS
 
+    def _note_used(self) -> None:
+        self._used_at = self._loop.time()
+        self._on_used()
+
     def set_home(self, home: bool, connections: int) -> None:
         """Whether this proxy is a home, and how many connections a home may hold an instance."""
         if self._home and not home:
@@ -176,7 +183,7 @@
                 return found
             waiter: asyncio.Future[None] = self._loop.create_future()
             self._waiters.add(waiter)
-            self._used_at = self._loop.time()
+            self._note_used()
             self._on_wake()
             try:
                 async with asyncio.timeout_at(deadline):
@@ -212,7 +219,7 @@
         self, instance: str, traffic_class: TrafficClass, deadline: float
     ) -> int:
         """Wait for a server connection; raises RequestError, BackendConnectionLost."""
-        self._used_at = self._loop.time()
+        self._note_used()
         return await self.connections.need(instance, traffic_class, deadline)
 
     def release(self, connection: int, reusable: bool) -> None:
--- a/src/orchidwind/managed/lead_lease.py
+++ b/src/orchidwind/managed/lead_lease.py
@@ -103,9 +103,7 @@
         return True
 
     async def _renew(self) -> None:
-        reading = await self._told_reading()
-        if reading is None:
-            reading = await self._own_reading()
+        reading = await self._told_reading() or await self._recent_reading()
         if reading is not None:
             self.lease.lock_seen(reading)
 
@@ -134,12 +132,17 @@
         self._reading = LockReading.of(sent_at, record)
         return self._reading
 
-    async def report(self, number: int) -> LockReport:
-        """Another proxy asks what the lock is: one reading serves all that ask meanwhile."""
+    async def _recent_reading(self) -> LockReading | None:
+        """This proxy's last reading, or a new one where that is old."""
         async with self._read_again:
             reading = self._reading
             if reading is None or self._loop.time() - reading.sent_at > _OLDEST_REPORT_SECONDS:
                 reading = await self._own_reading()
+            return reading
+
+    async def report(self, number: int) -> LockReport:
+        """Another proxy asks what the lock is: one reading serves all that ask meanwhile."""
+        reading = await self._recent_reading()
         if reading is None:
             return LockReport(number, known=False, age=0.0, revision=0, free=False)
         age = self._loop.time() - reading.sent_at
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -47,6 +47,7 @@
 
 _FORGET_SECONDS = 5.0
 _GATHER_MEMBERS_SECONDS = 0.6
+_GATHER_DIRECTORY_SECONDS = 0.15
 _LOGGED_SUCCESSES = 200
 _TRIM_SECONDS = 1.5
 _FIGURES_SECONDS = 10.0
@@ -105,14 +106,12 @@
 
     def start(self) -> None:
         """Begin to follow the store."""
-        directory = CollectionWatch("directory", self._ports.directory, _DirectoryFollower(self))
         configuration = CollectionWatch(
             "configuration", self._ports.configuration, _ConfigurationFollower(self)
         )
         members = CollectionWatch(
             "members", self._ports.member_source, self.homes, _GATHER_MEMBERS_SECONDS
         )
-        self._spawn(directory.run)
         self._spawn(self.homes.keep_own)
         self._spawn(members.run)
         self._spawn(configuration.run)
@@ -121,10 +120,20 @@
         self._spawn(self._tell_figures)
 
     def _coordinate(self) -> None:
-        """Follow what only homes need: the promotion lock, rosters, the lead lease."""
+        """Follow what only homes need: directory, promotion lock, rosters, the lead lease.
+
+        A proxy that is no home begins when it has to serve requests itself.
+        """
         if self._coordinating:
             return
         self._coordinating = True
+        directory = CollectionWatch(
+            "directory",
+            self._ports.directory,
+            _DirectoryFollower(self),
+            _GATHER_DIRECTORY_SECONDS,
+        )
+        self._spawn(directory.run)
         lock = CollectionWatch("promotion_lock", self._ports.lock_source, self.leases)
         rosters = CollectionWatch("rosters", self._ports.roster_source, self.rosters)
         self._spawn(lock.run)
@@ -219,6 +228,7 @@
             self.metrics,
             self.leases,
             self._entry_outlives,
+            self._coordinate,
         )
         self.groups[name] = group
         for entry in self._directory.values():
@@ -280,10 +290,13 @@
             group.entry_gone(instance)
 
     def _note_prepared(self) -> None:
-        if self._directory_listed and self.homes.known and self.configuration is not None:
-            if not self._prepared.is_set():
-                log_event("prepared", version=self.configuration.version)
-            self._prepared.set()
+        if self.configuration is None or not self.homes.known:
+            return
+        if self._coordinating and not self._directory_listed:
+            return
+        if not self._prepared.is_set():
+            log_event("prepared", version=self.configuration.version)
+        self._prepared.set()
 
     async def _tell_figures(self) -> None:
         while True:
--- a/tests/test_managed_promises.py
+++ b/tests/test_managed_promises.py
@@ -131,7 +131,7 @@
     system = play(41, [(2.0, cut)], 6.0)
     assert system.world.history.broken == []
     assert all(system.world.store.lock_reads.get(name, 0) >= 3 for name in NODES)
-    assert all(node.leases.covers(system.world.now - 0.5) for node in nodes(system))
+    assert all(node.leases.lease.covered_until > 5.5 for node in nodes(system))
 
 
 def test_the_check_for_stale_reads_bites_without_the_wait_for_leases(monkeypatch):
