--- a/src/orchidwind_bench/main.py
+++ b/src/orchidwind_bench/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import sys
 import time
 from pathlib import Path
@@ -18,6 +19,8 @@
 from orchidwind_bench.experiments import run_experiment
 from orchidwind_bench.loaded_run import ExperimentReport, RunOptions
 from orchidwind_bench.scale_run import ScaleOptions, run_scale
+from orchidwind_bench.soak.run import soak as run_soak
+from orchidwind_bench.soak.system import SoakSizes
 
 Experiment = Literal[
     "failover",
@@ -145,10 +148,48 @@
     print(write_page(source, folder))
 
 
+def soak(
+    *,
+    seed: int | None = None,
+    runs: int = 1,
+    seconds: float = 20.0,
+    proxies: int = 6,
+    connections: int = 12,
+    folder: Path = Path("target/soak"),
+) -> int:
+    """Play random faults against real proxies; the exit code is 1 where a promise was broken.
+
+    :param seed: seed of the first run; a fresh one without
+    :param runs: how many seeds, one after the other
+    :param seconds: how long callers ask, each run
+    :param proxies: how many proxies
+    :param connections: connections that an instance takes, over all proxies
+    :param folder: folder for the proxies' settings and logs
+    """
+    sizes = SoakSizes(proxies, connections)
+    first = random.SystemRandom().randrange(1_000_000) if seed is None else seed
+    broken = 0
+    for number in range(first, first + runs):
+        place = folder / str(number)
+        place.mkdir(parents=True, exist_ok=True)
+        report = asyncio.run(run_soak(number, seconds, place, sizes))
+        broken += len(report.broken)
+        answers = ", ".join(f"{name} {count}" for name, count in sorted(report.answers.items()))
+        _progress(
+            f"seed {number}: {len(report.faults)} faults, {report.promotions} promotions;"
+            f" {answers}; broken {len(report.broken)}"
+        )
+        for item in report.broken[:10]:
+            print(f"broken {item}")
+        if report.broken:
+            print("\n".join(report.faults))
+    return 1 if broken else 0
+
+
 def _progress(text: str) -> None:
     print(f"{time.strftime('%H:%M:%S')} {text}", flush=True)
 
 
 def main() -> None:
     """Entry point of `orchidwind-bench`."""
-    sys.exit(defopt.run([demo, run, scale, capacity]))
+    sys.exit(defopt.run([demo, run, scale, capacity, soak]))
--- a/src/orchidwind_standins/platform/line_instance.py
+++ b/src/orchidwind_standins/platform/line_instance.py
@@ -16,6 +16,14 @@
 _READY_STATES = {None: "I", False: "T", True: "E"}
 
 
+@dataclass(frozen=True, slots=True)
+class LoggedWrite:
+    """A write that was committed."""
+
+    thing: str
+    data: str
+
+
 @dataclass(slots=True)
 class StandinInstance:
     """One instance: its role, log and faults."""
@@ -26,6 +34,8 @@
     number: int = 0
     fence: int = 0
     things: dict[str, str] = field(default_factory=dict)
+    log: list[LoggedWrite] = field(default_factory=list)
+    alive: bool = True
     ran: list[tuple[str, str]] = field(default_factory=list)
     streams: set[IOStream] = field(default_factory=set)
     silent: bool = False
@@ -37,6 +47,19 @@
         """TERM.NUMBER."""
         return f"{self.term}.{self.number}"
 
+    def take(self, writes: list[LoggedWrite]) -> None:
+        """Commit writes as the next number."""
+        for write in writes:
+            self.things[write.thing] = write.data
+        self.log.extend(writes)
+        self.number += 1
+
+    def follow(self, leader: StandinInstance) -> None:
+        """Hold what the leader holds, and nothing else."""
+        self.term, self.number = leader.term, leader.number
+        self.things = dict(leader.things)
+        self.log = list(leader.log)
+
     def status_row(self) -> str:
         """Role, term, position, term held, lag, busy, connections."""
         busy, connections = 0, len(self.streams)
@@ -63,15 +86,37 @@
         """Ship a commit; whether one replica received it."""
         received = 0
         for item in self.instances.values():
-            if item is not leader and item.fence <= leader.term and item.term <= leader.term:
-                item.term, item.number = leader.term, leader.number
-                item.things = dict(leader.things)
+            follows = item.alive and item.role == "replica" and item.term <= leader.term
+            if item is not leader and follows and item.fence <= leader.term:
+                item.follow(leader)
+                item.fence = 0
                 received += 1
         return received > 0
 
+    def crash(self, name: str) -> None:
+        """An instance stops at once; its log stays, its fence and connections do not."""
+        instance = self.instances[name]
+        instance.alive = False
+        instance.fence = 0
+        for stream in list(instance.streams):
+            stream.close()
+
+    def restart(self, name: str) -> None:
+        """A crashed instance returns, as a replica where another leads a later term."""
+        instance = self.instances[name]
+        instance.alive = True
+        newest = max(item.term for item in self.instances.values())
+        if instance.term < newest:
+            instance.role = "replica"
+        self.on_role(instance)
+
     def promote(self, name: str) -> bool:
         """An instance leads the next term."""
         chosen = self.instances[name]
+        if not chosen.alive:
+            return False
+        if chosen.role == "primary":
+            return True
         chosen.term = max(item.term for item in self.instances.values()) + 1
         chosen.role = "primary"
         chosen.fence = 0
@@ -83,7 +128,7 @@
 class _Session:
     settings: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, str] = field(default_factory=dict)
-    transaction: list[tuple[str, str]] | None = None
+    transaction: list[LoggedWrite] | None = None
     read_only: bool = False
     failed: bool = False
 
@@ -100,7 +145,7 @@
         """Serve one connection."""
         instance = self._instance
         try:
-            if not await self._start(stream):
+            if not instance.alive or not await self._start(stream):
                 stream.close()
                 return
             instance.streams.add(stream)
@@ -199,10 +244,10 @@
         writes, session.transaction = session.transaction, None
         if word == "ROLLBACK" or session.failed:
             return self._done(session)
-        for thing, data in writes or []:
-            self._instance.things[thing] = data
         if writes:
-            self._instance.number += 1
+            if self._instance.role != "primary":
+                return self._error(session, "READONLY")
+            self._instance.take(writes)
             if not self._group.confirm(self._instance):
                 return self._error(session, "TIMEOUT")
         self._instance.ran.append((request_id, "COMMIT"))
@@ -223,10 +268,9 @@
             return self._error(session, "READONLY")
         self._instance.ran.append((request_id, f"WRITE {rest}"))
         if session.transaction is not None:
-            session.transaction.append((thing, data))
+            session.transaction.append(LoggedWrite(thing, data))
             return self._done(session, (), f"signed-{request_id}")
-        self._instance.things[thing] = data
-        self._instance.number += 1
+        self._instance.take([LoggedWrite(thing, data)])
         if not self._group.confirm(self._instance):
             return self._error(session, "TIMEOUT")
         return self._done(session, (), f"signed-{request_id}")
