--- a/src/orchidwind/managed/executor.py
+++ b/src/orchidwind/managed/executor.py
@@ -40,6 +40,9 @@
     def group(self, name: str) -> GroupService | None:
         """The group of a database."""
 
+    def forwarded(self, outcome: str) -> None:
+        """A command that was sent to a home has ended; takes its measurement."""
+
     def sample_success(self) -> bool:
         """Whether this success is one of those that are logged."""
 
@@ -182,11 +185,24 @@
         held = database.statement_timeout * _HOLD_SHARE
         limits = TimeLimits(arrived_at + database.statement_timeout, arrived_at + held)
         if not self._opened_here and self._forwarder.serves(database.group):
-            forwarded = await self._forwarder.run(context, limits)
+            forwarded = await self._forward(context, limits)
             if forwarded is not None:
                 return forwarded
         return await self._runner.run(context, group, limits)
 
+    async def _forward(self, context: CommandContext, limits: TimeLimits) -> CommandResult | None:
+        """Have the group's home carry a command out; None where no home is left."""
+        outcome = "no_home"
+        try:
+            result = await self._forwarder.run(context, limits)
+            outcome = outcome if result is None else "ok"
+            return result
+        except RequestError as error:
+            outcome = error.kind.value
+            raise
+        finally:
+            self._databases.forwarded(outcome)
+
     @property
     def _opened_here(self) -> bool:
         """Whether a transaction is open on a connection of this proxy."""
--- a/src/orchidwind/managed/metrics.py
+++ b/src/orchidwind/managed/metrics.py
@@ -40,6 +40,18 @@
             ["kind"],
             registry=self.registry,
         )
+        self._store_calls = Counter(
+            "orchidwind_store_calls",
+            "Calls to the platform's store, by method and kind of object",
+            ["method", "kind"],
+            registry=self.registry,
+        )
+        self._forwarded = Counter(
+            "orchidwind_forwarded_commands",
+            "Commands sent to homes, by outcome",
+            ["outcome"],
+            registry=self.registry,
+        )
         self.sessions = Gauge("orchidwind_callers", "Callers' sessions", registry=self.registry)
         self.configuration_version = Gauge(
             "orchidwind_configuration_version",
@@ -63,15 +75,31 @@
         """A message went to an instance."""
         self._messages.labels(kind).inc()
 
+    def store_call(self, method: str, kind: str) -> None:
+        """A call to the store was made."""
+        self._store_calls.labels(method, kind).inc()
+
+    def forwarded(self, outcome: str) -> None:
+        """A command that was sent to a home has ended."""
+        self._forwarded.labels(outcome).inc()
+
     def message_counts(self) -> dict[str, int]:
         """Messages so far, by kind."""
-        return {
-            sample.labels["kind"]: int(sample.value)
-            for metric in self._messages.collect()
-            for sample in metric.samples
-            if sample.name.endswith("_total")
-        }
+        return _counts(self._messages)
+
+    def store_call_counts(self) -> dict[str, int]:
+        """Calls to the store so far, by method and kind."""
+        return _counts(self._store_calls)
 
     def render(self) -> bytes:
         """The text form."""
         return generate_latest(self.registry)
+
+
+def _counts(counter: Counter) -> dict[str, int]:
+    return {
+        "_".join(sample.labels.values()).replace("-", "_"): int(sample.value)
+        for metric in counter.collect()
+        for sample in metric.samples
+        if sample.name.endswith("_total")
+    }
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -79,12 +79,13 @@
         own: ProxyMember,
         ports: NodePorts,
         entry_outlives: float = DEFAULT_ENTRY_OUTLIVES_SECONDS,
+        metrics: ManagedMetrics | None = None,
     ) -> None:
         """`entry_outlives` is how long a directory entry stays after its last renewal."""
         self._entry_outlives = entry_outlives
         self.name = name = own.name
         self.zone = own.zone
-        self.metrics = ManagedMetrics()
+        self.metrics = metrics or ManagedMetrics()
         self.configuration: ManagedConfiguration | None = None
         self.transaction_idle = DEFAULT_TRANSACTION_IDLE_SECONDS
         self.groups: dict[str, GroupService] = {}
@@ -109,16 +110,20 @@
         configuration = CollectionWatch(
             "configuration", self._ports.configuration, _ConfigurationFollower(self)
         )
-        members = CollectionWatch(
-            "members", self._ports.member_source, self.homes, _GATHER_MEMBERS_SECONDS
-        )
-        self._spawn(self.homes.keep_own)
-        self._spawn(members.run)
+        self._spawn(self._follow_members)
         self._spawn(configuration.run)
         self._spawn(self._forget_old)
         self._spawn(self._trim)
         self._spawn(self._tell_figures)
 
+    async def _follow_members(self) -> None:
+        members = CollectionWatch(
+            "members", self._ports.member_source, self.homes, _GATHER_MEMBERS_SECONDS
+        )
+        await self.homes.write_own()
+        self._spawn(self.homes.keep_own)
+        await members.run()
+
     def _coordinate(self) -> None:
         """Follow what only homes need: directory, promotion lock, rosters, the lead lease.
 
@@ -180,6 +185,10 @@
         """A group by name."""
         return self.groups.get(name)
 
+    def forwarded(self, outcome: str) -> None:
+        """A command that was sent to a home has ended."""
+        self.metrics.forwarded(outcome)
+
     def sample_success(self) -> bool:
         """One success in some hundred is logged; failures are all logged."""
         self._successes += 1
@@ -302,6 +311,7 @@
         while True:
             await asyncio.sleep(_FIGURES_SECONDS)
             log_event("figures", **self.metrics.message_counts())
+            log_event("store_calls", **self.metrics.store_call_counts())
 
     async def _trim(self) -> None:
         while True:
--- a/src/orchidwind/managed/peers.py
+++ b/src/orchidwind/managed/peers.py
@@ -44,23 +44,26 @@
         self._reader: str | None = None
         self._channels = count(1)
         self._write_wanted = asyncio.Event()
-        self._write_wanted.set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
 
     # --- members ------------------------------------------------------------------------------
 
+    async def write_own(self) -> None:
+        """Try to have this proxy listed; before it reads the members, as others may start now."""
+        self._write_wanted.clear()
+        try:
+            await self._store.write(self._own)
+        except PlatformError as error:
+            log_event("member_not_written", reason=str(error))
+            self._write_wanted.set()
+
     async def keep_own(self) -> None:
-        """Have this proxy listed among the members."""
+        """Have this proxy listed among the members, whenever it is not."""
         while True:
             await self._write_wanted.wait()
-            self._write_wanted.clear()
-            try:
-                await self._store.write(self._own)
-            except PlatformError as error:
-                log_event("member_not_written", reason=str(error))
-                await asyncio.sleep(_RETRY_SECONDS)
-                self._write_wanted.set()
+            await asyncio.sleep(_RETRY_SECONDS)
+            await self.write_own()
 
     def listed(self, listing: Listing[ProxyMember]) -> None:
         """All members, read freshly."""
--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -16,6 +16,7 @@
 from orchidwind.core.errors import SettingsError
 from orchidwind.core.managed.homes import ProxyMember
 from orchidwind.logs import configure_logging, log_event
+from orchidwind.managed.metrics import ManagedMetrics
 from orchidwind.managed.node import ManagedNode, NodePorts
 from orchidwind.network.peer_streams import PeerListener, PeerStreamConnector
 from orchidwind.platform.callers import CallerListener
@@ -117,7 +118,8 @@
 
 
 def _node(settings: PlatformSettings) -> ManagedNode:
-    store = ObjectStore(parse_address(settings.platform.address))
+    metrics = ManagedMetrics()
+    store = ObjectStore(parse_address(settings.platform.address), metrics.store_call)
     ports = NodePorts(
         connector=LineConnector(),
         directory=WatchedKind(store, InstanceTranslation()),
@@ -133,7 +135,7 @@
         promotions=PromotionCall(parse_address(settings.cloud_api.address), settings.node_name),
     )
     entry_outlives = settings.heartbeat_ms * _SILENT_HEARTBEATS / 1000.0
-    return ManagedNode(_own_member(settings), ports, entry_outlives)
+    return ManagedNode(_own_member(settings), ports, entry_outlives, metrics)
 
 
 def _own_member(settings: PlatformSettings) -> ProxyMember:
--- a/src/orchidwind/platform/store.py
+++ b/src/orchidwind/platform/store.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any, Generic, Protocol, TypeVar
 from urllib.parse import quote
@@ -77,14 +77,24 @@
         raise PlatformError(f"an answer of the store is not as described: {error}") from error
 
 
+OnCall = Callable[[str, str], None]
+
+
 class ObjectStore:
     """Calls to the store at one address."""
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(self, address: tuple[str, int], on_call: OnCall) -> None:
+        """`on_call` is told the method and the kind of object of each call."""
         self._address = address
+        self._on_call = on_call
+
+    def _note(self, method: str, path: str) -> None:
+        kind, _, _ = path.removeprefix(OBJECTS).partition("?")
+        self._on_call(method, kind.partition("/")[0])
 
     async def read(self, path: str, seconds: float) -> HttpAnswer:
         """A call that changes nothing; raises PlatformError."""
+        self._note("GET", path)
         try:
             answer = await http_call(HttpRequest(self._address, "GET", path), seconds)
         except HttpCallFailed as error:
@@ -97,6 +107,7 @@
 
     async def change(self, method: str, path: str, body: bytes) -> HttpAnswer:
         """A call that changes an object; raises PlatformConflict, -Uncertain, -Error."""
+        self._note(method, path)
         try:
             answer = await http_call(HttpRequest(self._address, method, path, body), CALL_SECONDS)
         except HttpCallFailed as error:
