--- a/src/orchidwind_bench/main.py
+++ b/src/orchidwind_bench/main.py
@@ -18,9 +18,9 @@
 from orchidwind_bench.day import run_day
 from orchidwind_bench.experiments import run_experiment
 from orchidwind_bench.loaded_run import ExperimentReport, RunOptions
+from orchidwind_bench.platform.soak.run import soak as run_soak
+from orchidwind_bench.platform.soak.system import SoakSizes
 from orchidwind_bench.scale_run import ScaleOptions, run_scale
-from orchidwind_bench.soak.run import soak as run_soak
-from orchidwind_bench.soak.system import SoakSizes
 
 Experiment = Literal[
     "failover",
--- a/src/orchidwind_bench/soak/callers.py
+++ b/src/orchidwind_bench/platform/soak/callers.py
@@ -14,7 +14,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
 
-from orchidwind_bench.soak.system import HOST, STALENESS_MILLISECONDS, SoakSystem
+from orchidwind_bench.platform.soak.system import HOST, STALENESS_MILLISECONDS, SoakSystem
 
 _ANSWER_SECONDS = 4.0
 _THINK_SECONDS = 0.03
--- a/src/orchidwind_bench/soak/faults.py
+++ b/src/orchidwind_bench/platform/soak/faults.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from orchidwind_bench.soak.system import ProxyProcess, SoakSystem
+from orchidwind_bench.platform.soak.system import ProxyProcess, SoakSystem
 
 _LONGEST_GAP_SECONDS = 1.2
 _SHORTEST_SECONDS = 0.3
--- a/src/orchidwind_bench/soak/run.py
+++ b/src/orchidwind_bench/platform/soak/run.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from orchidwind_bench.soak.callers import Caller, Record, check
-from orchidwind_bench.soak.faults import FaultPlayer, draw_schedule
-from orchidwind_bench.soak.system import DATABASES, SoakSizes, SoakSystem
+from orchidwind_bench.platform.soak.callers import Caller, Record, check
+from orchidwind_bench.platform.soak.faults import FaultPlayer, draw_schedule
+from orchidwind_bench.platform.soak.system import DATABASES, SoakSizes, SoakSystem
 
 _CALLERS = 12
 
