--- a/src/orchidwind/managed/forwarding.py
+++ b/src/orchidwind/managed/forwarding.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from orchidwind.core.errors import ErrorKind, PeerUnavailable, RequestError
-from orchidwind.core.managed.commands import CommandKind, CommandResult
+from orchidwind.core.managed.commands import Command, CommandKind, CommandResult
 from orchidwind.core.managed.flow_parts import CommandContext
 from orchidwind.core.managed.peer_loss import after_lost_home
 from orchidwind.core.managed.peer_messages import (
@@ -100,11 +100,7 @@
                 return await channel.link.ask(message)
         except TimeoutError as error:
             channel.link.tell(CloseChannel(channel.number))
-            self._open = None
-            self._end_if_commit(context.command.kind)
-            raise RequestError(
-                ErrorKind.STATEMENT_TIMEOUT, "the home did not answer in time"
-            ) from error
+            raise self._timed_out(context.command) from error
         finally:
             self._running = None
 
@@ -162,6 +158,13 @@
             self._open = channel
         return CommandResult(answer.rows, answer.signature)
 
+    def _timed_out(self, command: Command) -> RequestError:
+        """The home did not answer in time; it has been told to begin nothing more."""
+        opened, self._open = self._open is not None, None
+        lost = after_lost_home(self._session, command, opened, sent=True)
+        self._end_if_commit(command.kind)
+        return lost or RequestError(ErrorKind.STATEMENT_TIMEOUT, "the home did not answer in time")
+
     def _end_if_commit(self, kind: CommandKind) -> None:
         """However a COMMIT ends, the transaction is over."""
         if kind is CommandKind.COMMIT:
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -48,6 +48,7 @@
 _FORGET_SECONDS = 5.0
 _GATHER_MEMBERS_SECONDS = 0.6
 _GATHER_DIRECTORY_SECONDS = 0.15
+_GATHER_ROSTERS_SECONDS = 0.5
 _LOGGED_SUCCESSES = 200
 _TRIM_SECONDS = 1.5
 _FIGURES_SECONDS = 10.0
@@ -140,7 +141,9 @@
         )
         self._spawn(directory.run)
         lock = CollectionWatch("promotion_lock", self._ports.lock_source, self.leases)
-        rosters = CollectionWatch("rosters", self._ports.roster_source, self.rosters)
+        rosters = CollectionWatch(
+            "rosters", self._ports.roster_source, self.rosters, _GATHER_ROSTERS_SECONDS
+        )
         self._spawn(lock.run)
         self._spawn(rosters.run)
         self._spawn(self.rosters.run)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -112,7 +112,9 @@
             assert await node.wait_prepared(5.0)
         await asyncio.sleep(1.0)
         node = system.nodes[front_of(system)]
-        await scenario(system, SessionExecutor(node, "latest"))
+        executor = SessionExecutor(node, "latest")
+        await executor.execute(command(CommandKind.READ, "READ x", "first"))
+        await scenario(system, executor)
         shipping.cancel()
 
     run_virtual(work())
@@ -204,6 +206,36 @@
     assert (error.kind if error else None) is told
 
 
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("READ x", ErrorKind.STATEMENT_TIMEOUT),
+        ("WRITE x y", ErrorKind.OUTCOME_UNKNOWN),
+        ("COMMIT", ErrorKind.OUTCOME_UNKNOWN),
+        ("WRITE in transaction", ErrorKind.TRANSACTION_LOST),
+    ],
+)
+def test_a_home_that_lives_but_does_not_answer_is_waited_for_until_the_deadline(text, told):
+    async def scenario(system, executor):
+        kind = CommandKind[text.split(" ")[0]]
+        if kind is CommandKind.COMMIT or text.endswith("transaction"):
+            await executor.execute(command(CommandKind.BEGIN, "BEGIN"))
+            await executor.execute(command(CommandKind.WRITE, "WRITE x y", "w1"))
+        for node in system.nodes.values():
+            for served in node.peer_service._links:
+                served._run = lambda message: None
+        began = system.world.now
+        with pytest.raises(RequestError) as caught:
+            await executor.execute(command(kind, text, "q2"))
+        assert caught.value.kind is told
+        assert 0.7 < system.world.now - began < 1.0
+        if executor.session.failed:
+            await executor.execute(command(CommandKind.ROLLBACK, "ROLLBACK"))
+        assert executor.session.transaction is None
+
+    with_front(scenario)
+
+
 FAULTS = {
     "kill_home": kill_a_home,
     "kill_any": lambda system: system.restart_proxy(system.world.random.choice(PROXIES)),
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,112 @@
+"""Members of a managed system: how they come, go, and what watches cost."""
+
+import asyncio
+import contextlib
+
+from orchidwind.core.errors import PeerUnavailable
+from orchidwind.core.managed.homes import ProxyMember
+from orchidwind.managed.peers import FORGET_SECONDS
+from orchidwind.managed.ports import Changes, Listing
+from orchidwind.managed.watch import CollectionWatch
+from orchidwind_bench.managed.callers import ManagedSystem
+from orchidwind_bench.managed.virtual_time import run_virtual
+from orchidwind_bench.managed.world import GROUP
+
+PROXIES = tuple(f"proxy-{letter}" for letter in "abcdef")
+
+
+def with_system(scenario, limit=12):
+    async def work():
+        system = ManagedSystem(1, connection_limit=limit, proxies=PROXIES)
+        for node in system.nodes.values():
+            assert await node.wait_prepared(5.0)
+        await asyncio.sleep(1.5)
+        await scenario(system)
+
+    run_virtual(work())
+
+
+def test_all_proxies_place_a_group_alike():
+    async def scenario(system):
+        placed = {node.homes.placement(GROUP) for node in system.nodes.values()}
+        assert len(placed) == 1
+
+    with_system(scenario)
+
+
+def test_a_member_that_is_gone_for_long_is_taken_off_and_lists_itself_again():
+    async def scenario(system):
+        ghost = ProxyMember("proxy-gone", "zone-a", "proxy-gone", 1, capacity=1000.0)
+        system.world.store.members[ghost.name] = ghost
+        system.world.store.revision += 1
+        system.world.store.note("members")
+        await asyncio.sleep(1.5)
+        front = system.nodes["proxy-a"]
+        assert front.homes.is_home(GROUP) or ghost in front.homes.placement(GROUP).homes
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while loop.time() < began + FORGET_SECONDS + 10:
+            for node in system.nodes.values():
+                link = node.homes.home_link(GROUP)
+                if link is not None and link.member.name == ghost.name:
+                    with contextlib.suppress(PeerUnavailable):
+                        await link.ask_lock()
+            await asyncio.sleep(0.5)
+        assert ghost.name not in system.world.store.members
+        system.world.store.members.pop("proxy-b")
+        node = system.nodes["proxy-b"]
+        node.homes.changed(Changes((), ("proxy-b",), 1))
+        await asyncio.sleep(1.0)
+        assert "proxy-b" in system.world.store.members
+
+    with_system(scenario)
+
+
+def test_a_proxy_that_becomes_no_home_closes_its_connections():
+    async def scenario(system):
+        node = next(n for n in system.nodes.values() if n.homes.is_home(GROUP))
+        await node.groups[GROUP].ask_status("i-0")
+        node.groups[GROUP].set_home(False, 2)
+        await asyncio.sleep(0.1)
+        links = {link.node for item in system.group.instances.values() for link in item.links}
+        assert node.name not in links
+
+    with_system(scenario)
+
+
+class _Source:
+    """A collection that changes all the time."""
+
+    def __init__(self):
+        self.asked = 0
+
+    async def list(self):
+        return Listing((), 1)
+
+    async def watch(self, revision):
+        self.asked += 1
+        await asyncio.sleep(0.01)
+        return Changes((1,), (), revision + 1)
+
+
+class _Follower:
+    def __init__(self):
+        self.taken = 0
+
+    def listed(self, listing):
+        self.taken += 1
+
+    def changed(self, changes):
+        self.taken += 1
+
+
+def test_changes_that_come_in_numbers_are_gathered():
+    async def work():
+        source, follower = _Source(), _Follower()
+        task = asyncio.create_task(CollectionWatch("x", source, follower, 0.5).run())
+        await asyncio.sleep(3.0)
+        task.cancel()
+        assert 4 <= source.asked <= 6
+        assert follower.taken >= 5
+
+    run_virtual(work())
