--- a/src/orchidwind/managed/executor.py
+++ b/src/orchidwind/managed/executor.py
@@ -64,6 +64,8 @@
         self._runner = CommandRunner(self.session)
         self._forwarder = CommandForwarder(self.session, databases.homes)
         self._context: CommandContext | None = None
+        self._running = False
+        self._rest_timer: asyncio.TimerHandle | None = None
 
     @property
     def state(self) -> TransactionState:
@@ -79,6 +81,7 @@
         """Carry a command out; raises RequestError."""
         arrived_at = self._loop.time()
         self._context = None
+        self._running = True
         self._expire_transaction(arrived_at)
         database = self._database_in_force()
         kind: ErrorKind | None = None
@@ -89,6 +92,7 @@
             self._fail_transaction()
             raise
         finally:
+            self._note_rest()
             seconds = self._loop.time() - arrived_at
             if database is not None:
                 self._databases.finished(database, command, kind, seconds)
@@ -139,15 +143,40 @@
             return transaction.database
         return self._databases.database(self.name)
 
+    # --- transactions that rest ---------------------------------------------------------------
+
     def _expire_transaction(self, now: float) -> None:
+        """End a transaction that has rested for longer than is allowed."""
         transaction = self.session.transaction
         if transaction is None:
             return
-        if now - transaction.last_used > self._databases.transaction_idle:
-            log_event("transaction_expired", database=self.name)
+        if now >= transaction.last_used + self._databases.transaction_idle:
+            log_event("transaction_expired", database=self.name, instance=transaction.instance)
             self._fail_transaction()
-        else:
-            transaction.last_used = now
+
+    def _note_rest(self) -> None:
+        """A command has ended: from now on an open transaction rests."""
+        self._running = False
+        if self.session.transaction is None:
+            return
+        self.session.transaction.last_used = self._loop.time()
+        if self._rest_timer is None:
+            idle = self._databases.transaction_idle
+            self._rest_timer = self._loop.call_later(idle, self._look_at_rest)
+
+    def _look_at_rest(self) -> None:
+        """A transaction that rests holds a connection that others may wait for."""
+        self._rest_timer = None
+        transaction = self.session.transaction
+        if transaction is None or self._running:
+            return
+        now = self._loop.time()
+        self._expire_transaction(now)
+        if self.session.transaction is not None:
+            due = transaction.last_used + self._databases.transaction_idle
+            self._rest_timer = self._loop.call_at(due, self._look_at_rest)
+
+    # --- commands -----------------------------------------------------------------------------
 
     def _fail_transaction(self) -> None:
         transaction = self.session.transaction
@@ -241,5 +270,7 @@
 
     def close(self) -> None:
         """The caller is gone: an open transaction is rolled back."""
+        if self._rest_timer is not None:
+            self._rest_timer.cancel()
         self.caller_left()
         self._fail_transaction()
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -21,7 +21,7 @@
 from orchidwind.managed.group_service import GroupService
 from orchidwind.managed.lead_lease import LeaseKeeper
 from orchidwind.managed.metrics import ManagedMetrics
-from orchidwind.managed.peer_service import PeerService
+from orchidwind.managed.peer_service import HomePorts, PeerService
 from orchidwind.managed.peers import PeerNetwork
 from orchidwind.managed.ports import (
     Changes,
@@ -100,7 +100,9 @@
             own, ports.peers, ports.member_store, self._connection_limit, self._homes_changed
         )
         self.leases = LeaseKeeper(name, ports.lock_store, ports.leases, self.homes.lock_reader)
-        self.peer_service = PeerService(self.group, self.registry, self.leases.report)
+        self.peer_service = PeerService(
+            HomePorts(self.group, self.registry, self.leases.report, lambda: self.transaction_idle)
+        )
         self._coordinating = False
         self._tasks: list[asyncio.Task[None]] = []
         self._prepared = asyncio.Event()
--- a/src/orchidwind/managed/peer_service.py
+++ b/src/orchidwind/managed/peer_service.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass
 from typing import Any
 
 from orchidwind.core.errors import ErrorKind, RequestError
@@ -36,27 +37,34 @@
 
 _PREPARED_NAME = "forwarded"
 _LOGGED_ATTEMPTS = 4
+_FRONT_MARGIN_SECONDS = 1.0
 
 SendBack = Callable[[PeerMessage], None]
 GroupLookup = Callable[[str], GroupService | None]
 ReadLock = Callable[[int], Awaitable[LockReport]]
 
 
+@dataclass(frozen=True, slots=True)
+class HomePorts:
+    """What the service needs of its proxy. `transaction_idle` tells seconds."""
+
+    groups: GroupLookup
+    registry: SessionRegistry
+    read_lock: ReadLock
+    transaction_idle: Callable[[], float]
+
+
 class PeerService:
     """All links that other proxies opened to this one."""
 
-    def __init__(self, groups: GroupLookup, registry: SessionRegistry, read_lock: ReadLock) -> None:
+    def __init__(self, home: HomePorts) -> None:
         self.leaving = False
-        self._groups = groups
-        self._registry = registry
-        self._read_lock = read_lock
+        self._home = home
         self._links: set[ServedLink] = set()
 
     def link(self, send: SendBack) -> ServedLink:
         """A link was opened; `send` writes on it."""
-        served = ServedLink(
-            self._groups, self._registry, self._read_lock, send, lambda: self.leaving
-        )
+        served = ServedLink(self._home, send, lambda: self.leaving)
         self._links.add(served)
         return served
 
@@ -75,17 +83,8 @@
 class ServedLink:
     """One link at the home's side."""
 
-    def __init__(
-        self,
-        groups: GroupLookup,
-        registry: SessionRegistry,
-        read_lock: ReadLock,
-        send: SendBack,
-        leaving: Callable[[], bool],
-    ) -> None:
-        self._groups = groups
-        self._registry = registry
-        self._read_lock = read_lock
+    def __init__(self, home: HomePorts, send: SendBack, leaving: Callable[[], bool]) -> None:
+        self._home = home
         self._send = send
         self._leaving = leaving
         self._channels: dict[int, _Channel] = {}
@@ -122,9 +121,9 @@
     def _run(self, message: RunCommand) -> None:
         channel = self._channels.get(message.channel)
         if channel is None:
-            channel = self._channels[message.channel] = _Channel(self._registry)
-            self._registry.sessions.add(channel)
-        channel.resting = False
+            channel = self._channels[message.channel] = _Channel(self._home)
+            self._home.registry.sessions.add(channel)
+        channel.work()
         self._spawn(self._answer(channel, message))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -133,12 +132,12 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _report_lock(self, message: LockQuery) -> None:
-        self._send(await self._read_lock(message.number))
+        self._send(await self._home.read_lock(message.number))
 
     async def _answer(self, channel: _Channel, message: RunCommand) -> None:
-        answer = await channel.run(message, self._groups(message.group))
-        channel.resting = True
+        answer = await channel.run(message, self._home.groups(message.group))
         self._send(answer)
+        channel.rest(lambda: self._drop_if_done(message.channel))
         self._drop_if_done(message.channel)
 
     def _drop_if_done(self, number: int) -> None:
@@ -146,15 +145,16 @@
         channel = self._channels.get(number)
         if channel is not None and channel.resting and not channel.in_transaction:
             del self._channels[number]
-            self._registry.sessions.discard(channel)
+            self._home.registry.sessions.discard(channel)
 
 
 class _Channel:
     """One session of another proxy's caller, while it has work here."""
 
-    def __init__(self, registry: SessionRegistry) -> None:
+    def __init__(self, home: HomePorts) -> None:
         self.resting = True
-        self._registry = registry
+        self._home = home
+        self._rest_timer: asyncio.TimerHandle | None = None
         self._session = ManagedSession()
         self._runner = CommandRunner(self._session)
         self._group: GroupService | None = None
@@ -165,12 +165,34 @@
         """Whether a transaction is open."""
         return self._session.state is TransactionState.OPEN
 
+    def rest(self, on_expired: Callable[[], None]) -> None:
+        """A command has ended. The front ends a transaction that rests; if it does not, this does.
+
+        A front that stands still would else hold the connection.
+        """
+
+        def expire() -> None:
+            self.close()
+            on_expired()
+
+        self.resting = True
+        if self.in_transaction:
+            wait = self._home.transaction_idle() + _FRONT_MARGIN_SECONDS
+            self._rest_timer = self._loop.call_later(wait, expire)
+
+    def work(self) -> None:
+        """A command begins."""
+        self.resting = False
+        if self._rest_timer is not None:
+            self._rest_timer.cancel()
+            self._rest_timer = None
+
     def close(self) -> None:
         """Begin nothing more; a transaction that is open is rolled back."""
         self._runner.caller_gone = True
         if self.resting:
             self._fail_transaction()
-            self._registry.sessions.discard(self)
+            self._home.registry.sessions.discard(self)
 
     def _fail_transaction(self) -> None:
         transaction = self._session.transaction
--- a/tests/test_peer_streams.py
+++ b/tests/test_peer_streams.py
@@ -21,7 +21,7 @@
     SettingValue,
 )
 from orchidwind.core.positions import Position
-from orchidwind.managed.peer_service import PeerService
+from orchidwind.managed.peer_service import HomePorts, PeerService
 from orchidwind.managed.sessions import SessionRegistry
 from orchidwind.network.peer_codec import DecodeError, FrameCutter, decode_peer, encode_peer
 from orchidwind.network.peer_streams import PeerListener, PeerStreamConnector
@@ -106,10 +106,13 @@
     return LockReport(number, False, 0.0, 0, False)
 
 
+HOME = HomePorts(lambda group: None, SessionRegistry(), no_lock, lambda: 3.0)
+
+
 def with_listener(scenario):
     async def work():
         port = free_ports(1)[0]
-        listener = PeerListener(PeerService(lambda group: None, SessionRegistry(), no_lock))
+        listener = PeerListener(PeerService(HOME))
         listener.listen(port, "127.0.0.1")
         got, lost = asyncio.Queue(), asyncio.Queue()
         member = ProxyMember("home", "z", "127.0.0.1", port)
