--- a/src/orchidwind/core/pool.py
+++ b/src/orchidwind/core/pool.py
@@ -180,6 +180,14 @@
         self.busy[connection] = now
         return connection
 
+    def open_one(self) -> list[PoolEffect]:
+        """Open a connection though nobody waits, if there is none."""
+        if self.size:
+            return []
+        connection = next(self._numbers)
+        self.opening.add(connection)
+        return [OpenConnection(self.instance, connection)]
+
     def _wants_another(self) -> bool:
         if self.size >= self.usable:
             return False
--- a/src/orchidwind/managed/connections.py
+++ b/src/orchidwind/managed/connections.py
@@ -24,6 +24,9 @@
 CONNECTION_LIMIT_MET = "53300"
 _SHORTEST_RETRY_SECONDS = 0.01
 _FEWEST_CONNECTIONS = 2
+# An instance that had no room is taken to have none for so long, unless a connection opens.
+_REFUSED_SECONDS = 1.0
+_TRY_AGAIN_SECONDS = 0.25
 
 T = TypeVar("T")
 
@@ -60,6 +63,7 @@
         self._pools: dict[str, InstancePool] = {}
         self._grants: dict[int, tuple[str, asyncio.Future[int]]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._refused_until: dict[str, float] = {}
         self._share = _FEWEST_CONNECTIONS
         self._closed = False
 
@@ -110,6 +114,23 @@
         """Connections that requests or transactions hold."""
         return sum(len(pool.busy) for pool in self._pools.values())
 
+    @property
+    def starved(self) -> bool:
+        """Whether an instance had no room lately and no connection to it is open here.
+
+        After the loss of all proxies an instance counts their old connections for some seconds:
+        the first that return take what is left, and the others have none.
+        """
+        now = self._loop.time()
+        return any(
+            now < until and not self._has_connection(instance)
+            for instance, until in self._refused_until.items()
+        )
+
+    def _has_connection(self, instance: str) -> bool:
+        pool = self._pools.get(instance)
+        return pool is not None and bool(pool.idle or pool.busy)
+
     # --- upkeep -------------------------------------------------------------------------------
 
     def pool(self, instance: str) -> InstancePool:
@@ -155,6 +176,7 @@
         """An instance left long ago."""
         self.drop_idle(instance)
         self._pools.pop(instance, None)
+        self._refused_until.pop(instance, None)
 
     def _perform(self, effects: Iterable[PoolEffect]) -> None:
         for effect in effects:
@@ -213,6 +235,9 @@
         except BackendRefused as refused:
             limit_met = refused.sqlstate == CONNECTION_LIMIT_MET
             log_event("connection_refused", instance=instance, reason=str(refused))
+            if limit_met:
+                self.note_no_room(instance)
+                self._loop.call_later(_TRY_AGAIN_SECONDS, self._try_again, pool)
             self._perform(pool.open_failed(number, self._loop.time(), limit_met))
             self._retry_open(pool)
             return
@@ -228,6 +253,15 @@
         self._topology.answered(instance, self._loop.time())
         self._perform(pool.opened(number, self._loop.time()))
 
+    def note_no_room(self, instance: str) -> None:
+        """An instance takes no more connections."""
+        self._refused_until[instance] = self._loop.time() + _REFUSED_SECONDS
+
+    def _try_again(self, pool: InstancePool) -> None:
+        """Requests go elsewhere meanwhile, so nobody waits here: open one all the same."""
+        if not self._closed and self._pools.get(pool.instance) is pool:
+            self._perform(pool.open_one())
+
     def _retry_open(self, pool: InstancePool) -> None:
         due = pool.deadline()
         if due is not None and not self._closed:
--- a/src/orchidwind/managed/lead_lease.py
+++ b/src/orchidwind/managed/lead_lease.py
@@ -25,6 +25,8 @@
 # A reading older than this is not passed on: too little of the lease is left.
 _OLDEST_REPORT_SECONDS = 0.5
 _REPORT_SECONDS = 0.1
+# A planned stop has used most of its grace by then.
+_LEAVE_SECONDS = 0.3
 
 
 class LeaseKeeper:
@@ -197,8 +199,9 @@
         self._registered = False
         self.lease.drop()
         try:
-            await self._registry.remove(self._node)
-        except PlatformError as error:
+            async with asyncio.timeout(_LEAVE_SECONDS):
+                await self._registry.remove(self._node)
+        except (PlatformError, TimeoutError) as error:
             log_event("lease_not_removed", reason=str(error))
 
     async def wait_for_others(self, token: int, taken_at: float) -> None:
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -97,7 +97,12 @@
         self.rosters = RosterKeeper(self.groups, ports.roster_store)
         self.registry = SessionRegistry()
         self.homes = PeerNetwork(
-            own, ports.peers, ports.member_store, self._connection_limit, self._homes_changed
+            own,
+            ports.peers,
+            ports.member_store,
+            self._connection_limit,
+            self._starved,
+            self._homes_changed,
         )
         self.leases = LeaseKeeper(name, ports.lock_store, ports.leases, self.homes.lock_reader)
         self.peer_service = PeerService(
@@ -265,6 +270,11 @@
         settings = None if self.configuration is None else self.configuration.groups.get(group)
         return 0 if settings is None else settings.maximum_connections
 
+    def _starved(self, group: str) -> bool:
+        """Whether this proxy gets no connection to an instance of a group."""
+        service = self.groups.get(group)
+        return service is not None and service.connections.starved
+
     def _homes_changed(self) -> None:
         """Members or limits changed: take on or give up the groups' connections."""
         if not self.homes.known:
--- a/src/orchidwind/managed/peers.py
+++ b/src/orchidwind/managed/peers.py
@@ -18,6 +18,7 @@
 _LOCK_READER_KEY = "promotion-lock"
 
 LimitLookup = Callable[[str], int]
+StarvedLookup = Callable[[str], bool]
 
 
 class PeerNetwork:
@@ -29,8 +30,11 @@
         connector: PeerConnector,
         store: MemberStore,
         limit_of: LimitLookup,
+        starved: StarvedLookup,
         on_change: Callable[[], None],
     ) -> None:
+        """`starved` tells whether this proxy gets no connection to a group's instances."""
+        self._starved = starved
         self.known = False
         self._own = own
         self._connector = connector
@@ -120,13 +124,18 @@
         return self.placement(group).includes(self._own.name)
 
     def home_link(self, group: str) -> PeerLink | None:
-        """The link to the home that this proxy sends a group's commands to; None: this proxy."""
+        """The link to the home that this proxy sends a group's commands to; None: this proxy.
+
+        A home that gets no connections lets another home serve.
+        """
         preferred = self._preferred.get(group)
         if preferred is None:
             preferred = self.placement(group).preferred(self._own.name, self._own.zone)
             self._preferred[group] = preferred
         for member in preferred:
             if member.name == self._own.name:
+                if self._starved(group):
+                    continue
                 return None
             link = self._link(member)
             if link.usable():
--- a/src/orchidwind/managed/status_calls.py
+++ b/src/orchidwind/managed/status_calls.py
@@ -11,7 +11,7 @@
 from orchidwind.core.managed.commands import InstanceStatus
 from orchidwind.core.managed.topology import GroupTopology
 from orchidwind.logs import log_event
-from orchidwind.managed.connections import GroupConnections
+from orchidwind.managed.connections import CONNECTION_LIMIT_MET, GroupConnections
 from orchidwind.managed.ports import InstanceLink
 
 ASK_SECONDS = 0.2
@@ -50,8 +50,10 @@
         try:
             async with asyncio.timeout(seconds):
                 status = await self._ask_on_some_link(instance, call)
-        except BackendRefused:
+        except BackendRefused as refused:
             self._topology.answered(instance, self._loop.time())
+            if refused.sqlstate == CONNECTION_LIMIT_MET:
+                self._connections.note_no_room(instance)
             return None
         except (BackendConnectionLost, TimeoutError) as error:
             self.drop(instance)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -3,14 +3,16 @@
 import asyncio
 import contextlib
 
-from orchidwind.core.errors import PeerUnavailable
+from orchidwind.core.errors import PeerUnavailable, RequestError
+from orchidwind.core.managed.commands import Command, CommandKind
 from orchidwind.core.managed.homes import ProxyMember
+from orchidwind.managed.executor import SessionExecutor
 from orchidwind.managed.peers import FORGET_SECONDS
 from orchidwind.managed.ports import Changes, Listing
 from orchidwind.managed.watch import CollectionWatch
 from orchidwind_bench.managed.callers import ManagedSystem
 from orchidwind_bench.managed.virtual_time import run_virtual
-from orchidwind_bench.managed.world import GROUP
+from orchidwind_bench.managed.world import GROUP, STORE
 
 PROXIES = tuple(f"proxy-{letter}" for letter in "abcdef")
 
@@ -110,3 +112,49 @@
         assert follower.taken >= 5
 
     run_virtual(work())
+
+
+def commands(executor, kind, text, number):
+    return executor.execute(Command(f"q{number}", kind, text))
+
+
+def test_a_home_that_gets_no_connections_lets_another_serve():
+    """Instances count the connections of proxies that were lost: those that return find no room."""
+
+    async def scenario(system):
+        others = [node for node in system.nodes.values() if node.name != "proxy-a"]
+        for node in others:
+            executor = SessionExecutor(node, "latest")
+            await commands(executor, CommandKind.WRITE, "WRITE x y", node.name)
+        instances = system.group.instances.values()
+        system.restart_proxy("proxy-a")
+        # No instance has room for one more.
+        system.world.connection_limit = min(len(item.links) for item in instances)
+        node = system.nodes["proxy-a"]
+        assert await node.wait_prepared(5.0)
+        await asyncio.sleep(1.0)
+        executor = SessionExecutor(node, "latest")
+        with contextlib.suppress(RequestError):
+            await commands(executor, CommandKind.WRITE, "WRITE x y", 0)
+        for number in range(1, 30):
+            await commands(executor, CommandKind.WRITE, "WRITE x y", number)
+            await asyncio.sleep(0.1)
+        assert not any(link.node == "proxy-a" for item in instances for link in item.links)
+        system.world.connection_limit = 100
+        await asyncio.sleep(1.0)
+        await commands(executor, CommandKind.WRITE, "WRITE x y", 99)
+        assert any(link.node == "proxy-a" for item in instances for link in item.links)
+        assert not node.groups[GROUP].connections.starved
+
+    with_system(scenario, limit=24)
+
+
+def test_a_planned_stop_does_not_wait_for_a_store_that_is_cut_off():
+    async def scenario(system):
+        node = system.nodes["proxy-a"]
+        system.world.network.cut("proxy-a", STORE)
+        began = system.world.now
+        await node.leases.leave()
+        assert system.world.now - began < 0.5
+
+    with_system(scenario)
