--- a/src/orchidwind/core/managed/failover.py
+++ b/src/orchidwind/core/managed/failover.py
@@ -8,8 +8,10 @@
 3. The replicas are fenced with a term above every known one: they receive nothing more from the
    old primary, so it can acknowledge nothing more once r - s + 1 of them are fenced.
 4. Those r - s + 1 and any `s` replicas that received an acknowledged commit share a replica; so the
-   most advanced of the fenced logs has every acknowledged commit. So has any log at least as long
-   as that of a demoted primary.
+   most advanced of the fenced logs has every commit acknowledged in the present term. Commits of
+   the terms before are surely in the present primary's log and in those that followed it, so one
+   that has not followed the newest term is no candidate. Any log at least as long as that of a
+   demoted primary has every acknowledged commit.
 5. Lead leases are waited out, or confirmed to be dropped (`lead_lease`).
 6. A restart drops a fence: all fences are asked for again right before the promotion.
 7. The promotion is sent while the lock is surely held, and settled by asking the instance.
@@ -20,7 +22,7 @@
 from __future__ import annotations
 
 from collections.abc import Generator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, unique
 
 from orchidwind.core.errors import OrchidwindError
@@ -61,6 +63,7 @@
     `members` are all instances that may have confirmed commits; `leaving` those of them that must
     not lead; `old_primary` is empty where none is known. Without `members_known` there may be
     others, of which this proxy has not been told: then only a demoted primary's log is a measure.
+    `led_term` is the newest term in which an instance is known to have led.
     """
 
     group: str
@@ -70,6 +73,7 @@
     old_primary: str
     synchronous_replicas: int
     members_known: bool = True
+    led_term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -245,6 +249,7 @@
         return (yield from _stand_down(statuses))
     newest = max((item.newest_term for item in statuses.values()), default=0)
     fence_term = newest + 1
+    plan = replace(plan, led_term=_newest_led(plan, statuses))
     if plan.reason is FailoverReason.NOT_CONFIRMING:
         refused = yield from _check_not_confirming(plan, statuses, fence_term)
         if refused is not None:
@@ -279,6 +284,11 @@
     return FailoverResult(FailoverOutcome.NOT_SAFE)
 
 
+def _newest_led(plan: FailoverPlan, statuses: Statuses) -> int:
+    """The newest term in which an instance is known to have led; a fence alone is none."""
+    return max([plan.led_term, *(item.term for item in statuses.values())])
+
+
 def _check_not_confirming(
     plan: FailoverPlan, statuses: Statuses, fence_term: int
 ) -> Generator[FailoverStep, FailoverStepResult, FailoverResult | None]:
@@ -360,7 +370,9 @@
     counted = sum(1 for item in replicas if item.instance in plan.members and item.instance != old)
     if counted < _needed(plan, old) or not plan.members_known:
         return None
-    return _best(plan, [item for item in replicas if item.received == longest])
+    led = _newest_led(plan, fenced)
+    able = [item for item in replicas if item.received == longest and item.term >= led]
+    return _best(plan, able)
 
 
 def _best(plan: FailoverPlan, able: list[InstanceStatus]) -> InstanceStatus | None:
--- a/src/orchidwind/core/managed/supervision.py
+++ b/src/orchidwind/core/managed/supervision.py
@@ -170,4 +170,5 @@
             old_primary=self._known_leader(),
             synchronous_replicas=self._topology.settings.synchronous_replicas,
             members_known=members_known,
+            led_term=self._topology.newest_led_term,
         )
--- a/src/orchidwind/core/managed/topology.py
+++ b/src/orchidwind/core/managed/topology.py
@@ -228,14 +228,14 @@
             reachable = view.unreachable_since is None
             if term and reachable and view.usable(now) and (best is None or term > best.term):
                 best = PrimaryView(name, term)
-        if best is None or best.term < self._newest_led_term():
+        if best is None or best.term < self.newest_led_term:
             return None
         return best
 
-    def _newest_led_term(self) -> int:
-        """The highest term that some instance is known to be in; a fence alone is no new term."""
-        terms = (view.status.term for view in self.instances.values() if view.status)
-        return max(terms, default=0)
+    @property
+    def newest_led_term(self) -> int:
+        """The highest term that some instance was ever in; a fence alone is no new term."""
+        return self._led_term
 
     def unclear(self) -> list[str]:
         """Instances to ask for their status: those whose listed role is not what they told."""
--- a/tests/test_managed_core.py
+++ b/tests/test_managed_core.py
@@ -312,3 +312,23 @@
     lease = LeadLease()
     lease.lock_seen(LockReading.told(own_clock, age, 1, free=True))
     assert lease.covered_until - clock_offset <= read_at + LEASE_SECONDS + 1e-6
+
+
+def test_a_replica_that_did_not_follow_the_present_term_is_never_chosen_by_count():
+    """It may lack commits of the term before, which only the present primary surely has.
+
+    Found by a hunt (Dakar, mix --seed 888404177874): 25 acknowledged commits lost.
+    """
+    plan = FailoverPlan(
+        group="g",
+        reason=FailoverReason.NOT_CONFIRMING,
+        members=("i-1", "i-2"),
+        leaving=frozenset(),
+        old_primary="i-2",
+        synchronous_replicas=1,
+        led_term=2,
+    )
+    deaf = InstanceStatus("i-1", InstanceRole.REPLICA, 1, Position(1, 196), 3, 0)
+    assert choose_candidate(plan, {"i-1": deaf}, None, 3) is None
+    follows = InstanceStatus("i-1", InstanceRole.REPLICA, 2, Position(2, 245), 3, 0)
+    assert choose_candidate(plan, {"i-1": follows}, None, 3) == follows
--- a/tests/test_managed_promises.py
+++ b/tests/test_managed_promises.py
@@ -358,3 +358,21 @@
 @given(st.integers(0, 2**16), FAULTS)
 def test_promises_hold_under_random_faults(seed, faults):
     play_random(seed, faults)
+
+
+def test_a_second_failover_does_not_choose_a_replica_that_is_a_term_behind():
+    """i-1 hears nothing from 1.5 s on; i-0 crashes and is gone; i-2 then finds no replica."""
+
+    def deafen(system):
+        for other in ("i-0", "i-2"):
+            system.world.network.cut("i-1", other)
+
+    def lose(system):
+        primary = system.group.primary()
+        primary.crash()
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.5, system.world.store.drop_entry, primary.name)
+
+    system = play(60, [(1.5, deafen), (3.0, lose), (7.0, lambda s: s.world.network.heal())], 9.0)
+    assert system.world.history.broken == []
+    assert [name for _, name, _ in system.world.history.promotions][:1] == ["i-2"]
