--- a/src/orchidwind/managed/connections.py
+++ b/src/orchidwind/managed/connections.py
@@ -157,20 +157,21 @@
     def close_idle(self) -> None:
         """Close every connection that no request holds."""
         for pool in self._pools.values():
-            for connection in list(pool.idle):
-                self._close(connection)
-                self._perform(pool.lost(connection, self._loop.time()))
+            self._close_idle_of(pool)
 
     def drop_idle(self, instance: str) -> None:
         """Close idle connections to an instance that does not answer; who waits goes elsewhere."""
         pool = self._pools.get(instance)
         if pool is None:
             return
+        self._close_idle_of(pool)
+        self._turn_away(pool)
+        self._retry_open(pool)
+
+    def _close_idle_of(self, pool: InstancePool) -> None:
         for connection in list(pool.idle):
             self._close(connection)
             self._perform(pool.lost(connection, self._loop.time()))
-        self._turn_away(pool)
-        self._retry_open(pool)
 
     def forget(self, instance: str) -> None:
         """An instance left long ago."""
--- a/src/orchidwind/managed/forwarding.py
+++ b/src/orchidwind/managed/forwarding.py
@@ -67,14 +67,11 @@
                 answer = await self._ask(channel, context, limits)
             except PeerUnavailable as lost:
                 context.note(channel.link.member.name, f"home_lost:sent={lost.sent}")
-                opened = self._open is not None
-                self._open = None
-                error = after_lost_home(session, command, opened, lost.sent)
+                error = self._lose_home(command, lost.sent)
                 if command.kind is CommandKind.ROLLBACK:
                     session.end_transaction()
                     return CommandResult()
                 if error is not None:
-                    self._end_if_commit(command.kind)
                     raise error from lost
                 continue
             return self._take(channel, context, answer)
@@ -160,11 +157,17 @@
 
     def _timed_out(self, command: Command) -> RequestError:
         """The home did not answer in time; it has been told to begin nothing more."""
-        opened, self._open = self._open is not None, None
-        lost = after_lost_home(self._session, command, opened, sent=True)
-        self._end_if_commit(command.kind)
+        lost = self._lose_home(command, sent=True)
         return lost or RequestError(ErrorKind.STATEMENT_TIMEOUT, "the home did not answer in time")
 
+    def _lose_home(self, command: Command, sent: bool) -> RequestError | None:
+        """The home is gone for this command; what the caller is told, None to try another."""
+        opened, self._open = self._open is not None, None
+        error = after_lost_home(self._session, command, opened, sent)
+        if error is not None:
+            self._end_if_commit(command.kind)
+        return error
+
     def _end_if_commit(self, kind: CommandKind) -> None:
         """However a COMMIT ends, the transaction is over."""
         if kind is CommandKind.COMMIT:
--- a/src/orchidwind/managed/peer_service.py
+++ b/src/orchidwind/managed/peer_service.py
@@ -212,15 +212,15 @@
             result = await self._runner.run(context, group, limits)
         except RequestError as error:
             self._fail_transaction()
-            return self._failed(message, context, error)
+            return self._answer(message, context, error=error)
         except Exception as error:  # a fault of this program ends one command, not all
             log_event("peer_command_failed", level=logging.ERROR, reason=repr(error))
             self._fail_transaction()
             unknown = RequestError(ErrorKind.OUTCOME_UNKNOWN, "the home failed")
-            return self._failed(message, context, unknown)
+            return self._answer(message, context, error=unknown)
         if self._runner.caller_gone:
             self._fail_transaction()
-        return self._done(message, context, result)
+        return self._answer(message, context, result)
 
     def _context(self, message: RunCommand, group: GroupService) -> CommandContext:
         session = self._session
@@ -251,36 +251,27 @@
         )
         return CommandContext(session, group.state, database, command, self._loop.time())
 
-    def _failed(
-        self, message: RunCommand, context: CommandContext | None, error: RequestError
+    def _answer(
+        self,
+        message: RunCommand,
+        context: CommandContext | None,
+        result: CommandResult | None = None,
+        error: RequestError | None = None,
     ) -> CommandAnswer:
+        """The answer with a result, or with an error."""
+        told = result or CommandResult()
         return CommandAnswer(
             number=message.number,
-            error=error.kind.value,
-            message=error.message,
-            retry_after_milliseconds=error.retry_after_milliseconds,
-            rows=(),
-            signature="",
+            error=error.kind.value if error else "",
+            message=error.message if error else "",
+            retry_after_milliseconds=error.retry_after_milliseconds if error else None,
+            rows=told.rows,
+            signature=told.signature,
             floor=self._session.floor,
             sent_to=context.sent_to if context else "",
             attempts=_attempts(context),
         )
 
-    def _done(
-        self, message: RunCommand, context: CommandContext, result: CommandResult
-    ) -> CommandAnswer:
-        return CommandAnswer(
-            number=message.number,
-            error="",
-            message="",
-            retry_after_milliseconds=None,
-            rows=result.rows,
-            signature=result.signature,
-            floor=self._session.floor,
-            sent_to=context.sent_to,
-            attempts=_attempts(context),
-        )
-
 
 def _attempts(context: CommandContext | None) -> str:
     return "" if context is None else " ".join(context.attempts[-_LOGGED_ATTEMPTS:])
