--- a/src/orchidwind/managed/watch.py
+++ b/src/orchidwind/managed/watch.py
@@ -47,6 +47,14 @@
         self._revision: int | None = None
         self._connected = False
         self._retry = _FIRST_RETRY_SECONDS
+        self._failed_attempts = 0
+        self._loop = asyncio.get_running_loop()
+        self._answered_at = self._loop.time()
+
+    @property
+    def age(self) -> float:
+        """Seconds since the store last answered for this collection, or since the start."""
+        return self._loop.time() - self._answered_at
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -78,11 +86,32 @@
         self._retry = _FIRST_RETRY_SECONDS
         if not self._connected:
             self._connected = True
-            log_event("watch_connected", collection=self._name, revision=revision)
+            log_event(
+                "watch_connected",
+                collection=self._name,
+                revision=revision,
+                silent_seconds=round(self.age, 3),
+                failed_attempts=self._failed_attempts,
+            )
+        self._failed_attempts = 0
+        self._answered_at = self._loop.time()
 
     async def _after_error(self, error: PlatformError) -> None:
-        if self._connected:
-            self._connected = False
-            log_event("watch_lost", collection=self._name, reason=str(error))
+        self._connected = False
+        self._failed_attempts += 1
+        if _is_power_of_two(self._failed_attempts):
+            log_event(
+                "watch_lost" if self._failed_attempts == 1 else "watch_attempt_failed",
+                collection=self._name,
+                revision=self._revision,
+                attempt=self._failed_attempts,
+                silent_seconds=round(self.age, 3),
+                reason=str(error),
+            )
         await asyncio.sleep(self._retry)
         self._retry = min(self._retry * 2, _LONGEST_RETRY_SECONDS)
+
+
+def _is_power_of_two(count: int) -> bool:
+    """Which attempts are logged: a long outage must not fill the log."""
+    return count & (count - 1) == 0
--- a/src/orchidwind/network/http_call.py
+++ b/src/orchidwind/network/http_call.py
@@ -70,16 +70,23 @@
 async def http_call(request: HttpRequest, seconds: float) -> HttpAnswer:
     """Make a call; raises HttpCallFailed."""
     stream = IOStream(client_socket())
+    started_at = asyncio.get_running_loop().time()
     sent = False
+
+    def failed(reason: str) -> HttpCallFailed:
+        stage = "waiting for the answer" if sent else "connecting"
+        spent = asyncio.get_running_loop().time() - started_at
+        return HttpCallFailed(f"{reason} while {stage}, after {spent:.3f} s", sent=sent)
+
     try:
         async with asyncio.timeout(seconds):
             await stream.connect(request.address)
             sent = True
             return await _exchange(stream, request)
     except TimeoutError as error:
-        raise HttpCallFailed("no answer in time", sent=sent) from error
+        raise failed("time out") from error
     except (StreamClosedError, OSError, HTTPInputError) as error:
-        raise HttpCallFailed(str(error) or "closed", sent=sent) from error
+        raise failed(str(error) or "closed") from error
     finally:
         stream.close()
 
