--- a/src/orchidwind/commands/explain.py
+++ b/src/orchidwind/commands/explain.py
@@ -24,7 +24,11 @@
         "primary_changed",
         "promotion_sent",
         "started",
+        "view_current_again",
+        "view_told",
+        "view_too_old",
         "watch_connected",
+        "watch_given_up",
         "watch_lost",
     )
 )
--- /dev/null
+++ b/src/orchidwind/core/managed/freshness.py
@@ -0,0 +1,122 @@
+"""How old a view of something kept elsewhere may become, and what is due at which age. No I/O.
+
+A proxy follows the configuration, the directory and more from afar. Silence of a source looks like
+"nothing has changed", so each view has an age: the time since it was last known to be current. A
+promise that names a time bounds that age. Everything that keeps it below the bound is a share of
+the bound; in the worst case, a source that is reachable again is read after
+
+    watch_wait + answer_slack                       a swallowed watch is given up       0.45
+    or read_at_age + hedge_after                    a view confirmed by others ends     0.80
+
+of the bound, and a call of the store takes some milliseconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# The shares add up as told above; what they leave is for slow machines and slow answers.
+_WATCH_WAIT_SHARE = 0.3
+_ANSWER_SLACK_SHARE = 0.15
+_ASK_SHARE = 0.15
+_READ_SHARE = 0.6
+_HEDGE_SHARE = 0.2
+_PAUSE_SHARE = 0.1
+# A watch that nobody's promise waits for costs one call each 30 s, the longest the store allows.
+LONGEST_WATCH_SECONDS = 30.0
+# Time beyond its wait that such a watch has for its answer: a store slowed a hundredfold takes
+# 0.4 s.
+_UNHURRIED_SLACK_SECONDS = 1.0
+# A read without an answer is repeated after this, where no promise says otherwise.
+_UNHURRIED_HEDGE_SECONDS = 1.0
+_UNHURRIED_PAUSE_SECONDS = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class FollowTimes:
+    """The times by which one view is followed, all in seconds.
+
+    `bound`: the greatest age that a promise allows, None where none depends on the view.
+    `watch_wait`: how long a watch waits whose answer alone shows that the view is current.
+    `relying_wait`: how long it waits where other proxies confirm the view meanwhile.
+    `answer_slack`: how much later than its wait a watch may be answered.
+    `ask_every`: how often others are asked, once the view is that old; None: never.
+    `read_at_age`: the age at which the store is read, whatever was waited for.
+    `hedge_after`: a read without an answer is repeated beside the first after this time.
+    `longest_pause`: between two failed calls.
+    """
+
+    bound: float | None
+    watch_wait: float
+    relying_wait: float
+    answer_slack: float
+    ask_every: float | None
+    read_at_age: float | None
+    hedge_after: float
+    longest_pause: float
+
+    @classmethod
+    def within(cls, bound: float) -> FollowTimes:
+        """For a view that a promise needs to be at most `bound` seconds old."""
+        return cls(
+            bound=bound,
+            watch_wait=bound * _WATCH_WAIT_SHARE,
+            relying_wait=LONGEST_WATCH_SECONDS,
+            answer_slack=bound * _ANSWER_SLACK_SHARE,
+            ask_every=bound * _ASK_SHARE,
+            read_at_age=bound * _READ_SHARE,
+            hedge_after=bound * _HEDGE_SHARE,
+            longest_pause=bound * _PAUSE_SHARE,
+        )
+
+    @classmethod
+    def unhurried(cls, watch_wait: float) -> FollowTimes:
+        """For a view that costs time at most when it is old."""
+        return cls(
+            bound=None,
+            watch_wait=watch_wait,
+            relying_wait=watch_wait,
+            answer_slack=_UNHURRIED_SLACK_SECONDS,
+            ask_every=None,
+            read_at_age=None,
+            hedge_after=_UNHURRIED_HEDGE_SECONDS,
+            longest_pause=_UNHURRIED_PAUSE_SECONDS,
+        )
+
+
+class ViewAge:
+    """Since when one view is not known to be current, and when others are to be asked."""
+
+    def __init__(self, times: FollowTimes, now: float) -> None:
+        self._times = times
+        self._confirmed_at = now
+        self._asked_at = float("-inf")
+
+    def age(self, now: float) -> float:
+        """Seconds since the view was last known to be current, or since the start."""
+        return max(now - self._confirmed_at, 0.0)
+
+    def confirmed(self, as_of: float) -> None:
+        """The view was current at a time."""
+        self._confirmed_at = max(self._confirmed_at, as_of)
+
+    def asked(self, now: float) -> None:
+        """Others are asked now."""
+        self._asked_at = now
+
+    def ask_due_in(self, now: float, first_ask_age: float) -> float | None:
+        """Seconds until others are to be asked, from an age on; None: never."""
+        if self._times.ask_every is None:
+            return None
+        due = max(self._confirmed_at + first_ask_age, self._asked_at + self._times.ask_every)
+        return max(due - now, 0.0)
+
+    def read_due_in(self, now: float) -> float | None:
+        """Seconds until the store is to be read, whatever was waited for; None: never."""
+        if self._times.read_at_age is None:
+            return None
+        return max(self._confirmed_at + self._times.read_at_age - now, 0.0)
+
+    def too_old(self, now: float) -> bool:
+        """Whether the view is older than the promise that rests on it allows."""
+        return self._times.bound is not None and self.age(now) > self._times.bound
--- a/src/orchidwind/core/managed/homes.py
+++ b/src/orchidwind/core/managed/homes.py
@@ -16,7 +16,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from orchidwind.core.rendezvous import rank, rank_by_capacity
+from orchidwind.core.rendezvous import first, rank, rank_by_capacity
 
 # With fewer than these to each instance, requests of one proxy wait for one another's connections.
 FEWEST_USEFUL_CONNECTIONS = 4
@@ -72,6 +72,19 @@
     return GroupHomes(group, tuple(homes), max(share, _FEWEST_CONNECTIONS))
 
 
+def zone_readers(view: str, followers: Iterable[ProxyMember]) -> dict[str, ProxyMember]:
+    """Which proxy of each zone watches the store closely for the others of it, by zone."""
+    by_zone: dict[str, dict[str, ProxyMember]] = {}
+    for member in followers:
+        by_zone.setdefault(member.zone, {})[member.name] = member
+    readers: dict[str, ProxyMember] = {}
+    for zone, members in by_zone.items():
+        name = first(view, sorted(members))
+        if name is not None:
+            readers[zone] = members[name]
+    return readers
+
+
 def _chosen(group: str, connection_limit: int, known: list[ProxyMember]) -> list[ProxyMember]:
     by_zone: dict[str, list[ProxyMember]] = {}
     for member in known:
--- a/src/orchidwind/core/managed/peer_messages.py
+++ b/src/orchidwind/core/managed/peer_messages.py
@@ -5,6 +5,11 @@
 import msgspec
 
 from orchidwind.core.managed.commands import PreparedStatement
+from orchidwind.core.managed.configuration import (
+    DirectoryEntry,
+    ManagedDatabase,
+    ManagedGroupSettings,
+)
 from orchidwind.core.positions import Position
 
 
@@ -104,6 +109,53 @@
     free: bool
 
 
+class ViewQuery(msgspec.Struct, frozen=True):
+    """Asks for what is later than a revision in the view named `view`; -1 asks for all."""
+
+    number: int
+    view: str
+    revision: int
+
+
+class ConfigurationView(msgspec.Struct, frozen=True):
+    """A configuration, whole."""
+
+    version: int
+    databases: tuple[ManagedDatabase, ...]
+    groups: tuple[ManagedGroupSettings, ...]
+    transaction_idle: float
+
+
+class DirectoryView(msgspec.Struct, frozen=True):
+    """A directory, whole."""
+
+    entries: tuple[DirectoryEntry, ...]
+
+
+class ViewReport(msgspec.Struct, frozen=True):
+    """A proxy's view, which was known to be current `age` seconds before this, as of `revision`.
+
+    Without `known` the proxy does not follow that view. One of the views is given where it changed
+    after the revision asked for.
+    """
+
+    number: int
+    known: bool
+    age: float
+    revision: int
+    configuration: ConfigurationView | None = None
+    directory: DirectoryView | None = None
+
+
 PeerMessage = (
-    Greeting | RunCommand | CommandAnswer | CloseChannel | Probe | Alive | LockQuery | LockReport
+    Greeting
+    | RunCommand
+    | CommandAnswer
+    | CloseChannel
+    | Probe
+    | Alive
+    | LockQuery
+    | LockReport
+    | ViewQuery
+    | ViewReport
 )
--- a/src/orchidwind/core/managed/supervision.py
+++ b/src/orchidwind/core/managed/supervision.py
@@ -158,6 +158,10 @@
         if now < self._start_at:
             return None
         self._start_at = None
+        return self.plan(reason, members_known)
+
+    def plan(self, reason: FailoverReason, members_known: bool) -> FailoverPlan:
+        """A change of primary, by what is known now."""
         views = self._topology.instances
         leaving = frozenset(
             name for name, view in views.items() if view.entry.draining or not view.listed
--- /dev/null
+++ b/src/orchidwind/managed/hedging.py
@@ -0,0 +1,56 @@
+"""Repeats a call that stays without an answer, on a connection of its own, beside the first."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from orchidwind.core.errors import PlatformError
+
+# So many calls at once let a store answer that needs as many times the stagger.
+MOST_CALLS = 5
+
+T = TypeVar("T")
+
+
+async def hedged(call: Callable[[], Awaitable[T]], stagger: float) -> T:
+    """The first answer of a call that is begun anew each `stagger` seconds, `MOST_CALLS` times.
+
+    A call that was swallowed costs one stagger, and one that is only slow is not given up for it.
+    Raises PlatformError when all have failed, or have been silent for one more stagger.
+    """
+    loop = asyncio.get_running_loop()
+    pending: set[asyncio.Task[T]] = set()
+    begun = 0
+    begin_next_at = loop.time()
+    try:
+        while True:
+            now = loop.time()
+            if now >= begin_next_at:
+                if begun == MOST_CALLS:
+                    raise PlatformError(f"no answer to {begun} calls, one each {stagger:.3f} s")
+                pending.add(asyncio.ensure_future(call()))
+                begun += 1
+                begin_next_at = now + stagger
+            done, pending = await asyncio.wait(
+                pending, timeout=begin_next_at - now, return_when=asyncio.FIRST_COMPLETED
+            )
+            answer = _first_answer(done, last=not pending)
+            if answer is not None:
+                return answer
+    finally:
+        for task in pending:
+            task.cancel()
+
+
+def _first_answer(done: set[asyncio.Task[T]], last: bool) -> T | None:
+    """The answer of a call that succeeded; raises its error where all have failed."""
+    failure: BaseException | None = None
+    for task in done:
+        failure = task.exception()
+        if failure is None:
+            return task.result()
+    if failure is not None and (last or not isinstance(failure, PlatformError)):
+        raise failure
+    return None
--- a/src/orchidwind/managed/metrics.py
+++ b/src/orchidwind/managed/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from orchidwind.core.errors import ErrorKind
@@ -59,6 +61,17 @@
             registry=self.registry,
         )
 
+        self._watch_age = Gauge(
+            "orchidwind_view_age_seconds",
+            "Time since a followed view was last known to be current",
+            ["view"],
+            registry=self.registry,
+        )
+
+    def watch_age(self, view: str, seconds: Callable[[], float]) -> None:
+        """The age of a view, asked for whenever the figures are read."""
+        self._watch_age.labels(view).set_function(seconds)
+
     def finished(
         self, consistency: str, command: CommandKind, error: ErrorKind | None, seconds: float
     ) -> None:
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
+from typing import Any
 
 from orchidwind.core.errors import ErrorKind
 from orchidwind.core.managed.commands import Command
@@ -14,6 +15,7 @@
     ManagedConfiguration,
     ManagedDatabase,
 )
+from orchidwind.core.managed.freshness import LONGEST_WATCH_SECONDS, FollowTimes
 from orchidwind.core.managed.homes import ProxyMember
 from orchidwind.core.managed.topology import DEFAULT_ENTRY_OUTLIVES_SECONDS
 from orchidwind.logs import log_event
@@ -24,12 +26,10 @@
 from orchidwind.managed.peer_service import HomePorts, PeerService
 from orchidwind.managed.peers import PeerNetwork
 from orchidwind.managed.ports import (
-    Changes,
     ConfigurationSource,
     DirectorySource,
     InstanceConnector,
     LeaseRegistry,
-    Listing,
     LockSource,
     MemberSource,
     MemberStore,
@@ -43,9 +43,23 @@
 from orchidwind.managed.sessions import SessionRegistry
 from orchidwind.managed.status import ManagedStatus, group_status
 from orchidwind.managed.supervising import GroupSupervision
+from orchidwind.managed.views import (
+    CONFIGURATION,
+    DIRECTORY,
+    ConfigurationFollower,
+    DirectoryFollower,
+    PeerViews,
+    ViewReporter,
+    told_configuration,
+    told_directory,
+)
 from orchidwind.managed.watch import CollectionWatch
 
+# Views that cost time at most when they are old: a revocation that goes unnoticed delays a change
+# of primary by a second, and rosters are read anew before one.
+_COORDINATION_WATCH_SECONDS = 8.0
 _FORGET_SECONDS = 5.0
+ROSTERS = "rosters"
 _GATHER_MEMBERS_SECONDS = 0.6
 _GATHER_DIRECTORY_SECONDS = 0.15
 _GATHER_ROSTERS_SECONDS = 0.5
@@ -72,6 +86,19 @@
     peers: PeerConnector
 
 
+@dataclass(frozen=True, slots=True)
+class NodeBounds:
+    """Times, in seconds, that others hold this proxy to, or that it may count on.
+
+    `entry_outlives`: how long a directory entry stays after its last renewal. `configuration` and
+    `directory`: the greatest age of these views; the defaults are those of the first users.
+    """
+
+    entry_outlives: float = DEFAULT_ENTRY_OUTLIVES_SECONDS
+    configuration: float = 3.0
+    directory: float = 4.0
+
+
 class ManagedNode:
     """Keeps the groups in step with configuration and directory."""
 
@@ -79,11 +106,10 @@
         self,
         own: ProxyMember,
         ports: NodePorts,
-        entry_outlives: float = DEFAULT_ENTRY_OUTLIVES_SECONDS,
+        bounds: NodeBounds | None = None,
         metrics: ManagedMetrics | None = None,
     ) -> None:
-        """`entry_outlives` is how long a directory entry stays after its last renewal."""
-        self._entry_outlives = entry_outlives
+        self._bounds = bounds or NodeBounds()
         self.name = name = own.name
         self.zone = own.zone
         self.metrics = metrics or ManagedMetrics()
@@ -91,7 +117,8 @@
         self.transaction_idle = DEFAULT_TRANSACTION_IDLE_SECONDS
         self.groups: dict[str, GroupService] = {}
         self._ports = ports
-        self._directory: dict[str, DirectoryEntry] = {}
+        self.directory: dict[str, DirectoryEntry] = {}
+        self.watches: dict[str, CollectionWatch[Any]] = {}
         self._directory_listed = False
         self._lock = PromotionLockClient(name, ports.lock_store)
         self.rosters = RosterKeeper(self.groups, ports.roster_store)
@@ -106,7 +133,13 @@
         )
         self.leases = LeaseKeeper(name, ports.lock_store, ports.leases, self.homes.lock_reader)
         self.peer_service = PeerService(
-            HomePorts(self.group, self.registry, self.leases.report, lambda: self.transaction_idle)
+            HomePorts(
+                self.group,
+                self.registry,
+                self.leases.report,
+                lambda: self.transaction_idle,
+                ViewReporter(self).report,
+            )
         )
         self._coordinating = False
         self._tasks: list[asyncio.Task[None]] = []
@@ -115,22 +148,42 @@
 
     def start(self) -> None:
         """Begin to follow the store."""
-        configuration = CollectionWatch(
-            "configuration", self._ports.configuration, _ConfigurationFollower(self)
+        times = FollowTimes.within(self._bounds.configuration)
+        members = PeerViews(
+            CONFIGURATION, times, self.homes, lambda: self.homes.members, told_configuration
+        )
+        self._follow(
+            CollectionWatch(
+                CONFIGURATION,
+                self._ports.configuration,
+                ConfigurationFollower(self.adopt),
+                times,
+                second_path=members,
+            )
         )
         self._spawn(self._follow_members)
-        self._spawn(configuration.run)
         self._spawn(self._forget_old)
         self._spawn(self._trim)
         self._spawn(self._tell_figures)
 
     async def _follow_members(self) -> None:
-        members = CollectionWatch(
-            "members", self._ports.member_source, self.homes, _GATHER_MEMBERS_SECONDS
-        )
         await self.homes.write_own()
         self._spawn(self.homes.keep_own)
-        await members.run()
+        self._follow(
+            CollectionWatch(
+                "members",
+                self._ports.member_source,
+                self.homes,
+                FollowTimes.unhurried(LONGEST_WATCH_SECONDS),
+                _GATHER_MEMBERS_SECONDS,
+            )
+        )
+
+    def _follow(self, watch: CollectionWatch[Any]) -> CollectionWatch[Any]:
+        self.watches[watch.name] = watch
+        self.metrics.watch_age(watch.name, lambda: watch.age)
+        self._spawn(watch.run)
+        return watch
 
     def _coordinate(self) -> None:
         """Follow what only homes need: directory, promotion lock, rosters, the lead lease.
@@ -140,23 +193,49 @@
         if self._coordinating:
             return
         self._coordinating = True
-        directory = CollectionWatch(
-            "directory",
-            self._ports.directory,
-            _DirectoryFollower(self),
-            _GATHER_DIRECTORY_SECONDS,
+        times = FollowTimes.within(self._bounds.directory)
+        homes = PeerViews(DIRECTORY, times, self.homes, self._directory_followers, told_directory)
+        self._follow(
+            CollectionWatch(
+                DIRECTORY,
+                self._ports.directory,
+                DirectoryFollower(self.directory_listed, self.instance_listed, self.instance_gone),
+                times,
+                _GATHER_DIRECTORY_SECONDS,
+                homes,
+            )
+        )
+        unhurried = FollowTimes.unhurried(_COORDINATION_WATCH_SECONDS)
+        self._follow(
+            CollectionWatch("promotion_lock", self._ports.lock_source, self.leases, unhurried)
         )
-        self._spawn(directory.run)
-        lock = CollectionWatch("promotion_lock", self._ports.lock_source, self.leases)
-        rosters = CollectionWatch(
-            "rosters", self._ports.roster_source, self.rosters, _GATHER_ROSTERS_SECONDS
+        self._follow(
+            CollectionWatch(
+                ROSTERS,
+                self._ports.roster_source,
+                self.rosters,
+                unhurried,
+                _GATHER_ROSTERS_SECONDS,
+            )
         )
-        self._spawn(lock.run)
-        self._spawn(rosters.run)
         self._spawn(self.rosters.run)
         self._spawn(self.leases.run)
         self._spawn(self.leases.confirm_drops)
 
+    def _directory_followers(self) -> Iterable[ProxyMember]:
+        """The homes of all groups."""
+        homes = (home for name in self.groups for home in self.homes.placement(name).homes)
+        return {home.name: home for home in homes}.values()
+
+    async def _refresh_before_failover(self) -> bool:
+        """Read anew who may hold commits; whether the store answered.
+
+        A view that is old without this proxy's knowing would miss a replica that alone confirmed a
+        commit, and the change of primary would lose it.
+        """
+        views = [self.watches[name] for name in (DIRECTORY, ROSTERS) if name in self.watches]
+        return all(await asyncio.gather(*(view.refresh() for view in views)))
+
     def _spawn(self, work: Callable[[], Awaitable[None]]) -> None:
         async def run() -> None:
             await work()
@@ -210,6 +289,12 @@
         """A command ended."""
         self.metrics.finished(database.consistency.value, command.kind, error, seconds)
 
+    @property
+    def configuration_age_ms(self) -> int:
+        """How long ago the configuration in force was last known to be the newest; -1: unknown."""
+        watch = self.watches.get(CONFIGURATION)
+        return -1 if watch is None else int(watch.age * 1000)
+
     # --- configuration ------------------------------------------------------------------------
 
     def adopt(self, configuration: ManagedConfiguration) -> None:
@@ -246,11 +331,11 @@
             wake.set,
             self.metrics,
             self.leases,
-            self._entry_outlives,
+            self._bounds.entry_outlives,
             self._coordinate,
         )
         self.groups[name] = group
-        for entry in self._directory.values():
+        for entry in self.directory.values():
             if entry.group == name:
                 group.entry_changed(entry)
         self.rosters.tell(name)
@@ -261,6 +346,7 @@
             self._ports.promotions,
             self.leases,
             self.rosters,
+            self._refresh_before_failover,
             self.metrics,
         )
         self._spawn(supervision.run)
@@ -292,7 +378,7 @@
     def directory_listed(self, entries: tuple[DirectoryEntry, ...]) -> None:
         """The whole directory was read."""
         listed = {entry.instance for entry in entries}
-        for name in [name for name in self._directory if name not in listed]:
+        for name in [name for name in self.directory if name not in listed]:
             self.instance_gone(name)
         for entry in entries:
             self.instance_listed(entry)
@@ -301,14 +387,14 @@
 
     def instance_listed(self, entry: DirectoryEntry) -> None:
         """An instance is listed, or its entry changed."""
-        self._directory[entry.instance] = entry
+        self.directory[entry.instance] = entry
         group = self.groups.get(entry.group)
         if group is not None:
             group.entry_changed(entry)
 
     def instance_gone(self, instance: str) -> None:
         """An instance is no longer listed."""
-        entry = self._directory.pop(instance, None)
+        entry = self.directory.pop(instance, None)
         group = self.groups.get(entry.group) if entry is not None else None
         if group is not None:
             group.entry_gone(instance)
@@ -342,6 +428,7 @@
             zone=self.zone,
             prepared=self.prepared,
             configuration_version=self.configuration.version if self.configuration else 0,
+            configuration_age_ms=self.configuration_age_ms,
             lead_lease=self.leases.covers(now),
             promotion_lock_holder=self.leases.holder,
             groups=[group_status(group, now) for group in self.groups.values()],
@@ -352,38 +439,3 @@
             await asyncio.sleep(_FORGET_SECONDS)
             for group in self.groups.values():
                 group.forget_old()
-
-
-class _DirectoryFollower:
-    """Passes the directory on to the node."""
-
-    def __init__(self, node: ManagedNode) -> None:
-        self._node = node
-
-    def listed(self, listing: Listing[DirectoryEntry]) -> None:
-        """All entries."""
-        self._node.directory_listed(listing.items)
-
-    def changed(self, changes: Changes[DirectoryEntry]) -> None:
-        """Later changes."""
-        for entry in changes.changed:
-            self._node.instance_listed(entry)
-        for name in changes.gone:
-            self._node.instance_gone(name)
-
-
-class _ConfigurationFollower:
-    """Passes configurations on to the node."""
-
-    def __init__(self, node: ManagedNode) -> None:
-        self._node = node
-
-    def listed(self, listing: Listing[ManagedConfiguration]) -> None:
-        """The configuration as it is."""
-        for item in listing.items:
-            self._node.adopt(item)
-
-    def changed(self, changes: Changes[ManagedConfiguration]) -> None:
-        """A later one."""
-        for item in changes.changed:
-            self._node.adopt(item)
--- a/src/orchidwind/managed/peer_link.py
+++ b/src/orchidwind/managed/peer_link.py
@@ -16,6 +16,8 @@
     PeerMessage,
     Probe,
     RunCommand,
+    ViewQuery,
+    ViewReport,
 )
 from orchidwind.logs import log_event
 from orchidwind.managed.ports import PeerConnection, PeerConnector
@@ -28,7 +30,7 @@
 _LONGEST_PAUSE_SECONDS = 4.0
 
 
-Answer = CommandAnswer | LockReport
+Answer = CommandAnswer | LockReport | ViewReport
 
 
 class PeerLink:
@@ -71,7 +73,13 @@
         assert isinstance(answer, LockReport)
         return answer
 
-    async def _ask(self, message: RunCommand | LockQuery) -> Answer:
+    async def ask_view(self, view: str, revision: int) -> ViewReport:
+        """Ask what is later than a revision in a view; raises PeerUnavailable."""
+        answer = await self._ask(ViewQuery(self.next_number(), view, revision))
+        assert isinstance(answer, ViewReport)
+        return answer
+
+    async def _ask(self, message: RunCommand | LockQuery | ViewQuery) -> Answer:
         connection = await self._open()
         answered: asyncio.Future[Answer] = self._loop.create_future()
         if not self._pending:
--- a/src/orchidwind/managed/peer_service.py
+++ b/src/orchidwind/managed/peer_service.py
@@ -28,6 +28,8 @@
     PeerMessage,
     Probe,
     RunCommand,
+    ViewQuery,
+    ViewReport,
 )
 from orchidwind.core.managed.session import ManagedSession, OpenTransaction
 from orchidwind.logs import log_event
@@ -42,6 +44,7 @@
 SendBack = Callable[[PeerMessage], None]
 GroupLookup = Callable[[str], GroupService | None]
 ReadLock = Callable[[int], Awaitable[LockReport]]
+TellView = Callable[[ViewQuery], ViewReport]
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +55,7 @@
     registry: SessionRegistry
     read_lock: ReadLock
     transaction_idle: Callable[[], float]
+    tell_view: TellView
 
 
 class PeerService:
@@ -96,6 +100,8 @@
             self._run(message)
         elif isinstance(message, LockQuery):
             self._spawn(self._report_lock(message))
+        elif isinstance(message, ViewQuery):
+            self._send(self._home.tell_view(message))
         elif isinstance(message, Probe):
             self._send(Alive(self._leaving()))
         elif isinstance(message, CloseChannel):
--- a/src/orchidwind/managed/peers.py
+++ b/src/orchidwind/managed/peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from itertools import count
 
 from orchidwind.core.errors import PlatformError
@@ -36,7 +36,9 @@
         """`starved` tells whether this proxy gets no connection to a group's instances."""
         self._starved = starved
         self.known = False
-        self._own = own
+        # Rises whenever members or placements may have changed.
+        self.generation = 0
+        self.own = own
         self._connector = connector
         self._store = store
         self._limit_of = limit_of
@@ -57,7 +59,7 @@
         """Try to have this proxy listed; before it reads the members, as others may start now."""
         self._write_wanted.clear()
         try:
-            await self._store.write(self._own)
+            await self._store.write(self.own)
         except PlatformError as error:
             log_event("member_not_written", reason=str(error))
             self._write_wanted.set()
@@ -72,7 +74,7 @@
     def listed(self, listing: Listing[ProxyMember]) -> None:
         """All members, read freshly."""
         self._members = {member.name: member for member in listing.items}
-        self._members[self._own.name] = self._own
+        self._members[self.own.name] = self.own
         self.known = True
         self._changed()
 
@@ -82,10 +84,10 @@
             self._members[member.name] = member
         for name in changes.gone:
             self._members.pop(name, None)
-        if self._own.name in changes.gone:
+        if self.own.name in changes.gone:
             # Another proxy could not reach this one for long, but it is here.
             self._write_wanted.set()
-        self._members[self._own.name] = self._own
+        self._members[self.own.name] = self.own
         self._changed()
 
     def _changed(self) -> None:
@@ -97,6 +99,7 @@
 
     def limits_changed(self) -> None:
         """The configuration may give other connection limits: place the groups anew."""
+        self.generation += 1
         self._reader = None
         self._placed.clear()
         self._preferred.clear()
@@ -121,7 +124,7 @@
 
     def is_home(self, group: str) -> bool:
         """Whether this proxy holds connections of a group."""
-        return self.placement(group).includes(self._own.name)
+        return self.placement(group).includes(self.own.name)
 
     def home_link(self, group: str) -> PeerLink | None:
         """The link to the home that this proxy sends a group's commands to; None: this proxy.
@@ -130,28 +133,40 @@
         """
         preferred = self._preferred.get(group)
         if preferred is None:
-            preferred = self.placement(group).preferred(self._own.name, self._own.zone)
+            preferred = self.placement(group).preferred(self.own.name, self.own.zone)
             self._preferred[group] = preferred
         for member in preferred:
-            if member.name == self._own.name:
+            if member.name == self.own.name:
                 if self._starved(group):
                     continue
                 return None
-            link = self._link(member)
-            if link.usable():
+            link = self.usable_link(member)
+            if link is not None:
                 return link
-            self._forget_if_gone(link)
         return None
 
     def lock_reader(self) -> PeerLink | None:
         """The link to the proxy that reads the promotion lock for others; None: this proxy."""
         if self._reader is None:
-            self._reader = first(_LOCK_READER_KEY, sorted(self._members)) or self._own.name
-        if self._reader == self._own.name:
+            self._reader = first(_LOCK_READER_KEY, sorted(self._members)) or self.own.name
+        if self._reader == self.own.name:
             return None
         link = self._link(self._members[self._reader])
         return link if link.usable() else None
 
+    @property
+    def members(self) -> Iterable[ProxyMember]:
+        """All proxies that are known, this one among them."""
+        return self._members.values()
+
+    def usable_link(self, member: ProxyMember) -> PeerLink | None:
+        """The link to a proxy, None while that does not answer or stops."""
+        link = self._link(member)
+        if link.usable():
+            return link
+        self._forget_if_gone(link)
+        return None
+
     def next_channel(self) -> int:
         """A number for a session at a home, not used before."""
         return next(self._channels)
@@ -159,7 +174,7 @@
     def _link(self, member: ProxyMember) -> PeerLink:
         link = self._links.get(member.name)
         if link is None:
-            link = PeerLink(self._own.name, member, self._connector)
+            link = PeerLink(self.own.name, member, self._connector)
             self._links[member.name] = link
         return link
 
--- a/src/orchidwind/managed/ports.py
+++ b/src/orchidwind/managed/ports.py
@@ -64,13 +64,19 @@
 
 
 class WatchedCollection(Protocol[Item]):
-    """A collection in the store that can be followed; calls raise PlatformError."""
+    """A collection in the store that can be followed; calls raise PlatformError.
 
-    async def list(self) -> Listing[Item]:
+    `limit` is after how many seconds a call without an answer is given up.
+    """
+
+    async def list(self, limit: float) -> Listing[Item]:
         """Read all of it, freshly."""
 
-    async def watch(self, revision: int) -> Changes[Item]:
-        """Wait for changes after a revision; raises PlatformVersionGone where it is too old."""
+    async def watch(self, revision: int, wait: float, limit: float) -> Changes[Item]:
+        """Wait some seconds for changes after a revision.
+
+        Raises PlatformVersionGone where the revision is too old.
+        """
 
 
 DirectorySource = WatchedCollection[DirectoryEntry]
--- a/src/orchidwind/managed/status.py
+++ b/src/orchidwind/managed/status.py
@@ -33,12 +33,15 @@
 
 
 class ManagedStatus(msgspec.Struct, frozen=True):
-    """One proxy. `promotion_lock_holder` is the proxy that changes a primary now, if any."""
+    """One proxy. `configuration_age_ms`: since when nobody has confirmed that it is the newest.
+
+    `promotion_lock_holder` is the proxy that changes a primary now, if any."""
 
     node: str
     zone: str
     prepared: bool
     configuration_version: int
+    configuration_age_ms: int
     lead_lease: bool
     promotion_lock_holder: str
     groups: list[ManagedGroupStatus]
--- a/src/orchidwind/managed/supervising.py
+++ b/src/orchidwind/managed/supervising.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable, Callable
 
-from orchidwind.core.managed.failover import FailoverPlan
+from orchidwind.core.managed.failover import FailoverOutcome, FailoverPlan
 from orchidwind.core.managed.supervision import GroupSupervisor, Look
 from orchidwind.logs import log_event
 from orchidwind.managed.failover_runner import FailoverRunner, PromotionLockClient
@@ -29,8 +30,11 @@
         promotions: PromotionService,
         leases: LeaseKeeper,
         rosters: RosterKeeper,
+        refresh_views: Callable[[], Awaitable[bool]],
         metrics: ManagedMetrics,
     ) -> None:
+        """`refresh_views` reads anew who may hold commits; whether the store answered."""
+        self._refresh_views = refresh_views
         self._group = group
         self._wake = wake
         self._lock = lock
@@ -78,7 +82,12 @@
             self._running = self._loop.create_task(self._change_primary(look.plan))
         return look
 
-    async def _change_primary(self, plan: FailoverPlan) -> None:
+    async def _change_primary(self, planned: FailoverPlan) -> None:
+        if not await self._refresh_views():
+            log_event("failover_put_off", group=planned.group, reason="the views are not confirmed")
+            self._supervisor.ended(self._loop.time(), FailoverOutcome.LOCK_HELD)
+            return
+        plan = self._supervisor.plan(planned.reason, self._rosters.known)
         log_event(
             "failover_started",
             group=plan.group,
--- /dev/null
+++ b/src/orchidwind/managed/views.py
@@ -0,0 +1,216 @@
+"""The second path of views that a promise depends on: proxies confirm them to one another.
+
+In each zone one proxy, the reader, watches the store closely; the others of the zone ask it, and
+the readers of other zones where it does not answer or is behind itself. All proxies compute the
+same readers from the same members. Weighed: each proxy watches closely (its calls grow with the
+number of proxies, and are the dearest price on large sites), and readers that push (one more
+message type, and silence of a reader still needs a clock at the other side).
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Generic, Protocol, TypeVar
+
+from orchidwind.core.errors import PeerUnavailable
+from orchidwind.core.managed.configuration import DirectoryEntry, ManagedConfiguration
+from orchidwind.core.managed.freshness import FollowTimes
+from orchidwind.core.managed.homes import ProxyMember, zone_readers
+from orchidwind.core.managed.peer_messages import (
+    ConfigurationView,
+    DirectoryView,
+    ViewQuery,
+    ViewReport,
+)
+from orchidwind.logs import log_event
+from orchidwind.managed.peer_link import PeerLink
+from orchidwind.managed.peers import PeerNetwork
+from orchidwind.managed.ports import Changes, Listing
+from orchidwind.managed.watch import CollectionWatch, ToldView
+
+CONFIGURATION = "configuration"
+DIRECTORY = "directory"
+# Between two zones an answer takes some milliseconds, on a machine slowed fivefold some dozens.
+_ANSWER_SECONDS = 0.25
+# The reader of the zone, and one more: each costs a message, and a silent one costs its time.
+_MOST_ASKED = 2
+
+Item = TypeVar("Item")
+
+
+class PeerViews(Generic[Item]):
+    """The other proxies' views of one collection, to a proxy that follows it too."""
+
+    def __init__(
+        self,
+        view: str,
+        times: FollowTimes,
+        network: PeerNetwork,
+        followers: Callable[[], Iterable[ProxyMember]],
+        items: Callable[[ViewReport], tuple[Item, ...] | None],
+    ) -> None:
+        """`followers` gives the proxies that follow the collection, this one among them."""
+        self._view = view
+        # With an older view the store would be read at once: then the next proxy is asked, too.
+        self._fresh_seconds = times.read_at_age or 0.0
+        self._network = network
+        self._followers = followers
+        self._items = items
+        self._asked = 0
+        self._generation = -1
+        self._zone_readers: Mapping[str, ProxyMember] = {}
+        self._loop = asyncio.get_running_loop()
+
+    def relied_upon(self) -> bool:
+        """Whether others ask this proxy; also where there is nobody else to ask."""
+        readers = self._readers()
+        own = self._network.own
+        return readers.get(own.zone, own).name == own.name
+
+    def _readers(self) -> Mapping[str, ProxyMember]:
+        if self._generation != self._network.generation:
+            self._generation = self._network.generation
+            self._zone_readers = zone_readers(self._view, self._followers())
+        return self._zone_readers
+
+    async def ask(self, revision: int) -> ToldView[Item] | None:
+        """Ask one or two readers; the best that was told, None where nobody knows."""
+        best: ToldView[Item] | None = None
+        for link in self._links()[:_MOST_ASKED]:
+            told = await self._ask_one(link, revision)
+            if told is not None and (best is None or told.as_of > best.as_of):
+                best = told
+            if best is not None and self._loop.time() - best.as_of <= self._fresh_seconds:
+                break
+        return best
+
+    def _links(self) -> list[PeerLink]:
+        """Links to the readers that can be asked: first that of the zone, then others in turn."""
+        own = self._network.own
+        readers = self._readers()
+        others = [readers[zone] for zone in sorted(readers) if zone != own.zone]
+        self._asked += 1
+        turn = self._asked % len(others) if others else 0
+        order = [readers[own.zone]] if own.zone in readers else []
+        order += others[turn:] + others[:turn]
+        links = [self._network.usable_link(member) for member in order if member.name != own.name]
+        return [link for link in links if link is not None]
+
+    async def _ask_one(self, link: PeerLink, revision: int) -> ToldView[Item] | None:
+        asked_at = self._loop.time()
+        try:
+            async with asyncio.timeout(_ANSWER_SECONDS):
+                report = await link.ask_view(self._view, revision)
+        except (PeerUnavailable, TimeoutError) as error:
+            reason = str(error) or "no answer in time"
+            log_event("view_not_told", collection=self._view, peer=link.member.name, reason=reason)
+            return None
+        if not report.known:
+            return None
+        items = self._items(report)
+        listing = Listing(items, report.revision) if items is not None else None
+        return ToldView(link.member.name, asked_at - report.age, listing)
+
+
+class FollowedViews(Protocol):
+    """What a proxy follows; `watches` by the names of their views."""
+
+    configuration: ManagedConfiguration | None
+    directory: dict[str, DirectoryEntry]
+    watches: dict[str, CollectionWatch[Any]]
+
+
+class ViewReporter:
+    """Tells other proxies what this one knows."""
+
+    def __init__(self, node: FollowedViews) -> None:
+        self._node = node
+
+    def report(self, query: ViewQuery) -> ViewReport:
+        """Answer a query."""
+        watch = self._node.watches.get(query.view)
+        if watch is None or watch.revision < 0:
+            return ViewReport(query.number, known=False, age=0.0, revision=-1)
+        changed = watch.changed_revision > query.revision
+        return ViewReport(
+            query.number,
+            known=True,
+            age=watch.age,
+            revision=watch.revision,
+            configuration=self._configuration()
+            if changed and query.view == CONFIGURATION
+            else None,
+            directory=self._directory() if changed and query.view == DIRECTORY else None,
+        )
+
+    def _configuration(self) -> ConfigurationView | None:
+        held = self._node.configuration
+        if held is None:
+            return None
+        return ConfigurationView(
+            held.version,
+            tuple(held.databases.values()),
+            tuple(held.groups.values()),
+            held.transaction_idle,
+        )
+
+    def _directory(self) -> DirectoryView:
+        return DirectoryView(tuple(self._node.directory.values()))
+
+
+def told_configuration(report: ViewReport) -> tuple[ManagedConfiguration, ...] | None:
+    """The configuration that a report holds, None where there is none."""
+    told = report.configuration
+    if told is None:
+        return None
+    databases = {database.name: database for database in told.databases}
+    groups = {group.name: group for group in told.groups}
+    return (ManagedConfiguration(told.version, databases, groups, told.transaction_idle),)
+
+
+def told_directory(report: ViewReport) -> tuple[DirectoryEntry, ...] | None:
+    """The directory that a report holds, None where there is none."""
+    return None if report.directory is None else report.directory.entries
+
+
+class ConfigurationFollower:
+    """Passes configurations on."""
+
+    def __init__(self, adopt: Callable[[ManagedConfiguration], None]) -> None:
+        self._adopt = adopt
+
+    def listed(self, listing: Listing[ManagedConfiguration]) -> None:
+        """The configuration as it is."""
+        for item in listing.items:
+            self._adopt(item)
+
+    def changed(self, changes: Changes[ManagedConfiguration]) -> None:
+        """A later one."""
+        for item in changes.changed:
+            self._adopt(item)
+
+
+class DirectoryFollower:
+    """Passes the directory on."""
+
+    def __init__(
+        self,
+        all_listed: Callable[[tuple[DirectoryEntry, ...]], None],
+        listed: Callable[[DirectoryEntry], None],
+        gone: Callable[[str], None],
+    ) -> None:
+        self._all_listed = all_listed
+        self._listed = listed
+        self._gone = gone
+
+    def listed(self, listing: Listing[DirectoryEntry]) -> None:
+        """All entries."""
+        self._all_listed(listing.items)
+
+    def changed(self, changes: Changes[DirectoryEntry]) -> None:
+        """Later changes."""
+        for entry in changes.changed:
+            self._listed(entry)
+        for name in changes.gone:
+            self._gone(name)
--- a/src/orchidwind/managed/watch.py
+++ b/src/orchidwind/managed/watch.py
@@ -1,31 +1,70 @@
-"""Follows a collection of the store: lists it once, then takes changes as they come."""
+"""Follows a collection of the store: lists it once, then takes changes as they come.
+
+A watch without an answer looks the same whether nothing has changed or the store never read it. So
+each view has an age (`core.managed.freshness`): as it grows, other proxies are asked whether it is
+still current, and in the end the store is read anew, whatever was waited for.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import logging
+from collections.abc import Awaitable
+from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
 from orchidwind.core.errors import PlatformError, PlatformVersionGone
+from orchidwind.core.managed.freshness import FollowTimes, ViewAge
 from orchidwind.logs import log_event
+from orchidwind.managed.hedging import MOST_CALLS, hedged
 from orchidwind.managed.ports import Changes, Listing, WatchedCollection
 
 _FIRST_RETRY_SECONDS = 0.1
-_LONGEST_RETRY_SECONDS = 0.5
+# A check that finds nothing to do must not be repeated without a pause.
+_SHORTEST_CHECK_SECONDS = 0.01
+_STORE = "store"
 
 Item = TypeVar("Item")
-Followed = TypeVar("Followed", contravariant=True)
+Taken = TypeVar("Taken", contravariant=True)
+Answer = TypeVar("Answer")
 
 
-class CollectionFollower(Protocol[Followed]):
+class CollectionFollower(Protocol[Taken]):
     """Takes what a watch brings."""
 
-    def listed(self, listing: Listing[Followed]) -> None:
+    def listed(self, listing: Listing[Taken]) -> None:
         """All items as of a revision; what is missing is gone."""
 
-    def changed(self, changes: Changes[Followed]) -> None:
+    def changed(self, changes: Changes[Taken]) -> None:
         """Later changes."""
 
 
+@dataclass(frozen=True, slots=True)
+class ToldView(Generic[Item]):
+    """What another proxy told of its view, which was current at `as_of` of this one's clock.
+
+    `listing` is None where the asking proxy's own view holds the same.
+    """
+
+    peer: str
+    as_of: float
+    listing: Listing[Item] | None
+
+
+class SecondPath(Protocol[Item]):
+    """Other proxies that follow the same collection."""
+
+    def relied_upon(self) -> bool:
+        """Whether others ask this proxy, so that it must not rely on them in its turn."""
+
+    async def ask(self, revision: int) -> ToldView[Item] | None:
+        """Ask for what is later than a revision; None where nobody knows."""
+
+
+class _ViewTooOld(PlatformError):
+    """The store is read anew, as nothing showed that the view is still current."""
+
+
 class CollectionWatch(Generic[Item]):
     """Keeps a follower up to date; goes on through outages of the store."""
 
@@ -34,27 +73,35 @@
         name: str,
         source: WatchedCollection[Item],
         follower: CollectionFollower[Item],
+        times: FollowTimes,
         gather_seconds: float = 0.0,
+        second_path: SecondPath[Item] | None = None,
     ) -> None:
         """`gather_seconds` after a change is the wait for more, where it need not be known at once.
 
         When many processes start together, each of them would else ask again for each of them.
         """
-        self._gather_seconds = gather_seconds
-        self._name = name
+        self.name = name
         self._source = source
         self._follower = follower
-        self._revision: int | None = None
+        self._times = times
+        self._gather_seconds = gather_seconds
+        self._second_path = second_path
+        # The view is whole as of this revision; it was last different before `changed_revision`.
+        self.revision = -1
+        self.changed_revision = -1
+        self._read_next = True
         self._connected = False
+        self._told_too_old = False
         self._retry = _FIRST_RETRY_SECONDS
         self._failed_attempts = 0
         self._loop = asyncio.get_running_loop()
-        self._answered_at = self._loop.time()
+        self._age = ViewAge(times, self._loop.time())
 
     @property
     def age(self) -> float:
-        """Seconds since the store last answered for this collection, or since the start."""
-        return self._loop.time() - self._answered_at
+        """Seconds since the view was last known to be current, or since the start."""
+        return self._age.age(self._loop.time())
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -62,54 +109,179 @@
             try:
                 await self._step()
             except PlatformVersionGone:
-                log_event("watch_history_gone", collection=self._name, revision=self._revision)
-                self._revision = None
+                self._tell("watch_history_gone")
+                self._read_next = True
+            except _ViewTooOld as error:
+                self._tell("watch_given_up", reason=error)
+                self._read_next = True
             except PlatformError as error:
                 await self._after_error(error)
 
+    async def refresh(self) -> bool:
+        """Read the store now, beside what is under way; whether it answered."""
+        try:
+            await self._read()
+        except PlatformError as error:
+            self._tell("view_not_refreshed", reason=error)
+            return False
+        return True
+
     async def _step(self) -> None:
-        if self._revision is None:
-            listing = await self._source.list()
-            self._note_connected(listing.revision)
-            self._revision = listing.revision
-            self._follower.listed(listing)
+        if self._read_next:
+            await self._answered(self._read())
+            self._read_next = False
             await asyncio.sleep(self._gather_seconds)
             return
-        changes = await self._source.watch(self._revision)
-        self._note_connected(changes.revision)
-        self._revision = max(self._revision, changes.revision)
-        self._follower.changed(changes)
-        if self._gather_seconds and (changes.changed or changes.gone):
+        changed = await self._watch()
+        if self._gather_seconds and changed:
             await asyncio.sleep(self._gather_seconds)
 
+    async def _read(self) -> None:
+        sent_at = self._loop.time()
+        limit = self._times.hedge_after * MOST_CALLS
+        listing = await hedged(lambda: self._source.list(limit), self._times.hedge_after)
+        self._take_listing(listing, sent_at, _STORE)
+
+    async def _watch(self) -> bool:
+        """Wait for changes; whether there were any."""
+        path = self._second_path
+        relies = path is not None and not path.relied_upon()
+        wait = self._times.relying_wait if relies else self._times.watch_wait
+        sent_at = self._loop.time()
+        call = self._source.watch(self.revision, wait, wait + self._times.answer_slack)
+        changes = await self._answered(call, may_be_old=False)
+        # An answer that came early may have been made at any time since the call was sent.
+        waited_out = self._loop.time() - sent_at >= wait
+        self._take_changes(changes, sent_at + wait if waited_out else sent_at)
+        return bool(changes.changed or changes.gone)
+
+    async def _answered(self, call: Awaitable[Answer], may_be_old: bool = True) -> Answer:
+        """Wait for a call; meanwhile ask others as the view grows old.
+
+        Raises what the call raises, and _ViewTooOld unless `may_be_old`.
+        """
+        task = asyncio.ensure_future(call)
+        try:
+            while not task.done():
+                await asyncio.wait({task}, timeout=self._check_due_in(may_be_old))
+                if not task.done():
+                    await self._check(may_be_old)
+            return await task
+        finally:
+            task.cancel()
+
+    def _check_due_in(self, may_be_old: bool) -> float | None:
+        now = self._loop.time()
+        due = [self._ask_due_in(now)]
+        if not may_be_old:
+            due.append(self._age.read_due_in(now))
+        times = [seconds for seconds in due if seconds is not None]
+        return max(min(times), _SHORTEST_CHECK_SECONDS) if times else None
+
+    def _ask_due_in(self, now: float) -> float | None:
+        if self._second_path is None:
+            return None
+        first = self._times.ask_every or 0.0
+        if self._second_path.relied_upon():
+            first = self._times.watch_wait + self._times.answer_slack
+        return self._age.ask_due_in(now, first)
+
+    async def _check(self, may_be_old: bool) -> None:
+        """Ask others where that is due; raises _ViewTooOld where the store must be read."""
+        await self._ask_others()
+        now = self._loop.time()
+        self._tell_if_too_old(now)
+        if not may_be_old and self._age.read_due_in(now) == 0.0:
+            raise _ViewTooOld("nothing showed that the view is still current")
+
+    async def _ask_others(self) -> None:
+        now = self._loop.time()
+        if self._second_path is None or self._ask_due_in(now) != 0.0:
+            return
+        self._age.asked(now)
+        told = await self._second_path.ask(self.revision)
+        if told is None:
+            return
+        if told.listing is None:
+            self._confirmed(told.as_of)
+        elif not self._outdated(told):
+            self._take_listing(told.listing, told.as_of, told.peer)
+
+    def _outdated(self, told: ToldView[Item]) -> bool:
+        """Whether a first view is older than the promise allows: then the store is waited for."""
+        bound = self._times.bound
+        first = self.revision < 0
+        return first and bound is not None and self._loop.time() - told.as_of > bound
+
+    # --- what is known --------------------------------------------------------------------------
+
+    def _take_listing(self, listing: Listing[Item], as_of: float, source: str) -> None:
+        if source == _STORE:
+            self._note_connected(listing.revision)
+        elif listing.revision > self.revision:
+            told_age = round(self._loop.time() - as_of, 3)
+            self._tell("view_told", peer=source, told_revision=listing.revision, told_age=told_age)
+        # An answer that was overtaken by a later one tells nothing new.
+        if listing.revision >= self.revision:
+            self.revision = listing.revision
+            self.changed_revision = listing.revision
+            self._follower.listed(listing)
+        self._confirmed(as_of)
+
+    def _take_changes(self, changes: Changes[Item], as_of: float) -> None:
+        self._note_connected(changes.revision)
+        if changes.revision >= self.revision:
+            self.revision = changes.revision
+            if changes.changed or changes.gone:
+                self.changed_revision = changes.revision
+            self._follower.changed(changes)
+        self._confirmed(as_of)
+
+    def _confirmed(self, as_of: float) -> None:
+        self._age.confirmed(as_of)
+        if self._told_too_old and not self._age.too_old(self._loop.time()):
+            self._told_too_old = False
+            self._tell("view_current_again")
+
+    def _tell_if_too_old(self, now: float) -> None:
+        if self._told_too_old or not self._age.too_old(now):
+            return
+        self._told_too_old = True
+        self._tell(
+            "view_too_old",
+            logging.WARNING,
+            bound=self._times.bound,
+            decision="serve on, as nobody reached knows better",
+        )
+
+    def _tell(self, event: str, level: int = logging.INFO, **fields: object) -> None:
+        """Log an event with what this view is and how old."""
+        log_event(
+            event,
+            level=level,
+            collection=self.name,
+            held_revision=self.revision,
+            age=round(self.age, 3),
+            **fields,
+        )
+
     def _note_connected(self, revision: int) -> None:
         self._retry = _FIRST_RETRY_SECONDS
         if not self._connected:
             self._connected = True
-            log_event(
-                "watch_connected",
-                collection=self._name,
-                revision=revision,
-                silent_seconds=round(self.age, 3),
-                failed_attempts=self._failed_attempts,
-            )
+            self._tell("watch_connected", revision=revision, failed_attempts=self._failed_attempts)
         self._failed_attempts = 0
-        self._answered_at = self._loop.time()
 
     async def _after_error(self, error: PlatformError) -> None:
+        self._read_next = True
         self._connected = False
         self._failed_attempts += 1
         if _is_power_of_two(self._failed_attempts):
-            log_event(
-                "watch_lost" if self._failed_attempts == 1 else "watch_attempt_failed",
-                collection=self._name,
-                revision=self._revision,
-                attempt=self._failed_attempts,
-                silent_seconds=round(self.age, 3),
-                reason=str(error),
-            )
+            event = "watch_lost" if self._failed_attempts == 1 else "watch_attempt_failed"
+            self._tell(event, attempt=self._failed_attempts, reason=error)
+        await self._check(may_be_old=True)
         await asyncio.sleep(self._retry)
-        self._retry = min(self._retry * 2, _LONGEST_RETRY_SECONDS)
+        self._retry = min(self._retry * 2, max(self._times.longest_pause, _FIRST_RETRY_SECONDS))
 
 
 def _is_power_of_two(count: int) -> bool:
--- a/src/orchidwind/network/peer_codec.py
+++ b/src/orchidwind/network/peer_codec.py
@@ -31,6 +31,8 @@
         peer_messages.Alive,
         peer_messages.LockQuery,
         peer_messages.LockReport,
+        peer_messages.ViewQuery,
+        peer_messages.ViewReport,
     )
 }
 _SCHEMA = load_schema("peer")
--- a/src/orchidwind/platform/callers.py
+++ b/src/orchidwind/platform/callers.py
@@ -106,7 +106,14 @@
             raise wire.WireError("a session begins with its database")
         error = await self._refusal(message.database)
         if error is not None:
-            log_event("session_refused", database=message.database, reason=error.kind.value)
+            held = self._node.configuration
+            log_event(
+                "session_refused",
+                database=message.database,
+                reason=error.kind.value,
+                configuration=held.version if held else 0,
+                configuration_age_ms=self._node.configuration_age_ms,
+            )
             await self._stream.write(wire.error_line(error))
             return False
         self._executor = SessionExecutor(self._node, message.database)
--- a/src/orchidwind/platform/coordination.py
+++ b/src/orchidwind/platform/coordination.py
@@ -101,7 +101,7 @@
 
     async def confirmations(self) -> tuple[LeaseConfirmation, ...]:
         """All objects; raises PlatformError."""
-        listing = await read_all(self._store, self._path)
+        listing = await read_all(self._store, self._path, CALL_SECONDS)
         return tuple(
             LeaseConfirmation(item.meta.name, decode(item.spec, _LeaseSpec).revision)
             for item in listing.items
--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -17,7 +17,7 @@
 from orchidwind.core.managed.homes import ProxyMember
 from orchidwind.logs import configure_logging, log_event
 from orchidwind.managed.metrics import ManagedMetrics
-from orchidwind.managed.node import ManagedNode, NodePorts
+from orchidwind.managed.node import ManagedNode, NodeBounds, NodePorts
 from orchidwind.network.peer_streams import PeerListener, PeerStreamConnector
 from orchidwind.platform.callers import CallerListener
 from orchidwind.platform.coordination import (
@@ -37,7 +37,7 @@
     PlatformSettings,
     load_platform_settings,
 )
-from orchidwind.platform.store import LONG_WATCH_MILLISECONDS, ObjectStore, WatchedKind
+from orchidwind.platform.store import MILLISECONDS, ObjectStore, WatchedKind
 from orchidwind.settings import parse_address
 
 READY_PATH = "/orchidwind/ready"
@@ -129,13 +129,21 @@
         leases=LeaseObjects(store),
         roster_source=WatchedKind(store, RosterTranslation()),
         roster_store=RosterObjects(store),
-        member_source=WatchedKind(store, MemberTranslation(), LONG_WATCH_MILLISECONDS),
+        member_source=WatchedKind(store, MemberTranslation()),
         member_store=MemberObjects(store),
         peers=PeerStreamConnector(),
         promotions=PromotionCall(parse_address(settings.cloud_api.address), settings.node_name),
     )
-    entry_outlives = settings.heartbeat_ms * _SILENT_HEARTBEATS / 1000.0
-    return ManagedNode(_own_member(settings), ports, entry_outlives, metrics)
+    return ManagedNode(_own_member(settings), ports, _node_bounds(settings), metrics)
+
+
+def _node_bounds(settings: PlatformSettings) -> NodeBounds:
+    bounds = settings.bounds
+    return NodeBounds(
+        entry_outlives=settings.heartbeat_ms * _SILENT_HEARTBEATS / MILLISECONDS,
+        configuration=min(bounds.config_apply_ms, bounds.contact_ms) / MILLISECONDS,
+        directory=min(bounds.drain_ms, bounds.contact_ms) / MILLISECONDS,
+    )
 
 
 def _own_member(settings: PlatformSettings) -> ProxyMember:
--- a/src/orchidwind/platform/settings.py
+++ b/src/orchidwind/platform/settings.py
@@ -29,9 +29,17 @@
 
 
 class Bounds(msgspec.Struct, frozen=True):
-    """Bounds that the platform holds this process to."""
+    """Bounds that the platform holds this process to; the defaults are the first users'.
+
+    A configuration is in force `config_apply_ms` after its acknowledgement, and an instance that
+    leaves gets nothing `drain_ms` after its own; a machine whose path to the store has come back
+    is held to both `contact_ms` later.
+    """
 
     grace_s: float = 6.0
+    config_apply_ms: float = 3000.0
+    drain_ms: float = 7000.0
+    contact_ms: float = 4000.0
 
 
 class ServiceAddress(msgspec.Struct, frozen=True):
--- a/src/orchidwind/platform/store.py
+++ b/src/orchidwind/platform/store.py
@@ -22,11 +22,9 @@
 from orchidwind.managed.ports import Changes, Listing
 from orchidwind.network.http_call import HttpAnswer, HttpCallFailed, HttpRequest, http_call
 
+# A call that changes or reads one object: the store answers in 4 ms, or in 0.4 s slowed a
+# hundredfold.
 CALL_SECONDS = 1.5
-LIST_SECONDS = 4.0
-WATCH_MILLISECONDS = 8000
-LONG_WATCH_MILLISECONDS = 30_000
-_WATCH_EXTRA_SECONDS = 3.0
 OBJECTS = "/orchidwind/objects/"
 _OK = (200, 201)
 MILLISECONDS = 1000.0
@@ -155,14 +153,14 @@
     create: bool
 
 
-async def read_all(store: ObjectStore, kind_path: str) -> Listing[StoredObject]:
-    """Read all objects of a kind, page by page; raises PlatformError."""
+async def read_all(store: ObjectStore, kind_path: str, limit: float) -> Listing[StoredObject]:
+    """Read all objects of a kind, page by page, each in `limit` seconds; raises PlatformError."""
     items: list[StoredObject] = []
     after = ""
     first_revision = 0
     while True:
         path = f"{kind_path}?after={quote(after)}" if after else kind_path
-        answer = await store.read(path, LIST_SECONDS)
+        answer = await store.read(path, limit)
         if answer.status == 404:
             raise PlatformError("the store does not know the kind")
         page = decode(answer.body, _ObjectList)
@@ -185,28 +183,21 @@
 class WatchedKind(Generic[Item]):
     """A kind of objects as a collection that can be followed."""
 
-    def __init__(
-        self,
-        store: ObjectStore,
-        translation: Translation[Item],
-        wait_milliseconds: int = WATCH_MILLISECONDS,
-    ) -> None:
-        """`wait_milliseconds` is how long a watch waits: so long a lost one goes unnoticed."""
-        self._wait_milliseconds = wait_milliseconds
+    def __init__(self, store: ObjectStore, translation: Translation[Item]) -> None:
         self._store = store
         self._translation = translation
         self._path = OBJECTS + translation.kind
 
-    async def list(self) -> Listing[Item]:
-        """Read all objects."""
-        listing = await read_all(self._store, self._path)
+    async def list(self, limit: float) -> Listing[Item]:
+        """Read all objects; raises PlatformError."""
+        listing = await read_all(self._store, self._path, limit)
         return Listing(self._items(listing.items), listing.revision)
 
-    async def watch(self, revision: int) -> Changes[Item]:
-        """Wait for changes after a revision."""
-        path = f"{self._path}?watch={revision}&wait_ms={self._wait_milliseconds}"
-        seconds = self._wait_milliseconds / MILLISECONDS + _WATCH_EXTRA_SECONDS
-        answer = await self._store.read(path, seconds)
+    async def watch(self, revision: int, wait: float, limit: float) -> Changes[Item]:
+        """Wait for changes after a revision; raises PlatformVersionGone, PlatformError."""
+        milliseconds = int(wait * MILLISECONDS)
+        path = f"{self._path}?watch={revision}&wait_ms={milliseconds}"
+        answer = await self._store.read(path, limit)
         if answer.status == 404:
             raise PlatformVersionGone("the store does not know the kind")
         events = decode(answer.body, _EventList)
--- /dev/null
+++ b/tests/test_view_freshness.py
@@ -0,0 +1,384 @@
+"""Followed views on virtual time: each source silenced in turn, and both for a while."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from orchidwind.core.errors import PlatformError
+from orchidwind.core.managed.freshness import FollowTimes, ViewAge
+from orchidwind.core.managed.homes import ProxyMember, zone_readers
+from orchidwind.managed.hedging import MOST_CALLS, hedged
+from orchidwind.managed.node import NodeBounds
+from orchidwind.managed.ports import Changes, Listing
+from orchidwind.managed.views import CONFIGURATION
+from orchidwind.managed.watch import CollectionWatch, ToldView
+from orchidwind_bench.managed.callers import ManagedSystem
+from orchidwind_bench.managed.virtual_time import run_virtual
+from orchidwind_bench.managed.world import STORE
+
+PROXIES = tuple(f"proxy-{letter}" for letter in "abcdef")
+BOUND = NodeBounds().configuration
+
+
+def with_system(scenario, proxies=PROXIES):
+    async def work():
+        system = ManagedSystem(1, proxies=proxies)
+        for node in system.nodes.values():
+            assert await node.wait_prepared(5.0)
+        await asyncio.sleep(3.0)
+        await scenario(system)
+
+    run_virtual(work())
+
+
+def apply_configuration(system):
+    """An operator's change; returns its version."""
+    store = system.world.store
+    store.put_configuration(replace(store.configuration, version=store.configuration.version + 1))
+    return store.configuration.version
+
+
+def versions(system):
+    return {name: node.configuration.version for name, node in system.nodes.items()}
+
+
+def readers(system):
+    members = next(iter(system.nodes.values())).homes.members
+    return {member.name for member in zone_readers(CONFIGURATION, members).values()}
+
+
+@pytest.mark.parametrize("seconds", [0.3, 1.0, 2.9, 7.0, 20.0])
+def test_a_store_that_swallowed_calls_is_read_in_time_when_it_is_back(seconds):
+    async def scenario(system):
+        store = system.world.store
+        store.silent_to.update(PROXIES)
+        await asyncio.sleep(seconds)
+        store.silent_to.clear()
+        version = apply_configuration(system)
+        await asyncio.sleep(BOUND)
+        assert set(versions(system).values()) == {version}
+
+    with_system(scenario)
+
+
+@pytest.mark.parametrize("kind", ["reader", "other"])
+@pytest.mark.parametrize("fault", ["silent", "cut"])
+def test_a_proxy_that_the_store_does_not_serve_is_told_by_others(kind, fault):
+    async def scenario(system):
+        chosen = sorted(readers(system) if kind == "reader" else set(PROXIES) - readers(system))[0]
+        if fault == "silent":
+            system.world.store.silent_to.add(chosen)
+        else:
+            system.world.network.cut(chosen, STORE)
+        await asyncio.sleep(5.0)
+        version = apply_configuration(system)
+        await asyncio.sleep(BOUND)
+        assert versions(system)[chosen] == version
+        assert system.nodes[chosen].watches[CONFIGURATION].age < BOUND
+
+    with_system(scenario)
+
+
+def test_without_any_reader_the_others_read_the_store_themselves():
+    async def scenario(system):
+        for name in readers(system):
+            system.world.network.cut(name, STORE)
+            for other in set(PROXIES) - {name}:
+                system.world.network.cut(name, other)
+        await asyncio.sleep(1.0)
+        version = apply_configuration(system)
+        await asyncio.sleep(BOUND)
+        told = versions(system)
+        assert {told[name] for name in set(PROXIES) - readers(system)} == {version}
+
+    with_system(scenario)
+
+
+def test_a_lone_proxy_relies_on_nobody():
+    async def scenario(system):
+        store = system.world.store
+        store.silent_to.update(system.nodes)
+        await asyncio.sleep(4.0)
+        store.silent_to.clear()
+        version = apply_configuration(system)
+        await asyncio.sleep(BOUND)
+        assert set(versions(system).values()) == {version}
+
+    with_system(scenario, proxies=("proxy-a",))
+
+
+def test_what_nobody_can_confirm_is_told_to_be_too_old(caplog):
+    caplog.set_level("INFO", logger="orchidwind")
+
+    async def scenario(system):
+        system.world.store.silent_to.update(PROXIES)
+        await asyncio.sleep(2 * BOUND)
+        system.world.store.silent_to.clear()
+        await asyncio.sleep(BOUND)
+
+    with_system(scenario)
+    told = [record.message for record in caplog.records if "view_" in record.message]
+    assert told.count("view_too_old") == told.count("view_current_again") == 2 * len(PROXIES)
+
+
+def test_others_cost_the_store_a_watch_each_half_minute():
+    async def scenario(system):
+        calls = dict(system.world.store.calls)
+        await asyncio.sleep(30.0)
+        spent = {name: system.world.store.calls[name] - calls[name] for name in PROXIES}
+        for name in set(PROXIES) - readers(system):
+            # Lock and rosters each 8 s, members, configuration and directory each 30 s or closely.
+            assert spent[name] <= 2 * 4 + 3 + 30.0 / FollowTimes.within(4.0).watch_wait + 2
+
+    with_system(scenario)
+
+
+# A machine is held to its bounds when its path to the store has been whole for so long.
+CONTACT_SECONDS = 4.0
+
+
+class Trial:
+    """Some proxies under a schedule of troubles, and what each must hold by when."""
+
+    def __init__(self):
+        self.system = ManagedSystem(2, proxies=PROXIES)
+        self.store = self.system.world.store
+        self.network = self.system.world.network
+        self.loop = asyncio.get_running_loop()
+        self.disturbed = dict.fromkeys(PROXIES, self.loop.time())
+        self.acknowledged = [(self.loop.time(), 1)]
+        self.seen = dict.fromkeys(PROXIES, 0)
+
+    def check(self, name, node):
+        now = self.loop.time()
+        if name in self.store.silent_to or not self.network.passes(name, STORE):
+            self.disturbed[name] = now
+        held = node.configuration.version if node.configuration else 0
+        assert held >= self.seen[name], f"{name} went back at {now}"
+        self.seen[name] = held
+        due = max(version for at, version in self.acknowledged if at <= now - BOUND or at == 0)
+        if now - self.disturbed[name] > CONTACT_SECONDS:
+            assert held >= due, f"{name} holds {held} for {due} at {now}"
+
+    async def keep_checking(self):
+        while True:
+            for name, node in self.system.nodes.items():
+                self.check(name, node)
+            await asyncio.sleep(0.05)
+
+    def silence(self, name, other):
+        self.store.silent_to.add(name)
+
+    def speak(self, name, other):
+        self.store.silent_to.clear()
+
+    def cut(self, name, other):
+        self.network.cut(name, STORE)
+
+    def part(self, name, other):
+        if name != other:
+            self.network.cut(name, other)
+
+    def heal(self, name, other):
+        self.network.heal()
+
+    def apply(self, name, other):
+        self.acknowledged.append((self.loop.time(), apply_configuration(self.system)))
+
+    def restart(self, name, other):
+        self.system.restart_proxy(name)
+        self.seen[name] = 0
+
+    async def run(self, schedule):
+        checking = self.loop.create_task(self.keep_checking())
+        for seconds, step, name, other in schedule:
+            await asyncio.wait({checking}, timeout=seconds)
+            getattr(self, step)(name, other)
+            self.disturbed[name] = self.loop.time()
+        await asyncio.wait({checking}, timeout=CONTACT_SECONDS + 2 * BOUND)
+        if checking.done():
+            checking.result()
+        checking.cancel()
+
+
+async def trial(schedule):
+    await Trial().run(schedule)
+
+
+TROUBLES = ["silence", "speak", "cut", "heal", "apply", "part", "restart"]
+proxies = st.sampled_from(PROXIES)
+steps = st.tuples(st.floats(0.05, 4.0), st.sampled_from(TROUBLES), proxies, proxies)
+
+
+@given(st.lists(steps, min_size=4, max_size=14))
+def test_no_proxy_that_reaches_the_store_holds_what_is_too_old_or_goes_back(schedule):
+    run_virtual(trial(schedule))
+
+
+def test_the_check_bites_where_a_watch_is_waited_for_as_before(monkeypatch):
+    """The times of the code before incident inc1: 8 s of waiting, 3 s more for the answer."""
+    before = replace(FollowTimes.unhurried(8.0), answer_slack=3.0, hedge_after=11.0)
+    monkeypatch.setattr(FollowTimes, "within", lambda bound: before)
+    schedule = [(0.05, "silence", name, name) for name in PROXIES]
+    schedule += [(12.0, "speak", "proxy-a", "proxy-a"), (0.1, "apply", "proxy-a", "proxy-a")]
+    with pytest.raises(AssertionError, match="proxy-. holds 1 for 2"):
+        run_virtual(trial(schedule))
+    monkeypatch.undo()
+    run_virtual(trial(schedule))
+
+
+# --- parts alone --------------------------------------------------------------------------------
+
+
+def test_the_times_of_a_view_leave_a_part_of_its_bound():
+    times = FollowTimes.within(10.0)
+    assert times.watch_wait + times.answer_slack < times.read_at_age
+    assert times.read_at_age + times.hedge_after <= 8.0
+    assert times.watch_wait + times.answer_slack + times.longest_pause + times.hedge_after <= 8.0
+
+
+@given(st.lists(st.floats(0, 100), max_size=8), st.floats(0, 200))
+def test_the_age_counts_from_the_latest_confirmation(times, now):
+    age = ViewAge(FollowTimes.within(3.0), 0.0)
+    for at in times:
+        age.confirmed(at)
+    newest = max([0.0, *times])
+    assert age.age(now) == max(now - newest, 0.0)
+    assert age.too_old(now) == (now - newest > 3.0)
+    assert age.read_due_in(now) == pytest.approx(max(newest + 1.8 - now, 0.0))
+
+
+def test_readers_are_one_a_zone_and_the_same_for_all():
+    members = [ProxyMember(f"p{n}", f"z{n % 3}", "h", 1) for n in range(30)]
+    found = zone_readers("x", members)
+    assert set(found) == {"z0", "z1", "z2"}
+    assert found == zone_readers("x", reversed(members))
+    assert all(member.zone == zone for zone, member in found.items())
+
+
+class Calls:
+    """Calls of a store, each of which answers, fails or stays silent."""
+
+    def __init__(self, *kinds):
+        self.kinds = list(kinds)
+        self.begun = []
+
+    async def __call__(self):
+        loop = asyncio.get_running_loop()
+        self.begun.append(loop.time())
+        kind = self.kinds[min(len(self.begun), len(self.kinds)) - 1]
+        if kind == "silent":
+            await loop.create_future()
+        if kind == "refuses":
+            await asyncio.sleep(0.01)
+            raise PlatformError("503")
+        await asyncio.sleep(kind)
+        return kind
+
+
+@pytest.mark.parametrize(
+    ("kinds", "answered_at"),
+    [
+        ((0.1,), 0.1),
+        (("silent", 0.1), 1.1),
+        ((3.5, "silent"), 3.5),
+        (("silent", "refuses", 0.1), 2.1),
+    ],
+)
+def test_a_swallowed_call_costs_one_stagger_and_a_slow_one_is_waited_for(kinds, answered_at):
+    async def work():
+        assert await hedged(Calls(*kinds), 1.0) in kinds
+        assert asyncio.get_running_loop().time() == pytest.approx(answered_at)
+
+    run_virtual(work())
+
+
+@pytest.mark.parametrize(("kind", "seconds"), [("silent", MOST_CALLS), ("refuses", 0.01)])
+def test_calls_that_all_fail_end_in_an_error(kind, seconds):
+    async def work():
+        calls = Calls(kind)
+        with pytest.raises(PlatformError):
+            await hedged(calls, 1.0)
+        assert asyncio.get_running_loop().time() == pytest.approx(seconds)
+        assert len(calls.begun) == (MOST_CALLS if kind == "silent" else 1)
+
+    run_virtual(work())
+
+
+class Source:
+    """A store whose answers are given one by one."""
+
+    def __init__(self):
+        self.listing = Listing(("a",), 5)
+        self.answers = asyncio.Queue()
+
+    async def list(self, limit):
+        return self.listing
+
+    async def watch(self, revision, wait, limit):
+        return await self.answers.get()
+
+
+class Follower:
+    def __init__(self):
+        self.held = ()
+
+    def listed(self, listing):
+        self.held = listing.items
+
+    def changed(self, changes):
+        self.held = changes.changed
+
+
+class Told:
+    """Another proxy that tells what it is given."""
+
+    def __init__(self):
+        self.view = None
+
+    def relied_upon(self):
+        return False
+
+    async def ask(self, revision):
+        return self.view
+
+
+def test_an_answer_that_was_overtaken_changes_nothing():
+    async def work():
+        source, follower, told = Source(), Follower(), Told()
+        watch = CollectionWatch("x", source, follower, FollowTimes.within(3.0), 0.0, told)
+        task = asyncio.create_task(watch.run())
+        await asyncio.sleep(0.1)
+        told.view = ToldView("peer", 0.0, Listing(("newer",), 9))
+        await asyncio.sleep(1.0)
+        assert (follower.held, watch.revision) == (("newer",), 9)
+        told.view = ToldView("peer", 0.0, Listing(("older",), 8))
+        source.answers.put_nowait(Changes(("old",), (), 7))
+        await asyncio.sleep(0.5)
+        assert (follower.held, watch.revision) == (("newer",), 9)
+        task.cancel()
+
+    run_virtual(work())
+
+
+def test_a_first_view_that_is_too_old_is_not_taken_from_another():
+    class Silent(Source):
+        async def list(self, limit):
+            await asyncio.get_running_loop().create_future()
+
+    async def work():
+        follower, told = Follower(), Told()
+        watch = CollectionWatch("x", Silent(), follower, FollowTimes.within(3.0), 0.0, told)
+        task = asyncio.create_task(watch.run())
+        told.view = ToldView("peer", -10.0, Listing(("old",), 9))
+        await asyncio.sleep(2.0)
+        assert follower.held == ()
+        told.view = ToldView("peer", 1.0, Listing(("recent",), 9))
+        await asyncio.sleep(1.0)
+        assert follower.held == ("recent",)
+        task.cancel()
+
+    run_virtual(work())
