--- a/src/orchidwind/core/managed/supervision.py
+++ b/src/orchidwind/core/managed/supervision.py
@@ -16,6 +16,8 @@
 NO_PRIMARY_SECONDS = 0.1
 NOT_CONFIRMING_SECONDS = 0.6
 GONE_SECONDS = 1.0
+# Entries that lapsed with the directory are back about 2 s after it; the rest is for late ones.
+LAPSED_SECONDS = 2.3
 JITTER_SECONDS = 0.06
 IDLE_LOOK_SECONDS = 0.5
 BUSY_LOOK_SECONDS = 0.03
@@ -141,7 +143,8 @@
             return False
         if view.entry.draining:
             return True
-        return not view.listed and now - view.gone_at > GONE_SECONDS
+        patience = LAPSED_SECONDS if view.lapsed else GONE_SECONDS
+        return not view.listed and now - view.gone_at > patience
 
     def _some_replica_answers(self, leader: str) -> bool:
         """An own cut from everything looks like the loss of the primary, but no replica answers."""
--- a/src/orchidwind/core/managed/topology.py
+++ b/src/orchidwind/core/managed/topology.py
@@ -68,6 +68,8 @@
 
     entry: DirectoryEntry
     listed: bool = True
+    # Its entry was missing when the directory was read as a whole, so it may only have lapsed.
+    lapsed: bool = False
     gone_at: float = 0.0
     status: InstanceStatus | None = None
     avoid_until: float = 0.0
@@ -117,13 +119,18 @@
         changed = view.entry.claims_primary != entry.claims_primary or not view.listed
         view.entry = entry
         view.listed = True
+        view.lapsed = False
         return changed
 
-    def entry_gone(self, instance: str, now: float) -> None:
-        """An instance is no longer listed; it may still run for a while."""
+    def entry_gone(self, instance: str, now: float, lapsed: bool = False) -> None:
+        """An instance is no longer listed; it may still run for a while.
+
+        `lapsed` tells that nobody saw the entry go: it may come back with the directory.
+        """
         view = self.instances.get(instance)
         if view is not None and view.listed:
             view.listed = False
+            view.lapsed = lapsed
             view.gone_at = now
 
     def forget_old(self, now: float) -> list[str]:
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -118,10 +118,10 @@
             )
         self.changed()
 
-    def entry_gone(self, instance: str) -> None:
-        """The directory no longer lists an instance."""
-        self.topology.entry_gone(instance, self._loop.time())
-        log_event("instance_gone", group=self.settings.name, instance=instance)
+    def entry_gone(self, instance: str, lapsed: bool = False) -> None:
+        """The directory no longer lists an instance; `lapsed`: nobody saw its entry go."""
+        self.topology.entry_gone(instance, self._loop.time(), lapsed)
+        log_event("instance_gone", group=self.settings.name, instance=instance, lapsed=lapsed)
         self.changed()
 
     def trim(self) -> None:
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -379,7 +379,7 @@
         """The whole directory was read."""
         listed = {entry.instance for entry in entries}
         for name in [name for name in self.directory if name not in listed]:
-            self.instance_gone(name)
+            self.instance_gone(name, lapsed=True)
         for entry in entries:
             self.instance_listed(entry)
         self._directory_listed = True
@@ -392,12 +392,12 @@
         if group is not None:
             group.entry_changed(entry)
 
-    def instance_gone(self, instance: str) -> None:
-        """An instance is no longer listed."""
+    def instance_gone(self, instance: str, lapsed: bool = False) -> None:
+        """An instance is no longer listed; `lapsed`: nobody saw its entry go."""
         entry = self.directory.pop(instance, None)
         group = self.groups.get(entry.group) if entry is not None else None
         if group is not None:
-            group.entry_gone(instance)
+            group.entry_gone(instance, lapsed)
 
     def _note_prepared(self) -> None:
         if self.configuration is None or not self.homes.known:
--- a/src/orchidwind_bench/managed/world.py
+++ b/src/orchidwind_bench/managed/world.py
@@ -125,6 +125,8 @@
         self.down = False
         # These proxies' calls are taken and never answered, also after the silence has ended.
         self.silent_to: set[str] = set()
+        # Watches of the directory are never answered while this is set; reads are.
+        self.directory_watches_silent = False
         self.calls: dict[str, int] = {}
         self.lose_answers = 0.0
         self.late_seconds = 0.0
@@ -213,6 +215,9 @@
     async def watch(self, revision: int, wait: float, limit: float) -> Changes[DirectoryEntry]:
         """Changes after a revision."""
         names = await self._store.wait_event(self._node, revision, wait, limit)
+        if self._store.directory_watches_silent:
+            await asyncio.sleep(limit)
+            raise PlatformError("no answer in time")
         entries = self._store.entries
         changed = tuple(entries[name] for name in names if name in entries)
         gone = tuple(name for name in names if name not in entries and name not in _OWN_EVENTS)
--- a/tests/test_managed_core.py
+++ b/tests/test_managed_core.py
@@ -25,6 +25,7 @@
     LockRecord,
     held_lock,
 )
+from orchidwind.core.managed.supervision import GroupSupervisor
 from orchidwind.core.managed.topology import MAY_CONFIRM_SECONDS, GroupTopology
 from orchidwind.core.pool import CloseConnection, InstancePool, OpenConnection
 from orchidwind.core.positions import Position
@@ -332,3 +333,17 @@
     assert choose_candidate(plan, {"i-1": deaf}, None, 3) is None
     follows = InstanceStatus("i-1", InstanceRole.REPLICA, 2, Position(2, 245), 3, 0)
     assert choose_candidate(plan, {"i-1": follows}, None, 3) == follows
+
+
+@pytest.mark.parametrize(("lapsed", "patience"), [(False, 1.0), (True, 2.3)])
+def test_a_primary_that_may_only_have_lapsed_is_given_time_to_be_listed_again(lapsed, patience):
+    """After an outage of the directory its replica is back first."""
+    view = topology()
+    supervisor = GroupSupervisor(view)
+    assert supervisor.look(5.0, [], 0.0, 0.0).plan is None
+    view.entry_gone("p", 6.0, lapsed)
+    assert supervisor.look(6.0 + patience - 0.01, [], 0.0, 0.0).plan is None
+    found = supervisor.look(6.0 + patience + 0.01, [], 0.0, 0.0).plan
+    assert found is not None and found.reason is FailoverReason.LEAVING
+    view.entry_changed(DirectoryEntry("p", "g", "h", 1, "near", True, False, 3, 9))
+    assert supervisor.look(9.5, [], 0.0, 0.0).plan is None
--- a/tests/test_view_freshness.py
+++ b/tests/test_view_freshness.py
@@ -11,7 +11,7 @@
 from orchidwind.core.managed.freshness import FollowTimes, ViewAge
 from orchidwind.core.managed.homes import ProxyMember, zone_readers
 from orchidwind.managed.hedging import MOST_CALLS, hedged
-from orchidwind.managed.node import NodeBounds
+from orchidwind.managed.node import ManagedNode, NodeBounds
 from orchidwind.managed.ports import Changes, Listing
 from orchidwind.managed.views import CONFIGURATION
 from orchidwind.managed.watch import CollectionWatch, ToldView
@@ -230,6 +230,46 @@
     run_virtual(trial(schedule))
 
 
+def play_failover_unaware_of_the_replica_that_confirms():
+    """i-3 joins unseen, as watches are swallowed; it alone receives before the primary dies."""
+
+    def join_unseen(system):
+        system.world.store.directory_watches_silent = True
+        system.group.announce(system.group.instances["i-3"])
+        for other in ("i-1", "i-2"):
+            system.world.network.cut("i-0", other)
+
+    def lose_primary(system):
+        system.group.resets = False
+        system.group.primary().crash()
+
+    async def work():
+        system = ManagedSystem(3, instances=4)
+        system.world.store.drop_entry("i-3")
+        loop = asyncio.get_running_loop()
+        loop.call_later(2.0, join_unseen, system)
+        loop.call_later(2.4, lose_primary, system)
+        await system.run(6.0)
+        return system
+
+    return run_virtual(work())
+
+
+def test_a_change_of_primary_counts_a_replica_that_no_watch_has_shown_yet():
+    system = play_failover_unaware_of_the_replica_that_confirms()
+    assert system.world.history.broken == []
+    assert [name for _, name, _ in system.world.history.promotions] == ["i-3"]
+
+
+def test_it_loses_commits_without_reading_the_directory_anew(monkeypatch):
+    async def confirmed(node):
+        return True
+
+    monkeypatch.setattr(ManagedNode, "_refresh_before_failover", confirmed)
+    system = play_failover_unaware_of_the_replica_that_confirms()
+    assert any("LOST" in item for item in system.world.history.broken)
+
+
 # --- parts alone --------------------------------------------------------------------------------
 
 
