--- /dev/null
+++ b/src/orchidwind/managed/following.py
@@ -0,0 +1,131 @@
+"""What a proxy follows from afar: which views, by which times, and who confirms them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from orchidwind.core.managed.configuration import DirectoryEntry, ManagedConfiguration
+from orchidwind.core.managed.freshness import LONGEST_WATCH_SECONDS, FollowTimes
+from orchidwind.core.managed.homes import ProxyMember
+from orchidwind.core.managed.topology import DEFAULT_ENTRY_OUTLIVES_SECONDS
+from orchidwind.managed.lead_lease import LeaseKeeper
+from orchidwind.managed.metrics import ManagedMetrics
+from orchidwind.managed.peers import PeerNetwork
+from orchidwind.managed.ports import NodePorts
+from orchidwind.managed.rosters import RosterKeeper
+from orchidwind.managed.views import (
+    CONFIGURATION,
+    DIRECTORY,
+    PeerViews,
+    told_configuration,
+    told_directory,
+)
+from orchidwind.managed.watch import CollectionFollower, CollectionWatch
+
+MEMBERS = "members"
+PROMOTION_LOCK = "promotion_lock"
+ROSTERS = "rosters"
+# Views that cost time at most when they are old: a revocation that goes unnoticed delays a change
+# of primary by a second, and rosters are read anew before one.
+_COORDINATION_WATCH_SECONDS = 8.0
+# Many proxies or instances change at the same time: one answer then tells of several.
+_GATHER_MEMBERS_SECONDS = 0.6
+_GATHER_DIRECTORY_SECONDS = 0.15
+_GATHER_ROSTERS_SECONDS = 0.5
+
+Spawn = Callable[[Callable[[], Awaitable[None]]], None]
+
+
+@dataclass(frozen=True, slots=True)
+class NodeBounds:
+    """Times, in seconds, that others hold this proxy to, or that it may count on.
+
+    `entry_outlives`: how long a directory entry stays after its last renewal. `configuration` and
+    `directory`: the greatest age of these views; the defaults are those of the first users.
+    """
+
+    entry_outlives: float = DEFAULT_ENTRY_OUTLIVES_SECONDS
+    configuration: float = 3.0
+    directory: float = 4.0
+
+
+class NodeViews:
+    """The followed views of one proxy; `watches` by their names."""
+
+    def __init__(
+        self,
+        ports: NodePorts,
+        bounds: NodeBounds,
+        network: PeerNetwork,
+        metrics: ManagedMetrics,
+        spawn: Spawn,
+    ) -> None:
+        """`spawn` runs work in the background until the proxy closes."""
+        self.watches: dict[str, CollectionWatch[Any]] = {}
+        self._ports = ports
+        self._bounds = bounds
+        self._network = network
+        self._metrics = metrics
+        self._spawn = spawn
+
+    def follow_configuration(self, follower: CollectionFollower[ManagedConfiguration]) -> None:
+        """Follow the configuration; every proxy does, and any may confirm it."""
+        times = FollowTimes.within(self._bounds.configuration)
+        network = self._network
+        peers = PeerViews(
+            CONFIGURATION, times, network, lambda: network.members, told_configuration
+        )
+        source = self._ports.configuration
+        self._follow(CollectionWatch(CONFIGURATION, source, follower, times, second_path=peers))
+
+    def follow_members(self) -> None:
+        """Follow the list of proxies. An old one costs a hop, or connections of too many homes."""
+        times = FollowTimes.unhurried(LONGEST_WATCH_SECONDS)
+        source = self._ports.member_source
+        self._follow(
+            CollectionWatch(MEMBERS, source, self._network, times, _GATHER_MEMBERS_SECONDS)
+        )
+
+    def follow_directory(
+        self,
+        follower: CollectionFollower[DirectoryEntry],
+        followers: Callable[[], Iterable[ProxyMember]],
+    ) -> None:
+        """Follow the directory; `followers` gives the proxies that do so and may confirm it."""
+        times = FollowTimes.within(self._bounds.directory)
+        peers = PeerViews(DIRECTORY, times, self._network, followers, told_directory)
+        source = self._ports.directory
+        self._follow(
+            CollectionWatch(DIRECTORY, source, follower, times, _GATHER_DIRECTORY_SECONDS, peers)
+        )
+
+    def follow_coordination(self, leases: LeaseKeeper, rosters: RosterKeeper) -> None:
+        """Follow the promotion lock and the rosters."""
+        times = FollowTimes.unhurried(_COORDINATION_WATCH_SECONDS)
+        lock = self._ports.lock_source
+        self._follow(CollectionWatch(PROMOTION_LOCK, lock, leases, times))
+        source = self._ports.roster_source
+        self._follow(CollectionWatch(ROSTERS, source, rosters, times, _GATHER_ROSTERS_SECONDS))
+
+    def _follow(self, watch: CollectionWatch[Any]) -> None:
+        self.watches[watch.name] = watch
+        self._metrics.watch_age(watch.name, lambda: watch.age)
+        self._spawn(watch.run)
+
+    @property
+    def configuration_age_ms(self) -> int:
+        """How long ago the configuration in force was last known to be the newest; -1: unknown."""
+        watch = self.watches.get(CONFIGURATION)
+        return -1 if watch is None else int(watch.age * 1000)
+
+    async def refresh_before_failover(self) -> bool:
+        """Read anew who may hold commits; whether the store answered.
+
+        A view that is old without this proxy's knowing would miss a replica that alone confirmed a
+        commit, and the change of primary would lose it.
+        """
+        views = [self.watches[name] for name in (DIRECTORY, ROSTERS) if name in self.watches]
+        return all(await asyncio.gather(*(view.refresh() for view in views)))
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass
 from typing import Any
 
 from orchidwind.core.errors import ErrorKind
@@ -15,90 +15,33 @@
     ManagedConfiguration,
     ManagedDatabase,
 )
-from orchidwind.core.managed.freshness import LONGEST_WATCH_SECONDS, FollowTimes
 from orchidwind.core.managed.homes import ProxyMember
-from orchidwind.core.managed.topology import DEFAULT_ENTRY_OUTLIVES_SECONDS
 from orchidwind.logs import log_event
 from orchidwind.managed.failover_runner import PromotionLockClient
+from orchidwind.managed.following import NodeBounds, NodeViews
 from orchidwind.managed.group_service import GroupService
 from orchidwind.managed.lead_lease import LeaseKeeper
 from orchidwind.managed.metrics import ManagedMetrics
 from orchidwind.managed.peer_service import HomePorts, PeerService
 from orchidwind.managed.peers import PeerNetwork
-from orchidwind.managed.ports import (
-    ConfigurationSource,
-    DirectorySource,
-    InstanceConnector,
-    LeaseRegistry,
-    LockSource,
-    MemberSource,
-    MemberStore,
-    PeerConnector,
-    PromotionLockStore,
-    PromotionService,
-    RosterSource,
-    RosterStore,
-)
+from orchidwind.managed.ports import NodePorts
 from orchidwind.managed.rosters import RosterKeeper
 from orchidwind.managed.sessions import SessionRegistry
 from orchidwind.managed.status import ManagedStatus, group_status
 from orchidwind.managed.supervising import GroupSupervision
 from orchidwind.managed.views import (
-    CONFIGURATION,
-    DIRECTORY,
     ConfigurationFollower,
     DirectoryFollower,
-    PeerViews,
     ViewReporter,
-    told_configuration,
-    told_directory,
 )
 from orchidwind.managed.watch import CollectionWatch
 
-# Views that cost time at most when they are old: a revocation that goes unnoticed delays a change
-# of primary by a second, and rosters are read anew before one.
-_COORDINATION_WATCH_SECONDS = 8.0
 _FORGET_SECONDS = 5.0
-ROSTERS = "rosters"
-_GATHER_MEMBERS_SECONDS = 0.6
-_GATHER_DIRECTORY_SECONDS = 0.15
-_GATHER_ROSTERS_SECONDS = 0.5
 _LOGGED_SUCCESSES = 200
 _TRIM_SECONDS = 1.5
 _FIGURES_SECONDS = 10.0
 
 
-@dataclass(frozen=True, slots=True)
-class NodePorts:
-    """The adapters that a node is built on."""
-
-    connector: InstanceConnector
-    directory: DirectorySource
-    configuration: ConfigurationSource
-    lock_store: PromotionLockStore
-    lock_source: LockSource
-    leases: LeaseRegistry
-    roster_source: RosterSource
-    roster_store: RosterStore
-    promotions: PromotionService
-    member_source: MemberSource
-    member_store: MemberStore
-    peers: PeerConnector
-
-
-@dataclass(frozen=True, slots=True)
-class NodeBounds:
-    """Times, in seconds, that others hold this proxy to, or that it may count on.
-
-    `entry_outlives`: how long a directory entry stays after its last renewal. `configuration` and
-    `directory`: the greatest age of these views; the defaults are those of the first users.
-    """
-
-    entry_outlives: float = DEFAULT_ENTRY_OUTLIVES_SECONDS
-    configuration: float = 3.0
-    directory: float = 4.0
-
-
 class ManagedNode:
     """Keeps the groups in step with configuration and directory."""
 
@@ -118,7 +61,6 @@
         self.groups: dict[str, GroupService] = {}
         self._ports = ports
         self.directory: dict[str, DirectoryEntry] = {}
-        self.watches: dict[str, CollectionWatch[Any]] = {}
         self._directory_listed = False
         self._lock = PromotionLockClient(name, ports.lock_store)
         self.rosters = RosterKeeper(self.groups, ports.roster_store)
@@ -131,6 +73,7 @@
             self._starved,
             self._homes_changed,
         )
+        self.views = NodeViews(ports, self._bounds, self.homes, self.metrics, self._spawn)
         self.leases = LeaseKeeper(name, ports.lock_store, ports.leases, self.homes.lock_reader)
         self.peer_service = PeerService(
             HomePorts(
@@ -148,19 +91,7 @@
 
     def start(self) -> None:
         """Begin to follow the store."""
-        times = FollowTimes.within(self._bounds.configuration)
-        members = PeerViews(
-            CONFIGURATION, times, self.homes, lambda: self.homes.members, told_configuration
-        )
-        self._follow(
-            CollectionWatch(
-                CONFIGURATION,
-                self._ports.configuration,
-                ConfigurationFollower(self.adopt),
-                times,
-                second_path=members,
-            )
-        )
+        self.views.follow_configuration(ConfigurationFollower(self.adopt))
         self._spawn(self._follow_members)
         self._spawn(self._forget_old)
         self._spawn(self._trim)
@@ -169,21 +100,7 @@
     async def _follow_members(self) -> None:
         await self.homes.write_own()
         self._spawn(self.homes.keep_own)
-        self._follow(
-            CollectionWatch(
-                "members",
-                self._ports.member_source,
-                self.homes,
-                FollowTimes.unhurried(LONGEST_WATCH_SECONDS),
-                _GATHER_MEMBERS_SECONDS,
-            )
-        )
-
-    def _follow(self, watch: CollectionWatch[Any]) -> CollectionWatch[Any]:
-        self.watches[watch.name] = watch
-        self.metrics.watch_age(watch.name, lambda: watch.age)
-        self._spawn(watch.run)
-        return watch
+        self.views.follow_members()
 
     def _coordinate(self) -> None:
         """Follow what only homes need: directory, promotion lock, rosters, the lead lease.
@@ -193,31 +110,11 @@
         if self._coordinating:
             return
         self._coordinating = True
-        times = FollowTimes.within(self._bounds.directory)
-        homes = PeerViews(DIRECTORY, times, self.homes, self._directory_followers, told_directory)
-        self._follow(
-            CollectionWatch(
-                DIRECTORY,
-                self._ports.directory,
-                DirectoryFollower(self.directory_listed, self.instance_listed, self.instance_gone),
-                times,
-                _GATHER_DIRECTORY_SECONDS,
-                homes,
-            )
-        )
-        unhurried = FollowTimes.unhurried(_COORDINATION_WATCH_SECONDS)
-        self._follow(
-            CollectionWatch("promotion_lock", self._ports.lock_source, self.leases, unhurried)
-        )
-        self._follow(
-            CollectionWatch(
-                ROSTERS,
-                self._ports.roster_source,
-                self.rosters,
-                unhurried,
-                _GATHER_ROSTERS_SECONDS,
-            )
+        follower = DirectoryFollower(
+            self.directory_listed, self.instance_listed, self.instance_gone
         )
+        self.views.follow_directory(follower, self._directory_followers)
+        self.views.follow_coordination(self.leases, self.rosters)
         self._spawn(self.rosters.run)
         self._spawn(self.leases.run)
         self._spawn(self.leases.confirm_drops)
@@ -227,18 +124,13 @@
         homes = (home for name in self.groups for home in self.homes.placement(name).homes)
         return {home.name: home for home in homes}.values()
 
-    async def _refresh_before_failover(self) -> bool:
-        """Read anew who may hold commits; whether the store answered.
-
-        A view that is old without this proxy's knowing would miss a replica that alone confirmed a
-        commit, and the change of primary would lose it.
-        """
-        views = [self.watches[name] for name in (DIRECTORY, ROSTERS) if name in self.watches]
-        return all(await asyncio.gather(*(view.refresh() for view in views)))
-
     def _spawn(self, work: Callable[[], Awaitable[None]]) -> None:
         async def run() -> None:
-            await work()
+            try:
+                await work()
+            except Exception as error:  # what ends without a trace is missed later, not now
+                log_event("task_ended_unexpectedly", level=logging.ERROR, reason=repr(error))
+                raise
 
         self._tasks.append(asyncio.get_running_loop().create_task(run()))
 
@@ -289,11 +181,9 @@
         """A command ended."""
         self.metrics.finished(database.consistency.value, command.kind, error, seconds)
 
-    @property
-    def configuration_age_ms(self) -> int:
-        """How long ago the configuration in force was last known to be the newest; -1: unknown."""
-        watch = self.watches.get(CONFIGURATION)
-        return -1 if watch is None else int(watch.age * 1000)
+    def watch(self, view: str) -> CollectionWatch[Any] | None:
+        """The watch of a followed view, None where this proxy does not follow it."""
+        return self.views.watches.get(view)
 
     # --- configuration ------------------------------------------------------------------------
 
@@ -346,7 +236,7 @@
             self._ports.promotions,
             self.leases,
             self.rosters,
-            self._refresh_before_failover,
+            self.views.refresh_before_failover,
             self.metrics,
         )
         self._spawn(supervision.run)
@@ -428,7 +318,7 @@
             zone=self.zone,
             prepared=self.prepared,
             configuration_version=self.configuration.version if self.configuration else 0,
-            configuration_age_ms=self.configuration_age_ms,
+            configuration_age_ms=self.views.configuration_age_ms,
             lead_lease=self.leases.covers(now),
             promotion_lock_holder=self.leases.holder,
             groups=[group_status(group, now) for group in self.groups.values()],
--- a/src/orchidwind/managed/peer_link.py
+++ b/src/orchidwind/managed/peer_link.py
@@ -44,7 +44,7 @@
         self._connector = connector
         self._loop = asyncio.get_running_loop()
         self._connection: PeerConnection | None = None
-        self._connecting = asyncio.Lock()
+        self._opening: asyncio.Task[PeerConnection] | None = None
         self._pending: dict[int, asyncio.Future[Answer]] = {}
         self._numbers = count(1)
         self._heard_at = 0.0
@@ -99,26 +99,51 @@
 
     def close(self) -> None:
         """Cut the link; who waits is told."""
+        if self._opening is not None:
+            self._opening.cancel()
         if self._connection is not None:
             self._lost("closed by this proxy")
 
     async def _open(self) -> PeerConnection:
-        async with self._connecting:
-            if self._connection is not None:
-                return self._connection
+        """The connection; raises PeerUnavailable.
+
+        All that ask wait for one attempt, which goes on to its end when one of them gives up: else
+        one with little patience would try again and again, and nobody learn that the way is cut.
+        """
+        if self._connection is not None:
+            return self._connection
+        if self._opening is None:
             if not self.usable():
                 raise PeerUnavailable("the home does not answer", sent=False)
-            try:
-                async with asyncio.timeout(CONNECT_SECONDS):
-                    opened = await self._connector.connect(self.member, self._take, self._broken)
-            except (PeerUnavailable, TimeoutError) as error:
-                self._note_lost(str(error) or "no answer to a new link")
-                raise PeerUnavailable("the home cannot be reached", sent=False) from error
-            opened.send(Greeting(self._own))
-            self._connection = opened
-            self._heard_at = self._loop.time()
-            log_event("home_connected", home=self.member.name)
-            return opened
+            self._opening = self._loop.create_task(self._connect())
+            self._opening.add_done_callback(self._opened)
+        attempt = self._opening
+        try:
+            return await asyncio.shield(attempt)
+        except asyncio.CancelledError:
+            own_task = asyncio.current_task()
+            if attempt.cancelled() and own_task is not None and not own_task.cancelling():
+                raise PeerUnavailable("closed by this proxy", sent=False) from None
+            raise
+
+    async def _connect(self) -> PeerConnection:
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                opened = await self._connector.connect(self.member, self._take, self._broken)
+        except (PeerUnavailable, TimeoutError) as error:
+            self._note_lost(str(error) or "no answer to a new link")
+            raise PeerUnavailable("the home cannot be reached", sent=False) from error
+        opened.send(Greeting(self._own))
+        self._connection = opened
+        self._heard_at = self._loop.time()
+        log_event("home_connected", home=self.member.name)
+        return opened
+
+    def _opened(self, attempt: asyncio.Task[PeerConnection]) -> None:
+        self._opening = None
+        if not attempt.cancelled():
+            # Those that wait raise it; where nobody waits any more it has been logged.
+            attempt.exception()
 
     def _take(self, message: PeerMessage) -> None:
         self._heard_at = self._loop.time()
--- a/src/orchidwind/managed/ports.py
+++ b/src/orchidwind/managed/ports.py
@@ -170,3 +170,21 @@
         self, group: str, instance: str, token: int, seconds: float
     ) -> PromotionAnswer:
         """Send one promotion, broken off after some seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodePorts:
+    """The adapters that a node is built on."""
+
+    connector: InstanceConnector
+    directory: DirectorySource
+    configuration: ConfigurationSource
+    lock_store: PromotionLockStore
+    lock_source: LockSource
+    leases: LeaseRegistry
+    roster_source: RosterSource
+    roster_store: RosterStore
+    promotions: PromotionService
+    member_source: MemberSource
+    member_store: MemberStore
+    peers: PeerConnector
--- a/src/orchidwind/managed/views.py
+++ b/src/orchidwind/managed/views.py
@@ -114,11 +114,13 @@
 
 
 class FollowedViews(Protocol):
-    """What a proxy follows; `watches` by the names of their views."""
+    """What a proxy holds of the views that it tells others."""
 
     configuration: ManagedConfiguration | None
     directory: dict[str, DirectoryEntry]
-    watches: dict[str, CollectionWatch[Any]]
+
+    def watch(self, view: str) -> CollectionWatch[Any] | None:
+        """The watch of a view, None where the proxy does not follow it."""
 
 
 class ViewReporter:
@@ -129,7 +131,7 @@
 
     def report(self, query: ViewQuery) -> ViewReport:
         """Answer a query."""
-        watch = self._node.watches.get(query.view)
+        watch = self._node.watch(query.view)
         if watch is None or watch.revision < 0:
             return ViewReport(query.number, known=False, age=0.0, revision=-1)
         changed = watch.changed_revision > query.revision
--- a/src/orchidwind/managed/watch.py
+++ b/src/orchidwind/managed/watch.py
@@ -116,6 +116,9 @@
                 self._read_next = True
             except PlatformError as error:
                 await self._after_error(error)
+            except Exception as error:  # a fault of this program must not end the following
+                self._tell("watch_failed_unexpectedly", logging.ERROR, reason=repr(error))
+                await self._after_error(PlatformError(repr(error)))
 
     async def refresh(self) -> bool:
         """Read the store now, beside what is under way; whether it answered."""
--- a/src/orchidwind/platform/callers.py
+++ b/src/orchidwind/platform/callers.py
@@ -112,7 +112,7 @@
                 database=message.database,
                 reason=error.kind.value,
                 configuration=held.version if held else 0,
-                configuration_age_ms=self._node.configuration_age_ms,
+                configuration_age_ms=self._node.views.configuration_age_ms,
             )
             await self._stream.write(wire.error_line(error))
             return False
--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -16,8 +16,10 @@
 from orchidwind.core.errors import SettingsError
 from orchidwind.core.managed.homes import ProxyMember
 from orchidwind.logs import configure_logging, log_event
+from orchidwind.managed.following import NodeBounds
 from orchidwind.managed.metrics import ManagedMetrics
-from orchidwind.managed.node import ManagedNode, NodeBounds, NodePorts
+from orchidwind.managed.node import ManagedNode
+from orchidwind.managed.ports import NodePorts
 from orchidwind.network.peer_streams import PeerListener, PeerStreamConnector
 from orchidwind.platform.callers import CallerListener
 from orchidwind.platform.coordination import (
--- a/src/orchidwind/platform/store.py
+++ b/src/orchidwind/platform/store.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any, Generic, Protocol, TypeVar
@@ -19,6 +20,7 @@
     PlatformUncertain,
     PlatformVersionGone,
 )
+from orchidwind.logs import log_event
 from orchidwind.managed.ports import Changes, Listing
 from orchidwind.network.http_call import HttpAnswer, HttpCallFailed, HttpRequest, http_call
 
@@ -207,5 +209,19 @@
         return Changes(self._items(changed), gone, events.at)
 
     def _items(self, objects: Sequence[StoredObject]) -> tuple[Item, ...]:
-        found = (self._translation.item(stored) for stored in objects)
+        found = (self._item(stored) for stored in objects)
         return tuple(item for item in found if item is not None)
+
+    def _item(self, stored: StoredObject) -> Item | None:
+        """The item of an object; one that is not as described must not hide the others."""
+        try:
+            return self._translation.item(stored)
+        except (PlatformError, ValueError) as error:
+            log_event(
+                "object_not_as_described",
+                level=logging.ERROR,
+                kind=self._translation.kind,
+                object=stored.meta.name,
+                reason=error,
+            )
+            return None
--- a/src/orchidwind_bench/managed/callers.py
+++ b/src/orchidwind_bench/managed/callers.py
@@ -10,7 +10,8 @@
 from orchidwind.core.managed.configuration import ReadConsistency
 from orchidwind.core.managed.homes import ProxyMember
 from orchidwind.managed.executor import SessionExecutor
-from orchidwind.managed.node import ManagedNode, NodePorts
+from orchidwind.managed.node import ManagedNode
+from orchidwind.managed.ports import NodePorts
 from orchidwind_bench.managed.instances import SimulatedConnector, SimulatedGroup
 from orchidwind_bench.managed.peers import SimulatedLinks, SimulatedPeerConnector
 from orchidwind_bench.managed.world import (
--- a/tests/test_followed_views.py
+++ b/tests/test_followed_views.py
@@ -41,3 +41,20 @@
         assert topology.instances["i-1"].entry.draining
 
     with_system(tmp_path, scenario, bounds=BOUNDS)
+
+
+def test_an_entry_that_is_not_as_described_hides_no_other_and_ends_nothing(tmp_path):
+    async def scenario(system):
+        bad = {"service": SERVICE, "address": "no-port", "zone": "z1"}
+        system.store.put("servers", "i-bad", bad)
+        system.store.put("servers", "i-worse", {"service": 7})
+        system.write_entry(system.group.instances["i-1"], state="draining")
+        await asyncio.sleep(1.0)
+        topology = system.proxy._node.groups[SERVICE].topology
+        assert topology.instances["i-1"].entry.draining
+        system.store.forget_history()
+        system.write_entry(system.group.instances["i-2"], state="draining")
+        await asyncio.sleep(1.0)
+        assert topology.instances["i-2"].entry.draining
+
+    with_system(tmp_path, scenario, bounds=BOUNDS)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -3,11 +3,14 @@
 import asyncio
 import contextlib
 
+import pytest
+
 from orchidwind.core.errors import PeerUnavailable, RequestError
 from orchidwind.core.managed.commands import Command, CommandKind
 from orchidwind.core.managed.freshness import FollowTimes
 from orchidwind.core.managed.homes import ProxyMember
 from orchidwind.managed.executor import SessionExecutor
+from orchidwind.managed.peer_link import PeerLink
 from orchidwind.managed.peers import FORGET_SECONDS
 from orchidwind.managed.ports import Changes, Listing
 from orchidwind.managed.watch import CollectionWatch
@@ -162,3 +165,50 @@
         assert system.world.now - began < 0.5
 
     with_system(scenario)
+
+
+class _CutConnector:
+    """Opens nothing and says nothing, as behind a cut."""
+
+    def __init__(self):
+        self.attempts = 0
+
+    async def connect(self, member, on_message, on_lost):
+        self.attempts += 1
+        await asyncio.get_running_loop().create_future()
+
+
+MEMBER = ProxyMember("proxy-b", "zone-b", "proxy-b", 1)
+
+
+def test_an_asker_without_patience_does_not_hide_that_a_link_is_cut():
+    """Found when views were asked for each half second: commands waited behind each attempt."""
+
+    async def work():
+        connector = _CutConnector()
+        link = PeerLink("proxy-a", MEMBER, connector)
+        for _ in range(10):
+            with contextlib.suppress(PeerUnavailable, TimeoutError):
+                async with asyncio.timeout(0.25):
+                    await link.ask_view("configuration", 1)
+            await asyncio.sleep(0.2)
+        assert not link.usable()
+        assert connector.attempts <= 4
+
+    run_virtual(work())
+
+
+def test_who_waits_for_a_link_that_is_closed_is_told():
+    async def work():
+        link = PeerLink("proxy-a", MEMBER, _CutConnector())
+        waiting = asyncio.create_task(link.ask_lock())
+        leaving = asyncio.create_task(link.ask_lock())
+        await asyncio.sleep(0.1)
+        leaving.cancel()
+        link.close()
+        with pytest.raises(PeerUnavailable):
+            await waiting
+        with pytest.raises(asyncio.CancelledError):
+            await leaving
+
+    run_virtual(work())
