--- a/src/orchidwind/managed/lead_lease.py
+++ b/src/orchidwind/managed/lead_lease.py
@@ -42,6 +42,7 @@
         """`reader` gives the link to the proxy that reads the lock for others; None: this one."""
         self._reader = reader
         self._reading: LockReading | None = None
+        self._readable = True
         self._read_again = asyncio.Lock()
         self._released = asyncio.Event()
         self.lease = LeadLease()
@@ -129,11 +130,21 @@
         sent_at = self._loop.time()
         try:
             record = await self._lock_store.read()
-        except PlatformError:
+        except PlatformError as error:
+            self._note_readable(False, str(error))
             return None
+        self._note_readable(True, "")
         self._reading = LockReading.of(sent_at, record)
         return self._reading
 
+    def _note_readable(self, readable: bool, reason: str) -> None:
+        """Log when the lock can be read no more, or again; without it there is no lease."""
+        if readable != self._readable:
+            self._readable = readable
+            log_event(
+                "promotion_lock_readable" if readable else "promotion_lock_lost", reason=reason
+            )
+
     async def _recent_reading(self) -> LockReading | None:
         """This proxy's last reading, or a new one where that is old."""
         async with self._read_again:
@@ -191,9 +202,16 @@
                 await self._registry.confirm(self._node, revision)
             except PlatformError as error:
                 log_event("lease_drop_not_confirmed", revision=revision, reason=str(error))
+                await self._confirm_again()
                 continue
             self._confirmed = revision
 
+    async def _confirm_again(self) -> None:
+        """Try again while the holder may still wait for this proxy."""
+        await asyncio.sleep(_RETRY_SECONDS)
+        if self._loop.time() - self._held_since < REVOCATION_WAIT_SECONDS:
+            self._confirm_wanted.set()
+
     async def leave(self) -> None:
         """This proxy stops: nobody waits for it any more."""
         self._registered = False
@@ -216,7 +234,9 @@
     async def _all_dropped(self, token: int) -> bool:
         try:
             confirmed = await self._registry.confirmations()
-        except PlatformError:
+        except PlatformError as error:
+            # All leases have run out when the wait ends, whatever is confirmed.
+            log_event("lease_confirmations_not_read", token=token, reason=str(error))
             return False
         waiting = [
             item.node for item in confirmed if item.node != self._node and item.revision < token
--- a/src/orchidwind_bench/__init__.py
+++ b/src/orchidwind_bench/__init__.py
@@ -1,1 +1,1 @@
-"""Simulator, load and experiment tool, and the capacity measurements."""
+"""Simulator, soak, load and experiment tool."""
--- a/src/orchidwind_bench/main.py
+++ b/src/orchidwind_bench/main.py
@@ -14,13 +14,11 @@
 
 from orchidwind.core.commit_barrier import Acknowledge
 from orchidwind_bench import demo as demo_module
-from orchidwind_bench.capacity import write_page
 from orchidwind_bench.day import run_day
 from orchidwind_bench.experiments import run_experiment
 from orchidwind_bench.loaded_run import ExperimentReport, RunOptions
 from orchidwind_bench.platform.soak.run import soak as run_soak
 from orchidwind_bench.platform.soak.system import SoakSizes
-from orchidwind_bench.scale_run import ScaleOptions, run_scale
 
 Experiment = Literal[
     "failover",
@@ -108,46 +106,6 @@
     print(f"violations {len(report.violations)}")
 
 
-def scale(
-    *,
-    json: Path,
-    nodes: str = "10,50,150,410",
-    databases: str = "30,150,400,930",
-    real: int = 1,
-    seed: int = 1,
-    day_seconds: float = 186.0,
-    parted_seconds: float = 300.0,
-) -> None:
-    """Measure what each role costs as the system grows, and the target's events.
-
-    :param json: file to write the measurements to
-    :param nodes: sizes of the hollow clusters, rising
-    :param databases: databases at these sizes, rising
-    :param real: factor on the sizes measured with real proxies
-    :param seed: seed of the simulator
-    :param day_seconds: virtual time into which a day's failures and restarts are pressed
-    :param parted_seconds: virtual time for which the regions lose each other
-    """
-    options = ScaleOptions(
-        [int(text) for text in nodes.split(",")],
-        [int(text) for text in databases.split(",")],
-        real,
-        seed,
-        day_seconds,
-        parted_seconds,
-    )
-    run_scale(json, options, _progress)
-
-
-def capacity(*, source: Path, folder: Path = Path("docs")) -> None:
-    """Write docs/CAPACITY.md and its plots from a file of `scale`.
-
-    :param source: file that `scale` wrote
-    :param folder: folder to write to
-    """
-    print(write_page(source, folder))
-
-
 def soak(
     *,
     seed: int | None = None,
@@ -192,4 +150,4 @@
 
 def main() -> None:
     """Entry point of `orchidwind-bench`."""
-    sys.exit(defopt.run([demo, run, scale, capacity, soak]))
+    sys.exit(defopt.run([demo, run, soak]))
--- a/src/orchidwind_bench/simulation/hollow.py
+++ b/src/orchidwind_bench/simulation/members.py
@@ -1,15 +1,12 @@
-"""Hollow proxies: the real membership, configuration and placement classes, many in one process.
+"""Simulated members: the real membership, configuration and placement classes in one process.
 
-Datagrams are encoded and decoded as on a real node, so that bytes and processor time a node are
-those of the product's own code; only the sockets are missing.
+Datagrams are encoded and decoded as on a real node; only the sockets are missing.
 """
 
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from orchidwind.core.configuration import (
     ConfigurationDocument,
@@ -40,18 +37,6 @@
 WATCHERS_A_ZONE = 2
 
 
-@dataclass(slots=True)
-class NodeCosts:
-    """What one node spent."""
-
-    datagrams_sent: int = 0
-    bytes_sent: int = 0
-    bytes_received: int = 0
-    processor_seconds: float = 0.0
-    configuration_fetches: int = 0
-    view_changes: int = 0
-
-
 class SimulatedPlatform:
     """Holds the configuration; answers are slow, or none, while it is down. Counts readers."""
 
@@ -70,14 +55,14 @@
         return self.document
 
 
-class HollowNode:
+class MemberNode:
     """One proxy without callers."""
 
-    def __init__(self, cluster: HollowCluster, name: str, zone: str, seeds: Iterable[str]) -> None:
+    def __init__(self, cluster: MemberCluster, name: str, zone: str, seeds: Iterable[str]) -> None:
         self.name = name
         self.zone = zone
         self.cluster = cluster
-        self.costs = NodeCosts()
+        self.view_changes = 0
         self.history = ConfigurationHistory()
         self.adopted: list[tuple[float, int]] = []
         own = Member(name, zone, name, _GOSSIP_PORT, _GOSSIP_PORT)
@@ -94,7 +79,7 @@
 
     def start(self) -> None:
         """Join, and begin to follow the platform."""
-        self._perform(self._timed(lambda: self.membership.start(self.cluster.events.now)))
+        self._perform(self.membership.start(self.cluster.events.now))
         self.cluster.events.after(1.0, self._watch)
 
     def stop(self) -> None:
@@ -110,37 +95,24 @@
         """A datagram came."""
         if not self.alive:
             return
-        self.costs.bytes_received += len(body)
         now = self.cluster.events.now
-        self._perform(
-            self._timed(lambda: self.membership.receive(now, codec.decode_datagram(body)))
-        )
+        self._perform(self.membership.receive(now, codec.decode_datagram(body)))
 
     def _tick(self) -> None:
         if self.alive:
-            self._perform(self._timed(lambda: self.membership.tick(self.cluster.events.now)))
-
-    def _timed(self, work: object) -> list[MembershipEffect]:
-        started = time.perf_counter()
-        effects = work()  # type: ignore[operator]
-        self.costs.processor_seconds += time.perf_counter() - started
-        return effects
+            self._perform(self.membership.tick(self.cluster.events.now))
 
     def _perform(self, effects: list[MembershipEffect]) -> None:
-        started = time.perf_counter()
         for effect in effects:
             if isinstance(effect, SendDatagram):
                 body = codec.encode_datagram(effect.message)
-                self.costs.datagrams_sent += 1
-                self.costs.bytes_sent += len(body)
                 self.cluster.deliver(self.name, effect.host, body)
             elif isinstance(effect, ViewChanged):
-                self.costs.view_changes += 1
+                self.view_changes += 1
                 self._placement = None
             else:
                 peers = len(self.membership.reachable()) - 1
                 self._take(self.history.on_peer_version(effect.peer, effect.version, peers))
-        self.costs.processor_seconds += time.perf_counter() - started
         self._timer.set(self.membership.deadline())
 
     def _take(self, effects: list[HistoryEffect]) -> None:
@@ -148,7 +120,6 @@
             if isinstance(effect, Adopt):
                 self._adopt(effect.document)
             else:
-                self.costs.configuration_fetches += 1
                 self.cluster.fetch_configuration(self, effect.peer)
 
     def _adopt(self, document: ConfigurationDocument) -> None:
@@ -189,8 +160,8 @@
             self._take(self.history.on_platform(document))
 
 
-class HollowCluster:
-    """Hollow nodes in zones, joined by a simulated network."""
+class MemberCluster:
+    """Members in zones, joined by a simulated network."""
 
     def __init__(
         self,
@@ -208,7 +179,7 @@
         self.network.zone_of[_PLATFORM] = "platform-zone"
         self.membership_settings = membership
         self.platform = SimulatedPlatform()
-        self.nodes: dict[str, HollowNode] = {}
+        self.nodes: dict[str, MemberNode] = {}
         self._seeds: list[str] = []
 
     def add_nodes(self, count: int) -> None:
@@ -218,12 +189,12 @@
         for index, name in enumerate(names):
             self.start_node(name, self.zones[index % len(self.zones)])
 
-    def start_node(self, name: str, zone: str) -> HollowNode:
+    def start_node(self, name: str, zone: str) -> MemberNode:
         """Start a node, or start it again without memory."""
         self.network.zone_of[name] = zone
         self.network.down.discard(name)
         self.network.resume(name)
-        node = HollowNode(self, name, zone, self._seeds)
+        node = MemberNode(self, name, zone, self._seeds)
         self.nodes[name] = node
         self.events.after(self.random.uniform(0, 1.0), node.start)
         return node
@@ -239,7 +210,7 @@
         if node is not None:
             self.network.send(source, target, lambda: node.receive(body))
 
-    def fetch_configuration(self, node: HollowNode, peer: str) -> None:
+    def fetch_configuration(self, node: MemberNode, peer: str) -> None:
         """Carry a request for the configuration and its answer."""
         other = self.nodes.get(peer)
         if other is None:
@@ -254,7 +225,7 @@
 
         self.network.send(node.name, peer, answer, reliable=True)
 
-    def live(self) -> list[HollowNode]:
+    def live(self) -> list[MemberNode]:
         """Nodes that run."""
         return [node for node in self.nodes.values() if node.alive]
 
--- a/tests/test_checks_bite.py
+++ b/tests/test_checks_bite.py
@@ -21,7 +21,7 @@
     check_not_run,
     check_read_your_writes,
 )
-from orchidwind_bench.simulation.hollow import sample_configuration
+from orchidwind_bench.simulation.members import sample_configuration
 from orchidwind_bench.simulation.system import SimulatedSystem
 from orchidwind_standins.replication import GroupTimings
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -22,7 +22,7 @@
 from orchidwind.core.pool import CloseConnection, Grant, InstancePool, OpenConnection
 from orchidwind.core.positions import ORIGIN, Position
 from orchidwind.core.statements import FloorMode, Outcome
-from orchidwind_bench.simulation.hollow import sample_configuration
+from orchidwind_bench.simulation.members import sample_configuration
 
 # --- positions and classification ---------------------------------------------------------------
 
--- a/tests/test_home_service.py
+++ b/tests/test_home_service.py
@@ -5,7 +5,7 @@
 from orchidwind.core.placement import Node, Placement
 from orchidwind.core.steps import OpenTransaction
 from orchidwind.network.home_service import HomeService
-from orchidwind_bench.simulation.hollow import sample_configuration
+from orchidwind_bench.simulation.members import sample_configuration
 
 OWN, OTHER = Node("own", "one/a"), Node("other", "one/a")
 
--- a/tests/test_managed_promises.py
+++ b/tests/test_managed_promises.py
@@ -6,10 +6,13 @@
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
+from orchidwind.core.errors import PlatformError
 from orchidwind.core.managed import failover, lead_lease
 from orchidwind.core.managed.commands import InstanceRole
+from orchidwind.core.managed.promotion_lock import LockRecord
 from orchidwind.managed.lead_lease import LeaseKeeper
 from orchidwind.managed.lead_proofs import LeadProver
+from orchidwind.managed.ports import Changes
 from orchidwind_bench.managed.callers import NODES, ManagedSystem
 from orchidwind_bench.managed.virtual_time import run_virtual
 from orchidwind_bench.managed.world import STORE
@@ -376,3 +379,28 @@
     system = play(60, [(1.5, deafen), (3.0, lose), (7.0, lambda s: s.world.network.heal())], 9.0)
     assert system.world.history.broken == []
     assert [name for _, name, _ in system.world.history.promotions][:1] == ["i-2"]
+
+
+def test_a_lease_drop_whose_confirmation_failed_is_confirmed_again():
+    """Else the holder of the lock waits until all leases have run out."""
+
+    async def work():
+        system = ManagedSystem(12)
+        for node in system.nodes.values():
+            assert await node.wait_prepared(5.0)
+            node.leases.want()
+        await asyncio.sleep(1.0)
+        leases = system.nodes["proxy-b"].leases
+        confirm, failures = leases._registry.confirm, [PlatformError("refused")]
+
+        async def refused_once(node, revision):
+            if failures:
+                raise failures.pop()
+            await confirm(node, revision)
+
+        leases._registry.confirm = refused_once
+        leases.changed(Changes((LockRecord("proxy-a", "x", released=False, revision=77),), (), 77))
+        await asyncio.sleep(0.5)
+        assert system.world.store.leases["proxy-b"] == 77
+
+    run_virtual(work())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,14 +4,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from orchidwind_bench.simulation.hollow import HollowCluster, sample_configuration
+from orchidwind_bench.simulation.members import MemberCluster, sample_configuration
 from orchidwind_bench.simulation.network import NetworkSettings
 
 ZONES = ["one/a", "one/b", "two/c"]
 
 
 def joined(count, seed=1, **options):
-    cluster = HollowCluster(ZONES, seed=seed, **options)
+    cluster = MemberCluster(ZONES, seed=seed, **options)
     cluster.add_nodes(count)
     names = set(cluster.nodes)
     assert cluster.events.run_while(lambda: not cluster.everyone_sees(names), 30.0)
@@ -64,11 +64,9 @@
 
 def test_loss_of_2_percent_declares_nobody_dead():
     cluster = joined(20, network=NetworkSettings(loss=0.02))
-    version_before = {node.name: node.costs.view_changes for node in cluster.live()}
+    version_before = {node.name: node.view_changes for node in cluster.live()}
     cluster.events.run_until(cluster.events.now + 120.0)
-    changes = {
-        node.name: node.costs.view_changes - version_before[node.name] for node in cluster.live()
-    }
+    changes = {node.name: node.view_changes - version_before[node.name] for node in cluster.live()}
     assert cluster.everyone_sees(set(cluster.nodes))
     assert set(changes.values()) == {0}
 
@@ -143,7 +141,7 @@
 
 @given(actions, st.integers(0, 1000))
 def test_configuration_never_reverts_and_settles(steps, seed):
-    cluster = HollowCluster(ZONES, seed=seed, network=NetworkSettings(loss=0.01))
+    cluster = MemberCluster(ZONES, seed=seed, network=NetworkSettings(loss=0.01))
     cluster.add_nodes(8)
     cluster.platform.document = sample_configuration(1, ZONES, 1)
     version = 1
