--- a/src/orchidwind/core/managed/freshness.py
+++ b/src/orchidwind/core/managed/freshness.py
@@ -5,7 +5,7 @@
 promise that names a time bounds that age. Everything that keeps it below the bound is a share of
 the bound; in the worst case, a source that is reachable again is read after
 
-    watch_wait + answer_slack                       a swallowed watch is given up       0.45
+    watch_wait + answer_slack                       a swallowed watch is given up       0.40
     or read_at_age + hedge_after                    a view confirmed by others ends     0.80
 
 of the bound, and a call of the store takes some milliseconds.
@@ -15,8 +15,10 @@
 
 from dataclasses import dataclass
 
-# The shares add up as told above; what they leave is for slow machines and slow answers.
-_WATCH_WAIT_SHARE = 0.3
+# The shares add up as told above; what they leave is for slow machines and slow answers. Two waits
+# together stay below the age at which the store is read: an answer that tells of a change may have
+# been on its way since its watch was sent, so only the next one confirms the view.
+_WATCH_WAIT_SHARE = 0.25
 _ANSWER_SLACK_SHARE = 0.15
 _ASK_SHARE = 0.15
 _READ_SHARE = 0.6
--- a/tests/test_view_freshness.py
+++ b/tests/test_view_freshness.py
@@ -445,3 +445,32 @@
         task.cancel()
 
     run_virtual(work())
+
+
+def test_a_reader_that_is_told_of_changes_does_not_read_the_store_besides():
+    """An answer with a change confirms only what was so when its watch was sent."""
+    times = FollowTimes.within(10.0)
+
+    class Busy(Source):
+        def __init__(self):
+            super().__init__()
+            self.lists = 0
+
+        async def list(self, limit):
+            self.lists += 1
+            return self.listing
+
+        async def watch(self, revision, wait, limit):
+            await asyncio.sleep(wait * 0.99)
+            return Changes(("b",), (), revision + 1)
+
+    async def work():
+        source = Busy()
+        watch = CollectionWatch("x", source, Follower(), times)
+        task = asyncio.create_task(watch.run())
+        await asyncio.sleep(60.0)
+        assert source.lists == 1
+        assert watch.age < times.read_at_age
+        task.cancel()
+
+    run_virtual(work())
