--- /dev/null
+++ b/src/orchidwind_bench/platform/soak/configuration.py
@@ -0,0 +1,105 @@
+"""The soak's operator: changes of the configuration, and the check that they are in force in time.
+
+Each version has a route that only it has. A caller that begins a session for it sees whether the
+proxy handles it by that version.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from orchidwind_bench.platform.soak.callers import Record
+from orchidwind_bench.platform.soak.system import (
+    APPLY_SECONDS,
+    CONTACT_SECONDS,
+    HOST,
+    ProxyProcess,
+    SoakSystem,
+)
+
+_PROBE_PAUSE_SECONDS = 0.2
+_ANSWER_SECONDS = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeAnswer:
+    """Whether a proxy took a session for the route of `version`, asked for at `sent_at`."""
+
+    proxy: str
+    version: int
+    sent_at: float
+    served: bool
+
+
+def broken_promise(system: SoakSystem, answer: ProbeAnswer, newest_seen: int) -> str:
+    """What an answer breaks; empty where it keeps the promise.
+
+    `newest_seen` is the newest version that the same process has shown before. A version has to be
+    in force `APPLY_SECONDS` after it was written, by a proxy that had its path to the store for
+    `CONTACT_SECONDS`.
+    """
+    if answer.served and answer.version < newest_seen:
+        return f"CONFIG: {answer.proxy} goes back to {answer.version} from {newest_seen}"
+    if system.undisturbed_seconds(answer.proxy, answer.sent_at) < CONTACT_SECONDS:
+        return ""
+    due = system.version_due(answer.sent_at - APPLY_SECONDS)
+    newest = system.version_due(answer.sent_at)
+    if answer.served and answer.version < due:
+        return f"CONFIG: {answer.proxy} still serves {answer.version}, {due} is due"
+    if not answer.served and answer.version == due == newest:
+        return f"CONFIG: {answer.proxy} does not serve {answer.version}, which is due"
+    return ""
+
+
+class ConfigurationProber:
+    """Asks one proxy again and again for the routes of the newest version and the one before."""
+
+    def __init__(self, system: SoakSystem, record: Record, proxy: ProxyProcess) -> None:
+        self._system = system
+        self._record = record
+        self._proxy = proxy
+        self._life: object = None
+        self._newest_seen = 0
+
+    async def run(self, until: float) -> None:
+        """Probe until a time of the steady clock."""
+        while time.monotonic() < until:
+            for version in self._system.probed_versions():
+                await self._probe(version)
+            await asyncio.sleep(_PROBE_PAUSE_SECONDS)
+
+    async def _probe(self, version: int) -> None:
+        life, sent_at = self._proxy.program, time.monotonic()
+        served = await self._ask(version)
+        if served is None or life is not self._proxy.program:
+            return
+        if life is not self._life:
+            self._life, self._newest_seen = life, 0
+        answer = ProbeAnswer(self._proxy.name, version, sent_at, served)
+        broken = broken_promise(self._system, answer, self._newest_seen)
+        if broken:
+            self._record.broken.append(broken)
+        self._record.count("configuration: " + ("served" if served else "not served"))
+        if served:
+            self._newest_seen = max(self._newest_seen, version)
+
+    async def _ask(self, version: int) -> bool | None:
+        """Whether a session begins; None where the proxy tells neither."""
+        try:
+            async with asyncio.timeout(_ANSWER_SECONDS):
+                stream = await TCPClient().connect(HOST, self._proxy.front)
+                try:
+                    await stream.write(f"STARTUP {self._system.route(version)} x\r\n".encode())
+                    line = await stream.read_until(b"\r\n")
+                finally:
+                    stream.close()
+        except (OSError, StreamClosedError, TimeoutError):
+            return None
+        if line.startswith(b"READY"):
+            return True
+        return False if line.startswith(b"ERROR NODB") else None
--- a/src/orchidwind_bench/platform/soak/faults.py
+++ b/src/orchidwind_bench/platform/soak/faults.py
@@ -4,15 +4,24 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from orchidwind_bench.platform.soak.system import ProxyProcess, SoakSystem
+from orchidwind_bench.platform.soak.system import (
+    CONTACT_SECONDS,
+    STORE,
+    ProxyProcess,
+    SoakSystem,
+)
 
 _LONGEST_GAP_SECONDS = 1.2
 _SHORTEST_SECONDS = 0.3
 _LONGEST_SECONDS = 4.0
-_CALM_AT_END_SECONDS = 4.0
+# The last faults end 4 s before the end or sooner: then the bounds on the configuration hold again.
+_CALM_AT_END_SECONDS = _LONGEST_SECONDS + CONTACT_SECONDS + 1.0
+_MOST_CHANGES_IN_SERIES = 4
+_SERIES_GAP_SECONDS = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,13 +81,25 @@
         if name in self._busy:
             return False
         self._busy.add(name)
+        self._system.disturbed(self._part(name), time.monotonic(), float("inf"))
         return True
 
+    def _release(self, name: str) -> None:
+        self._busy.discard(name)
+        part = self._part(name)
+        if not any(self._part(other) == part for other in self._busy):
+            self._system.settled(part)
+
+    @staticmethod
+    def _part(name: str) -> str:
+        """The part that a claim disturbs: all faults of the store disturb the same."""
+        return STORE if name.startswith(STORE) else name
+
     def _restart(self, proxy: ProxyProcess) -> None:
         if proxy.program is not None and proxy.program.running:
             proxy.program.kill()
         self._system.start_proxy(proxy)
-        self._busy.discard(proxy.name)
+        self._release(proxy.name)
 
     def kill_proxy(self, part: int) -> Undo:
         """SIGKILL."""
@@ -103,7 +124,7 @@
 
         def thaw() -> None:
             program.thaw()
-            self._busy.discard(proxy.name)
+            self._release(proxy.name)
 
         return thaw
 
@@ -125,7 +146,7 @@
 
         def restart() -> None:
             self._system.restart_instance(name)
-            self._busy.discard("instances")
+            self._release("instances")
 
         return restart
 
@@ -150,7 +171,7 @@
 
         def speak() -> None:
             instance.silent = False
-            self._busy.discard(f"silence {instance.name}")
+            self._release(f"silence {instance.name}")
             for stream in list(instance.streams):
                 stream.close()
 
@@ -166,7 +187,7 @@
 
         def serve() -> None:
             self._system.store.refuse_with = 0
-            self._busy.discard("store refuses")
+            self._release("store refuses")
 
         return serve
 
@@ -178,19 +199,50 @@
 
         def answer() -> None:
             self._system.store.lose_answers = False
-            self._busy.discard("store loses")
+            self._release("store loses")
 
         return answer
 
     def forget_history(self, part: int) -> Undo:
         """The store drops its history."""
+        now = time.monotonic()
+        self._system.disturbed(STORE, now, now)
         self._system.store.forget_history()
         return None
 
+    def silence_store(self, part: int) -> Undo:
+        """The store takes calls and never answers them, not even when it is back."""
+        if not self._claim("store silent"):
+            return None
+        self._system.store.fall_silent()
+
+        def speak() -> None:
+            self._system.store.speak_again()
+            self._release("store silent")
+
+        return speak
+
+    # --- operators ----------------------------------------------------------------------------
+
+    def change_configuration(self, part: int) -> Undo:
+        """One change, or several in quick succession."""
+        loop = asyncio.get_running_loop()
+        for number in range(1 + part % _MOST_CHANGES_IN_SERIES):
+            loop.call_later(number * _SERIES_GAP_SECONDS, self._system.change_configuration)
+        return None
+
+    def reload_settings(self, part: int) -> Undo:
+        """SIGHUP."""
+        proxy = self._proxy(part)
+        if proxy.program is not None and proxy.name not in self._busy and proxy.program.running:
+            proxy.program.reload()
+        return None
+
 
 Undo = Callable[[], None] | None
 Fault = Callable[[FaultPlayer, int], Undo]
 FAULTS: dict[str, Fault] = {
+    "change_configuration": FaultPlayer.change_configuration,
     "crash_primary": FaultPlayer.crash_primary,
     "crash_some_instance": FaultPlayer.crash_some_instance,
     "forget_history": FaultPlayer.forget_history,
@@ -199,7 +251,9 @@
     "kill_proxy": FaultPlayer.kill_proxy,
     "lose_answers_of_store": FaultPlayer.lose_answers_of_store,
     "refuse_at_store": FaultPlayer.refuse_at_store,
+    "reload_settings": FaultPlayer.reload_settings,
     "silence_instance": FaultPlayer.silence_instance,
+    "silence_store": FaultPlayer.silence_store,
     "stop_proxy": FaultPlayer.stop_proxy,
 }
 
