--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -425,7 +425,7 @@
         system.write_configuration({"latest": "primary", "later": "primary"})
         system.store.forget_history()
         system.store.refuse_with = 0
-        async with asyncio.timeout(12):
+        async with asyncio.timeout(3):
             while system.proxy._node.configuration.version < system.version:
                 await asyncio.sleep(0.05)
         assert (await LineClient.open(system.front_port, "later")).greeting == "READY I -"
