--- a/src/orchidwind_bench/managed/peers.py
+++ b/src/orchidwind_bench/managed/peers.py
@@ -10,7 +10,8 @@
 from orchidwind.core.managed.peer_messages import PeerMessage
 from orchidwind.managed.node import ManagedNode
 from orchidwind.managed.peer_service import ServedLink
-from orchidwind_bench.managed.world import LATENCY_SECONDS, World
+from orchidwind_bench.managed.network import LATENCY_SECONDS
+from orchidwind_bench.managed.world import World
 
 
 class SimulatedLinks:
--- /dev/null
+++ b/src/orchidwind_bench/managed/store.py
@@ -0,0 +1,135 @@
+"""The simulated store: what it holds, who hears of changes, and its troubles."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+
+from orchidwind.core.errors import PlatformError
+from orchidwind.core.managed.configuration import (
+    DirectoryEntry,
+    ManagedConfiguration,
+    ManagedDatabase,
+    ManagedGroupSettings,
+    ReadConsistency,
+)
+from orchidwind.core.managed.homes import ProxyMember
+from orchidwind.core.managed.promotion_lock import LockRecord
+from orchidwind.core.managed.roster import Roster
+from orchidwind_bench.managed.network import Network
+
+STORE = "store"
+STORE_SECONDS = 0.004
+CALL_SECONDS = 1.0
+LOCK_EVENT = "promotion lock"
+ROSTER_EVENT = "rosters"
+MEMBER_EVENT = "members"
+CONFIGURATION_EVENT = "configuration"
+OWN_EVENTS = (LOCK_EVENT, ROSTER_EVENT, MEMBER_EVENT, CONFIGURATION_EVENT)
+GROUP = "ledger"
+
+
+class SimulatedStore:
+    """The store: directory, configuration and promotion lock, with outages and lost answers."""
+
+    def __init__(self, network: Network, connection_limit: int) -> None:
+        self._network = network
+        self.down = False
+        # These proxies' calls are taken and never answered, also after the silence has ended.
+        self.silent_to: set[str] = set()
+        # Watches of the directory are never answered while this is set; reads are.
+        self.directory_watches_silent = False
+        self.calls: dict[str, int] = {}
+        self.lose_answers = 0.0
+        self.late_seconds = 0.0
+        self.revision = 1
+        self.entries: dict[str, DirectoryEntry] = {}
+        self.lock: LockRecord | None = None
+        self.lock_reads: dict[str, int] = {}
+        self.leases: dict[str, int] = {}
+        self.rosters: dict[str, Roster] = {}
+        self.members: dict[str, ProxyMember] = {}
+        self.configuration = _configuration(connection_limit)
+        self._events: list[tuple[int, str]] = []
+        self._changed = asyncio.Event()
+
+    def put_entry(self, entry: DirectoryEntry) -> None:
+        """An instance writes its entry."""
+        self.revision += 1
+        self.entries[entry.instance] = entry
+        self.note(entry.instance)
+
+    def drop_entry(self, instance: str) -> None:
+        """An instance's entry goes."""
+        if self.entries.pop(instance, None) is not None:
+            self.revision += 1
+            self.note(instance)
+
+    def note(self, instance: str) -> None:
+        """Something of this name has changed, at the present revision."""
+        self._events.append((self.revision, instance))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def put_configuration(self, configuration: ManagedConfiguration) -> None:
+        """An operator writes the configuration."""
+        self.revision += 1
+        self.configuration = configuration
+        self.note(CONFIGURATION_EVENT)
+
+    async def call(self, node: str, limit: float = CALL_SECONDS) -> None:
+        """The way to the store and back; raises PlatformError where that does not work.
+
+        `limit` is after how many seconds the proxy gives a call up that is not answered.
+        """
+        self.calls[node] = self.calls.get(node, 0) + 1
+        await self._way(node, limit)
+
+    async def _way(self, node: str, limit: float) -> None:
+        await asyncio.sleep(STORE_SECONDS)
+        if node in self.silent_to:
+            await asyncio.sleep(limit)
+            raise PlatformError("no answer in time")
+        network = self._network
+        if not network.passes(node, STORE) or not network.passes(STORE, node):
+            await asyncio.sleep(CALL_SECONDS)
+            raise PlatformError("cut off")
+        if self.down:
+            raise PlatformError("down")
+
+    async def wait_event(self, node: str, revision: int, wait: float, limit: float) -> list[str]:
+        """A proxy's watch: names that changed after a revision."""
+        await self.call(node, limit)
+        found = [name for at, name in self._events if at > revision]
+        if not found:
+            try:
+                async with asyncio.timeout(wait):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+            found = [name for at, name in self._events if at > revision]
+        await self._way(node, limit - wait)
+        return found
+
+
+def _configuration(connection_limit: int) -> ManagedConfiguration:
+    databases = _databases(
+        (ReadConsistency.LATEST, ReadConsistency.BOUNDED, ReadConsistency.SESSION)
+    )
+    groups = {GROUP: ManagedGroupSettings(GROUP, connection_limit, 1)}
+    return ManagedConfiguration(1, databases, groups, transaction_idle=3.0)
+
+
+def _databases(kinds: Iterable[ReadConsistency]) -> dict[str, ManagedDatabase]:
+    return {
+        kind.value: ManagedDatabase(
+            name=kind.value,
+            group=GROUP,
+            consistency=kind,
+            staleness=1.5,
+            statement_timeout=0.8,
+            target_latency=0.2,
+            priority=1,
+        )
+        for kind in kinds
+    }
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -12,8 +12,8 @@
 from orchidwind.core.managed.session import ManagedSession, OpenTransaction
 from orchidwind.managed.executor import SessionExecutor
 from orchidwind_bench.managed.callers import ManagedSystem
+from orchidwind_bench.managed.store import GROUP
 from orchidwind_bench.managed.virtual_time import run_virtual
-from orchidwind_bench.managed.world import GROUP
 
 PROXIES = tuple(f"proxy-{letter}" for letter in "abcdef")
 LIMIT = 12
--- a/tests/test_managed_promises.py
+++ b/tests/test_managed_promises.py
@@ -14,8 +14,8 @@
 from orchidwind.managed.lead_proofs import LeadProver
 from orchidwind.managed.ports import Changes
 from orchidwind_bench.managed.callers import NODES, ManagedSystem
+from orchidwind_bench.managed.store import STORE
 from orchidwind_bench.managed.virtual_time import run_virtual
-from orchidwind_bench.managed.world import STORE
 
 
 def play(seed, faults, seconds=8.0, callers_a_node=4, instances=3):
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -15,8 +15,8 @@
 from orchidwind.managed.ports import Changes, Listing
 from orchidwind.managed.watch import CollectionWatch
 from orchidwind_bench.managed.callers import ManagedSystem
+from orchidwind_bench.managed.store import GROUP, STORE
 from orchidwind_bench.managed.virtual_time import run_virtual
-from orchidwind_bench.managed.world import GROUP, STORE
 
 PROXIES = tuple(f"proxy-{letter}" for letter in "abcdef")
 
--- a/tests/test_resting_transactions.py
+++ b/tests/test_resting_transactions.py
@@ -8,8 +8,8 @@
 from orchidwind.core.managed.commands import Command, CommandKind, TransactionState
 from orchidwind.managed.executor import SessionExecutor
 from orchidwind_bench.managed.callers import ManagedSystem
+from orchidwind_bench.managed.store import GROUP
 from orchidwind_bench.managed.virtual_time import run_virtual
-from orchidwind_bench.managed.world import GROUP
 
 PROXIES = tuple(f"proxy-{letter}" for letter in "abcdef")
 IDLE_SECONDS = 3.0  # as the simulated configuration says
--- /dev/null
+++ b/tests/test_view_parts.py
@@ -0,0 +1,218 @@
+"""The parts that keep followed views fresh, each alone: times, ages, readers, hedging, watch."""
+
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from orchidwind.core.errors import PlatformError
+from orchidwind.core.managed.freshness import FollowTimes, ViewAge
+from orchidwind.core.managed.homes import ProxyMember, zone_readers
+from orchidwind.managed.hedging import MOST_CALLS, hedged
+from orchidwind.managed.ports import Changes, Listing
+from orchidwind.managed.watch import CollectionWatch, ToldView
+from orchidwind_bench.managed.virtual_time import run_virtual
+
+
+def test_the_times_of_a_view_leave_a_part_of_its_bound():
+    times = FollowTimes.within(10.0)
+    assert times.watch_wait + times.answer_slack < times.read_at_age
+    assert times.read_at_age + times.hedge_after <= 8.0
+    assert times.watch_wait + times.answer_slack + times.longest_pause + times.hedge_after <= 8.0
+
+
+@given(st.lists(st.floats(0, 100), max_size=8), st.floats(0, 200))
+def test_the_age_counts_from_the_latest_confirmation(times, now):
+    age = ViewAge(FollowTimes.within(3.0), 0.0)
+    for at in times:
+        age.confirmed(at)
+    newest = max([0.0, *times])
+    assert age.age(now) == max(now - newest, 0.0)
+    assert age.too_old(now) == (now - newest > 3.0)
+    assert age.read_due_in(now) == pytest.approx(max(newest + 1.8 - now, 0.0))
+
+
+def test_readers_are_one_a_zone_and_the_same_for_all():
+    members = [ProxyMember(f"p{n}", f"z{n % 3}", "h", 1) for n in range(30)]
+    found = zone_readers("x", members)
+    assert set(found) == {"z0", "z1", "z2"}
+    assert found == zone_readers("x", reversed(members))
+    assert all(member.zone == zone for zone, member in found.items())
+
+
+class Calls:
+    """Calls of a store, each of which answers, fails or stays silent."""
+
+    def __init__(self, *kinds):
+        self.kinds = list(kinds)
+        self.begun = []
+
+    async def __call__(self):
+        loop = asyncio.get_running_loop()
+        self.begun.append(loop.time())
+        kind = self.kinds[min(len(self.begun), len(self.kinds)) - 1]
+        if kind == "silent":
+            await loop.create_future()
+        if kind == "refuses":
+            await asyncio.sleep(0.01)
+            raise PlatformError("503")
+        await asyncio.sleep(kind)
+        return kind
+
+
+@pytest.mark.parametrize(
+    ("kinds", "answered_at"),
+    [
+        ((0.1,), 0.1),
+        (("silent", 0.1), 1.1),
+        ((3.5, "silent"), 3.5),
+        (("silent", "refuses", 0.1), 2.1),
+    ],
+)
+def test_a_swallowed_call_costs_one_stagger_and_a_slow_one_is_waited_for(kinds, answered_at):
+    async def work():
+        assert await hedged(Calls(*kinds), 1.0) in kinds
+        assert asyncio.get_running_loop().time() == pytest.approx(answered_at)
+
+    run_virtual(work())
+
+
+@pytest.mark.parametrize(("kind", "seconds"), [("silent", MOST_CALLS), ("refuses", 0.01)])
+def test_calls_that_all_fail_end_in_an_error(kind, seconds):
+    async def work():
+        calls = Calls(kind)
+        with pytest.raises(PlatformError):
+            await hedged(calls, 1.0)
+        assert asyncio.get_running_loop().time() == pytest.approx(seconds)
+        assert len(calls.begun) == (MOST_CALLS if kind == "silent" else 1)
+
+    run_virtual(work())
+
+
+class Source:
+    """A store whose answers are given one by one."""
+
+    def __init__(self):
+        self.listing = Listing(("a",), 5)
+        self.answers = asyncio.Queue()
+
+    async def list(self, limit):
+        return self.listing
+
+    async def watch(self, revision, wait, limit):
+        return await self.answers.get()
+
+
+class Follower:
+    def __init__(self):
+        self.held = ()
+
+    def listed(self, listing):
+        self.held = listing.items
+
+    def changed(self, changes):
+        self.held = changes.changed
+
+
+class Told:
+    """Another proxy that tells what it is given."""
+
+    def __init__(self):
+        self.view = None
+
+    def relied_upon(self):
+        return False
+
+    async def ask(self, revision):
+        return self.view
+
+
+def test_an_answer_that_was_overtaken_changes_nothing():
+    async def work():
+        source, follower, told = Source(), Follower(), Told()
+        watch = CollectionWatch("x", source, follower, FollowTimes.within(3.0), 0.0, told)
+        task = asyncio.create_task(watch.run())
+        await asyncio.sleep(0.1)
+        told.view = ToldView("peer", 0.0, Listing(("newer",), 9))
+        await asyncio.sleep(1.0)
+        assert (follower.held, watch.revision) == (("newer",), 9)
+        told.view = ToldView("peer", 0.0, Listing(("older",), 8))
+        source.answers.put_nowait(Changes(("old",), (), 7))
+        await asyncio.sleep(0.5)
+        assert (follower.held, watch.revision) == (("newer",), 9)
+        task.cancel()
+
+    run_virtual(work())
+
+
+def test_a_first_view_that_is_too_old_is_not_taken_from_another():
+    class Silent(Source):
+        async def list(self, limit):
+            await asyncio.get_running_loop().create_future()
+
+    async def work():
+        follower, told = Follower(), Told()
+        watch = CollectionWatch("x", Silent(), follower, FollowTimes.within(3.0), 0.0, told)
+        task = asyncio.create_task(watch.run())
+        told.view = ToldView("peer", -10.0, Listing(("old",), 9))
+        await asyncio.sleep(2.0)
+        assert follower.held == ()
+        told.view = ToldView("peer", 1.0, Listing(("recent",), 9))
+        await asyncio.sleep(1.0)
+        assert follower.held == ("recent",)
+        task.cancel()
+
+    run_virtual(work())
+
+
+def test_a_fault_of_the_follower_does_not_end_the_following():
+    class Failing(Follower):
+        def __init__(self):
+            super().__init__()
+            self.failures = 2
+
+        def listed(self, listing):
+            if self.failures:
+                self.failures -= 1
+                raise ValueError("fault")
+            super().listed(listing)
+
+    async def work():
+        follower = Failing()
+        watch = CollectionWatch("x", Source(), follower, FollowTimes.within(3.0), 0.0, Told())
+        task = asyncio.create_task(watch.run())
+        await asyncio.sleep(1.0)
+        assert follower.held == ("a",)
+        task.cancel()
+
+    run_virtual(work())
+
+
+def test_a_reader_that_is_told_of_changes_does_not_read_the_store_besides():
+    """An answer with a change confirms only what was so when its watch was sent."""
+    times = FollowTimes.within(10.0)
+
+    class Busy(Source):
+        def __init__(self):
+            super().__init__()
+            self.lists = 0
+
+        async def list(self, limit):
+            self.lists += 1
+            return self.listing
+
+        async def watch(self, revision, wait, limit):
+            await asyncio.sleep(wait * 0.99)
+            return Changes(("b",), (), revision + 1)
+
+    async def work():
+        source = Busy()
+        watch = CollectionWatch("x", source, Follower(), times)
+        task = asyncio.create_task(watch.run())
+        await asyncio.sleep(60.0)
+        assert source.lists == 1
+        assert watch.age < times.read_at_age
+        task.cancel()
+
+    run_virtual(work())
