--- a/src/orchidwind_bench/processes.py
+++ b/src/orchidwind_bench/processes.py
@@ -9,37 +9,65 @@
 import subprocess
 import sys
 import time
+from collections import deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
 _STOP_SECONDS = 10.0
 _POLL_SECONDS = 0.02
+_LOOPBACK = "127.0.0.1"
+# Below the range from which the system draws ports for outgoing connections, so that none is taken
+# between the check and the start of the process that listens there.
 _PORTS = range(15_000, 32_000)
+# A process draws from blocks of its own, each held by listening on its first port: else two runs
+# side by side find the same port free, and one of their programs cannot listen.
+_BLOCK_PORTS = 500
+_held_blocks: list[socket.socket] = []
+_own_ports: deque[int] = deque()
 
 
 def free_ports(count: int) -> list[int]:
-    """Ports that are free on loopback now, for TCP and UDP.
+    """Ports that are free on loopback now, for TCP and UDP, and drawn by no other run of ours.
 
-    They lie below the range from which the system draws ports for outgoing connections, so that
-    none is taken between this check and the start of the process that listens there.
+    Raises OSError where there are not so many.
     """
-    candidates = list(_PORTS)
-    random.SystemRandom().shuffle(candidates)
     found: list[int] = []
-    for port in candidates:
-        if len(found) == count:
-            return found
-        if _is_free(port):
+    tried = 0
+    while len(found) < count:
+        if tried >= len(_own_ports):
+            _own_ports.extendleft(reversed(_hold_block()))
+            tried = 0
+        port = _own_ports.popleft()
+        _own_ports.append(port)
+        tried += 1
+        if port not in found and _is_free(port):
             found.append(port)
-    raise OSError(f"fewer than {count} ports are free")
+    return found
+
+
+def _hold_block() -> range:
+    """The ports of a block that nobody holds; raises OSError where there is none."""
+    starts = list(_PORTS[::_BLOCK_PORTS])
+    random.SystemRandom().shuffle(starts)
+    for start in starts:
+        guard = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            guard.bind((_LOOPBACK, start))
+            guard.listen()
+        except OSError:
+            guard.close()
+            continue
+        _held_blocks.append(guard)
+        return range(start + 1, start + _BLOCK_PORTS)
+    raise OSError("every block of ports is held")
 
 
 def _is_free(port: int) -> bool:
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, kind) as probe:
             try:
-                probe.bind(("127.0.0.1", port))
+                probe.bind((_LOOPBACK, port))
             except OSError:
                 return False
     return True
