--- a/src/orchidwind/core/errors.py
+++ b/src/orchidwind/core/errors.py
@@ -102,7 +102,14 @@
 
 
 class PlatformConflict(PlatformError):
-    """The platform holds another version of the object than the one named."""
+    """The platform holds another version of the object than the one named.
+
+    `held` is the body of its answer, which may tell that object.
+    """
+
+    def __init__(self, message: str, held: bytes = b"") -> None:
+        super().__init__(message)
+        self.held = held
 
 
 class PlatformMissing(PlatformError):
--- a/src/orchidwind/core/managed/freshness.py
+++ b/src/orchidwind/core/managed/freshness.py
@@ -40,7 +40,8 @@
 
     `bound`: the greatest age that a promise allows, None where none depends on the view.
     `watch_wait`: how long a watch waits whose answer alone shows that the view is current.
-    `relying_wait`: how long it waits where other proxies confirm the view meanwhile.
+    `relying_wait`: how long it waits where other proxies confirm the view meanwhile; None: such a
+    proxy does not watch at all and takes changes from the others, too.
     `answer_slack`: how much later than its wait a watch may be answered.
     `ask_every`: how often others are asked, once the view is that old; None: never.
     `read_at_age`: the age at which the store is read, whatever was waited for.
@@ -50,7 +51,7 @@
 
     bound: float | None
     watch_wait: float
-    relying_wait: float
+    relying_wait: float | None
     answer_slack: float
     ask_every: float | None
     read_at_age: float | None
@@ -58,12 +59,16 @@
     longest_pause: float
 
     @classmethod
-    def within(cls, bound: float) -> FollowTimes:
-        """For a view that a promise needs to be at most `bound` seconds old."""
+    def within(cls, bound: float, told_at_once: bool = True) -> FollowTimes:
+        """For a view that is to be at most `bound` seconds old.
+
+        With `told_at_once` every proxy has the store tell it of changes; without, most have them
+        from others some time later, which costs the store nothing.
+        """
         return cls(
             bound=bound,
             watch_wait=bound * _WATCH_WAIT_SHARE,
-            relying_wait=LONGEST_WATCH_SECONDS,
+            relying_wait=LONGEST_WATCH_SECONDS if told_at_once else None,
             answer_slack=bound * _ANSWER_SLACK_SHARE,
             ask_every=bound * _ASK_SHARE,
             read_at_age=bound * _READ_SHARE,
--- a/src/orchidwind/core/managed/peer_messages.py
+++ b/src/orchidwind/core/managed/peer_messages.py
@@ -10,6 +10,7 @@
     ManagedDatabase,
     ManagedGroupSettings,
 )
+from orchidwind.core.managed.homes import ProxyMember
 from orchidwind.core.positions import Position
 
 
@@ -132,6 +133,12 @@
     entries: tuple[DirectoryEntry, ...]
 
 
+class MembersView(msgspec.Struct, frozen=True):
+    """All proxies."""
+
+    proxies: tuple[ProxyMember, ...]
+
+
 class ViewReport(msgspec.Struct, frozen=True):
     """A proxy's view, which was known to be current `age` seconds before this, as of `revision`.
 
@@ -145,6 +152,7 @@
     revision: int
     configuration: ConfigurationView | None = None
     directory: DirectoryView | None = None
+    members: MembersView | None = None
 
 
 PeerMessage = (
--- a/src/orchidwind/managed/following.py
+++ b/src/orchidwind/managed/following.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from orchidwind.core.managed.configuration import DirectoryEntry, ManagedConfiguration
-from orchidwind.core.managed.freshness import LONGEST_WATCH_SECONDS, FollowTimes
+from orchidwind.core.managed.freshness import FollowTimes
 from orchidwind.core.managed.homes import ProxyMember
 from orchidwind.core.managed.topology import DEFAULT_ENTRY_OUTLIVES_SECONDS
 from orchidwind.managed.lead_lease import LeaseKeeper
@@ -19,20 +19,21 @@
 from orchidwind.managed.views import (
     CONFIGURATION,
     DIRECTORY,
+    MEMBERS,
     PeerViews,
     told_configuration,
     told_directory,
+    told_members,
 )
 from orchidwind.managed.watch import CollectionFollower, CollectionWatch
 
-MEMBERS = "members"
 PROMOTION_LOCK = "promotion_lock"
 ROSTERS = "rosters"
 # Views that cost time at most when they are old: a revocation that goes unnoticed delays a change
 # of primary by a second, and rosters are read anew before one.
 _COORDINATION_WATCH_SECONDS = 8.0
 # Many proxies or instances change at the same time: one answer then tells of several.
-_GATHER_MEMBERS_SECONDS = 0.6
+GATHER_MEMBERS_SECONDS = 0.6
 _GATHER_DIRECTORY_SECONDS = 0.15
 _GATHER_ROSTERS_SECONDS = 0.5
 
@@ -45,11 +46,14 @@
 
     `entry_outlives`: how long a directory entry stays after its last renewal. `configuration` and
     `directory`: the greatest age of these views; the defaults are those of the first users.
+    `members`: the age that the list of proxies is kept below. No promise rests on it: an old one
+    costs a hop, or connections of too many homes; new proxies take work after a seventh of it.
     """
 
     entry_outlives: float = DEFAULT_ENTRY_OUTLIVES_SECONDS
     configuration: float = 3.0
     directory: float = 4.0
+    members: float = 20.0
 
 
 class NodeViews:
@@ -73,7 +77,7 @@
 
     def follow_configuration(self, follower: CollectionFollower[ManagedConfiguration]) -> None:
         """Follow the configuration; every proxy does, and any may confirm it."""
-        times = FollowTimes.within(self._bounds.configuration)
+        times = FollowTimes.within(self._bounds.configuration, told_at_once=False)
         network = self._network
         peers = PeerViews(
             CONFIGURATION, times, network, lambda: network.members, told_configuration
@@ -82,11 +86,13 @@
         self._follow(CollectionWatch(CONFIGURATION, source, follower, times, second_path=peers))
 
     def follow_members(self) -> None:
-        """Follow the list of proxies. An old one costs a hop, or connections of too many homes."""
-        times = FollowTimes.unhurried(LONGEST_WATCH_SECONDS)
+        """Follow the list of proxies; every proxy does, and any may confirm it."""
+        times = FollowTimes.within(self._bounds.members, told_at_once=False)
+        network = self._network
+        peers = PeerViews(MEMBERS, times, network, lambda: network.members, told_members)
         source = self._ports.member_source
         self._follow(
-            CollectionWatch(MEMBERS, source, self._network, times, _GATHER_MEMBERS_SECONDS)
+            CollectionWatch(MEMBERS, source, network, times, GATHER_MEMBERS_SECONDS, peers)
         )
 
     def follow_directory(
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -18,7 +18,7 @@
 from orchidwind.core.managed.homes import ProxyMember
 from orchidwind.logs import log_event
 from orchidwind.managed.failover_runner import PromotionLockClient
-from orchidwind.managed.following import NodeBounds, NodeViews
+from orchidwind.managed.following import GATHER_MEMBERS_SECONDS, NodeBounds, NodeViews
 from orchidwind.managed.group_service import GroupService
 from orchidwind.managed.lead_lease import LeaseKeeper
 from orchidwind.managed.metrics import ManagedMetrics
@@ -98,8 +98,11 @@
         self._spawn(self._tell_figures)
 
     async def _follow_members(self) -> None:
-        await self.homes.write_own()
+        is_new = await self.homes.write_own()
         self._spawn(self.homes.keep_own)
+        if is_new:
+            # Where this proxy was never listed, others may start at the same moment: read them all.
+            await asyncio.sleep(GATHER_MEMBERS_SECONDS)
         self.views.follow_members()
 
     def _coordinate(self) -> None:
@@ -181,6 +184,11 @@
         """A command ended."""
         self.metrics.finished(database.consistency.value, command.kind, error, seconds)
 
+    @property
+    def members(self) -> Iterable[ProxyMember]:
+        """All proxies that are known, this one among them."""
+        return self.homes.members
+
     def watch(self, view: str) -> CollectionWatch[Any] | None:
         """The watch of a followed view, None where this proxy does not follow it."""
         return self.views.watches.get(view)
--- a/src/orchidwind/managed/peers.py
+++ b/src/orchidwind/managed/peers.py
@@ -15,6 +15,8 @@
 
 FORGET_SECONDS = 30.0
 _RETRY_SECONDS = 0.25
+# Others read the members some seconds after this proxy was written; see `NodeBounds.members`.
+_LISTED_AFTER_SECONDS = 10.0
 _LOCK_READER_KEY = "promotion-lock"
 
 LimitLookup = Callable[[str], int]
@@ -50,19 +52,27 @@
         self._reader: str | None = None
         self._channels = count(1)
         self._write_wanted = asyncio.Event()
+        self._written_at = float("-inf")
         self._tasks: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
 
     # --- members ------------------------------------------------------------------------------
 
-    async def write_own(self) -> None:
-        """Try to have this proxy listed; before it reads the members, as others may start now."""
+    async def write_own(self) -> bool:
+        """Try to have this proxy listed; whether it is and was not before.
+
+        It is listed before it reads the members, as others may start now.
+        """
         self._write_wanted.clear()
         try:
-            await self._store.write(self.own)
+            is_new = await self._store.write(self.own)
         except PlatformError as error:
             log_event("member_not_written", reason=str(error))
             self._write_wanted.set()
+            return False
+        self._written_at = self._loop.time()
+        log_event("member_written", is_new=is_new)
+        return is_new
 
     async def keep_own(self) -> None:
         """Have this proxy listed among the members, whenever it is not."""
@@ -71,9 +81,16 @@
             await asyncio.sleep(_RETRY_SECONDS)
             await self.write_own()
 
+    def _note_missing(self) -> None:
+        """The members do not name this proxy: others took it off, or do not know it yet."""
+        if self._loop.time() - self._written_at > _LISTED_AFTER_SECONDS:
+            self._write_wanted.set()
+
     def listed(self, listing: Listing[ProxyMember]) -> None:
         """All members, read freshly."""
         self._members = {member.name: member for member in listing.items}
+        if self.own.name not in self._members:
+            self._note_missing()
         self._members[self.own.name] = self.own
         self.known = True
         self._changed()
--- a/src/orchidwind/managed/ports.py
+++ b/src/orchidwind/managed/ports.py
@@ -111,8 +111,8 @@
 class MemberStore(Protocol):
     """The proxies' own objects in the store; calls raise PlatformError."""
 
-    async def write(self, member: ProxyMember) -> None:
-        """Write a proxy's object, whether or not it is there."""
+    async def write(self, member: ProxyMember) -> bool:
+        """Write a proxy's object, whether or not it is there; whether it was not there."""
 
     async def remove(self, name: str) -> None:
         """Delete a proxy's object."""
--- a/src/orchidwind/managed/views.py
+++ b/src/orchidwind/managed/views.py
@@ -13,6 +13,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Generic, Protocol, TypeVar
 
+import msgspec
+
 from orchidwind.core.errors import PeerUnavailable
 from orchidwind.core.managed.configuration import DirectoryEntry, ManagedConfiguration
 from orchidwind.core.managed.freshness import FollowTimes
@@ -20,6 +22,7 @@
 from orchidwind.core.managed.peer_messages import (
     ConfigurationView,
     DirectoryView,
+    MembersView,
     ViewQuery,
     ViewReport,
 )
@@ -31,6 +34,7 @@
 
 CONFIGURATION = "configuration"
 DIRECTORY = "directory"
+MEMBERS = "members"
 # Between two zones an answer takes some milliseconds, on a machine slowed fivefold some dozens.
 _ANSWER_SECONDS = 0.25
 # The reader of the zone, and one more: each costs a message, and a silent one costs its time.
@@ -63,7 +67,12 @@
         self._loop = asyncio.get_running_loop()
 
     def relied_upon(self) -> bool:
-        """Whether others ask this proxy; also where there is nobody else to ask."""
+        """Whether others ask this proxy; also where there is nobody else to ask.
+
+        Not while the others are still being read: the view's age then has the store read again.
+        """
+        if not self._network.known:
+            return False
         readers = self._readers()
         own = self._network.own
         return readers.get(own.zone, own).name == own.name
@@ -119,6 +128,10 @@
     configuration: ManagedConfiguration | None
     directory: dict[str, DirectoryEntry]
 
+    @property
+    def members(self) -> Iterable[ProxyMember]:
+        """All proxies that are known."""
+
     def watch(self, view: str) -> CollectionWatch[Any] | None:
         """The watch of a view, None where the proxy does not follow it."""
 
@@ -134,17 +147,18 @@
         watch = self._node.watch(query.view)
         if watch is None or watch.revision < 0:
             return ViewReport(query.number, known=False, age=0.0, revision=-1)
-        changed = watch.changed_revision > query.revision
-        return ViewReport(
-            query.number,
-            known=True,
-            age=watch.age,
-            revision=watch.revision,
-            configuration=self._configuration()
-            if changed and query.view == CONFIGURATION
-            else None,
-            directory=self._directory() if changed and query.view == DIRECTORY else None,
-        )
+        report = ViewReport(query.number, known=True, age=watch.age, revision=watch.revision)
+        if watch.changed_revision <= query.revision:
+            return report
+        return self._with_content(report, query.view)
+
+    def _with_content(self, report: ViewReport, view: str) -> ViewReport:
+        """The same report, which holds what the view shows."""
+        if view == CONFIGURATION:
+            return msgspec.structs.replace(report, configuration=self._configuration())
+        if view == DIRECTORY:
+            return msgspec.structs.replace(report, directory=self._directory())
+        return msgspec.structs.replace(report, members=MembersView(tuple(self._node.members)))
 
     def _configuration(self) -> ConfigurationView | None:
         held = self._node.configuration
@@ -171,6 +185,11 @@
     return (ManagedConfiguration(told.version, databases, groups, told.transaction_idle),)
 
 
+def told_members(report: ViewReport) -> tuple[ProxyMember, ...] | None:
+    """The members that a report holds, None where there are none."""
+    return None if report.members is None else report.members.proxies
+
+
 def told_directory(report: ViewReport) -> tuple[DirectoryEntry, ...] | None:
     """The directory that a report holds, None where there is none."""
     return None if report.directory is None else report.directory.entries
--- a/src/orchidwind/managed/watch.py
+++ b/src/orchidwind/managed/watch.py
@@ -135,10 +135,27 @@
             self._read_next = False
             await asyncio.sleep(self._gather_seconds)
             return
+        if self._relies and self._times.relying_wait is None:
+            await self._live_on_others()
+            return
         changed = await self._watch()
         if self._gather_seconds and changed:
             await asyncio.sleep(self._gather_seconds)
 
+    @property
+    def _relies(self) -> bool:
+        """Whether other proxies confirm the view to this one, and none asks it."""
+        return self._second_path is not None and not self._second_path.relied_upon()
+
+    async def _live_on_others(self) -> None:
+        """Take confirmations and changes from others until one of them must watch itself.
+
+        Raises _ViewTooOld where nobody confirmed the view for long.
+        """
+        while self._relies:
+            await asyncio.sleep(self._check_due_in(may_be_old=False) or _SHORTEST_CHECK_SECONDS)
+            await self._check(may_be_old=False)
+
     async def _read(self) -> None:
         sent_at = self._loop.time()
         limit = self._times.hedge_after * MOST_CALLS
@@ -147,9 +164,8 @@
 
     async def _watch(self) -> bool:
         """Wait for changes; whether there were any."""
-        path = self._second_path
-        relies = path is not None and not path.relied_upon()
-        wait = self._times.relying_wait if relies else self._times.watch_wait
+        relying_wait = self._times.relying_wait if self._relies else None
+        wait = self._times.watch_wait if relying_wait is None else relying_wait
         sent_at = self._loop.time()
         call = self._source.watch(self.revision, wait, wait + self._times.answer_slack)
         changes = await self._answered(call, may_be_old=False)
--- a/src/orchidwind/platform/coordination.py
+++ b/src/orchidwind/platform/coordination.py
@@ -157,10 +157,10 @@
     def __init__(self, store: ObjectStore) -> None:
         self._store = store
 
-    async def write(self, member: ProxyMember) -> None:
-        """Write a proxy's object, whether or not it is there; raises PlatformError."""
+    async def write(self, member: ProxyMember) -> bool:
+        """Write a proxy's object; whether it was not there. Raises PlatformError."""
         spec = _MemberSpec(member.zone, member.host, member.port, member.capacity)
-        await self._store.put_anyway(_MEMBERS, member.name, spec)
+        return await self._store.create_or_put(_MEMBERS, member.name, spec)
 
     async def remove(self, name: str) -> None:
         """Delete a proxy's object; raises PlatformError."""
--- a/src/orchidwind/platform/store.py
+++ b/src/orchidwind/platform/store.py
@@ -115,7 +115,7 @@
                 raise PlatformUncertain(f"the store does not answer: {error}") from error
             raise PlatformError(f"the store cannot be reached: {error}") from error
         if answer.status == 409:
-            raise PlatformConflict("the object has changed")
+            raise PlatformConflict("the object has changed", held=answer.body)
         if answer.status == 404:
             raise PlatformMissing("the object is not there")
         if answer.status not in _OK:
@@ -144,6 +144,31 @@
         except PlatformMissing:
             await self.change("POST", path, body)
 
+    async def create_or_put(self, kind: str, name: str, spec: msgspec.Struct) -> bool:
+        """Create an object, or write it where another is there; whether it was created.
+
+        One call where it is new or holds the same already; raises as `change`.
+        """
+        body = msgspec.json.encode({"meta": {"name": name, "finalizers": []}, "spec": spec})
+        path = OBJECTS + kind
+        try:
+            await self.change("POST", path, body)
+        except PlatformConflict as conflict:
+            if not _holds(conflict.held, spec):
+                await self.change("PUT", f"{path}/{quote(name)}", body)
+            return False
+        return True
+
+
+def _holds(body: bytes, spec: msgspec.Struct) -> bool:
+    """Whether an object that the store sent back holds just this."""
+    try:
+        held = decode(body, StoredObject)
+        return decode(held.spec, type(spec)) == spec
+    except PlatformError as error:
+        log_event("held_object_not_told", reason=error, decision="write it")
+        return False
+
 
 @dataclass(frozen=True, slots=True)
 class KeptObject:
--- a/src/orchidwind_bench/managed/callers.py
+++ b/src/orchidwind_bench/managed/callers.py
@@ -208,6 +208,11 @@
         for name in self._proxies:
             self.restart_proxy(name)
 
+    def add_proxy(self, name: str) -> None:
+        """Start one more proxy."""
+        self._proxies = (*self._proxies, name)
+        self.restart_proxy(name)
+
     def restart_proxy(self, name: str) -> None:
         """Start one proxy anew, without memory."""
         if name in self.nodes:
--- a/src/orchidwind_bench/managed/world.py
+++ b/src/orchidwind_bench/managed/world.py
@@ -248,13 +248,15 @@
         items = tuple(self._store.members.values()) if MEMBER_EVENT in names else ()
         return Changes(items, (), self._store.revision)
 
-    async def write(self, member: ProxyMember) -> None:
+    async def write(self, member: ProxyMember) -> bool:
         """Write a proxy's object."""
         await self._store.call(self._node)
-        if self._store.members.get(member.name) != member:
+        held = self._store.members.get(member.name)
+        if held != member:
             self._store.revision += 1
             self._store.members[member.name] = member
             self._store.note(MEMBER_EVENT)
+        return held is None
 
     async def remove(self, name: str) -> None:
         """Delete a proxy's object."""
--- /dev/null
+++ b/tests/test_fleet_cost.py
@@ -0,0 +1,86 @@
+"""What a proxy of a large fleet costs the store, on virtual time."""
+
+import asyncio
+from dataclasses import replace
+
+from orchidwind.core.managed.homes import zone_readers
+from orchidwind.managed.following import NodeBounds
+from orchidwind.managed.views import CONFIGURATION, MEMBERS
+from orchidwind_bench.managed.callers import ManagedSystem
+from orchidwind_bench.managed.store import GROUP
+from orchidwind_bench.managed.virtual_time import run_virtual
+
+FLEET = tuple(f"proxy-{number:02}" for number in range(60))
+SETTLED_SECONDS = 3.0
+CALM_SECONDS = 50.0
+
+
+def with_fleet(scenario):
+    async def work():
+        system = ManagedSystem(1, proxies=FLEET)
+        for node in system.nodes.values():
+            assert await node.wait_prepared(5.0)
+        await asyncio.sleep(SETTLED_SECONDS)
+        await scenario(system)
+
+    run_virtual(work())
+
+
+def bystanders(system):
+    """Proxies that are neither home nor reader of a view."""
+    node = next(iter(system.nodes.values()))
+    busy = {member.name for member in node.homes.placement(GROUP).homes}
+    for view in (CONFIGURATION, MEMBERS):
+        busy |= {member.name for member in zone_readers(view, node.homes.members).values()}
+    return [name for name in FLEET if name not in busy]
+
+
+def test_a_bystander_calls_the_store_at_its_start_and_then_no_more():
+    async def scenario(system):
+        calls = system.world.store.calls
+        at_start = {name: calls[name] for name in bystanders(system)}
+        # Itself, the members, the configuration.
+        assert set(at_start.values()) == {3}
+        await asyncio.sleep(CALM_SECONDS)
+        assert {name: calls[name] for name in at_start} == at_start
+
+    with_fleet(scenario)
+
+
+def test_a_change_of_the_configuration_costs_the_store_an_answer_a_reader():
+    async def scenario(system):
+        store = system.world.store
+        others = bystanders(system)
+        before = {name: store.calls[name] for name in others}
+        changed = replace(store.configuration, version=store.configuration.version + 1)
+        store.put_configuration(changed)
+        await asyncio.sleep(NodeBounds().configuration)
+        versions = {system.nodes[name].configuration.version for name in FLEET}
+        assert versions == {changed.version}
+        assert {name: store.calls[name] for name in others} == before
+
+    with_fleet(scenario)
+
+
+def test_a_proxy_that_comes_is_known_to_all_without_a_call_of_the_others():
+    async def scenario(system):
+        others = bystanders(system)
+        before = {name: system.world.store.calls[name] for name in others}
+        system.add_proxy("proxy-new")
+        await asyncio.sleep(NodeBounds().members)
+        for node in system.nodes.values():
+            assert "proxy-new" in {member.name for member in node.homes.members}
+        assert {name: system.world.store.calls[name] for name in others} == before
+
+    with_fleet(scenario)
+
+
+def test_a_restarted_proxy_that_is_listed_does_not_wait_for_others_to_start():
+    async def scenario(system):
+        name = bystanders(system)[0]
+        began = system.world.now
+        system.restart_proxy(name)
+        assert await system.nodes[name].wait_prepared(5.0)
+        assert system.world.now - began < 0.1
+
+    with_fleet(scenario)
--- a/tests/test_view_freshness.py
+++ b/tests/test_view_freshness.py
@@ -217,7 +217,7 @@
 def test_the_check_bites_where_a_watch_is_waited_for_as_before(monkeypatch):
     """The times of the code before incident inc1: 8 s of waiting, 3 s more for the answer."""
     before = replace(FollowTimes.unhurried(8.0), answer_slack=3.0, hedge_after=11.0)
-    monkeypatch.setattr(FollowTimes, "within", lambda bound: before)
+    monkeypatch.setattr(FollowTimes, "within", lambda bound, told_at_once=True: before)
     schedule = [(0.05, "silence", name, name) for name in PROXIES]
     schedule += [(12.0, "speak", "proxy-a", "proxy-a"), (0.1, "apply", "proxy-a", "proxy-a")]
     with pytest.raises(AssertionError, match="proxy-. holds 1 for 2"):
