--- a/src/orchidwind/core/managed/homes.py
+++ b/src/orchidwind/core/managed/homes.py
@@ -1,28 +1,37 @@
 """Which proxies hold the server connections of a managed group: its homes. No I/O.
 
-Every proxy computes the same answer from the same members. Where each proxy can have a useful
-number of connections, each is a home and requests take no further hop. Beyond that, a few proxies
-of each zone are homes, and the others forward to them. Views that differ for a moment give a group
-more homes than meant; the instances' own connection limit then has the last word, and no promise
-rests on who is a home.
-
-Weighed: one home a zone (its loss moves a whole zone's requests at once), connections lent between
-proxies (at 300 proxies and 34 connections most would hold none), connections opened for each
-request (12 to 32 ms each).
+Every proxy computes the same answer from the same members. In a small fleet, where each proxy can
+have a useful number of connections, each is a home and requests take no further hop. Beyond that, a
+few proxies of each zone are homes, and the others forward to them. The groups share their homes:
+these few follow the directory, the promotion lock and the rosters, and each sees enough of a group's
+requests to keep its connections in use. Views that differ for a moment give a group more homes than
+meant; the instances' own connection limit then has the last word, and no promise rests on who is a
+home.
+
+Weighed: one home a zone (its loss moves a whole zone's requests at once), homes of each group by
+itself (at 195 proxies and 10 groups two thirds of all proxies were homes, and an instance that runs
+two requests at once had connections from 21), connections lent between proxies (at 300 proxies and
+34 connections most would hold none), connections opened for each request (12 to 32 ms each).
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from math import ceil
 
-from orchidwind.core.rendezvous import first, rank, rank_by_capacity
+from orchidwind.core.rendezvous import first, rank
 
 # With fewer than these to each instance, requests of one proxy wait for one another's connections.
 FEWEST_USEFUL_CONNECTIONS = 4
 CONNECTIONS_OF_A_HOME = 6
-MOST_HOMES_A_ZONE = 3
+# One can be lost, and requests still have a home in their zone.
+MOST_HOMES_A_ZONE = 2
+# How many groups a proxy may be home of before more proxies of the zone share them. Ten groups with
+# 730 requests a second keep two homes in each of seven zones at 0.1 of a core (docs/LARGE.md).
+GROUPS_OF_A_HOME = 10
 _FEWEST_CONNECTIONS = 2
+_SHARED_KEY = "shared-homes"
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,13 +70,19 @@
         )
 
 
-def group_homes(group: str, connection_limit: int, members: Iterable[ProxyMember]) -> GroupHomes:
-    """The homes of a group whose instances take so many connections each, over all proxies."""
-    known = sorted(members, key=lambda member: member.name)
-    if len(known) * FEWEST_USEFUL_CONNECTIONS <= connection_limit:
+def group_homes(
+    group: str, connection_limit: int, members: Iterable[ProxyMember], groups: int
+) -> GroupHomes:
+    """The homes of one of so many groups, by how many connections its instances take each."""
+    by_zone: dict[str, list[ProxyMember]] = {}
+    for member in sorted(members, key=lambda member: member.name):
+        by_zone.setdefault(member.zone, []).append(member)
+    known = [member for zone in by_zone.values() for member in zone]
+    useful = len(known) * FEWEST_USEFUL_CONNECTIONS <= connection_limit
+    if useful and len(known) <= len(by_zone) * MOST_HOMES_A_ZONE:
         homes = known
     else:
-        homes = _chosen(group, connection_limit, known)
+        homes = _chosen(group, connection_limit, by_zone, groups)
     share = connection_limit // max(len(homes), 1)
     return GroupHomes(group, tuple(homes), max(share, _FEWEST_CONNECTIONS))
 
@@ -85,16 +100,23 @@
     return readers
 
 
-def _chosen(group: str, connection_limit: int, known: list[ProxyMember]) -> list[ProxyMember]:
-    by_zone: dict[str, list[ProxyMember]] = {}
-    for member in known:
-        by_zone.setdefault(member.zone, []).append(member)
+def _chosen(
+    group: str, connection_limit: int, by_zone: Mapping[str, list[ProxyMember]], groups: int
+) -> list[ProxyMember]:
     wanted = max(1, connection_limit // CONNECTIONS_OF_A_HOME)
     zones = rank(group, sorted(by_zone))[:wanted]
     in_each = min(max(1, wanted // len(zones)), MOST_HOMES_A_ZONE)
     homes: list[ProxyMember] = []
     for zone in zones:
-        members = {member.name: member for member in by_zone[zone]}
-        capacities = {name: member.capacity for name, member in members.items()}
-        homes.extend(members[name] for name in rank_by_capacity(group, capacities)[:in_each])
+        shared = {member.name: member for member in _shared(by_zone[zone], groups)}
+        homes.extend(shared[name] for name in rank(group, sorted(shared))[:in_each])
     return homes
+
+
+def _shared(members: Iterable[ProxyMember], groups: int) -> list[ProxyMember]:
+    """The proxies of a zone that its groups share as homes: the strongest, by hash among equals."""
+    by_name = {member.name: member for member in members}
+    ordered = [by_name[name] for name in rank(_SHARED_KEY, sorted(by_name))]
+    ordered.sort(key=lambda member: -member.capacity)
+    wanted = ceil(groups * MOST_HOMES_A_ZONE / GROUPS_OF_A_HOME)
+    return ordered[: max(wanted, MOST_HOMES_A_ZONE)]
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -70,6 +70,7 @@
             ports.peers,
             ports.member_store,
             self._connection_limit,
+            lambda: len(self.groups),
             self._starved,
             self._homes_changed,
         )
--- a/src/orchidwind/managed/peers.py
+++ b/src/orchidwind/managed/peers.py
@@ -32,11 +32,16 @@
         connector: PeerConnector,
         store: MemberStore,
         limit_of: LimitLookup,
+        groups: Callable[[], int],
         starved: StarvedLookup,
         on_change: Callable[[], None],
     ) -> None:
-        """`starved` tells whether this proxy gets no connection to a group's instances."""
+        """`limit_of`: connections that a group's instances take; `groups`: how many groups.
+
+        `starved` tells whether this proxy gets no connection to a group's instances.
+        """
         self._starved = starved
+        self._groups = groups
         self.known = False
         # Rises whenever members or placements may have changed.
         self.generation = 0
@@ -128,7 +133,8 @@
         """The homes of a group."""
         placed = self._placed.get(group)
         if placed is None:
-            placed = group_homes(group, self._limit_of(group), self._members.values())
+            limit, groups = self._limit_of(group), self._groups()
+            placed = group_homes(group, limit, self._members.values(), groups)
             self._placed[group] = placed
             log_event(
                 "homes_placed",
