--- a/src/orchidwind/managed/lead_lease.py
+++ b/src/orchidwind/managed/lead_lease.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from orchidwind.core.errors import PeerUnavailable, PlatformError
 from orchidwind.core.managed.lead_lease import (
@@ -16,6 +16,7 @@
 from orchidwind.core.managed.promotion_lock import TAKE_OVER_SECONDS, LockRecord
 from orchidwind.logs import log_event
 from orchidwind.managed.peer_link import PeerLink
+from orchidwind.managed.peers import LockReaders
 from orchidwind.managed.ports import Changes, LeaseRegistry, Listing, PromotionLockStore
 
 _RETRY_SECONDS = 0.25
@@ -37,10 +38,10 @@
         node: str,
         lock_store: PromotionLockStore,
         registry: LeaseRegistry,
-        reader: Callable[[], PeerLink | None] = lambda: None,
+        readers: Callable[[], LockReaders] = LockReaders,
     ) -> None:
-        """`reader` gives the link to the proxy that reads the lock for others; None: this one."""
-        self._reader = reader
+        """`readers` tells which proxies read the lock for others."""
+        self._readers = readers
         self._reading: LockReading | None = None
         self._readable = True
         self._read_again = asyncio.Lock()
@@ -106,15 +107,22 @@
         return True
 
     async def _renew(self) -> None:
-        reading = await self._told_reading() or await self._recent_reading()
+        readers = self._readers()
+        sources = readers.before if self._readable else (*readers.before, *readers.after)
+        reading = await self._told_reading(sources) or await self._recent_reading()
+        reading = reading or await self._told_reading(readers.after)
         if reading is not None:
             self.lease.lock_seen(reading)
 
-    async def _told_reading(self) -> LockReading | None:
-        """What the proxy that reads the lock tells, None where that is of no use."""
-        link = self._reader()
-        if link is None:
-            return None
+    async def _told_reading(self, sources: Sequence[PeerLink]) -> LockReading | None:
+        """What other proxies tell of the lock, None where none tells anything of use."""
+        for link in sources:
+            reading = await self._told_by(link)
+            if reading is not None:
+                return reading
+        return None
+
+    async def _told_by(self, link: PeerLink) -> LockReading | None:
         asked_at = self._loop.time()
         try:
             async with asyncio.timeout(_REPORT_SECONDS):
--- a/src/orchidwind/managed/peers.py
+++ b/src/orchidwind/managed/peers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
 from itertools import count
 
 from orchidwind.core.errors import PlatformError
@@ -18,6 +19,17 @@
 # Others read the members some seconds after this proxy was written; see `NodeBounds.members`.
 _LISTED_AFTER_SECONDS = 10.0
 _LOCK_READER_KEY = "promotion-lock"
+# The store may turn one away and serve the others.
+_LOCK_READERS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class LockReaders:
+    """Whom to ask for the promotion lock: `before` the store is read, and `after` that failed."""
+
+    before: Sequence[PeerLink] = ()
+    after: Sequence[PeerLink] = ()
+
 
 LimitLookup = Callable[[str], int]
 StarvedLookup = Callable[[str], bool]
@@ -54,7 +66,7 @@
         self._links: dict[str, PeerLink] = {}
         self._placed: dict[str, GroupHomes] = {}
         self._preferred: dict[str, list[ProxyMember]] = {}
-        self._reader: str | None = None
+        self._lock_readers: list[ProxyMember] | None = None
         self._channels = count(1)
         self._write_wanted = asyncio.Event()
         self._written_at = float("-inf")
@@ -122,7 +134,7 @@
     def limits_changed(self) -> None:
         """The configuration may give other connection limits: place the groups anew."""
         self.generation += 1
-        self._reader = None
+        self._lock_readers = None
         self._placed.clear()
         self._preferred.clear()
         self._on_change()
@@ -168,14 +180,31 @@
                 return link
         return None
 
-    def lock_reader(self) -> PeerLink | None:
-        """The link to the proxy that reads the promotion lock for others; None: this proxy."""
-        if self._reader is None:
-            self._reader = first(_LOCK_READER_KEY, sorted(self._members)) or self.own.name
-        if self._reader == self.own.name:
-            return None
-        link = self._link(self._members[self._reader])
-        return link if link.usable() else None
+    def lock_readers(self) -> LockReaders:
+        """The proxies that read the promotion lock for others."""
+        if self._lock_readers is None:
+            self._lock_readers = self._choose_lock_readers()
+        names = [member.name for member in self._lock_readers]
+        place = names.index(self.own.name) if self.own.name in names else len(names)
+        chosen = self._lock_readers
+        return LockReaders(self._usable_links(chosen[:place]), self._usable_links(chosen[place:]))
+
+    def _usable_links(self, members: Iterable[ProxyMember]) -> list[PeerLink]:
+        others = (member for member in members if member.name != self.own.name)
+        links = (self.usable_link(member) for member in others)
+        return [link for link in links if link is not None]
+
+    def _choose_lock_readers(self) -> list[ProxyMember]:
+        chosen: list[ProxyMember] = []
+        candidates = list(self._members.values())
+        while candidates and len(chosen) < _LOCK_READERS:
+            by_name = {member.name: member for member in candidates}
+            name = first(_LOCK_READER_KEY, sorted(by_name))
+            if name is None:
+                break
+            chosen.append(by_name[name])
+            candidates = [item for item in candidates if item.zone != by_name[name].zone]
+        return chosen
 
     @property
     def members(self) -> Iterable[ProxyMember]:
