--- a/src/orchidwind/core/managed/flow_parts.py
+++ b/src/orchidwind/core/managed/flow_parts.py
@@ -148,7 +148,7 @@
     """Send nothing to a primary of doubtful lead until some replica confirms its term."""
     while True:
         yield Pause(BUSY_PAUSE_SECONDS)
-        primary = yield NeedPrimary()
+        primary = yield NeedPrimary(lead_proof=True)
         assert isinstance(primary, PrimaryView)
         context.note(primary.instance, f"term={primary.term}:lead_not_proven")
         if (yield NeedProof(primary.term)):
@@ -183,11 +183,11 @@
 
 
 def primary_connection(
-    context: CommandContext,
+    lead_proof: bool,
 ) -> Generator[Step, StepResult, tuple[PrimaryView, int]]:
-    """The primary, and a connection to it."""
+    """A primary that confirms commits, and a connection to it."""
     while True:
-        primary = yield NeedPrimary()
+        primary = yield NeedPrimary(lead_proof=lead_proof, commit=True)
         assert isinstance(primary, PrimaryView)
         try:
             connection = yield NeedConnection(primary.instance)
--- a/src/orchidwind/core/managed/flows.py
+++ b/src/orchidwind/core/managed/flows.py
@@ -75,7 +75,7 @@
 
 def _single_write(context: CommandContext) -> Flow:
     while True:
-        primary, connection = yield from primary_connection(context)
+        primary, connection = yield from primary_connection(lead_proof=False)
         messages = tuple(statement_messages(context, connection))
         context.sent_write = True
         context.sent_to = primary.instance
--- a/src/orchidwind/core/managed/homes.py
+++ b/src/orchidwind/core/managed/homes.py
@@ -2,11 +2,11 @@
 
 Every proxy computes the same answer from the same members. In a small fleet, where each proxy can
 have a useful number of connections, each is a home and requests take no further hop. Beyond that, a
-few proxies of each zone are homes, and the others forward to them. The groups share their homes:
-these few follow the directory, the promotion lock and the rosters, and each sees enough of a group's
-requests to keep its connections in use. Views that differ for a moment give a group more homes than
-meant; the instances' own connection limit then has the last word, and no promise rests on who is a
-home.
+few proxies of each zone are homes, and the others forward to them. The groups share their homes: so
+few proxies follow the directory, the promotion lock and the rosters, and each sees enough requests
+of a group to keep its connections in use. Views that differ for a moment give a group more homes
+than meant; the instances' own connection limit then has the last word, and no promise rests on who
+is a home.
 
 Weighed: one home a zone (its loss moves a whole zone's requests at once), homes of each group by
 itself (at 195 proxies and 10 groups two thirds of all proxies were homes, and an instance that runs
--- a/src/orchidwind/core/managed/steps.py
+++ b/src/orchidwind/core/managed/steps.py
@@ -12,7 +12,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NeedPrimary:
-    """Wait for a primary; the result is a PrimaryView."""
+    """Wait for a primary; the result is a PrimaryView.
+
+    `lead_proof` tells that its lead must be proven, `commit` that it must confirm commits: where
+    that is known to fail, there is nothing to wait for.
+    """
+
+    lead_proof: bool = False
+    commit: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/orchidwind/managed/command_runner.py
+++ b/src/orchidwind/managed/command_runner.py
@@ -83,7 +83,7 @@
             raise RequestError(ErrorKind.CANCELLED, "the caller has gone")
         hold_until = limits.hold_until
         if isinstance(step, NeedPrimary):
-            return await group.need_primary(hold_until)
+            return await group.need_primary(hold_until, step.lead_proof, step.commit)
         if isinstance(step, NeedReadPlan):
             return await group.need_read_plan(
                 context.database, step.session_floor, context.arrived_at, step.excluded, hold_until
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -8,6 +8,7 @@
 
 from orchidwind.core.admission import TrafficClass
 from orchidwind.core.errors import BackendConnectionLost, ErrorKind, RequestError
+from orchidwind.core.managed.circuit_breaker import CircuitBreaker
 from orchidwind.core.managed.commands import InstanceMessage, InstanceStatus
 from orchidwind.core.managed.configuration import (
     DirectoryEntry,
@@ -16,12 +17,13 @@
 )
 from orchidwind.core.managed.group import GroupState
 from orchidwind.core.managed.steps import ExchangeResult
+from orchidwind.core.managed.supervision import NOT_CONFIRMING_SECONDS
 from orchidwind.core.managed.topology import PrimaryView, ReadPlan
 from orchidwind.core.positions import Position
 from orchidwind.logs import log_event
 from orchidwind.managed.connections import GroupConnections
 from orchidwind.managed.lead_lease import LeaseKeeper
-from orchidwind.managed.lead_proofs import LeadProver
+from orchidwind.managed.lead_proofs import LeadProver, StatusTask
 from orchidwind.managed.metrics import ManagedMetrics
 from orchidwind.managed.ports import InstanceConnector
 from orchidwind.managed.status_calls import StatusCall, StatusCalls
@@ -30,6 +32,12 @@
 _SUPERVISED_AFTER_USE_SECONDS = 5.0
 # What a proxy takes that is no home, while no home can be reached.
 _CONNECTIONS_WITHOUT_HOME = 1
+# A lead that could not be proven for so long is not proven here soon: reading the lock takes some
+# milliseconds, a query of a replica as long as a statement.
+NOT_PROVEN_SECONDS = 0.4
+# Changes of primary take about a second (docs/PLATFORM.md); one that takes longer waits for what
+# this proxy does not reach.
+NOT_FOUND_SECONDS = 1.5
 
 T = TypeVar("T")
 
@@ -66,6 +74,10 @@
         self._suspects: set[str] = set()
         self._home = False
         self._used_at = float("-inf")
+        self._finding = CircuitBreaker("instance found", NOT_FOUND_SECONDS)
+        self._proving = CircuitBreaker("lead proven", NOT_PROVEN_SECONDS)
+        self._committing = CircuitBreaker("commit confirmed", NOT_CONFIRMING_SECONDS)
+        self._told_open: set[str] = set()
 
     @property
     def supervised(self) -> bool:
@@ -145,6 +157,8 @@
         self.topology.take_status(status)
         after = self.topology.primary(now)
         if before != after:
+            self._succeeded(self._proving)
+            self._succeeded(self._committing)
             log_event(
                 "primary_changed",
                 group=self.settings.name,
@@ -177,10 +191,13 @@
     # --- waiting ------------------------------------------------------------------------------
 
     async def _wait_for(self, look: Callable[[], T | None], deadline: float, kind: ErrorKind) -> T:
+        began = self._loop.time()
         while True:
             found = look()
             if found is not None:
+                self._succeeded(self._finding)
                 return found
+            self._refuse_if(self._finding, kind, "no instance has served for long")
             waiter: asyncio.Future[None] = self._loop.create_future()
             self._waiters.add(waiter)
             self._note_used()
@@ -189,16 +206,42 @@
                 async with asyncio.timeout_at(deadline):
                     await waiter
             except TimeoutError as error:
+                self._finding.failed(began)
                 raise RequestError(kind, kind.value) from error
             finally:
                 self._waiters.discard(waiter)
 
-    async def need_primary(self, deadline: float) -> PrimaryView:
-        """Wait for a primary; raises RequestError."""
+    def _refuse_if(self, breaker: CircuitBreaker, kind: ErrorKind, reason: str) -> None:
+        """Raise RequestError where something that a request needs is known to fail here."""
+        if not breaker.refuses(self._loop.time()):
+            return
+        if breaker.name not in self._told_open:
+            self._told_open.add(breaker.name)
+            log_event("circuit_opened", group=self.settings.name, missing=breaker.name, told=reason)
+        raise RequestError(kind, reason)
+
+    def _succeeded(self, breaker: CircuitBreaker) -> None:
+        breaker.succeeded(self._loop.time())
+        if breaker.name in self._told_open:
+            self._told_open.discard(breaker.name)
+            log_event("circuit_closed", group=self.settings.name, found=breaker.name)
+
+    async def need_primary(self, deadline: float, lead_proof: bool, commit: bool) -> PrimaryView:
+        """Wait for a primary; raises RequestError, at once where what it needs is known to fail."""
+        if lead_proof:
+            self._refuse_if(self._proving, ErrorKind.NO_PRIMARY, "its lead cannot be proven here")
+        if commit:
+            self._note_waited(self.oldest_write())
+            self._refuse_if(self._committing, ErrorKind.NO_PRIMARY, "it confirms no commits")
         return await self._wait_for(
             lambda: self.topology.primary(self._loop.time()), deadline, ErrorKind.NO_PRIMARY
         )
 
+    def _note_waited(self, waited: float) -> None:
+        """A write waits, or has waited, for its acknowledgement."""
+        if waited > NOT_CONFIRMING_SECONDS:
+            self._committing.failed(self._loop.time() - waited)
+
     async def need_read_plan(
         self,
         database: ManagedDatabase,
@@ -213,7 +256,10 @@
             now = self._loop.time()
             return self.topology.plan_read(database, session_floor, arrived_at, now, excluded)
 
-        return await self._wait_for(look, deadline, ErrorKind.NO_REPLICA)
+        plan = await self._wait_for(look, deadline, ErrorKind.NO_REPLICA)
+        if plan.proof_of_term:
+            self._refuse_if(self._proving, ErrorKind.NO_PRIMARY, "its lead cannot be proven here")
+        return plan
 
     async def need_connection(
         self, instance: str, traffic_class: TrafficClass, deadline: float
@@ -258,13 +304,17 @@
         finally:
             self.connections.in_exchange.pop(connection, None)
             self._writing.discard(connection)
+            if writes:
+                self._note_waited(self._loop.time() - sent_at)
+        if writes and replies[-1].done:
+            self._succeeded(self._committing)
         self.topology.answered(instance, self._loop.time())
         if leased:
+            self._succeeded(self._proving)
             return ExchangeResult(replies, arrived_at)
         if query is None:
             return ExchangeResult(replies)
-        if not await self.prover.proves(query, proof_of_term):
-            self._on_wake()
+        if not await self._proves(query, proof_of_term, sent_at):
             return ExchangeResult(replies)
         self.prover.proven_under(instance, lock_revision)
         return ExchangeResult(replies, sent_at)
@@ -273,10 +323,16 @@
         """Ask a replica, now, whether it knows of no term after `term`."""
         try:
             async with asyncio.timeout_at(deadline):
-                proven = await self.prover.proves(self.prover.join(), term)
+                return await self._proves(self.prover.join(), term, self._loop.time())
         except TimeoutError:
             return False
-        if not proven:
+
+    async def _proves(self, query: StatusTask, term: int, since: float) -> bool:
+        proven = await self.prover.proves(query, term)
+        if proven:
+            self._succeeded(self._proving)
+        else:
+            self._proving.failed(since)
             self._on_wake()
         return proven
 
--- /dev/null
+++ b/tests/test_circuit_breaker.py
@@ -0,0 +1,133 @@
+"""Requests that are known to fail are refused at once: the breaker alone, and on virtual time."""
+
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from orchidwind.core.errors import ANSWERS, Ran, RequestError
+from orchidwind.core.managed.circuit_breaker import PROBE_SECONDS, CircuitBreaker
+from orchidwind.core.managed.commands import Command, CommandKind
+from orchidwind.managed.executor import SessionExecutor
+from orchidwind_bench.managed.callers import ManagedSystem
+from orchidwind_bench.managed.store import STORE
+from orchidwind_bench.managed.virtual_time import run_virtual
+
+
+def test_it_opens_after_its_patience_and_closes_with_a_success():
+    breaker = CircuitBreaker("x", 0.5)
+    assert not breaker.refuses(0.0)
+    breaker.failed(1.0)
+    breaker.failed(1.4)
+    assert not breaker.refuses(1.4)
+    assert breaker.is_open(1.5)
+    assert not breaker.refuses(1.5), "the first one is a probe"
+    assert breaker.refuses(1.5 + PROBE_SECONDS / 2)
+    breaker.succeeded(1.7)
+    assert not breaker.refuses(1.7)
+
+
+def test_failures_from_before_a_success_count_from_it():
+    breaker = CircuitBreaker("x", 0.5)
+    breaker.succeeded(3.0)
+    breaker.failed(1.0)
+    assert not breaker.is_open(3.4)
+    assert breaker.is_open(3.5)
+
+
+@given(st.lists(st.floats(0.0, 0.1), min_size=1, max_size=200))
+def test_while_open_it_lets_one_through_in_a_while(gaps):
+    breaker = CircuitBreaker("x", 0.0)
+    breaker.failed(0.0)
+    now, passed = 0.0, []
+    for gap in gaps:
+        now += gap
+        if not breaker.refuses(now):
+            passed.append(now)
+    assert all(b - a >= PROBE_SECONDS for a, b in zip(passed, passed[1:], strict=False))
+
+
+NODES = ("proxy-a", "proxy-b", "proxy-c")
+
+
+async def tried(system, name, kind, number):
+    """How long a command took, and whether its caller was told that it did not run."""
+    executor = SessionExecutor(system.nodes[name], "latest")
+    began = system.world.now
+    try:
+        await executor.execute(Command(f"{name}-{number}", kind, f"{kind.value.upper()} x y"))
+    except RequestError as error:
+        return system.world.now - began, ANSWERS[error.kind].ran
+    return system.world.now - began, None
+
+
+def play(scenario):
+    async def work():
+        system = ManagedSystem(1, proxies=NODES)
+        for node in system.nodes.values():
+            assert await node.wait_prepared(5.0)
+        await asyncio.sleep(1.0)
+        shipping = asyncio.get_running_loop().create_task(system.group.keep_shipping())
+        await tried(system, "proxy-a", CommandKind.WRITE, "first")
+        await scenario(system)
+        shipping.cancel()
+
+    run_virtual(work())
+
+
+def isolate(system, name):
+    """One proxy reaches the primary and nothing else."""
+    network = system.world.network
+    for other in (STORE, "i-1", "i-2", *NODES):
+        if other != name:
+            network.cut(name, other)
+
+
+@pytest.mark.parametrize("kind", [CommandKind.READ])
+def test_reads_whose_proof_is_out_of_reach_are_refused_at_once(kind):
+    """Found on a day that parted the proxies: they waited until their callers gave up."""
+
+    async def scenario(system):
+        isolate(system, "proxy-a")
+        await asyncio.sleep(2.0)
+        await tried(system, "proxy-a", kind, "opens")
+        times = []
+        for number in range(40):
+            times.append(await tried(system, "proxy-a", kind, number))
+            await asyncio.sleep(0.05)
+        assert all(ran is Ran.NO for _, ran in times)
+        assert sum(seconds > 0.05 for seconds, _ in times) <= 4
+        system.world.network.heal()
+        await asyncio.sleep(1.5)
+        assert (await tried(system, "proxy-a", kind, "healed"))[1] is None
+
+    play(scenario)
+
+
+def test_writes_that_nothing_confirms_are_refused_before_they_are_sent():
+    """A write that is sent and not confirmed leaves its caller in doubt: few may be."""
+
+    async def scenario(system):
+        for other in ("i-1", "i-2"):
+            system.world.network.cut("i-0", other)
+        # Without the store no proxy may change the primary.
+        for name in NODES:
+            system.world.network.cut(name, STORE)
+        await asyncio.sleep(0.5)
+        outcomes = []
+        tasks = []
+        for number in range(60):
+            tasks.append(
+                asyncio.create_task(tried(system, "proxy-a", CommandKind.WRITE, f"w{number}"))
+            )
+            await asyncio.sleep(0.05)
+        outcomes = [await task for task in tasks]
+        late = outcomes[30:]
+        assert sum(ran is Ran.UNKNOWN for _, ran in late) <= 8
+        assert sum(ran is Ran.NO and seconds < 0.05 for seconds, ran in late) >= 22
+        system.world.network.heal()
+        await asyncio.sleep(2.0)
+        assert (await tried(system, "proxy-a", CommandKind.WRITE, "healed"))[1] is None
+
+    play(scenario)
