--- a/src/orchidwind/core/pool.py
+++ b/src/orchidwind/core/pool.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -21,8 +20,6 @@
 # than a request does (12 to 32 ms on the users' sites): opened all at once, they hold the requests
 # up that they were opened for.
 MOST_OPENING = 2
-# Looks back over so many rounds of trimming before a connection counts as spare.
-_TRIM_ROUNDS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,9 +67,7 @@
         self._reopen_at = 0.0
         self._reopen_delay = _REOPEN_SECONDS
         self._grow_at = 0.0
-        # The most connections that were needed at once: now, and in each of the last rounds.
         self._most_needed = 0
-        self._needed_before: deque[int] = deque(maxlen=_TRIM_ROUNDS)
 
     @property
     def size(self) -> int:
@@ -167,16 +162,13 @@
         return min((time for time in times if time is not None), default=None)
 
     def trim(self) -> list[PoolEffect]:
-        """Close idle connections beyond the most that were needed at once in the last rounds.
+        """Close idle connections beyond the most that were needed at once since the last trim.
 
-        One is kept. Of more than half of the share, those are closed that were not needed since
-        the last round: this leaves room for the new ones of proxies that lost power, as an instance
-        counts their old ones for some seconds more.
+        One is kept. Fewer connections leave room for the new ones of proxies that lost power: an
+        instance counts their old ones for some seconds more.
         """
-        self._needed_before.append(self._most_needed)
-        kept = max(self._most_needed, min(max(self._needed_before), self.share // 2), 1)
+        spare = self.size - max(self._most_needed, 1)
         self._most_needed = len(self.busy) + len(self.queue)
-        spare = self.size - kept
         effects: list[PoolEffect] = []
         while spare > 0 and self.idle:
             # The connection that has been idle for longest is the first.
