--- a/src/orchidwind/core/managed/flow_parts.py
+++ b/src/orchidwind/core/managed/flow_parts.py
@@ -36,6 +36,8 @@
 from orchidwind.core.managed.topology import PrimaryView, ReadPlan
 
 BUSY_PAUSE_SECONDS = 0.015
+# Up to 0.12 s: a full queue of the first users' instances takes 0.1 to 0.3 s to run empty.
+_MOST_BUSY_DOUBLINGS = 3
 
 
 @dataclass(slots=True)
@@ -51,12 +53,24 @@
     sent_write: bool = False
     attempts: list[str] = field(default_factory=list)
     sent_to: str = ""
+    busy_replies: int = 0
 
     def note(self, instance: str, what: str) -> None:
         """Keep what one attempt was based on and how it ended, for the log."""
         self.attempts.append(f"{instance}:{what}")
 
 
+def pause_of_busy(context: CommandContext, instance: str) -> Pause:
+    """An instance refused work: the pause before this command asks again, longer each time.
+
+    A full instance is not helped by one more attempt each some milliseconds of all that wait.
+    """
+    context.group.instance_busy(instance)
+    seconds = BUSY_PAUSE_SECONDS * 2 ** min(context.busy_replies, _MOST_BUSY_DOUBLINGS)
+    context.busy_replies += 1
+    return Pause(seconds)
+
+
 def statement_messages(context: CommandContext, connection: int) -> list[InstanceMessage]:
     """Bring a connection to the session's settings, then the statement itself."""
     messages = context.group.settings_messages(connection, context.session.settings)
@@ -165,16 +179,16 @@
 
 
 def after_failed_read(
-    context: CommandContext, instance: str, reply: Reply
+    context: CommandContext, plan: ReadPlan, reply: Reply
 ) -> Generator[Step, StepResult, None]:
     """Prepare another attempt, or raise what the caller is told."""
     if reply.code is ReplyCode.BEHIND:
-        context.group.replica_behind(instance)
-        context.excluded.add(instance)
+        if plan.floor is not None:
+            context.group.replica_behind(plan.instance, plan.floor)
+        context.excluded.add(plan.instance)
         return
     if reply.code is ReplyCode.BUSY:
-        context.group.instance_busy(instance)
-        yield Pause(BUSY_PAUSE_SECONDS)
+        yield pause_of_busy(context, plan.instance)
         return
     if reply.code in (ReplyCode.UNKNOWN_STATEMENT, ReplyCode.READ_ONLY):
         yield Pause(BUSY_PAUSE_SECONDS)
@@ -204,7 +218,10 @@
     if reply.code is ReplyCode.READ_ONLY:
         context.group.refused_write(instance)
         return
-    if reply.code in (ReplyCode.BUSY, ReplyCode.UNKNOWN_STATEMENT, ReplyCode.BEHIND):
+    if reply.code is ReplyCode.BUSY:
+        yield pause_of_busy(context, instance)
+        return
+    if reply.code in (ReplyCode.UNKNOWN_STATEMENT, ReplyCode.BEHIND):
         yield Pause(BUSY_PAUSE_SECONDS)
         return
     raise reported(reply)
--- a/src/orchidwind/core/managed/flows.py
+++ b/src/orchidwind/core/managed/flows.py
@@ -70,7 +70,7 @@
         context.note(plan.instance, f"floor={plan.floor}:{reply.code.value}")
         if reply.done:
             return CommandResult(reply.rows, reply.signature)
-        yield from after_failed_read(context, plan.instance, reply)
+        yield from after_failed_read(context, plan, reply)
 
 
 def _single_write(context: CommandContext) -> Flow:
--- a/src/orchidwind/core/managed/group.py
+++ b/src/orchidwind/core/managed/group.py
@@ -91,9 +91,9 @@
 
     # --- what the flows learn -----------------------------------------------------------------
 
-    def replica_behind(self, instance: str) -> None:
+    def replica_behind(self, instance: str, floor: Position) -> None:
         """A replica lacked the floor of a read."""
-        self.topology.behind(instance, self.now())
+        self.topology.behind(instance, floor, self.now())
 
     def instance_busy(self, instance: str) -> None:
         """An instance refused work."""
--- a/src/orchidwind/core/managed/topology.py
+++ b/src/orchidwind/core/managed/topology.py
@@ -32,6 +32,8 @@
 _SHORTEST_PROMOTION_SECONDS = 0.2
 _BEHIND_PAUSE_SECONDS = 0.15
 _BUSY_PAUSE_SECONDS = 0.02
+# A full queue of the first users' instances takes 0.1 to 0.3 s to run empty.
+_BUSY_LATELY_SECONDS = 0.3
 _UNREACHABLE_PAUSE_SECONDS = 1.0
 
 
@@ -73,6 +75,10 @@
     gone_at: float = 0.0
     status: InstanceStatus | None = None
     avoid_until: float = 0.0
+    # It lacked this position, and may lack it until then.
+    behind_position: Position | None = None
+    behind_until: float = 0.0
+    busy_at: float = float("-inf")
     heard_at: float = float("-inf")
     unreachable_since: float | None = None
 
@@ -82,6 +88,18 @@
             return False
         return self.listed or now - self.gone_at <= GONE_USABLE_SECONDS
 
+    def lacks(self, floor: Position, now: float) -> bool:
+        """Whether it was found, a moment ago, to lack a position up to this one."""
+        behind = self.behind_position
+        return behind is not None and now < self.behind_until and behind <= floor
+
+    def note_behind(self, floor: Position, now: float) -> None:
+        """It lacked a position: reads that need as much go elsewhere for a while."""
+        known = self.behind_position
+        lowest = floor if known is None or now >= self.behind_until else min(known, floor)
+        self.behind_position = lowest
+        self.behind_until = now + _BEHIND_PAUSE_SECONDS
+
 
 class GroupTopology:
     """The instances of one group as this proxy sees them."""
@@ -193,18 +211,22 @@
                 view.unreachable_since = now
             view.avoid_until = max(view.avoid_until, now + _UNREACHABLE_PAUSE_SECONDS)
 
-    def behind(self, instance: str, now: float) -> None:
-        """A replica lacked a floor: let it catch up."""
-        self._avoid(instance, now + _BEHIND_PAUSE_SECONDS)
+    def behind(self, instance: str, floor: Position, now: float) -> None:
+        """A replica lacked a floor: let it catch up.
+
+        Reads that need less still go there. Most do: with sessions that have just written, a
+        replica is found behind many times a second, and all reads would run on the primary.
+        """
+        view = self.instances.get(instance)
+        if view is not None:
+            view.note_behind(floor, now)
 
     def busy(self, instance: str, now: float) -> None:
         """An instance refused work beyond its queue."""
-        self._avoid(instance, now + _BUSY_PAUSE_SECONDS)
-
-    def _avoid(self, instance: str, until: float) -> None:
         view = self.instances.get(instance)
         if view is not None:
-            view.avoid_until = max(view.avoid_until, until)
+            view.busy_at = now
+            view.avoid_until = max(view.avoid_until, now + _BUSY_PAUSE_SECONDS)
 
     def not_primary(self, instance: str, now: float) -> None:
         """An instance refused a write: it leads no longer."""
@@ -318,7 +340,7 @@
             if floor is not None:
                 if database.consistency is ReadConsistency.SESSION and session_floor is not None:
                     floor = max(floor, session_floor)
-                replica = self._replica_for_read(refused, now, primary)
+                replica = self._replica_for_read(refused, now, primary, floor)
                 if replica is not None:
                     return ReadPlan(replica, floor)
         if primary is None:
@@ -326,17 +348,24 @@
         return ReadPlan(primary.instance, None, primary.term)
 
     def _replica_for_read(
-        self, refused: set[str], now: float, primary: PrimaryView | None
+        self, refused: set[str], now: float, primary: PrimaryView | None, floor: Position
     ) -> str | None:
+        takes_over = primary is not None and not self._busy_lately(primary.instance, now)
         for name in self.replicas(now):
             view = self.instances[name]
             if name in refused or view.unreachable_since is not None:
                 continue
-            if view.avoid_until > now and primary is not None:
+            if view.lacks(floor, now) and primary is not None:
+                continue
+            if view.avoid_until > now and takes_over:
                 continue
             return name
         return None
 
+    def _busy_lately(self, instance: str, now: float) -> bool:
+        """Whether an instance has just refused work: reads that can wait are not sent there, too."""
+        return now - self.instances[instance].busy_at < _BUSY_LATELY_SECONDS
+
 
 def knows_no_later_term(status: InstanceStatus, term: int) -> bool:
     """Whether an instance's status proves that no primary after `term` has begun.
--- a/src/orchidwind/core/managed/transaction_flows.py
+++ b/src/orchidwind/core/managed/transaction_flows.py
@@ -23,12 +23,12 @@
     TransactionState,
 )
 from orchidwind.core.managed.flow_parts import (
-    BUSY_PAUSE_SECONDS,
     CommandContext,
     after_failed_read,
     after_refused_write,
     exchange,
     exchange_by_plan,
+    pause_of_busy,
     primary_connection,
     read_connection,
     statement_messages,
@@ -38,7 +38,6 @@
     Exchange,
     ExchangeResult,
     Flow,
-    Pause,
     Release,
     Step,
     StepResult,
@@ -70,7 +69,7 @@
     """Run on the transaction's connection; a statement that did not run may be sent again."""
     for attempt in range(_BUSY_ATTEMPTS_IN_TRANSACTION):
         if attempt:
-            yield Pause(BUSY_PAUSE_SECONDS)
+            yield pause_of_busy(context, transaction.instance)
         try:
             reply = yield from exchange(context, transaction.connection, messages)
         except (BackendConnectionLost, RequestError) as error:
@@ -141,7 +140,7 @@
             return
         yield Release(connection, reusable=reply.state is TransactionState.IDLE)
         if read_only:
-            yield from after_failed_read(context, plan.instance, reply)
+            yield from after_failed_read(context, plan, reply)
         else:
             yield from after_refused_write(context, plan.instance, reply)
 
@@ -187,7 +186,7 @@
     """Send COMMIT; once more only where the instance said that it did not run."""
     for attempt in range(_BUSY_ATTEMPTS_IN_TRANSACTION):
         if attempt:
-            yield Pause(BUSY_PAUSE_SECONDS)
+            yield pause_of_busy(context, transaction.instance)
         context.sent_write = transaction.wrote
         context.sent_to = transaction.instance
         try:
--- a/src/orchidwind/managed/command_runner.py
+++ b/src/orchidwind/managed/command_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from dataclasses import dataclass
 
 from orchidwind.core.admission import TrafficClass
@@ -28,6 +29,8 @@
 
 _QUEUE_BOUND = 400
 _HIGHEST_WEIGHT = 8.0
+# Pauses last from half to one and a half times as long as the flow says.
+_SHORTEST_PAUSE_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,9 +125,11 @@
             ) from error
 
     async def _pause(self, step: Pause, deadline: float) -> None:
-        if self._loop.time() + step.seconds >= deadline:
+        # Commands that were refused together must not ask together again.
+        seconds = step.seconds * (_SHORTEST_PAUSE_SHARE + random.random())
+        if self._loop.time() + seconds >= deadline:
             raise RequestError(ErrorKind.OVERLOADED, "the instances refused it until its deadline")
-        await asyncio.sleep(step.seconds)
+        await asyncio.sleep(seconds)
 
 
 def _only_ends(step: Step) -> bool:
--- a/tests/test_managed_core.py
+++ b/tests/test_managed_core.py
@@ -8,7 +8,12 @@
 from hypothesis import strategies as st
 
 from orchidwind.core.admission import TrafficClass
-from orchidwind.core.managed.commands import InstanceRole, InstanceStatus
+from orchidwind.core.managed.commands import (
+    Command,
+    CommandKind,
+    InstanceRole,
+    InstanceStatus,
+)
 from orchidwind.core.managed.configuration import (
     DirectoryEntry,
     ManagedDatabase,
@@ -16,6 +21,11 @@
     ReadConsistency,
 )
 from orchidwind.core.managed.failover import FailoverPlan, FailoverReason, choose_candidate
+from orchidwind.core.managed.flow_parts import (
+    BUSY_PAUSE_SECONDS,
+    CommandContext,
+    pause_of_busy,
+)
 from orchidwind.core.managed.lead_lease import LEASE_SECONDS, LeadLease, LockReading
 from orchidwind.core.managed.promotion_lock import (
     HOLD_SECONDS,
@@ -25,6 +35,7 @@
     LockRecord,
     held_lock,
 )
+from orchidwind.core.managed.session import ManagedSession
 from orchidwind.core.managed.supervision import GroupSupervisor
 from orchidwind.core.managed.topology import MAY_CONFIRM_SECONDS, GroupTopology
 from orchidwind.core.pool import CloseConnection, InstancePool, OpenConnection
@@ -221,6 +232,51 @@
     assert view.plan_read(DATABASE, None, 10.0, 10.0, {"a", "b"}).instance == "p"
 
 
+def test_a_replica_behind_one_session_still_serves_the_others():
+    """Found on a day whose replicas lag 60 ms: 85% of a group's reads ran on its primary."""
+    view = topology()
+    view.prove(9.0, Position(1, 4))
+    fresh = Position(1, 9)
+    assert view.plan_read(DATABASE, fresh, 10.0, 10.0, ()).instance == "a"
+    view.behind("a", fresh, 10.0)
+    assert view.plan_read(DATABASE, fresh, 10.0, 10.01, ()).instance == "b"
+    assert view.plan_read(DATABASE, Position(1, 12), 10.0, 10.01, ()).instance == "b"
+    view.behind("b", fresh, 10.01)
+    assert view.plan_read(DATABASE, fresh, 10.0, 10.02, ()).instance == "p"
+    assert view.plan_read(DATABASE, None, 10.0, 10.02, ()).instance == "a"
+    assert view.plan_read(DATABASE, Position(1, 8), 10.0, 10.02, ()).instance == "a"
+    assert view.plan_read(DATABASE, fresh, 10.0, 10.3, ()).instance == "a"
+
+
+def test_reads_that_busy_replicas_refuse_do_not_fill_a_busy_primary():
+    view = topology()
+    view.prove(9.0, Position(1, 4))
+    view.busy("a", 10.0)
+    view.busy("b", 10.0)
+    assert view.plan_read(DATABASE, None, 10.0, 10.01, ()).instance == "p", "it has room"
+    view.busy("p", 10.01)
+    assert view.plan_read(DATABASE, None, 10.0, 10.01, ()).instance == "a"
+    view.busy("a", 10.5)
+    view.busy("b", 10.5)
+    assert view.plan_read(DATABASE, None, 10.0, 10.51, ()).instance == "p"
+
+
+def test_a_command_that_is_refused_again_and_again_asks_less_and_less_often():
+    context = CommandContext(ManagedSession(), BusyGroup(), DATABASE, READ, 0.0)
+    pauses = [pause_of_busy(context, "a").seconds for _ in range(6)]
+    assert pauses[0] == BUSY_PAUSE_SECONDS
+    assert pauses[:4] == [BUSY_PAUSE_SECONDS * 2**n for n in range(4)]
+    assert pauses[4:] == pauses[3:4] * 2, "yet it goes on"
+
+
+class BusyGroup:
+    def instance_busy(self, instance):
+        assert instance == "a"
+
+
+READ = Command("q1", CommandKind.READ, "READ x")
+
+
 def test_the_primary_is_the_one_of_the_newest_term():
     view = topology()
     assert view.primary(1.0).instance == "p"
