--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -9,7 +9,7 @@
 from orchidwind.core.admission import TrafficClass
 from orchidwind.core.errors import BackendConnectionLost, ErrorKind, RequestError
 from orchidwind.core.managed.circuit_breaker import CircuitBreaker
-from orchidwind.core.managed.commands import InstanceMessage, InstanceStatus
+from orchidwind.core.managed.commands import InstanceMessage, InstanceStatus, MessageKind, Reply
 from orchidwind.core.managed.configuration import (
     DirectoryEntry,
     ManagedDatabase,
@@ -308,6 +308,7 @@
                 self._note_waited(self._loop.time() - sent_at)
         if writes and replies[-1].done:
             self._succeeded(self._committing)
+        self._count_attempt(instance, messages[-1], replies[-1], proof_of_term > 0, writes)
         self.topology.answered(instance, self._loop.time())
         if leased:
             self._succeeded(self._proving)
@@ -319,6 +320,15 @@
         self.prover.proven_under(instance, lock_revision)
         return ExchangeResult(replies, sent_at)
 
+    def _count_attempt(
+        self, instance: str, asked: InstanceMessage, reply: Reply, latest: bool, writes: bool
+    ) -> None:
+        leads = self.topology.primary_term(instance) > 0
+        kind = "write" if writes else "latest" if latest else "read"
+        if asked.kind in (MessageKind.BEGIN, MessageKind.BEGIN_READ_ONLY):
+            kind = "begin"
+        self._metrics.attempt(kind, "primary" if leads else "replica", reply.code.value)
+
     async def prove_lead(self, term: int, deadline: float) -> bool:
         """Ask a replica, now, whether it knows of no term after `term`."""
         try:
--- a/src/orchidwind/managed/metrics.py
+++ b/src/orchidwind/managed/metrics.py
@@ -42,6 +42,12 @@
             ["kind"],
             registry=self.registry,
         )
+        self._attempts = Counter(
+            "orchidwind_instance_attempts",
+            "Attempts answered by instances, by what they asked for, the instance's role, the answer",
+            ["asked", "role", "answer"],
+            registry=self.registry,
+        )
         self._store_calls = Counter(
             "orchidwind_store_calls",
             "Calls to the platform's store, by method and kind of object",
@@ -88,6 +94,10 @@
         """A message went to an instance."""
         self._messages.labels(kind).inc()
 
+    def attempt(self, asked: str, role: str, answer: str) -> None:
+        """An instance answered an attempt."""
+        self._attempts.labels(asked, role, answer).inc()
+
     def store_call(self, method: str, kind: str) -> None:
         """A call to the store was made."""
         self._store_calls.labels(method, kind).inc()
@@ -100,6 +110,10 @@
         """Messages so far, by kind."""
         return _counts(self._messages)
 
+    def attempt_counts(self) -> dict[str, int]:
+        """Attempts so far, by what was asked for, role of the instance, and answer."""
+        return _counts(self._attempts)
+
     def store_call_counts(self) -> dict[str, int]:
         """Calls to the store so far, by method and kind."""
         return _counts(self._store_calls)
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -311,6 +311,7 @@
         while True:
             await asyncio.sleep(_FIGURES_SECONDS)
             log_event("figures", **self.metrics.message_counts())
+            log_event("attempts", **self.metrics.attempt_counts())
             log_event("store_calls", **self.metrics.store_call_counts())
 
     async def _trim(self) -> None:
