--- /dev/null
+++ b/src/orchidwind/core/concurrency_window.py
@@ -0,0 +1,44 @@
+"""How much one proxy keeps running at one instance, learned from what the instance tells. No I/O.
+
+An instance runs a few requests at once, queues some and rejects the others; several proxies share
+it, and none knows how busy it is. Additive increase, multiplicative decrease: each rejection makes
+the window smaller, answers that come while it is full make it grow again. So requests wait where
+they can be put in order, and not in the instance's queue.
+
+Source of the method: Chiu and Jain, "Analysis of the increase and decrease algorithms for
+congestion avoidance in computer networks" (1989).
+"""
+
+from __future__ import annotations
+
+# A first guess: a little more than the users' instances run at once (2 or 3 slots).
+FIRST_WINDOW = 4.0
+_SMALLEST_WINDOW = 1.0
+_DECREASE = 0.7
+# One full queue rejects many requests at the same moment: they count once.
+_DECREASE_PAUSE_SECONDS = 0.05
+
+
+class ConcurrencyWindow:
+    """The requests that may run at once, at least one."""
+
+    def __init__(self) -> None:
+        self._size = FIRST_WINDOW
+        self._decreased_at = float("-inf")
+
+    @property
+    def size(self) -> int:
+        """How many requests may run at once."""
+        return int(self._size)
+
+    def answered(self, running: int) -> None:
+        """The instance took a request, while so many ran."""
+        if running >= self.size:
+            self._size += 1.0 / self._size
+
+    def rejected(self, now: float) -> None:
+        """The instance had no room for a request."""
+        if now - self._decreased_at < _DECREASE_PAUSE_SECONDS:
+            return
+        self._decreased_at = now
+        self._size = max(self._size * _DECREASE, _SMALLEST_WINDOW)
--- a/src/orchidwind/core/managed/topology.py
+++ b/src/orchidwind/core/managed/topology.py
@@ -363,7 +363,7 @@
         return None
 
     def _busy_lately(self, instance: str, now: float) -> bool:
-        """Whether an instance has just refused work: reads that can wait are not sent there, too."""
+        """Whether an instance has just refused work: reads that can wait are not sent there."""
         return now - self.instances[instance].busy_at < _BUSY_LATELY_SECONDS
 
 
--- a/src/orchidwind/core/pool.py
+++ b/src/orchidwind/core/pool.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from orchidwind.core.admission import AdmissionQueue, Refusal, TrafficClass
+from orchidwind.core.concurrency_window import ConcurrencyWindow
 
 _REOPEN_SECONDS = 0.1
 _LONGEST_REOPEN_SECONDS = 2.0
@@ -52,10 +53,21 @@
     """Connections, and the requests that wait for them."""
 
     def __init__(
-        self, instance: str, share: int, numbers: Iterator[int], eager: bool = True
+        self,
+        instance: str,
+        share: int,
+        numbers: Iterator[int],
+        eager: bool = True,
+        window: ConcurrencyWindow | None = None,
     ) -> None:
-        """Without `eager`, connections are opened only for requests that wait."""
+        """Without `eager`, connections are opened only for requests that wait.
+
+        With a `window`, requests are granted connections only while it has room; whoever uses the
+        pool then tells of each exchange. A connection whose transaction rests takes no room.
+        """
         self._eager = eager
+        self.window = window
+        self.running: set[int] = set()
         self.instance = instance
         self.share = share
         self.queue = AdmissionQueue()
@@ -94,7 +106,8 @@
         self, ticket: int, traffic_class: TrafficClass, now: float, expires_at: float
     ) -> list[PoolEffect]:
         """Ask for a connection: granted now, queued, or refused."""
-        refusal = self.queue.enter(ticket, traffic_class, now, expires_at, max(self.usable, 1))
+        slots = self.usable if self.window is None else min(self.usable, self.window.size)
+        refusal = self.queue.enter(ticket, traffic_class, now, expires_at, max(slots, 1))
         if refusal is not None:
             return [refusal]
         return self._settle(now)
@@ -124,7 +137,9 @@
         effects: list[PoolEffect] = []
         if granted_at is None:
             return effects
-        self.queue.note_service(now - granted_at)
+        if self.window is None:
+            self.queue.note_service(now - granted_at)
+        self.running.discard(connection)
         if reusable:
             self.idle.append(connection)
         else:
@@ -134,12 +149,32 @@
     def lost(self, connection: int, now: float) -> list[PoolEffect]:
         """A connection broke by itself."""
         self.busy.pop(connection, None)
+        self.running.discard(connection)
         if connection in self.idle:
             self.idle.remove(connection)
         self.opening.discard(connection)
         self._reopen_at = max(self._reopen_at, now + self._reopen_delay)
         return self._settle(now)
 
+    def exchange_began(self, connection: int) -> None:
+        """A request runs on a connection that it was granted."""
+        self.running.add(connection)
+
+    def exchange_ended(
+        self, connection: int, seconds: float, rejected: bool | None, now: float
+    ) -> list[PoolEffect]:
+        """It ended after so many seconds; `rejected` tells that the instance had no room for it.
+
+        None: it was not answered.
+        """
+        if self.window is not None and rejected:
+            self.window.rejected(now)
+        elif self.window is not None and rejected is False:
+            self.window.answered(len(self.running))
+            self.queue.note_service(seconds)
+        self.running.discard(connection)
+        return self._settle(now)
+
     def cancel(self, ticket: int) -> None:
         """A waiting request gave up."""
         self.queue.leave(ticket)
@@ -193,18 +228,23 @@
         return [OpenConnection(self.instance, connection)]
 
     def _wants_another(self) -> bool:
-        if self.size >= self.usable:
+        if self.size >= self.usable or not self._has_room:
             return False
         return self._eager or len(self.opening) < min(len(self.queue), MOST_OPENING)
 
+    @property
+    def _has_room(self) -> bool:
+        return self.window is None or len(self.running) < self.window.size
+
     def _settle(self, now: float) -> list[PoolEffect]:
         effects: list[PoolEffect] = []
         self._most_needed = max(self._most_needed, len(self.busy) + len(self.queue))
         while self.idle and self.size > self.usable:
             effects.append(CloseConnection(self.idle.pop()))
-        while self.idle and (ticket := self.queue.next()) is not None:
+        while self.idle and self._has_room and (ticket := self.queue.next()) is not None:
             connection = self.idle.pop()
             self.busy[connection] = now
+            self.running.add(connection)
             effects.append(Grant(ticket, connection))
         if now >= self._reopen_at:
             while self._wants_another():
--- a/src/orchidwind/managed/connections.py
+++ b/src/orchidwind/managed/connections.py
@@ -9,6 +9,7 @@
 from typing import Any, TypeVar
 
 from orchidwind.core.admission import Refusal, TrafficClass
+from orchidwind.core.concurrency_window import ConcurrencyWindow
 from orchidwind.core.errors import (
     BackendConnectionLost,
     BackendRefused,
@@ -100,6 +101,22 @@
         keep = reusable and view is not None and view.unreachable_since is None
         self._perform(self.pool(instance).release(connection, self._loop.time(), keep))
 
+    def exchange_began(self, connection: int) -> None:
+        """Messages are sent on a connection."""
+        self.in_exchange[connection] = self._loop.time()
+        instance = self.instance_of.get(connection)
+        if instance is not None:
+            self.pool(instance).exchange_began(connection)
+
+    def exchange_ended(self, connection: int, rejected: bool | None) -> None:
+        """They were answered, `rejected` where the instance had no room; None: they were not."""
+        began = self.in_exchange.pop(connection)
+        instance = self.instance_of.get(connection)
+        if instance is not None:
+            now = self._loop.time()
+            pool = self.pool(instance)
+            self._perform(pool.exchange_ended(connection, now - began, rejected, now))
+
     def borrow_idle(self, instance: str) -> int | None:
         """Take an idle connection for the proxy's own use, None where there is none."""
         return self.pool(instance).borrow_idle(self._loop.time())
@@ -137,7 +154,8 @@
         """The pool of an instance."""
         pool = self._pools.get(instance)
         if pool is None:
-            pool = InstancePool(instance, self._share, self._numbers, eager=False)
+            window = ConcurrencyWindow()
+            pool = InstancePool(instance, self._share, self._numbers, eager=False, window=window)
             self._pools[instance] = pool
         return pool
 
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -9,7 +9,13 @@
 from orchidwind.core.admission import TrafficClass
 from orchidwind.core.errors import BackendConnectionLost, ErrorKind, RequestError
 from orchidwind.core.managed.circuit_breaker import CircuitBreaker
-from orchidwind.core.managed.commands import InstanceMessage, InstanceStatus, MessageKind, Reply
+from orchidwind.core.managed.commands import (
+    InstanceMessage,
+    InstanceStatus,
+    MessageKind,
+    Reply,
+    ReplyCode,
+)
 from orchidwind.core.managed.configuration import (
     DirectoryEntry,
     ManagedDatabase,
@@ -288,7 +294,8 @@
             raise BackendConnectionLost("the connection is closed", sent=False)
         instance = self.connections.instance_of[connection]
         sent_at = self._loop.time()
-        self.connections.in_exchange[connection] = sent_at
+        self.connections.exchange_began(connection)
+        rejected: bool | None = None
         if writes:
             self._writing.add(connection)
         leased = proof_of_term > 0 and self.prover.leased(instance, arrived_at)
@@ -298,11 +305,12 @@
             self._metrics.message(message.kind.value)
         try:
             replies = await link.exchange(messages)
+            rejected = replies[-1].code is ReplyCode.BUSY
         except BackendConnectionLost:
             self._suspect(instance)
             raise
         finally:
-            self.connections.in_exchange.pop(connection, None)
+            self.connections.exchange_ended(connection, rejected)
             self._writing.discard(connection)
             if writes:
                 self._note_waited(self._loop.time() - sent_at)
--- a/src/orchidwind/managed/metrics.py
+++ b/src/orchidwind/managed/metrics.py
@@ -44,7 +44,7 @@
         )
         self._attempts = Counter(
             "orchidwind_instance_attempts",
-            "Attempts answered by instances, by what they asked for, the instance's role, the answer",
+            "Attempts answered by instances, by what was asked for, role of the instance, answer",
             ["asked", "role", "answer"],
             registry=self.registry,
         )
--- /dev/null
+++ b/tests/test_concurrency_window.py
@@ -0,0 +1,108 @@
+"""How much a proxy keeps running at an instance: the window alone, and a pool that uses it."""
+
+from itertools import count
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from orchidwind.core.admission import Refusal, TrafficClass
+from orchidwind.core.concurrency_window import FIRST_WINDOW, ConcurrencyWindow
+from orchidwind.core.pool import Grant, InstancePool
+
+CLASS = TrafficClass("any")
+HIGH = TrafficClass("high", weight=8.0)
+
+
+def test_rejections_make_it_smaller_and_answers_greater_again():
+    window = ConcurrencyWindow()
+    window.rejected(1.0)
+    window.rejected(1.01)
+    assert window.size == int(FIRST_WINDOW * 0.7), "those of one moment count once"
+    for number in range(20):
+        window.rejected(2.0 + number)
+    assert window.size == 1
+    for _ in range(30):
+        window.answered(window.size)
+    assert window.size >= 7
+
+
+def test_it_does_not_grow_while_it_is_not_used():
+    window = ConcurrencyWindow()
+    for _ in range(100):
+        window.answered(1)
+    assert window.size == int(FIRST_WINDOW)
+
+
+@given(st.lists(st.tuples(st.booleans(), st.floats(0, 100)), max_size=60))
+def test_one_request_may_always_run(steps):
+    window = ConcurrencyWindow()
+    for rejected, at in steps:
+        if rejected:
+            window.rejected(at)
+        else:
+            window.answered(5)
+        assert window.size >= 1
+
+
+def pool_with(connections, window):
+    """A pool whose connections are all idle."""
+    pool = InstancePool("i-0", 20, count(1), eager=False)
+    for ticket in range(connections):
+        pool.acquire(1000 + ticket, CLASS, 0.0, 9.0)
+        pool.opened(max(pool.opening), 0.0)
+    for connection in list(pool.busy):
+        pool.release(connection, 0.0, reusable=True)
+    assert (len(pool.idle), len(pool.running)) == (connections, 0)
+    pool.window = window
+    return pool
+
+
+def granted(effects):
+    return [effect.ticket for effect in effects if isinstance(effect, Grant)]
+
+
+def test_requests_beyond_the_window_wait_until_one_is_answered():
+    pool = pool_with(6, ConcurrencyWindow())
+    taken = [granted(pool.acquire(ticket, CLASS, 0.0, 9.0)) for ticket in range(6)]
+    assert taken == [[0], [1], [2], [3], [], []]
+    first = min(pool.running)
+    pool.exchange_began(first)
+    assert granted(pool.exchange_ended(first, 0.01, rejected=False, now=0.01)) == [4]
+
+
+def test_a_transaction_that_rests_takes_no_room_and_its_statements_never_wait():
+    pool = pool_with(6, ConcurrencyWindow())
+    for ticket in range(6):
+        pool.acquire(ticket, CLASS, 0.0, 9.0)
+    resting = min(pool.running)
+    assert granted(pool.exchange_ended(resting, 0.01, rejected=False, now=0.01)) == [4]
+    pool.exchange_began(resting)
+    assert len(pool.running) > pool.window.size
+
+
+def test_what_waits_is_taken_by_weight_and_refused_where_its_time_does_not_suffice():
+    pool = pool_with(1, ConcurrencyWindow())
+    pool.acquire(1, CLASS, 0.0, 9.0)
+    (running,) = pool.running
+    for number in range(50):
+        pool.exchange_began(running)
+        pool.exchange_ended(running, 0.1, rejected=False, now=0.1 * number)
+    pool.exchange_began(running)
+    pool.window.rejected(50.0)
+    pool.window.rejected(51.0)
+    pool.window.rejected(52.0)
+    pool.window.rejected(53.0)
+    assert pool.window.size == 1
+    for ticket in range(2, 6):
+        assert granted(pool.acquire(ticket, CLASS, 60.0, 69.0)) == []
+    assert granted(pool.acquire(6, HIGH, 60.0, 69.0)) == []
+    (refusal,) = pool.acquire(7, CLASS, 60.0, 60.2)
+    assert isinstance(refusal, Refusal)
+    assert refusal.retry_after > 0.2
+    assert granted(pool.release(running, 60.1, reusable=True)) == [6]
+
+
+def test_without_a_window_all_connections_are_used():
+    pool = pool_with(6, None)
+    taken = [granted(pool.acquire(ticket, CLASS, 0.0, 9.0)) for ticket in range(6)]
+    assert taken == [[ticket] for ticket in range(6)]
