--- a/src/orchidwind/core/managed/freshness.py
+++ b/src/orchidwind/core/managed/freshness.py
@@ -24,6 +24,9 @@
 _READ_SHARE = 0.6
 _HEDGE_SHARE = 0.2
 _PAUSE_SHARE = 0.1
+# A proxy that others tell needs the store itself only where the store serves it and not them. In an
+# outage all proxies ask: the readers often, these seldom.
+_RELYING_PAUSE_SHARE = 0.3
 # A watch that nobody's promise waits for costs one call each 30 s, the longest the store allows.
 LONGEST_WATCH_SECONDS = 30.0
 # Time beyond its wait that such a watch has for its answer: a store slowed a hundredfold takes
@@ -46,7 +49,7 @@
     `ask_every`: how often others are asked, once the view is that old; None: never.
     `read_at_age`: the age at which the store is read, whatever was waited for.
     `hedge_after`: a read without an answer is repeated beside the first after this time.
-    `longest_pause`: between two failed calls.
+    `longest_pause`: between two failed calls; `relying_pause`: where others are relied upon.
     """
 
     bound: float | None
@@ -57,6 +60,7 @@
     read_at_age: float | None
     hedge_after: float
     longest_pause: float
+    relying_pause: float
 
     @classmethod
     def within(cls, bound: float, told_at_once: bool = True) -> FollowTimes:
@@ -74,6 +78,7 @@
             read_at_age=bound * _READ_SHARE,
             hedge_after=bound * _HEDGE_SHARE,
             longest_pause=bound * _PAUSE_SHARE,
+            relying_pause=bound * _RELYING_PAUSE_SHARE,
         )
 
     @classmethod
@@ -88,6 +93,7 @@
             read_at_age=None,
             hedge_after=_UNHURRIED_HEDGE_SECONDS,
             longest_pause=_UNHURRIED_PAUSE_SECONDS,
+            relying_pause=_UNHURRIED_PAUSE_SECONDS,
         )
 
 
--- a/src/orchidwind/managed/watch.py
+++ b/src/orchidwind/managed/watch.py
@@ -300,7 +300,8 @@
             self._tell(event, attempt=self._failed_attempts, reason=error)
         await self._check(may_be_old=True)
         await asyncio.sleep(self._retry)
-        self._retry = min(self._retry * 2, max(self._times.longest_pause, _FIRST_RETRY_SECONDS))
+        longest = self._times.relying_pause if self._relies else self._times.longest_pause
+        self._retry = min(self._retry * 2, max(longest, _FIRST_RETRY_SECONDS))
 
 
 def _is_power_of_two(count: int) -> bool:
--- a/tests/test_fleet_cost.py
+++ b/tests/test_fleet_cost.py
@@ -68,6 +68,29 @@
     with_fleet(scenario)
 
 
+def test_in_an_outage_the_others_call_less_often_than_the_readers():
+    async def scenario(system):
+        store = system.world.store
+        others = bystanders(system)
+        members = system.nodes[FLEET[0]].homes.members
+        readers = [reader.name for reader in zone_readers(CONFIGURATION, members).values()]
+        store.down = True
+        await asyncio.sleep(5.0)
+        before = dict(store.calls)
+        await asyncio.sleep(10.0)
+        spent = {name: store.calls[name] - before[name] for name in FLEET}
+        # A read each 0.3 of the bound for the configuration; pauses that double for the members.
+        assert max(spent[name] for name in others) <= 10.0 / (0.3 * NodeBounds().configuration) + 7
+        assert min(spent[name] for name in readers) >= 2 * max(spent[name] for name in others)
+        store.down = False
+        version = store.configuration.version + 1
+        store.put_configuration(replace(store.configuration, version=version))
+        await asyncio.sleep(NodeBounds().configuration)
+        assert {node.configuration.version for node in system.nodes.values()} == {version}
+
+    with_fleet(scenario)
+
+
 def test_a_proxy_that_comes_is_known_to_all_without_a_call_of_the_others():
     async def scenario(system):
         others = bystanders(system)
