--- a/src/orchidwind/core/managed/homes.py
+++ b/src/orchidwind/core/managed/homes.py
@@ -27,8 +27,8 @@
 CONNECTIONS_OF_A_HOME = 6
 # One can be lost, and requests still have a home in their zone.
 MOST_HOMES_A_ZONE = 2
-# How many groups a proxy may be home of before more proxies of the zone share them. Ten groups with
-# 730 requests a second keep two homes in each of seven zones at 0.1 of a core (docs/LARGE.md).
+# How many groups a proxy may be home of before more proxies of the zone share them. Four groups with
+# 750 requests a second kept the busiest of ten homes at 0.07 of a core (docs/LARGE.md).
 GROUPS_OF_A_HOME = 10
 _FEWEST_CONNECTIONS = 2
 _SHARED_KEY = "shared-homes"
--- a/src/orchidwind/core/pool.py
+++ b/src/orchidwind/core/pool.py
@@ -17,6 +17,10 @@
 _REOPEN_SECONDS = 0.1
 _LONGEST_REOPEN_SECONDS = 2.0
 _GROW_AGAIN_SECONDS = 2.0
+# Where connections are opened for requests that wait, a limit that was met is tried again sooner:
+# after a restart of proxies an instance counts their old connections for up to 3 s, and an attempt
+# that it turns away costs it nothing.
+_TRY_LIMIT_SECONDS = 0.25
 # Opened at once for requests that wait. Each new connection holds a slot of the instance for longer
 # than a request does (12 to 32 ms on the users' sites): opened all at once, they hold the requests
 # up that they were opened for.
@@ -126,7 +130,10 @@
         self.opening.discard(connection)
         if limit_met:
             self._limit = max(self.size, 1)
-            self._grow_at = now + _GROW_AGAIN_SECONDS
+            self._grow_at = now + self._grow_seconds
+        if limit_met and not self._eager:
+            self._reopen_at = now + _TRY_LIMIT_SECONDS
+            return self._settle(now)
         self._reopen_at = now + self._reopen_delay
         self._reopen_delay = min(self._reopen_delay * 2, _LONGEST_REOPEN_SECONDS)
         return self._settle(now)
@@ -182,8 +189,8 @@
     def tick(self, now: float) -> list[PoolEffect]:
         """Refuse what expired and open what is missing."""
         if self._grow_at and now >= self._grow_at and self._limit < self.share:
-            self._limit += 1
-            self._grow_at = now + _GROW_AGAIN_SECONDS
+            self._limit += 1 if self._eager else max(1, self._limit // 2)
+            self._grow_at = now + self._grow_seconds
         expired: list[PoolEffect] = list(self.queue.expire(now))
         return expired + self._settle(now)
 
@@ -232,6 +239,10 @@
             return False
         return self._eager or len(self.opening) < min(len(self.queue), MOST_OPENING)
 
+    @property
+    def _grow_seconds(self) -> float:
+        return _GROW_AGAIN_SECONDS if self._eager else _TRY_LIMIT_SECONDS
+
     @property
     def _has_room(self) -> bool:
         return self.window is None or len(self.running) < self.window.size
--- a/src/orchidwind/managed/connections.py
+++ b/src/orchidwind/managed/connections.py
@@ -133,20 +133,22 @@
 
     @property
     def starved(self) -> bool:
-        """Whether an instance had no room lately and no connection to it is open here.
+        """Whether an instance had no room lately, and requests wait here for want of connections.
 
         After the loss of all proxies an instance counts their old connections for some seconds:
         the first that return take what is left, and the others have none.
         """
         now = self._loop.time()
         return any(
-            now < until and not self._has_connection(instance)
+            now < until and self._lacks_connections(instance)
             for instance, until in self._refused_until.items()
         )
 
-    def _has_connection(self, instance: str) -> bool:
+    def _lacks_connections(self, instance: str) -> bool:
         pool = self._pools.get(instance)
-        return pool is not None and bool(pool.idle or pool.busy)
+        if pool is None or not (pool.idle or pool.busy):
+            return True
+        return len(pool.queue) > len(pool.busy)
 
     # --- upkeep -------------------------------------------------------------------------------
 
--- a/tests/test_concurrency_window.py
+++ b/tests/test_concurrency_window.py
@@ -7,7 +7,7 @@
 
 from orchidwind.core.admission import Refusal, TrafficClass
 from orchidwind.core.concurrency_window import FIRST_WINDOW, ConcurrencyWindow
-from orchidwind.core.pool import Grant, InstancePool
+from orchidwind.core.pool import Grant, InstancePool, OpenConnection
 
 CLASS = TrafficClass("any")
 HIGH = TrafficClass("high", weight=8.0)
@@ -106,3 +106,23 @@
     pool = pool_with(6, None)
     taken = [granted(pool.acquire(ticket, CLASS, 0.0, 9.0)) for ticket in range(6)]
     assert taken == [[ticket] for ticket in range(6)]
+
+
+def test_connections_that_an_instance_refused_are_there_soon_after_it_has_room():
+    """Found on a day of rolling restarts: a home served on one connection for six seconds."""
+    pool = InstancePool("i-0", 8, count(1), eager=False)
+    effects = [effect for ticket in range(8) for effect in pool.acquire(ticket, CLASS, 0.0, 99.0)]
+    now, room_at = 0.0, 3.0
+    attempts = 0
+    while now < room_at + 1.5:
+        for effect in effects:
+            if isinstance(effect, OpenConnection):
+                attempts += 1
+                if now < room_at:
+                    effects = [*effects, *pool.open_failed(effect.connection, now, limit_met=True)]
+                else:
+                    effects = [*effects, *pool.opened(effect.connection, now)]
+        now += 0.05
+        effects = pool.tick(now)
+    assert len(pool.busy) == 8
+    assert attempts <= 2 + room_at / 0.25 * 2 + 8, "and the instance was not asked much more often"
