--- a/src/orchidwind/managed/watch.py
+++ b/src/orchidwind/managed/watch.py
@@ -148,7 +148,7 @@
         return self._second_path is not None and not self._second_path.relied_upon()
 
     async def _live_on_others(self) -> None:
-        """Take confirmations and changes from others until one of them must watch itself.
+        """Take confirmations and changes from others, until they rely on this proxy instead.
 
         Raises _ViewTooOld where nobody confirmed the view for long.
         """
