--- a/src/orchidwind/managed/metrics.py
+++ b/src/orchidwind/managed/metrics.py
@@ -54,6 +54,18 @@
             ["method", "kind"],
             registry=self.registry,
         )
+        self._view_reports = Counter(
+            "orchidwind_view_reports",
+            "Answers to other proxies about a followed view: confirmed, or with its content",
+            ["view", "told"],
+            registry=self.registry,
+        )
+        self._view_items = Counter(
+            "orchidwind_view_items_told",
+            "Items of a followed view in the answers to other proxies",
+            ["view"],
+            registry=self.registry,
+        )
         self._forwarded = Counter(
             "orchidwind_forwarded_commands",
             "Commands sent to homes, by outcome",
@@ -102,6 +114,11 @@
         """A call to the store was made."""
         self._store_calls.labels(method, kind).inc()
 
+    def view_told(self, view: str, told: str, items: int) -> None:
+        """Another proxy was told of a view, with so many items."""
+        self._view_reports.labels(view, told).inc()
+        self._view_items.labels(view).inc(items)
+
     def forwarded(self, outcome: str) -> None:
         """A command that was sent to a home has ended."""
         self._forwarded.labels(outcome).inc()
@@ -118,6 +135,11 @@
         """Calls to the store so far, by method and kind."""
         return _counts(self._store_calls)
 
+    def view_report_counts(self) -> dict[str, int]:
+        """Answers to other proxies so far, by view and what was told, and the items they held."""
+        items = {f"{view}_items": told for view, told in _counts(self._view_items).items()}
+        return _counts(self._view_reports) | items
+
     def render(self) -> bytes:
         """The text form."""
         return generate_latest(self.registry)
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -313,6 +313,7 @@
             log_event("figures", **self.metrics.message_counts())
             log_event("attempts", **self.metrics.attempt_counts())
             log_event("store_calls", **self.metrics.store_call_counts())
+            log_event("views_told", **self.metrics.view_report_counts())
 
     async def _trim(self) -> None:
         while True:
--- a/src/orchidwind/managed/views.py
+++ b/src/orchidwind/managed/views.py
@@ -27,6 +27,7 @@
     ViewReport,
 )
 from orchidwind.logs import log_event
+from orchidwind.managed.metrics import ManagedMetrics
 from orchidwind.managed.peer_link import PeerLink
 from orchidwind.managed.peers import PeerNetwork
 from orchidwind.managed.ports import Changes, Listing
@@ -127,6 +128,7 @@
 
     configuration: ManagedConfiguration | None
     directory: dict[str, DirectoryEntry]
+    metrics: ManagedMetrics
 
     @property
     def members(self) -> Iterable[ProxyMember]:
@@ -149,8 +151,11 @@
             return ViewReport(query.number, known=False, age=0.0, revision=-1)
         report = ViewReport(query.number, known=True, age=watch.age, revision=watch.revision)
         if watch.changed_revision <= query.revision:
+            self._node.metrics.view_told(query.view, "confirmed", 0)
             return report
-        return self._with_content(report, query.view)
+        told = self._with_content(report, query.view)
+        self._node.metrics.view_told(query.view, "content", _items_of(told))
+        return told
 
     def _with_content(self, report: ViewReport, view: str) -> ViewReport:
         """The same report, which holds what the view shows."""
@@ -175,6 +180,15 @@
         return DirectoryView(tuple(self._node.directory.values()))
 
 
+def _items_of(report: ViewReport) -> int:
+    """How many items of its view a report holds."""
+    if report.configuration is not None:
+        return len(report.configuration.databases)
+    if report.directory is not None:
+        return len(report.directory.entries)
+    return 0 if report.members is None else len(report.members.proxies)
+
+
 def told_configuration(report: ViewReport) -> tuple[ManagedConfiguration, ...] | None:
     """The configuration that a report holds, None where there is none."""
     told = report.configuration
--- a/src/orchidwind/network/http_call.py
+++ b/src/orchidwind/network/http_call.py
@@ -72,17 +72,19 @@
     stream = IOStream(client_socket())
     started_at = asyncio.get_running_loop().time()
     sent = False
+    collector = _Collector()
 
     def failed(reason: str) -> HttpCallFailed:
         stage = "waiting for the answer" if sent else "connecting"
         spent = asyncio.get_running_loop().time() - started_at
-        return HttpCallFailed(f"{reason} while {stage}, after {spent:.3f} s", sent=sent)
+        arrived = f" and {len(collector.body)} bytes of it" if collector.body else ""
+        return HttpCallFailed(f"{reason} while {stage}, after {spent:.3f} s{arrived}", sent=sent)
 
     try:
         async with asyncio.timeout(seconds):
             await stream.connect(request.address)
             sent = True
-            return await _exchange(stream, request)
+            return await _exchange(stream, request, collector)
     except TimeoutError as error:
         raise failed("time out") from error
     except (StreamClosedError, OSError, HTTPInputError) as error:
@@ -91,7 +93,7 @@
         stream.close()
 
 
-async def _exchange(stream: IOStream, request: HttpRequest) -> HttpAnswer:
+async def _exchange(stream: IOStream, request: HttpRequest, collector: _Collector) -> HttpAnswer:
     parameters = HTTP1ConnectionParameters(
         no_keep_alive=True, max_body_size=_MAXIMUM_BODY_BYTES, decompress=False
     )
@@ -104,7 +106,6 @@
     line = RequestStartLine(request.method, request.path, "HTTP/1.1")
     connection.write_headers(line, headers, request.body or None)
     connection.finish()
-    collector = _Collector()
     await connection.read_response(collector)
     if not collector.finished:
         raise StreamClosedError
