--- a/src/orchidwind_bench/managed/network.py
+++ b/src/orchidwind_bench/managed/network.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 LATENCY_SECONDS = 0.001
+# What several transfers on one link take in turns, as a connection has so much under way; what else
+# is sent waits behind all of it.
+_TURN_BYTES = 64 * 1024
 
 
 class Network:
@@ -12,6 +16,10 @@
 
     def __init__(self) -> None:
         self._cuts: set[tuple[str, str]] = set()
+        # Bytes a second that a party's link takes each way; a party without an entry has no limit.
+        self.rates: dict[str, float] = {}
+        self._free_at: dict[tuple[str, str], float] = {}
+        self.carried: dict[tuple[str, str], int] = {}
 
     def cut(self, first: str, second: str, one_way: bool = False) -> None:
         """Part two parties."""
@@ -27,6 +35,28 @@
         """Whether a message would arrive."""
         return (sender, receiver) not in self._cuts
 
+    async def carry(
+        self, party: str, way: str, size: int, progress: Callable[[], None] = lambda: None
+    ) -> None:
+        """Take a party's link (`way` is "in" or "out") for so many bytes, in turns with others.
+
+        `progress` is called as bytes have passed.
+        """
+        rate = self.rates.get(party)
+        if rate is None:
+            return
+        loop = asyncio.get_running_loop()
+        left = size
+        while left > 0:
+            part = min(left, _TURN_BYTES)
+            left -= part
+            link = (party, way)
+            free_at = max(self._free_at.get(link, 0.0), loop.time()) + part / rate
+            self._free_at[link] = free_at
+            self.carried[link] = self.carried.get(link, 0) + part
+            await asyncio.sleep(free_at - loop.time())
+            progress()
+
     async def travel(self, sender: str, receiver: str, seconds: float = LATENCY_SECONDS) -> None:
         """Carry a message; a lost one never arrives."""
         await asyncio.sleep(seconds)
--- a/src/orchidwind_bench/managed/peers.py
+++ b/src/orchidwind_bench/managed/peers.py
@@ -4,12 +4,14 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 
 from orchidwind.core.errors import PeerUnavailable
 from orchidwind.core.managed.homes import ProxyMember
 from orchidwind.core.managed.peer_messages import PeerMessage
 from orchidwind.managed.node import ManagedNode
 from orchidwind.managed.peer_service import ServedLink
+from orchidwind.network.peer_codec import encode_peer
 from orchidwind_bench.managed.network import LATENCY_SECONDS
 from orchidwind_bench.managed.world import World
 
@@ -29,6 +31,14 @@
                 link.end("the other proxy has ended")
 
 
+@dataclass(frozen=True, slots=True)
+class _Parcel:
+    """A message that waits for a link with a rate."""
+
+    size: int
+    arrive: Callable[[], None]
+
+
 class SimulatedPeerLink:
     """One link; messages arrive in order, and are swallowed by a cut."""
 
@@ -48,21 +58,40 @@
         self._service = links.nodes[home].peer_service
         self._served: ServedLink = self._service.link(self._send_back)
         self._open = True
+        self._waiting: dict[str, asyncio.Queue[_Parcel]] = {}
+        self._carrying: list[asyncio.Task[None]] = []
         links.links.add(self)
 
     def send(self, message: PeerMessage) -> None:
         """From the front to the home."""
-        self._carry(self.front, self.home, lambda: self._served.take(message))
+        self._carry(self.front, self.home, message, lambda: self._served.take(message))
 
     def _send_back(self, message: PeerMessage) -> None:
-        self._carry(self.home, self.front, lambda: self._on_message(message))
+        self._carry(self.home, self.front, message, lambda: self._on_message(message))
 
-    def _carry(self, sender: str, receiver: str, deliver: Callable[[], None]) -> None:
+    def _carry(
+        self, sender: str, receiver: str, message: PeerMessage, deliver: Callable[[], None]
+    ) -> None:
         def arrive() -> None:
             if self._open and self._links.world.network.passes(sender, receiver):
                 deliver()
 
-        asyncio.get_running_loop().call_later(LATENCY_SECONDS, arrive)
+        if sender not in self._links.world.network.rates:
+            asyncio.get_running_loop().call_later(LATENCY_SECONDS, arrive)
+            return
+        if sender not in self._waiting:
+            self._waiting[sender] = asyncio.Queue()
+            carrying = asyncio.get_running_loop().create_task(self._carry_in_order(sender))
+            self._carrying.append(carrying)
+        self._waiting[sender].put_nowait(_Parcel(len(encode_peer(message)), arrive))
+
+    async def _carry_in_order(self, sender: str) -> None:
+        """Send what waits at one end, one message after the other."""
+        network = self._links.world.network
+        while True:
+            parcel = await self._waiting[sender].get()
+            await network.carry(sender, "out", parcel.size)
+            asyncio.get_running_loop().call_later(LATENCY_SECONDS, parcel.arrive)
 
     def close(self) -> None:
         """The front gives the link up."""
@@ -73,6 +102,8 @@
         if not self._open:
             return
         self._open = False
+        for carrying in self._carrying:
+            carrying.cancel()
         self._links.links.discard(self)
         self._service.ended(self._served)
         self._on_lost(reason)
--- a/src/orchidwind_bench/managed/store.py
+++ b/src/orchidwind_bench/managed/store.py
@@ -21,6 +21,9 @@
 STORE = "store"
 STORE_SECONDS = 0.004
 CALL_SECONDS = 1.0
+# A database in the store's configuration: 497 KB for 2,854 of them (journal 764f09d2).
+DATABASE_BYTES = 174
+_REQUEST_BYTES = 200
 LOCK_EVENT = "promotion lock"
 ROSTER_EVENT = "rosters"
 MEMBER_EVENT = "members"
@@ -83,8 +86,18 @@
         `limit` is after how many seconds the proxy gives a call up that is not answered.
         """
         self.calls[node] = self.calls.get(node, 0) + 1
+        try:
+            async with asyncio.timeout(limit):
+                await self._ask(node)
+        except TimeoutError as error:
+            raise PlatformError("no answer in time") from error
         await self._way(node, limit)
 
+    async def _ask(self, node: str) -> None:
+        """A connection and a request, which wait behind what else the proxy sends."""
+        for _ in range(2):
+            await self._network.carry(node, "out", _REQUEST_BYTES)
+
     async def _way(self, node: str, limit: float) -> None:
         await asyncio.sleep(STORE_SECONDS)
         if node in self.silent_to:
@@ -97,6 +110,14 @@
         if self.down:
             raise PlatformError("down")
 
+    async def answer(self, node: str, limit: float, size: int) -> None:
+        """The bytes of an answer on the proxy's link; raises PlatformError after the limit."""
+        try:
+            async with asyncio.timeout(limit):
+                await self._network.carry(node, "in", size)
+        except TimeoutError as error:
+            raise PlatformError("the answer was not whole in time") from error
+
     async def wait_event(self, node: str, revision: int, wait: float, limit: float) -> list[str]:
         """A proxy's watch: names that changed after a revision."""
         await self.call(node, limit)
@@ -112,6 +133,11 @@
         return found
 
 
+def configuration_bytes(configuration: ManagedConfiguration) -> int:
+    """How long a configuration is as the first users' store writes it."""
+    return len(configuration.databases) * DATABASE_BYTES
+
+
 def _configuration(connection_limit: int) -> ManagedConfiguration:
     databases = _databases(
         (ReadConsistency.LATEST, ReadConsistency.BOUNDED, ReadConsistency.SESSION)
--- a/src/orchidwind_bench/managed/world.py
+++ b/src/orchidwind_bench/managed/world.py
@@ -28,6 +28,7 @@
     ROSTER_EVENT,
     STORE_SECONDS,
     SimulatedStore,
+    configuration_bytes,
 )
 
 CONNECTION_LIMIT = 32
@@ -122,7 +123,9 @@
     async def list(self, limit: float) -> Listing[ManagedConfiguration]:
         """The configuration."""
         await self._store.call(self._node, limit)
-        return Listing((self._store.configuration,), self._store.revision)
+        held = Listing((self._store.configuration,), self._store.revision)
+        await self._store.answer(self._node, limit, configuration_bytes(held.items[0]))
+        return held
 
     async def watch(
         self, revision: int, wait: float, limit: float
@@ -130,7 +133,10 @@
         """The configuration, when something has changed."""
         names = await self._store.wait_event(self._node, revision, wait, limit)
         items = (self._store.configuration,) if CONFIGURATION_EVENT in names else ()
-        return Changes(items, (), self._store.revision)
+        changes = Changes(items, (), self._store.revision)
+        if items:
+            await self._store.answer(self._node, limit - wait, configuration_bytes(items[0]))
+        return changes
 
 
 class SimulatedLockStore:
--- /dev/null
+++ b/tests/test_large_configurations.py
@@ -0,0 +1,114 @@
+"""A configuration of thousands of databases on links of 10 Mbit/s, on virtual time.
+
+Incident inc1 at grown Kalgara: the proxies that others ask sent it whole to each of them, again and
+again, until their links carried nothing else.
+"""
+
+import asyncio
+from dataclasses import replace
+
+from orchidwind.core.managed.homes import zone_readers
+from orchidwind.managed.following import NodeBounds
+from orchidwind.managed.views import CONFIGURATION
+from orchidwind_bench.managed.callers import ManagedSystem
+from orchidwind_bench.managed.virtual_time import run_virtual
+
+FLEET = tuple(f"proxy-{number:02}" for number in range(60))
+BOUND = NodeBounds().configuration
+SETTLED_SECONDS = 3.0
+# Bytes a second of a link of 10 Mbit/s, as most machines of the first users' grown sites have.
+LINK_RATE = 1_250_000.0
+DATABASES = 2_800
+
+
+def limit_links(system):
+    system.world.network.rates = dict.fromkeys(FLEET, LINK_RATE)
+
+
+def with_fleet(scenario):
+    async def work():
+        system = ManagedSystem(1, proxies=FLEET)
+        for node in system.nodes.values():
+            assert await node.wait_prepared(5.0)
+        await asyncio.sleep(SETTLED_SECONDS)
+        limit_links(system)
+        await scenario(system)
+
+    run_virtual(work())
+
+
+def apply_databases(system, number):
+    """An operator's change to so many databases; returns its version."""
+    store = system.world.store
+    held = store.configuration
+    pattern = next(iter(held.databases.values()))
+    names = [f"database-{index:04}" for index in range(number)]
+    more = {name: replace(pattern, name=name) for name in names}
+    wanted = replace(held, version=held.version + 1, databases={**held.databases, **more})
+    store.put_configuration(wanted)
+    return wanted.version
+
+
+def apply_idle_time(system):
+    """A change that leaves all databases as they are; returns its version."""
+    store = system.world.store
+    held = store.configuration
+    store.put_configuration(replace(held, version=held.version + 1, transaction_idle=2.0))
+    return store.configuration.version
+
+
+def behind(system, version):
+    """The proxies that do not hold a version yet."""
+    return [name for name, node in system.nodes.items() if node.configuration.version < version]
+
+
+def readers(system):
+    """The proxies that the others of their zones ask."""
+    members = system.nodes[FLEET[0]].homes.members
+    return [reader.name for reader in zone_readers(CONFIGURATION, members).values()]
+
+
+def sent(system):
+    """The bytes that each proxy has sent."""
+    carried = system.world.network.carried
+    return {name: carried.get((name, "out"), 0) for name in FLEET}
+
+
+def test_a_large_configuration_is_in_force_everywhere_in_time():
+    async def scenario(system):
+        apply_databases(system, DATABASES)
+        await asyncio.sleep(BOUND / 2)
+        version = apply_idle_time(system)
+        await asyncio.sleep(BOUND)
+        assert behind(system, version) == []
+
+    with_fleet(scenario)
+
+
+def test_a_proxy_that_others_ask_has_room_for_its_callers_beside_a_large_configuration():
+    async def scenario(system):
+        before = sent(system)
+        apply_databases(system, DATABASES)
+        await asyncio.sleep(2 * BOUND)
+        after = sent(system)
+        assert max(after[name] - before[name] for name in FLEET) < 0.2 * LINK_RATE * 2 * BOUND
+
+    with_fleet(scenario)
+
+
+def test_a_reading_anew_that_shows_nothing_new_is_not_told_to_others():
+    async def scenario(system):
+        system.world.network.rates = {}
+        apply_databases(system, DATABASES)
+        await asyncio.sleep(2 * BOUND)
+        limit_links(system)
+        # Another kind of object changes: the store's revision rises, the configuration stays.
+        system.world.store.revision += 1
+        for reader in readers(system):
+            assert await system.nodes[reader].watch(CONFIGURATION).refresh()
+        before = sent(system)
+        await asyncio.sleep(BOUND)
+        after = sent(system)
+        assert max(after[name] - before[name] for name in FLEET) < 0.05 * LINK_RATE * BOUND
+
+    with_fleet(scenario)
