--- a/src/orchidwind/core/managed/freshness.py
+++ b/src/orchidwind/core/managed/freshness.py
@@ -24,6 +24,8 @@
 _READ_SHARE = 0.6
 _HEDGE_SHARE = 0.2
 _PAUSE_SHARE = 0.1
+# A long content that another proxy sends, where the store does not serve this one.
+_WHOLE_SHARE = 0.4
 # A proxy that others tell needs the store itself only where the store serves it and not them. In an
 # outage all proxies ask: the readers often, these seldom.
 _RELYING_PAUSE_SHARE = 0.3
@@ -35,6 +37,7 @@
 # A read without an answer is repeated after this, where no promise says otherwise.
 _UNHURRIED_HEDGE_SECONDS = 1.0
 _UNHURRIED_PAUSE_SECONDS = 0.5
+_UNHURRIED_WHOLE_SECONDS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +53,7 @@
     `read_at_age`: the age at which the store is read, whatever was waited for.
     `hedge_after`: a read without an answer is repeated beside the first after this time.
     `longest_pause`: between two failed calls; `relying_pause`: where others are relied upon.
+    `whole_wait`: how long another proxy has to send a long content.
     """
 
     bound: float | None
@@ -61,6 +65,7 @@
     hedge_after: float
     longest_pause: float
     relying_pause: float
+    whole_wait: float
 
     @classmethod
     def within(cls, bound: float, told_at_once: bool = True) -> FollowTimes:
@@ -79,6 +84,7 @@
             hedge_after=bound * _HEDGE_SHARE,
             longest_pause=bound * _PAUSE_SHARE,
             relying_pause=bound * _RELYING_PAUSE_SHARE,
+            whole_wait=bound * _WHOLE_SHARE,
         )
 
     @classmethod
@@ -94,6 +100,7 @@
             hedge_after=_UNHURRIED_HEDGE_SECONDS,
             longest_pause=_UNHURRIED_PAUSE_SECONDS,
             relying_pause=_UNHURRIED_PAUSE_SECONDS,
+            whole_wait=_UNHURRIED_WHOLE_SECONDS,
         )
 
 
--- a/src/orchidwind/core/managed/peer_messages.py
+++ b/src/orchidwind/core/managed/peer_messages.py
@@ -111,11 +111,15 @@
 
 
 class ViewQuery(msgspec.Struct, frozen=True):
-    """Asks for what is later than a revision in the view named `view`; -1 asks for all."""
+    """Asks for what is later than a revision in the view named `view`; -1 asks for all.
+
+    With `whole` the content is wanted however long it is, as the store does not serve the asker.
+    """
 
     number: int
     view: str
     revision: int
+    whole: bool = False
 
 
 class ConfigurationView(msgspec.Struct, frozen=True):
@@ -143,13 +147,14 @@
     """A proxy's view, which was known to be current `age` seconds before this, as of `revision`.
 
     Without `known` the proxy does not follow that view. One of the views is given where it changed
-    after the revision asked for.
+    after the revision asked for; with `omitted` it did, and is too long to be told unasked.
     """
 
     number: int
     known: bool
     age: float
     revision: int
+    omitted: bool = False
     configuration: ConfigurationView | None = None
     directory: DirectoryView | None = None
     members: MembersView | None = None
--- a/src/orchidwind/managed/hedging.py
+++ b/src/orchidwind/managed/hedging.py
@@ -1,4 +1,8 @@
-"""Repeats a call that stays without an answer, on a connection of its own, beside the first."""
+"""Repeats a call that stays without an answer, on a connection of its own, beside the first.
+
+A call whose answer is arriving is not repeated: on a slow link copies of a long answer would take
+the bandwidth from one another, and none be whole in time.
+"""
 
 from __future__ import annotations
 
@@ -14,11 +18,24 @@
 T = TypeVar("T")
 
 
-async def hedged(call: Callable[[], Awaitable[T]], stagger: float) -> T:
+class Arrival:
+    """When bytes of an answer came last, in seconds of the steady clock."""
+
+    def __init__(self) -> None:
+        self.at = float("-inf")
+        self._loop = asyncio.get_running_loop()
+
+    def note(self) -> None:
+        """Bytes have come."""
+        self.at = self._loop.time()
+
+
+async def hedged(call: Callable[[], Awaitable[T]], stagger: float, arrival: Arrival) -> T:
     """The first answer of a call that is begun anew each `stagger` seconds, `MOST_CALLS` times.
 
-    A call that was swallowed costs one stagger, and one that is only slow is not given up for it.
-    Raises PlatformError when all have failed, or have been silent for one more stagger.
+    `arrival` is noted by the calls as bytes of their answers come. A call that was swallowed costs
+    one stagger, and one that is only slow is not given up for it. Raises PlatformError when all
+    have failed, or have been silent for one more stagger.
     """
     loop = asyncio.get_running_loop()
     pending: set[asyncio.Task[T]] = set()
@@ -27,6 +44,7 @@
     try:
         while True:
             now = loop.time()
+            begin_next_at = max(begin_next_at, arrival.at + stagger)
             if now >= begin_next_at:
                 if begun == MOST_CALLS:
                     raise PlatformError(f"no answer to {begun} calls, one each {stagger:.3f} s")
--- a/src/orchidwind/managed/lead_lease.py
+++ b/src/orchidwind/managed/lead_lease.py
@@ -177,10 +177,11 @@
 
     # --- revocation ---------------------------------------------------------------------------
 
-    def listed(self, listing: Listing[LockRecord]) -> None:
+    def listed(self, listing: Listing[LockRecord]) -> bool:
         """The lock as a fresh listing shows it."""
         for record in listing.items:
             self._take(record)
+        return True
 
     def changed(self, changes: Changes[LockRecord]) -> None:
         """The lock changed."""
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -196,11 +196,11 @@
 
     # --- configuration ------------------------------------------------------------------------
 
-    def adopt(self, configuration: ManagedConfiguration) -> None:
-        """Put a configuration in force, unless a later one is."""
+    def adopt(self, configuration: ManagedConfiguration) -> bool:
+        """Put a configuration in force, unless it or a later one is; whether it was."""
         current = self.configuration
         if current is not None and configuration.version <= current.version:
-            return
+            return False
         self.configuration = configuration
         self.transaction_idle = configuration.transaction_idle
         self.metrics.configuration_version.set(configuration.version)
@@ -218,6 +218,7 @@
         if current is None or current.groups != configuration.groups:
             self.homes.limits_changed()
         self._note_prepared()
+        return True
 
     def _add_group(self, name: str) -> None:
         assert self.configuration is not None
@@ -274,15 +275,17 @@
 
     # --- directory ----------------------------------------------------------------------------
 
-    def directory_listed(self, entries: tuple[DirectoryEntry, ...]) -> None:
-        """The whole directory was read."""
-        listed = {entry.instance for entry in entries}
+    def directory_listed(self, entries: tuple[DirectoryEntry, ...]) -> bool:
+        """The whole directory was read; whether it differs from the one that was held."""
+        listed = {entry.instance: entry for entry in entries}
+        differs = listed != self.directory or not self._directory_listed
         for name in [name for name in self.directory if name not in listed]:
             self.instance_gone(name, lapsed=True)
         for entry in entries:
             self.instance_listed(entry)
         self._directory_listed = True
         self._note_prepared()
+        return differs
 
     def instance_listed(self, entry: DirectoryEntry) -> None:
         """An instance is listed, or its entry changed."""
--- a/src/orchidwind/managed/peer_link.py
+++ b/src/orchidwind/managed/peer_link.py
@@ -81,9 +81,9 @@
         assert isinstance(answer, LockReport)
         return answer
 
-    async def ask_view(self, view: str, revision: int) -> ViewReport:
+    async def ask_view(self, view: str, revision: int, whole: bool) -> ViewReport:
         """Ask what is later than a revision in a view; raises PeerUnavailable."""
-        answer = await self._ask(ViewQuery(self.next_number(), view, revision))
+        answer = await self._ask(ViewQuery(self.next_number(), view, revision, whole))
         assert isinstance(answer, ViewReport)
         return answer
 
@@ -230,7 +230,9 @@
         self._watching = None
         if not self._pending or self._connection is None:
             return
-        silent = self._loop.time() - max(self._heard_at, self._asked_at)
+        # A long answer that is arriving is a sign of life before it is whole.
+        heard_at = max(self._heard_at, self._connection.heard_at)
+        silent = self._loop.time() - max(heard_at, self._asked_at)
         if silent > SILENT_SECONDS:
             self._lost("silent")
             return
--- a/src/orchidwind/managed/peer_service.py
+++ b/src/orchidwind/managed/peer_service.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from orchidwind.core.errors import ErrorKind, RequestError
 from orchidwind.core.managed.answers import transaction_lost
 from orchidwind.core.managed.commands import (
@@ -40,8 +42,12 @@
 _PREPARED_NAME = "forwarded"
 _LOGGED_ATTEMPTS = 4
 _FRONT_MARGIN_SECONDS = 1.0
+# So many long contents wait to be sent. One of 2,855 databases has 146 KB, which take 0.12 s of a
+# link of 10 Mbit/s: with more, the last ones would come after their askers had given up.
+MOST_WAITING_LONG = 4
 
 SendBack = Callable[[PeerMessage], None]
+Drained = Callable[[], Awaitable[None]]
 GroupLookup = Callable[[str], GroupService | None]
 ReadLock = Callable[[int], Awaitable[LockReport]]
 TellView = Callable[[ViewQuery], ViewReport]
@@ -58,6 +64,28 @@
     tell_view: TellView
 
 
+class LongSends:
+    """Long contents leave one after the other: together they would fill this proxy's link."""
+
+    def __init__(self) -> None:
+        self._lock = asyncio.Lock()
+        self._waiting = 0
+
+    @property
+    def full(self) -> bool:
+        """Whether one more would wait for longer than its asker."""
+        return self._waiting >= MOST_WAITING_LONG
+
+    async def send(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Send one, after those that came before."""
+        self._waiting += 1
+        try:
+            async with self._lock:
+                await work()
+        finally:
+            self._waiting -= 1
+
+
 class PeerService:
     """All links that other proxies opened to this one."""
 
@@ -65,10 +93,11 @@
         self.leaving = False
         self._home = home
         self._links: set[ServedLink] = set()
+        self._long_sends = LongSends()
 
-    def link(self, send: SendBack) -> ServedLink:
-        """A link was opened; `send` writes on it."""
-        served = ServedLink(self._home, send, lambda: self.leaving)
+    def link(self, send: SendBack, drained: Drained) -> ServedLink:
+        """A link was opened; `send` writes on it, `drained` waits until that has left."""
+        served = ServedLink(self._home, send, drained, self._long_sends, lambda: self.leaving)
         self._links.add(served)
         return served
 
@@ -87,9 +116,20 @@
 class ServedLink:
     """One link at the home's side."""
 
-    def __init__(self, home: HomePorts, send: SendBack, leaving: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        home: HomePorts,
+        send: SendBack,
+        drained: Drained,
+        long_sends: LongSends,
+        leaving: Callable[[], bool],
+    ) -> None:
         self._home = home
         self._send = send
+        self._drained = drained
+        self._long_sends = long_sends
+        self._telling_whole = False
+        self._ended = False
         self._leaving = leaving
         self._channels: dict[int, _Channel] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -101,7 +141,7 @@
         elif isinstance(message, LockQuery):
             self._spawn(self._report_lock(message))
         elif isinstance(message, ViewQuery):
-            self._send(self._home.tell_view(message))
+            self._tell_view(message)
         elif isinstance(message, Probe):
             self._send(Alive(self._leaving()))
         elif isinstance(message, CloseChannel):
@@ -118,8 +158,28 @@
         """Tell the other side that this proxy stops."""
         self._send(Alive(leaving=True))
 
+    def _tell_view(self, query: ViewQuery) -> None:
+        """Tell a view; one that is still being sent on this link is not sent a second time."""
+        if not query.whole or self._telling_whole or self._long_sends.full:
+            self._send(self._home.tell_view(msgspec.structs.replace(query, whole=False)))
+            return
+        self._telling_whole = True
+        self._spawn(self._tell_whole(query))
+
+    async def _tell_whole(self, query: ViewQuery) -> None:
+        async def send() -> None:
+            if not self._ended:
+                self._send(self._home.tell_view(query))
+                await self._drained()
+
+        try:
+            await self._long_sends.send(send)
+        finally:
+            self._telling_whole = False
+
     def end(self) -> None:
         """The link is gone, and so are its sessions."""
+        self._ended = True
         for number, channel in list(self._channels.items()):
             channel.close()
             self._drop_if_done(number)
--- a/src/orchidwind/managed/peers.py
+++ b/src/orchidwind/managed/peers.py
@@ -103,14 +103,18 @@
         if self._loop.time() - self._written_at > _LISTED_AFTER_SECONDS:
             self._write_wanted.set()
 
-    def listed(self, listing: Listing[ProxyMember]) -> None:
-        """All members, read freshly."""
+    def listed(self, listing: Listing[ProxyMember]) -> bool:
+        """All members, read freshly; whether they differ from those that were held."""
+        before, first = self._members, not self.known
         self._members = {member.name: member for member in listing.items}
         if self.own.name not in self._members:
             self._note_missing()
         self._members[self.own.name] = self.own
         self.known = True
+        if not first and self._members == before:
+            return False
         self._changed()
+        return True
 
     def changed(self, changes: Changes[ProxyMember]) -> None:
         """Members that came, changed or went."""
--- a/src/orchidwind/managed/ports.py
+++ b/src/orchidwind/managed/ports.py
@@ -66,13 +66,16 @@
 class WatchedCollection(Protocol[Item]):
     """A collection in the store that can be followed; calls raise PlatformError.
 
-    `limit` is after how many seconds a call without an answer is given up.
+    `limit` is after how many seconds a call without an answer is given up; one that is arriving is
+    waited for longer, and `on_arrival` called as it comes.
     """
 
-    async def list(self, limit: float) -> Listing[Item]:
+    async def list(self, limit: float, on_arrival: Callable[[], None]) -> Listing[Item]:
         """Read all of it, freshly."""
 
-    async def watch(self, revision: int, wait: float, limit: float) -> Changes[Item]:
+    async def watch(
+        self, revision: int, wait: float, limit: float, on_arrival: Callable[[], None]
+    ) -> Changes[Item]:
         """Wait some seconds for changes after a revision.
 
         Raises PlatformVersionGone where the revision is too old.
@@ -121,6 +124,10 @@
 class PeerConnection(Protocol):
     """An open connection to another proxy."""
 
+    @property
+    def heard_at(self) -> float:
+        """When bytes came last, also of a message that is not whole yet; steady clock, seconds."""
+
     def send(self, message: PeerMessage) -> None:
         """Send a message; nothing happens where the connection is gone."""
 
--- a/src/orchidwind/managed/rosters.py
+++ b/src/orchidwind/managed/rosters.py
@@ -33,11 +33,12 @@
         self._rosters: dict[str, Roster] = {}
         self._loop = asyncio.get_running_loop()
 
-    def listed(self, listing: Listing[Roster]) -> None:
+    def listed(self, listing: Listing[Roster]) -> bool:
         """All rosters, read freshly: from now on nobody can have left unknown to this proxy."""
         for roster in listing.items:
             self._take(roster)
         self.known = True
+        return True
 
     def changed(self, changes: Changes[Roster]) -> None:
         """Rosters that changed."""
--- a/src/orchidwind/managed/views.py
+++ b/src/orchidwind/managed/views.py
@@ -36,8 +36,13 @@
 CONFIGURATION = "configuration"
 DIRECTORY = "directory"
 MEMBERS = "members"
-# Between two zones an answer takes some milliseconds, on a machine slowed fivefold some dozens.
-_ANSWER_SECONDS = 0.25
+# Between two zones an answer takes some milliseconds, on a machine slowed fivefold some dozens. A
+# link that says nothing finds that out by itself after 0.4 s (`managed.peer_link`).
+_ANSWER_SECONDS = 0.5
+# A longer content is not told unasked: the others read it at the store, which has the bandwidth. A
+# report with so many has about 10 KB; told to 30 proxies at once it takes 0.25 s of a link of 10
+# Mbit/s.
+MOST_TOLD_ITEMS = 200
 # The reader of the zone, and one more: each costs a message, and a silent one costs its time.
 _MOST_ASKED = 2
 
@@ -59,6 +64,7 @@
         self._view = view
         # With an older view the store would be read at once: then the next proxy is asked, too.
         self._fresh_seconds = times.read_at_age or 0.0
+        self._whole_seconds = times.whole_wait
         self._network = network
         self._followers = followers
         self._items = items
@@ -84,17 +90,26 @@
             self._zone_readers = zone_readers(self._view, self._followers())
         return self._zone_readers
 
-    async def ask(self, revision: int) -> ToldView[Item] | None:
-        """Ask one or two readers; the best that was told, None where nobody knows."""
+    async def ask(self, revision: int, whole: bool) -> ToldView[Item] | None:
+        """Ask one or two readers; the best that was told, None where nobody knows.
+
+        With `whole` they send the content however long it is.
+        """
         best: ToldView[Item] | None = None
         for link in self._links()[:_MOST_ASKED]:
-            told = await self._ask_one(link, revision)
-            if told is not None and (best is None or told.as_of > best.as_of):
+            told = await self._ask_one(link, revision, whole)
+            if told is not None and (best is None or _better(told, best)):
                 best = told
-            if best is not None and self._loop.time() - best.as_of <= self._fresh_seconds:
+            if best is not None and self._suffices(best, whole):
                 break
         return best
 
+    def _suffices(self, told: ToldView[Item], whole: bool) -> bool:
+        """Whether nobody else need be asked."""
+        if whole and told.omitted:
+            return False
+        return self._loop.time() - told.as_of <= self._fresh_seconds
+
     def _links(self) -> list[PeerLink]:
         """Links to the readers that can be asked: first that of the zone, then others in turn."""
         own = self._network.own
@@ -107,11 +122,11 @@
         links = [self._network.usable_link(member) for member in order if member.name != own.name]
         return [link for link in links if link is not None]
 
-    async def _ask_one(self, link: PeerLink, revision: int) -> ToldView[Item] | None:
+    async def _ask_one(self, link: PeerLink, revision: int, whole: bool) -> ToldView[Item] | None:
         asked_at = self._loop.time()
         try:
-            async with asyncio.timeout(_ANSWER_SECONDS):
-                report = await link.ask_view(self._view, revision)
+            async with asyncio.timeout(self._whole_seconds if whole else _ANSWER_SECONDS):
+                report = await link.ask_view(self._view, revision, whole)
         except (PeerUnavailable, TimeoutError) as error:
             reason = str(error) or "no answer in time"
             log_event("view_not_told", collection=self._view, peer=link.member.name, reason=reason)
@@ -120,7 +135,12 @@
             return None
         items = self._items(report)
         listing = Listing(items, report.revision) if items is not None else None
-        return ToldView(link.member.name, asked_at - report.age, listing)
+        return ToldView(link.member.name, asked_at - report.age, listing, report.omitted)
+
+
+def _better(told: ToldView[Any], best: ToldView[Any]) -> bool:
+    """Whether an answer tells more than another."""
+    return (told.listing is not None, told.as_of) > (best.listing is not None, best.as_of)
 
 
 class FollowedViews(Protocol):
@@ -153,9 +173,20 @@
         if watch.changed_revision <= query.revision:
             self._node.metrics.view_told(query.view, "confirmed", 0)
             return report
-        told = self._with_content(report, query.view)
-        self._node.metrics.view_told(query.view, "content", _items_of(told))
-        return told
+        if not query.whole and self._items(query.view) > MOST_TOLD_ITEMS:
+            self._node.metrics.view_told(query.view, "omitted", 0)
+            return omitted(report)
+        self._node.metrics.view_told(query.view, "content", self._items(query.view))
+        return self._with_content(report, query.view)
+
+    def _items(self, view: str) -> int:
+        """How many items a view holds."""
+        if view == CONFIGURATION:
+            held = self._node.configuration
+            return 0 if held is None else len(held.databases)
+        if view == DIRECTORY:
+            return len(self._node.directory)
+        return len(tuple(self._node.members))
 
     def _with_content(self, report: ViewReport, view: str) -> ViewReport:
         """The same report, which holds what the view shows."""
@@ -180,13 +211,11 @@
         return DirectoryView(tuple(self._node.directory.values()))
 
 
-def _items_of(report: ViewReport) -> int:
-    """How many items of its view a report holds."""
-    if report.configuration is not None:
-        return len(report.configuration.databases)
-    if report.directory is not None:
-        return len(report.directory.entries)
-    return 0 if report.members is None else len(report.members.proxies)
+def omitted(report: ViewReport) -> ViewReport:
+    """The same report without content; it tells that there is one."""
+    return msgspec.structs.replace(
+        report, omitted=True, configuration=None, directory=None, members=None
+    )
 
 
 def told_configuration(report: ViewReport) -> tuple[ManagedConfiguration, ...] | None:
@@ -212,13 +241,13 @@
 class ConfigurationFollower:
     """Passes configurations on."""
 
-    def __init__(self, adopt: Callable[[ManagedConfiguration], None]) -> None:
+    def __init__(self, adopt: Callable[[ManagedConfiguration], bool]) -> None:
+        """`adopt` puts a configuration in force; whether it is a later one."""
         self._adopt = adopt
 
-    def listed(self, listing: Listing[ManagedConfiguration]) -> None:
-        """The configuration as it is."""
-        for item in listing.items:
-            self._adopt(item)
+    def listed(self, listing: Listing[ManagedConfiguration]) -> bool:
+        """The configuration as it is; whether it is a later one."""
+        return any([self._adopt(item) for item in listing.items])
 
     def changed(self, changes: Changes[ManagedConfiguration]) -> None:
         """A later one."""
@@ -231,7 +260,7 @@
 
     def __init__(
         self,
-        all_listed: Callable[[tuple[DirectoryEntry, ...]], None],
+        all_listed: Callable[[tuple[DirectoryEntry, ...]], bool],
         listed: Callable[[DirectoryEntry], None],
         gone: Callable[[str], None],
     ) -> None:
@@ -239,9 +268,9 @@
         self._listed = listed
         self._gone = gone
 
-    def listed(self, listing: Listing[DirectoryEntry]) -> None:
-        """All entries."""
-        self._all_listed(listing.items)
+    def listed(self, listing: Listing[DirectoryEntry]) -> bool:
+        """All entries; whether they differ from those that were held."""
+        return self._all_listed(listing.items)
 
     def changed(self, changes: Changes[DirectoryEntry]) -> None:
         """Later changes."""
--- a/src/orchidwind/managed/watch.py
+++ b/src/orchidwind/managed/watch.py
@@ -16,7 +16,7 @@
 from orchidwind.core.errors import PlatformError, PlatformVersionGone
 from orchidwind.core.managed.freshness import FollowTimes, ViewAge
 from orchidwind.logs import log_event
-from orchidwind.managed.hedging import MOST_CALLS, hedged
+from orchidwind.managed.hedging import MOST_CALLS, Arrival, hedged
 from orchidwind.managed.ports import Changes, Listing, WatchedCollection
 
 _FIRST_RETRY_SECONDS = 0.1
@@ -32,8 +32,11 @@
 class CollectionFollower(Protocol[Taken]):
     """Takes what a watch brings."""
 
-    def listed(self, listing: Listing[Taken]) -> None:
-        """All items as of a revision; what is missing is gone."""
+    def listed(self, listing: Listing[Taken]) -> bool:
+        """All items as of a revision; what is missing is gone.
+
+        Whether they differ from what was held, so that others have to be told.
+        """
 
     def changed(self, changes: Changes[Taken]) -> None:
         """Later changes."""
@@ -43,12 +46,14 @@
 class ToldView(Generic[Item]):
     """What another proxy told of its view, which was current at `as_of` of this one's clock.
 
-    `listing` is None where the asking proxy's own view holds the same.
+    `listing` is None where the asking proxy's own view holds the same, or with `omitted`, where the
+    other's is later and too long to be told unasked.
     """
 
     peer: str
     as_of: float
     listing: Listing[Item] | None
+    omitted: bool = False
 
 
 class SecondPath(Protocol[Item]):
@@ -57,12 +62,15 @@
     def relied_upon(self) -> bool:
         """Whether others ask this proxy, so that it must not rely on them in its turn."""
 
-    async def ask(self, revision: int) -> ToldView[Item] | None:
-        """Ask for what is later than a revision; None where nobody knows."""
+    async def ask(self, revision: int, whole: bool) -> ToldView[Item] | None:
+        """Ask for what is later than a revision; None where nobody knows.
 
+        With `whole` a long content is wanted, too.
+        """
 
-class _ViewTooOld(PlatformError):
-    """The store is read anew, as nothing showed that the view is still current."""
+
+class _ReadAnew(PlatformError):
+    """The store is read anew: nothing showed that the view is current, or that it is not."""
 
 
 class CollectionWatch(Generic[Item]):
@@ -95,6 +103,8 @@
         self._told_too_old = False
         self._retry = _FIRST_RETRY_SECONDS
         self._failed_attempts = 0
+        # Since when the store is read without an answer; None where it is not being read.
+        self._unserved_since: float | None = None
         self._loop = asyncio.get_running_loop()
         self._age = ViewAge(times, self._loop.time())
 
@@ -111,7 +121,7 @@
             except PlatformVersionGone:
                 self._tell("watch_history_gone")
                 self._read_next = True
-            except _ViewTooOld as error:
+            except _ReadAnew as error:
                 self._tell("watch_given_up", reason=error)
                 self._read_next = True
             except PlatformError as error:
@@ -123,7 +133,7 @@
     async def refresh(self) -> bool:
         """Read the store now, beside what is under way; whether it answered."""
         try:
-            await self._read()
+            await self._read(Arrival())
         except PlatformError as error:
             self._tell("view_not_refreshed", reason=error)
             return False
@@ -131,7 +141,10 @@
 
     async def _step(self) -> None:
         if self._read_next:
-            await self._answered(self._read())
+            arrival = Arrival()
+            if self._unserved_since is None:
+                self._unserved_since = self._loop.time()
+            await self._answered(self._read(arrival), arrival)
             self._read_next = False
             await asyncio.sleep(self._gather_seconds)
             return
@@ -150,16 +163,18 @@
     async def _live_on_others(self) -> None:
         """Take confirmations and changes from others, until they rely on this proxy instead.
 
-        Raises _ViewTooOld where nobody confirmed the view for long.
+        Raises _ReadAnew where nobody confirmed the view for long, or one tells of a later one.
         """
         while self._relies:
             await asyncio.sleep(self._check_due_in(may_be_old=False) or _SHORTEST_CHECK_SECONDS)
             await self._check(may_be_old=False)
 
-    async def _read(self) -> None:
+    async def _read(self, arrival: Arrival) -> None:
         sent_at = self._loop.time()
         limit = self._times.hedge_after * MOST_CALLS
-        listing = await hedged(lambda: self._source.list(limit), self._times.hedge_after)
+        listing = await hedged(
+            lambda: self._source.list(limit, arrival.note), self._times.hedge_after, arrival
+        )
         self._take_listing(listing, sent_at, _STORE)
 
     async def _watch(self) -> bool:
@@ -167,24 +182,32 @@
         relying_wait = self._times.relying_wait if self._relies else None
         wait = self._times.watch_wait if relying_wait is None else relying_wait
         sent_at = self._loop.time()
-        call = self._source.watch(self.revision, wait, wait + self._times.answer_slack)
-        changes = await self._answered(call, may_be_old=False)
+        arrival = Arrival()
+        limit = wait + self._times.answer_slack
+        call = self._source.watch(self.revision, wait, limit, arrival.note)
+        changes = await self._answered(call, arrival, may_be_old=False)
         # An answer that came early may have been made at any time since the call was sent.
         waited_out = self._loop.time() - sent_at >= wait
         self._take_changes(changes, sent_at + wait if waited_out else sent_at)
         return bool(changes.changed or changes.gone)
 
-    async def _answered(self, call: Awaitable[Answer], may_be_old: bool = True) -> Answer:
+    async def _answered(
+        self, call: Awaitable[Answer], arrival: Arrival, may_be_old: bool = True
+    ) -> Answer:
         """Wait for a call; meanwhile ask others as the view grows old.
 
-        Raises what the call raises, and _ViewTooOld unless `may_be_old`.
+        Raises what the call raises, and _ReadAnew unless `may_be_old` or its answer is arriving.
         """
         task = asyncio.ensure_future(call)
         try:
             while not task.done():
                 await asyncio.wait({task}, timeout=self._check_due_in(may_be_old))
                 if not task.done():
-                    await self._check(may_be_old)
+                    if self._loop.time() - arrival.at < self._times.hedge_after:
+                        self._unserved_since = None
+                        await self._check(may_be_old=True)
+                    else:
+                        await self._check(may_be_old)
             return await task
         finally:
             task.cancel()
@@ -206,25 +229,38 @@
         return self._age.ask_due_in(now, first)
 
     async def _check(self, may_be_old: bool) -> None:
-        """Ask others where that is due; raises _ViewTooOld where the store must be read."""
-        await self._ask_others()
+        """Ask others where that is due; raises _ReadAnew where the store must be read."""
+        knows_more = await self._ask_others()
         now = self._loop.time()
         self._tell_if_too_old(now)
-        if not may_be_old and self._age.read_due_in(now) == 0.0:
-            raise _ViewTooOld("nothing showed that the view is still current")
+        if may_be_old:
+            return
+        if knows_more:
+            raise _ReadAnew(f"{knows_more} holds a later one")
+        if self._age.read_due_in(now) == 0.0:
+            raise _ReadAnew("nothing showed that the view is still current")
 
-    async def _ask_others(self) -> None:
+    async def _ask_others(self) -> str:
+        """Ask where that is due; who holds a later view and did not tell it, or nobody."""
         now = self._loop.time()
         if self._second_path is None or self._ask_due_in(now) != 0.0:
-            return
+            return ""
         self._age.asked(now)
-        told = await self._second_path.ask(self.revision)
+        told = await self._second_path.ask(self.revision, whole=self._unserved(now))
         if told is None:
-            return
+            return ""
+        if told.omitted:
+            return told.peer
         if told.listing is None:
             self._confirmed(told.as_of)
         elif not self._outdated(told):
             self._take_listing(told.listing, told.as_of, told.peer)
+        return ""
+
+    def _unserved(self, now: float) -> bool:
+        """Whether the store does not serve this proxy: others must send what is long, too."""
+        since = self._unserved_since
+        return since is not None and now - since > self._times.hedge_after
 
     def _outdated(self, told: ToldView[Item]) -> bool:
         """Whether a first view is older than the promise allows: then the store is waited for."""
@@ -242,9 +278,9 @@
             self._tell("view_told", peer=source, told_revision=listing.revision, told_age=told_age)
         # An answer that was overtaken by a later one tells nothing new.
         if listing.revision >= self.revision:
+            if self._follower.listed(listing) or self.revision < 0:
+                self.changed_revision = listing.revision
             self.revision = listing.revision
-            self.changed_revision = listing.revision
-            self._follower.listed(listing)
         self._confirmed(as_of)
 
     def _take_changes(self, changes: Changes[Item], as_of: float) -> None:
@@ -290,6 +326,7 @@
             self._connected = True
             self._tell("watch_connected", revision=revision, failed_attempts=self._failed_attempts)
         self._failed_attempts = 0
+        self._unserved_since = None
 
     async def _after_error(self, error: PlatformError) -> None:
         self._read_next = True
--- a/src/orchidwind/network/http_call.py
+++ b/src/orchidwind/network/http_call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -19,6 +20,11 @@
 from orchidwind.network.sockets import client_socket
 
 _MAXIMUM_BODY_BYTES = 64 * 1024 * 1024
+# An answer that is arriving is waited for until nothing came for so long. A window of 64 KB takes
+# 0.1 s on a link of 5 Mbit/s, and a lost packet some tenths more.
+ARRIVING_SECONDS = 1.0
+# An answer of 1 MB, the longest object of the first users' store, takes 8 s at 1 Mbit/s.
+LONGEST_ANSWER_SECONDS = 10.0
 
 
 class HttpCallFailed(OrchidwindError):
@@ -49,7 +55,8 @@
 
 
 class _Collector(HTTPMessageDelegate):
-    def __init__(self) -> None:
+    def __init__(self, on_bytes: Callable[[], None]) -> None:
+        self._on_bytes = on_bytes
         self.status = 0
         self.body = bytearray()
         self.finished = False
@@ -62,26 +69,43 @@
 
     def data_received(self, chunk: bytes) -> None:
         self.body += chunk
+        self._on_bytes()
 
     def finish(self) -> None:
         self.finished = True
 
 
-async def http_call(request: HttpRequest, seconds: float) -> HttpAnswer:
-    """Make a call; raises HttpCallFailed."""
+async def http_call(
+    request: HttpRequest, seconds: float, on_arrival: Callable[[], None] | None = None
+) -> HttpAnswer:
+    """Make a call; raises HttpCallFailed.
+
+    With `on_arrival`, which is called as bytes of the answer's body come, an answer that is
+    arriving is waited for beyond `seconds`; without, the call ends then in any case.
+    """
     stream = IOStream(client_socket())
-    started_at = asyncio.get_running_loop().time()
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
     sent = False
-    collector = _Collector()
+
+    def extend() -> None:
+        due = limit.when()
+        if on_arrival is None or due is None:
+            return
+        on_arrival()
+        patience = min(loop.time() + ARRIVING_SECONDS, started_at + LONGEST_ANSWER_SECONDS)
+        limit.reschedule(max(due, patience))
+
+    collector = _Collector(extend)
 
     def failed(reason: str) -> HttpCallFailed:
         stage = "waiting for the answer" if sent else "connecting"
-        spent = asyncio.get_running_loop().time() - started_at
+        spent = loop.time() - started_at
         arrived = f" and {len(collector.body)} bytes of it" if collector.body else ""
         return HttpCallFailed(f"{reason} while {stage}, after {spent:.3f} s{arrived}", sent=sent)
 
     try:
-        async with asyncio.timeout(seconds):
+        async with asyncio.timeout(seconds) as limit:
             await stream.connect(request.address)
             sent = True
             return await _exchange(stream, request, collector)
--- a/src/orchidwind/network/peer_streams.py
+++ b/src/orchidwind/network/peer_streams.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 from collections.abc import Callable
@@ -38,11 +39,20 @@
     def __init__(self, stream: IOStream) -> None:
         self._stream = stream
         self._reader: asyncio.Task[None] | None = None
+        self._written: asyncio.Future[None] | None = None
+        self._loop = asyncio.get_running_loop()
+        self.heard_at = self._loop.time()
 
     def send(self, message: PeerMessage) -> None:
         """Send a message; nothing happens where the connection is gone."""
         if not self._stream.closed():
-            self._stream.write(_codec().encode_peer(message))
+            self._written = self._stream.write(_codec().encode_peer(message))
+
+    async def drained(self) -> None:
+        """Wait until the network has taken what was sent, or the connection is gone."""
+        if self._written is not None:
+            with contextlib.suppress(StreamClosedError):
+                await self._written
 
     async def receive(self, on_message: Callable[[PeerMessage], None]) -> str:
         """Take messages until the connection ends; returns the reason."""
@@ -51,6 +61,7 @@
         try:
             while True:
                 frames.feed(await self._stream.read_bytes(_READ_BYTES, partial=True))
+                self.heard_at = self._loop.time()
                 if self._given_up():
                     self.close()
                     return "given up by the other side"
@@ -132,7 +143,7 @@
         watchful(stream.socket)
         opened = PeerStream(stream)
         self._streams.add(opened)
-        served = self._service.link(opened.send)
+        served = self._service.link(opened.send, opened.drained)
         try:
             await opened.receive(served.take)
         finally:
--- a/src/orchidwind/platform/store.py
+++ b/src/orchidwind/platform/store.py
@@ -78,6 +78,7 @@
 
 
 OnCall = Callable[[str, str], None]
+OnArrival = Callable[[], None]
 
 
 class ObjectStore:
@@ -92,11 +93,17 @@
         kind, _, _ = path.removeprefix(OBJECTS).partition("?")
         self._on_call(method, kind.partition("/")[0])
 
-    async def read(self, path: str, seconds: float) -> HttpAnswer:
-        """A call that changes nothing; raises PlatformError."""
+    async def read(
+        self, path: str, seconds: float, on_arrival: OnArrival | None = None
+    ) -> HttpAnswer:
+        """A call that changes nothing; raises PlatformError.
+
+        With `on_arrival` an answer that is arriving is waited for longer.
+        """
         self._note("GET", path)
+        request = HttpRequest(self._address, "GET", path)
         try:
-            answer = await http_call(HttpRequest(self._address, "GET", path), seconds)
+            answer = await http_call(request, seconds, on_arrival)
         except HttpCallFailed as error:
             raise PlatformError(f"the store does not answer: {error}") from error
         if answer.status == 410:
@@ -180,14 +187,16 @@
     create: bool
 
 
-async def read_all(store: ObjectStore, kind_path: str, limit: float) -> Listing[StoredObject]:
+async def read_all(
+    store: ObjectStore, kind_path: str, limit: float, on_arrival: OnArrival | None = None
+) -> Listing[StoredObject]:
     """Read all objects of a kind, page by page, each in `limit` seconds; raises PlatformError."""
     items: list[StoredObject] = []
     after = ""
     first_revision = 0
     while True:
         path = f"{kind_path}?after={quote(after)}" if after else kind_path
-        answer = await store.read(path, limit)
+        answer = await store.read(path, limit, on_arrival)
         if answer.status == 404:
             raise PlatformError("the store does not know the kind")
         page = decode(answer.body, _ObjectList)
@@ -215,16 +224,18 @@
         self._translation = translation
         self._path = OBJECTS + translation.kind
 
-    async def list(self, limit: float) -> Listing[Item]:
+    async def list(self, limit: float, on_arrival: OnArrival) -> Listing[Item]:
         """Read all objects; raises PlatformError."""
-        listing = await read_all(self._store, self._path, limit)
+        listing = await read_all(self._store, self._path, limit, on_arrival)
         return Listing(self._items(listing.items), listing.revision)
 
-    async def watch(self, revision: int, wait: float, limit: float) -> Changes[Item]:
+    async def watch(
+        self, revision: int, wait: float, limit: float, on_arrival: OnArrival
+    ) -> Changes[Item]:
         """Wait for changes after a revision; raises PlatformVersionGone, PlatformError."""
         milliseconds = int(wait * MILLISECONDS)
         path = f"{self._path}?watch={revision}&wait_ms={milliseconds}"
-        answer = await self._store.read(path, limit)
+        answer = await self._store.read(path, limit, on_arrival)
         if answer.status == 404:
             raise PlatformVersionGone("the store does not know the kind")
         events = decode(answer.body, _EventList)
--- a/src/orchidwind_bench/managed/peers.py
+++ b/src/orchidwind_bench/managed/peers.py
@@ -56,7 +56,8 @@
         self._on_message = on_message
         self._on_lost = on_lost
         self._service = links.nodes[home].peer_service
-        self._served: ServedLink = self._service.link(self._send_back)
+        self.heard_at = asyncio.get_running_loop().time()
+        self._served: ServedLink = self._service.link(self._send_back, self._drained)
         self._open = True
         self._waiting: dict[str, asyncio.Queue[_Parcel]] = {}
         self._carrying: list[asyncio.Task[None]] = []
@@ -85,12 +86,19 @@
             self._carrying.append(carrying)
         self._waiting[sender].put_nowait(_Parcel(len(encode_peer(message)), arrive))
 
+    async def _drained(self) -> None:
+        """Wait until what the home sent has left."""
+        waiting = self._waiting.get(self.home)
+        if waiting is not None:
+            await waiting.join()
+
     async def _carry_in_order(self, sender: str) -> None:
         """Send what waits at one end, one message after the other."""
         network = self._links.world.network
         while True:
             parcel = await self._waiting[sender].get()
             await network.carry(sender, "out", parcel.size)
+            self._waiting[sender].task_done()
             asyncio.get_running_loop().call_later(LATENCY_SECONDS, parcel.arrive)
 
     def close(self) -> None:
