--- a/src/orchidwind/core/configuration_history.py
+++ b/src/orchidwind/core/configuration_history.py
@@ -29,6 +29,32 @@
 HistoryEffect = Adopt | FetchFrom
 
 
+# A configuration of 1 MB takes 1.6 s on a link of 5 Mbit/s; a peer that is silent for longer is
+# left.
+FETCH_SECONDS = 2.0
+
+
+class FetchTurn:
+    """One configuration is fetched at a time: several peers at once would share the same link.
+
+    Times are in seconds of the steady clock.
+    """
+
+    def __init__(self) -> None:
+        self._until = float("-inf")
+
+    def begin(self, now: float) -> bool:
+        """Whether a fetch may begin now; then it is under way."""
+        if now < self._until:
+            return False
+        self._until = now + FETCH_SECONDS
+        return True
+
+    def ended(self) -> None:
+        """What was fetched has come, or will not."""
+        self._until = float("-inf")
+
+
 class ConfigurationHistory:
     """The configuration in force at one node."""
 
--- a/src/orchidwind/network/cluster.py
+++ b/src/orchidwind/network/cluster.py
@@ -15,7 +15,12 @@
     DatabaseSettings,
     OperatorFile,
 )
-from orchidwind.core.configuration_history import Adopt, ConfigurationHistory, HistoryEffect
+from orchidwind.core.configuration_history import (
+    Adopt,
+    ConfigurationHistory,
+    FetchTurn,
+    HistoryEffect,
+)
 from orchidwind.core.errors import PeerUnavailable
 from orchidwind.core.membership import Member, Membership, MemberState
 from orchidwind.core.placement import Node, Placement
@@ -27,7 +32,6 @@
 from orchidwind.network.peer_link import PeerLink
 from orchidwind.settings import ProxySettings, parse_address
 
-_FETCH_AGAIN_SECONDS = 0.5
 _VIEW_SETTLE_SECONDS = 0.05
 WATCHERS_A_ZONE = 2
 
@@ -49,7 +53,7 @@
         self._classes = ClassMatcher([])
         self._homes: dict[str, Home | None] = {}
         self._links: dict[str, PeerLink] = {}
-        self._fetched: dict[str, float] = {}
+        self._fetch_turn = FetchTurn()
         self._roles_due: asyncio.TimerHandle | None = None
         own = Member(
             settings.name,
@@ -146,6 +150,7 @@
         return take
 
     def _take_peer_document(self, peer: str, reply: codec.ConfigurationReply) -> None:
+        self._fetch_turn.ended()
         try:
             content = msgspec.json.decode(reply.content, type=OperatorFile)
         except msgspec.DecodeError:
@@ -162,24 +167,29 @@
                 self._fetch(effect.peer)
 
     def _fetch(self, peer: str) -> None:
-        now = self._loop.time()
-        if now - self._fetched.get(peer, float("-inf")) < _FETCH_AGAIN_SECONDS:
-            return
-        self._fetched[peer] = now
         link = self._link(peer)
-        if link is not None:
-            self._send_soon(link, codec.ConfigurationRequest(self.history.version))
-
-    def _send_soon(self, link: PeerLink, message: codec.LinkMessage) -> None:
-        task = self._loop.create_task(self._send(link, message))
+        if link is not None and self._fetch_turn.begin(self._loop.time()):
+            request = codec.ConfigurationRequest(self.history.version)
+            self._send_soon(link, request, self._fetch_turn.ended)
+
+    def _send_soon(
+        self,
+        link: PeerLink,
+        message: codec.LinkMessage,
+        on_unsent: Callable[[], None] = lambda: None,
+    ) -> None:
+        task = self._loop.create_task(self._send(link, message, on_unsent))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _send(self, link: PeerLink, message: codec.LinkMessage) -> None:
+    async def _send(
+        self, link: PeerLink, message: codec.LinkMessage, on_unsent: Callable[[], None]
+    ) -> None:
         try:
             await link.open()
         except PeerUnavailable as error:  # what asked will ask again
             log_event("peer_unavailable", reason=error)
+            on_unsent()
             return
         link.send(message)
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -15,7 +15,13 @@
     Superseded,
 )
 from orchidwind.core.configuration import DatabaseSettings, InstanceAddress, ZoneSettings
-from orchidwind.core.configuration_history import Adopt, ConfigurationHistory, FetchFrom
+from orchidwind.core.configuration_history import (
+    FETCH_SECONDS,
+    Adopt,
+    ConfigurationHistory,
+    FetchFrom,
+    FetchTurn,
+)
 from orchidwind.core.errors import ANSWERS, ErrorKind, Ran, RequestError
 from orchidwind.core.group_view import GroupView, InstanceReport
 from orchidwind.core.placement import Node, Placement
@@ -306,6 +312,15 @@
     assert history.on_peer_document("p2", new, 4) == [Adopt(new)]
 
 
+def test_one_configuration_is_fetched_at_a_time():
+    turn = FetchTurn()
+    assert turn.begin(1.0)
+    assert not turn.begin(1.0 + FETCH_SECONDS / 2)
+    assert turn.begin(1.0 + FETCH_SECONDS)
+    turn.ended()
+    assert turn.begin(1.0 + FETCH_SECONDS)
+
+
 # --- caller's session ---------------------------------------------------------------------------
 
 
--- /dev/null
+++ b/tests/test_http_call.py
@@ -0,0 +1,78 @@
+"""Calls whose answers arrive slowly: which are waited for, and which end in any case."""
+
+import asyncio
+
+import pytest
+
+from orchidwind.network import http_call as calls
+from orchidwind.network.http_call import HttpCallFailed, HttpRequest, http_call
+
+PARTS = 5
+PART = b"x" * 1000
+# The call's own limit, and the time between two parts: the whole takes longer than the limit.
+LIMIT_SECONDS = 0.3
+GAP_SECONDS = 0.15
+
+
+async def serve(parts, stop_after=PARTS):
+    """A server that sends its answer part by part, and falls silent after some; its port."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (parts * len(PART)))
+        for number in range(parts):
+            if number == stop_after:
+                await asyncio.sleep(60)
+            writer.write(PART)
+            await writer.drain()
+            await asyncio.sleep(GAP_SECONDS)
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    return server, HttpRequest(server.sockets[0].getsockname()[:2], "GET", "/")
+
+
+def test_an_answer_that_is_arriving_is_waited_for():
+    async def work():
+        server, request = await serve(PARTS)
+        arrivals = []
+        answer = await http_call(request, LIMIT_SECONDS, lambda: arrivals.append(1))
+        assert answer.body == PART * PARTS
+        assert len(arrivals) >= 2
+        server.close()
+
+    asyncio.run(work())
+
+
+def test_a_call_with_an_effect_ends_at_its_time_though_its_answer_is_arriving():
+    async def work():
+        server, request = await serve(PARTS)
+        with pytest.raises(HttpCallFailed, match="bytes of it"):
+            await http_call(request, LIMIT_SECONDS)
+        server.close()
+
+    asyncio.run(work())
+
+
+def test_an_answer_that_stops_arriving_ends_the_call(monkeypatch):
+    monkeypatch.setattr(calls, "ARRIVING_SECONDS", 2 * GAP_SECONDS)
+
+    async def work():
+        server, request = await serve(PARTS, stop_after=3)
+        with pytest.raises(HttpCallFailed, match="and 3000 bytes of it"):
+            await http_call(request, LIMIT_SECONDS, lambda: None)
+        server.close()
+
+    asyncio.run(work())
+
+
+def test_an_answer_that_arrives_for_too_long_ends_the_call(monkeypatch):
+    monkeypatch.setattr(calls, "LONGEST_ANSWER_SECONDS", 2 * LIMIT_SECONDS)
+
+    async def work():
+        server, request = await serve(100)
+        with pytest.raises(HttpCallFailed, match="time out"):
+            await http_call(request, LIMIT_SECONDS, lambda: None)
+        server.close()
+
+    asyncio.run(work())
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -9,6 +9,7 @@
 from orchidwind.core.managed.commands import Command, CommandKind
 from orchidwind.core.managed.freshness import FollowTimes
 from orchidwind.core.managed.homes import ProxyMember, group_homes
+from orchidwind.core.managed.peer_messages import ViewQuery, ViewReport
 from orchidwind.managed.executor import SessionExecutor
 from orchidwind.managed.peer_link import PeerLink
 from orchidwind.managed.peers import FORGET_SECONDS
@@ -212,6 +213,40 @@
     run_virtual(work())
 
 
+class _SlowConnector:
+    """Opens a connection on which bytes of one long message arrive for two seconds."""
+
+    def __init__(self, dribbles):
+        self._dribbles = dribbles
+
+    async def connect(self, member, on_message, on_lost):
+        self._on_message = on_message
+        return self
+
+    @property
+    def heard_at(self):
+        return asyncio.get_running_loop().time() if self._dribbles else 0.0
+
+    def send(self, message):
+        if isinstance(message, ViewQuery):
+            report = ViewReport(message.number, known=True, age=0.0, revision=1)
+            asyncio.get_running_loop().call_later(2.0, self._on_message, report)
+
+    def close(self):
+        pass
+
+
+@pytest.mark.parametrize("dribbles", [True, False])
+def test_a_link_on_which_a_long_answer_is_arriving_is_not_silent(dribbles):
+    async def work():
+        link = PeerLink("proxy-a", MEMBER, _SlowConnector(dribbles))
+        asking = asyncio.create_task(link.ask_view("configuration", 1, whole=True))
+        await asyncio.wait({asking}, timeout=3.0)
+        assert (asking.exception() is None) == dribbles
+
+    run_virtual(work())
+
+
 def test_who_waits_for_a_link_that_is_closed_is_told():
     async def work():
         link = PeerLink("proxy-a", MEMBER, _CutConnector())
--- a/tests/test_view_parts.py
+++ b/tests/test_view_parts.py
@@ -90,6 +90,23 @@
     run_virtual(work())
 
 
+def test_a_call_whose_answer_is_arriving_is_not_repeated():
+    async def work():
+        arrival, begun = Arrival(), []
+
+        async def call():
+            begun.append(1)
+            for _ in range(8):
+                await asyncio.sleep(0.5)
+                arrival.note()
+            return "whole"
+
+        assert await hedged(call, 1.0, arrival) == "whole"
+        assert len(begun) == 1
+
+    run_virtual(work())
+
+
 class Source:
     """A store whose answers are given one by one."""
 
