--- a/src/orchidwind_bench/managed/instances.py
+++ b/src/orchidwind_bench/managed/instances.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
@@ -219,6 +219,16 @@
         if item.role is InstanceRole.PRIMARY and item.term < self.primary().term:
             item.step_down(item.term)
 
+    def silence(self, names: Iterable[str], deaf: bool = False) -> None:
+        """All open connections to instances fall silent for good; new ones work.
+
+        With `deaf` what the proxies send still arrives, and only the answers do not.
+        """
+        for name in names:
+            for link in self.instances[name].links:
+                link.silent = not deaf
+                link.deaf = deaf
+
     def promote(self, instance: str) -> bool:
         """Make an instance the primary of the next term after a while."""
         chosen = self.instances[instance]
@@ -295,6 +305,9 @@
         self._transaction: _LinkTransaction | None = None
         self._broken: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._closed = False
+        # Neither end is told: what is sent is taken and never arrives, here or (`deaf`) there.
+        self.silent = False
+        self.deaf = False
 
     @property
     def _world(self) -> World:
@@ -304,7 +317,7 @@
         """The instance ends the connection; silently where the machine went dark."""
         self._instance.links.discard(self)
         self._transaction = None
-        if silently or self._closed:
+        if silently or self._closed or self.silent or self.deaf:
             return
         if not self._world.network.passes(self._instance.name, self.node):
             return
@@ -344,13 +357,15 @@
         await network.travel(self.node, self._instance.name)
         await self._while_dark()
         replies = tuple([await self._run(message) for message in messages])
+        if self.deaf:
+            await asyncio.get_running_loop().create_future()
         if self._world.random.random() < self._instance.lose_answers:
             await asyncio.get_running_loop().create_future()
         await network.travel(self._instance.name, self.node)
         return replies
 
     async def _while_dark(self) -> None:
-        if not self._instance.alive:
+        if not self._instance.alive or self.silent:
             await asyncio.get_running_loop().create_future()
 
     def _reply(self, code: ReplyCode, signature: str = "") -> Reply:
