--- a/src/orchidwind/core/pool.py
+++ b/src/orchidwind/core/pool.py
@@ -226,6 +226,14 @@
         self.busy[connection] = now
         return connection
 
+    def take_idle(self, connection: int, now: float) -> bool:
+        """Take one idle connection for the proxy's own use; whether it is idle."""
+        if connection not in self.idle:
+            return False
+        self.idle.remove(connection)
+        self.busy[connection] = now
+        return True
+
     def open_one(self) -> list[OpenConnection]:
         """Open a connection though nobody waits, if there is none."""
         if self.size:
--- a/src/orchidwind/managed/connections.py
+++ b/src/orchidwind/managed/connections.py
@@ -53,6 +53,7 @@
         self.links: dict[int, InstanceLink] = {}
         self.instance_of: dict[int, str] = {}
         self.in_exchange: dict[int, float] = {}
+        self._heard_at: dict[int, float] = {}
         self._state = state
         self._topology = state.topology
         self._connector = connector
@@ -114,6 +115,8 @@
         instance = self.instance_of.get(connection)
         if instance is not None:
             now = self._loop.time()
+            if rejected is not None:
+                self._heard_at[connection] = now
             pool = self.pool(instance)
             self._perform(pool.exchange_ended(connection, now - began, rejected, now))
 
@@ -121,11 +124,22 @@
         """Take an idle connection for the proxy's own use, None where there is none."""
         return self.pool(instance).borrow_idle(self._loop.time())
 
+    def take_unheard(self, instance: str, since: float) -> list[int]:
+        """Take idle connections that have said nothing since a time, for the proxy's own use."""
+        pool = self.pool(instance)
+        unheard = [item for item in pool.idle if self._heard_at.get(item, since) <= since]
+        return [item for item in unheard if pool.take_idle(item, self._loop.time())]
+
     def usage(self, instance: str) -> PoolUsage:
         """How many connections to an instance are open, and how many requests wait."""
         pool = self._pools.get(instance)
         return PoolUsage(pool.size, len(pool.queue)) if pool else PoolUsage(0, 0)
 
+    @property
+    def opened(self) -> set[str]:
+        """Instances to which a connection is open."""
+        return set(self.instance_of.values())
+
     @property
     def busy(self) -> int:
         """Connections that requests or transactions hold."""
@@ -281,6 +295,7 @@
             return lost
         self.links[number] = link
         self.instance_of[number] = instance
+        self._heard_at[number] = self._loop.time()
         self._state.connection_opened(number)
         self._topology.answered(instance, self._loop.time())
         self._perform(pool.opened(number, self._loop.time()))
@@ -314,6 +329,7 @@
     def _close(self, connection: int) -> None:
         link = self.links.pop(connection, None)
         self.instance_of.pop(connection, None)
+        self._heard_at.pop(connection, None)
         self._state.connection_closed(connection)
         if link is not None:
             link.close()
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -35,6 +35,9 @@
 from orchidwind.managed.status_calls import StatusCall, StatusCalls
 
 SILENCE_SECONDS = 0.25
+_SHORTEST_LOOK_SECONDS = 0.01
+# A check for silent connections asks each idle one; a full instance is not asked more often.
+_CHECK_AGAIN_SECONDS = 1.0
 _SUPERVISED_AFTER_USE_SECONDS = 5.0
 # What a proxy takes that is no home, while no home can be reached.
 _CONNECTIONS_WITHOUT_HOME = 1
@@ -78,6 +81,9 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._writing: set[int] = set()
         self._suspects: set[str] = set()
+        self._checked_at: dict[str, float] = {}
+        self._silence_timer: asyncio.TimerHandle | None = None
+        self._committed_at: dict[str, float] = {}
         self._home = False
         self._used_at = float("-inf")
         self._finding = CircuitBreaker("instance found", NOT_FOUND_SECONDS)
@@ -187,11 +193,17 @@
         self._break_off(instance)
         self.changed()
 
-    def _break_off(self, instance: str) -> None:
-        """End what may run elsewhere; a write that has left may still be answered."""
+    def _break_off(self, instance: str, older_than: float = 0.0) -> None:
+        """End what may run elsewhere, if it has run for so many seconds.
+
+        A write that has left may still be answered.
+        """
         connections = self.connections
-        for connection in list(connections.in_exchange):
-            if connections.instance_of[connection] == instance and connection not in self._writing:
+        began_before = self._loop.time() - older_than
+        for connection, began in list(connections.in_exchange.items()):
+            if connection in self._writing or began > began_before:
+                continue
+            if connections.instance_of[connection] == instance:
                 connections.links[connection].close()
 
     # --- waiting ------------------------------------------------------------------------------
@@ -243,6 +255,10 @@
             lambda: self.topology.primary(self._loop.time()), deadline, ErrorKind.NO_PRIMARY
         )
 
+    def _waited_since(self, instance: str, sent_at: float) -> float:
+        """Since when an instance has acknowledged no write, told by one that was sent then."""
+        return max(sent_at, self._committed_at.get(instance, float("-inf")))
+
     def _note_waited(self, waited: float) -> None:
         """A write waits, or has waited, for its acknowledgement."""
         if waited > NOT_CONFIRMING_SECONDS:
@@ -295,6 +311,7 @@
         instance = self.connections.instance_of[connection]
         sent_at = self._loop.time()
         self.connections.exchange_began(connection)
+        self._expect_silence()
         rejected: bool | None = None
         if writes:
             self._writing.add(connection)
@@ -313,8 +330,9 @@
             self.connections.exchange_ended(connection, rejected)
             self._writing.discard(connection)
             if writes:
-                self._note_waited(self._loop.time() - sent_at)
+                self._note_waited(self._loop.time() - self._waited_since(instance, sent_at))
         if writes and replies[-1].done:
+            self._committed_at[instance] = self._loop.time()
             self._succeeded(self._committing)
         self._count_attempt(instance, messages[-1], replies[-1], proof_of_term > 0, writes)
         self.topology.answered(instance, self._loop.time())
@@ -361,6 +379,48 @@
         self._suspects.add(instance)
         self._on_wake()
 
+    def _expect_silence(self) -> None:
+        """Have the supervisor look when an exchange has stayed without an answer for a while."""
+        if self._silence_timer is None:
+            self._silence_timer = self._loop.call_later(SILENCE_SECONDS, self._look_at_silence)
+
+    def _look_at_silence(self) -> None:
+        self._silence_timer = None
+        exchanges = self.connections.in_exchange
+        if not exchanges:
+            return
+        now = self._loop.time()
+        due_in = min(exchanges.values()) + SILENCE_SECONDS - now
+        if due_in <= 0.0:
+            self._on_wake()
+            due_in = SILENCE_SECONDS
+        wait = max(due_in, _SHORTEST_LOOK_SECONDS)
+        self._silence_timer = self._loop.call_later(wait, self._look_at_silence)
+
+    def _check_connections(self, instance: str, since: float) -> None:
+        """An exchange has stayed without an answer: its connection may not be the only one."""
+        now = self._loop.time()
+        if now - self._checked_at.get(instance, float("-inf")) < _CHECK_AGAIN_SECONDS:
+            return
+        self._checked_at[instance] = now
+        task = self._loop.create_task(self._close_silent(instance, since))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _close_silent(self, instance: str, since: float) -> None:
+        silent = await self._calls.close_silent(instance, since)
+        if not silent:
+            return
+        log_event(
+            "connections_silent",
+            group=self.settings.name,
+            instance=instance,
+            closed=silent,
+            since=round(self._loop.time() - since, 3),
+            decision="reads that wait there go elsewhere",
+        )
+        self._break_off(instance, older_than=SILENCE_SECONDS)
+
     def suspects(self) -> list[str]:
         """Instances whose connections broke, or that have owed an answer for a while."""
         now = self._loop.time()
@@ -369,6 +429,8 @@
             instance = self.connections.instance_of[connection]
             view = self.topology.instances.get(instance)
             heard_at = view.heard_at if view is not None else since
+            if now - since >= SILENCE_SECONDS:
+                self._check_connections(instance, since)
             if now - max(heard_at, since) > SILENCE_SECONDS:
                 found.add(instance)
         return sorted(found)
@@ -380,8 +442,10 @@
         if primary is None:
             return 0.0
         connections = self.connections
+        # A primary that has acknowledged a later one confirms; that connection is at fault.
+        committed_at = self._committed_at.get(primary.instance, float("-inf"))
         ages = [
-            now - since
+            now - max(since, committed_at)
             for connection, since in connections.in_exchange.items()
             if connection in self._writing
             and connections.instance_of[connection] == primary.instance
@@ -391,18 +455,22 @@
     # --- status and control -------------------------------------------------------------------
 
     async def ask(
-        self, instance: str, call: StatusCall, hurried: bool = False
+        self,
+        instance: str,
+        call: StatusCall,
+        hurried: bool = False,
+        repeatable: bool = False,
     ) -> InstanceStatus | None:
         """Make a status or control call; None where no status came in time."""
         self._metrics.message("status_or_control")
-        status = await self._calls.ask(instance, call, hurried)
+        status = await self._calls.ask(instance, call, hurried, repeatable)
         if status is not None:
             self.take_status(status)
         return status
 
     async def ask_status(self, instance: str) -> InstanceStatus | None:
         """Ask an instance for its status; None where it did not come in time."""
-        return await self.ask(instance, lambda link: link.status())
+        return await self.ask(instance, lambda link: link.status(), repeatable=True)
 
     def ask_soon(self, instance: str) -> None:
         """Ask an instance for its status, in the background."""
@@ -414,6 +482,8 @@
         """Close every connection."""
         for task in self._tasks:
             task.cancel()
+        if self._silence_timer is not None:
+            self._silence_timer.cancel()
         self.prover.close()
         self.connections.close()
         self._calls.close()
--- a/src/orchidwind/managed/status_calls.py
+++ b/src/orchidwind/managed/status_calls.py
@@ -24,6 +24,13 @@
 # same time, and an instance takes their connections one after the other (12 to 32 ms each).
 FIRST_SECONDS = CONNECT_SECONDS
 
+# An idle connection that says nothing for so long may be silent for good: a new one is asked, too.
+HEDGE_SECONDS = 0.06
+HEDGE_AGAIN_SECONDS = 1.0
+# So much longer than a new connection an idle one has for its answer. Both wait alike for a slot of
+# the instance; what differs is the way.
+SILENT_AFTER_OTHER_SECONDS = 0.05
+
 StatusCall = Callable[[InstanceLink], Coroutine[Any, Any, InstanceStatus]]
 
 
@@ -41,12 +48,15 @@
         self._on_unreachable = on_unreachable
         self._loop = asyncio.get_running_loop()
         self._control: dict[str, InstanceLink] = {}
+        self._hedged_at: dict[str, float] = {}
 
     async def ask(
-        self, instance: str, call: StatusCall, hurried: bool = False
+        self, instance: str, call: StatusCall, hurried: bool = False, repeatable: bool = False
     ) -> InstanceStatus | None:
         """Make a call; None where no status came in time.
 
+        A `repeatable` call changes nothing, so it is made on a new connection, too, where an idle
+        one is silent.
         `hurried` gives an instance that is not expected to answer less time, as a change of
         primary waits for it.
         """
@@ -58,7 +68,10 @@
             seconds = FIRST_SECONDS
         try:
             async with asyncio.timeout(seconds):
-                status = await self._ask_on_some_link(instance, call)
+                if repeatable:
+                    status = await self._ask_twice(instance, call)
+                else:
+                    status = await self._ask_on_some_link(instance, call)
         except BackendRefused as refused:
             self._topology.answered(instance, self._loop.time())
             if refused.sqlstate == CONNECTION_LIMIT_MET:
@@ -71,6 +84,70 @@
             return None
         return replace(status, instance=instance, asked_at=asked_at)
 
+    async def _ask_twice(self, instance: str, call: StatusCall) -> InstanceStatus:
+        """Ask on some link; where that says nothing, on a new one beside it."""
+        first = self._loop.create_task(self._ask_on_some_link(instance, call))
+        second: asyncio.Task[InstanceStatus] | None = None
+        try:
+            await asyncio.wait({first}, timeout=HEDGE_SECONDS)
+            if first.done() or not self._may_hedge(instance):
+                return await first
+            second = self._loop.create_task(self._ask_anew(instance, call))
+            await asyncio.wait({first, second}, return_when=asyncio.FIRST_COMPLETED)
+            if first.done() and first.exception() is None:
+                return first.result()
+            if second.done() and second.exception() is None:
+                log_event("connection_silent", instance=instance, decision="close it")
+                return second.result()
+            return await (second if first.done() else first)
+        finally:
+            for task in (first, second):
+                if task is not None:
+                    task.cancel()
+
+    def _may_hedge(self, instance: str) -> bool:
+        """Whether a new connection may show more; one costs an instance a slot for a while."""
+        now = self._loop.time()
+        hedged_at = self._hedged_at.get(instance, float("-inf"))
+        if now - hedged_at < HEDGE_AGAIN_SECONDS or instance not in self._connections.opened:
+            return False
+        self._hedged_at[instance] = now
+        return True
+
+    async def _ask_anew(self, instance: str, call: StatusCall) -> InstanceStatus:
+        """Ask on a new connection, which is kept for status calls."""
+        self.drop(instance)
+        return await call(await self._control_link(instance))
+
+    async def close_silent(self, instance: str, since: float) -> int:
+        """Close idle connections that say nothing while a new one answers; how many.
+
+        Only those that have said nothing since a time are asked. Where no new connection answers
+        either, the instance may be at fault, and none counts as silent.
+        """
+        taken = self._connections.take_unheard(instance, since)
+        if not taken:
+            return 0
+
+        def status(link: InstanceLink) -> Coroutine[Any, Any, InstanceStatus]:
+            return link.status()
+
+        asking = [self._loop.create_task(self._ask_on_borrowed(item, status)) for item in taken]
+        try:
+            async with asyncio.timeout(ASK_SECONDS):
+                await self._ask_anew(instance, status)
+                await asyncio.wait(asking, timeout=SILENT_AFTER_OTHER_SECONDS)
+            silent = [task for task in asking if not task.done()]
+        except (BackendRefused, BackendConnectionLost, TimeoutError) as error:
+            log_event("silence_not_told", instance=instance, reason=repr(error))
+            silent = []
+            await asyncio.wait(asking, timeout=ASK_SECONDS)
+        finally:
+            for task in asking:
+                task.cancel()
+            await asyncio.gather(*asking, return_exceptions=True)
+        return len(silent)
+
     async def _ask_on_some_link(self, instance: str, call: StatusCall) -> InstanceStatus:
         borrowed = await self._idle_connection(instance)
         if borrowed is not None:
--- /dev/null
+++ b/tests/test_silent_instances.py
@@ -0,0 +1,145 @@
+"""Open connections to instances that fall silent for good while new ones work, on virtual time."""
+
+import asyncio
+
+import pytest
+
+from orchidwind.core.errors import RequestError
+from orchidwind.core.managed.commands import Command, CommandKind
+from orchidwind.core.managed.configuration import ReadConsistency
+from orchidwind.managed.executor import SessionExecutor
+from orchidwind_bench.managed.callers import ManagedSystem
+from orchidwind_bench.managed.store import GROUP
+from orchidwind_bench.managed.virtual_time import run_virtual
+from orchidwind_bench.managed.world import ExpectedRequest
+
+INSTANCES = ("i-0", "i-1", "i-2")
+# Silence is noticed after 0.25 s; then writes go on within 0.3 s. The rest is between two writes.
+LONGEST_GAP_SECONDS = 0.25 + 0.3 + 0.1
+EVERY_SECONDS = 0.05
+WRITING_SECONDS = 4.0
+SILENT_AFTER = 1.0
+
+
+async def write(system, node, name, outcomes):
+    """One write by a session of its own; when it began and ended, and its error."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    system.world.history.expected[name] = ExpectedRequest(
+        began, ReadConsistency.LATEST, 0.0, session=0, settings=(), session_commits=()
+    )
+    try:
+        await SessionExecutor(node, "latest").execute(Command(name, CommandKind.WRITE, "WRITE x y"))
+        outcomes.append((began, loop.time(), None))
+    except RequestError as error:
+        outcomes.append((began, loop.time(), error.kind))
+
+
+async def keep_writing(system, node, outcomes):
+    """A write each so often, whatever became of those before."""
+    tasks = []
+    for number in range(int(WRITING_SECONDS / EVERY_SECONDS)):
+        work = write(system, node, f"{node.name}-{number}", outcomes)
+        tasks.append(asyncio.create_task(work))
+        await asyncio.sleep(EVERY_SECONDS)
+    await asyncio.gather(*tasks)
+
+
+@pytest.mark.parametrize("deaf", [False, True])
+@pytest.mark.parametrize("which", ["all instances", "the primary"])
+def test_writes_go_on_soon_and_no_change_of_primary_is_begun(which, deaf, caplog):
+    """`deaf`: what is sent runs and is not answered."""
+    caplog.set_level("INFO", logger="orchidwind")
+
+    async def work():
+        system = ManagedSystem(1)
+        shipping = asyncio.create_task(system.group.keep_shipping())
+        for node in system.nodes.values():
+            assert await node.wait_prepared(5.0)
+        await asyncio.sleep(1.0)
+        outcomes = []
+        nodes = system.nodes.values()
+        writing = [asyncio.create_task(keep_writing(system, node, outcomes)) for node in nodes]
+        await asyncio.sleep(SILENT_AFTER)
+        silent_at = system.world.now
+        names = [system.group.primary().name] if which == "the primary" else INSTANCES
+        system.group.silence(names, deaf)
+        await asyncio.gather(*writing)
+        shipping.cancel()
+        return system, outcomes, silent_at
+
+    system, outcomes, silent_at = run_virtual(work())
+    assert system.world.history.broken == []
+    assert "failover_started" not in [record.message for record in caplog.records]
+    done = sorted(ended for _, ended, error in outcomes if error is None)
+    assert max(later - at for at, later in zip(done, done[1:], strict=False)) <= LONGEST_GAP_SECONDS
+    later = [error for began, _, error in outcomes if began >= silent_at + LONGEST_GAP_SECONDS]
+    assert len(later) > 20
+    assert set(later) == {None}
+
+
+def with_home(scenario):
+    async def work():
+        system = ManagedSystem(1, proxies=("proxy-a",))
+        node = system.nodes["proxy-a"]
+        assert await node.wait_prepared(5.0)
+        await asyncio.sleep(1.0)
+        await scenario(system, node)
+
+    run_virtual(work())
+
+
+async def open_connections(system, node):
+    """Open several connections to the primary, which rest afterwards; its name."""
+    executors = [SessionExecutor(node, "latest") for _ in range(6)]
+    for number, executor in enumerate(executors):
+        await executor.execute(Command("-", CommandKind.BEGIN, "BEGIN"))
+        await executor.execute(Command(f"t{number}", CommandKind.READ, "READ x"))
+    for executor in executors:
+        await executor.execute(Command("-", CommandKind.ROLLBACK, "ROLLBACK"))
+    primary = system.group.primary().name
+    assert len(system.group.instances[primary].links) >= 6
+    return primary
+
+
+def silence_some(system, instance, share):
+    links = sorted(system.group.instances[instance].links, key=id)
+    for link in links[: int(len(links) * share)]:
+        link.silent = True
+
+
+async def read(node, number):
+    """One read of the latest state; whether it was served."""
+    try:
+        command = Command(f"q{number}", CommandKind.READ, "READ x")
+        await SessionExecutor(node, "latest").execute(command)
+    except RequestError:
+        return False
+    return True
+
+
+@pytest.mark.parametrize("share", [0.5, 1.0])
+def test_one_request_at_most_pays_for_the_silent_connections_to_an_instance(share):
+    async def scenario(system, node):
+        primary = await open_connections(system, node)
+        silence_some(system, primary, share)
+        served = []
+        for number in range(40):
+            served.append(await read(node, number))
+            await asyncio.sleep(0.02)
+        assert served.count(False) <= 1
+
+    with_home(scenario)
+
+
+def test_a_silent_connection_does_not_make_its_instance_unreachable(caplog):
+    caplog.set_level("INFO", logger="orchidwind")
+
+    async def scenario(system, node):
+        await open_connections(system, node)
+        system.group.silence(INSTANCES)
+        for name in INSTANCES:
+            assert await node.groups[GROUP].ask_status(name) is not None
+        assert "instance_unreachable" not in [record.message for record in caplog.records]
+
+    with_home(scenario)
