--- a/tests/test_view_freshness.py
+++ b/tests/test_view_freshness.py
@@ -14,6 +14,7 @@
 from orchidwind_bench.managed.callers import ManagedSystem
 from orchidwind_bench.managed.store import STORE
 from orchidwind_bench.managed.virtual_time import run_virtual
+from orchidwind_bench.managed.world import SimulatedConfiguration, World
 
 PROXIES = tuple(f"proxy-{letter}" for letter in "abcdef")
 BOUND = NodeBounds().configuration
@@ -264,3 +265,24 @@
     monkeypatch.setattr(NodeViews, "refresh_before_failover", confirmed)
     system = play_failover_unaware_of_the_replica_that_confirms()
     assert any("LOST" in item for item in system.world.history.broken)
+
+
+@pytest.mark.parametrize("after_wait", [0.0, 0.002, 0.004, 0.006, 0.008, 0.01])
+def test_a_change_while_an_answer_is_on_its_way_is_told_by_the_next_watch(after_wait):
+    """Of the simulated store: an answer's revision must not be later than what it tells."""
+
+    async def work():
+        world = World(1)
+        store, source = world.store, SimulatedConfiguration(world, "proxy-a")
+        wait = 0.75
+        wanted = replace(store.configuration, version=2)
+        loop = asyncio.get_running_loop()
+        loop.call_later(wait + after_wait, lambda: store.put_configuration(wanted))
+        revision, told = store.revision, []
+        for _ in range(3):
+            changes = await source.watch(revision, wait, 2.0, lambda: None)
+            revision = changes.revision
+            told += changes.changed
+        assert wanted in told
+
+    run_virtual(work())
