--- a/src/orchidwind/commands/explain.py
+++ b/src/orchidwind/commands/explain.py
@@ -18,6 +18,7 @@
         "drain_started",
         "failover_ended",
         "failover_started",
+        "failover_step",
         "instance_gone",
         "instance_listed",
         "instance_unreachable",
--- a/src/orchidwind/core/managed/topology.py
+++ b/src/orchidwind/core/managed/topology.py
@@ -302,6 +302,21 @@
         present = [name for name, view in self.instances.items() if self._may_have_confirmed(view)]
         return [*present, *self._departed]
 
+    def how_known(self, now: float) -> dict[str, str]:
+        """By what each instance that may hold commits is known, and how old that knowledge is.
+
+        For the log of a change of primary; `uncounted` are those that `may_confirm` leaves out.
+        """
+        told: dict[str, str] = {}
+        for name, view in self.instances.items():
+            source = "listed" if view.listed else f"gone:{now - view.gone_at:.3f}s"
+            heard = f"heard:{now - view.heard_at:.3f}s" if view.heard_at > 0 else "never_heard"
+            counted = "" if self._may_have_confirmed(view) else ":uncounted"
+            told[name] = f"{source}:{heard}{counted}"
+        for name, at in self._departed.items():
+            told[name] = f"roster:{now - at:.3f}s"
+        return told
+
     def _may_have_confirmed(self, view: InstanceView) -> bool:
         last_renewal = view.gone_at - self._entry_outlives
         return view.listed or max(view.heard_at, last_renewal) >= self._term_began_after
--- a/src/orchidwind/managed/failover_runner.py
+++ b/src/orchidwind/managed/failover_runner.py
@@ -222,7 +222,8 @@
 
 def _log_statuses(step: AskAll | FenceAll | UnfenceAll | Demote, statuses: Statuses) -> None:
     told = [
-        f"{item.instance}:{item.role.value}:{item.term}:{item.received.lsn}:{item.fence_term}"
+        f"{item.instance}:{item.role.value}:{item.term}"
+        f":{item.received.term}.{item.received.lsn}:{item.fence_term}"
         for item in statuses.values()
     ]
     log_event("failover_step", step=type(step).__name__, told=" ".join(told))
--- a/src/orchidwind/managed/supervising.py
+++ b/src/orchidwind/managed/supervising.py
@@ -94,6 +94,13 @@
             reason=plan.reason.value,
             old_primary=plan.old_primary,
             members=",".join(plan.members),
+            leaving=",".join(sorted(plan.leaving)),
+            members_known=plan.members_known,
+            led_term=plan.led_term,
+            known_by=" ".join(
+                f"{name}:{how}"
+                for name, how in sorted(self._group.topology.how_known(self._loop.time()).items())
+            ),
         )
         runner = FailoverRunner(self._group, self._lock, self._promotions, self._leases)
         result = await runner.run(plan)
