--- /dev/null
+++ b/src/orchidwind_bench/exploration/performer.py
@@ -0,0 +1,147 @@
+"""Carries out the steps of the product's change of primary on the model.
+
+What each step does, and for how long the lock counts, is as in the product's own runner.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from orchidwind.core.managed.commands import InstanceRole, InstanceStatus
+from orchidwind.core.managed.failover import (
+    AskAll,
+    AwaitRevocation,
+    Demote,
+    FailoverFlow,
+    FailoverPlan,
+    FailoverResult,
+    FailoverStep,
+    FailoverStepResult,
+    FenceAll,
+    LockLost,
+    Promote,
+    PromotionAnswer,
+    ReleaseLock,
+    TakeLock,
+    UnfenceAll,
+    Wait,
+)
+from orchidwind.core.managed.promotion_lock import HeldLock
+from orchidwind_bench.exploration.instance_calls import InstanceOperation
+from orchidwind_bench.exploration.timeline import Process
+
+# The lock is not used for the last of its time, in seconds; as in the product's runner.
+CALL_MARGIN_SECONDS = 0.2
+
+Statuses = dict[str, InstanceStatus]
+
+
+class PromotingProxy(Protocol):
+    """What the performer needs of its proxy."""
+
+    name: str
+
+    def now(self) -> float:
+        """The proxy's steady clock, in seconds."""
+
+    def take_lock(self) -> Process[HeldLock | None]:
+        """Take the promotion lock."""
+
+    def release_lock(self, held: HeldLock) -> Process[None]:
+        """Give it back."""
+
+    def wait_for_others(self, token: int, taken_at: float) -> Process[None]:
+        """Wait until no proxy relies on the old primary."""
+
+    def call_all(
+        self, instances: tuple[str, ...], name: str, operation: InstanceOperation, hurried: bool
+    ) -> Process[Statuses]:
+        """Call instances; what those that answered told."""
+
+    def promote(self, instance: str, token: int) -> Process[PromotionAnswer]:
+        """Call the platform."""
+
+    def before_step(self, step: FailoverStep) -> None:
+        """A step of a change of primary begins."""
+
+
+class Performer:
+    """One change of primary."""
+
+    def __init__(self, proxy: PromotingProxy, plan: FailoverPlan) -> None:
+        self._proxy = proxy
+        self._plan = plan
+        self._held: HeldLock | None = None
+        self._taken_at = 0.0
+        self._unsettled = False
+        self._promoted = ""
+
+    def drive(self, flow: FailoverFlow) -> Process[FailoverResult]:
+        """Carry out a flow to its end."""
+        outcome: FailoverStepResult = None
+        lost: LockLost | None = None
+        while True:
+            try:
+                step = flow.send(outcome) if lost is None else flow.throw(lost)
+            except StopIteration as ended:
+                result: FailoverResult = ended.value
+                return result
+            outcome = lost = None
+            self._proxy.before_step(step)
+            # Whatever was inflicted on this proxy now takes hold before the step begins.
+            yield 0.0
+            try:
+                outcome = yield from self._perform(step)
+            except LockLost as raised:
+                lost = raised
+
+    def _perform(self, step: FailoverStep) -> Process[FailoverStepResult]:
+        if isinstance(step, TakeLock):
+            self._held = yield from self._proxy.take_lock()
+            self._taken_at = self._proxy.now()
+            return self._held is not None
+        if isinstance(step, ReleaseLock):
+            if self._held is not None and not self._unsettled:
+                yield from self._proxy.release_lock(self._held)
+            return None
+        if isinstance(step, Wait):
+            self._require_lock()
+            yield step.seconds
+            return None
+        if isinstance(step, AwaitRevocation):
+            held = self._require_lock()
+            yield from self._proxy.wait_for_others(held.token, self._taken_at)
+            return None
+        if isinstance(step, Promote):
+            held = self._require_lock()
+            answer = yield from self._proxy.promote(step.instance, held.token)
+            self._unsettled = answer is not PromotionAnswer.REFUSED
+            self._promoted = step.instance
+            return answer
+        return (yield from self._call_instances(step))
+
+    def _require_lock(self) -> HeldLock:
+        held = self._held
+        if held is None or held.valid_until - self._proxy.now() <= CALL_MARGIN_SECONDS:
+            raise LockLost("the promotion lock's time has passed")
+        return held
+
+    def _call_instances(self, step: AskAll | FenceAll | UnfenceAll | Demote) -> Process[Statuses]:
+        statuses = yield from self._statuses(step)
+        promoted = statuses.get(self._promoted)
+        if promoted is not None and promoted.role is InstanceRole.PRIMARY:
+            self._unsettled = False
+        return statuses
+
+    def _statuses(self, step: AskAll | FenceAll | UnfenceAll | Demote) -> Process[Statuses]:
+        call_all = self._proxy.call_all
+        if isinstance(step, AskAll):
+            return call_all(step.instances, "status", lambda item: None, hurried=True)
+        self._require_lock()
+        if isinstance(step, FenceAll):
+            term = step.term
+            return call_all(step.instances, "fence", lambda item: item.fence(term), hurried=True)
+        if isinstance(step, UnfenceAll):
+            return call_all(step.instances, "unfence", lambda item: item.unfence(), hurried=True)
+        term = step.term
+        return call_all((step.instance,), "demote", lambda item: item.demote(term), hurried=True)
