--- a/src/orchidwind_bench/exploration/instances.py
+++ b/src/orchidwind_bench/exploration/instances.py
@@ -259,6 +259,14 @@
         instance.joined = True
         instance.term = 1
 
+    def succeed(self, left: ModelInstance) -> ModelInstance:
+        """A new instance, a replica, begins with the log of one that has left."""
+        successor = ModelInstance(f"{left.name}-successor", InstanceRole.REPLICA)
+        successor.term = left.term
+        successor.log = list(left.log)
+        self.instances[successor.name] = successor
+        return successor
+
     # --- promotion ----------------------------------------------------------------------------
 
     def promote(self, name: str, effect_seconds: float) -> bool:
