--- a/src/orchidwind_bench/managed/instances.py
+++ b/src/orchidwind_bench/managed/instances.py
@@ -146,7 +146,7 @@
 
     def __init__(self, world: World, zones: tuple[str, ...]) -> None:
         self.world = world
-        self.zones = zones
+        self.zones = list(zones)
         self.resets = True
         self.instances: dict[str, SimulatedInstance] = {}
         for number, _ in enumerate(zones):
@@ -175,6 +175,25 @@
             )
         )
 
+    def join(self, zone: str, announced_after: float = 0.0) -> SimulatedInstance:
+        """An instance starts as a replica without a log and receives from the primary at once.
+
+        The directory lists it `announced_after` seconds later, if it runs then.
+        """
+        name = f"i-{len(self.instances)}"
+        self.zones.append(zone)
+        instance = SimulatedInstance(self, name, InstanceRole.REPLICA)
+        self.instances[name] = instance
+        asyncio.get_running_loop().call_later(announced_after, self._announce_joined, instance)
+        for leader in list(self.instances.values()):
+            if leader.alive and leader.role is InstanceRole.PRIMARY:
+                self.ship(leader)
+        return instance
+
+    def _announce_joined(self, instance: SimulatedInstance) -> None:
+        if instance.alive:
+            self.announce(instance)
+
     def primary(self) -> SimulatedInstance:
         """The instance that led last; it may have been demoted since."""
         return self._leader
--- /dev/null
+++ b/tests/test_lost_commits.py
@@ -0,0 +1,92 @@
+"""Who may hold an acknowledged commit: scripted days in which a change of primary can lose one."""
+
+import asyncio
+import logging
+import random
+
+from orchidwind_bench.managed.callers import ManagedSystem
+from orchidwind_bench.managed.virtual_time import run_virtual
+
+ANNOUNCED_AFTER_SECONDS = 0.012
+
+
+class EventHook(logging.Handler):
+    """Calls back at each event that the proxies log; what the callback raises is kept."""
+
+    def __init__(self):
+        super().__init__()
+        self.on_event = lambda record: None
+        self.raised = []
+
+    def emit(self, record):
+        try:
+            self.on_event(record)
+        except Exception as error:  # raised here, it would end a proxy's task instead of the test
+            self.raised.append(error)
+
+
+def play(seed, plan, seconds, instances=3, on_event=None, callers_a_node=2):
+    """Run a system by a plan of times and faults; `on_event` gets it and each logged event."""
+
+    async def work():
+        system = ManagedSystem(seed, instances)
+        loop = asyncio.get_running_loop()
+        for at, fault in plan:
+            loop.call_later(at, fault, system)
+        if on_event is not None:
+            hook.on_event = lambda record: on_event(system, record)
+        await system.run(seconds, callers_a_node)
+        return system
+
+    random.seed(seed)  # of this, the proxies take their jitter
+    logger = logging.getLogger("orchidwind")
+    level, hook = logger.level, EventHook()
+    logger.setLevel(logging.INFO)
+    logger.addHandler(hook)
+    try:
+        system = run_virtual(work())
+    finally:
+        logger.removeHandler(hook)
+        logger.setLevel(level)
+    assert hook.raised == []
+    return system
+
+
+def lost(system):
+    return [item for item in system.world.history.broken if "LOST" in item]
+
+
+def crash_and_leave(system, name, entry_outlives=3.6):
+    """An instance ends without a word; its entry goes when three heartbeats are missing."""
+    system.group.instances[name].crash()
+    asyncio.get_running_loop().call_later(entry_outlives, system.world.store.drop_entry, name)
+
+
+def deafen(system, name):
+    """An instance receives of no other; the proxies reach it."""
+    for other in list(system.group.instances):
+        if other != name:
+            system.world.network.cut(other, name, one_way=True)
+
+
+def test_an_instance_that_joins_after_the_members_were_read_is_counted():
+    """One replica has left before the term, the other is deaf; the new one alone confirms."""
+    joined = []
+
+    def deafen_replica(system):
+        leader = system.group.primary().name
+        deafen(system, next(name for name in ("i-1", "i-2") if name != leader))
+
+    def join_when_planned(system, record):
+        planned = record.getMessage() == "failover_started"
+        if planned and len(record.members.split(",")) == 2 and not joined:
+            joined.append(system.group.join("zone-a", ANNOUNCED_AFTER_SECONDS))
+
+    system = play(
+        116,
+        [(2.0, lambda s: crash_and_leave(s, "i-0")), (4.5, deafen_replica)],
+        8.0,
+        on_event=join_when_planned,
+    )
+    assert joined, "the moment of the day came"
+    assert system.world.history.broken == []
