--- a/src/orchidwind/core/managed/failover.py
+++ b/src/orchidwind/core/managed/failover.py
@@ -1,19 +1,29 @@
 """The change of a managed group's primary, as a generator without I/O.
 
+It promotes an instance whose log has every commit that any proxy has told a caller as acknowledged.
 Why the order of steps is safe, with `s` replicas that must receive a commit before the primary
-acknowledges it, and `r` instances besides the primary that may have received commits:
-
-1. Only the holder of the promotion lock goes on, under a token that rises with each holder.
-2. A primary that answers is demoted first: it then takes no more commits, and its log is complete.
-3. The replicas are fenced with a term above every known one: they receive nothing more from the
-   old primary, so it can acknowledge nothing more once r - s + 1 of them are fenced.
-4. Those r - s + 1 and any `s` replicas that received an acknowledged commit share a replica; so the
-   most advanced of the fenced logs has every commit acknowledged in the present term. Commits of
-   the terms before are surely in the present primary's log and in those that followed it, so one
-   that has not followed the newest term is no candidate. Any log at least as long as that of a
-   demoted primary has every acknowledged commit.
-5. Lead leases are waited out, or confirmed to be dropped (`lead_lease`).
-6. A restart drops a fence: all fences are asked for again right before the promotion.
+acknowledges it:
+
+1. Only the holder of the promotion lock goes on, under a token that rises with each holder. Nobody,
+   not even a process started anew under the holder's name, takes the lock over while a promotion
+   that was called under it may still take effect.
+2. A primary that answers, and of which no successor can lead out of sight, is demoted: it takes no
+   more commits. Any log that has as much as its own has every acknowledged commit; who had
+   confirmed does not matter. If there is none, it can lead again itself.
+3. The other members are fenced with a term above every known one: they receive nothing more from
+   an old primary that does not answer.
+4. Lead leases are waited out, or confirmed to be dropped (`lead_lease`). From then on no proxy
+   tells a commit as acknowledged unless a listed replica that is not fenced holds it. So what an
+   instance confirms that is not counted here (it joined, lost its fence in a restart, was freed
+   by a late call) is told to nobody.
+5. Without a demoted primary's log the fenced ones are counted. An acknowledged commit is on its
+   primary and `s` others, so of all members but `s` at least one has it, and the longest log
+   leads. That holds only if all who confirmed are members: they are read anew now, when nothing
+   more is acknowledged, and after the time in which one that has begun to confirm is listed. A
+   log counts only from where the newest term began: commits of the terms before are in that
+   term's primary, and in those that have caught up with it.
+6. The promotion is written down in the store, with the end of the chosen log. A restart drops a
+   fence, so all fences are asked for again, right before the call.
 7. The promotion is sent while the lock is surely held, and settled by asking the instance.
 8. Then the old primary is demoted by whoever reaches it. The other replicas are freed when it is
    known to be no primary, or when they follow the new one.
@@ -23,169 +33,63 @@
 
 from collections.abc import Generator, Mapping
 from dataclasses import dataclass, replace
-from enum import Enum, unique
 
-from orchidwind.core.errors import OrchidwindError
 from orchidwind.core.managed.commands import InstanceRole, InstanceStatus
+from orchidwind.core.managed.failover_choice import (
+    choose_candidate,
+    holds,
+    leader_of,
+    needed_fences,
+    newest_led_term,
+    report_choice,
+)
+from orchidwind.core.managed.failover_steps import (
+    AskAll,
+    AwaitRevocation,
+    ChoiceReport,
+    Demote,
+    FailoverFlow,
+    FailoverOutcome,
+    FailoverPlan,
+    FailoverReason,
+    FailoverResult,
+    FailoverStep,
+    FailoverStepResult,
+    FenceAll,
+    LockLost,
+    Promote,
+    PromotionAnswer,
+    ReadMembers,
+    RecordPromotion,
+    ReleaseLock,
+    ReportChoice,
+    Statuses,
+    TakeLock,
+    UnfenceAll,
+    Wait,
+)
 
 RETRY_SECONDS = 0.05
 LEAD_WAIT_SECONDS = 0.02
+# From the first commit that an instance confirms until its entry is listed: it tells the store at
+# once, 12 to 14 ms were measured with replacements of the first users; four times that.
+LISTING_SECONDS = 0.06
+# What a primary had sent when it was demoted arrives within a round trip or two.
+_ARRIVAL_POLLS = 3
 _LEAD_POLLS = 60
 _SETTLE_POLLS = 6
 _ATTEMPTS_FOR_ANOTHER = 3
 _SELECT_ATTEMPTS = 30
+# Members are read anew each 0.2 s while no candidate is found: one may have joined meanwhile.
+_READ_AGAIN_ATTEMPTS = 4
 
-
-@unique
-class FailoverReason(Enum):
-    """Why a change of primary is looked into."""
-
-    UNREACHABLE = "unreachable"
-    LEAVING = "leaving"
-    NOT_CONFIRMING = "not_confirming"
-
-
-@unique
-class FailoverOutcome(Enum):
-    """How a change of primary ended."""
-
-    DONE = "done"
-    NOT_NEEDED = "not_needed"
-    LOCK_HELD = "lock_held"
-    LOCK_LOST = "lock_lost"
-    NOT_SAFE = "not_safe"
-
-
-@dataclass(frozen=True, slots=True)
-class FailoverPlan:
-    """What the proxy believes when it begins.
-
-    `members` are all instances that may have confirmed commits; `leaving` those of them that must
-    not lead; `old_primary` is empty where none is known. Without `members_known` there may be
-    others, of which this proxy has not been told: then only a demoted primary's log is a measure.
-    `led_term` is the newest term in which an instance is known to have led.
-    """
-
-    group: str
-    reason: FailoverReason
-    members: tuple[str, ...]
-    leaving: frozenset[str]
-    old_primary: str
-    synchronous_replicas: int
-    members_known: bool = True
-    led_term: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class FailoverResult:
-    """The outcome; `primary` and `term` where it is DONE."""
-
-    outcome: FailoverOutcome
-    primary: str = ""
-    term: int = 0
-
-
-class LockLost(OrchidwindError):
-    """The promotion lock's time has passed."""
-
-
-@unique
-class PromotionAnswer(Enum):
-    """What came back from the promotion call."""
-
-    ACCEPTED = "accepted"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-
-
-@dataclass(frozen=True, slots=True)
-class TakeLock:
-    """Take the promotion lock; the result is a bool."""
-
-
-@dataclass(frozen=True, slots=True)
-class ReleaseLock:
-    """Give the lock back."""
-
-
-@dataclass(frozen=True, slots=True)
-class AskAll:
-    """Ask instances for their status; the result is a map of those that answered."""
-
-    instances: tuple[str, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class FenceAll:
-    """Keep instances from receiving of primaries below `term`; the result as for AskAll."""
-
-    instances: tuple[str, ...]
-    term: int
-
-
-@dataclass(frozen=True, slots=True)
-class UnfenceAll:
-    """Let instances receive again; the result as for AskAll."""
-
-    instances: tuple[str, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Demote:
-    """Turn a primary of a lower term into a replica; the result as for AskAll."""
-
-    instance: str
-    term: int
-
-
-@dataclass(frozen=True, slots=True)
-class AwaitRevocation:
-    """Wait until no proxy relies on the old primary by a lead lease."""
-
-
-@dataclass(frozen=True, slots=True)
-class Promote:
-    """Send the promotion, if the lock is surely held (else LockLost is thrown in)."""
-
-    instance: str
-
-
-@dataclass(frozen=True, slots=True)
-class Wait:
-    """Wait for some seconds; LockLost is thrown in where the lock's time has passed."""
-
-    seconds: float
-
-
-FailoverStep = (
-    TakeLock
-    | ReleaseLock
-    | AskAll
-    | FenceAll
-    | UnfenceAll
-    | Demote
-    | AwaitRevocation
-    | Promote
-    | Wait
-)
-Statuses = Mapping[str, InstanceStatus]
-FailoverStepResult = Statuses | PromotionAnswer | bool | None
-FailoverFlow = Generator[FailoverStep, FailoverStepResult, FailoverResult]
 _Part = Generator[FailoverStep, FailoverStepResult, Statuses]
 
 
-def leader_of(statuses: Statuses) -> InstanceStatus | None:
-    """The primary of the newest term among those that answered, if no other knows a later one."""
-    primaries = [item for item in statuses.values() if item.role is InstanceRole.PRIMARY]
-    best = max(primaries, key=lambda item: item.term, default=None)
-    if best is None or any(item.term > best.term for item in statuses.values()):
-        return None
-    return best
-
-
 def change_primary(plan: FailoverPlan) -> FailoverFlow:
     """Replace the primary of a group, if that is still needed."""
-    statuses = yield from _ask(plan.members)
+    statuses = yield from _ask((*plan.members, *plan.absent))
+    plan = _count_answering(plan, statuses)
     if _stands(plan, statuses) and not _fenced_ones(statuses):
         return FailoverResult(FailoverOutcome.NOT_NEEDED)
     if not _may_succeed(plan, statuses):
@@ -203,20 +107,27 @@
     return result
 
 
+def _count_answering(plan: FailoverPlan, statuses: Statuses) -> FailoverPlan:
+    """Instances of which nothing was heard since the newest term began are members if they answer.
+
+    Guards against one that is cut off from the store alone and goes on confirming.
+    """
+    answering = [name for name in plan.absent if name in statuses]
+    members = tuple(sorted({*plan.members, *answering}))
+    return replace(plan, members=members, absent=())
+
+
 def _may_succeed(plan: FailoverPlan, statuses: Statuses) -> bool:
     """Whether enough instances answer; without them the lock would only keep others from trying."""
-    if leader_of(statuses) is not None or _fenced_ones(statuses):
+    if _fenced_ones(statuses):
         return True
-    replicas = [name for name in statuses if name != plan.old_primary]
+    leader = leader_of(plan, statuses)
+    replicas = [item for item in statuses.values() if item.role is InstanceRole.REPLICA]
+    if leader is not None:
+        return bool(replicas) or leader.instance not in plan.leaving
     if not plan.members_known:
         return False
-    return len(replicas) >= _needed(plan, plan.old_primary)
-
-
-def _needed(plan: FailoverPlan, old_primary: str) -> int:
-    """How many fenced replicas surely share one with the confirmations of any commit."""
-    confirming = sum(1 for name in plan.members if name != old_primary)
-    return max(1, confirming - max(plan.synchronous_replicas, 1) + 1)
+    return len(replicas) >= needed_fences(plan)
 
 
 def _ask(instances: tuple[str, ...]) -> _Part:
@@ -227,7 +138,7 @@
 
 def _stands(plan: FailoverPlan, statuses: Statuses) -> bool:
     """Whether a primary is there that need not be replaced."""
-    leader = leader_of(statuses)
+    leader = leader_of(plan, statuses)
     if leader is None or leader.instance in plan.leaving:
         return False
     same = leader.instance == plan.old_primary
@@ -246,47 +157,174 @@
 def _change_under_lock(plan: FailoverPlan) -> FailoverFlow:
     statuses = yield from _ask(plan.members)
     if _stands(plan, statuses):
-        return (yield from _stand_down(statuses))
-    newest = max((item.newest_term for item in statuses.values()), default=0)
-    fence_term = newest + 1
-    plan = replace(plan, led_term=_newest_led(plan, statuses))
+        return (yield from _stand_down(plan, statuses))
+    fence_term = _next_term(plan, statuses)
+    plan = replace(plan, led_term=newest_led_term(plan, statuses))
     if plan.reason is FailoverReason.NOT_CONFIRMING:
         refused = yield from _check_not_confirming(plan, statuses, fence_term)
         if refused is not None:
             return refused
-    demoted = yield from _demote_leader(statuses, fence_term)
-    sent = False  # once a promotion may have been sent, fences below the new term stay
+    demoted = yield from _demote_leader(plan, statuses, fence_term)
+    if demoted is not None and plan.reason is not FailoverReason.NOT_CONFIRMING:
+        yield from _let_arrive(plan, demoted)
+    return (yield from _replace(plan, demoted, fence_term))
+
+
+def _next_term(plan: FailoverPlan, statuses: Statuses) -> int:
+    """A term above every one that an instance knows of, and none below the last promotion's."""
+    newest = max((item.newest_term for item in statuses.values()), default=0)
+    last = plan.last_promotion
+    return max(newest + 1, last.term if last is not None else 0)
+
+
+def _let_arrive(plan: FailoverPlan, demoted: InstanceStatus) -> _Part:
+    """Wait a little until some replica has all that the demoted primary had sent.
+
+    Gains a successor that need not be fenced short of it; else the demoted one leads once more.
+    """
+    for _ in range(_ARRIVAL_POLLS):
+        statuses = yield from _ask(_others(plan, demoted))
+        if any(holds(item.received, demoted.received) for item in statuses.values()):
+            break
+        yield Wait(LEAD_WAIT_SECONDS)
+    return statuses
+
+
+@dataclass(slots=True)
+class _Selection:
+    """The search for the next primary, from one attempt to the next.
+
+    `sent` tells that a promotion may have been called: fences below the new term stay then.
+    """
+
+    plan: FailoverPlan
+    demoted: InstanceStatus | None
+    fence_term: int
+    told: ChoiceReport | None = None
+    sent: bool = False
+
+    @property
+    def counts(self) -> bool:
+        """Whether the members are needed from the first attempt on."""
+        not_confirming = self.plan.reason is FailoverReason.NOT_CONFIRMING
+        return self.demoted is None or not_confirming
+
+
+def _replace(plan: FailoverPlan, demoted: InstanceStatus | None, fence_term: int) -> FailoverFlow:
+    """Choose the next primary and have it promoted."""
+    # Fenced before the members are read: else a proxy could find a commit held by a replica that
+    # is listed after that reading, and no fence that warns it.
+    yield FenceAll(_others(plan, demoted, plan.old_primary), fence_term)
+    yield AwaitRevocation()
+    # These members were read before anybody had stopped to acknowledge: they count nobody.
+    selection = _Selection(replace(plan, members_known=False), demoted, fence_term)
     for attempt in range(_SELECT_ATTEMPTS):
         if attempt:
             yield Wait(RETRY_SECONDS)
-        fenced = yield from _fence(plan, demoted, fence_term)
-        returned = fenced.get(plan.old_primary)
-        if returned is not None and demoted is None and returned.role is InstanceRole.PRIMARY:
-            statuses = yield from _ask(plan.members)
-            if _stands(plan, statuses):
-                return (yield from _stand_down(statuses))
-            demoted = yield from _demote_leader(statuses, fence_term)
-            continue
-        candidate = choose_candidate(plan, fenced, demoted, fence_term)
-        if candidate is None and attempt >= _ATTEMPTS_FOR_ANOTHER:
-            # No other log is known to be whole, but the demoted primary's own is.
-            candidate = demoted
-        if candidate is None:
-            continue
-        sent = True
-        led = yield from _promote(plan, candidate, fenced, demoted, fence_term)
-        if led is not None:
-            yield from _settle(plan, led)
-            return FailoverResult(FailoverOutcome.DONE, led.instance, led.term)
-    if not sent:
-        statuses = yield from _ask(plan.members)
+        result = yield from _attempt(selection, attempt)
+        if result is not None:
+            return result
+    if not selection.sent:
+        statuses = yield from _ask(selection.plan.members)
         yield UnfenceAll(_fenced_ones(statuses))
     return FailoverResult(FailoverOutcome.NOT_SAFE)
 
 
-def _newest_led(plan: FailoverPlan, statuses: Statuses) -> int:
-    """The newest term in which an instance is known to have led; a fence alone is none."""
-    return max([plan.led_term, *(item.term for item in statuses.values())])
+def _attempt(
+    selection: _Selection, attempt: int
+) -> Generator[FailoverStep, FailoverStepResult, FailoverResult | None]:
+    """Look once for a candidate and promote it; None where another attempt is due."""
+    read_again = not selection.plan.members_known or attempt % _READ_AGAIN_ATTEMPTS == 0
+    if read_again and (attempt or selection.counts):
+        selection.plan = yield from _read_members(selection.plan)
+    fenced = yield from _fence(selection.plan, selection.demoted, selection.fence_term)
+    led = _led_already(fenced, selection.fence_term)
+    if led is not None:
+        return (yield from _settle(selection.plan, led))
+    if selection.demoted is None and _primary_answers(fenced):
+        stands = yield from _old_primary_is_back(selection)
+        if stands is not None or selection.demoted is not None:
+            return stands
+    candidate = yield from _choose(selection, fenced, attempt)
+    if candidate is None:
+        return None
+    recorded = yield RecordPromotion(candidate.instance, selection.fence_term, candidate.received)
+    if not recorded:
+        selection.plan = replace(selection.plan, members_known=False)
+        return None
+    if not (yield from _still_best(selection, candidate, fenced)):
+        return None
+    selection.sent = True
+    led = yield from _promote(candidate)
+    return None if led is None else (yield from _settle(selection.plan, led))
+
+
+def _old_primary_is_back(
+    selection: _Selection,
+) -> Generator[FailoverStep, FailoverStepResult, FailoverResult | None]:
+    """An old primary answers: leave it where it stands after all, else demote it."""
+    statuses = yield from _ask(selection.plan.members)
+    if _stands(selection.plan, statuses):
+        return (yield from _stand_down(selection.plan, statuses))
+    selection.demoted = yield from _demote_leader(selection.plan, statuses, selection.fence_term)
+    return None
+
+
+def _choose(
+    selection: _Selection, fenced: Statuses, attempt: int
+) -> Generator[FailoverStep, FailoverStepResult, InstanceStatus | None]:
+    """The next primary, None where no log is known to be whole; tells on what that rests."""
+    plan, demoted, fence_term = selection.plan, selection.demoted, selection.fence_term
+    candidate = choose_candidate(plan, fenced, demoted, fence_term)
+    if candidate is None and attempt >= _ATTEMPTS_FOR_ANOTHER:
+        # No other log is known to be whole, but the demoted primary's own is.
+        candidate = demoted
+    report = report_choice(plan, fenced, demoted, fence_term, candidate)
+    if report != selection.told:
+        selection.told = report
+        yield ReportChoice(report)
+    return candidate
+
+
+def _read_members(
+    plan: FailoverPlan,
+) -> Generator[FailoverStep, FailoverStepResult, FailoverPlan]:
+    """The members as they are when nobody acknowledges any more."""
+    yield Wait(LISTING_SECONDS)
+    fresh = yield ReadMembers()
+    if not isinstance(fresh, FailoverPlan):
+        return replace(plan, members_known=False)
+    statuses = yield from _ask(fresh.absent) if fresh.absent else _nothing()
+    fresh = _count_answering(fresh, statuses)
+    return replace(
+        plan,
+        # Nobody is taken off: who was a member a moment ago may hold a commit.
+        members=tuple(sorted({*plan.members, *fresh.members})),
+        leaving=fresh.leaving,
+        members_known=fresh.members_known,
+        led_term=max(plan.led_term, fresh.led_term),
+        last_promotion=fresh.last_promotion,
+    )
+
+
+def _nothing() -> _Part:
+    yield from ()
+    return {}
+
+
+def _led_already(fenced: Statuses, fence_term: int) -> InstanceStatus | None:
+    """An instance that leads the new term: an earlier promotion has taken effect."""
+    leading = [
+        item
+        for item in fenced.values()
+        if item.role is InstanceRole.PRIMARY and item.term >= fence_term
+    ]
+    return max(leading, key=lambda item: item.term, default=None)
+
+
+def _primary_answers(fenced: Statuses) -> bool:
+    """Whether an old primary, lost before, is back."""
+    return any(item.role is InstanceRole.PRIMARY for item in fenced.values())
 
 
 def _check_not_confirming(
@@ -297,14 +335,14 @@
     It is kept where a replica does keep up with it, and where the others cannot show that one of
     them has every acknowledged commit: it must not be demoted without a successor.
     """
-    leader = leader_of(statuses)
+    leader = leader_of(plan, statuses)
     if leader is None:
         return None
     yield Wait(RETRY_SECONDS)
     later = yield from _ask(plan.members)
     replicas = [item for item in later.values() if item.role is InstanceRole.REPLICA]
     if any(item.received >= leader.received for item in replicas):
-        return (yield from _stand_down(later))
+        return (yield from _stand_down(plan, later))
     fenced = yield from _fence(plan, leader, fence_term)
     if choose_candidate(plan, fenced, None, fence_term) is None:
         yield UnfenceAll(tuple(fenced))
@@ -312,9 +350,9 @@
     return None
 
 
-def _stand_down(statuses: Statuses) -> FailoverFlow:
+def _stand_down(plan: FailoverPlan, statuses: Statuses) -> FailoverFlow:
     """The primary is there after all: free what an interrupted change left fenced."""
-    leader = leader_of(statuses)
+    leader = leader_of(plan, statuses)
     fenced = _fenced_ones(statuses)
     if leader is not None:
         # One that has not moved to the leader's term might follow an older primary.
@@ -325,76 +363,62 @@
 
 
 def _demote_leader(
-    statuses: Statuses, term: int
+    plan: FailoverPlan, statuses: Statuses, term: int
 ) -> Generator[FailoverStep, FailoverStepResult, InstanceStatus | None]:
-    """Demote a primary that answers; its status afterwards, None where there was none."""
-    leader = leader_of(statuses)
-    if leader is None:
-        return None
-    answers = yield Demote(leader.instance, term)
-    assert isinstance(answers, Mapping)
-    status = answers.get(leader.instance)
-    if status is None or status.role is InstanceRole.PRIMARY:
-        return None
-    return status
+    """Demote the newest primary, if it answers; its status afterwards, None where there was none.
+
+    Primaries of older terms that answer are demoted too: their logs measure nothing.
+    """
+    leader = leader_of(plan, statuses)
+    newest = max((item.term for item in statuses.values()), default=0)
+    demoted: InstanceStatus | None = None
+    for item in statuses.values():
+        replaced = item.role is InstanceRole.PRIMARY and item.term < newest
+        if item != leader and not replaced:
+            continue
+        answers = yield Demote(item.instance, term)
+        assert isinstance(answers, Mapping)
+        status = answers.get(item.instance)
+        stepped_down = status is not None and status.role is InstanceRole.REPLICA
+        if item == leader and stepped_down:
+            demoted = status
+    return demoted
 
 
 def _fence(plan: FailoverPlan, leader: InstanceStatus | None, term: int) -> _Part:
     """Fence all that may confirm; an old primary that was lost is asked too, it may be back."""
-    others = tuple(name for name in plan.members if leader is None or name != leader.instance)
-    statuses = yield FenceAll(others, term)
+    statuses = yield FenceAll(_others(plan, leader), term)
     assert isinstance(statuses, Mapping)
     return statuses
 
 
-def choose_candidate(
-    plan: FailoverPlan, fenced: Statuses, demoted: InstanceStatus | None, fence_term: int
-) -> InstanceStatus | None:
-    """The instance whose log surely has every acknowledged commit, None where none is known.
-
-    Of several, one that stays is taken.
-    """
-    replicas = [
-        item
-        for item in fenced.values()
-        if item.role is InstanceRole.REPLICA and item.fence_term >= fence_term
-    ]
-    old = demoted.instance if demoted is not None else plan.old_primary
-    if old:
-        replicas = [item for item in replicas if item.instance != old] or replicas
-    if not replicas:
-        return None
-    longest = max(item.received for item in replicas)
-    if demoted is not None and longest >= demoted.received:
-        return _best(plan, [item for item in replicas if item.received >= demoted.received])
-    counted = sum(1 for item in replicas if item.instance in plan.members and item.instance != old)
-    if counted < _needed(plan, old) or not plan.members_known:
-        return None
-    led = _newest_led(plan, fenced)
-    able = [item for item in replicas if item.received == longest and item.term >= led]
-    return _best(plan, able)
+def _others(
+    plan: FailoverPlan, leader: InstanceStatus | None, left_out: str = ""
+) -> tuple[str, ...]:
+    """All members but these."""
+    named = {left_out, leader.instance if leader is not None else ""}
+    return tuple(name for name in plan.members if name not in named)
 
 
-def _best(plan: FailoverPlan, able: list[InstanceStatus]) -> InstanceStatus | None:
-    staying = [item for item in able if item.instance not in plan.leaving]
-    chosen = staying or able
-    return max(chosen, key=lambda item: (item.received, item.instance), default=None)
+def _still_best(
+    selection: _Selection, candidate: InstanceStatus, fenced: Statuses
+) -> Generator[FailoverStep, FailoverStepResult, bool]:
+    """Ask for all fences once more: a restart drops them, and an instance may have gone."""
+    again = yield from _ask(tuple(sorted({*fenced, candidate.instance})))
+    now = again.get(candidate.instance)
+    if now is None or now.role is InstanceRole.PRIMARY:
+        return False
+    demoted = selection.demoted
+    if demoted is not None and candidate.instance == demoted.instance:
+        return holds(now.received, demoted.received)
+    still = choose_candidate(selection.plan, again, demoted, selection.fence_term)
+    return still is not None and now.received >= still.received
 
 
 def _promote(
-    plan: FailoverPlan,
     candidate: InstanceStatus,
-    fenced: Statuses,
-    demoted: InstanceStatus | None,
-    fence_term: int,
 ) -> Generator[FailoverStep, FailoverStepResult, InstanceStatus | None]:
-    """Check the fences once more, promote, and wait until the instance leads."""
-    yield AwaitRevocation()
-    if demoted is None or candidate.instance != demoted.instance:
-        again = yield from _ask(tuple(fenced))
-        still = choose_candidate(plan, again, demoted, fence_term)
-        if still is None or again[candidate.instance].received < still.received:
-            return None
+    """Promote, and wait until the instance leads; its status then, None where it does not."""
     answer = yield Promote(candidate.instance)
     if answer is PromotionAnswer.REFUSED:
         return None
@@ -407,18 +431,15 @@
     return None
 
 
-def _settle(
-    plan: FailoverPlan, led: InstanceStatus
-) -> Generator[FailoverStep, FailoverStepResult, None]:
+def _settle(plan: FailoverPlan, led: InstanceStatus) -> FailoverFlow:
     """Demote a replaced primary that can be reached, and free the other replicas.
 
     A replica that is freed before it follows the new primary could confirm commits of the old one.
     So a fence stays until the old primary is known to lead no more, or the replica has moved, which
     ends the fence by itself.
     """
-    others = tuple(name for name in plan.members if name != led.instance)
     for _ in range(_SETTLE_POLLS):
-        statuses = yield from _ask(others)
+        statuses = yield from _ask(_others(plan, led))
         replaced = [
             item
             for item in statuses.values()
@@ -434,6 +455,7 @@
             yield UnfenceAll(tuple(item.instance for item in waiting))
             break
         yield Wait(LEAD_WAIT_SECONDS)
+    return FailoverResult(FailoverOutcome.DONE, led.instance, led.term)
 
 
 def _fenced_below(status: InstanceStatus, term: int) -> bool:
--- /dev/null
+++ b/src/orchidwind/core/managed/failover_choice.py
@@ -0,0 +1,181 @@
+"""Which instance may lead next: whose log surely has every acknowledged commit. No I/O."""
+
+from __future__ import annotations
+
+from orchidwind.core.managed.commands import InstanceRole, InstanceStatus
+from orchidwind.core.managed.failover_steps import ChoiceReport, FailoverPlan, Statuses
+from orchidwind.core.positions import Position
+
+
+def holds(log_end: Position, wanted: Position) -> bool:
+    """Whether a log that ends there has everything up to a position.
+
+    By term and by number: one that follows a newer term may still lack what came before it.
+    """
+    return log_end.term >= wanted.term and log_end.lsn >= wanted.lsn
+
+
+def newest_answering_primary(statuses: Statuses) -> InstanceStatus | None:
+    """The primary of the newest term among those that answered, if no other knows a later one."""
+    primaries = [item for item in statuses.values() if item.role is InstanceRole.PRIMARY]
+    best = max(primaries, key=lambda item: item.term, default=None)
+    if best is None or any(item.term > best.term for item in statuses.values()):
+        return None
+    return best
+
+
+def leader_of(plan: FailoverPlan, statuses: Statuses) -> InstanceStatus | None:
+    """The primary of the newest term that can have begun; None where none of them answers."""
+    best = newest_answering_primary(statuses)
+    if best is None or _may_have_successor(plan, best, statuses):
+        return None
+    return best
+
+
+def _may_have_successor(plan: FailoverPlan, leader: InstanceStatus, statuses: Statuses) -> bool:
+    """Whether another instance, promoted later, may lead out of this proxy's sight.
+
+    Guards against an old primary that does not know of its successor, and is the only one that
+    answers: its log has nothing of the newer term.
+    """
+    last = plan.last_promotion
+    if last is None or last.term <= leader.term or last.instance == leader.instance:
+        return False
+    if last.instance in statuses:
+        # It answers, and it does not know the term that it was promoted to: it never led.
+        return statuses[last.instance].term >= last.term
+    followers = [name for name in plan.members if name not in (leader.instance, last.instance)]
+    # It acknowledged nothing in its term if nobody followed it.
+    followed = any(name not in statuses or statuses[name].term >= last.term for name in followers)
+    return followed or not followers
+
+
+def needed_fences(plan: FailoverPlan) -> int:
+    """How many fenced members surely share one with the holders of any acknowledged commit.
+
+    A commit is on its primary and on `synchronous_replicas` others. Where that primary may be
+    none of the members, it is only known to be on the others.
+    """
+    synchronous = max(plan.synchronous_replicas, 1)
+    leaders = {plan.old_primary}
+    if plan.last_promotion is not None:
+        leaders.add(plan.last_promotion.instance)
+    holders = synchronous + 1 if leaders <= set(plan.members) else synchronous
+    return max(1, len(plan.members) - holders + 1)
+
+
+def fenced_replicas(fenced: Statuses, fence_term: int) -> list[InstanceStatus]:
+    """Those that receive nothing of any primary below a term."""
+    return [
+        item
+        for item in fenced.values()
+        if item.role is InstanceRole.REPLICA and item.fence_term >= fence_term
+    ]
+
+
+def counted_replicas(
+    plan: FailoverPlan, fenced: Statuses, demoted: InstanceStatus | None, fence_term: int
+) -> list[InstanceStatus]:
+    """The fenced members; a demoted primary's own log, unconfirmed commits and all, is none."""
+    left_out = demoted.instance if demoted is not None else ""
+    return [
+        item
+        for item in fenced_replicas(fenced, fence_term)
+        if item.instance in plan.members and item.instance != left_out
+    ]
+
+
+def choose_candidate(
+    plan: FailoverPlan, fenced: Statuses, demoted: InstanceStatus | None, fence_term: int
+) -> InstanceStatus | None:
+    """The instance whose log surely has every acknowledged commit, None where none is known.
+
+    Of several, one that stays is taken.
+    """
+    replicas = fenced_replicas(fenced, fence_term)
+    if demoted is not None:
+        whole = [item for item in replicas if holds(item.received, demoted.received)]
+        if whole:
+            return _best(plan, whole)
+    counted = counted_replicas(plan, fenced, demoted, fence_term)
+    if len(counted) < needed_fences(plan) or not plan.members_known:
+        return None
+    longest = max(item.received for item in counted)
+    start = _start_of_newest_term(plan, fenced)
+    led = newest_led_term(plan, fenced)
+    able = [
+        item
+        for item in counted
+        if item.received == longest and item.term >= led and item.received.lsn >= start.lsn
+    ]
+    return _best(plan, able)
+
+
+def newest_led_term(plan: FailoverPlan, statuses: Statuses) -> int:
+    """The newest term in which an instance is known to have led; a fence alone is none."""
+    return max([plan.led_term, *(item.term for item in statuses.values())])
+
+
+def _start_of_newest_term(plan: FailoverPlan, statuses: Statuses) -> Position:
+    """Where the newest term began, as far as the last promotion tells.
+
+    Guards against a replica that follows the newest term and is still catching up with it.
+    """
+    last = plan.last_promotion
+    if last is None or last.term > newest_led_term(plan, statuses):
+        return Position(0, 0)
+    return last.start
+
+
+def _best(plan: FailoverPlan, able: list[InstanceStatus]) -> InstanceStatus | None:
+    staying = [item for item in able if item.instance not in plan.leaving]
+    chosen = staying or able
+    return max(chosen, key=lambda item: (item.received, item.instance), default=None)
+
+
+def report_choice(
+    plan: FailoverPlan,
+    fenced: Statuses,
+    demoted: InstanceStatus | None,
+    fence_term: int,
+    chosen: InstanceStatus | None,
+) -> ChoiceReport:
+    """On what a choice rested."""
+    counted = counted_replicas(plan, fenced, demoted, fence_term)
+    passed_over = [
+        (name, _why_not(plan, name, fenced, chosen, fence_term))
+        for name in sorted({*plan.members, *fenced})
+        if chosen is None or name != chosen.instance
+    ]
+    return ChoiceReport(
+        plan.members,
+        plan.members_known,
+        needed_fences(plan),
+        len(counted),
+        f"{demoted.instance}:{demoted.received.term}.{demoted.received.lsn}" if demoted else "",
+        chosen.instance if chosen else "",
+        tuple(passed_over),
+    )
+
+
+def _why_not(
+    plan: FailoverPlan,
+    name: str,
+    fenced: Statuses,
+    chosen: InstanceStatus | None,
+    fence_term: int,
+) -> str:
+    status = fenced.get(name)
+    if status is None:
+        return "not_answered"
+    if status.role is InstanceRole.PRIMARY:
+        return "leads"
+    if status.fence_term < fence_term:
+        return "not_fenced"
+    if status.term < newest_led_term(plan, fenced):
+        return "older_term"
+    if chosen is None:
+        return "not_proven"
+    if status.received < chosen.received:
+        return "shorter_log"
+    return "leaving" if name in plan.leaving else "equal"
--- /dev/null
+++ b/src/orchidwind/core/managed/failover_steps.py
@@ -0,0 +1,196 @@
+"""What a change of primary begins with, the steps that it takes, and what comes back. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Generator, Mapping
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from orchidwind.core.errors import OrchidwindError
+from orchidwind.core.managed.commands import InstanceStatus
+from orchidwind.core.managed.roster import PromotionRecord
+from orchidwind.core.positions import Position
+
+
+@unique
+class FailoverReason(Enum):
+    """Why a change of primary is looked into."""
+
+    UNREACHABLE = "unreachable"
+    LEAVING = "leaving"
+    NOT_CONFIRMING = "not_confirming"
+
+
+@unique
+class FailoverOutcome(Enum):
+    """How a change of primary ended."""
+
+    DONE = "done"
+    NOT_NEEDED = "not_needed"
+    LOCK_HELD = "lock_held"
+    LOCK_LOST = "lock_lost"
+    NOT_SAFE = "not_safe"
+
+
+@dataclass(frozen=True, slots=True)
+class FailoverPlan:
+    """What the proxy believes when it begins, and again when it has read the members anew.
+
+    `members` are all instances that may have confirmed commits; `leaving` those of them that must
+    not lead; `old_primary` is empty where none is known. Without `members_known` there may be
+    others, of which this proxy has not been told: then only a demoted primary's log is a measure.
+    `led_term` is the newest term in which an instance is known to have led. `absent` are instances
+    of which neither the directory nor this proxy has heard since that term began: they are members
+    if they answer. `last_promotion` is what the group's roster names, None where nobody was ever
+    promoted.
+    """
+
+    group: str
+    reason: FailoverReason
+    members: tuple[str, ...]
+    leaving: frozenset[str]
+    old_primary: str
+    synchronous_replicas: int
+    members_known: bool = True
+    led_term: int = 0
+    absent: tuple[str, ...] = ()
+    last_promotion: PromotionRecord | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class FailoverResult:
+    """The outcome; `primary` and `term` where it is DONE."""
+
+    outcome: FailoverOutcome
+    primary: str = ""
+    term: int = 0
+
+
+class LockLost(OrchidwindError):
+    """The promotion lock's time has passed."""
+
+
+@unique
+class PromotionAnswer(Enum):
+    """What came back from the promotion call."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class ChoiceReport:
+    """On what a choice of the next primary rested, for the log.
+
+    `passed_over` tells for each instance that was not chosen why it was not. `chosen` is empty
+    where no instance is known to have every acknowledged commit.
+    """
+
+    members: tuple[str, ...]
+    members_known: bool
+    needed: int
+    counted: int
+    demoted: str
+    chosen: str
+    passed_over: tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TakeLock:
+    """Take the promotion lock; the result is a bool."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseLock:
+    """Give the lock back."""
+
+
+@dataclass(frozen=True, slots=True)
+class AskAll:
+    """Ask instances for their status; the result is a map of those that answered."""
+
+    instances: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FenceAll:
+    """Keep instances from receiving of primaries below `term`; the result as for AskAll."""
+
+    instances: tuple[str, ...]
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class UnfenceAll:
+    """Let instances receive again; the result as for AskAll."""
+
+    instances: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Demote:
+    """Turn a primary of a lower term into a replica; the result as for AskAll."""
+
+    instance: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class AwaitRevocation:
+    """Wait until no proxy relies on the old primary by a lead lease, to read or to acknowledge."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadMembers:
+    """Read anew who may have confirmed; a FailoverPlan, None where the store does not answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReportChoice:
+    """Log on what a choice rested."""
+
+    report: ChoiceReport
+
+
+@dataclass(frozen=True, slots=True)
+class RecordPromotion:
+    """Write down that an instance is about to be promoted; whether it stands in the store.
+
+    `term` is the least term that it will lead, `start` the end of its log.
+    """
+
+    instance: str
+    term: int
+    start: Position
+
+
+@dataclass(frozen=True, slots=True)
+class Promote:
+    """Send the promotion, if the lock is surely held (else LockLost is thrown in)."""
+
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Wait for some seconds; LockLost is thrown in where the lock's time has passed."""
+
+    seconds: float
+
+
+InstanceStep = AskAll | FenceAll | UnfenceAll | Demote
+FailoverStep = (
+    InstanceStep
+    | TakeLock
+    | ReleaseLock
+    | AwaitRevocation
+    | ReadMembers
+    | ReportChoice
+    | RecordPromotion
+    | Promote
+    | Wait
+)
+Statuses = Mapping[str, InstanceStatus]
+FailoverStepResult = Statuses | FailoverPlan | PromotionAnswer | bool | None
+FailoverFlow = Generator[FailoverStep, FailoverStepResult, FailoverResult]
--- a/src/orchidwind/core/managed/promotion_lock.py
+++ b/src/orchidwind/core/managed/promotion_lock.py
@@ -4,7 +4,9 @@
 the fencing token: it rises with every change, so also with every holder. A holder uses the lock
 for a fixed time after it *sent* the call that took it. Others take it over only after they have
 seen it unchanged for longer than that, by their own steady clocks; the difference covers a
-promotion call that is still under way.
+promotion call that is still under way. So does the holder itself, and a process that was started
+anew under its name, once a promotion was written down under this hold: the call may take effect
+yet, and whoever finds the old primary leading would free the replicas for it.
 """
 
 from __future__ import annotations
@@ -51,11 +53,18 @@
         self._seen_revision = -1
         self._seen_at = 0.0
 
-    def decide(self, now: float, record: LockRecord | None) -> LockDecision:
-        """What to do about a record that was just read."""
+    def decide(
+        self, now: float, record: LockRecord | None, promotion_called: bool = False
+    ) -> LockDecision:
+        """What to do about a record that was just read.
+
+        `promotion_called` tells that a promotion may have been called under this very hold.
+        """
         if record is None:
             return LockDecision.CREATE
-        if record.released or record.holder == self._node:
+        if record.released:
+            return LockDecision.REPLACE
+        if record.holder == self._node and not promotion_called:
             return LockDecision.REPLACE
         if record.revision != self._seen_revision:
             self._seen_revision = record.revision
--- a/src/orchidwind/core/managed/roster.py
+++ b/src/orchidwind/core/managed/roster.py
@@ -1,9 +1,25 @@
-"""The roster of a group: which instances may hold acknowledged commits. No I/O."""
+"""The roster of a group: who may hold acknowledged commits, and who was promoted last. No I/O."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
+from orchidwind.core.positions import Position
+
+
+@dataclass(frozen=True, slots=True)
+class PromotionRecord:
+    """The last promotion that was called, or was about to be; written before its call.
+
+    `instance` leads at `term` or later, if it took effect. `start` is the end of its log then: the
+    log that the term begins with. `token` is the fencing token of the call.
+    """
+
+    instance: str
+    term: int
+    start: Position
+    token: int
+
 
 @dataclass(frozen=True, slots=True)
 class Roster:
@@ -12,3 +28,4 @@
     group: str
     members: tuple[str, ...]
     revision: int
+    last_promotion: PromotionRecord | None = None
--- a/src/orchidwind/core/managed/supervision.py
+++ b/src/orchidwind/core/managed/supervision.py
@@ -4,11 +4,12 @@
 
 from dataclasses import dataclass
 
-from orchidwind.core.managed.failover import (
+from orchidwind.core.managed.failover_steps import (
     FailoverOutcome,
     FailoverPlan,
     FailoverReason,
 )
+from orchidwind.core.managed.roster import PromotionRecord
 from orchidwind.core.managed.topology import GroupTopology
 
 ASK_AGAIN_SECONDS = 0.15
@@ -163,7 +164,12 @@
         self._start_at = None
         return self.plan(reason, members_known)
 
-    def plan(self, reason: FailoverReason, members_known: bool) -> FailoverPlan:
+    def plan(
+        self,
+        reason: FailoverReason,
+        members_known: bool,
+        last_promotion: PromotionRecord | None = None,
+    ) -> FailoverPlan:
         """A change of primary, by what is known now."""
         views = self._topology.instances
         leaving = frozenset(
@@ -178,4 +184,6 @@
             synchronous_replicas=self._topology.settings.synchronous_replicas,
             members_known=members_known,
             led_term=self._topology.newest_led_term,
+            absent=tuple(sorted(self._topology.absent())),
+            last_promotion=last_promotion,
         )
--- a/src/orchidwind/core/managed/topology.py
+++ b/src/orchidwind/core/managed/topology.py
@@ -302,6 +302,11 @@
         present = [name for name, view in self.instances.items() if self._may_have_confirmed(view)]
         return [*present, *self._departed]
 
+    def absent(self) -> list[str]:
+        """Instances that `may_confirm` leaves out, though they left not long ago."""
+        views = self.instances.items()
+        return [name for name, view in views if not self._may_have_confirmed(view)]
+
     def how_known(self, now: float) -> dict[str, str]:
         """By what each instance that may hold commits is known, and how old that knowledge is.
 
--- a/src/orchidwind/managed/failover_runner.py
+++ b/src/orchidwind/managed/failover_runner.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from orchidwind.core.errors import (
@@ -13,24 +13,28 @@
     PlatformUncertain,
 )
 from orchidwind.core.managed.commands import InstanceRole, InstanceStatus
-from orchidwind.core.managed.failover import (
+from orchidwind.core.managed.failover import change_primary
+from orchidwind.core.managed.failover_steps import (
     AskAll,
     AwaitRevocation,
-    Demote,
+    ChoiceReport,
     FailoverPlan,
     FailoverResult,
     FailoverStep,
     FailoverStepResult,
     FenceAll,
+    InstanceStep,
     LockLost,
     Promote,
     PromotionAnswer,
+    ReadMembers,
+    RecordPromotion,
     ReleaseLock,
+    ReportChoice,
     Statuses,
     TakeLock,
     UnfenceAll,
     Wait,
-    change_primary,
 )
 from orchidwind.core.managed.promotion_lock import (
     HeldLock,
@@ -39,11 +43,13 @@
     LockRecord,
     held_lock,
 )
+from orchidwind.core.managed.roster import PromotionRecord
 from orchidwind.logs import log_event
 from orchidwind.managed.driving import drive
 from orchidwind.managed.group_service import GroupService
 from orchidwind.managed.lead_lease import LeaseKeeper
 from orchidwind.managed.ports import InstanceLink, PromotionLockStore, PromotionService
+from orchidwind.managed.rosters import RosterKeeper
 
 _CALL_MARGIN_SECONDS = 0.2
 _LOCK_READ_BACKS = 6
@@ -53,9 +59,13 @@
 class PromotionLockClient:
     """Takes and gives back the promotion lock; one change of primary at a time uses it."""
 
-    def __init__(self, node: str, store: PromotionLockStore) -> None:
+    def __init__(
+        self, node: str, store: PromotionLockStore, promotion_called: Callable[[int], bool]
+    ) -> None:
+        """`promotion_called` tells whether one may have been called under a token."""
         self._node = node
         self._store = store
+        self._promotion_called = promotion_called
         self._observer = LockObserver(node)
         self._loop = asyncio.get_running_loop()
         self.in_use = asyncio.Lock()
@@ -64,7 +74,8 @@
         """The lock, None where another holds it or the store does not answer."""
         try:
             record = await self._store.read()
-            decision = self._observer.decide(self._loop.time(), record)
+            called = record is not None and self._promotion_called(record.revision)
+            decision = self._observer.decide(self._loop.time(), record, called)
             if decision is LockDecision.WAIT:
                 return None
             return await self._write(record)
@@ -115,7 +126,12 @@
         lock: PromotionLockClient,
         service: PromotionService,
         leases: LeaseKeeper,
+        rosters: RosterKeeper,
+        read_members: Callable[[], Awaitable[FailoverPlan | None]],
     ) -> None:
+        """`read_members` plans anew from views read anew; None where the store is silent."""
+        self._rosters = rosters
+        self._read_members = read_members
         self._leases = leases
         self._taken_at = 0.0
         self._promoted = ""
@@ -137,32 +153,48 @@
 
     async def _perform(self, step: FailoverStep, plan: FailoverPlan) -> FailoverStepResult:
         if isinstance(step, TakeLock):
-            self._held = await self._lock.take()
-            self._taken_at = self._loop.time()
-            log_event(
-                "promotion_lock",
-                group=plan.group,
-                taken=self._held is not None,
-                token=self._held.token if self._held else 0,
-            )
-            return self._held is not None
+            return await self._take_lock(plan)
         if isinstance(step, ReleaseLock):
             if self._held is not None and not self._unsettled:
                 await self._lock.release(self._held)
             return None
+        if isinstance(step, ReportChoice):
+            _log_choice(plan, step.report)
+            return None
+        if isinstance(step, AskAll):
+            return await self._call_instances(step)
+        self._remaining()
         if isinstance(step, Wait):
-            self._remaining()
             await asyncio.sleep(step.seconds)
             return None
         if isinstance(step, AwaitRevocation):
-            self._remaining()
             assert self._held is not None
             await self._leases.wait_for_others(self._held.token, self._taken_at)
             return None
+        if isinstance(step, ReadMembers):
+            return await self._read_members()
+        if isinstance(step, RecordPromotion):
+            return await self._record(step, plan)
         if isinstance(step, Promote):
             return await self._promote(step, plan)
         return await self._call_instances(step)
 
+    async def _take_lock(self, plan: FailoverPlan) -> bool:
+        self._held = await self._lock.take()
+        self._taken_at = self._loop.time()
+        log_event(
+            "promotion_lock",
+            group=plan.group,
+            taken=self._held is not None,
+            token=self._held.token if self._held else 0,
+        )
+        return self._held is not None
+
+    async def _record(self, step: RecordPromotion, plan: FailoverPlan) -> bool:
+        assert self._held is not None
+        record = PromotionRecord(step.instance, step.term, step.start, self._held.token)
+        return await self._rosters.record_promotion(plan.group, record)
+
     def _remaining(self) -> float:
         """Seconds for which the lock is surely held; raises LockLost where there are none."""
         held = self._held
@@ -189,7 +221,7 @@
         )
         return answer
 
-    async def _call_instances(self, step: AskAll | FenceAll | UnfenceAll | Demote) -> Statuses:
+    async def _call_instances(self, step: InstanceStep) -> Statuses:
         statuses = await self._statuses(step)
         _log_statuses(step, statuses)
         promoted = statuses.get(self._promoted)
@@ -197,10 +229,9 @@
             self._unsettled = False
         return statuses
 
-    async def _statuses(self, step: AskAll | FenceAll | UnfenceAll | Demote) -> Statuses:
+    async def _statuses(self, step: InstanceStep) -> Statuses:
         if isinstance(step, AskAll):
             return await self._all(step.instances, lambda link: link.status())
-        self._remaining()
         if isinstance(step, FenceAll):
             term = step.term
             return await self._all(step.instances, lambda link: link.fence(term))
@@ -220,7 +251,22 @@
         return {item.instance: item for item in answers if item is not None}
 
 
-def _log_statuses(step: AskAll | FenceAll | UnfenceAll | Demote, statuses: Statuses) -> None:
+def _log_choice(plan: FailoverPlan, report: ChoiceReport) -> None:
+    log_event(
+        "failover_choice",
+        group=plan.group,
+        reason=plan.reason.value,
+        members=",".join(report.members),
+        members_known=report.members_known,
+        needed=report.needed,
+        counted=report.counted,
+        demoted=report.demoted,
+        chosen=report.chosen,
+        passed_over=" ".join(f"{name}:{why}" for name, why in report.passed_over),
+    )
+
+
+def _log_statuses(step: InstanceStep, statuses: Statuses) -> None:
     told = [
         f"{item.instance}:{item.role.value}:{item.term}"
         f":{item.received.term}.{item.received.lsn}:{item.fence_term}"
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -62,8 +62,8 @@
         self._ports = ports
         self.directory: dict[str, DirectoryEntry] = {}
         self._directory_listed = False
-        self._lock = PromotionLockClient(name, ports.lock_store)
         self.rosters = RosterKeeper(self.groups, ports.roster_store)
+        self._lock = PromotionLockClient(name, ports.lock_store, self.rosters.promotion_called)
         self.registry = SessionRegistry()
         self.homes = PeerNetwork(
             own,
--- a/src/orchidwind/managed/ports.py
+++ b/src/orchidwind/managed/ports.py
@@ -8,7 +8,7 @@
 
 from orchidwind.core.managed.commands import InstanceMessage, InstanceStatus, Reply
 from orchidwind.core.managed.configuration import DirectoryEntry, ManagedConfiguration
-from orchidwind.core.managed.failover import PromotionAnswer
+from orchidwind.core.managed.failover_steps import PromotionAnswer
 from orchidwind.core.managed.homes import ProxyMember
 from orchidwind.core.managed.peer_messages import PeerMessage
 from orchidwind.core.managed.promotion_lock import LockRecord
--- a/src/orchidwind/managed/rosters.py
+++ b/src/orchidwind/managed/rosters.py
@@ -12,8 +12,8 @@
 from collections.abc import Mapping
 from dataclasses import replace
 
-from orchidwind.core.errors import PlatformError
-from orchidwind.core.managed.roster import Roster
+from orchidwind.core.errors import PlatformError, PlatformUncertain
+from orchidwind.core.managed.roster import PromotionRecord, Roster
 from orchidwind.logs import log_event
 from orchidwind.managed.group_service import GroupService
 from orchidwind.managed.ports import Changes, Listing, RosterStore
@@ -58,6 +58,35 @@
         if roster is not None and service is not None:
             service.topology.roster_told(roster.members, self._loop.time())
 
+    def last_promotion(self, group: str) -> PromotionRecord | None:
+        """The last promotion of a group, as far as its roster was read."""
+        roster = self._rosters.get(group)
+        return None if roster is None else roster.last_promotion
+
+    def promotion_called(self, token: int) -> bool:
+        """Whether a promotion may have been called under a fencing token, of any group."""
+        records = (roster.last_promotion for roster in self._rosters.values())
+        return any(record is not None and record.token == token for record in records)
+
+    async def record_promotion(self, group: str, record: PromotionRecord) -> bool:
+        """Write down a promotion before it is called; whether it surely stands in the store."""
+        wanted = replace(self._held(group), last_promotion=record)
+        try:
+            self._take(await self._store.write(wanted, create=wanted.revision == 0))
+        except PlatformError as error:  # a conflict, too: the caller reads the roster anew
+            log_event(
+                "promotion_not_recorded",
+                group=group,
+                instance=record.instance,
+                uncertain=isinstance(error, PlatformUncertain),
+                reason=str(error),
+            )
+            return False
+        return True
+
+    def _held(self, group: str) -> Roster:
+        return self._rosters.get(group, Roster(group, (), revision=0))
+
     async def run(self) -> None:
         """Write what differs."""
         while True:
@@ -72,7 +101,7 @@
 
     def _wanted(self, group: str) -> Roster | None:
         """The roster as it should be, None where it is so."""
-        held = self._rosters.get(group, Roster(group, (), revision=0))
+        held = self._held(group)
         members = self._groups[group].topology.roster(held.members)
         return None if members == held.members else replace(held, members=members)
 
--- a/src/orchidwind/managed/supervising.py
+++ b/src/orchidwind/managed/supervising.py
@@ -6,7 +6,11 @@
 import random
 from collections.abc import Awaitable, Callable
 
-from orchidwind.core.managed.failover import FailoverOutcome, FailoverPlan
+from orchidwind.core.managed.failover_steps import (
+    FailoverOutcome,
+    FailoverPlan,
+    FailoverReason,
+)
 from orchidwind.core.managed.supervision import GroupSupervisor, Look
 from orchidwind.logs import log_event
 from orchidwind.managed.failover_runner import FailoverRunner, PromotionLockClient
@@ -82,12 +86,20 @@
             self._running = self._loop.create_task(self._change_primary(look.plan))
         return look
 
-    async def _change_primary(self, planned: FailoverPlan) -> None:
+    async def _read_members(self, reason: FailoverReason) -> FailoverPlan | None:
+        """Plan from views that are read anew; None where the store does not answer."""
         if not await self._refresh_views():
+            return None
+        last_promotion = self._rosters.last_promotion(self._group.settings.name)
+        return self._supervisor.plan(reason, self._rosters.known, last_promotion)
+
+    async def _change_primary(self, planned: FailoverPlan) -> None:
+        reason = planned.reason
+        plan = await self._read_members(reason)
+        if plan is None:
             log_event("failover_put_off", group=planned.group, reason="the views are not confirmed")
             self._supervisor.ended(self._loop.time(), FailoverOutcome.LOCK_HELD)
             return
-        plan = self._supervisor.plan(planned.reason, self._rosters.known)
         log_event(
             "failover_started",
             group=plan.group,
@@ -102,7 +114,14 @@
                 for name, how in sorted(self._group.topology.how_known(self._loop.time()).items())
             ),
         )
-        runner = FailoverRunner(self._group, self._lock, self._promotions, self._leases)
+        runner = FailoverRunner(
+            self._group,
+            self._lock,
+            self._promotions,
+            self._leases,
+            self._rosters,
+            lambda: self._read_members(reason),
+        )
         result = await runner.run(plan)
         log_event(
             "failover_ended",
--- a/src/orchidwind/platform/coordination.py
+++ b/src/orchidwind/platform/coordination.py
@@ -11,7 +11,8 @@
 
 from orchidwind.core.managed.homes import ProxyMember
 from orchidwind.core.managed.promotion_lock import LockRecord
-from orchidwind.core.managed.roster import Roster
+from orchidwind.core.managed.roster import PromotionRecord, Roster
+from orchidwind.core.positions import Position
 from orchidwind.managed.ports import LeaseConfirmation
 from orchidwind.platform.store import (
     CALL_SECONDS,
@@ -36,8 +37,17 @@
     released: bool = True
 
 
+class _PromotionSpec(msgspec.Struct):
+    instance: str
+    term: int
+    start_term: int
+    start_number: int
+    token: int
+
+
 class _RosterSpec(msgspec.Struct):
     members: list[str] = []
+    last_promotion: _PromotionSpec | None = None
 
 
 class _LeaseSpec(msgspec.Struct):
@@ -72,8 +82,23 @@
 
 
 def _roster(stored: StoredObject) -> Roster:
-    members = decode(stored.spec, _RosterSpec).members
-    return Roster(stored.meta.name, tuple(members), stored.meta.revision)
+    spec = decode(stored.spec, _RosterSpec)
+    last = _promotion(spec.last_promotion)
+    return Roster(stored.meta.name, tuple(spec.members), stored.meta.revision, last)
+
+
+def _promotion(spec: _PromotionSpec | None) -> PromotionRecord | None:
+    if spec is None:
+        return None
+    start = Position(spec.start_term, spec.start_number)
+    return PromotionRecord(spec.instance, spec.term, start, spec.token)
+
+
+def _promotion_spec(record: PromotionRecord | None) -> _PromotionSpec | None:
+    if record is None:
+        return None
+    start = record.start
+    return _PromotionSpec(record.instance, record.term, start.term, start.lsn, record.token)
 
 
 class RosterObjects:
@@ -85,7 +110,8 @@
     async def write(self, roster: Roster, create: bool) -> Roster:
         """Create or replace one; raises PlatformConflict, -Uncertain, -Error."""
         kept = KeptObject(_ROSTERS, roster.group, roster.revision, create)
-        return _roster(await self._store.keep(kept, _RosterSpec(list(roster.members))))
+        spec = _RosterSpec(list(roster.members), _promotion_spec(roster.last_promotion))
+        return _roster(await self._store.keep(kept, spec))
 
 
 class LeaseObjects:
--- a/src/orchidwind/platform/promotions.py
+++ b/src/orchidwind/platform/promotions.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from orchidwind.core.managed.failover import PromotionAnswer
+from orchidwind.core.managed.failover_steps import PromotionAnswer
 from orchidwind.network.http_call import HttpCallFailed, HttpRequest, http_call
 
 _PATH = "/promotions"
--- a/src/orchidwind_bench/managed/world.py
+++ b/src/orchidwind_bench/managed/world.py
@@ -13,7 +13,7 @@
     ManagedConfiguration,
     ReadConsistency,
 )
-from orchidwind.core.managed.failover import PromotionAnswer
+from orchidwind.core.managed.failover_steps import PromotionAnswer
 from orchidwind.core.managed.homes import ProxyMember
 from orchidwind.core.managed.promotion_lock import LockRecord
 from orchidwind.core.managed.roster import Roster
@@ -38,13 +38,21 @@
 
 @dataclass(frozen=True, slots=True)
 class AcknowledgedCommit:
-    """A commit that its instance acknowledged, and when."""
+    """A commit that a caller was told of, and when."""
 
     at: float
     position: Position
     request_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class ConfirmedCommit:
+    """A commit that its instance answered as done; `too_late` says what that breaks once told."""
+
+    position: Position
+    too_late: str
+
+
 @dataclass(frozen=True, slots=True)
 class ExpectedRequest:
     """What a caller asked: the checks compare with it what instances run."""
@@ -61,6 +69,7 @@
 class History:
     """What happened, and which promises were broken."""
 
+    confirmed: dict[str, ConfirmedCommit] = field(default_factory=dict)
     acknowledged: list[AcknowledgedCommit] = field(default_factory=list)
     expected: dict[str, ExpectedRequest] = field(default_factory=dict)
     stale: dict[str, str] = field(default_factory=dict)
@@ -69,6 +78,13 @@
     promotions: list[tuple[float, str, int]] = field(default_factory=list)
     greatest_token: int = 0
 
+    def acknowledge(self, at: float, request_id: str) -> None:
+        """A caller is told that a request of its was committed."""
+        commit = self.confirmed[request_id]
+        self.acknowledged.append(AcknowledgedCommit(at, commit.position, request_id))
+        if commit.too_late:
+            self.blame(at, commit.too_late)
+
     def blame(self, at: float, what: str) -> None:
         """A promise was broken."""
         self.broken.append(f"{at:.3f}: {what}")
--- a/tests/test_managed_core.py
+++ b/tests/test_managed_core.py
@@ -20,7 +20,8 @@
     ManagedGroupSettings,
     ReadConsistency,
 )
-from orchidwind.core.managed.failover import FailoverPlan, FailoverReason, choose_candidate
+from orchidwind.core.managed.failover_choice import choose_candidate
+from orchidwind.core.managed.failover_steps import FailoverPlan, FailoverReason
 from orchidwind.core.managed.flow_parts import (
     BUSY_PAUSE_SECONDS,
     CommandContext,
