--- a/src/orchidwind_bench/managed/callers.py
+++ b/src/orchidwind_bench/managed/callers.py
@@ -151,6 +151,9 @@
 
     def _acknowledged(self, attempt: Attempt) -> None:
         attempt.acknowledged = True
+        world = self._system.world
+        for request_id in attempt.request_ids:
+            world.history.acknowledge(world.now, request_id)
         self._commits.extend(attempt.request_ids)
         self._system.tally.write_times.append(self._system.world.now)
 
