--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -22,11 +22,13 @@
     ManagedGroupSettings,
 )
 from orchidwind.core.managed.group import GroupState
+from orchidwind.core.managed.roster import PromotionRecord
 from orchidwind.core.managed.steps import ExchangeResult
 from orchidwind.core.managed.supervision import NOT_CONFIRMING_SECONDS
 from orchidwind.core.managed.topology import PrimaryView, ReadPlan
 from orchidwind.core.positions import Position
 from orchidwind.logs import log_event
+from orchidwind.managed.commit_guard import CommitGuard
 from orchidwind.managed.connections import GroupConnections
 from orchidwind.managed.lead_lease import LeaseKeeper
 from orchidwind.managed.lead_proofs import LeadProver, StatusTask
@@ -39,6 +41,8 @@
 # A check for silent connections asks each idle one; a full instance is not asked more often.
 _CHECK_AGAIN_SECONDS = 1.0
 _SUPERVISED_AFTER_USE_SECONDS = 5.0
+# Commits that were held back for longer are logged: a proof by a replica takes some milliseconds.
+_HELD_LOGGED_SECONDS = 0.1
 # What a proxy takes that is no home, while no home can be reached.
 _CONNECTIONS_WITHOUT_HOME = 1
 # A lead that could not be proven for so long is not proven here soon: reading the lock takes some
@@ -64,6 +68,7 @@
         leases: LeaseKeeper,
         entry_outlives: float,
         on_used: Callable[[], None],
+        last_promotion: Callable[[], PromotionRecord | None],
     ) -> None:
         """`on_used` is called when requests are served here."""
         self._on_used = on_used
@@ -77,6 +82,7 @@
         )
         self._calls = StatusCalls(self.topology, self.connections, self.mark_unreachable)
         self.prover = LeadProver(self.topology, leases, self.ask_status)
+        self._guard = CommitGuard(self.topology, self.prover, self.ask_status, last_promotion)
         self._waiters: set[asyncio.Future[None]] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._writing: set[int] = set()
@@ -249,6 +255,9 @@
         if lead_proof:
             self._refuse_if(self._proving, ErrorKind.NO_PRIMARY, "its lead cannot be proven here")
         if commit:
+            self._refuse_if(
+                self._proving, ErrorKind.NO_PRIMARY, "its commits cannot be proven here"
+            )
             self._note_waited(self.oldest_write())
             self._refuse_if(self._committing, ErrorKind.NO_PRIMARY, "it confirms no commits")
         return await self._wait_for(
@@ -315,6 +324,7 @@
         rejected: bool | None = None
         if writes:
             self._writing.add(connection)
+            self.prover.want_lease()
         leased = proof_of_term > 0 and self.prover.leased(instance, arrived_at)
         query = self.prover.join() if proof_of_term and not leased else None
         lock_revision = self.prover.lock_revision
@@ -334,6 +344,7 @@
         if writes and replies[-1].done:
             self._committed_at[instance] = self._loop.time()
             self._succeeded(self._committing)
+            await self._hold_back(instance, messages[-1], replies[-1])
         self._count_attempt(instance, messages[-1], replies[-1], proof_of_term > 0, writes)
         self.topology.answered(instance, self._loop.time())
         if leased:
@@ -346,6 +357,36 @@
         self.prover.proven_under(instance, lock_revision)
         return ExchangeResult(replies, sent_at)
 
+    async def _hold_back(self, instance: str, asked: InstanceMessage, reply: Reply) -> None:
+        """Return when a commit may be told; raises BackendConnectionLost where it is left out."""
+        if self._guard.leased(instance):
+            self._succeeded(self._proving)
+            return
+        held_at = self._loop.time()
+        term = self.topology.primary_term(instance)
+        position = reply.position or Position(term, 0)
+        outcome = "out_of_time"
+        try:
+            told = await self._guard.may_tell(
+                instance, position, lambda: self._proving.failed(held_at)
+            )
+            outcome = "told" if told else "left_out"
+        finally:
+            seconds = self._loop.time() - held_at
+            if outcome != "told" or seconds > _HELD_LOGGED_SECONDS:
+                log_event(
+                    "commit_held",
+                    request_id=asked.request_id,
+                    group=self.settings.name,
+                    instance=instance,
+                    position=f"{position.term}.{position.lsn}",
+                    outcome=outcome,
+                    milliseconds=int(seconds * 1000),
+                )
+        if outcome != "told":
+            raise BackendConnectionLost("a change of primary has left the commit out", sent=True)
+        self._succeeded(self._proving)
+
     def _count_attempt(
         self, instance: str, asked: InstanceMessage, reply: Reply, latest: bool, writes: bool
     ) -> None:
@@ -485,5 +526,6 @@
         if self._silence_timer is not None:
             self._silence_timer.cancel()
         self.prover.close()
+        self._guard.close()
         self.connections.close()
         self._calls.close()
--- /dev/null
+++ b/src/orchidwind/managed/shared_query.py
@@ -0,0 +1,40 @@
+"""A query that serves all requests which came before it was sent."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Generic, TypeVar
+
+Answer = TypeVar("Answer")
+
+
+class SharedQuery(Generic[Answer]):
+    """At most one query is under way, and one more waits for its turn."""
+
+    def __init__(self, send: Callable[[], Awaitable[Answer]]) -> None:
+        self._send = send
+        self._loop = asyncio.get_running_loop()
+        self._under_way: asyncio.Task[Answer] | None = None
+        self._next: asyncio.Task[Answer] | None = None
+
+    def join(self) -> asyncio.Task[Answer]:
+        """A query that is sent after now."""
+        if self._under_way is None or self._under_way.done():
+            self._under_way = self._loop.create_task(self._ask(None))
+            return self._under_way
+        if self._next is None or self._next.done():
+            self._next = self._loop.create_task(self._ask(self._under_way))
+        return self._next
+
+    async def _ask(self, earlier: asyncio.Task[Answer] | None) -> Answer:
+        if earlier is not None:
+            await asyncio.wait([earlier])
+            self._under_way, self._next = self._next, None
+        return await self._send()
+
+    def close(self) -> None:
+        """Give up what is under way."""
+        for query in (self._under_way, self._next):
+            if query is not None:
+                query.cancel()
--- a/tests/test_view_freshness.py
+++ b/tests/test_view_freshness.py
@@ -10,6 +10,7 @@
 from orchidwind.core.managed.freshness import FollowTimes
 from orchidwind.core.managed.homes import zone_readers
 from orchidwind.managed.following import NodeBounds, NodeViews
+from orchidwind.managed.supervising import GroupSupervision
 from orchidwind.managed.views import CONFIGURATION
 from orchidwind_bench.managed.callers import ManagedSystem
 from orchidwind_bench.managed.store import STORE
@@ -262,7 +263,16 @@
     async def confirmed(views):
         return True
 
+    plan_anew = GroupSupervision._read_members
+    plans = {}
+
+    async def as_first_planned(supervision, reason):
+        if supervision not in plans:
+            plans[supervision] = await plan_anew(supervision, reason)
+        return plans[supervision]
+
     monkeypatch.setattr(NodeViews, "refresh_before_failover", confirmed)
+    monkeypatch.setattr(GroupSupervision, "_read_members", as_first_planned)
     system = play_failover_unaware_of_the_replica_that_confirms()
     assert any("LOST" in item for item in system.world.history.broken)
 
