--- a/src/orchidwind_bench/managed/callers.py
+++ b/src/orchidwind_bench/managed/callers.py
@@ -12,7 +12,8 @@
 from orchidwind.managed.executor import SessionExecutor
 from orchidwind.managed.node import ManagedNode
 from orchidwind.managed.ports import NodePorts
-from orchidwind_bench.managed.instances import SimulatedConnector, SimulatedGroup
+from orchidwind_bench.managed.connections import SimulatedConnector
+from orchidwind_bench.managed.groups import SimulatedGroup
 from orchidwind_bench.managed.peers import SimulatedLinks, SimulatedPeerConnector
 from orchidwind_bench.managed.world import (
     CONNECTION_LIMIT,
@@ -152,6 +153,8 @@
     def _acknowledged(self, attempt: Attempt) -> None:
         attempt.acknowledged = True
         self._commits.extend(attempt.request_ids)
+        for request_id in attempt.request_ids:
+            self._system.world.history.tell(self._system.world.now, request_id)
         self._system.tally.write_times.append(self._system.world.now)
 
     async def _transaction(self) -> None:
@@ -196,7 +199,7 @@
     ) -> None:
         """With a `connection_limit` too low for all `proxies`, some forward to the others."""
         self.world = World(seed, connection_limit)
-        self.group = SimulatedGroup(self.world, (ZONES * 2)[:instances])
+        self.group = SimulatedGroup(self.world, (ZONES * 2)[:instances], seed)
         self.tally = Tally()
         self.nodes: dict[str, ManagedNode] = {}
         self._proxies = proxies
--- a/src/orchidwind_bench/managed/world.py
+++ b/src/orchidwind_bench/managed/world.py
@@ -68,6 +68,13 @@
     broken: list[str] = field(default_factory=list)
     promotions: list[tuple[float, str, int]] = field(default_factory=list)
     greatest_token: int = 0
+    told: set[str] = field(default_factory=set)
+
+    def tell(self, at: float, request_id: str) -> None:
+        """A caller was told that its commit is done."""
+        self.told.add(request_id)
+        if request_id in self.rolled_back:
+            self.blame(at, f"LOST: {request_id} was told as done after a promotion without it")
 
     def blame(self, at: float, what: str) -> None:
         """A promise was broken."""
