--- a/tests/test_lost_commits.py
+++ b/tests/test_lost_commits.py
@@ -4,10 +4,13 @@
 import logging
 import random
 
-from orchidwind_bench.managed.callers import ManagedSystem
+from orchidwind_bench.managed.callers import NODES, ManagedSystem
+from orchidwind_bench.managed.groups import LONGEST_PROMOTE_SECONDS
 from orchidwind_bench.managed.virtual_time import run_virtual
 
 ANNOUNCED_AFTER_SECONDS = 0.012
+# A frozen primary runs again so long after the promotion was called, and before it takes effect.
+WAKES_AFTER_SECONDS = 0.3
 
 
 class EventHook(logging.Handler):
@@ -90,3 +93,41 @@
     )
     assert joined, "the moment of the day came"
     assert system.world.history.broken == []
+
+
+def cut_proxies(system, instance, proxies=NODES):
+    """These proxies and an instance do not reach each other; the other instances reach it."""
+    for proxy in proxies:
+        system.world.network.cut(proxy, instance)
+
+
+def once(event, act):
+    """A hook that acts on the first event of a name."""
+    done = []
+
+    def on_event(system, record):
+        if record.getMessage() == event and not done:
+            done.append(system.world.now)
+            act(system, record)
+
+    on_event.done = done
+    return on_event
+
+
+def test_a_proxy_restarted_in_the_middle_of_a_change_frees_no_replica_for_the_old_primary():
+    """Its call is still to take effect when it finds the old primary there again."""
+
+    def restart_promoter(system, record):
+        group = system.group
+        group.instances[record.instance].deaf = True
+        system.restart_proxy(system.world.store.lock.holder)
+        asyncio.get_running_loop().call_later(WAKES_AFTER_SECONDS, group.primary().resume)
+
+    def freeze_primary(system):
+        system.group.promote_seconds = (LONGEST_PROMOTE_SECONDS, LONGEST_PROMOTE_SECONDS)
+        system.group.primary().pause(30.0)
+
+    sent = once("promotion_sent", restart_promoter)
+    system = play(31, [(3.0, freeze_primary)], 7.0, on_event=sent)
+    assert sent.done
+    assert system.world.history.broken == []
