--- a/tests/test_lost_commits.py
+++ b/tests/test_lost_commits.py
@@ -4,6 +4,8 @@
 import logging
 import random
 
+import pytest
+
 from orchidwind_bench.managed.callers import NODES, ManagedSystem
 from orchidwind_bench.managed.groups import LONGEST_PROMOTE_SECONDS
 from orchidwind_bench.managed.virtual_time import run_virtual
@@ -131,3 +133,23 @@
     system = play(31, [(3.0, freeze_primary)], 7.0, on_event=sent)
     assert sent.done
     assert system.world.history.broken == []
+
+
+def restart_instance(system, name):
+    system.group.instances[name].crash()
+    system.group.instances[name].restart()
+
+
+@pytest.mark.parametrize("fall", [restart_instance])
+def test_what_an_old_primary_confirms_after_the_last_look_at_the_fences_is_not_lost(fall):
+    """One proxy does not reach the primary and replaces it; callers of the others do reach it."""
+
+    def let_receive(system, record):
+        other = next(name for name in ("i-1", "i-2") if name != record.instance)
+        fall(system, other)
+
+    sent = once("promotion_sent", let_receive)
+    cut = [(3.0, lambda system: cut_proxies(system, "i-0", NODES[:1]))]
+    system = play(32, cut, 7.0, on_event=sent)
+    assert sent.done
+    assert system.world.history.broken == []
