--- a/tests/test_lost_commits.py
+++ b/tests/test_lost_commits.py
@@ -103,6 +103,12 @@
         system.world.network.cut(proxy, instance)
 
 
+def drain(system, name):
+    """An instance tells that it will end."""
+    system.group.instances[name].draining = True
+    system.group.announce(system.group.instances[name])
+
+
 def once(event, act):
     """A hook that acts on the first event of a name."""
     done = []
@@ -162,3 +168,30 @@
     system = play(32, cut, 7.0, on_event=sent)
     assert sent.done
     assert system.world.history.broken == []
+
+
+def test_an_old_primary_that_alone_answers_a_restarted_proxy_does_not_lead_again():
+    """It leads a lower term, knows of no later one, and is to leave its group."""
+
+    def part_primary(system):
+        for other in ("i-1", "i-2"):
+            system.world.network.cut("i-0", other)
+        cut_proxies(system, "i-0")
+
+    def lose_newer_term(system):
+        group = system.group
+        assert group.primary().term == 2
+        for name in ("i-1", "i-2"):
+            group.instances[name].crash()
+        system.world.network.heal()
+        system.start_proxies()
+        drain(system, "i-0")
+
+    plan = [
+        (2.0, part_primary),
+        (5.0, lose_newer_term),
+        (9.0, lambda system: system.group.instances["i-1"].restart()),
+        (9.0, lambda system: system.group.instances["i-2"].restart()),
+    ]
+    system = play(33, plan, 12.0)
+    assert system.world.history.broken == []
