--- a/tests/test_lost_commits.py
+++ b/tests/test_lost_commits.py
@@ -195,3 +195,27 @@
     ]
     system = play(33, plan, 12.0)
     assert system.world.history.broken == []
+
+
+def test_a_candidate_that_does_not_answer_the_second_look_ends_no_change():
+    """Another replica has every commit of the demoted primary, too."""
+    raised = []
+
+    def drain_primary(system):
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: raised.append(context.get("exception")))
+        drain(system, "i-0")
+
+    def freeze_candidate(system, record):
+        if record.getMessage() != "failover_step" or record.step != "FenceAll" or frozen:
+            return
+        system.group.instances["i-2"].pause(1.5)
+        frozen.append(system.world.now)
+
+    frozen = []
+    system = play(34, [(2.0, drain_primary)], 7.0, on_event=freeze_candidate)
+    assert frozen
+    assert system.world.history.broken == []
+    assert [error for error in raised if error is not None] == []
+    took_effect_at = system.world.history.promotions[0][0]
+    assert took_effect_at < frozen[0] + 1.5, "nobody waits for the frozen one"
