--- a/tests/test_lost_commits.py
+++ b/tests/test_lost_commits.py
@@ -4,10 +4,15 @@
 import logging
 import random
 
-from orchidwind_bench.managed.callers import ManagedSystem
+import pytest
+
+from orchidwind_bench.managed.callers import NODES, ManagedSystem
+from orchidwind_bench.managed.groups import LONGEST_PROMOTE_SECONDS
 from orchidwind_bench.managed.virtual_time import run_virtual
 
 ANNOUNCED_AFTER_SECONDS = 0.012
+# A frozen primary runs again so long after the promotion was called, and before it takes effect.
+WAKES_AFTER_SECONDS = 0.3
 
 
 class EventHook(logging.Handler):
@@ -90,3 +95,127 @@
     )
     assert joined, "the moment of the day came"
     assert system.world.history.broken == []
+
+
+def cut_proxies(system, instance, proxies=NODES):
+    """These proxies and an instance do not reach each other; the other instances reach it."""
+    for proxy in proxies:
+        system.world.network.cut(proxy, instance)
+
+
+def drain(system, name):
+    """An instance tells that it will end."""
+    system.group.instances[name].draining = True
+    system.group.announce(system.group.instances[name])
+
+
+def once(event, act):
+    """A hook that acts on the first event of a name."""
+    done = []
+
+    def on_event(system, record):
+        if record.getMessage() == event and not done:
+            done.append(system.world.now)
+            act(system, record)
+
+    on_event.done = done
+    return on_event
+
+
+def test_a_proxy_restarted_in_the_middle_of_a_change_frees_no_replica_for_the_old_primary():
+    """Its call is still to take effect when it finds the old primary there again."""
+
+    def restart_promoter(system, record):
+        group = system.group
+        group.instances[record.instance].deaf = True
+        system.restart_proxy(system.world.store.lock.holder)
+        asyncio.get_running_loop().call_later(WAKES_AFTER_SECONDS, group.primary().resume)
+
+    def freeze_primary(system):
+        system.group.promote_seconds = (LONGEST_PROMOTE_SECONDS, LONGEST_PROMOTE_SECONDS)
+        system.group.primary().pause(30.0)
+
+    sent = once("promotion_sent", restart_promoter)
+    system = play(31, [(3.0, freeze_primary)], 7.0, on_event=sent)
+    assert sent.done
+    assert system.world.history.broken == []
+
+
+def restart_instance(system, name):
+    system.group.instances[name].crash()
+    system.group.instances[name].restart()
+
+
+def take_late_unfence(system, name):
+    """A call of an earlier change, on which nobody waits any more, arrives now."""
+    system.group.instances[name].fence_term = 0
+
+
+def join_unlisted(system, name):
+    system.group.join("zone-a", announced_after=1.0)
+
+
+@pytest.mark.parametrize("fall", [restart_instance, take_late_unfence, join_unlisted])
+def test_what_an_old_primary_confirms_after_the_last_look_at_the_fences_is_not_lost(fall):
+    """One proxy does not reach the primary and replaces it; callers of the others do reach it."""
+
+    def let_receive(system, record):
+        other = next(name for name in ("i-1", "i-2") if name != record.instance)
+        fall(system, other)
+
+    sent = once("promotion_sent", let_receive)
+    cut = [(3.0, lambda system: cut_proxies(system, "i-0", NODES[:1]))]
+    system = play(32, cut, 7.0, on_event=sent)
+    assert sent.done
+    assert system.world.history.broken == []
+
+
+def test_an_old_primary_that_alone_answers_a_restarted_proxy_does_not_lead_again():
+    """It leads a lower term, knows of no later one, and is to leave its group."""
+
+    def part_primary(system):
+        for other in ("i-1", "i-2"):
+            system.world.network.cut("i-0", other)
+        cut_proxies(system, "i-0")
+
+    def lose_newer_term(system):
+        group = system.group
+        assert group.primary().term == 2
+        for name in ("i-1", "i-2"):
+            group.instances[name].crash()
+        system.world.network.heal()
+        system.start_proxies()
+        drain(system, "i-0")
+
+    plan = [
+        (2.0, part_primary),
+        (5.0, lose_newer_term),
+        (9.0, lambda system: system.group.instances["i-1"].restart()),
+        (9.0, lambda system: system.group.instances["i-2"].restart()),
+    ]
+    system = play(33, plan, 12.0)
+    assert system.world.history.broken == []
+
+
+def test_a_candidate_that_does_not_answer_the_second_look_ends_no_change():
+    """Another replica has every commit of the demoted primary, too."""
+    raised = []
+
+    def drain_primary(system):
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: raised.append(context.get("exception")))
+        drain(system, "i-0")
+
+    def freeze_candidate(system, record):
+        if record.getMessage() != "failover_step" or record.step != "FenceAll" or frozen:
+            return
+        system.group.instances["i-2"].pause(1.5)
+        frozen.append(system.world.now)
+
+    frozen = []
+    system = play(34, [(2.0, drain_primary)], 7.0, on_event=freeze_candidate)
+    assert frozen
+    assert system.world.history.broken == []
+    assert [error for error in raised if error is not None] == []
+    took_effect_at = system.world.history.promotions[0][0]
+    assert took_effect_at < frozen[0] + 1.5, "nobody waits for the frozen one"
