--- a/tests/test_lost_commits.py
+++ b/tests/test_lost_commits.py
@@ -254,3 +254,32 @@
     ]
     system = play(36, plan, 9.0, instances=4)
     assert system.world.history.broken == []
+
+
+def test_a_replica_that_left_with_the_only_log_is_not_forgotten_while_the_primary_is_down():
+    """It alone confirmed; the longest log that the others have is short."""
+
+    def leave_alone_with_primary(system):
+        system.group.instances["i-2"].deaf = True
+        drain(system, "i-1")
+
+    def end_both(system):
+        system.group.resets = False
+        leaving = system.group.instances["i-1"]
+        leaving.crash()
+        leaving.ended = True
+        system.world.store.drop_entry("i-1")
+        system.group.primary().crash()
+
+    def return_primary(system):
+        system.group.instances["i-0"].restart()
+        system.group.instances["i-2"].deaf = False
+
+    plan = [
+        (2.0, leave_alone_with_primary),
+        (2.5, end_both),
+        (28.0, return_primary),
+    ]
+    system = play(37, plan, 31.0, callers_a_node=1)
+    assert system.world.history.broken == []
+    assert max(system.tally.write_times) > 30.0, "writes go on when the log is there again"
