--- a/tests/test_lost_commits.py
+++ b/tests/test_lost_commits.py
@@ -283,3 +283,35 @@
     system = play(37, plan, 31.0, callers_a_node=1)
     assert system.world.history.broken == []
     assert max(system.tally.write_times) > 30.0, "writes go on when the log is there again"
+
+
+def test_a_replica_that_is_still_catching_up_in_a_newer_term_does_not_lead():
+    """Where positions carry the followed term, a short log looks longer than a whole one."""
+
+    def fall_behind(system):
+        system.group.positions_carry_followed_term = True
+        system.group.replication.part_entries = 5
+        system.group.instances["i-2"].deaf = True
+
+    def leave_primary(system):
+        system.group.instances["i-2"].receive_seconds = 0.1
+        drain(system, "i-0")
+
+    def follow_slowly(system, record):
+        leader = system.group.instances[record.instance]
+        assert leader.name == "i-1"
+        system.group.instances["i-0"].deaf = True
+        system.group.instances["i-2"].deaf = False
+
+    def lose_primary(system):
+        system.group.resets = False
+        late = system.group.instances["i-2"]
+        assert system.group.primary().name == "i-1"
+        assert late.term == 2 and len(late.log) < len(system.group.primary().log)
+        system.group.primary().crash()
+
+    sent = once("promotion_sent", follow_slowly)
+    plan = [(1.0, fall_behind), (2.5, leave_primary), (3.3, lose_primary)]
+    system = play(38, plan, 8.0, on_event=sent)
+    assert sent.done
+    assert system.world.history.broken == []
