--- a/tests/test_lost_commits.py
+++ b/tests/test_lost_commits.py
@@ -315,3 +315,29 @@
     system = play(38, plan, 8.0, on_event=sent)
     assert sent.done
     assert system.world.history.broken == []
+
+
+def test_a_promotion_that_takes_effect_under_the_next_holder_loses_nothing():
+    """The chosen instance is frozen before it leads; the old primary comes back meanwhile."""
+
+    holders = []
+
+    def freeze_chosen(system, record):
+        system.group.instances[record.instance].pause(11.0)
+        holders.append(system.world.store.lock.holder)
+        loop = asyncio.get_running_loop()
+        loop.call_later(1.0, return_primary, system)
+
+    def return_primary(system):
+        system.world.network.heal()
+        system.world.network.cut(holders[0], STORE)
+
+    sent = once("promotion_sent", freeze_chosen)
+    plan = [
+        (2.0, lambda system: cut_proxies(system, "i-0")),
+        (13.5, lambda system: holders.append(system.world.store.lock.holder)),
+    ]
+    system = play(39, plan, 16.0, on_event=sent)
+    assert sent.done
+    assert holders[0] != holders[1], "another proxy has held the lock since"
+    assert system.world.history.broken == []
