--- a/tests/test_lost_commits.py
+++ b/tests/test_lost_commits.py
@@ -341,3 +341,13 @@
     assert sent.done
     assert holders[0] != holders[1], "another proxy has held the lock since"
     assert system.world.history.broken == []
+
+
+@pytest.mark.parametrize("moment", ["promotion_lock", "promotion_sent"])
+def test_a_crashed_primary_that_returns_in_the_middle_of_a_change_loses_nothing(moment):
+    returns = once(moment, lambda system, record: system.group.instances["i-0"].restart())
+    plan = [(2.0, lambda system: system.group.primary().crash())]
+    system = play(40, plan, 7.0, on_event=returns)
+    assert returns.done
+    assert system.world.history.broken == []
+    assert max(system.tally.write_times) > 6.5
