--- a/src/orchidwind/core/managed/failover.py
+++ b/src/orchidwind/core/managed/failover.py
@@ -79,7 +79,8 @@
 _LEAD_POLLS = 60
 _SETTLE_POLLS = 6
 _ATTEMPTS_FOR_ANOTHER = 3
-_SELECT_ATTEMPTS = 30
+# With 0.12 s each, where an instance is dark, and 1.1 s for leases, the lock is not yet lost.
+_SELECT_ATTEMPTS = 12
 # Members are read anew each 0.2 s while no candidate is found: one may have joined meanwhile.
 _READ_AGAIN_ATTEMPTS = 4
 
@@ -90,7 +91,9 @@
     """Replace the primary of a group, if that is still needed."""
     statuses = yield from _ask((*plan.members, *plan.absent))
     plan = _count_answering(plan, statuses)
-    if _stands(plan, statuses) and not _fenced_ones(statuses):
+    stands = _stands(plan, statuses)
+    needed = plan.reason is not FailoverReason.LEFT_FENCED
+    if not (_fenced_ones(statuses) if stands else needed):
         return FailoverResult(FailoverOutcome.NOT_NEEDED)
     if not _may_succeed(plan, statuses):
         return FailoverResult(FailoverOutcome.NOT_SAFE)
@@ -158,6 +161,8 @@
     statuses = yield from _ask(plan.members)
     if _stands(plan, statuses):
         return (yield from _stand_down(plan, statuses))
+    if plan.reason is FailoverReason.LEFT_FENCED:
+        return FailoverResult(FailoverOutcome.NOT_NEEDED)
     fence_term = _next_term(plan, statuses)
     plan = replace(plan, led_term=newest_led_term(plan, statuses))
     if plan.reason is FailoverReason.NOT_CONFIRMING:
@@ -301,6 +306,7 @@
         # Nobody is taken off: who was a member a moment ago may hold a commit.
         members=tuple(sorted({*plan.members, *fresh.members})),
         leaving=fresh.leaving,
+        unlisted=fresh.unlisted,
         members_known=fresh.members_known,
         led_term=max(plan.led_term, fresh.led_term),
         last_promotion=fresh.last_promotion,
@@ -355,13 +361,31 @@
     leader = leader_of(plan, statuses)
     fenced = _fenced_ones(statuses)
     if leader is not None:
-        # One that has not moved to the leader's term might follow an older primary.
-        fenced = tuple(name for name in fenced if statuses[name].term >= leader.term)
+        fenced = tuple(
+            name for name in fenced if _follows_no_older(plan, statuses[name], leader, statuses)
+        )
     if fenced:
         yield UnfenceAll(fenced)
     return FailoverResult(FailoverOutcome.NOT_NEEDED)
 
 
+def _follows_no_older(
+    plan: FailoverPlan, replica: InstanceStatus, leader: InstanceStatus, statuses: Statuses
+) -> bool:
+    """Whether a replica that is freed can follow no primary older than the leader.
+
+    One that has not moved to the leader's term might, unless the only primary between is known to
+    lead no more.
+    """
+    last = plan.last_promotion
+    if replica.term >= leader.term:
+        return True
+    if last is None or last.term > leader.term or replica.term < last.term - 1:
+        return False
+    replaced = statuses.get(last.replaced)
+    return replaced is not None and replaced.role is InstanceRole.REPLICA
+
+
 def _demote_leader(
     plan: FailoverPlan, statuses: Statuses, term: int
 ) -> Generator[FailoverStep, FailoverStepResult, InstanceStatus | None]:
--- a/src/orchidwind/core/managed/failover_choice.py
+++ b/src/orchidwind/core/managed/failover_choice.py
@@ -44,6 +44,9 @@
     if last.instance in statuses:
         # It answers, and it does not know the term that it was promoted to: it never led.
         return statuses[last.instance].term >= last.term
+    if last.instance in plan.members and last.instance not in plan.unlisted:
+        # It runs, as the directory says: it may yet lead, or leads for others.
+        return True
     followers = [name for name in plan.members if name not in (leader.instance, last.instance)]
     # It acknowledged nothing in its term if nobody followed it.
     followed = any(name not in statuses or statuses[name].term >= last.term for name in followers)
--- a/src/orchidwind/core/managed/failover_steps.py
+++ b/src/orchidwind/core/managed/failover_steps.py
@@ -19,6 +19,7 @@
     UNREACHABLE = "unreachable"
     LEAVING = "leaving"
     NOT_CONFIRMING = "not_confirming"
+    LEFT_FENCED = "left_fenced"
 
 
 @unique
@@ -41,8 +42,8 @@
     others, of which this proxy has not been told: then only a demoted primary's log is a measure.
     `led_term` is the newest term in which an instance is known to have led. `absent` are instances
     of which neither the directory nor this proxy has heard since that term began: they are members
-    if they answer. `last_promotion` is what the group's roster names, None where nobody was ever
-    promoted.
+    if they answer. `unlisted` are those that the directory does not name. `last_promotion` is what
+    the group's roster names, None where nobody was ever promoted.
     """
 
     group: str
@@ -54,6 +55,7 @@
     members_known: bool = True
     led_term: int = 0
     absent: tuple[str, ...] = ()
+    unlisted: frozenset[str] = frozenset()
     last_promotion: PromotionRecord | None = None
 
 
--- a/src/orchidwind/core/managed/roster.py
+++ b/src/orchidwind/core/managed/roster.py
@@ -12,13 +12,15 @@
     """The last promotion that was called, or was about to be; written before its call.
 
     `instance` leads at `term` or later, if it took effect. `start` is the end of its log then: the
-    log that the term begins with. `token` is the fencing token of the call.
+    log that the term begins with. `token` is the fencing token of the call. `replaced` is the
+    primary before, empty where none was known.
     """
 
     instance: str
     term: int
     start: Position
     token: int
+    replaced: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/orchidwind/core/managed/supervision.py
+++ b/src/orchidwind/core/managed/supervision.py
@@ -20,6 +20,8 @@
 # Entries that lapsed with the directory are back about 2 s after it; the rest is for late ones.
 LAPSED_SECONDS = 2.3
 JITTER_SECONDS = 0.06
+# A change of primary ends, or its holder's time does, before replicas count as left fenced.
+LEFT_FENCED_SECONDS = 1.0
 IDLE_LOOK_SECONDS = 0.5
 BUSY_LOOK_SECONDS = 0.03
 
@@ -50,6 +52,7 @@
         self._asked_at: dict[str, float] = {}
         self._leader = ""
         self._no_primary_since: float | None = None
+        self._left_fenced_since: float | None = None
         self._paused_until = 0.0
         self._failures = 0
         self._start_at: float | None = None
@@ -90,6 +93,7 @@
         views = self._topology.instances
         wanted = set(self._topology.unclear()) | set(suspects)
         wanted |= {name for name, view in views.items() if view.unreachable_since is not None}
+        wanted |= set(self._topology.fenced_above(self._topology.newest_led_term))
         due = []
         for name in sorted(wanted):
             if now - self._asked_at.get(name, float("-inf")) >= self._ask_interval(now, name):
@@ -112,7 +116,9 @@
             self._no_primary_since = None
             if oldest_write > NOT_CONFIRMING_SECONDS:
                 return FailoverReason.NOT_CONFIRMING
-            return FailoverReason.LEAVING if self._leaves(self._leader, now) else None
+            if self._leaves(self._leader, now):
+                return FailoverReason.LEAVING
+            return FailoverReason.LEFT_FENCED if self._left_fenced(now, primary.term) else None
         leader = self._known_leader()
         if leader and self._leaves(leader, now):
             return FailoverReason.LEAVING
@@ -123,6 +129,19 @@
             return None
         return FailoverReason.UNREACHABLE
 
+    def _left_fenced(self, now: float, term: int) -> bool:
+        """Whether replicas have long been fenced against the very primary that leads.
+
+        A change of primary that lost its lock leaves them so: they follow nobody, and each proof of
+        the lead that asks one fails.
+        """
+        if not self._topology.fenced_above(term):
+            self._left_fenced_since = None
+            return False
+        if self._left_fenced_since is None:
+            self._left_fenced_since = now
+        return now - self._left_fenced_since > LEFT_FENCED_SECONDS
+
     def _known_leader(self) -> str:
         """The last known primary; before one was known, the only instance that claims to be it."""
         if self._leader in self._topology.instances:
@@ -185,5 +204,6 @@
             members_known=members_known,
             led_term=self._topology.newest_led_term,
             absent=tuple(sorted(self._topology.absent())),
+            unlisted=frozenset(name for name, view in views.items() if not view.listed),
             last_promotion=last_promotion,
         )
--- a/src/orchidwind/core/managed/topology.py
+++ b/src/orchidwind/core/managed/topology.py
@@ -152,20 +152,61 @@
             view.gone_at = now
 
     def forget_old(self, now: float) -> list[str]:
-        """Drop instances that left long ago; returns their names."""
+        """Drop instances that left long ago, and whose log others have; returns their names."""
         old = [
             name
             for name, view in self.instances.items()
-            if not view.listed and now - view.gone_at > MAY_CONFIRM_SECONDS
+            if not view.listed and self._outlived(view.gone_at, now)
         ]
         for name in old:
             del self.instances[name]
-        departed = [name for name, at in self._departed.items() if now - at > MAY_CONFIRM_SECONDS]
+        departed = [name for name, at in self._departed.items() if self._outlived(at, now)]
         for name in departed:
             del self._departed[name]
         self._forgotten.update(old, departed)
         return old
 
+    def to_forget(self, now: float) -> bool:
+        """Whether an instance left so long ago that only the others' logs speak against it."""
+        gone = [view.gone_at for view in self.instances.values() if not view.listed]
+        return any(now - at > MAY_CONFIRM_SECONDS for at in (*gone, *self._departed.values()))
+
+    def _outlived(self, gone_at: float, now: float) -> bool:
+        """Whether what an instance may have confirmed alone is held by others.
+
+        Guards against a primary that is down since, whose commits no other instance has: it has to
+        come back before the departed one counts no longer.
+        """
+        ended_at = gone_at + MAY_CONFIRM_SECONDS
+        if now <= ended_at:
+            return False
+        if self._term_began_after > ended_at:
+            return True
+        held = self._end_of_primary_log(ended_at)
+        if held is None:
+            return False
+        holding = [
+            view
+            for view in self.instances.values()
+            if view.listed and view.status is not None and view.status.received >= held
+        ]
+        # The primary itself, and those that must have received a commit.
+        return len(holding) > max(self.settings.synchronous_replicas, 1)
+
+    def _end_of_primary_log(self, since: float) -> Position | None:
+        """The least end of the primary's log that was told after a time."""
+        told = [
+            view.status.received
+            for name, view in self.instances.items()
+            if view.status is not None
+            and view.status.asked_at >= since
+            and self.primary_term(name) == self._led_term
+        ]
+        return min([*told, *self._samples_since(since)], default=None)
+
+    def _samples_since(self, since: float) -> list[Position]:
+        return [sample.position for sample in self._samples if sample.at >= since][:1]
+
     def roster_told(self, members: Iterable[str], now: float) -> None:
         """The group's roster names these; those not seen here left before, some time ago."""
         for name in members:
@@ -179,7 +220,9 @@
         that proxies that know different things do not undo each other's changes.
         """
         listed = {name for name, view in self.instances.items() if view.listed}
-        return tuple(sorted(set(held) - self._forgotten | listed))
+        # A later term began with every commit that these had confirmed.
+        outlived = set(self.absent())
+        return tuple(sorted(set(held) - self._forgotten - outlived | listed))
 
     # --- what instances tell ------------------------------------------------------------------
 
@@ -302,6 +345,14 @@
         present = [name for name, view in self.instances.items() if self._may_have_confirmed(view)]
         return [*present, *self._departed]
 
+    def fenced_above(self, term: int) -> list[str]:
+        """Listed replicas that were last seen with a fence above a term."""
+        return [
+            name
+            for name, view in self.instances.items()
+            if view.listed and view.status is not None and view.status.fence_term > term
+        ]
+
     def absent(self) -> list[str]:
         """Instances that `may_confirm` leaves out, though they left not long ago."""
         views = self.instances.items()
--- a/src/orchidwind/managed/connections.py
+++ b/src/orchidwind/managed/connections.py
@@ -23,6 +23,8 @@
 
 CONNECT_SECONDS = 0.6
 CONNECTION_LIMIT_MET = "53300"
+# Another instance answers at the address: the one that was named has ended.
+OTHER_INSTANCE = "08001"
 _SHORTEST_RETRY_SECONDS = 0.01
 _FEWEST_CONNECTIONS = 2
 # An instance that had no room is taken to have none for so long, unless a connection opens.
--- a/src/orchidwind/managed/failover_runner.py
+++ b/src/orchidwind/managed/failover_runner.py
@@ -192,7 +192,9 @@
 
     async def _record(self, step: RecordPromotion, plan: FailoverPlan) -> bool:
         assert self._held is not None
-        record = PromotionRecord(step.instance, step.term, step.start, self._held.token)
+        record = PromotionRecord(
+            step.instance, step.term, step.start, self._held.token, plan.old_primary
+        )
         return await self._rosters.record_promotion(plan.group, record)
 
     def _remaining(self) -> float:
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -162,8 +162,14 @@
             self._calls.close()
             self.connections.close_idle()
 
-    def forget_old(self) -> None:
-        """Drop what belongs to instances that left long ago."""
+    async def forget_old(self) -> None:
+        """Drop what belongs to instances that left long ago, if others have their logs."""
+        if self.supervised and self.topology.to_forget(self._loop.time()):
+            # The primary first: what it has by then, the others must have afterwards.
+            views = self.topology.instances.items()
+            listed = [name for name, view in views if view.listed]
+            for name in sorted(listed, key=lambda name: not self.topology.primary_term(name)):
+                await self.ask_status(name)
         for instance in self.topology.forget_old(self._loop.time()):
             self._calls.drop(instance)
             self.connections.forget(instance)
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -343,4 +343,4 @@
         while True:
             await asyncio.sleep(_FORGET_SECONDS)
             for group in self.groups.values():
-                group.forget_old()
+                await group.forget_old()
--- a/src/orchidwind/managed/status_calls.py
+++ b/src/orchidwind/managed/status_calls.py
@@ -14,6 +14,7 @@
 from orchidwind.managed.connections import (
     CONNECT_SECONDS,
     CONNECTION_LIMIT_MET,
+    OTHER_INSTANCE,
     GroupConnections,
 )
 from orchidwind.managed.ports import InstanceLink
@@ -73,6 +74,10 @@
                 else:
                     status = await self._ask_on_some_link(instance, call)
         except BackendRefused as refused:
+            if refused.sqlstate == OTHER_INSTANCE:
+                # What answers is not the instance: it was not heard, and may hold up no change.
+                self._on_unreachable(instance)
+                return None
             self._topology.answered(instance, self._loop.time())
             if refused.sqlstate == CONNECTION_LIMIT_MET:
                 self._connections.note_no_room(instance)
--- a/src/orchidwind/platform/coordination.py
+++ b/src/orchidwind/platform/coordination.py
@@ -43,6 +43,7 @@
     start_term: int
     start_number: int
     token: int
+    replaced: str = ""
 
 
 class _RosterSpec(msgspec.Struct):
@@ -91,14 +92,16 @@
     if spec is None:
         return None
     start = Position(spec.start_term, spec.start_number)
-    return PromotionRecord(spec.instance, spec.term, start, spec.token)
+    return PromotionRecord(spec.instance, spec.term, start, spec.token, spec.replaced)
 
 
 def _promotion_spec(record: PromotionRecord | None) -> _PromotionSpec | None:
     if record is None:
         return None
     start = record.start
-    return _PromotionSpec(record.instance, record.term, start.term, start.lsn, record.token)
+    return _PromotionSpec(
+        record.instance, record.term, start.term, start.lsn, record.token, record.replaced
+    )
 
 
 class RosterObjects:
--- a/src/orchidwind/platform/instances.py
+++ b/src/orchidwind/platform/instances.py
@@ -11,7 +11,7 @@
 from orchidwind.core.errors import BackendConnectionLost, BackendRefused
 from orchidwind.core.managed.commands import InstanceMessage, InstanceStatus, Reply, ReplyCode
 from orchidwind.core.managed.configuration import DirectoryEntry
-from orchidwind.managed.connections import CONNECTION_LIMIT_MET
+from orchidwind.managed.connections import CONNECTION_LIMIT_MET, OTHER_INSTANCE
 from orchidwind.network.sockets import client_socket
 from orchidwind.platform import wire
 
@@ -132,6 +132,8 @@
     code, _, _ = reply.text.partition(" ")
     if code == "TOOMANYCON":
         return BackendRefused(reply.text, CONNECTION_LIMIT_MET)
+    if code == "WRONGNODE":
+        return BackendRefused(reply.text, OTHER_INSTANCE)
     if reply.code is ReplyCode.BUSY:
         return BackendRefused(reply.text, _BUSY)
     return BackendRefused(reply.text, _OTHER_REFUSAL)
