--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -62,8 +62,8 @@
         self._ports = ports
         self.directory: dict[str, DirectoryEntry] = {}
         self._directory_listed = False
-        self._lock = PromotionLockClient(name, ports.lock_store)
         self.rosters = RosterKeeper(self.groups, ports.roster_store)
+        self._lock = PromotionLockClient(name, ports.lock_store, self.rosters.promotion_called)
         self.registry = SessionRegistry()
         self.homes = PeerNetwork(
             own,
@@ -233,6 +233,7 @@
             self.leases,
             self._bounds.entry_outlives,
             self._coordinate,
+            lambda: self.rosters.last_promotion(name),
         )
         self.groups[name] = group
         for entry in self.directory.values():
@@ -342,4 +343,4 @@
         while True:
             await asyncio.sleep(_FORGET_SECONDS)
             for group in self.groups.values():
-                group.forget_old()
+                await group.forget_old()
--- /dev/null
+++ b/tests/test_lost_commits.py
@@ -0,0 +1,353 @@
+"""Who may hold an acknowledged commit: scripted days in which a change of primary can lose one."""
+
+import asyncio
+import logging
+import random
+
+import pytest
+
+from orchidwind_bench.managed.callers import NODES, ManagedSystem
+from orchidwind_bench.managed.groups import LONGEST_PROMOTE_SECONDS
+from orchidwind_bench.managed.store import STORE
+from orchidwind_bench.managed.virtual_time import run_virtual
+
+ANNOUNCED_AFTER_SECONDS = 0.012
+# A frozen primary runs again so long after the promotion was called, and before it takes effect.
+WAKES_AFTER_SECONDS = 0.3
+
+
+class EventHook(logging.Handler):
+    """Calls back at each event that the proxies log; what the callback raises is kept."""
+
+    def __init__(self):
+        super().__init__()
+        self.on_event = lambda record: None
+        self.raised = []
+
+    def emit(self, record):
+        try:
+            self.on_event(record)
+        except Exception as error:  # raised here, it would end a proxy's task instead of the test
+            self.raised.append(error)
+
+
+def play(seed, plan, seconds, instances=3, on_event=None, callers_a_node=2):
+    """Run a system by a plan of times and faults; `on_event` gets it and each logged event."""
+
+    def inflict(fault, system):
+        try:
+            fault(system)
+        except Exception as error:  # the loop would only log it
+            hook.raised.append(error)
+
+    async def work():
+        system = ManagedSystem(seed, instances)
+        loop = asyncio.get_running_loop()
+        for at, fault in plan:
+            loop.call_later(at, inflict, fault, system)
+        if on_event is not None:
+            hook.on_event = lambda record: on_event(system, record)
+        await system.run(seconds, callers_a_node)
+        return system
+
+    random.seed(seed)  # of this, the proxies take their jitter
+    logger = logging.getLogger("orchidwind")
+    level, hook = logger.level, EventHook()
+    logger.setLevel(logging.INFO)
+    logger.addHandler(hook)
+    try:
+        system = run_virtual(work())
+    finally:
+        logger.removeHandler(hook)
+        logger.setLevel(level)
+    assert hook.raised == []
+    return system
+
+
+def lost(system):
+    return [item for item in system.world.history.broken if "LOST" in item]
+
+
+def crash_and_leave(system, name, entry_outlives=3.6):
+    """An instance ends without a word; its entry goes when three heartbeats are missing."""
+    system.group.instances[name].crash()
+    asyncio.get_running_loop().call_later(entry_outlives, system.world.store.drop_entry, name)
+
+
+def deafen(system, name):
+    """An instance receives of no other; the proxies reach it."""
+    for other in list(system.group.instances):
+        if other != name:
+            system.world.network.cut(other, name, one_way=True)
+
+
+def test_an_instance_that_joins_after_the_members_were_read_is_counted():
+    """One replica has left before the term, the other is deaf; the new one alone confirms."""
+    joined = []
+
+    def deafen_replica(system):
+        leader = system.group.primary().name
+        deafen(system, next(name for name in ("i-1", "i-2") if name != leader))
+
+    def join_when_planned(system, record):
+        planned = record.getMessage() == "failover_started"
+        if planned and len(record.members.split(",")) == 2 and not joined:
+            joined.append(system.group.join("zone-a", ANNOUNCED_AFTER_SECONDS))
+
+    system = play(
+        116,
+        [(2.0, lambda s: crash_and_leave(s, "i-0")), (4.5, deafen_replica)],
+        8.0,
+        on_event=join_when_planned,
+    )
+    assert joined, "the moment of the day came"
+    assert system.world.history.broken == []
+
+
+def cut_proxies(system, instance, proxies=NODES):
+    """These proxies and an instance do not reach each other; the other instances reach it."""
+    for proxy in proxies:
+        system.world.network.cut(proxy, instance)
+
+
+def drain(system, name):
+    """An instance tells that it will end."""
+    system.group.instances[name].draining = True
+    system.group.announce(system.group.instances[name])
+
+
+def once(event, act):
+    """A hook that acts on the first event of a name."""
+    done = []
+
+    def on_event(system, record):
+        if record.getMessage() == event and not done:
+            done.append(system.world.now)
+            act(system, record)
+
+    on_event.done = done
+    return on_event
+
+
+def test_a_proxy_restarted_in_the_middle_of_a_change_frees_no_replica_for_the_old_primary():
+    """Its call is still to take effect when it finds the old primary there again."""
+
+    def restart_promoter(system, record):
+        group = system.group
+        group.instances[record.instance].deaf = True
+        system.restart_proxy(system.world.store.lock.holder)
+        asyncio.get_running_loop().call_later(WAKES_AFTER_SECONDS, group.primary().resume)
+
+    def freeze_primary(system):
+        system.group.promote_seconds = (LONGEST_PROMOTE_SECONDS, LONGEST_PROMOTE_SECONDS)
+        system.group.primary().pause(30.0)
+
+    sent = once("promotion_sent", restart_promoter)
+    system = play(31, [(3.0, freeze_primary)], 7.0, on_event=sent)
+    assert sent.done
+    assert system.world.history.broken == []
+
+
+def restart_instance(system, name):
+    system.group.instances[name].crash()
+    system.group.instances[name].restart()
+
+
+def take_late_unfence(system, name):
+    """A call of an earlier change, on which nobody waits any more, arrives now."""
+    system.group.instances[name].fence_term = 0
+
+
+def join_unlisted(system, name):
+    system.group.join("zone-a", announced_after=1.0)
+
+
+@pytest.mark.parametrize("fall", [restart_instance, take_late_unfence, join_unlisted])
+def test_what_an_old_primary_confirms_after_the_last_look_at_the_fences_is_not_lost(fall):
+    """One proxy does not reach the primary and replaces it; callers of the others do reach it."""
+
+    def let_receive(system, record):
+        other = next(name for name in ("i-1", "i-2") if name != record.instance)
+        fall(system, other)
+
+    sent = once("promotion_sent", let_receive)
+    cut = [(3.0, lambda system: cut_proxies(system, "i-0", NODES[:1]))]
+    system = play(32, cut, 7.0, on_event=sent)
+    assert sent.done
+    assert system.world.history.broken == []
+
+
+def test_an_old_primary_that_alone_answers_a_restarted_proxy_does_not_lead_again():
+    """It leads a lower term, knows of no later one, and is to leave its group."""
+
+    def part_primary(system):
+        for other in ("i-1", "i-2"):
+            system.world.network.cut("i-0", other)
+        cut_proxies(system, "i-0")
+
+    def lose_newer_term(system):
+        group = system.group
+        assert group.primary().term == 2
+        for name in ("i-1", "i-2"):
+            group.instances[name].crash()
+        system.world.network.heal()
+        system.start_proxies()
+        drain(system, "i-0")
+
+    plan = [
+        (2.0, part_primary),
+        (5.0, lose_newer_term),
+        (9.0, lambda system: system.group.instances["i-1"].restart()),
+        (9.0, lambda system: system.group.instances["i-2"].restart()),
+    ]
+    system = play(33, plan, 12.0)
+    assert system.world.history.broken == []
+
+
+def test_a_candidate_that_does_not_answer_the_second_look_ends_no_change():
+    """Another replica has every commit of the demoted primary, too."""
+    raised = []
+
+    def drain_primary(system):
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: raised.append(context.get("exception")))
+        drain(system, "i-0")
+
+    def freeze_candidate(system, record):
+        if record.getMessage() != "failover_step" or record.step != "FenceAll" or frozen:
+            return
+        system.group.instances["i-2"].pause(1.5)
+        frozen.append(system.world.now)
+
+    frozen = []
+    system = play(34, [(2.0, drain_primary)], 7.0, on_event=freeze_candidate)
+    assert frozen
+    assert system.world.history.broken == []
+    assert [error for error in raised if error is not None] == []
+    took_effect_at = system.world.history.promotions[0][0]
+    assert took_effect_at < frozen[0] + 1.5, "nobody waits for the frozen one"
+
+
+def test_an_instance_whose_entry_lapsed_before_the_term_began_is_counted():
+    """It is cut off from the store and the proxies, and alone receives of the new primary."""
+
+    def cut_off(system):
+        cut_proxies(system, "i-3")
+        system.world.network.cut("i-3", STORE)
+        asyncio.get_running_loop().call_later(3.6, system.world.store.drop_entry, "i-3")
+
+    def leave_alone_with_primary(system):
+        leader = system.group.primary()
+        assert leader.term == 2
+        for name in ("i-0", "i-1", "i-2"):
+            system.group.instances[name].deaf = name != leader.name
+
+    def lose_primary(system):
+        system.group.resets = False
+        system.group.primary().crash()
+
+    plan = [
+        (1.0, cut_off),
+        (2.0, lambda system: drain(system, "i-0")),
+        (5.0, leave_alone_with_primary),
+        (5.5, lose_primary),
+    ]
+    system = play(36, plan, 9.0, instances=4)
+    assert system.world.history.broken == []
+
+
+def test_a_replica_that_left_with_the_only_log_is_not_forgotten_while_the_primary_is_down():
+    """It alone confirmed; the longest log that the others have is short."""
+
+    def leave_alone_with_primary(system):
+        system.group.instances["i-2"].deaf = True
+        drain(system, "i-1")
+
+    def end_both(system):
+        system.group.resets = False
+        leaving = system.group.instances["i-1"]
+        leaving.crash()
+        leaving.ended = True
+        system.world.store.drop_entry("i-1")
+        system.group.primary().crash()
+
+    def return_primary(system):
+        system.group.instances["i-0"].restart()
+        system.group.instances["i-2"].deaf = False
+
+    plan = [
+        (2.0, leave_alone_with_primary),
+        (2.5, end_both),
+        (28.0, return_primary),
+    ]
+    system = play(37, plan, 31.0, callers_a_node=1)
+    assert system.world.history.broken == []
+    assert max(system.tally.write_times) > 30.0, "writes go on when the log is there again"
+
+
+def test_a_replica_that_is_still_catching_up_in_a_newer_term_does_not_lead():
+    """Where positions carry the followed term, a short log looks longer than a whole one."""
+
+    def fall_behind(system):
+        system.group.positions_carry_followed_term = True
+        system.group.replication.part_entries = 5
+        system.group.instances["i-2"].deaf = True
+
+    def leave_primary(system):
+        system.group.instances["i-2"].receive_seconds = 0.1
+        drain(system, "i-0")
+
+    def follow_slowly(system, record):
+        leader = system.group.instances[record.instance]
+        assert leader.name == "i-1"
+        system.group.instances["i-0"].deaf = True
+        system.group.instances["i-2"].deaf = False
+
+    def lose_primary(system):
+        system.group.resets = False
+        late = system.group.instances["i-2"]
+        assert system.group.primary().name == "i-1"
+        assert late.term == 2 and len(late.log) < len(system.group.primary().log)
+        system.group.primary().crash()
+
+    sent = once("promotion_sent", follow_slowly)
+    plan = [(1.0, fall_behind), (2.5, leave_primary), (3.3, lose_primary)]
+    system = play(38, plan, 8.0, on_event=sent)
+    assert sent.done
+    assert system.world.history.broken == []
+
+
+def test_a_promotion_that_takes_effect_under_the_next_holder_loses_nothing():
+    """The chosen instance is frozen before it leads; the old primary comes back meanwhile."""
+
+    holders = []
+
+    def freeze_chosen(system, record):
+        system.group.instances[record.instance].pause(11.0)
+        holders.append(system.world.store.lock.holder)
+        loop = asyncio.get_running_loop()
+        loop.call_later(1.0, return_primary, system)
+
+    def return_primary(system):
+        system.world.network.heal()
+        system.world.network.cut(holders[0], STORE)
+
+    sent = once("promotion_sent", freeze_chosen)
+    plan = [
+        (2.0, lambda system: cut_proxies(system, "i-0")),
+        (13.5, lambda system: holders.append(system.world.store.lock.holder)),
+    ]
+    system = play(39, plan, 16.0, on_event=sent)
+    assert sent.done
+    assert holders[0] != holders[1], "another proxy has held the lock since"
+    assert system.world.history.broken == []
+
+
+@pytest.mark.parametrize("moment", ["promotion_lock", "promotion_sent"])
+def test_a_crashed_primary_that_returns_in_the_middle_of_a_change_loses_nothing(moment):
+    returns = once(moment, lambda system, record: system.group.instances["i-0"].restart())
+    plan = [(2.0, lambda system: system.group.primary().crash())]
+    system = play(40, plan, 7.0, on_event=returns)
+    assert returns.done
+    assert system.world.history.broken == []
+    assert max(system.tally.write_times) > 6.5
