--- a/src/orchidwind_bench/exploration/platform.py
+++ b/src/orchidwind_bench/exploration/platform.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from orchidwind.core.managed.failover import PromotionAnswer
+from orchidwind.core.managed.failover_steps import PromotionAnswer
 from orchidwind_bench.exploration.checks import Checks
 from orchidwind_bench.exploration.choices import Choices
 from orchidwind_bench.exploration.instances import ModelGroup
--- a/src/orchidwind_bench/exploration/store.py
+++ b/src/orchidwind_bench/exploration/store.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, unique
 from functools import partial
 
@@ -201,6 +201,6 @@
         if held != roster.revision:
             return Conflict()
         self.revision += 1
-        self.roster = Roster(roster.group, roster.members, self.revision)
+        self.roster = replace(roster, revision=self.revision)
         self.changed()
         return self.roster
--- a/src/orchidwind_bench/exploration/world.py
+++ b/src/orchidwind_bench/exploration/world.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from functools import partial
 
-from orchidwind.core.managed.failover import FailoverStep
+from orchidwind.core.managed.failover_steps import FailoverStep
 from orchidwind_bench.exploration.checks import Checks, Violation
 from orchidwind_bench.exploration.choices import Choices, OpenChoice, Schedule
 from orchidwind_bench.exploration.faults import Faults
