--- a/src/orchidwind/core/managed/failover.py
+++ b/src/orchidwind/core/managed/failover.py
@@ -176,10 +176,12 @@
 
 
 def _next_term(plan: FailoverPlan, statuses: Statuses) -> int:
-    """A term above every one that an instance knows of, and none below the last promotion's."""
-    newest = max((item.newest_term for item in statuses.values()), default=0)
+    """A term above every one that can have begun: an instance takes no fence below that."""
+    newest = max([plan.led_term, *(item.newest_term for item in statuses.values())])
     last = plan.last_promotion
-    return max(newest + 1, last.term if last is not None else 0)
+    if last is not None and last.instance not in statuses:
+        newest = max(newest, last.term)
+    return newest + 1
 
 
 def _let_arrive(plan: FailoverPlan, demoted: InstanceStatus) -> _Part:
@@ -380,7 +382,9 @@
     last = plan.last_promotion
     if replica.term >= leader.term:
         return True
-    if last is None or last.term > leader.term or replica.term < last.term - 1:
+    if last is None or (last.term > leader.term and last.instance != leader.instance):
+        return False
+    if replica.term < min(last.term, leader.term) - 1:
         return False
     replaced = statuses.get(last.replaced)
     return replaced is not None and replaced.role is InstanceRole.REPLICA
--- a/src/orchidwind/core/managed/failover_choice.py
+++ b/src/orchidwind/core/managed/failover_choice.py
@@ -104,12 +104,10 @@
     if len(counted) < needed_fences(plan) or not plan.members_known:
         return None
     longest = max(item.received for item in counted)
-    start = _start_of_newest_term(plan, fenced)
-    led = newest_led_term(plan, fenced)
     able = [
         item
         for item in counted
-        if item.received == longest and item.term >= led and item.received.lsn >= start.lsn
+        if item.received == longest and _has_earlier_terms(plan, item, fenced)
     ]
     return _best(plan, able)
 
@@ -119,15 +117,17 @@
     return max([plan.led_term, *(item.term for item in statuses.values())])
 
 
-def _start_of_newest_term(plan: FailoverPlan, statuses: Statuses) -> Position:
-    """Where the newest term began, as far as the last promotion tells.
+def _has_earlier_terms(plan: FailoverPlan, item: InstanceStatus, statuses: Statuses) -> bool:
+    """Whether a log has every commit that was acknowledged before the newest term began.
 
-    Guards against a replica that follows the newest term and is still catching up with it.
+    The count of fences speaks of the newest term only. What came before is in the log that it began
+    with. Where nobody tells of that log, the newest term is the first one, or the instance
+    has to follow it. Guards against a replica that heard nothing for a term, or is catching up.
     """
     last = plan.last_promotion
-    if last is None or last.term > newest_led_term(plan, statuses):
-        return Position(0, 0)
-    return last.start
+    if last is None:
+        return item.term >= newest_led_term(plan, statuses)
+    return holds(item.received, last.start)
 
 
 def _best(plan: FailoverPlan, able: list[InstanceStatus]) -> InstanceStatus | None:
@@ -175,8 +175,8 @@
         return "leads"
     if status.fence_term < fence_term:
         return "not_fenced"
-    if status.term < newest_led_term(plan, fenced):
-        return "older_term"
+    if not _has_earlier_terms(plan, status, fenced):
+        return "lacks_earlier_terms"
     if chosen is None:
         return "not_proven"
     if status.received < chosen.received:
--- a/tests/test_managed_core.py
+++ b/tests/test_managed_core.py
@@ -338,6 +338,14 @@
     assert "b" in view.may_confirm()
 
 
+def tell_statuses(view, at, behind=""):
+    """All tell their statuses at a time; one replica may lack the last commit."""
+    for name in "pa":
+        role = InstanceRole.PRIMARY if name == "p" else InstanceRole.REPLICA
+        told = status(name, 8 if name == behind else 9, fence=0, role=role)
+        view.take_status(replace(told, asked_at=at))
+
+
 def test_a_roster_names_who_may_hold_commits_and_loses_who_left_long_ago():
     view = topology()
     assert view.roster(()) == ("a", "b", "p")
@@ -348,10 +356,17 @@
     view.entry_gone("b", 6.0)
     assert view.roster(("a", "b", "p", "x")) == ("a", "b", "p", "x")
     view.forget_old(5.0 + MAY_CONFIRM_SECONDS + 0.5)
+    assert "x" in view.may_confirm(), "no other is known to have what it may have confirmed"
+    tell_statuses(view, 5.0 + MAY_CONFIRM_SECONDS + 0.1, behind="a")
+    view.forget_old(5.0 + MAY_CONFIRM_SECONDS + 0.5)
+    assert "x" in view.may_confirm(), "the only listed replica lacks commits"
+    tell_statuses(view, 5.0 + MAY_CONFIRM_SECONDS + 0.2)
+    view.forget_old(5.0 + MAY_CONFIRM_SECONDS + 0.5)
     assert "x" not in view.may_confirm()
     assert view.roster(("a", "b", "p", "x")) == ("a", "b", "p")
     view.roster_told(("x",), 26.0)
     assert "x" not in view.may_confirm()
+    tell_statuses(view, 6.0 + MAY_CONFIRM_SECONDS + 0.1)
     view.forget_old(6.0 + MAY_CONFIRM_SECONDS + 0.5)
     assert view.roster(("a", "b", "p")) == ("a", "p")
 
