--- a/src/orchidwind_bench/managed/connections.py
+++ b/src/orchidwind_bench/managed/connections.py
@@ -211,8 +211,9 @@
             await asyncio.get_running_loop().create_future()
             raise AssertionError
         newest = instance.group.primary()
-        replaced = newest.term > term
-        too_late = f"ONE: {instance.name} committed {named} after {newest.name}" if replaced else ""
+        too_late = ""
+        if newest.term > term:
+            too_late = self._late_acknowledgement(newest, request_ids, named)
         for request_id in request_ids:
             self._world.history.confirmed[request_id] = ConfirmedCommit(position, too_late)
         return Reply(
@@ -224,6 +225,19 @@
             position,
         )
 
+    def _late_acknowledgement(
+        self, newest: SimulatedInstance, request_ids: list[str], named: str
+    ) -> str:
+        """What is broken once this is told; empty where nothing is.
+
+        A replaced primary may only tell what it knew before a pause, and what is kept.
+        """
+        held = {entry.request_id for entry in newest.log}
+        late = f"{self._instance.name} acknowledged {named} after {newest.name}"
+        if not self._instance.just_resumed:
+            return f"ONE: {late}"
+        return "" if held.issuperset(request_ids) else f"LOST: {late}, which lacks it"
+
     async def _control(self, act: Callable[[], None]) -> InstanceStatus:
         async def work() -> InstanceStatus:
             await self._world.network.travel(self.node, self._instance.name)
