--- a/src/orchidwind_bench/exploration/world.py
+++ b/src/orchidwind_bench/exploration/world.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 from orchidwind.core.managed.failover_steps import FailoverStep
+from orchidwind.core.managed.roster import PromotionRecord
 from orchidwind_bench.exploration.checks import Checks, Violation
 from orchidwind_bench.exploration.choices import Choices, OpenChoice, Schedule
 from orchidwind_bench.exploration.faults import Faults
@@ -52,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunResult:
-    """How a run ended. `ended_at` is in seconds of virtual time."""
+    """How a run ended. `ended_at` is in seconds of virtual time; `record` is of the last promotion."""
 
     schedule: Schedule
     violations: tuple[Violation, ...]
@@ -63,6 +64,7 @@
     events: int
     ended_at: float
     trace: tuple[str, ...]
+    record: PromotionRecord | None
 
 
 class World:
@@ -170,6 +172,7 @@
             events=self.timeline.events,
             ended_at=self.timeline.now,
             trace=tuple(self.trace.lines),
+            record=self.store.roster.last_promotion if self.store.roster is not None else None,
         )
 
     def _over(self) -> bool:
