--- a/src/orchidwind_bench/exploration/world.py
+++ b/src/orchidwind_bench/exploration/world.py
@@ -53,7 +53,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RunResult:
-    """How a run ended. `ended_at` is in seconds of virtual time; `record` is of the last promotion."""
+    """How a run ended. `ended_at` is in seconds of virtual time.
+
+    `record` is of the last promotion, as it stands in the store.
+    """
 
     schedule: Schedule
     violations: tuple[Violation, ...]
