--- a/src/orchidwind/core/managed/supervision.py
+++ b/src/orchidwind/core/managed/supervision.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from orchidwind.core.managed.failover_steps import (
     FailoverOutcome,
@@ -191,6 +191,11 @@
     ) -> FailoverPlan:
         """A change of primary, by what is known now."""
         views = self._topology.instances
+        heirs = self._topology.heirs()
+        leader = self._known_leader()
+        if last_promotion is not None:
+            promoted = heirs.get(last_promotion.instance, last_promotion.instance)
+            last_promotion = replace(last_promotion, instance=promoted)
         leaving = frozenset(
             name for name, view in views.items() if view.entry.draining or not view.listed
         )
@@ -199,7 +204,7 @@
             reason=reason,
             members=tuple(sorted(self._topology.may_confirm())),
             leaving=leaving,
-            old_primary=self._known_leader(),
+            old_primary=heirs.get(leader, leader),
             synchronous_replicas=self._topology.settings.synchronous_replicas,
             members_known=members_known,
             led_term=self._topology.newest_led_term,
--- a/src/orchidwind/core/managed/topology.py
+++ b/src/orchidwind/core/managed/topology.py
@@ -82,6 +82,11 @@
     heard_at: float = float("-inf")
     unreachable_since: float | None = None
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port."""
+        return self.entry.host, self.entry.port
+
     def usable(self, now: float) -> bool:
         """Whether new work may go there."""
         if self.entry.draining:
@@ -221,7 +226,7 @@
         """
         listed = {name for name, view in self.instances.items() if view.listed}
         # A later term began with every commit that these had confirmed.
-        outlived = set(self.absent())
+        outlived = {*self.absent(), *self.heirs()}
         return tuple(sorted(set(held) - self._forgotten - outlived | listed))
 
     # --- what instances tell ------------------------------------------------------------------
@@ -343,7 +348,21 @@
         by the last proof that the primary of the term before still led.
         """
         present = [name for name, view in self.instances.items() if self._may_have_confirmed(view)]
-        return [*present, *self._departed]
+        heirs = self.heirs()
+        return [name for name in (*present, *self._departed) if name not in heirs]
+
+    def heirs(self) -> dict[str, str]:
+        """For each instance that has ended, the one at its address: its log has passed to that one.
+
+        Gains the count of a group whose instances are replaced one after the other: each that
+        left would else be missed for `MAY_CONFIRM_SECONDS`.
+        """
+        listed = {view.address: name for name, view in self.instances.items() if view.listed}
+        return {
+            name: listed[view.address]
+            for name, view in self.instances.items()
+            if not view.listed and view.address in listed
+        }
 
     def fenced_above(self, term: int) -> list[str]:
         """Listed replicas that were last seen with a fence above a term."""
@@ -355,8 +374,9 @@
 
     def absent(self) -> list[str]:
         """Instances that `may_confirm` leaves out, though they left not long ago."""
-        views = self.instances.items()
-        return [name for name, view in views if not self._may_have_confirmed(view)]
+        views, heirs = self.instances.items(), self.heirs()
+        unheard = [name for name, view in views if not self._may_have_confirmed(view)]
+        return [name for name in unheard if name not in heirs]
 
     def how_known(self, now: float) -> dict[str, str]:
         """By what each instance that may hold commits is known, and how old that knowledge is.
