--- a/src/orchidwind_bench/exploration/proxy.py
+++ b/src/orchidwind_bench/exploration/proxy.py
@@ -575,7 +575,7 @@
         instance=entry.instance,
         group=GROUP,
         host="model",
-        port=1,
+        port=entry.port,
         zone="zone",
         claims_primary=entry.claims_primary,
         draining=entry.draining,
--- a/src/orchidwind_bench/exploration/store.py
+++ b/src/orchidwind_bench/exploration/store.py
@@ -56,6 +56,7 @@
     """An instance as the directory lists it."""
 
     instance: str
+    port: int
     claims_primary: bool
     draining: bool
     revision: int
@@ -105,7 +106,7 @@
         ):
             return
         self.revision += 1
-        entry = Entry(instance.name, primary, instance.draining, self.revision)
+        entry = Entry(instance.name, instance.port, primary, instance.draining, self.revision)
         self.entries[instance.name] = entry
         self.changed()
 
