--- a/src/orchidwind/core/managed/failover.py
+++ b/src/orchidwind/core/managed/failover.py
@@ -65,6 +65,7 @@
     ReportChoice,
     Statuses,
     TakeLock,
+    ToldCommits,
     UnfenceAll,
     Wait,
 )
@@ -117,7 +118,8 @@
     """
     answering = [name for name in plan.absent if name in statuses]
     members = tuple(sorted({*plan.members, *answering}))
-    return replace(plan, members=members, absent=())
+    absent = tuple(name for name in plan.absent if name not in members)
+    return replace(plan, members=members, absent=absent)
 
 
 def _may_succeed(plan: FailoverPlan, statuses: Statuses) -> bool:
@@ -222,9 +224,11 @@
     # Fenced before the members are read: else a proxy could find a commit held by a replica that
     # is listed after that reading, and no fence that warns it.
     yield FenceAll(_others(plan, demoted, plan.old_primary), fence_term)
-    yield AwaitRevocation()
+    told = yield AwaitRevocation()
+    assert told is None or isinstance(told, ToldCommits)
     # These members were read before anybody had stopped to acknowledge: they count nobody.
-    selection = _Selection(replace(plan, members_known=False), demoted, fence_term)
+    plan = replace(plan, members_known=False, told=told)
+    selection = _Selection(plan, demoted, fence_term)
     for attempt in range(_SELECT_ATTEMPTS):
         if attempt:
             yield Wait(RETRY_SECONDS)
@@ -303,10 +307,12 @@
         return replace(plan, members_known=False)
     statuses = yield from _ask(fresh.absent) if fresh.absent else _nothing()
     fresh = _count_answering(fresh, statuses)
+    # Nobody is taken off: who was a member a moment ago may hold a commit.
+    members = {*plan.members, *fresh.members}
     return replace(
         plan,
-        # Nobody is taken off: who was a member a moment ago may hold a commit.
-        members=tuple(sorted({*plan.members, *fresh.members})),
+        members=tuple(sorted(members)),
+        absent=tuple(sorted({*plan.absent, *fresh.absent} - members)),
         leaving=fresh.leaving,
         unlisted=fresh.unlisted,
         members_known=fresh.members_known,
@@ -352,7 +358,8 @@
     if any(item.received >= leader.received for item in replicas):
         return (yield from _stand_down(plan, later))
     fenced = yield from _fence(plan, leader, fence_term)
-    if choose_candidate(plan, fenced, None, fence_term) is None:
+    # Whether absent ones are needed is known when all proxies have told how far they acknowledged.
+    if choose_candidate(replace(plan, absent=()), fenced, None, fence_term) is None:
         yield UnfenceAll(tuple(fenced))
         return FailoverResult(FailoverOutcome.NOT_SAFE)
     return None
--- a/src/orchidwind/core/managed/failover_choice.py
+++ b/src/orchidwind/core/managed/failover_choice.py
@@ -57,7 +57,8 @@
     """How many fenced members surely share one with the holders of any acknowledged commit.
 
     A commit is on its primary and on `synchronous_replicas` others. Where that primary may be
-    none of the members, it is only known to be on the others.
+    none of the members, it is only known to be on the others. Absent ones are left out: see
+    `needs_absent`.
     """
     synchronous = max(plan.synchronous_replicas, 1)
     leaders = {plan.old_primary}
@@ -107,11 +108,28 @@
     able = [
         item
         for item in counted
-        if item.received == longest and _has_earlier_terms(plan, item, fenced)
+        if item.received == longest
+        and _has_earlier_terms(plan, item, fenced)
+        and not needs_absent(plan, item, len(counted))
     ]
     return _best(plan, able)
 
 
+def needs_absent(plan: FailoverPlan, item: InstanceStatus, counted: int) -> bool:
+    """Whether an absent instance may hold a commit that was told and that this log lacks.
+
+    It may have gone on confirming when neither the directory nor this proxy heard of it. It is not
+    needed if every proxy, each of which has run since before the newest term began, tells how far
+    commits were told, and this log reaches that far.
+    """
+    if counted >= needed_fences(plan) + len(plan.absent):
+        return False
+    told, last = plan.told, plan.last_promotion
+    if told is None or last is None or told.known_since >= last.token:
+        return True
+    return not holds(item.received, told.end)
+
+
 def newest_led_term(plan: FailoverPlan, statuses: Statuses) -> int:
     """The newest term in which an instance is known to have led; a fence alone is none."""
     return max([plan.led_term, *(item.term for item in statuses.values())])
@@ -146,12 +164,13 @@
     """On what a choice rested."""
     counted = counted_replicas(plan, fenced, demoted, fence_term)
     passed_over = [
-        (name, _why_not(plan, name, fenced, chosen, fence_term))
+        (name, _why_not(plan, name, fenced, chosen, fence_term, len(counted)))
         for name in sorted({*plan.members, *fenced})
         if chosen is None or name != chosen.instance
     ]
     return ChoiceReport(
         plan.members,
+        plan.absent,
         plan.members_known,
         needed_fences(plan),
         len(counted),
@@ -167,6 +186,7 @@
     fenced: Statuses,
     chosen: InstanceStatus | None,
     fence_term: int,
+    counted: int,
 ) -> str:
     status = fenced.get(name)
     if status is None:
@@ -177,6 +197,8 @@
         return "not_fenced"
     if not _has_earlier_terms(plan, status, fenced):
         return "lacks_earlier_terms"
+    if chosen is None and needs_absent(plan, status, counted):
+        return "may_lack_what_absent_ones_hold"
     if chosen is None:
         return "not_proven"
     if status.received < chosen.received:
--- a/src/orchidwind/core/managed/failover_steps.py
+++ b/src/orchidwind/core/managed/failover_steps.py
@@ -33,6 +33,18 @@
     NOT_SAFE = "not_safe"
 
 
+@dataclass(frozen=True, slots=True)
+class ToldCommits:
+    """Up to where commits of a group may have been told by any proxy, none of which tells more.
+
+    `end` is an end of the primary's log at such a time, so it may lie beyond what was told.
+    `known_since`: below this revision of the promotion lock a proxy may have told more, and ended.
+    """
+
+    end: Position
+    known_since: int
+
+
 @dataclass(frozen=True, slots=True)
 class FailoverPlan:
     """What the proxy believes when it begins, and again when it has read the members anew.
@@ -42,8 +54,9 @@
     others, of which this proxy has not been told: then only a demoted primary's log is a measure.
     `led_term` is the newest term in which an instance is known to have led. `absent` are instances
     of which neither the directory nor this proxy has heard since that term began: they are members
-    if they answer. `unlisted` are those that the directory does not name. `last_promotion` is what
-    the group's roster names, None where nobody was ever promoted.
+    if they answer; else it depends on `told`, what all proxies have told, whether they are needed.
+    `unlisted` are those that the directory does not name. `last_promotion` is what the group's
+    roster names, None where nobody was ever promoted.
     """
 
     group: str
@@ -56,6 +69,7 @@
     led_term: int = 0
     absent: tuple[str, ...] = ()
     unlisted: frozenset[str] = frozenset()
+    told: ToldCommits | None = None
     last_promotion: PromotionRecord | None = None
 
 
@@ -90,6 +104,7 @@
     """
 
     members: tuple[str, ...]
+    absent: tuple[str, ...]
     members_known: bool
     needed: int
     counted: int
@@ -140,7 +155,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AwaitRevocation:
-    """Wait until no proxy relies on the old primary by a lead lease, to read or to acknowledge."""
+    """Wait until no proxy relies on the old primary by a lead lease, to read or to acknowledge.
+
+    The result is ToldCommits, None where some proxy did not say what it has told.
+    """
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,5 +212,5 @@
     | Wait
 )
 Statuses = Mapping[str, InstanceStatus]
-FailoverStepResult = Statuses | FailoverPlan | PromotionAnswer | bool | None
+FailoverStepResult = Statuses | FailoverPlan | ToldCommits | PromotionAnswer | bool | None
 FailoverFlow = Generator[FailoverStep, FailoverStepResult, FailoverResult]
--- a/src/orchidwind/core/managed/lead_lease.py
+++ b/src/orchidwind/core/managed/lead_lease.py
@@ -57,8 +57,17 @@
     def __init__(self) -> None:
         self._covered_until = float("-inf")
         self._newest_revision = 0
+        self._first_revision: int | None = None
         self._free = False
 
+    @property
+    def first_revision(self) -> int | None:
+        """The lock's revision when this proxy first saw it, None before.
+
+        Who saw it below a holder's token has run since before that holder's change of primary.
+        """
+        return self._first_revision
+
     @property
     def free_revision(self) -> int | None:
         """The lock's revision while it is known to be free, else None.
@@ -82,6 +91,7 @@
 
     def lock_seen(self, reading: LockReading) -> None:
         """The lock was read, by this proxy or by another that told of it."""
+        self._note_first(reading.revision)
         if reading.revision < self._newest_revision:
             return
         self._newest_revision = reading.revision
@@ -93,10 +103,15 @@
 
     def lock_taken(self, revision: int) -> None:
         """Some proxy took the lock; earlier reads of it count no longer."""
+        self._note_first(revision)
         if revision >= self._newest_revision:
             self._newest_revision = revision
             self.drop()
 
+    def _note_first(self, revision: int) -> None:
+        if self._first_revision is None:
+            self._first_revision = revision
+
     def drop(self) -> None:
         """Rely on nothing until the lock is read again."""
         self._free = False
--- a/src/orchidwind/managed/commit_guard.py
+++ b/src/orchidwind/managed/commit_guard.py
@@ -6,8 +6,9 @@
 
 - the lead lease covers this moment: whoever changes a primary waits for its end, and reads
   afterwards who may have confirmed; or
-- a replica that the directory lists holds the commit, and no replica that answers is fenced or
-  knows of a later term: whoever fences it afterwards finds the commit there; or
+- a replica that the directory lists, and that is not about to leave, holds the commit, and no
+  replica that answers is fenced or knows of a later term: whoever fences it afterwards finds the
+  commit there; or
 - the change is over, and the new primary's log began with the commit in it.
 
 Without the guard a scripted day in which an instance joins loses 15 to 22 acknowledged commits
@@ -87,7 +88,9 @@
         holding = [
             status
             for status in statuses
-            if status.role is InstanceRole.REPLICA and holds(status.received, position)
+            if status.role is InstanceRole.REPLICA
+            and holds(status.received, position)
+            and not self._topology.instances[status.instance].entry.draining
         ]
         if len(holding) < max(self._topology.settings.synchronous_replicas, 1):
             return False
--- a/src/orchidwind/managed/failover_runner.py
+++ b/src/orchidwind/managed/failover_runner.py
@@ -169,8 +169,8 @@
             return None
         if isinstance(step, AwaitRevocation):
             assert self._held is not None
-            await self._leases.wait_for_others(self._held.token, self._taken_at)
-            return None
+            token = self._held.token
+            return await self._leases.wait_for_others(plan.group, token, self._taken_at)
         if isinstance(step, ReadMembers):
             return await self._read_members()
         if isinstance(step, RecordPromotion):
@@ -259,6 +259,7 @@
         group=plan.group,
         reason=plan.reason.value,
         members=",".join(report.members),
+        absent=",".join(report.absent),
         members_known=report.members_known,
         needed=report.needed,
         counted=report.counted,
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -72,6 +72,7 @@
     ) -> None:
         """`on_used` is called when requests are served here."""
         self._on_used = on_used
+        self._leases = leases
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._on_wake = on_wake
@@ -365,12 +366,12 @@
 
     async def _hold_back(self, instance: str, asked: InstanceMessage, reply: Reply) -> None:
         """Return when a commit may be told; raises BackendConnectionLost where it is left out."""
+        position = reply.position or Position(self.topology.primary_term(instance), 0)
         if self._guard.leased(instance):
+            self._leases.note_told(self.settings.name, position)
             self._succeeded(self._proving)
             return
         held_at = self._loop.time()
-        term = self.topology.primary_term(instance)
-        position = reply.position or Position(term, 0)
         outcome = "out_of_time"
         try:
             told = await self._guard.may_tell(
@@ -391,6 +392,7 @@
                 )
         if outcome != "told":
             raise BackendConnectionLost("a change of primary has left the commit out", sent=True)
+        self._leases.note_told(self.settings.name, position)
         self._succeeded(self._proving)
 
     def _count_attempt(
--- a/src/orchidwind/managed/lead_lease.py
+++ b/src/orchidwind/managed/lead_lease.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from orchidwind.core.errors import PeerUnavailable, PlatformError
+from orchidwind.core.managed.failover_steps import ToldCommits
 from orchidwind.core.managed.lead_lease import (
     RENEWAL_MARGIN_SECONDS,
     REVOCATION_WAIT_SECONDS,
@@ -14,10 +15,17 @@
 )
 from orchidwind.core.managed.peer_messages import LockReport
 from orchidwind.core.managed.promotion_lock import TAKE_OVER_SECONDS, LockRecord
+from orchidwind.core.positions import Position
 from orchidwind.logs import log_event
 from orchidwind.managed.peer_link import PeerLink
 from orchidwind.managed.peers import LockReaders
-from orchidwind.managed.ports import Changes, LeaseRegistry, Listing, PromotionLockStore
+from orchidwind.managed.ports import (
+    Changes,
+    LeaseConfirmation,
+    LeaseRegistry,
+    Listing,
+    PromotionLockStore,
+)
 
 _RETRY_SECONDS = 0.25
 _ASK_AGAIN_SECONDS = 0.025
@@ -54,6 +62,7 @@
         self._registry = registry
         self._registered = False
         self._wanted = asyncio.Event()
+        self._told: dict[str, Position] = {}
         self._confirmed = 0
         self._to_confirm = 0
         self._confirm_wanted = asyncio.Event()
@@ -72,6 +81,16 @@
         """The promotion lock's revision while it is known to be free, else None."""
         return self.lease.free_revision
 
+    def note_told(self, group: str, position: Position) -> None:
+        """A commit of a group is told to its caller, up to this end of the primary's log."""
+        self._told[group] = max(position, self._told.get(group, position))
+
+    def _confirmation(self, revision: int) -> LeaseConfirmation:
+        # Before the lock was seen, nobody can tell how long this process has run.
+        first = self.lease.first_revision
+        first = revision if first is None else first
+        return LeaseConfirmation(self._node, revision, first, dict(self._told))
+
     async def run(self) -> None:
         """Register with the first request, then read the lock as often as they want the lease."""
         await self._wanted.wait()
@@ -99,7 +118,7 @@
     async def _register(self) -> bool:
         """Others wait for this proxy from now on, so its lease may count."""
         try:
-            await self._registry.confirm(self._node, 0)
+            await self._registry.confirm(self._confirmation(0))
         except PlatformError as error:
             log_event("lease_not_registered", reason=str(error))
             return False
@@ -208,7 +227,7 @@
             if revision <= self._confirmed or not self._registered:
                 continue
             try:
-                await self._registry.confirm(self._node, revision)
+                await self._registry.confirm(self._confirmation(revision))
             except PlatformError as error:
                 log_event("lease_drop_not_confirmed", revision=revision, reason=str(error))
                 await self._confirm_again()
@@ -231,23 +250,33 @@
         except (PlatformError, TimeoutError) as error:
             log_event("lease_not_removed", reason=str(error))
 
-    async def wait_for_others(self, token: int, taken_at: float) -> None:
-        """Wait until no other proxy's lease counts; `taken_at` is when the lock's answer came."""
+    async def wait_for_others(self, group: str, token: int, taken_at: float) -> ToldCommits | None:
+        """Wait until no other proxy's lease counts; `taken_at` is when the lock's answer came.
+
+        What all proxies have told of a group, None where one of them does not say.
+        """
         self.lease.lock_taken(token)
         deadline = taken_at + REVOCATION_WAIT_SECONDS
         while (left := deadline - self._loop.time()) > 0:
-            if await self._all_dropped(token):
-                return
+            confirmed = await self._all_dropped(token)
+            if confirmed is not None:
+                return _told_by(group, (*confirmed, self._confirmation(token)))
             await asyncio.sleep(min(_ASK_AGAIN_SECONDS, left))
+        return None
 
-    async def _all_dropped(self, token: int) -> bool:
+    async def _all_dropped(self, token: int) -> list[LeaseConfirmation] | None:
+        """What the others wrote with the drop of their leases, None until all have."""
         try:
             confirmed = await self._registry.confirmations()
         except PlatformError as error:
             # All leases have run out when the wait ends, whatever is confirmed.
             log_event("lease_confirmations_not_read", token=token, reason=str(error))
-            return False
-        waiting = [
-            item.node for item in confirmed if item.node != self._node and item.revision < token
-        ]
-        return not waiting
+            return None
+        others = [item for item in confirmed if item.node != self._node]
+        return None if any(item.revision < token for item in others) else others
+
+
+def _told_by(group: str, confirmed: Iterable[LeaseConfirmation]) -> ToldCommits:
+    ends = [item.told[group] for item in confirmed if group in item.told]
+    known_since = max(item.first_revision for item in confirmed)
+    return ToldCommits(max(ends, default=Position(0, 0)), known_since)
--- a/src/orchidwind/managed/ports.py
+++ b/src/orchidwind/managed/ports.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 from typing import Generic, Protocol, TypeVar
 
 from orchidwind.core.managed.commands import InstanceMessage, InstanceStatus, Reply
@@ -13,6 +13,7 @@
 from orchidwind.core.managed.peer_messages import PeerMessage
 from orchidwind.core.managed.promotion_lock import LockRecord
 from orchidwind.core.managed.roster import Roster
+from orchidwind.core.positions import Position
 
 Item = TypeVar("Item", covariant=True)
 
@@ -105,10 +106,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseConfirmation:
-    """A proxy that may hold a lead lease, and the lock's revision at which it last dropped it."""
+    """A proxy that may hold a lead lease, and what it wrote when it last dropped it.
+
+    `revision` is the lock's at that time, `first_revision` the lock's when the process began.
+    `told` is, by group, the end of the primary's log up to which it may have told commits.
+    """
 
     node: str
     revision: int
+    first_revision: int = 0
+    told: Mapping[str, Position] = field(default_factory=dict)
 
 
 class MemberStore(Protocol):
@@ -160,7 +167,7 @@
 class LeaseRegistry(Protocol):
     """The proxies that may hold a lead lease; calls raise PlatformError."""
 
-    async def confirm(self, node: str, revision: int) -> None:
+    async def confirm(self, confirmation: LeaseConfirmation) -> None:
         """Register a proxy, or tell that it dropped its lease."""
 
     async def confirmations(self) -> tuple[LeaseConfirmation, ...]:
--- a/src/orchidwind/platform/coordination.py
+++ b/src/orchidwind/platform/coordination.py
@@ -51,8 +51,15 @@
     last_promotion: _PromotionSpec | None = None
 
 
+class _ToldSpec(msgspec.Struct):
+    term: int
+    number: int
+
+
 class _LeaseSpec(msgspec.Struct):
     revision: int = 0
+    first_revision: int = 0
+    told: dict[str, _ToldSpec] = {}
 
 
 class _MemberSpec(msgspec.Struct):
@@ -124,23 +131,28 @@
         self._store = store
         self._path = OBJECTS + _LEASES
 
-    async def confirm(self, node: str, revision: int) -> None:
+    async def confirm(self, confirmation: LeaseConfirmation) -> None:
         """Write the proxy's object, whether or not it is there; raises PlatformError."""
-        await self._store.put_anyway(_LEASES, node, _LeaseSpec(revision))
+        told = {name: _ToldSpec(end.term, end.lsn) for name, end in confirmation.told.items()}
+        spec = _LeaseSpec(confirmation.revision, confirmation.first_revision, told)
+        await self._store.put_anyway(_LEASES, confirmation.node, spec)
 
     async def confirmations(self) -> tuple[LeaseConfirmation, ...]:
         """All objects; raises PlatformError."""
         listing = await read_all(self._store, self._path, CALL_SECONDS)
-        return tuple(
-            LeaseConfirmation(item.meta.name, decode(item.spec, _LeaseSpec).revision)
-            for item in listing.items
-        )
+        return tuple(_confirmation(item) for item in listing.items)
 
     async def remove(self, node: str) -> None:
         """Delete the proxy's object; raises PlatformError."""
         await self._store.change("DELETE", f"{self._path}/{quote(node)}", b"")
 
 
+def _confirmation(stored: StoredObject) -> LeaseConfirmation:
+    spec = decode(stored.spec, _LeaseSpec)
+    told = {name: Position(end.term, end.number) for name, end in spec.told.items()}
+    return LeaseConfirmation(stored.meta.name, spec.revision, spec.first_revision, told)
+
+
 class PromotionLockObject:
     """The promotion lock as an object of the store."""
 
--- a/src/orchidwind_bench/managed/store.py
+++ b/src/orchidwind_bench/managed/store.py
@@ -17,6 +17,7 @@
 from orchidwind.core.managed.homes import ProxyMember
 from orchidwind.core.managed.promotion_lock import LockRecord
 from orchidwind.core.managed.roster import Roster
+from orchidwind.managed.ports import LeaseConfirmation
 from orchidwind.network.http_call import ARRIVING_SECONDS
 from orchidwind_bench.managed.network import Network
 
@@ -59,7 +60,7 @@
         self.entries: dict[str, DirectoryEntry] = {}
         self.lock: LockRecord | None = None
         self.lock_reads: dict[str, int] = {}
-        self.leases: dict[str, int] = {}
+        self.leases: dict[str, LeaseConfirmation] = {}
         self.rosters: dict[str, Roster] = {}
         self.members: dict[str, ProxyMember] = {}
         self.configuration = _configuration(connection_limit)
