--- /dev/null
+++ b/src/orchidwind_bench/platform/soak/directory.py
@@ -0,0 +1,78 @@
+"""The entries of the soak's instances in the store, which follow the instances after a while."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+from orchidwind_bench.platform.soak.instances import HOST, SoakInstance
+from orchidwind_standins.platform.object_store import StoreState
+
+# An entry goes after three heartbeats of 1.2 s without a write.
+ENTRY_OUTLIVES_SECONDS = 3.6
+_KIND = "servers"
+_AGAIN_SECONDS = 0.03
+_SLOTS = 3
+
+
+class Directory:
+    """Writes what each instance would write of itself.
+
+    An instance that is paused, down or cut from the store writes nothing; nor does any while the
+    store refuses or is silent.
+    """
+
+    def __init__(self, store: StoreState) -> None:
+        self._store = store
+        self._written: dict[str, dict[str, Any]] = {}
+        self._silent_since: dict[str, float] = {}
+        self._pending: set[str] = set()
+
+    def follow(self, service: str, instance: SoakInstance, seconds: float) -> None:
+        """Bring an entry up to date after so many seconds, or when that is possible."""
+        if instance.name in self._pending:
+            return
+        self._pending.add(instance.name)
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds, self._write, service, instance)
+
+    def _write(self, service: str, instance: SoakInstance) -> None:
+        self._pending.discard(instance.name)
+        if instance.ended:
+            self._remove(instance.name)
+            return
+        if not instance.alive or instance.paused or instance.away:
+            self._wait_for_it(service, instance)
+            return
+        if self._store.refuse_with or self._store.silent or instance.control is None:
+            self.follow(service, instance, _AGAIN_SECONDS)
+            return
+        self._silent_since.pop(instance.name, None)
+        spec = {
+            "service": service,
+            "address": f"{HOST}:{instance.port}",
+            "zone": instance.zone,
+            "slots": _SLOTS,
+            "state": "draining" if instance.draining else "ready",
+            "db_role": instance.role,
+        }
+        if self._written.get(instance.name) != spec:
+            self._written[instance.name] = spec
+            self._store.put(_KIND, instance.name, spec)
+
+    def _wait_for_it(self, service: str, instance: SoakInstance) -> None:
+        now = time.monotonic()
+        since = self._silent_since.setdefault(instance.name, now)
+        if now - since >= ENTRY_OUTLIVES_SECONDS:
+            self._remove(instance.name)
+        self.follow(service, instance, _AGAIN_SECONDS)
+
+    def _remove(self, name: str) -> None:
+        if self._written.pop(name, None) is not None:
+            self._store.remove(_KIND, name)
+
+    def lapse(self) -> None:
+        """All entries go at once, as they may after the store was down."""
+        for name in list(self._written):
+            self._remove(name)
--- /dev/null
+++ b/src/orchidwind_bench/platform/soak/instances.py
@@ -0,0 +1,363 @@
+"""The soak's instances: one process each, started, promoted, disturbed and released from here."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import shutil
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from orchidwind_bench.processes import Program, free_ports
+from orchidwind_standins.platform.replicated_instance import (
+    PRIMARY,
+    REPLICA,
+    InstanceSettings,
+    PositionTerm,
+)
+from orchidwind_standins.platform.replicated_main import RoleTold, Situation
+
+HOST = "127.0.0.1"
+ZONES = ("zone-a", "zone-b", "zone-c")
+_START_SECONDS = 10.0
+_POLL_SECONDS = 0.005
+# A platform's promotion that finds its instance paused takes effect this long after the call or
+# never.
+_LATEST_EFFECT_SECONDS = 1.0
+_CONTROL_LINE_BYTES = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceTimes:
+    """Ranges from which each instance or each event draws, in seconds; parts in entries."""
+
+    lag: tuple[float, float] = (0.001, 0.02)
+    part: tuple[int, int] = (1, 5)
+    promotion: tuple[float, float] = (0.2, 0.5)
+    entry_follows: tuple[float, float] = (0.005, 0.03)
+    before_draining: tuple[float, float] = (0.0, 0.3)
+    draining: tuple[float, float] = (0.6, 2.5)
+    before_successor: tuple[float, float] = (0.05, 0.5)
+    step_down: float = 1.0
+    position_term: PositionTerm = "last_entry"
+
+
+@dataclass(slots=True)
+class SoakInstance:
+    """One instance: where it runs, what it told last, and the faults that are on."""
+
+    name: str
+    port: int
+    zone: str
+    journal: Path
+    program: Program | None = None
+    role: str = REPLICA
+    term: int = 1
+    draining: bool = False
+    ended: bool = False
+    paused: bool = False
+    away: bool = False
+    deaf: bool = False
+    silent: bool = False
+    cut: set[str] = field(default_factory=set)
+    control: asyncio.StreamWriter | None = None
+
+    @property
+    def alive(self) -> bool:
+        """Whether its process runs, paused or not."""
+        return self.program is not None and self.program.running
+
+
+class InstanceGroup:
+    """All instances of one service. `on_entry` is called when one's entry has to change.
+
+    `on_entry(instance, seconds)` is called with how long the entry takes to follow, `note` with
+    what happened, for traces.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        folder: Path,
+        seed: int,
+        maximum_connections: int,
+        times: InstanceTimes,
+    ) -> None:
+        self.service = service
+        self.times = times
+        self.instances: dict[str, SoakInstance] = {}
+        self.newest_term = 1
+        self.on_entry: Callable[[SoakInstance, float], None] = lambda instance, seconds: None
+        self.note: Callable[[str], None] = lambda text: None
+        self._folder = folder
+        self._random = random.Random(f"{seed}/{service}")
+        self._maximum_connections = maximum_connections
+        self._server: asyncio.Server | None = None
+        self._control_port = 0
+        self._number = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    # --- life -----------------------------------------------------------------------------------
+
+    async def start(self, count: int) -> None:
+        """Start the first instances and wait until all of them run."""
+        self._control_port = free_ports(1)[0]
+        self._server = await asyncio.start_server(
+            self._serve_control, HOST, self._control_port, limit=_CONTROL_LINE_BYTES
+        )
+        for number in range(count):
+            self._launch(self._new(free_ports(1)[0]), first_primary=number == 0)
+        for instance in list(self.instances.values()):
+            await self._until_joined(instance)
+        for instance in self.instances.values():
+            self.on_entry(instance, 0.0)
+
+    def stop(self) -> None:
+        """End all processes."""
+        for task in list(self._tasks):
+            task.cancel()
+        for instance in self.instances.values():
+            if instance.program is not None and instance.program.running:
+                instance.program.kill()
+        if self._server is not None:
+            self._server.close()
+
+    def _new(self, port: int) -> SoakInstance:
+        name = f"{self.service}-i{self._number}"
+        zone = ZONES[self._number % len(ZONES)]
+        self._number += 1
+        instance = SoakInstance(name, port, zone, self._folder / f"{name}.journal")
+        instance.journal.unlink(missing_ok=True)
+        self.instances[name] = instance
+        return instance
+
+    def _launch(
+        self, instance: SoakInstance, first_primary: bool = False, may_lead_on: bool = True
+    ) -> None:
+        times = self.times
+        settings = InstanceSettings(
+            name=instance.name,
+            service=self.service,
+            port=instance.port,
+            control_port=self._control_port,
+            journal=str(instance.journal),
+            newest_term=self.newest_term,
+            first_primary=first_primary,
+            may_lead_on=may_lead_on,
+            maximum_connections=self._maximum_connections,
+            lag_seconds=self._random.uniform(*times.lag),
+            part_entries=self._random.randint(*times.part),
+            position_term=times.position_term,
+            step_down_seconds=times.step_down,
+        )
+        module = "orchidwind_standins.platform.replicated_main"
+        with (self._folder / f"{instance.name}.log").open("ab") as log:
+            process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-c",
+                    f"from {module} import main; main()",
+                    msgspec.json.encode(settings).decode(),
+                ],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
+        instance.program = Program(instance.name, process)
+        self.note(f"{instance.name} starts")
+
+    async def _until_joined(self, instance: SoakInstance) -> None:
+        async with asyncio.timeout(_START_SECONDS):
+            while instance.control is None:
+                await asyncio.sleep(_POLL_SECONDS)
+
+    async def _serve_control(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        instance: SoakInstance | None = None
+        try:
+            while line := await reader.readline():
+                told = msgspec.json.decode(line, type=RoleTold)
+                instance = self.instances[told.name]
+                changed = instance.role != told.role
+                instance.role, instance.term = told.role, told.term
+                if instance.control is not writer:
+                    instance.control = writer
+                    self.tell_all()
+                if changed:
+                    self.on_entry(instance, 0.0)
+        except (ConnectionError, asyncio.CancelledError):
+            # The stream server asks each handler for its exception, and a cancelled one has none.
+            pass
+        finally:
+            if instance is not None and instance.control is writer:
+                instance.control = None
+            writer.close()
+
+    def tell_all(self) -> None:
+        """Tell every instance its situation."""
+        for instance in self.instances.values():
+            self._tell(instance)
+
+    def _tell(self, instance: SoakInstance, lead: int = 0) -> None:
+        if instance.control is None:
+            return
+        peers = {item.name: item.port for item in self.instances.values() if not item.ended}
+        situation = Situation(
+            peers, tuple(sorted(instance.cut)), instance.deaf, instance.silent, lead
+        )
+        instance.control.write(msgspec.json.encode(situation) + b"\n")
+
+    # --- what is there --------------------------------------------------------------------------
+
+    def present(self) -> list[SoakInstance]:
+        """Those that have not ended for good, by name."""
+        return [item for _, item in sorted(self.instances.items()) if not item.ended]
+
+    def undisturbed(self) -> list[SoakInstance]:
+        """Those that run, answer, and are not about to leave."""
+        return [
+            item
+            for item in self.present()
+            if item.alive and not (item.paused or item.silent or item.draining)
+        ]
+
+    def primary(self) -> SoakInstance | None:
+        """The one that told last to lead the newest term."""
+        leading = [item for item in self.present() if item.role == PRIMARY]
+        return max(leading, key=lambda item: item.term, default=None)
+
+    # --- promotions -----------------------------------------------------------------------------
+
+    def promote(self, name: str) -> bool:
+        """Take a promotion, for later; False where the instance does not run."""
+        instance = self.instances.get(name)
+        if instance is None or not instance.alive:
+            return False
+        if instance.role == PRIMARY and instance.term == self.newest_term:
+            return True
+        self.spawn(self._promote_later(instance))
+        return True
+
+    async def _promote_later(self, instance: SoakInstance) -> None:
+        called_at = time.monotonic()
+        self.note(f"promotion of {instance.name} called")
+        await asyncio.sleep(self._random.uniform(*self.times.promotion))
+        while instance.paused and time.monotonic() < called_at + _LATEST_EFFECT_SECONDS:
+            await asyncio.sleep(_POLL_SECONDS)
+        leads = instance.role == PRIMARY and instance.term == self.newest_term
+        if leads or instance.paused or not instance.alive or instance.control is None:
+            self.note(f"promotion of {instance.name} changes nothing")
+            return
+        self.newest_term += 1
+        self.note(f"{instance.name} is to lead {self.newest_term}")
+        self._tell(instance, lead=self.newest_term)
+
+    def spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Let something run beside, until the group stops."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # --- faults ---------------------------------------------------------------------------------
+
+    def crash(self, instance: SoakInstance) -> None:
+        """SIGKILL; its entry goes when it was silent for long enough."""
+        assert instance.program is not None
+        self.note(f"{instance.name} ({instance.role}) is killed")
+        instance.program.kill()
+        instance.control = None
+        instance.paused = False
+        self.on_entry(instance, 0.0)
+
+    def restart(self, instance: SoakInstance) -> None:
+        """A killed instance returns with its log and without its fence."""
+        if not instance.alive and not instance.ended:
+            self._launch(instance)
+            self.spawn(self._list_when_joined(instance, 0.0))
+
+    async def _list_when_joined(self, instance: SoakInstance, seconds: float) -> None:
+        await self._until_joined(instance)
+        self.on_entry(instance, seconds)
+
+    def pause(self, instance: SoakInstance) -> None:
+        """SIGSTOP."""
+        assert instance.program is not None
+        self.note(f"{instance.name} ({instance.role}) is paused")
+        instance.paused = True
+        instance.program.freeze()
+        self.on_entry(instance, 0.0)
+
+    def resume(self, instance: SoakInstance) -> None:
+        """SIGCONT."""
+        if instance.paused and instance.program is not None and instance.alive:
+            self.note(f"{instance.name} runs again")
+            instance.program.thaw()
+            instance.paused = False
+            self.on_entry(instance, 0.0)
+
+    def set_deaf(self, instance: SoakInstance, deaf: bool) -> None:
+        """Whether an instance receives nothing of its peers."""
+        self.note(f"{instance.name} is {'deaf' if deaf else 'deaf no more'}")
+        instance.deaf = deaf
+        self._tell(instance)
+
+    def set_silent(self, instance: SoakInstance, silent: bool) -> None:
+        """Whether an instance takes statements and answers none."""
+        self.note(f"{instance.name} is {'silent' if silent else 'silent no more'}")
+        instance.silent = silent
+        self._tell(instance)
+
+    def set_cut(self, one: SoakInstance, other: SoakInstance, cut: bool) -> None:
+        """Whether no replication passes between two instances."""
+        self.note(f"{one.name} and {other.name} are {'cut' if cut else 'joined again'}")
+        for item, far in ((one, other), (other, one)):
+            (item.cut.add if cut else item.cut.discard)(far.name)
+            self._tell(item)
+
+    def set_away(self, instance: SoakInstance, away: bool) -> None:
+        """Whether an instance is cut from the store: its entry stays as it is, and goes at last."""
+        self.note(f"{instance.name} is {'cut from' if away else 'back at'} the store")
+        instance.away = away
+        self.on_entry(instance, 0.0)
+
+    # --- releases -------------------------------------------------------------------------------
+
+    async def release(self, old: SoakInstance, passes_on: bool) -> None:
+        """A new instance joins, then an old one drains and ends.
+
+        Its log passes on to a further instance at its address where `passes_on`.
+        """
+        times = self.times
+        new = self._new(free_ports(1)[0])
+        self._launch(new, may_lead_on=False)
+        await self._list_when_joined(new, self._random.uniform(*times.entry_follows))
+        await asyncio.sleep(self._random.uniform(*times.before_draining))
+        await self.leave(old)
+        if not passes_on:
+            return
+        await asyncio.sleep(self._random.uniform(*times.before_successor))
+        successor = self._new(old.port)
+        shutil.copyfile(old.journal, successor.journal)
+        self._launch(successor, may_lead_on=False)
+        await self._list_when_joined(successor, self._random.uniform(*times.entry_follows))
+
+    async def leave(self, instance: SoakInstance) -> None:
+        """An instance drains, serves on for a while, and ends."""
+        self.note(f"{instance.name} ({instance.role}) drains")
+        instance.draining = True
+        self.on_entry(instance, 0.0)
+        await asyncio.sleep(self._random.uniform(*self.times.draining))
+        self.note(f"{instance.name} ({instance.role}) ends")
+        instance.ended = True
+        if instance.program is not None and instance.program.running:
+            instance.program.kill()
+        instance.control = None
+        self.on_entry(instance, self._random.uniform(*self.times.entry_follows))
+        self.tell_all()
--- /dev/null
+++ b/src/orchidwind_standins/platform/replicated_instance.py
@@ -0,0 +1,276 @@
+"""The state of one stand-in instance that replicates: role, term, fence, log, confirmations.
+
+Source: the users' page PROTOCOL.md, "Instances". No sockets; the log is kept in a journal.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+
+from orchidwind_standins.platform.replicated_log import (
+    Journal,
+    LogEntry,
+    Runs,
+    common_length,
+    kept_state,
+    runs_of,
+)
+
+PRIMARY = "primary"
+REPLICA = "replica"
+PositionTerm = Literal["last_entry", "followed"]
+
+
+class InstanceSettings(msgspec.Struct, frozen=True):
+    """How one instance runs. Ports are on loopback; times are in seconds.
+
+    `lag_seconds` is how long a replication message is under way, `part_entries` the most entries
+    in one. `position_term` is the term that positions carry: of the last entry, or the one that is
+    followed. A replaced primary leads on for `step_down_seconds` after the new one reached it.
+    After a roll-back an instance is busy for `rolled_back_seconds`. `newest_term` is the newest
+    term that anyone led when the process starts: a primary of that term leads on.
+    """
+
+    name: str
+    service: str
+    port: int
+    control_port: int
+    journal: str
+    newest_term: int
+    first_primary: bool = False
+    may_lead_on: bool = True
+    synchronous_replicas: int = 1
+    maximum_connections: int = 34
+    lag_seconds: float = 0.002
+    part_entries: int = 3
+    position_term: PositionTerm = "last_entry"
+    step_down_seconds: float = 1.0
+    rolled_back_seconds: float = 0.2
+    commit_seconds: float = 2.0
+
+
+class ReplicationMessage(msgspec.Struct, frozen=True):
+    """From a primary to a replica: what its log consists of, and entries from a number on."""
+
+    to: str
+    leader: str
+    term: int
+    runs: Runs
+    first: int = 0
+    entries: tuple[LogEntry, ...] = ()
+
+
+class ReplicationAnswer(msgspec.Struct, frozen=True):
+    """How much of the primary's log the replica holds, or that it takes nothing of it."""
+
+    term: int
+    holds: int = 0
+    refused: bool = False
+
+
+class ReplicatedInstance:
+    """One instance. `on_role` is called after each change of role."""
+
+    def __init__(self, settings: InstanceSettings) -> None:
+        self.settings = settings
+        self.on_role: Callable[[], None] = lambda: None
+        self.leads = asyncio.Event()
+        self.grown = asyncio.Event()
+        # While this is not set, statements are taken and run, and no answer is sent.
+        self.speaks = asyncio.Event()
+        self.speaks.set()
+        self.fence = 0
+        self.connections = 0
+        self._busy_until = float("-inf")
+        self._stepping_down = False
+        self._loop = asyncio.get_running_loop()
+        self._confirmed: dict[str, int] = {}
+        self._waiting: list[tuple[int, asyncio.Future[bool]]] = []
+        path = Path(settings.journal)
+        kept = kept_state(path)
+        self._journal = Journal(path)
+        self.log = kept.log
+        self.things: dict[str, str] = {}
+        self._rebuild()
+        self.term = kept.term or 1
+        led = kept.role == PRIMARY and kept.term == settings.newest_term
+        self.role = PRIMARY if settings.first_primary or (led and settings.may_lead_on) else REPLICA
+        self._journal.write(term=self.term, role=self.role, note=f"started as {settings.name}")
+        if self.role == PRIMARY:
+            self.leads.set()
+
+    # --- what is told ---------------------------------------------------------------------------
+
+    @property
+    def position(self) -> str:
+        """TERM.NUMBER."""
+        return "{}.{}".format(*self.position_pair)
+
+    @property
+    def position_pair(self) -> tuple[int, int]:
+        """The position as numbers that compare."""
+        term = self.term
+        if self.settings.position_term == "last_entry":
+            term = self.log[-1].term if self.log else 1
+        return term, len(self.log)
+
+    @property
+    def busy(self) -> bool:
+        """Whether it still rolls back."""
+        return self._loop.time() < self._busy_until
+
+    def status_row(self) -> str:
+        """Role, term, position, term held, lag, busy, connections."""
+        return f"{self.role} {self.term} {self.position} {self.fence} 0 0 {self.connections}"
+
+    # --- control --------------------------------------------------------------------------------
+
+    def pause(self, term: int) -> None:
+        """Receive nothing of primaries below a term."""
+        if self.role == REPLICA and term > self.term:
+            self.fence = max(self.fence, term)
+        self._journal.write(note=f"PAUSE {term}: fence {self.fence}")
+
+    def resume(self) -> None:
+        """Receive again."""
+        self.fence = 0
+        self._journal.write(note="RESUME")
+
+    def demote(self, term: int) -> None:
+        """Lead no more, where the lead was of a lower term."""
+        if self.role == PRIMARY and self.term < term:
+            self._step_down(f"DEMOTE {term}")
+
+    def lead(self, term: int) -> None:
+        """A promotion takes effect: lead a term with what was received."""
+        if term <= self.term:
+            self._journal.write(note=f"no lead of {term}")
+            return
+        self._fail_waiting()
+        self._confirmed.clear()
+        self.term, self.role, self.fence = term, PRIMARY, 0
+        self._stepping_down = False
+        self._journal.write(
+            term=term, role=PRIMARY, led=True, note=f"leads {term} with {self.position}"
+        )
+        self.leads.set()
+        self._tell_growth()
+        self.on_role()
+
+    def _step_down(self, why: str) -> None:
+        self.role = REPLICA
+        self._stepping_down = False
+        self.leads.clear()
+        self._journal.write(role=REPLICA, note=f"{why}: replica at {self.position}")
+        self._fail_waiting()
+        self.on_role()
+
+    def _fail_waiting(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for _, confirmed in waiting:
+            if not confirmed.done():
+                confirmed.set_result(False)
+
+    # --- as primary -----------------------------------------------------------------------------
+
+    async def commit(self, writes: Sequence[tuple[str, str]]) -> bool:
+        """Append a commit; whether so many replicas as are wanted received it, and it still leads.
+
+        The write stays in the log in any case.
+        """
+        entry = LogEntry(self.term, tuple(writes))
+        self._append([entry])
+        number = len(self.log)
+        if self.settings.synchronous_replicas:
+            confirmed: asyncio.Future[bool] = self._loop.create_future()
+            self._waiting.append((number, confirmed))
+            self._tell_growth()
+            try:
+                async with asyncio.timeout(self.settings.commit_seconds):
+                    if not await confirmed:
+                        return False
+            except TimeoutError:
+                return False
+        self._journal.write(acknowledged=number)
+        return True
+
+    def confirm(self, replica: str, term: int, number: int) -> None:
+        """A replica holds a log of a term up to a number."""
+        if self.role != PRIMARY or self.term != term:
+            return
+        self._confirmed[replica] = number
+        held = sorted(self._confirmed.values(), reverse=True)
+        wanted = self.settings.synchronous_replicas
+        if len(held) < wanted:
+            return
+        safe = held[wanted - 1]
+        still = []
+        for item in self._waiting:
+            if item[1].done():
+                continue
+            if item[0] <= safe:
+                item[1].set_result(True)
+            else:
+                still.append(item)
+        self._waiting = still
+
+    def _append(self, entries: Sequence[LogEntry]) -> None:
+        self.log.extend(entries)
+        self._journal.write(entries=entries)
+        for entry in entries:
+            self.things.update(entry.writes)
+
+    def _tell_growth(self) -> None:
+        self.grown.set()
+        self.grown = asyncio.Event()
+
+    # --- as replica -----------------------------------------------------------------------------
+
+    def receive(self, message: ReplicationMessage) -> ReplicationAnswer:
+        """Take what a primary sent, unless it is fenced off or of an earlier term."""
+        if self.role == PRIMARY and message.term > self.term:
+            self._hear_of_successor(message.leader)
+        refused = message.term < self.term or message.term < self.fence
+        if self.role == PRIMARY or refused:
+            return ReplicationAnswer(self.term, refused=True)
+        shared = common_length(runs_of(self.log), message.runs)
+        if message.term > self.term:
+            self.term, self.fence = message.term, 0
+            self._journal.write(term=self.term, note=f"follows {message.leader}")
+            self._drop_after(shared)
+        elif shared < min(len(self.log), sum(count for _, count in message.runs)):
+            self._drop_after(shared)
+        missing = message.entries[max(0, len(self.log) - message.first) :]
+        if missing and message.first <= len(self.log):
+            self._append(missing)
+        return ReplicationAnswer(self.term, common_length(runs_of(self.log), message.runs))
+
+    def _drop_after(self, count: int) -> None:
+        """Roll back what the primary lacks."""
+        if count >= len(self.log):
+            return
+        self._journal.write(keep=count, note=f"rolled back {len(self.log) - count}")
+        del self.log[count:]
+        self._rebuild()
+        self._busy_until = self._loop.time() + self.settings.rolled_back_seconds
+
+    def _rebuild(self) -> None:
+        self.things = {thing: data for entry in self.log for thing, data in entry.writes}
+
+    def _hear_of_successor(self, leader: str) -> None:
+        if self._stepping_down:
+            return
+        self._stepping_down = True
+        term = self.term
+        self._loop.call_later(
+            self.settings.step_down_seconds, self._step_down_if_replaced, term, leader
+        )
+
+    def _step_down_if_replaced(self, term: int, leader: str) -> None:
+        if self._stepping_down and self.role == PRIMARY and self.term == term:
+            self._step_down(f"replaced by {leader}")
