--- a/src/orchidwind_bench/platform/soak/traces.py
+++ b/src/orchidwind_bench/platform/soak/traces.py
@@ -48,7 +48,7 @@
     for line in path.read_text(errors="replace").splitlines():
         fields = dict(_FIELD.findall(line))
         if fields.get("event") in EVENTS and "at" in fields:
-            at = datetime.fromisoformat(fields["at"]).timestamp() - offset
+            at = datetime.fromisoformat(fields["at"].strip('"')).timestamp() - offset
             told = " ".join(
                 f"{key}={value}"
                 for key, value in fields.items()
