--- a/src/orchidwind_bench/platform/soak/instances.py
+++ b/src/orchidwind_bench/platform/soak/instances.py
@@ -278,7 +278,7 @@
 
     def restart(self, instance: SoakInstance) -> None:
         """A killed instance returns with its log and without its fence."""
-        if not instance.alive and not instance.ended:
+        if instance.program is not None and not instance.alive and not instance.ended:
             self._launch(instance)
             self.spawn(self._list_when_joined(instance, 0.0))
 
--- a/src/orchidwind_bench/platform/soak/system.py
+++ b/src/orchidwind_bench/platform/soak/system.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
@@ -90,6 +91,8 @@
             for name in GROUPS[: sizes.groups]
         }
         self.proxies: list[ProxyProcess] = []
+        # Called with the service of each promotion that is taken.
+        self.on_promotion: Callable[[str], None] = lambda service: None
         # What happened, by the steady clock, for traces.
         self.happened: list[tuple[float, str]] = []
         self._http: HTTPServer | None = None
@@ -116,7 +119,10 @@
 
     def _promote(self, service: str, name: str) -> bool:
         group = self.groups.get(service)
-        return group is not None and group.promote(name)
+        taken = group is not None and group.promote(name)
+        if taken:
+            self.on_promotion(service)
+        return taken
 
     def _follow(self, service: str, instance: SoakInstance, seconds: float) -> None:
         self.directory.follow(service, instance, seconds)
