--- a/src/orchidwind_bench/platform/soak/promotions.py
+++ b/src/orchidwind_bench/platform/soak/promotions.py
@@ -94,6 +94,29 @@
         Beat(("crash_primary", "pause_primary"), (2.6, 3.6), (0.3, 1.5)),
     ),
 )
+# Beats of these count from the call of a promotion, whose effect follows within half a second.
+_DURING = (
+    (
+        Beat(("return_instances",), (0.0, 0.1), (0.0, 0.0)),
+        Beat(("crash_replica",), (0.0, 0.1), (0.01, 0.02)),
+    ),
+    (
+        Beat(("return_instances",), (0.0, 0.1), (0.0, 0.0)),
+        Beat(("join",), (0.0, 0.05), (0.0, 0.0)),
+    ),
+    (Beat(("kill_promoter", "freeze_promoter"), (0.0, 0.3), (0.01, 1.0)),),
+    (
+        Beat(("crash_some_instance", "pause_some_instance"), (0.0, 0.3), (0.05, 0.6)),
+        Beat(("return_instances",), (0.2, 1.0), (0.0, 0.0)),
+    ),
+    (Beat(("crash_primary", "release_primary"), (0.5, 1.0), (0.3, 1.5)),),
+    (
+        Beat(("end_deafness",), (0.0, 0.5), (0.0, 0.0)),
+        Beat(("crash_primary",), (1.0, 1.5), (1.0, 2.0)),
+    ),
+)
+_DISTURBED_PROMOTIONS = 12
+_SHARE_OF_DISTURBED_PROMOTIONS = 0.6
 _BESIDE = {
     "change_configuration": (0.0, 0.0),
     "stop_proxy": (0.3, 2.5),
@@ -121,7 +144,21 @@
             begin = max(0.0, at + drawn.uniform(-0.5, 1.0))
             schedule.append(PlannedFault(begin, name, drawn.uniform(*_BESIDE[name]), part))
         at += drawn.uniform(*_GAP_SECONDS)
-    return sorted(schedule, key=lambda item: item.at)
+    return [*sorted(schedule, key=lambda item: item.at), *_during_promotions(seed)]
+
+
+def _during_promotions(seed: int) -> list[PlannedFault]:
+    """What begins with the calls of promotions, of some of the first ones."""
+    drawn = random.Random(f"{seed}/promotions")
+    schedule = []
+    for number in range(1, _DISTURBED_PROMOTIONS + 1):
+        if drawn.random() < _SHARE_OF_DISTURBED_PROMOTIONS:
+            for beat in drawn.choice(_DURING):
+                part = PART_STEP * drawn.randrange(PARTS // PART_STEP)
+                name = drawn.choice(beat.names)
+                at, lasting = drawn.uniform(*beat.after), drawn.uniform(*beat.lasting)
+                schedule.append(PlannedFault(at, name, lasting, part, number))
+    return schedule
 
 
 def _play(drawn: random.Random, series: tuple[Beat, ...], at: float) -> list[PlannedFault]:
