--- a/src/orchidwind_bench/main.py
+++ b/src/orchidwind_bench/main.py
@@ -16,6 +16,9 @@
 from orchidwind_bench import demo as demo_module
 from orchidwind_bench.day import run_day
 from orchidwind_bench.experiments import run_experiment
+from orchidwind_bench.exploration.explorer import Explorer
+from orchidwind_bench.exploration.proxy import ProductLogic
+from orchidwind_bench.exploration.world import SCENARIOS, play
 from orchidwind_bench.loaded_run import ExperimentReport, RunOptions
 from orchidwind_bench.platform.soak.instances import InstanceTimes
 from orchidwind_bench.platform.soak.run import read_plan
@@ -170,10 +173,40 @@
     return 1 if broken else 0
 
 
+def explore(
+    *,
+    seeds: int = 500,
+    first_seed: int = 1,
+    depth: int = 1,
+    seconds: float = 60.0,
+    scenario: str | None = None,
+) -> int:
+    """Search schedules of a change of primary, on a model; the exit code is 1 where one is broken.
+
+    :param seeds: how many random schedules
+    :param first_seed: seed of the first of them
+    :param depth: play all schedules with at most so many deviations; 0 plays the scenarios alone
+    :param seconds: time for each of the two searches, on the machine's clock
+    :param scenario: play all schedules of this scenario only
+    """
+    explorer = Explorer(ProductLogic(), seconds)
+    explorer.few_deviations(tuple(SCENARIOS) if scenario is None else (scenario,), depth)
+    report = explorer.by_chance(range(first_seed, first_seed + seeds))
+    for finding in report.findings:
+        seed = finding.first_found.seed
+        print(f"broken {finding.promise.name}: {finding.told}")
+        print(f"  {finding.schedule.scenario} {dict(finding.schedule.deviations)}, seed {seed}")
+        trace = play(finding.schedule, ProductLogic(), traced=True).trace
+        print("\n".join(f"  {line}" for line in trace))
+    searched = "all" if report.complete else "cut short"
+    print(f"{report.speed()}; {searched}; broken schedules {report.broken}")
+    return 1 if report.broken else 0
+
+
 def _progress(text: str) -> None:
     print(f"{time.strftime('%H:%M:%S')} {text}", flush=True)
 
 
 def main() -> None:
     """Entry point of `orchidwind-bench`."""
-    sys.exit(defopt.run([demo, run, soak]))
+    sys.exit(defopt.run([demo, run, soak, explore]))
