--- a/src/orchidwind_bench/platform/soak/configuration.py
+++ b/src/orchidwind_bench/platform/soak/configuration.py
@@ -45,7 +45,7 @@
 
     `newest_seen` is the newest version that the same process has shown before. A version has to be
     in force `APPLY_SECONDS` after it was written, by a proxy that had its path to the store for
-    `CONTACT_SECONDS`. A version that another followed before the answer need not be served any more.
+    `CONTACT_SECONDS`. A version that another followed before the answer need be served no more.
     """
     if answer.served and answer.version < newest_seen:
         return f"CONFIG: {answer.proxy} goes back to {answer.version} from {newest_seen}"
