--- a/tests/test_managed_promises.py
+++ b/tests/test_managed_promises.py
@@ -546,6 +546,18 @@
             ("release", 0, 1, 0.79),
         ],
     ),
+    # The next primary was released as it was promoted, and ended soon after it began to lead.
+    (
+        3991,
+        10392,
+        [
+            ("crash", 2, 0, 1.77),
+            ("pause", 0, 2, 0.31),
+            ("store_cut", 0, 1, 1.57),
+            ("release", 1, 2, 0.54),
+            ("deaf", 1, 0, 1.35),
+        ],
+    ),
     # The store was down while both were released.
     (
         63092,
