--- a/src/orchidwind_bench/main.py
+++ b/src/orchidwind_bench/main.py
@@ -16,6 +16,7 @@
 from orchidwind_bench import demo as demo_module
 from orchidwind_bench.day import run_day
 from orchidwind_bench.experiments import run_experiment
+from orchidwind_bench.exploration.choices import Schedule
 from orchidwind_bench.exploration.explorer import Explorer
 from orchidwind_bench.exploration.proxy import ProductLogic
 from orchidwind_bench.exploration.world import SCENARIOS, play
@@ -190,7 +191,8 @@
     :param scenario: play all schedules of this scenario only
     """
     explorer = Explorer(ProductLogic(), seconds)
-    explorer.few_deviations(tuple(SCENARIOS) if scenario is None else (scenario,), depth)
+    names = tuple(SCENARIOS) if scenario is None else (scenario,)
+    explorer.few_deviations([Schedule(name) for name in names], depth)
     report = explorer.by_chance(range(first_seed, first_seed + seeds))
     for finding in report.findings:
         seed = finding.first_found.seed
