--- a/src/orchidwind/core/managed/promotion_lock.py
+++ b/src/orchidwind/core/managed/promotion_lock.py
@@ -53,6 +53,12 @@
         self._seen_revision = -1
         self._seen_at = 0.0
 
+    def saw(self, now: float, revision: int) -> None:
+        """The lock was seen at a revision, in a call or by a watch."""
+        if revision != self._seen_revision:
+            self._seen_revision = revision
+            self._seen_at = now
+
     def decide(
         self, now: float, record: LockRecord | None, promotion_called: bool = False
     ) -> LockDecision:
@@ -66,9 +72,7 @@
             return LockDecision.REPLACE
         if record.holder == self._node and not promotion_called:
             return LockDecision.REPLACE
-        if record.revision != self._seen_revision:
-            self._seen_revision = record.revision
-            self._seen_at = now
+        self.saw(now, record.revision)
         if now - self._seen_at >= TAKE_OVER_SECONDS:
             return LockDecision.REPLACE
         return LockDecision.WAIT
--- a/src/orchidwind/managed/failover_runner.py
+++ b/src/orchidwind/managed/failover_runner.py
@@ -70,6 +70,13 @@
         self._loop = asyncio.get_running_loop()
         self.in_use = asyncio.Lock()
 
+    def saw(self, record: LockRecord) -> None:
+        """A watch shows the lock: from now on its holder's time runs.
+
+        Gains the same time once more, which would begin with the first attempt to take it.
+        """
+        self._observer.saw(self._loop.time(), record.revision)
+
     async def take(self) -> HeldLock | None:
         """The lock, None where another holds it or the store does not answer."""
         try:
--- a/src/orchidwind/managed/lead_lease.py
+++ b/src/orchidwind/managed/lead_lease.py
@@ -47,8 +47,10 @@
         lock_store: PromotionLockStore,
         registry: LeaseRegistry,
         readers: Callable[[], LockReaders] = LockReaders,
+        on_lock_seen: Callable[[LockRecord], None] = lambda record: None,
     ) -> None:
         """`readers` tells which proxies read the lock for others."""
+        self._on_lock_seen = on_lock_seen
         self._readers = readers
         self._reading: LockReading | None = None
         self._readable = True
@@ -208,6 +210,7 @@
             self._take(record)
 
     def _take(self, record: LockRecord) -> None:
+        self._on_lock_seen(record)
         self.holder = "" if record.released else record.holder
         self._held_since = self._loop.time()
         if record.released:
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -75,7 +75,9 @@
             self._homes_changed,
         )
         self.views = NodeViews(ports, self._bounds, self.homes, self.metrics, self._spawn)
-        self.leases = LeaseKeeper(name, ports.lock_store, ports.leases, self.homes.lock_readers)
+        self.leases = LeaseKeeper(
+            name, ports.lock_store, ports.leases, self.homes.lock_readers, self._lock.saw
+        )
         self.peer_service = PeerService(
             HomePorts(
                 self.group,
