--- a/src/orchidwind/managed/connections.py
+++ b/src/orchidwind/managed/connections.py
@@ -54,6 +54,7 @@
         self.instance_of: dict[int, str] = {}
         self.in_exchange: dict[int, float] = {}
         self._heard_at: dict[int, float] = {}
+        self._opened_at: dict[int, float] = {}
         self._state = state
         self._topology = state.topology
         self._connector = connector
@@ -130,11 +131,58 @@
         unheard = [item for item in pool.idle if self._heard_at.get(item, since) <= since]
         return [item for item in unheard if pool.take_idle(item, self._loop.time())]
 
+    def resting(self, instance: str, since: float) -> list[int]:
+        """Connections that requests hold, but use for nothing, and unheard since a time.
+
+        Those of transactions whose callers think, mostly.
+        """
+        pool = self._pools.get(instance)
+        held = pool.busy if pool is not None else {}
+        return [
+            item
+            for item in held
+            if item not in self.in_exchange and self._heard_at.get(item, since) <= since
+        ]
+
+    def note_heard(self, connection: int) -> None:
+        """An instance spoke on a connection."""
+        if connection in self.links:
+            self._heard_at[connection] = self._loop.time()
+
+    def ages(self, connection: int) -> tuple[float | None, float | None]:
+        """For how long a connection has been open, and unheard; seconds, None where unknown."""
+        now = self._loop.time()
+        opened_at = self._opened_at.get(connection)
+        heard_at = self._heard_at.get(connection)
+        return (
+            None if opened_at is None else now - opened_at,
+            None if heard_at is None else now - heard_at,
+        )
+
+    def lose_resting(self, connection: int) -> None:
+        """A connection that a request holds is silent: it is closed, and its place is free.
+
+        Who holds it finds it closed at its next message. A message that left meanwhile stays with
+        its own time limit, as it may have run.
+        """
+        instance = self.instance_of.get(connection)
+        if instance is None or connection in self.in_exchange:
+            return
+        self._close(connection)
+        pool = self.pool(instance)
+        self._perform(pool.lost(connection, self._loop.time()))
+        self._retry_open(pool)
+
     def usage(self, instance: str) -> PoolUsage:
         """How many connections to an instance are open, and how many requests wait."""
         pool = self._pools.get(instance)
         return PoolUsage(pool.size, len(pool.queue)) if pool else PoolUsage(0, 0)
 
+    @property
+    def holding(self) -> set[str]:
+        """Instances to which a request holds a connection."""
+        return {name for name, pool in self._pools.items() if pool.busy}
+
     @property
     def opened(self) -> set[str]:
         """Instances to which a connection is open."""
@@ -295,7 +343,7 @@
             return lost
         self.links[number] = link
         self.instance_of[number] = instance
-        self._heard_at[number] = self._loop.time()
+        self._heard_at[number] = self._opened_at[number] = self._loop.time()
         self._state.connection_opened(number)
         self._topology.answered(instance, self._loop.time())
         self._perform(pool.opened(number, self._loop.time()))
@@ -320,16 +368,14 @@
         instance = self.instance_of.get(connection)
         if instance is None or connection in self.in_exchange:
             return
-        self._close(connection)
-        pool = self.pool(instance)
-        self._perform(pool.lost(connection, self._loop.time()))
-        self._retry_open(pool)
+        self.lose_resting(connection)
         self._on_suspect(instance)
 
     def _close(self, connection: int) -> None:
         link = self.links.pop(connection, None)
         self.instance_of.pop(connection, None)
         self._heard_at.pop(connection, None)
+        self._opened_at.pop(connection, None)
         self._state.connection_closed(connection)
         if link is not None:
             link.close()
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -32,6 +32,7 @@
 from orchidwind.managed.lead_proofs import LeadProver, StatusTask
 from orchidwind.managed.metrics import ManagedMetrics
 from orchidwind.managed.ports import InstanceConnector
+from orchidwind.managed.resting_connections import RestingConnections
 from orchidwind.managed.status_calls import StatusCall, StatusCalls
 
 SILENCE_SECONDS = 0.25
@@ -75,7 +76,10 @@
         self.connections = GroupConnections(
             self.state, connector, self._suspect, self.mark_unreachable
         )
-        self._calls = StatusCalls(self.topology, self.connections, self.mark_unreachable)
+        self._calls = StatusCalls(
+            self.topology, self.connections, self.mark_unreachable, metrics.silent
+        )
+        self._resting = RestingConnections(self.connections, self._calls.close_resting)
         self.prover = LeadProver(self.topology, leases, self.ask_status)
         self._waiters: set[asyncio.Future[None]] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -288,6 +292,7 @@
     ) -> int:
         """Wait for a server connection; raises RequestError, BackendConnectionLost."""
         self._note_used()
+        self._resting.watch()
         return await self.connections.need(instance, traffic_class, deadline)
 
     def release(self, connection: int, reusable: bool) -> None:
@@ -403,6 +408,7 @@
         if now - self._checked_at.get(instance, float("-inf")) < _CHECK_AGAIN_SECONDS:
             return
         self._checked_at[instance] = now
+        self._resting.check(instance, since)
         task = self._loop.create_task(self._close_silent(instance, since))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -484,6 +490,7 @@
             task.cancel()
         if self._silence_timer is not None:
             self._silence_timer.cancel()
+        self._resting.close()
         self.prover.close()
         self.connections.close()
         self._calls.close()
--- a/src/orchidwind/managed/metrics.py
+++ b/src/orchidwind/managed/metrics.py
@@ -8,6 +8,7 @@
 
 from orchidwind.core.errors import ErrorKind
 from orchidwind.core.managed.commands import CommandKind
+from orchidwind.managed.silence import SilentConnection, log_silent
 
 _LATENCY_BUCKETS = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
 
@@ -72,6 +73,12 @@
             ["outcome"],
             registry=self.registry,
         )
+        self._silent = Counter(
+            "orchidwind_silent_connections",
+            "Open connections that were found silent, by what they were for",
+            ["connection"],
+            registry=self.registry,
+        )
         self.sessions = Gauge("orchidwind_callers", "Callers' sessions", registry=self.registry)
         self.configuration_version = Gauge(
             "orchidwind_configuration_version",
@@ -123,6 +130,15 @@
         """A command that was sent to a home has ended."""
         self._forwarded.labels(outcome).inc()
 
+    def silent(self, found: SilentConnection) -> None:
+        """An open connection was found silent: it is logged and counted."""
+        log_silent(found)
+        self._silent.labels(found.kind.value).inc()
+
+    def silent_counts(self) -> dict[str, int]:
+        """Connections found silent so far, by kind."""
+        return _counts(self._silent)
+
     def message_counts(self) -> dict[str, int]:
         """Messages so far, by kind."""
         return _counts(self._messages)
--- a/src/orchidwind/managed/status_calls.py
+++ b/src/orchidwind/managed/status_calls.py
@@ -17,6 +17,12 @@
     GroupConnections,
 )
 from orchidwind.managed.ports import InstanceLink
+from orchidwind.managed.silence import (
+    ConnectionKind,
+    OnSilent,
+    SilentConnection,
+    log_silent,
+)
 
 ASK_SECONDS = 0.2
 HURRIED_SECONDS = 0.07
@@ -30,6 +36,9 @@
 # So much longer than a new connection an idle one has for its answer. Both wait alike for a slot of
 # the instance; what differs is the way.
 SILENT_AFTER_OTHER_SECONDS = 0.05
+# One that a transaction holds is given up for nothing less than a link between proxies: a lost
+# packet comes again after 0.2 s, and a transaction that was given up is lost.
+RESTING_SILENT_SECONDS = 0.4
 
 StatusCall = Callable[[InstanceLink], Coroutine[Any, Any, InstanceStatus]]
 
@@ -42,7 +51,9 @@
         topology: GroupTopology,
         connections: GroupConnections,
         on_unreachable: Callable[[str], None],
+        on_silent: OnSilent = log_silent,
     ) -> None:
+        self._on_silent = on_silent
         self._topology = topology
         self._connections = connections
         self._on_unreachable = on_unreachable
@@ -97,7 +108,7 @@
             if first.done() and first.exception() is None:
                 return first.result()
             if second.done() and second.exception() is None:
-                log_event("connection_silent", instance=instance, decision="close it")
+                self._found(ConnectionKind.INSTANCE_STATUS, instance, None, "the new one is kept")
                 return second.result()
             return await (second if first.done() else first)
         finally:
@@ -132,12 +143,16 @@
         def status(link: InstanceLink) -> Coroutine[Any, Any, InstanceStatus]:
             return link.status()
 
-        asking = [self._loop.create_task(self._ask_on_borrowed(item, status)) for item in taken]
+        asking = {
+            self._loop.create_task(self._ask_on_borrowed(item, status)): item for item in taken
+        }
         try:
             async with asyncio.timeout(ASK_SECONDS):
                 await self._ask_anew(instance, status)
                 await asyncio.wait(asking, timeout=SILENT_AFTER_OTHER_SECONDS)
             silent = [task for task in asking if not task.done()]
+            for task in silent:
+                self._found(ConnectionKind.INSTANCE_IDLE, instance, asking[task], "close it")
         except (BackendRefused, BackendConnectionLost, TimeoutError) as error:
             log_event("silence_not_told", instance=instance, reason=repr(error))
             silent = []
@@ -148,6 +163,63 @@
             await asyncio.gather(*asking, return_exceptions=True)
         return len(silent)
 
+    async def close_resting(self, instance: str, since: float) -> int:
+        """Close held connections that rest and say nothing while a new one answers; how many.
+
+        Only those that have said nothing since a time are asked.
+        """
+        resting = self._connections.resting(instance, since)
+        if not resting:
+            return 0
+        asked_at = self._loop.time()
+        asking = {self._loop.create_task(self._ask_resting(item)): item for item in resting}
+        silent: list[int] = []
+        try:
+            _, waiting = await asyncio.wait(asking, timeout=HEDGE_SECONDS)
+            if waiting:
+                async with asyncio.timeout(ASK_SECONDS):
+                    await self._ask_anew(instance, lambda link: link.status())
+                left = asked_at + RESTING_SILENT_SECONDS - self._loop.time()
+                _, waiting = await asyncio.wait(waiting, timeout=left)
+                silent = [asking[task] for task in waiting]
+        except (BackendRefused, BackendConnectionLost, TimeoutError) as error:
+            log_event("silence_not_told", instance=instance, reason=repr(error))
+        finally:
+            for task in asking:
+                task.cancel()
+            await asyncio.gather(*asking, return_exceptions=True)
+        for connection in silent:
+            decision = "its transaction is lost"
+            self._found(ConnectionKind.INSTANCE_RESTING, instance, connection, decision)
+            self._connections.lose_resting(connection)
+        return len(silent)
+
+    async def _ask_resting(self, connection: int) -> None:
+        """Ask on a connection that somebody else holds, whatever the answer; it stays theirs."""
+        link = self._connections.links.get(connection)
+        if link is None:
+            return
+        try:
+            await link.status()
+        except BackendRefused:
+            pass  # it has no room for the query, but it speaks
+        except BackendConnectionLost:
+            return  # whoever holds it has learned of it, too
+        self._connections.note_heard(connection)
+
+    def _found(
+        self, kind: ConnectionKind, instance: str, connection: int | None, decision: str
+    ) -> None:
+        opened_for, silent_for = (
+            (None, None) if connection is None else self._connections.ages(connection)
+        )
+        owed = 1 if connection is not None and connection in self._connections.in_exchange else 0
+        owed = 0 if kind is ConnectionKind.INSTANCE_IDLE else owed
+        group = self._topology.settings.name
+        self._on_silent(
+            SilentConnection(kind, instance, opened_for, silent_for, owed, decision, group)
+        )
+
     async def _ask_on_some_link(self, instance: str, call: StatusCall) -> InstanceStatus:
         borrowed = await self._idle_connection(instance)
         if borrowed is not None:
--- a/tests/test_silent_instances.py
+++ b/tests/test_silent_instances.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from orchidwind.core.errors import RequestError
+from orchidwind.core.errors import ErrorKind, RequestError
 from orchidwind.core.managed.commands import Command, CommandKind
 from orchidwind.core.managed.configuration import ReadConsistency
 from orchidwind.managed.executor import SessionExecutor
@@ -19,6 +19,8 @@
 EVERY_SECONDS = 0.05
 WRITING_SECONDS = 4.0
 SILENT_AFTER = 1.0
+# Less than the simulated configuration lets a transaction rest (3 s).
+RESTS_SECONDS = 2.0
 
 
 async def write(system, node, name, outcomes):
@@ -175,3 +177,95 @@
         assert "instance_unreachable" not in [record.message for record in caplog.records]
 
     with_home(scenario)
+
+
+async def rest(system, node, text="READ x"):
+    """A transaction that rests after its first statement; its executor and connection."""
+    executor = SessionExecutor(node, "latest")
+    await executor.execute(Command("-", CommandKind.BEGIN, "BEGIN"))
+    kind = CommandKind.WRITE if text.startswith("WRITE") else CommandKind.READ
+    await executor.execute(Command("t1", kind, text))
+    return executor
+
+
+async def unanswered():
+    """A status query on a connection that carries nothing back."""
+    await asyncio.get_running_loop().create_future()
+
+
+def silence_held(system, deaf):
+    """The connections that transactions hold fall silent, and no other."""
+    silenced = 0
+    for node in system.nodes.values():
+        connections = node.groups[GROUP].connections
+        for pool in map(connections.pool, INSTANCES):
+            for number in pool.busy:
+                connections.links[number].silent = not deaf
+                connections.links[number].deaf = deaf
+                connections.links[number].status = unanswered
+                silenced += 1
+    assert silenced
+
+
+@pytest.mark.parametrize("deaf", [False, True])
+@pytest.mark.parametrize("ending", [CommandKind.READ, CommandKind.COMMIT])
+def test_a_transaction_that_fell_silent_at_rest_is_told_lost_when_its_caller_returns(deaf, ending):
+    async def scenario(system, node):
+        executor = await rest(system, node, "WRITE x y")
+        silence_held(system, deaf)
+        await asyncio.sleep(RESTS_SECONDS)
+        assert node.groups[GROUP].connections.busy == 0
+        returned_at = system.world.now
+        with pytest.raises(RequestError) as told:
+            await executor.execute(Command("t2", ending, ending.name))
+        assert told.value.kind is ErrorKind.TRANSACTION_LOST
+        assert system.world.now - returned_at < 0.05
+        assert system.group.primary().log == []
+
+    with_home(scenario)
+
+
+def test_a_transaction_at_rest_on_a_healthy_connection_is_kept_through_checks():
+    async def scenario(system, node):
+        executor = await rest(system, node, "WRITE x y")
+        held = set(node.groups[GROUP].connections.pool(system.group.primary().name).busy)
+        for number, link in node.groups[GROUP].connections.links.items():
+            link.silent = number not in held
+        await read(node, 7)
+        await asyncio.sleep(RESTS_SECONDS)
+        shipping = asyncio.create_task(system.group.keep_shipping())
+        await executor.execute(Command("t2", CommandKind.COMMIT, "COMMIT"))
+        shipping.cancel()
+        assert len(system.group.primary().log) == 1
+
+    with_home(scenario)
+
+
+def test_at_the_limit_of_connections_the_silent_ones_are_closed_all_the_same():
+    async def scenario(system, node):
+        primary = await open_connections(system, node)
+        silence_all(system, node, primary)
+        system.world.connection_limit = len(system.group.instances[primary].links)
+        served = [await read(node, number) for number in range(10)]
+        assert served.count(False) <= 1
+
+    with_home(scenario)
+
+
+def test_a_transaction_at_its_home_that_fell_silent_is_told_lost_when_its_caller_returns():
+    async def work():
+        system = ManagedSystem(1, connection_limit=12, proxies=tuple("abcdef"))
+        for node in system.nodes.values():
+            assert await node.wait_prepared(5.0)
+        await asyncio.sleep(1.0)
+        front = next(node for node in system.nodes.values() if not node.homes.is_home(GROUP))
+        executor = await rest(system, front, "WRITE x y")
+        silence_held(system, deaf=False)
+        await asyncio.sleep(RESTS_SECONDS)
+        returned_at = system.world.now
+        with pytest.raises(RequestError) as told:
+            await executor.execute(Command("t2", CommandKind.READ, "READ x"))
+        assert told.value.kind is ErrorKind.TRANSACTION_LOST
+        assert system.world.now - returned_at < 0.05
+
+    run_virtual(work())
