--- /dev/null
+++ b/tests/test_swallowed_calls.py
@@ -0,0 +1,163 @@
+"""Calls to the store whose answers are swallowed: none of any kind waits longer than its bound."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from orchidwind.core.errors import PlatformError
+from orchidwind.core.managed.failover import PromotionAnswer
+from orchidwind.core.managed.freshness import FollowTimes
+from orchidwind.core.managed.homes import ProxyMember
+from orchidwind.core.managed.promotion_lock import LockRecord
+from orchidwind.core.managed.roster import Roster
+from orchidwind.managed.following import NodeBounds
+from orchidwind.managed.hedging import MOST_CALLS, Arrival, hedged
+from orchidwind.platform.coordination import (
+    LeaseObjects,
+    MemberObjects,
+    MemberTranslation,
+    PromotionLockObject,
+    RosterObjects,
+)
+from orchidwind.platform.promotions import PromotionCall
+from orchidwind.platform.store import CALL_SECONDS, ObjectStore, WatchedKind
+from orchidwind_standins.platform import object_store
+
+HOST = "127.0.0.1"
+# Of the views that bound a call by a share of a promise, the one with the shortest promise.
+TIMES = FollowTimes.within(NodeBounds().configuration)
+PROMOTION_SECONDS = 0.8
+WATCH_SECONDS = 0.3
+SWALLOWED_SECONDS = 0.1
+# For a machine that does other work; not part of any bound.
+SLACK_SECONDS = 0.5
+
+
+class Calls:
+    """Every kind of call that a proxy makes, and within which time it must be over."""
+
+    def __init__(self, store, port):
+        self.members = WatchedKind(store, MemberTranslation())
+        self.registry = MemberObjects(store)
+        self.rosters = RosterObjects(store)
+        self.leases = LeaseObjects(store)
+        self.lock = PromotionLockObject(store)
+        self.promotions = PromotionCall((HOST, port), "proxy-a")
+
+    async def read(self):
+        arrival = Arrival()
+        limit = TIMES.hedge_after * MOST_CALLS
+        await hedged(lambda: self.members.list(limit, arrival.note), TIMES.hedge_after, arrival)
+
+    async def watch(self):
+        limit = WATCH_SECONDS + TIMES.answer_slack
+        await self.members.watch(1, WATCH_SECONDS, limit, lambda: None)
+
+    async def write(self):
+        await self.registry.write(ProxyMember("proxy-a", "z", HOST, 1))
+
+    async def remove(self):
+        await self.registry.remove("proxy-a")
+
+    async def write_roster(self):
+        await self.rosters.write(Roster("ledger", ("i-1",), 0), create=True)
+
+    async def register_lease(self):
+        await self.leases.confirm("proxy-a", 0)
+
+    async def read_confirmations(self):
+        await self.leases.confirmations()
+
+    async def remove_lease(self):
+        await self.leases.remove("proxy-a")
+
+    async def read_lock(self):
+        await self.lock.read()
+
+    async def take_lock(self):
+        await self.lock.write(LockRecord("proxy-a", "attempt-1", False, 0), create=True)
+
+    async def promote(self):
+        answer = await self.promotions.promote("ledger", "i-1", 1, PROMOTION_SECONDS)
+        if answer is not PromotionAnswer.ACCEPTED:
+            raise PlatformError(f"the promotion is {answer.value}")
+
+
+# A read is repeated by then where the store serves it, and given up where it is turned away.
+SERVED_SECONDS = {"read": TIMES.hedge_after}
+BOUNDS = {
+    "read": TIMES.hedge_after * MOST_CALLS,
+    "watch": WATCH_SECONDS + TIMES.answer_slack,
+    "write": CALL_SECONDS,
+    "remove": CALL_SECONDS,
+    "write_roster": CALL_SECONDS,
+    "register_lease": CALL_SECONDS,
+    "read_confirmations": CALL_SECONDS,
+    "remove_lease": CALL_SECONDS,
+    "read_lock": CALL_SECONDS,
+    "take_lock": CALL_SECONDS,
+    "promote": PROMOTION_SECONDS,
+}
+
+
+@contextlib.contextmanager
+def stand_in():
+    state = object_store.StoreState()
+    server = object_store.listen(state, HOST, 0)
+    port = next(iter(server._sockets.values())).getsockname()[1]
+    try:
+        yield state, Calls(ObjectStore((HOST, port), lambda method, kind: None), port)
+    finally:
+        server.stop()
+
+
+async def within_bound(calls, kind, seconds):
+    """Whether the call was answered; raises TimeoutError where it outlasts its bound."""
+    async with asyncio.timeout(seconds + SLACK_SECONDS):
+        try:
+            await getattr(calls, kind)()
+        except PlatformError:
+            return False
+    return True
+
+
+@pytest.mark.parametrize("turned_away", [False, True])
+def test_no_call_waits_longer_than_its_bound_where_its_answer_is_swallowed(turned_away):
+    async def work():
+        with stand_in() as (state, calls):
+            state.fall_silent()
+            bounds = BOUNDS if turned_away else BOUNDS | SERVED_SECONDS
+            under_way = {
+                kind: asyncio.create_task(within_bound(calls, kind, bounds[kind]))
+                for kind in BOUNDS
+            }
+            await asyncio.sleep(SWALLOWED_SECONDS)
+            state.speak_again()
+            state.refuse_with = 503 if turned_away else 0
+            answered = dict(zip(under_way, await asyncio.gather(*under_way.values()), strict=True))
+            # What may be repeated beside the first was; the others end without an answer.
+            assert [kind for kind, told in answered.items() if told] == (
+                [] if turned_away else ["read"]
+            )
+
+    asyncio.run(work())
+
+
+def test_the_next_call_of_each_kind_is_served_on_a_new_connection():
+    async def work():
+        with stand_in() as (state, calls):
+            state.fall_silent()
+            under_way = [asyncio.create_task(getattr(calls, kind)()) for kind in BOUNDS]
+            await asyncio.sleep(SWALLOWED_SECONDS)
+            state.speak_again()
+            # All that the calls need to be there; what was swallowed may or may not have been done.
+            state.objects.clear()
+            state.put("proxies", "proxy-a", {})
+            for kind in BOUNDS:
+                assert await within_bound(calls, kind, WATCH_SECONDS), kind
+            for task in under_way:
+                task.cancel()
+            await asyncio.gather(*under_way, return_exceptions=True)
+
+    asyncio.run(work())
