--- a/src/orchidwind/commands/explain.py
+++ b/src/orchidwind/commands/explain.py
@@ -12,18 +12,27 @@
 
 _FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
 _BEFORE = timedelta(seconds=3)
+# A transaction whose connection fell silent at rest is told lost when its caller returns: as late
+# as a transaction may rest, 30 s by default.
+_LONGEST_REST = timedelta(seconds=30)
+_FOUND_AT_REST = "instance_resting"
 _BELIEFS = frozenset(
     (
         "configuration_in_force",
+        "connection_silent",
         "drain_started",
         "failover_ended",
         "failover_started",
         "failover_step",
+        "home_connected",
+        "home_lost",
         "instance_gone",
         "instance_listed",
         "instance_unreachable",
+        "peer_link_replaced",
         "primary_changed",
         "promotion_sent",
+        "silence_not_told",
         "started",
         "view_current_again",
         "view_told",
@@ -71,9 +80,28 @@
     return sorted(found, key=lambda line: line.at)
 
 
+def _nodes(request: LogLine) -> set[str]:
+    """The request's own proxy, and the homes that its attempts name."""
+    homes = re.findall(r"(\S+?):home(?:_lost)?:", request.fields.get("attempts", ""))
+    return {request.node, *homes}
+
+
+def _since(other: LogLine, request: LogLine) -> datetime:
+    """From when on a line counts."""
+    milliseconds = int(request.fields.get("milliseconds", "0"))
+    at_rest = other.fields.get("connection") == _FOUND_AT_REST
+    before = _LONGEST_REST if at_rest else _BEFORE
+    return request.at - timedelta(milliseconds=milliseconds) - before
+
+
 def _bears_on(other: LogLine, request: LogLine) -> bool:
-    """Whether a line tells what the request's proxy believed of itself or of its group."""
-    if other.event not in _BELIEFS or other.node != request.node:
+    """Whether a line tells what the request's proxy, or its home, believed of itself or its group.
+
+    Of a home only what it found silent: the rest is as the home's own log tells it.
+    """
+    if other.event not in _BELIEFS or other.node not in _nodes(request):
+        return False
+    if other.node != request.node and other.event != "connection_silent":
         return False
     group = request.fields.get("group", "")
     return group == "" or other.fields.get("group", "") in ("", group)
@@ -89,12 +117,10 @@
         raise RequestNotFound(f"no line names the request {request_id}")
     told: list[str] = []
     for line in own:
-        milliseconds = int(line.fields.get("milliseconds", "0"))
-        since = line.at - timedelta(milliseconds=milliseconds) - _BEFORE
         told.extend(
             f"  before: {other.text}"
             for other in lines
-            if _bears_on(other, line) and since <= other.at <= line.at
+            if _bears_on(other, line) and _since(other, line) <= other.at <= line.at
         )
         told.append(f"request: {line.text}")
     return told
--- a/src/orchidwind/managed/following.py
+++ b/src/orchidwind/managed/following.py
@@ -83,7 +83,11 @@
             CONFIGURATION, times, network, lambda: network.members, told_configuration
         )
         source = self._ports.configuration
-        self._follow(CollectionWatch(CONFIGURATION, source, follower, times, second_path=peers))
+        self._follow(
+            CollectionWatch(
+                CONFIGURATION, source, follower, times, 0.0, peers, self._metrics.silent
+            )
+        )
 
     def follow_members(self) -> None:
         """Follow the list of proxies; every proxy does, and any may confirm it."""
@@ -92,7 +96,15 @@
         peers = PeerViews(MEMBERS, times, network, lambda: network.members, told_members)
         source = self._ports.member_source
         self._follow(
-            CollectionWatch(MEMBERS, source, network, times, GATHER_MEMBERS_SECONDS, peers)
+            CollectionWatch(
+                MEMBERS,
+                source,
+                network,
+                times,
+                GATHER_MEMBERS_SECONDS,
+                peers,
+                self._metrics.silent,
+            )
         )
 
     def follow_directory(
@@ -105,16 +117,35 @@
         peers = PeerViews(DIRECTORY, times, self._network, followers, told_directory)
         source = self._ports.directory
         self._follow(
-            CollectionWatch(DIRECTORY, source, follower, times, _GATHER_DIRECTORY_SECONDS, peers)
+            CollectionWatch(
+                DIRECTORY,
+                source,
+                follower,
+                times,
+                _GATHER_DIRECTORY_SECONDS,
+                peers,
+                self._metrics.silent,
+            )
         )
 
     def follow_coordination(self, leases: LeaseKeeper, rosters: RosterKeeper) -> None:
         """Follow the promotion lock and the rosters."""
         times = FollowTimes.unhurried(_COORDINATION_WATCH_SECONDS)
         lock = self._ports.lock_source
-        self._follow(CollectionWatch(PROMOTION_LOCK, lock, leases, times))
+        self._follow(
+            CollectionWatch(PROMOTION_LOCK, lock, leases, times, on_silent=self._metrics.silent)
+        )
         source = self._ports.roster_source
-        self._follow(CollectionWatch(ROSTERS, source, rosters, times, _GATHER_ROSTERS_SECONDS))
+        self._follow(
+            CollectionWatch(
+                ROSTERS,
+                source,
+                rosters,
+                times,
+                _GATHER_ROSTERS_SECONDS,
+                on_silent=self._metrics.silent,
+            )
+        )
 
     def _follow(self, watch: CollectionWatch[Any]) -> None:
         self.watches[watch.name] = watch
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -33,6 +33,7 @@
 from orchidwind.managed.metrics import ManagedMetrics
 from orchidwind.managed.ports import InstanceConnector
 from orchidwind.managed.resting_connections import RestingConnections
+from orchidwind.managed.silence import ConnectionKind, SilentConnection
 from orchidwind.managed.status_calls import StatusCall, StatusCalls
 
 SILENCE_SECONDS = 0.25
@@ -202,13 +203,19 @@
 
         A write that has left may still be answered.
         """
+        for connection in self._running_at(instance, older_than):
+            self.connections.links[connection].close()
+
+    def _running_at(self, instance: str, older_than: float) -> list[int]:
         connections = self.connections
         began_before = self._loop.time() - older_than
-        for connection, began in list(connections.in_exchange.items()):
-            if connection in self._writing or began > began_before:
-                continue
-            if connections.instance_of[connection] == instance:
-                connections.links[connection].close()
+        return [
+            connection
+            for connection, began in connections.in_exchange.items()
+            if connection not in self._writing
+            and began <= began_before
+            and connections.instance_of[connection] == instance
+        ]
 
     # --- waiting ------------------------------------------------------------------------------
 
@@ -414,17 +421,16 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _close_silent(self, instance: str, since: float) -> None:
-        silent = await self._calls.close_silent(instance, since)
-        if not silent:
+        if not await self._calls.close_silent(instance, since):
             return
-        log_event(
-            "connections_silent",
-            group=self.settings.name,
-            instance=instance,
-            closed=silent,
-            since=round(self._loop.time() - since, 3),
-            decision="reads that wait there go elsewhere",
-        )
+        kind = ConnectionKind.INSTANCE_RUNNING
+        for connection in self._running_at(instance, SILENCE_SECONDS):
+            opened_for, silent_for = self.connections.ages(connection)
+            decision = "its read goes elsewhere, its transaction is lost"
+            group = self.settings.name
+            self._metrics.silent(
+                SilentConnection(kind, instance, opened_for, silent_for, 1, decision, group)
+            )
         self._break_off(instance, older_than=SILENCE_SECONDS)
 
     def suspects(self) -> list[str]:
--- a/src/orchidwind/managed/hedging.py
+++ b/src/orchidwind/managed/hedging.py
@@ -30,14 +30,22 @@
         self.at = self._loop.time()
 
 
-async def hedged(call: Callable[[], Awaitable[T]], stagger: float, arrival: Arrival) -> T:
+async def hedged(
+    call: Callable[[], Awaitable[T]],
+    stagger: float,
+    arrival: Arrival,
+    on_outrun: Callable[[float], None] = lambda seconds: None,
+) -> T:
     """The first answer of a call that is begun anew each `stagger` seconds, `MOST_CALLS` times.
 
     `arrival` is noted by the calls as bytes of their answers come. A call that was swallowed costs
     one stagger, and one that is only slow is not given up for it. Raises PlatformError when all
-    have failed, or have been silent for one more stagger.
+    have failed, or have been silent for one more stagger. `on_outrun` is told for how long the
+    oldest call was silent that a later one outran.
     """
     loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    first: asyncio.Task[T] | None = None
     pending: set[asyncio.Task[T]] = set()
     begun = 0
     begin_next_at = loop.time()
@@ -48,7 +56,9 @@
             if now >= begin_next_at:
                 if begun == MOST_CALLS:
                     raise PlatformError(f"no answer to {begun} calls, one each {stagger:.3f} s")
-                pending.add(asyncio.ensure_future(call()))
+                task = asyncio.ensure_future(call())
+                first = first or task
+                pending.add(task)
                 begun += 1
                 begin_next_at = now + stagger
             done, pending = await asyncio.wait(
@@ -56,6 +66,8 @@
             )
             answer = _first_answer(done, last=not pending)
             if answer is not None:
+                if first in pending:
+                    on_outrun(loop.time() - began_at)
                 return answer
     finally:
         for task in pending:
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -73,6 +73,7 @@
             lambda: len(self.groups),
             self._starved,
             self._homes_changed,
+            self.metrics.silent,
         )
         self.views = NodeViews(ports, self._bounds, self.homes, self.metrics, self._spawn)
         self.leases = LeaseKeeper(name, ports.lock_store, ports.leases, self.homes.lock_readers)
@@ -317,6 +318,7 @@
             log_event("attempts", **self.metrics.attempt_counts())
             log_event("store_calls", **self.metrics.store_call_counts())
             log_event("views_told", **self.metrics.view_report_counts())
+            log_event("silent_connections", **self.metrics.silent_counts())
 
     async def _trim(self) -> None:
         while True:
--- a/src/orchidwind/managed/peer_link.py
+++ b/src/orchidwind/managed/peer_link.py
@@ -21,6 +21,7 @@
 )
 from orchidwind.logs import log_event
 from orchidwind.managed.ports import PeerConnection, PeerConnector
+from orchidwind.managed.silence import ConnectionKind, OnSilent, SilentConnection, log_silent
 
 CONNECT_SECONDS = 0.4
 PROBE_AFTER_SECONDS = 0.15
@@ -46,8 +47,15 @@
     each pause would end with requests that wait for an attempt to connect.
     """
 
-    def __init__(self, own: str, member: ProxyMember, connector: PeerConnector) -> None:
+    def __init__(
+        self,
+        own: str,
+        member: ProxyMember,
+        connector: PeerConnector,
+        on_silent: OnSilent = log_silent,
+    ) -> None:
         self.member = member
+        self._on_silent = on_silent
         self.leaving = False
         self.lost_since: float | None = None
         self._own = own
@@ -229,6 +237,7 @@
     def _expect_greeting(self) -> None:
         self._reopening = None
         if self._down and self._connection is not None:
+            self._found_silent(self._loop.time() - self._opened_at)
             self._lost("silent")
 
     # --- silence ------------------------------------------------------------------------------
@@ -248,20 +257,22 @@
         # A long answer that is arriving is a sign of life before it is whole.
         silent = self._loop.time() - max(self._owed_since, self._connection.heard_at)
         if silent > SILENT_SECONDS:
-            log_event(
-                "link_silent",
-                home=self.member.name,
-                seconds=round(silent, 3),
-                open_for=round(self._loop.time() - self._opened_at, 3),
-                owed=len(self._pending),
-                decision="open it anew",
-            )
+            self._found_silent(silent)
             self._lost("silent")
             return
         if silent > PROBE_AFTER_SECONDS:
             self._connection.send(Probe())
         self._watching = self._loop.call_later(_LOOK_SECONDS, self._look)
 
+    def _found_silent(self, seconds: float) -> None:
+        opened_for = self._loop.time() - self._opened_at
+        owed = len(self._pending)
+        decision = "its commands are told, it is opened anew" if owed else "it is opened anew"
+        kind = ConnectionKind.PEER_LINK
+        self._on_silent(
+            SilentConnection(kind, self.member.name, opened_for, seconds, owed, decision)
+        )
+
     def _watch_rest(self) -> None:
         if self._resting is None:
             self._resting = self._loop.call_later(REST_PROBE_SECONDS, self._look_at_rest)
--- a/src/orchidwind/managed/peers.py
+++ b/src/orchidwind/managed/peers.py
@@ -13,6 +13,7 @@
 from orchidwind.logs import log_event
 from orchidwind.managed.peer_link import PeerLink
 from orchidwind.managed.ports import Changes, Listing, MemberStore, PeerConnector
+from orchidwind.managed.silence import OnSilent, log_silent
 
 FORGET_SECONDS = 30.0
 _RETRY_SECONDS = 0.25
@@ -47,11 +48,13 @@
         groups: Callable[[], int],
         starved: StarvedLookup,
         on_change: Callable[[], None],
+        on_silent: OnSilent = log_silent,
     ) -> None:
         """`limit_of`: connections that a group's instances take; `groups`: how many groups.
 
         `starved` tells whether this proxy gets no connection to a group's instances.
         """
+        self._on_silent = on_silent
         self._starved = starved
         self._groups = groups
         self.known = False
@@ -230,7 +233,7 @@
     def _link(self, member: ProxyMember) -> PeerLink:
         link = self._links.get(member.name)
         if link is None:
-            link = PeerLink(self.own.name, member, self._connector)
+            link = PeerLink(self.own.name, member, self._connector, self._on_silent)
             self._links[member.name] = link
         return link
 
--- a/src/orchidwind/managed/silence.py
+++ b/src/orchidwind/managed/silence.py
@@ -14,9 +14,11 @@
 
     PEER_LINK = "peer_link"
     INSTANCE_IDLE = "instance_idle"
+    INSTANCE_RUNNING = "instance_running"
     INSTANCE_RESTING = "instance_resting"
     INSTANCE_STATUS = "instance_status"
     STORE = "store"
+    PROMOTION = "promotion"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/orchidwind/managed/watch.py
+++ b/src/orchidwind/managed/watch.py
@@ -18,6 +18,7 @@
 from orchidwind.logs import log_event
 from orchidwind.managed.hedging import MOST_CALLS, Arrival, hedged
 from orchidwind.managed.ports import Changes, Listing, WatchedCollection
+from orchidwind.managed.silence import ConnectionKind, OnSilent, SilentConnection, log_silent
 
 _FIRST_RETRY_SECONDS = 0.1
 # A check that finds nothing to do must not be repeated without a pause.
@@ -84,6 +85,7 @@
         times: FollowTimes,
         gather_seconds: float = 0.0,
         second_path: SecondPath[Item] | None = None,
+        on_silent: OnSilent = log_silent,
     ) -> None:
         """`gather_seconds` after a change is the wait for more, where it need not be known at once.
 
@@ -95,6 +97,7 @@
         self._times = times
         self._gather_seconds = gather_seconds
         self._second_path = second_path
+        self._on_silent = on_silent
         # The view is whole as of this revision; it was last different before `changed_revision`.
         self.revision = -1
         self.changed_revision = -1
@@ -173,10 +176,19 @@
         sent_at = self._loop.time()
         limit = self._times.hedge_after * MOST_CALLS
         listing = await hedged(
-            lambda: self._source.list(limit, arrival.note), self._times.hedge_after, arrival
+            lambda: self._source.list(limit, arrival.note),
+            self._times.hedge_after,
+            arrival,
+            self._outrun,
         )
         self._take_listing(listing, sent_at, _STORE)
 
+    def _outrun(self, seconds: float) -> None:
+        """A read was answered beside an older one that is silent."""
+        kind, to = ConnectionKind.STORE, f"{_STORE}/GET/{self.name}"
+        decision = "a later call was answered"
+        self._on_silent(SilentConnection(kind, to, seconds, seconds, 1, decision))
+
     async def _watch(self) -> bool:
         """Wait for changes; whether there were any."""
         relying_wait = self._times.relying_wait if self._relies else None
--- a/src/orchidwind/network/http_call.py
+++ b/src/orchidwind/network/http_call.py
@@ -28,11 +28,24 @@
 
 
 class HttpCallFailed(OrchidwindError):
-    """No whole answer came; `sent` tells whether the request had begun to leave."""
+    """No whole answer came; `sent` tells whether the request had begun to leave.
 
-    def __init__(self, reason: str, *, sent: bool) -> None:
+    `silent_for`: seconds without a byte of the answer on an open connection, None where the call
+    ended otherwise; `open_for`: seconds since the connection was open.
+    """
+
+    def __init__(
+        self,
+        reason: str,
+        *,
+        sent: bool,
+        silent_for: float | None = None,
+        open_for: float | None = None,
+    ) -> None:
         super().__init__(reason)
         self.sent = sent
+        self.open_for = open_for
+        self.silent_for = silent_for
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,14 +73,18 @@
         self.status = 0
         self.body = bytearray()
         self.finished = False
+        # When bytes came last, in seconds of the steady clock; None: none came.
+        self.heard_at: float | None = None
 
     def headers_received(
         self, start_line: ResponseStartLine | RequestStartLine, headers: HTTPHeaders
     ) -> None:
+        self.heard_at = asyncio.get_running_loop().time()
         if isinstance(start_line, ResponseStartLine):
             self.status = start_line.code
 
     def data_received(self, chunk: bytes) -> None:
+        self.heard_at = asyncio.get_running_loop().time()
         self.body += chunk
         self._on_bytes()
 
@@ -87,6 +104,7 @@
     loop = asyncio.get_running_loop()
     started_at = loop.time()
     sent = False
+    sent_at = started_at
 
     def extend() -> None:
         due = limit.when()
@@ -98,19 +116,23 @@
 
     collector = _Collector(extend)
 
-    def failed(reason: str) -> HttpCallFailed:
+    def failed(reason: str, silent_for: float | None = None) -> HttpCallFailed:
         stage = "waiting for the answer" if sent else "connecting"
         spent = loop.time() - started_at
         arrived = f" and {len(collector.body)} bytes of it" if collector.body else ""
-        return HttpCallFailed(f"{reason} while {stage}, after {spent:.3f} s{arrived}", sent=sent)
+        told = f"{reason} while {stage}, after {spent:.3f} s{arrived}"
+        open_for = loop.time() - sent_at if sent else None
+        return HttpCallFailed(told, sent=sent, silent_for=silent_for, open_for=open_for)
 
     try:
         async with asyncio.timeout(seconds) as limit:
             await stream.connect(request.address)
             sent = True
+            sent_at = loop.time()
             return await _exchange(stream, request, collector)
     except TimeoutError as error:
-        raise failed("time out") from error
+        silent_for = loop.time() - (collector.heard_at or sent_at) if sent else None
+        raise failed("time out", silent_for) from error
     except (StreamClosedError, OSError, HTTPInputError) as error:
         raise failed(str(error) or "closed") from error
     finally:
--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -121,7 +121,9 @@
 
 def _node(settings: PlatformSettings) -> ManagedNode:
     metrics = ManagedMetrics()
-    store = ObjectStore(parse_address(settings.platform.address), metrics.store_call)
+    store = ObjectStore(
+        parse_address(settings.platform.address), metrics.store_call, metrics.silent
+    )
     ports = NodePorts(
         connector=LineConnector(),
         directory=WatchedKind(store, InstanceTranslation()),
@@ -134,7 +136,9 @@
         member_source=WatchedKind(store, MemberTranslation()),
         member_store=MemberObjects(store),
         peers=PeerStreamConnector(),
-        promotions=PromotionCall(parse_address(settings.cloud_api.address), settings.node_name),
+        promotions=PromotionCall(
+            parse_address(settings.cloud_api.address), settings.node_name, metrics.silent
+        ),
     )
     return ManagedNode(_own_member(settings), ports, _node_bounds(settings), metrics)
 
--- a/src/orchidwind/platform/promotions.py
+++ b/src/orchidwind/platform/promotions.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from orchidwind.core.managed.failover import PromotionAnswer
+from orchidwind.managed.silence import ConnectionKind, OnSilent, SilentConnection, log_silent
 from orchidwind.network.http_call import HttpCallFailed, HttpRequest, http_call
 
 _PATH = "/promotions"
@@ -16,7 +17,10 @@
 class PromotionCall:
     """Sends promotions in the name of this node."""
 
-    def __init__(self, address: tuple[str, int], node: str) -> None:
+    def __init__(
+        self, address: tuple[str, int], node: str, on_silent: OnSilent = log_silent
+    ) -> None:
+        self._on_silent = on_silent
         self._address = address
         self._node = node
 
@@ -30,6 +34,18 @@
         try:
             answer = await http_call(request, min(seconds, _LONGEST_CALL_SECONDS))
         except HttpCallFailed as error:
+            if error.silent_for is not None:
+                self._on_silent(
+                    SilentConnection(
+                        ConnectionKind.PROMOTION,
+                        instance,
+                        error.open_for,
+                        error.silent_for,
+                        1,
+                        "it may have been done, the statuses tell",
+                        group,
+                    )
+                )
             return PromotionAnswer.UNKNOWN if error.sent else PromotionAnswer.REFUSED
         if 200 <= answer.status < 300:
             return PromotionAnswer.ACCEPTED
--- a/src/orchidwind/platform/store.py
+++ b/src/orchidwind/platform/store.py
@@ -22,6 +22,7 @@
 )
 from orchidwind.logs import log_event
 from orchidwind.managed.ports import Changes, Listing
+from orchidwind.managed.silence import ConnectionKind, OnSilent, SilentConnection, log_silent
 from orchidwind.network.http_call import HttpAnswer, HttpCallFailed, HttpRequest, http_call
 
 # A call that changes or reads one object: the store answers in 4 ms, or in 0.4 s slowed a
@@ -84,14 +85,26 @@
 class ObjectStore:
     """Calls to the store at one address."""
 
-    def __init__(self, address: tuple[str, int], on_call: OnCall) -> None:
+    def __init__(
+        self, address: tuple[str, int], on_call: OnCall, on_silent: OnSilent = log_silent
+    ) -> None:
         """`on_call` is told the method and the kind of object of each call."""
         self._address = address
         self._on_call = on_call
+        self._on_silent = on_silent
 
     def _note(self, method: str, path: str) -> None:
-        kind, _, _ = path.removeprefix(OBJECTS).partition("?")
-        self._on_call(method, kind.partition("/")[0])
+        self._on_call(method, _kind(path))
+
+    def _note_failed(self, method: str, path: str, error: HttpCallFailed, decision: str) -> None:
+        """A call ended without an answer; one whose time passed was on a silent connection."""
+        if error.silent_for is not None:
+            to = f"store/{method}/{_kind(path)}"
+            self._on_silent(
+                SilentConnection(
+                    ConnectionKind.STORE, to, error.open_for, error.silent_for, 1, decision
+                )
+            )
 
     async def read(
         self, path: str, seconds: float, on_arrival: OnArrival | None = None
@@ -105,6 +118,7 @@
         try:
             answer = await http_call(request, seconds, on_arrival)
         except HttpCallFailed as error:
+            self._note_failed("GET", path, error, "the next call has a new one")
             raise PlatformError(f"the store does not answer: {error}") from error
         if answer.status == 410:
             raise PlatformVersionGone("the store has dropped its history")
@@ -118,6 +132,7 @@
         try:
             answer = await http_call(HttpRequest(self._address, method, path, body), CALL_SECONDS)
         except HttpCallFailed as error:
+            self._note_failed(method, path, error, "it may have been done")
             if error.sent:
                 raise PlatformUncertain(f"the store does not answer: {error}") from error
             raise PlatformError(f"the store cannot be reached: {error}") from error
@@ -167,6 +182,12 @@
         return True
 
 
+def _kind(path: str) -> str:
+    """The kind of object that a path names."""
+    kind, _, _ = path.removeprefix(OBJECTS).partition("?")
+    return kind.partition("/")[0]
+
+
 def _holds(body: bytes, spec: msgspec.Struct) -> bool:
     """Whether an object that the store sent back holds just this."""
     try:
