--- a/src/orchidwind/managed/command_runner.py
+++ b/src/orchidwind/managed/command_runner.py
@@ -40,6 +40,10 @@
     deadline: float
     hold_until: float
 
+    def held_anew(self, now: float) -> TimeLimits:
+        """For a command that was sent in vain: it may wait for half of what is left, at least."""
+        return TimeLimits(self.deadline, max(self.hold_until, (now + self.deadline) / 2))
+
 
 def traffic_class(database: ManagedDatabase) -> TrafficClass:
     """The class of a database's requests: each step of priority halves the weight."""
--- a/src/orchidwind/managed/executor.py
+++ b/src/orchidwind/managed/executor.py
@@ -217,6 +217,7 @@
             forwarded = await self._forward(context, limits)
             if forwarded is not None:
                 return forwarded
+            limits = limits.held_anew(self._loop.time())
         return await self._runner.run(context, group, limits)
 
     async def _forward(self, context: CommandContext, limits: TimeLimits) -> CommandResult | None:
--- a/src/orchidwind/managed/forwarding.py
+++ b/src/orchidwind/managed/forwarding.py
@@ -73,6 +73,7 @@
                     return CommandResult()
                 if error is not None:
                     raise error from lost
+                limits = limits.held_anew(self._loop.time())
                 continue
             return self._take(channel, context, answer)
         return None
--- /dev/null
+++ b/src/orchidwind_bench/managed/fleet.py
@@ -0,0 +1,303 @@
+"""A fleet of many proxies before several groups, on virtual time, with callers on each proxy.
+
+Each group has a history of its own, as the checks compare with the commits of one group; network,
+store and randomness are the world's.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass, field, replace
+from typing import Any, cast
+
+from orchidwind.core.errors import RequestError
+from orchidwind.core.managed.commands import (
+    Command,
+    CommandResult,
+    InstanceMessage,
+    InstanceStatus,
+    Reply,
+)
+from orchidwind.core.managed.configuration import DirectoryEntry, ReadConsistency
+from orchidwind.core.managed.failover import PromotionAnswer
+from orchidwind.managed.node import ManagedNode
+from orchidwind.managed.ports import NodePorts
+from orchidwind_bench.managed.callers import ManagedSystem, SimulatedCaller, Tally, check_told
+from orchidwind_bench.managed.instances import SimulatedConnector, SimulatedGroup, SimulatedLink
+from orchidwind_bench.managed.store import (
+    STORE_SECONDS,
+    SimulatedStore,
+    simulated_configuration,
+)
+from orchidwind_bench.managed.world import History, World
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+_THINK_SECONDS = 0.3
+_AGE_EVERY_SECONDS = 0.1
+
+
+class _GroupDirectory:
+    """The store as one group's instances write to it: under names of their own."""
+
+    def __init__(self, store: SimulatedStore, group: str) -> None:
+        self._store = store
+        self._group = group
+
+    def put_entry(self, entry: DirectoryEntry) -> None:
+        """An instance writes its entry."""
+        name = f"{self._group}/{entry.instance}"
+        self._store.put_entry(replace(entry, group=self._group, instance=name))
+
+    def drop_entry(self, instance: str) -> None:
+        """An instance's entry goes."""
+        self._store.drop_entry(f"{self._group}/{instance}")
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._store, name)
+
+
+def _own_name(instance: str) -> str:
+    """An instance's name within its group."""
+    return instance.rpartition("/")[2]
+
+
+class FleetLink:
+    """One server connection, on which also the answers to control calls may be swallowed."""
+
+    def __init__(self, link: SimulatedLink) -> None:
+        self.link = link
+
+    async def exchange(self, messages: tuple[InstanceMessage, ...]) -> tuple[Reply, ...]:
+        """Run messages in order."""
+        return await self.link.exchange(messages)
+
+    async def _answered(self, call: Awaitable[InstanceStatus]) -> InstanceStatus:
+        status = await call
+        if self.link.deaf:
+            await asyncio.get_running_loop().create_future()
+        return status
+
+    async def status(self) -> InstanceStatus:
+        """Tell the status."""
+        return await self._answered(self.link.status())
+
+    async def fence(self, term: int) -> InstanceStatus:
+        """Accept no primary below a term."""
+        return await self._answered(self.link.fence(term))
+
+    async def unfence(self) -> InstanceStatus:
+        """Receive again."""
+        return await self._answered(self.link.unfence())
+
+    async def demote(self, term: int) -> InstanceStatus:
+        """Turn a primary of a lower term into a replica."""
+        return await self._answered(self.link.demote(term))
+
+    def close(self) -> None:
+        """The proxy ends the connection."""
+        self.link.close()
+
+
+class _FleetConnector:
+    """Opens connections for one proxy to the instances of all groups."""
+
+    def __init__(self, node: str, groups: dict[str, SimulatedGroup]) -> None:
+        self._connectors = {name: SimulatedConnector(node, group) for name, group in groups.items()}
+
+    async def connect(self, entry: DirectoryEntry, on_lost: Callable[[], None]) -> FleetLink:
+        """Open a connection to an instance."""
+        own = replace(entry, instance=_own_name(entry.instance))
+        return FleetLink(await self._connectors[entry.group].connect(own, on_lost))
+
+
+class _FleetPromotions:
+    """The promotion service as one proxy sees it."""
+
+    def __init__(self, world: World, node: str, groups: dict[str, SimulatedGroup]) -> None:
+        self._world = world
+        self._node = node
+        self._groups = groups
+
+    async def promote(
+        self, group: str, instance: str, token: int, seconds: float
+    ) -> PromotionAnswer:
+        """Take one promotion."""
+        await asyncio.sleep(STORE_SECONDS)
+        history = self._world.history
+        if token < history.greatest_token:
+            history.blame(self._world.now, f"{self._node} promotes with an older token")
+        history.greatest_token = max(history.greatest_token, token)
+        if not self._groups[group].promote(_own_name(instance)):
+            return PromotionAnswer.REFUSED
+        return PromotionAnswer.ACCEPTED
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """One operation of a caller: when it began and ended, and whether all of it was served."""
+
+    began: float
+    ended: float
+    served: bool
+    group: str
+
+
+@dataclass(slots=True)
+class GroupSide:
+    """One group as its callers see it."""
+
+    name: str
+    world: World
+    nodes: dict[str, ManagedNode]
+    group: SimulatedGroup
+    tally: Tally = field(default_factory=Tally)
+
+
+class FleetCaller(SimulatedCaller):
+    """One session after another at one proxy, on one group."""
+
+    think_seconds = _THINK_SECONDS
+
+    def __init__(
+        self, side: GroupSide, node_name: str, number: int, consistency: ReadConsistency
+    ) -> None:
+        self._side = side
+        self._failed = False
+        self.outcomes: list[Outcome] = []
+        super().__init__(side, node_name, number, consistency)
+
+    @property
+    def _database(self) -> str:
+        return f"{self._consistency.value}-{self._side.name}"
+
+    async def _run(self, command: Command) -> CommandResult:
+        try:
+            return await super()._run(command)
+        except RequestError:
+            self._failed = True
+            raise
+
+    async def _operate(self) -> None:
+        self._failed = False
+        began = self._side.world.now
+        await super()._operate()
+        ended = self._side.world.now
+        if ended > began:  # what the proxy answers by itself is no request
+            self.outcomes.append(Outcome(began, ended, not self._failed, self._side.name))
+
+
+class FleetSystem(ManagedSystem):
+    """Proxies, groups, and callers. `sides` has the groups by name."""
+
+    def __init__(
+        self, seed: int, proxies: tuple[str, ...], groups: tuple[str, ...], connection_limit: int
+    ) -> None:
+        super().__init__(seed, connection_limit=connection_limit, proxies=())
+        store = self.world.store
+        for instance in list(store.entries):
+            store.drop_entry(instance)
+        store.configuration = simulated_configuration(groups, connection_limit)
+        self.sides: dict[str, GroupSide] = {}
+        for name in groups:
+            world = copy.copy(self.world)
+            world.history = History()
+            world.store = cast(SimulatedStore, _GroupDirectory(store, name))
+            self.sides[name] = GroupSide(name, world, self.nodes, SimulatedGroup(world, ZONES))
+        self._groups = {name: side.group for name, side in self.sides.items()}
+        self._proxies = proxies
+        self.outcomes: list[Outcome] = []
+        self.greatest_ages: dict[str, float] = {}
+        self.start_proxies()
+
+    def _ports(self, name: str) -> NodePorts:
+        return replace(
+            super()._ports(name),
+            connector=_FleetConnector(name, self._groups),
+            promotions=_FleetPromotions(self.world, name, self._groups),
+        )
+
+    async def settle(self) -> None:
+        """Wait until all proxies serve."""
+        for node in list(self.nodes.values()):
+            assert await node.wait_prepared(10.0)
+
+    async def ask(self, seconds: float, callers_a_node: int = 1) -> None:
+        """Let callers ask for some seconds, then check what they were told."""
+        loop = asyncio.get_running_loop()
+        upkeep = [loop.create_task(side.group.keep_shipping()) for side in self.sides.values()]
+        upkeep.append(loop.create_task(self._watch_ages()))
+        until = self.world.now + seconds
+        callers = []
+        for number, (node, side) in enumerate(self._places(callers_a_node)):
+            kind = list(ReadConsistency)[number % len(ReadConsistency)]
+            callers.append(FleetCaller(side, node, number, kind))
+        await asyncio.gather(*(caller.run(until) for caller in callers))
+        for task in upkeep:
+            task.cancel()
+        self.outcomes = [outcome for caller in callers for outcome in caller.outcomes]
+        for side in self.sides.values():
+            check_told(side.world, side.group, side.tally)
+
+    def _places(self, callers_a_node: int) -> Iterator[tuple[str, GroupSide]]:
+        sides = list(self.sides.values())
+        for index, node in enumerate(self.nodes):
+            for number in range(callers_a_node):
+                yield node, sides[(index // len(ZONES) + number) % len(sides)]
+
+    async def _watch_ages(self) -> None:
+        while True:
+            await asyncio.sleep(_AGE_EVERY_SECONDS)
+            for node in self.nodes.values():
+                for name, watch in node.views.watches.items():
+                    if node.prepared and watch.revision >= 0:
+                        held = self.greatest_ages.get(name, 0.0)
+                        self.greatest_ages[name] = max(held, watch.age)
+
+    @property
+    def broken(self) -> list[str]:
+        """Broken promises of all groups."""
+        histories = [self.world.history, *(side.world.history for side in self.sides.values())]
+        return [blame for history in histories for blame in history.broken]
+
+    @property
+    def promotions(self) -> int:
+        """Changes of primary in all groups."""
+        return sum(len(side.world.history.promotions) for side in self.sides.values())
+
+    def served_share(self, since: float, until: float = float("inf")) -> float:
+        """Of the operations that began in a time, how many were served."""
+        served = [item.served for item in self.outcomes if since <= item.began < until]
+        return served.count(True) / len(served)
+
+    # --- connections that fall silent -----------------------------------------------------------
+
+    def silence(self, share: float, one_way: bool = False) -> int:
+        """A share of all open connections falls silent for good; how many. New ones work.
+
+        `one_way`: what one of the two ends sends still arrives.
+        """
+        random = self.world.random
+        silenced = 0
+        for link in sorted(self.links.links, key=lambda link: (link.front, link.home)):
+            if random.random() < share:
+                silenced += 1
+                link.silent = not one_way
+                link.silent_from = random.choice((link.front, link.home))
+        for connection in self._instance_links():
+            if random.random() < share:
+                silenced += 1
+                connection.silent = not one_way
+                connection.deaf = one_way
+        store = self.world.store
+        swallowed = [number for number in store.waiting if random.random() < share]
+        store.swallowed.update(swallowed)
+        return silenced + len(swallowed)
+
+    def _instance_links(self) -> Iterator[SimulatedLink]:
+        """Those of the pools in the order of their opening, then those for status queries."""
+        for node in self.nodes.values():
+            for group in node.groups.values():
+                held = (*group.connections.links.values(), *group._calls._control.values())
+                yield from (item.link for item in held if isinstance(item, FleetLink))
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -166,6 +166,21 @@
     with_system(scenario)
 
 
+def test_a_read_on_a_silent_link_is_served_by_another_home_within_its_deadline():
+    async def scenario(system):
+        front = front_of(system)
+        executor = SessionExecutor(front, "latest")
+        await executor.execute(command(CommandKind.READ, "READ x", 1))
+        home = front.homes.home_link(GROUP).member.name
+        for link in system.links.links:
+            link.silent = (link.front, link.home) == (front.name, home)
+        began = system.world.now
+        await executor.execute(command(CommandKind.READ, "READ x", 2))
+        assert SILENT_SECONDS < system.world.now - began < 0.8
+
+    with_system(scenario)
+
+
 def test_a_transaction_on_a_silent_link_is_rolled_back_when_the_link_is_opened_anew():
     async def scenario(system):
         front = front_of(system)
