--- a/src/orchidwind/managed/peer_link.py
+++ b/src/orchidwind/managed/peer_link.py
@@ -67,7 +67,7 @@
         self._numbers = count(1)
         self._heard_at = 0.0
         self._opened_at = 0.0
-        self._used_at = 0.0
+        self._used_at = float("-inf")
         # Since when the other side owes an answer and has said nothing; None: it owes none. Also an
         # answer that nobody waits for any more is owed.
         self._owed_since: float | None = None
@@ -98,20 +98,30 @@
         assert isinstance(answer, LockReport)
         return answer
 
-    async def ask_view(self, view: str, revision: int, whole: bool) -> ViewReport:
-        """Ask what is later than a revision in a view; raises PeerUnavailable."""
-        answer = await self._ask(ViewQuery(self.next_number(), view, revision, whole))
+    async def ask_view(
+        self, view: str, revision: int, whole: bool, seldom: bool = False
+    ) -> ViewReport:
+        """Ask what is later than a revision in a view; raises PeerUnavailable.
+
+        `seldom`: another reader is asked as well in time, so for this query the link is not probed
+        at rest.
+        """
+        query = ViewQuery(self.next_number(), view, revision, whole)
+        answer = await self._ask(query, in_use=not seldom)
         assert isinstance(answer, ViewReport)
         return answer
 
-    async def _ask(self, message: RunCommand | LockQuery | ViewQuery) -> Answer:
+    async def _ask(
+        self, message: RunCommand | LockQuery | ViewQuery, in_use: bool = True
+    ) -> Answer:
         connection = await self._open()
         answered: asyncio.Future[Answer] = self._loop.create_future()
-        self._used_at = self._loop.time()
         self._pending[message.number] = answered
         connection.send(message)
         self._expect_answer()
-        self._watch_rest()
+        if in_use:
+            self._used_at = self._loop.time()
+            self._watch_rest()
         try:
             return await answered
         finally:
--- a/src/orchidwind/managed/views.py
+++ b/src/orchidwind/managed/views.py
@@ -28,7 +28,7 @@
 )
 from orchidwind.logs import log_event
 from orchidwind.managed.metrics import ManagedMetrics
-from orchidwind.managed.peer_link import PeerLink
+from orchidwind.managed.peer_link import REST_PROBE_SECONDS, PeerLink
 from orchidwind.managed.peers import PeerNetwork
 from orchidwind.managed.ports import Changes, Listing
 from orchidwind.managed.watch import CollectionWatch, ToldView
@@ -65,6 +65,7 @@
         # With an older view the store would be read at once: then the next proxy is asked, too.
         self._fresh_seconds = times.read_at_age or 0.0
         self._whole_seconds = times.whole_wait
+        self._seldom = times.ask_every is None or times.ask_every > REST_PROBE_SECONDS
         self._network = network
         self._followers = followers
         self._items = items
@@ -126,7 +127,7 @@
         asked_at = self._loop.time()
         try:
             async with asyncio.timeout(self._whole_seconds if whole else _ANSWER_SECONDS):
-                report = await link.ask_view(self._view, revision, whole)
+                report = await link.ask_view(self._view, revision, whole, self._seldom)
         except (PeerUnavailable, TimeoutError) as error:
             reason = str(error) or "no answer in time"
             log_event("view_not_told", collection=self._view, peer=link.member.name, reason=reason)
--- /dev/null
+++ b/tests/test_fleet_silence.py
@@ -0,0 +1,201 @@
+"""Half of all open connections fall silent at once, in fleets of many groups, on virtual time."""
+
+import asyncio
+import random
+from dataclasses import replace
+
+import pytest
+
+from orchidwind.core.managed import freshness
+from orchidwind.managed import peer_link, resting_connections
+from orchidwind.managed.following import NodeBounds
+from orchidwind_bench.managed.fleet import FleetSystem
+from orchidwind_bench.managed.virtual_time import run_virtual
+
+PROXIES = 200
+GROUPS = 10
+CONNECTION_LIMIT = 32
+SETTLED_SECONDS = 3.0
+SILENT_AFTER = 2.0
+SOON_SECONDS = 2.0
+SERVED_SOON = 0.95
+SERVED_LATER = 0.99
+MOST_PROBES = 0.02
+HALF = 0.5
+
+
+def fleet(proxies, groups, seed=1):
+    random.seed(seed)  # the product's own pauses
+    return FleetSystem(
+        seed,
+        tuple(f"proxy-{number:03}" for number in range(proxies)),
+        tuple(f"group-{number}" for number in range(groups)),
+        CONNECTION_LIMIT,
+    )
+
+
+async def settled(system):
+    await system.settle()
+    await asyncio.sleep(SETTLED_SECONDS)
+
+
+def silence_soon(system, one_way=False):
+    """Half of all connections fall silent a while from now; when that is."""
+    loop = asyncio.get_running_loop()
+    at = loop.time() + SILENT_AFTER
+    loop.call_at(at, system.silence, HALF, one_way)
+    return at
+
+
+def check_ages(system):
+    bounds = NodeBounds()
+    assert system.greatest_ages["configuration"] <= bounds.configuration
+    assert system.greatest_ages["directory"] <= bounds.directory
+    assert system.greatest_ages["members"] <= bounds.members
+
+
+@pytest.mark.parametrize(("one_way", "callers"), [(False, 2), (True, 1)])
+def test_a_large_fleet_serves_on_though_half_of_all_connections_fell_silent(one_way, callers):
+    async def work():
+        system = fleet(PROXIES, GROUPS)
+        await settled(system)
+        silent_at = silence_soon(system, one_way)
+        await system.ask(7.0, callers)
+        assert system.broken == []
+        assert system.promotions == 0
+        check_ages(system)
+        assert system.served_share(silent_at, silent_at + SOON_SECONDS) >= SERVED_SOON
+        assert system.served_share(silent_at + SOON_SECONDS) >= SERVED_LATER
+
+    run_virtual(work())
+
+
+def test_the_probes_of_a_calm_day_cost_little_and_the_store_nothing(monkeypatch):
+    def play():
+        async def work():
+            system = fleet(PROXIES, GROUPS)
+            await settled(system)
+            system.links.sent.clear()
+            before = sum(system.world.store.calls.values())
+            await system.ask(5.0)
+            return system.links.sent, sum(system.world.store.calls.values()) - before
+
+        return run_virtual(work())
+
+    sent, calls = play()
+    probes = sent["Probe"] + sent["Alive"]
+    assert probes <= MOST_PROBES * (sent.total() - probes)
+    monkeypatch.setattr(peer_link, "REST_PROBE_SECONDS", float("inf"))
+    monkeypatch.setattr(resting_connections, "REST_PROBE_SECONDS", float("inf"))
+    _, calls_without = play()
+    assert calls <= calls_without
+
+
+# --- beside another fault ----------------------------------------------------------------------
+
+SMALL = 30
+SMALL_GROUPS = 2
+FAULT_SECONDS = 4.0
+
+
+async def refuse_some(system):
+    """The store refuses every third machine for a while."""
+    refused = system.world.store.refused
+    refused.update(list(system.nodes)[::3])
+    await asyncio.sleep(FAULT_SECONDS)
+    refused.clear()
+
+
+async def crash(system):
+    """A primary resets its connections and comes back as a replica."""
+    instance = system.sides["group-0"].group.primary()
+    instance.crash()
+    await asyncio.sleep(FAULT_SECONDS)
+    instance.restart()
+
+
+async def freeze(system):
+    """A primary goes dark without a reset."""
+    system.sides["group-0"].group.resets = False
+    await crash(system)
+
+
+async def restart_in_turn(system):
+    """Every proxy, one after the other."""
+    for name in list(system.nodes):
+        system.restart_proxy(name)
+        await asyncio.sleep(FAULT_SECONDS / SMALL)
+
+
+async def change_configuration(system):
+    """A new version, again and again."""
+    store = system.world.store
+    for _ in range(10):
+        store.put_configuration(
+            replace(store.configuration, version=store.configuration.version + 1)
+        )
+        await asyncio.sleep(FAULT_SECONDS / 10)
+
+
+async def kill_a_herd(system):
+    """A third of all proxies end at once and come back."""
+    for name in list(system.nodes)[::3]:
+        system.restart_proxy(name)
+
+
+FAULTS = [refuse_some, crash, freeze, restart_in_turn, change_configuration, kill_a_herd]
+CHANGES_PRIMARY = (crash, freeze)
+
+
+@pytest.mark.parametrize("one_way", [False, True])
+@pytest.mark.parametrize("fault", FAULTS)
+def test_promises_hold_where_half_fell_silent_beside_another_fault(fault, one_way):
+    async def work():
+        system = fleet(SMALL, SMALL_GROUPS)
+        await settled(system)
+        silent_at = silence_soon(system, one_way)
+
+        async def inflict():
+            await asyncio.sleep(SILENT_AFTER - 0.1)
+            await fault(system)
+
+        inflicting = asyncio.create_task(inflict())
+        await system.ask(SILENT_AFTER + FAULT_SECONDS + 4.0, callers_a_node=2)
+        await inflicting
+        assert system.broken == []
+        assert system.promotions == (1 if fault in CHANGES_PRIMARY else 0)
+        version = system.world.store.configuration.version
+        assert {node.configuration.version for node in system.nodes.values()} == {version}
+        over_at = silent_at + FAULT_SECONDS + 1.5
+        assert system.served_share(over_at) >= SERVED_LATER
+
+    run_virtual(work())
+
+
+# --- the checks bite -----------------------------------------------------------------------------
+
+
+def play_smaller():
+    async def work():
+        system = fleet(60, 4)
+        await settled(system)
+        silent_at = silence_soon(system)
+        await system.ask(7.0, callers_a_node=2)
+        return system, silent_at
+
+    return run_virtual(work())
+
+
+def test_the_shares_served_bite_where_silent_links_are_not_found(monkeypatch):
+    monkeypatch.setattr(peer_link, "SILENT_SECONDS", float("inf"))
+    system, silent_at = play_smaller()
+    assert system.served_share(silent_at, silent_at + SOON_SECONDS) < SERVED_SOON
+    assert system.served_share(silent_at + SOON_SECONDS) < SERVED_LATER
+
+
+def test_the_ages_bite_where_silent_watches_are_not_given_up(monkeypatch):
+    monkeypatch.setattr(freshness, "_ANSWER_SLACK_SHARE", 10.0)
+    monkeypatch.setattr(freshness, "_READ_SHARE", 10.0)
+    system, _ = play_smaller()
+    with pytest.raises(AssertionError):
+        check_ages(system)
