--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -33,8 +33,8 @@
 from orchidwind.managed.metrics import ManagedMetrics
 from orchidwind.managed.ports import InstanceConnector
 from orchidwind.managed.resting_connections import RestingConnections
-from orchidwind.managed.silence import ConnectionKind, SilentConnection
 from orchidwind.managed.status_calls import StatusCall, StatusCalls
+from orchidwind.silence import ConnectionKind, SilentConnection
 
 SILENCE_SECONDS = 0.25
 _SHORTEST_LOOK_SECONDS = 0.01
--- a/src/orchidwind/managed/metrics.py
+++ b/src/orchidwind/managed/metrics.py
@@ -8,7 +8,7 @@
 
 from orchidwind.core.errors import ErrorKind
 from orchidwind.core.managed.commands import CommandKind
-from orchidwind.managed.silence import SilentConnection, log_silent
+from orchidwind.silence import SilentConnection, log_silent
 
 _LATENCY_BUCKETS = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
 
--- a/src/orchidwind/managed/peer_link.py
+++ b/src/orchidwind/managed/peer_link.py
@@ -21,7 +21,7 @@
 )
 from orchidwind.logs import log_event
 from orchidwind.managed.ports import PeerConnection, PeerConnector
-from orchidwind.managed.silence import ConnectionKind, OnSilent, SilentConnection, log_silent
+from orchidwind.silence import ConnectionKind, OnSilent, SilentConnection, log_silent
 
 CONNECT_SECONDS = 0.4
 PROBE_AFTER_SECONDS = 0.15
--- a/src/orchidwind/managed/peers.py
+++ b/src/orchidwind/managed/peers.py
@@ -13,7 +13,7 @@
 from orchidwind.logs import log_event
 from orchidwind.managed.peer_link import PeerLink
 from orchidwind.managed.ports import Changes, Listing, MemberStore, PeerConnector
-from orchidwind.managed.silence import OnSilent, log_silent
+from orchidwind.silence import OnSilent, log_silent
 
 FORGET_SECONDS = 30.0
 _RETRY_SECONDS = 0.25
--- a/src/orchidwind/managed/status_calls.py
+++ b/src/orchidwind/managed/status_calls.py
@@ -17,7 +17,7 @@
     GroupConnections,
 )
 from orchidwind.managed.ports import InstanceLink
-from orchidwind.managed.silence import (
+from orchidwind.silence import (
     ConnectionKind,
     OnSilent,
     SilentConnection,
--- a/src/orchidwind/managed/watch.py
+++ b/src/orchidwind/managed/watch.py
@@ -18,7 +18,7 @@
 from orchidwind.logs import log_event
 from orchidwind.managed.hedging import MOST_CALLS, Arrival, hedged
 from orchidwind.managed.ports import Changes, Listing, WatchedCollection
-from orchidwind.managed.silence import ConnectionKind, OnSilent, SilentConnection, log_silent
+from orchidwind.silence import ConnectionKind, OnSilent, SilentConnection, log_silent
 
 _FIRST_RETRY_SECONDS = 0.1
 # A check that finds nothing to do must not be repeated without a pause.
--- a/src/orchidwind/network/backend.py
+++ b/src/orchidwind/network/backend.py
@@ -23,6 +23,12 @@
     RequestError,
 )
 from orchidwind.core.statements import Column, Description, RunResult, Statement
+from orchidwind.network.sockets import (
+    KEEPALIVE_IDLE_SECONDS,
+    KEEPALIVE_INTERVAL_SECONDS,
+    KEEPALIVE_PROBES,
+    USER_TIMEOUT_MILLISECONDS,
+)
 from orchidwind.postgres.wire import codec
 
 _ROWS_A_CHUNK = 256
@@ -83,6 +89,11 @@
             "sslmode": "disable",
             "gssencmode": "disable",
             "client_encoding": "UTF8",
+            "keepalives": "1",
+            "keepalives_idle": str(KEEPALIVE_IDLE_SECONDS),
+            "keepalives_interval": str(KEEPALIVE_INTERVAL_SECONDS),
+            "keepalives_count": str(KEEPALIVE_PROBES),
+            "tcp_user_timeout": str(USER_TIMEOUT_MILLISECONDS),
         }
         return " ".join(f"{name}='{_escape(value)}'" for name, value in fields.items()).encode()
 
--- a/src/orchidwind/network/codec.py
+++ b/src/orchidwind/network/codec.py
@@ -190,6 +190,14 @@
     duration: float
 
 
+class LinkProbe(msgspec.Struct, frozen=True):
+    """Sent on a link that says nothing: is it alive?"""
+
+
+class LinkAlive(msgspec.Struct, frozen=True):
+    """The answer to a probe, whatever runs."""
+
+
 LinkMessage = (
     Hello
     | Execute
@@ -206,6 +214,8 @@
     | StillRunning
     | LeaseAsk
     | LeaseReply
+    | LinkProbe
+    | LinkAlive
 )
 _LINK_TYPES: dict[str, type[LinkMessage]] = {
     kind.__name__: kind
@@ -225,6 +235,8 @@
         StillRunning,
         LeaseAsk,
         LeaseReply,
+        LinkProbe,
+        LinkAlive,
     )
 }
 _WITH_RECORDS = (Execute, ResultColumns, Done)
--- a/src/orchidwind/network/link_server.py
+++ b/src/orchidwind/network/link_server.py
@@ -15,11 +15,13 @@
 from tornado.tcpserver import TCPServer
 
 from orchidwind.core.statements import ChannelKey, Column, Outcome
+from orchidwind.logs import log_event
 from orchidwind.network import codec
 from orchidwind.network.backend import AnswerPort
 from orchidwind.network.frame_stream import LINK_BUFFER_BYTES, FrameStream
 from orchidwind.network.home_service import HomeService
 from orchidwind.network.link_messages import from_execute, to_answer, to_records
+from orchidwind.network.sockets import watchful
 
 _WINDOW_BYTES = 512 * 1024
 _GATHERED_BYTES = 32 * 1024
@@ -137,20 +139,36 @@
         self._configuration = configuration
         self._serials = count(1)
         self._streams: set[IOStream] = set()
+        self._by_peer: dict[str, _LinkSession] = {}
 
     async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
         """Serve one link to its end."""
-        stream.set_nodelay(True)
+        watchful(stream.socket)
         self._streams.add(stream)
-        session = _LinkSession(stream, self._homes, self._configuration, next(self._serials))
+        session = _LinkSession(
+            stream, self._homes, self._configuration, next(self._serials), self._greeted
+        )
         try:
             await session.run()
         except (StreamClosedError, codec.DecodeError, ValueError):
             stream.close()
         finally:
             self._streams.discard(stream)
+            if self._by_peer.get(session.peer) is session:
+                del self._by_peer[session.peer]
             session.end()
 
+    def _greeted(self, session: _LinkSession) -> None:
+        """A proxy holds one link to each other: a new one tells that the last one is gone.
+
+        That one may be silent for good, without an end: what is open on it is rolled back now.
+        """
+        older = self._by_peer.get(session.peer)
+        self._by_peer[session.peer] = session
+        if older is not None:
+            log_event("peer_link_replaced", peer=session.peer, channels=older.channels)
+            older.cut()
+
     def close_links(self) -> None:
         """Cut all links."""
         for stream in list(self._streams):
@@ -166,12 +184,14 @@
         homes: HomeService,
         configuration: Callable[[], codec.ConfigurationReply | None],
         serial: int,
+        on_greeting: Callable[[_LinkSession], None],
     ) -> None:
+        self.peer = ""
+        self._on_greeting = on_greeting
         self._stream = stream
         self._homes = homes
         self._configuration = configuration
         self._origin = f"link-{serial}"
-        self._peer = ""
         self._channels: set[int] = set()
         self._ports: dict[int, _LinkAnswerPort] = {}
         self._loop = asyncio.get_running_loop()
@@ -182,11 +202,21 @@
         hello = await frames.next()
         if not isinstance(hello, codec.Hello):
             raise codec.DecodeError("a link begins with Hello")
-        self._peer = hello.node
+        self.peer = hello.node
         self._origin = f"{hello.node}/{self._origin}"
+        self._on_greeting(self)
         while True:
             self._take(await frames.next())
 
+    @property
+    def channels(self) -> int:
+        """How many callers have had work here."""
+        return len(self._channels)
+
+    def cut(self) -> None:
+        """End the link from here."""
+        self._stream.close()
+
     def end(self) -> None:
         """The link is gone, and so are its callers."""
         for port in self._ports.values():
@@ -206,6 +236,8 @@
         elif isinstance(message, codec.CloseChannel):
             self._channels.discard(message.channel)
             self._homes.close_channel(ChannelKey(self._origin, message.channel))
+        elif isinstance(message, codec.LinkProbe):
+            self._stream.write(codec.encode_frame(codec.LinkAlive()))
         elif isinstance(message, codec.LeaseAsk):
             self._lend(message)
         elif isinstance(message, codec.ConfigurationRequest):
@@ -214,7 +246,7 @@
                 self._stream.write(codec.encode_frame(reply))
 
     def _lend(self, message: codec.LeaseAsk) -> None:
-        answer = self._homes.lend(message.database, self._peer, message.wanted)
+        answer = self._homes.lend(message.database, self.peer, message.wanted)
         if answer is not None:
             reply = codec.LeaseReply(message.database, answer.slots, answer.number, answer.duration)
             self._stream.write(codec.encode_frame(reply))
--- /dev/null
+++ b/src/orchidwind/network/link_silence.py
@@ -0,0 +1,92 @@
+"""Finds out that a link of the PostgreSQL edge is silent: when to probe it, when to give it up.
+
+An open link may swallow all that is sent, for good, while a new one works. A statement may run for
+long, so its silence shows nothing: the other side answers a probe whatever it runs.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+PROBE_AFTER_SECONDS = 0.25
+# Two lost packets in a row come again by then; the shortest deadline of a class is 5 s by default.
+SILENT_SECONDS = 1.0
+# One that was used lately is probed at rest, so that no request finds out first.
+REST_PROBE_SECONDS = 1.0
+_IN_USE_SECONDS = 5.0
+_LOOK_SECONDS = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class LinkActions:
+    """What is done about a link. `owed` tells how many answers are waited for on it."""
+
+    probe: Callable[[], None]
+    give_up: Callable[[float, float], None]
+    owed: Callable[[], int]
+
+
+class LinkSilence:
+    """The silence of one open link. `give_up` is told its age and its silence, in seconds."""
+
+    def __init__(self, actions: LinkActions) -> None:
+        self._actions = actions
+        self._loop = asyncio.get_running_loop()
+        self._opened_at = self._used_at = self._heard_at = self._loop.time()
+        # Since when the other side owes a word; None: it owes none.
+        self._owed_since: float | None = None
+        self._probed_at = float("-inf")
+        self._timer: asyncio.TimerHandle | None = None
+
+    def used(self) -> None:
+        """A message was sent for somebody: a word is owed for it, a probe's at least."""
+        self._used_at = self._loop.time()
+        self._owe()
+
+    def heard(self) -> None:
+        """Bytes came."""
+        self._heard_at = self._loop.time()
+        self._owed_since = self._heard_at if self._actions.owed() else None
+
+    def close(self) -> None:
+        """The link has ended."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _owe(self) -> None:
+        if self._owed_since is None:
+            self._owed_since = self._loop.time()
+        self._look_in(_LOOK_SECONDS)
+
+    def _look_in(self, seconds: float) -> None:
+        if self._timer is None:
+            self._timer = self._loop.call_later(seconds, self._look)
+
+    def _look(self) -> None:
+        self._timer = None
+        now = self._loop.time()
+        if self._owed_since is None:
+            self._look_at_rest(now)
+            return
+        silent = now - self._owed_since
+        if silent > SILENT_SECONDS:
+            self._actions.give_up(now - self._opened_at, silent)
+            return
+        if silent > PROBE_AFTER_SECONDS and now - self._probed_at > PROBE_AFTER_SECONDS:
+            self._probe(now)
+        self._look_in(_LOOK_SECONDS)
+
+    def _look_at_rest(self, now: float) -> None:
+        if now - self._used_at > _IN_USE_SECONDS:
+            return
+        if now - self._heard_at >= REST_PROBE_SECONDS:
+            self._probe(now)
+            self._owe()
+        self._look_in(_LOOK_SECONDS)
+
+    def _probe(self, now: float) -> None:
+        self._probed_at = now
+        self._actions.probe()
--- a/src/orchidwind/network/peer_link.py
+++ b/src/orchidwind/network/peer_link.py
@@ -15,6 +15,9 @@
 from orchidwind.core.errors import PeerUnavailable
 from orchidwind.network import codec
 from orchidwind.network.frame_stream import LINK_BUFFER_BYTES, FrameStream
+from orchidwind.network.link_silence import LinkActions, LinkSilence
+from orchidwind.network.sockets import watchful
+from orchidwind.silence import ConnectionKind, SilentConnection, log_silent
 
 _CONNECT_SECONDS = 1.0
 
@@ -53,6 +56,7 @@
         self._connecting: asyncio.Lock = asyncio.Lock()
         self._pending: dict[int, PendingAnswer] = {}
         self._reader: asyncio.Task[None] | None = None
+        self._silence: LinkSilence | None = None
 
     @property
     def address(self) -> tuple[str, int]:
@@ -71,9 +75,10 @@
                     )
             except (OSError, StreamClosedError, TimeoutError) as error:
                 raise PeerUnavailable(str(error) or "no connection", sent=False) from error
-            stream.set_nodelay(True)
+            watchful(stream.socket)
             stream.write(codec.encode_frame(codec.Hello(self._own)))
             self._stream = stream
+            self._silence = LinkSilence(self._actions(stream))
             self._reader = asyncio.create_task(self._read(stream))
 
     async def execute(self, message: codec.Execute) -> PendingAnswer:
@@ -92,6 +97,29 @@
         """Send a message if the link is up."""
         if self._stream is not None and not self._stream.closed():
             self._stream.write(codec.encode_frame(message))
+            if self._silence is not None:
+                self._silence.used()
+
+    def _actions(self, stream: IOStream) -> LinkActions:
+        def probe() -> None:
+            if not stream.closed():
+                stream.write(codec.encode_frame(codec.LinkProbe()))
+
+        def give_up(opened_for: float, silent_for: float) -> None:
+            to = "{}:{}".format(*self._address)
+            log_silent(
+                SilentConnection(
+                    ConnectionKind.PEER_LINK,
+                    to,
+                    opened_for,
+                    silent_for,
+                    len(self._pending),
+                    "it is opened anew",
+                )
+            )
+            stream.close()
+
+        return LinkActions(probe, give_up, lambda: len(self._pending))
 
     def close(self) -> None:
         """Cut the link; what waits is told."""
@@ -99,12 +127,16 @@
             self._stream.close()
 
     async def _read(self, stream: IOStream) -> None:
-        frames = FrameStream(stream)
+        silence = self._silence
+        assert silence is not None
+        frames = FrameStream(stream, silence.heard)
         try:
             while True:
                 self._take(await frames.next())
+                silence.heard()
         except (StreamClosedError, codec.DecodeError) as error:
             stream.close()
+            silence.close()
             pending, self._pending = self._pending, {}
             for item in pending.values():
                 item.parts.put_nowait(PeerUnavailable(str(error), sent=True))
--- a/src/orchidwind/platform/promotions.py
+++ b/src/orchidwind/platform/promotions.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from orchidwind.core.managed.failover import PromotionAnswer
-from orchidwind.managed.silence import ConnectionKind, OnSilent, SilentConnection, log_silent
 from orchidwind.network.http_call import HttpCallFailed, HttpRequest, http_call
+from orchidwind.silence import ConnectionKind, OnSilent, SilentConnection, log_silent
 
 _PATH = "/promotions"
 _HOLDER = "Duty-Holder"
--- a/src/orchidwind/platform/store.py
+++ b/src/orchidwind/platform/store.py
@@ -22,8 +22,8 @@
 )
 from orchidwind.logs import log_event
 from orchidwind.managed.ports import Changes, Listing
-from orchidwind.managed.silence import ConnectionKind, OnSilent, SilentConnection, log_silent
 from orchidwind.network.http_call import HttpAnswer, HttpCallFailed, HttpRequest, http_call
+from orchidwind.silence import ConnectionKind, OnSilent, SilentConnection, log_silent
 
 # A call that changes or reads one object: the store answers in 4 ms, or in 0.4 s slowed a
 # hundredfold.
--- a/src/orchidwind/postgres/listener.py
+++ b/src/orchidwind/postgres/listener.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import socket
 from collections.abc import Callable
 
 from tornado.iostream import IOStream
 from tornado.tcpserver import TCPServer
 
 from orchidwind.core.errors import ErrorKind, RequestError
+from orchidwind.network.sockets import watchful
 from orchidwind.postgres.server_session import ServerSession, SessionHost, encode_error
 
 MAXIMUM_PROCESS_ID = 2**31 - 1
@@ -33,8 +33,7 @@
 
     async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
         """Serve one connection to its end."""
-        stream.set_nodelay(True)
-        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        watchful(stream.socket)
         if len(self.sessions) >= self.maximum_connections:
             error = RequestError(ErrorKind.TOO_MANY_CALLERS, "too many connections to this proxy")
             self._on_error(error)
--- a/tests/test_silence_told.py
+++ b/tests/test_silence_told.py
@@ -11,9 +11,9 @@
 from orchidwind.logs import configure_logging, log_event
 from orchidwind.managed.executor import SessionExecutor
 from orchidwind.managed.metrics import ManagedMetrics
-from orchidwind.managed.silence import ConnectionKind
 from orchidwind.platform.promotions import PromotionCall
 from orchidwind.platform.store import ObjectStore
+from orchidwind.silence import ConnectionKind
 from orchidwind_bench.managed.callers import ManagedSystem
 from orchidwind_bench.managed.store import GROUP
 from orchidwind_bench.managed.virtual_time import run_virtual
