--- /dev/null
+++ b/tests/test_half_open_callers.py
@@ -0,0 +1,64 @@
+"""Callers that are gone without a word, or read nothing: what they hold has limits, on sockets."""
+
+import asyncio
+
+import pytest
+from test_platform_node import SERVICE, LineClient, with_system
+from test_silent_edge import Relay
+
+from orchidwind.platform.wire import MAXIMUM_MESSAGE_BYTES
+
+IDLE_MS = 300
+# Beyond the rest that a transaction is allowed; for a machine that does other work.
+SLACK_SECONDS = 0.7
+
+
+def held(system):
+    """Connections to instances that requests or transactions hold."""
+    return system.proxy._node.groups[SERVICE].connections.busy
+
+
+async def half_open(system):
+    """A caller behind a relay that will swallow all that either end sends."""
+    relay = Relay(system.front_port)
+    return relay, await LineClient.open(await relay.start())
+
+
+@pytest.mark.parametrize("then", ["rests", "had sent a statement"])
+def test_a_half_open_caller_holds_a_transaction_no_longer_than_it_may_rest(tmp_path, then):
+    async def scenario(system):
+        relay, client = await half_open(system)
+        await client.ask("BEGIN")
+        await client.ask("WRITE t1 x", "w1")
+        assert held(system) == 1
+        if then == "had sent a statement":
+            await client.stream.write(b"QUERY w2 WRITE t1 y\r\n")
+        relay.silence()
+        await asyncio.sleep(IDLE_MS / 1000 + SLACK_SECONDS)
+        assert held(system) == 0
+        other = await LineClient.open(system.front_port)
+        assert (await other.ask("READ t1", "r1"))[0] == "DATAROW none"
+        relay.stop()
+
+    with_system(tmp_path, scenario, idle_ms=IDLE_MS)
+
+
+def test_a_caller_that_reads_nothing_holds_no_connection_and_one_answer_at_most(tmp_path):
+    async def scenario(system):
+        client = await LineClient.open(system.front_port)
+        await client.ask("WRITE t1 " + "x" * 500_000, "w1")
+        await client.ask("BEGIN")
+        await client.ask("READ t1", "r1")
+        assert held(system) == 1
+        (session,) = system.proxy._registry.sessions
+        flood = b"".join(b"QUERY r%d READ t1\r\n" % number for number in range(20_000))
+        writing = asyncio.ensure_future(client.stream.write(flood))
+        await asyncio.sleep(IDLE_MS / 1000 + SLACK_SECONDS)
+        assert held(system) == 0
+        assert 0 < len(session._stream._write_buffer) <= MAXIMUM_MESSAGE_BYTES
+        assert session._stream._read_buffer_size <= MAXIMUM_MESSAGE_BYTES
+        assert len(session._lines._buffer) <= MAXIMUM_MESSAGE_BYTES
+        client.stream.close()
+        await asyncio.gather(writing, return_exceptions=True)
+
+    with_system(tmp_path, scenario, idle_ms=IDLE_MS)
