--- a/src/orchidwind/core/group_effects.py
+++ b/src/orchidwind/core/group_effects.py
@@ -64,9 +64,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StillRunning:
-    """A statement runs past its deadline on an instance that answers: the caller may wait on."""
+    """A statement runs past its deadline on an instance that answers: the caller may wait on.
+
+    The driver may look whether the database runs it; `connection_lost` where it does not.
+    """
 
     number: int
+    connection: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/orchidwind/core/home_group.py
+++ b/src/orchidwind/core/home_group.py
@@ -169,6 +169,10 @@
 
         return self._after(now, change)
 
+    def instance_of(self, connection: int) -> str | None:
+        """The instance that a server connection goes to."""
+        return self._instance_of.get(connection)
+
     @property
     def is_home(self) -> bool:
         """Whether this node still holds a share of the connections."""
@@ -535,7 +539,7 @@
         if instance is None or instance in self.view.unreachable:
             return False
         running.expires_at = now + STILL_RUNNING_SECONDS
-        self._effects.append(StillRunning(running.request.number))
+        self._effects.append(StillRunning(running.request.number, step.connection))
         return True
 
     def _end_idle_transactions(self, now: float) -> None:
--- a/src/orchidwind/network/backend.py
+++ b/src/orchidwind/network/backend.py
@@ -112,6 +112,8 @@
         self._socket = connection.socket
         self._readable: asyncio.Future[None] | None = None
         self._closed = False
+        # When the socket was last readable, and opened; steady clock, seconds.
+        self.opened_at = self.heard_at = self._loop.time()
         self._loop.add_reader(self._socket, self._on_readable)
 
     @classmethod
@@ -131,6 +133,11 @@
         """Whether libpq knows that the connection is down."""
         return self._closed or self._connection.status == pq.ConnStatus.BAD
 
+    @property
+    def backend(self) -> int:
+        """The id of the process that serves the connection in the database."""
+        return self._connection.backend_pid
+
     def close(self) -> None:
         """Close the socket; the database rolls back what was open."""
         if self._closed:
@@ -263,6 +270,7 @@
             self._readable = None
 
     def _on_readable(self) -> None:
+        self.heard_at = self._loop.time()
         if self._readable is not None:
             if not self._readable.done():
                 self._readable.set_result(None)
--- a/src/orchidwind/network/group_runner.py
+++ b/src/orchidwind/network/group_runner.py
@@ -29,7 +29,9 @@
 from orchidwind.core.statements import ChannelKey, Column, Outcome, StatementRequest
 from orchidwind.logs import log_event
 from orchidwind.network.backend import AnswerPort, BackendConnection, ConnectionTarget
+from orchidwind.network.backend_state import still_runs
 from orchidwind.network.observer import Observer
+from orchidwind.silence import ConnectionKind, SilentConnection, log_silent
 
 _CONNECT_SECONDS = 2.0
 _STALLED_SECONDS = 2.0
@@ -37,6 +39,8 @@
 _WANTED_SLOTS = 4
 _LIMIT_MET = "53300"
 _SHORTEST_TIMER_SECONDS = 0.0005
+# The end of an answer may be on its way while the database already rests.
+_ANSWER_ON_ITS_WAY_SECONDS = 0.25
 
 OnFinished = Callable[[Outcome], None]
 
@@ -104,6 +108,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due = float("inf")
         self._closed = False
+        self._asked_for_backends: set[str] = set()
         self.reconfigure(database)
         self._perform(self.group.tick(self._loop.time()))
 
@@ -208,6 +213,7 @@
         elif isinstance(effect, StillRunning):
             if effect.number in self._ports:
                 self._ports[effect.number][0].still_running()
+            self._spawn(self._look_at_backend(effect.connection))
         else:
             self._perform_on_connection(effect)
 
@@ -321,6 +327,45 @@
         now = self._loop.time()
         self._perform(self.group.run_finished(now, effect.connection, result))
 
+    async def _look_at_backend(self, number: int) -> None:
+        """Give a connection up whose statement the database does not run, or no more."""
+        connection = self._connections.get(number)
+        instance = self.group.instance_of(number)
+        if connection is None or instance is None or instance in self._asked_for_backends:
+            return
+        self._asked_for_backends.add(instance)
+        heard_at = connection.heard_at
+        try:
+            target = self._target(instance, observer=True)
+            if await still_runs(target, connection.backend):
+                return
+        except (BackendConnectionLost, BackendRefused, TimeoutError, OSError) as error:
+            log_event("backend_state_not_told", instance=instance, reason=repr(error))
+            return
+        finally:
+            self._asked_for_backends.discard(instance)
+        await asyncio.sleep(_ANSWER_ON_ITS_WAY_SECONDS)
+        if self._connections.get(number) is connection and connection.heard_at == heard_at:
+            self._found_silent(instance, number, connection)
+
+    def _found_silent(self, instance: str, number: int, connection: BackendConnection) -> None:
+        """Close it, and those at rest: they cost little, and a statement each if silent, too."""
+        now = self._loop.time()
+        log_silent(
+            SilentConnection(
+                ConnectionKind.INSTANCE_RUNNING,
+                instance,
+                now - connection.opened_at,
+                now - connection.heard_at,
+                1,
+                "it is closed, and so are those at rest",
+                self.database.name,
+            )
+        )
+        self._lost(number, BackendConnectionLost("the connection is silent", sent=True))
+        for idle in list(self.group.pools[instance].idle):
+            self._idle_lost(idle)
+
     async def _poll(self, effect: PollInstance) -> None:
         instance = effect.instance
         try:
--- a/src/orchidwind_standins/postgres_main.py
+++ b/src/orchidwind_standins/postgres_main.py
@@ -195,6 +195,12 @@
         while zone in (self._faults.cut_zones or ()):
             await self._healed.wait()
 
+    def activity(self) -> str:
+        """Process id and state of each session, as JSON."""
+        sessions = self._listener.sessions.items()
+        states = [(process, "active" if item.busy else "idle") for process, item in sessions]
+        return msgspec.json.encode(states).decode()
+
     def ended(self, session: SqlSession) -> None:
         """Forget a session."""
         self._sessions.discard(session)
--- a/src/orchidwind_standins/sql_session.py
+++ b/src/orchidwind_standins/sql_session.py
@@ -62,6 +62,10 @@
     def commit(self, transaction: int, changes: list[Change]) -> None:
         """Append a transaction to the log and ship it."""
 
+    @abstractmethod
+    def activity(self) -> str:
+        """Process id and state of each session, as JSON."""
+
     @abstractmethod
     def ended(self, session: SqlSession) -> None:
         """The session is over."""
@@ -402,6 +406,7 @@
             ("pg_current_wal_lsn", 0, self._current_lsn),
             ("pg_last_wal_receive_lsn", 0, lambda: format_lsn(instance.received.lsn)),
             ("pg_last_wal_replay_lsn", 0, lambda: format_lsn(instance.replayed.lsn)),
+            ("standin_activity", 0, self._server.activity),
             ("standin_timeline", 0, lambda: instance.term),
             ("standin_received_timeline", 0, lambda: instance.received.term),
             ("pg_current_xact_id", 0, self._current_transaction),
--- a/src/orchidwind_standins/sql_translation.py
+++ b/src/orchidwind_standins/sql_translation.py
@@ -18,6 +18,8 @@
 _CACHED_TRANSLATIONS = 4096
 _SYSTEM_VIEWS = {
     "pg_control_checkpoint()": "(SELECT standin_timeline() AS timeline_id)",
+    "pg_stat_activity": "(SELECT json_extract(value, '$[0]') AS pid,"
+    " json_extract(value, '$[1]') AS state FROM json_each(standin_activity()))",
     "pg_stat_wal_receiver": "(SELECT standin_received_timeline() AS received_tli)",
 }
 _CATALOG_SCHEMAS = ("pg_catalog", "public", "orchidwind")
--- a/tests/test_silent_edge.py
+++ b/tests/test_silent_edge.py
@@ -46,9 +46,12 @@
         )
 
     async def _pass(self, number, reader, writer):
-        while data := await reader.read(65536):
-            if number in self._heard:
-                writer.write(data)
+        try:
+            while data := await reader.read(65536):
+                if number in self._heard:
+                    writer.write(data)
+        except (ConnectionError, asyncio.CancelledError):
+            pass  # the test is over
         if number in self._heard:
             writer.close()
 
