--- a/src/orchidwind/network/platform_watch.py
+++ b/src/orchidwind/network/platform_watch.py
@@ -13,7 +13,9 @@
 
 _FIRST_READ_AFTER_SECONDS = 1.0
 _ROLE_CHECK_SECONDS = 0.5
-_LONGEST_WATCH_SECONDS = 60.0
+# A watch that fell silent tells of no change, so each is opened anew: a configuration is to be in
+# force everywhere within 7 s (docs/DEVELOPERS.md), and takes a second or two from the watchers on.
+LONGEST_WATCH_SECONDS = 4.0
 _SHORTEST_PAUSE_SECONDS = 0.2
 _LONGEST_PAUSE_SECONDS = 5.0
 _MACHINE_LIST_SECONDS = 30.0
@@ -27,6 +29,7 @@
         self._cluster = cluster
         self._metrics = metrics
         self._pause = _SHORTEST_PAUSE_SECONDS
+        self._read_lately = False
         self._loop = asyncio.get_running_loop()
 
     async def run(self) -> None:
@@ -52,26 +55,36 @@
 
     async def _follow(self) -> None:
         try:
-            item = await self._client.read()
-            if item is not None:
-                self._take(item)
+            if not self._read_lately:
+                await self._read()
             version = self._cluster.history.version
             self._pause = _SHORTEST_PAUSE_SECONDS
             if not self._cluster.is_watcher():
+                self._read_lately = False
                 await asyncio.sleep(_ROLE_CHECK_SECONDS)
                 return
             self._metrics.watching.set(1)
-            async with asyncio.timeout(_LONGEST_WATCH_SECONDS):
+            async with asyncio.timeout(LONGEST_WATCH_SECONDS):
                 await self._client.watch(version, self._take)
-        except (PlatformVersionGone, TimeoutError):
+        except TimeoutError:
             return
+        except PlatformVersionGone:
+            self._read_lately = False
         except PlatformError as error:
+            self._read_lately = False
             log_event("platform_unavailable", reason=error)
             await asyncio.sleep(self._pause * random.uniform(0.5, 1.5))
             self._pause = min(self._pause * 2, _LONGEST_PAUSE_SECONDS)
         finally:
             self._metrics.watching.set(0)
 
+    async def _read(self) -> None:
+        """Read the whole; watches go on from there until one fails."""
+        item = await self._client.read()
+        if item is not None:
+            self._take(item)
+            self._read_lately = True
+
     def _take(self, item: ConfigurationObject) -> None:
         self._cluster.on_platform(item.document())
 
