--- a/src/orchidwind/network/group_runner.py
+++ b/src/orchidwind/network/group_runner.py
@@ -371,9 +371,14 @@
         try:
             observer = self._observers.get(instance)
             if observer is None or observer.broken:
-                observer = await Observer.open(self._target(instance, observer=True))
+                async with asyncio.timeout(_CONNECT_SECONDS):
+                    observer = await Observer.open(self._target(instance, observer=True))
                 self._observers[instance] = observer
             status = await observer.ask()
+        except TimeoutError:
+            # The group has counted the query as overdue long ago, and asked again.
+            log_event("observer_not_opened", instance=instance, seconds=_CONNECT_SECONDS)
+            return
         except (BackendConnectionLost, BackendRefused, OSError):
             self._poll_failed(instance)
             return
