--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -34,7 +34,9 @@
 from orchidwind.managed.lead_proofs import LeadProver, StatusTask
 from orchidwind.managed.metrics import ManagedMetrics
 from orchidwind.managed.ports import InstanceConnector
+from orchidwind.managed.resting_connections import RestingConnections
 from orchidwind.managed.status_calls import StatusCall, StatusCalls
+from orchidwind.silence import ConnectionKind, SilentConnection
 
 SILENCE_SECONDS = 0.25
 _SHORTEST_LOOK_SECONDS = 0.01
@@ -81,7 +83,10 @@
         self.connections = GroupConnections(
             self.state, connector, self._suspect, self.mark_unreachable
         )
-        self._calls = StatusCalls(self.topology, self.connections, self.mark_unreachable)
+        self._calls = StatusCalls(
+            self.topology, self.connections, self.mark_unreachable, metrics.silent
+        )
+        self._resting = RestingConnections(self.connections, self._calls.close_resting)
         self.prover = LeadProver(self.topology, leases, self.ask_status)
         self._guard = CommitGuard(self.topology, self.prover, self.ask_status, last_promotion)
         self._waiters: set[asyncio.Future[None]] = set()
@@ -211,13 +216,19 @@
 
         A write that has left may still be answered.
         """
+        for connection in self._running_at(instance, older_than):
+            self.connections.links[connection].close()
+
+    def _running_at(self, instance: str, older_than: float) -> list[int]:
         connections = self.connections
         began_before = self._loop.time() - older_than
-        for connection, began in list(connections.in_exchange.items()):
-            if connection in self._writing or began > began_before:
-                continue
-            if connections.instance_of[connection] == instance:
-                connections.links[connection].close()
+        return [
+            connection
+            for connection, began in connections.in_exchange.items()
+            if connection not in self._writing
+            and began <= began_before
+            and connections.instance_of[connection] == instance
+        ]
 
     # --- waiting ------------------------------------------------------------------------------
 
@@ -304,6 +315,7 @@
     ) -> int:
         """Wait for a server connection; raises RequestError, BackendConnectionLost."""
         self._note_used()
+        self._resting.watch()
         return await self.connections.need(instance, traffic_class, deadline)
 
     def release(self, connection: int, reusable: bool) -> None:
@@ -452,22 +464,22 @@
         if now - self._checked_at.get(instance, float("-inf")) < _CHECK_AGAIN_SECONDS:
             return
         self._checked_at[instance] = now
+        self._resting.check(instance, since)
         task = self._loop.create_task(self._close_silent(instance, since))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _close_silent(self, instance: str, since: float) -> None:
-        silent = await self._calls.close_silent(instance, since)
-        if not silent:
+        if not await self._calls.close_silent(instance, since):
             return
-        log_event(
-            "connections_silent",
-            group=self.settings.name,
-            instance=instance,
-            closed=silent,
-            since=round(self._loop.time() - since, 3),
-            decision="reads that wait there go elsewhere",
-        )
+        kind = ConnectionKind.INSTANCE_RUNNING
+        for connection in self._running_at(instance, SILENCE_SECONDS):
+            opened_for, silent_for = self.connections.ages(connection)
+            decision = "its read goes elsewhere, its transaction is lost"
+            group = self.settings.name
+            self._metrics.silent(
+                SilentConnection(kind, instance, opened_for, silent_for, 1, decision, group)
+            )
         self._break_off(instance, older_than=SILENCE_SECONDS)
 
     def suspects(self) -> list[str]:
@@ -533,6 +545,7 @@
             task.cancel()
         if self._silence_timer is not None:
             self._silence_timer.cancel()
+        self._resting.close()
         self.prover.close()
         self._guard.close()
         self.connections.close()
--- a/src/orchidwind/managed/peer_link.py
+++ b/src/orchidwind/managed/peer_link.py
@@ -21,6 +21,7 @@
 )
 from orchidwind.logs import log_event
 from orchidwind.managed.ports import PeerConnection, PeerConnector
+from orchidwind.silence import ConnectionKind, OnSilent, SilentConnection, log_silent
 
 CONNECT_SECONDS = 0.4
 PROBE_AFTER_SECONDS = 0.15
@@ -46,8 +47,15 @@
     each pause would end with requests that wait for an attempt to connect.
     """
 
-    def __init__(self, own: str, member: ProxyMember, connector: PeerConnector) -> None:
+    def __init__(
+        self,
+        own: str,
+        member: ProxyMember,
+        connector: PeerConnector,
+        on_silent: OnSilent = log_silent,
+    ) -> None:
         self.member = member
+        self._on_silent = on_silent
         self.leaving = False
         self.lost_since: float | None = None
         self._own = own
@@ -59,7 +67,7 @@
         self._numbers = count(1)
         self._heard_at = 0.0
         self._opened_at = 0.0
-        self._used_at = 0.0
+        self._used_at = float("-inf")
         # Since when the other side owes an answer and has said nothing; None: it owes none. Also an
         # answer that nobody waits for any more is owed.
         self._owed_since: float | None = None
@@ -90,20 +98,30 @@
         assert isinstance(answer, LockReport)
         return answer
 
-    async def ask_view(self, view: str, revision: int, whole: bool) -> ViewReport:
-        """Ask what is later than a revision in a view; raises PeerUnavailable."""
-        answer = await self._ask(ViewQuery(self.next_number(), view, revision, whole))
+    async def ask_view(
+        self, view: str, revision: int, whole: bool, seldom: bool = False
+    ) -> ViewReport:
+        """Ask what is later than a revision in a view; raises PeerUnavailable.
+
+        `seldom`: another reader is asked as well in time, so for this query the link is not probed
+        at rest.
+        """
+        query = ViewQuery(self.next_number(), view, revision, whole)
+        answer = await self._ask(query, in_use=not seldom)
         assert isinstance(answer, ViewReport)
         return answer
 
-    async def _ask(self, message: RunCommand | LockQuery | ViewQuery) -> Answer:
+    async def _ask(
+        self, message: RunCommand | LockQuery | ViewQuery, in_use: bool = True
+    ) -> Answer:
         connection = await self._open()
         answered: asyncio.Future[Answer] = self._loop.create_future()
-        self._used_at = self._loop.time()
         self._pending[message.number] = answered
         connection.send(message)
         self._expect_answer()
-        self._watch_rest()
+        if in_use:
+            self._used_at = self._loop.time()
+            self._watch_rest()
         try:
             return await answered
         finally:
@@ -229,6 +247,7 @@
     def _expect_greeting(self) -> None:
         self._reopening = None
         if self._down and self._connection is not None:
+            self._found_silent(self._loop.time() - self._opened_at)
             self._lost("silent")
 
     # --- silence ------------------------------------------------------------------------------
@@ -248,20 +267,22 @@
         # A long answer that is arriving is a sign of life before it is whole.
         silent = self._loop.time() - max(self._owed_since, self._connection.heard_at)
         if silent > SILENT_SECONDS:
-            log_event(
-                "link_silent",
-                home=self.member.name,
-                seconds=round(silent, 3),
-                open_for=round(self._loop.time() - self._opened_at, 3),
-                owed=len(self._pending),
-                decision="open it anew",
-            )
+            self._found_silent(silent)
             self._lost("silent")
             return
         if silent > PROBE_AFTER_SECONDS:
             self._connection.send(Probe())
         self._watching = self._loop.call_later(_LOOK_SECONDS, self._look)
 
+    def _found_silent(self, seconds: float) -> None:
+        opened_for = self._loop.time() - self._opened_at
+        owed = len(self._pending)
+        decision = "its commands are told, it is opened anew" if owed else "it is opened anew"
+        kind = ConnectionKind.PEER_LINK
+        self._on_silent(
+            SilentConnection(kind, self.member.name, opened_for, seconds, owed, decision)
+        )
+
     def _watch_rest(self) -> None:
         if self._resting is None:
             self._resting = self._loop.call_later(REST_PROBE_SECONDS, self._look_at_rest)
--- a/src/orchidwind/network/backend.py
+++ b/src/orchidwind/network/backend.py
@@ -23,6 +23,12 @@
     RequestError,
 )
 from orchidwind.core.statements import Column, Description, RunResult, Statement
+from orchidwind.network.sockets import (
+    KEEPALIVE_IDLE_SECONDS,
+    KEEPALIVE_INTERVAL_SECONDS,
+    KEEPALIVE_PROBES,
+    USER_TIMEOUT_MILLISECONDS,
+)
 from orchidwind.postgres.wire import codec
 
 _ROWS_A_CHUNK = 256
@@ -83,6 +89,11 @@
             "sslmode": "disable",
             "gssencmode": "disable",
             "client_encoding": "UTF8",
+            "keepalives": "1",
+            "keepalives_idle": str(KEEPALIVE_IDLE_SECONDS),
+            "keepalives_interval": str(KEEPALIVE_INTERVAL_SECONDS),
+            "keepalives_count": str(KEEPALIVE_PROBES),
+            "tcp_user_timeout": str(USER_TIMEOUT_MILLISECONDS),
         }
         return " ".join(f"{name}='{_escape(value)}'" for name, value in fields.items()).encode()
 
@@ -101,6 +112,8 @@
         self._socket = connection.socket
         self._readable: asyncio.Future[None] | None = None
         self._closed = False
+        # When the socket was last readable, and opened; steady clock, seconds.
+        self.opened_at = self.heard_at = self._loop.time()
         self._loop.add_reader(self._socket, self._on_readable)
 
     @classmethod
@@ -120,6 +133,11 @@
         """Whether libpq knows that the connection is down."""
         return self._closed or self._connection.status == pq.ConnStatus.BAD
 
+    @property
+    def backend(self) -> int:
+        """The id of the process that serves the connection in the database."""
+        return self._connection.backend_pid
+
     def close(self) -> None:
         """Close the socket; the database rolls back what was open."""
         if self._closed:
@@ -252,6 +270,7 @@
             self._readable = None
 
     def _on_readable(self) -> None:
+        self.heard_at = self._loop.time()
         if self._readable is not None:
             if not self._readable.done():
                 self._readable.set_result(None)
