--- a/src/orchidwind_bench/managed/fleet.py
+++ b/src/orchidwind_bench/managed/fleet.py
@@ -22,11 +22,12 @@
     Reply,
 )
 from orchidwind.core.managed.configuration import DirectoryEntry, ReadConsistency
-from orchidwind.core.managed.failover import PromotionAnswer
+from orchidwind.core.managed.failover_steps import PromotionAnswer
 from orchidwind.managed.node import ManagedNode
 from orchidwind.managed.ports import NodePorts
 from orchidwind_bench.managed.callers import ManagedSystem, SimulatedCaller, Tally, check_told
-from orchidwind_bench.managed.instances import SimulatedConnector, SimulatedGroup, SimulatedLink
+from orchidwind_bench.managed.connections import SimulatedConnector, SimulatedLink
+from orchidwind_bench.managed.groups import SimulatedGroup
 from orchidwind_bench.managed.store import (
     STORE_SECONDS,
     SimulatedStore,
