--- a/src/orchidwind/commands/explain.py
+++ b/src/orchidwind/commands/explain.py
@@ -16,6 +16,19 @@
 # as a transaction may rest, 30 s by default.
 _LONGEST_REST = timedelta(seconds=30)
 _FOUND_AT_REST = "instance_resting"
+# A change of primary takes about a second; its lines come from the proxy that made it.
+_CHANGE = timedelta(seconds=3)
+_CHANGES = frozenset(
+    (
+        "failover_choice",
+        "failover_ended",
+        "failover_started",
+        "failover_step",
+        "promotion_lock",
+        "promotion_not_recorded",
+        "promotion_sent",
+    )
+)
 _BELIEFS = frozenset(
     (
         "configuration_in_force",
@@ -113,6 +126,9 @@
     Raises RequestNotFound.
     """
     own = [line for line in lines if line.fields.get("request_id") == request_id]
+    change = _change_after(lines, request_id)
+    if not own and change:
+        return change
     if not own:
         raise RequestNotFound(f"no line names the request {request_id}")
     told: list[str] = []
@@ -123,4 +139,24 @@
             if _bears_on(other, line) and _since(other, line) <= other.at <= line.at
         )
         told.append(f"request: {line.text}")
-    return told
+    return told + change
+
+
+def _change_after(lines: list[LogLine], request_id: str) -> list[str]:
+    """The change of primary that followed a commit, as all proxies tell it."""
+    told = [
+        line
+        for line in lines
+        if line.event == "commits_told" and f"{request_id}@" in line.fields.get("commits", "")
+    ]
+    story: list[str] = []
+    for line in told:
+        story.append(f"told before a change of primary: {line.text}")
+        story.extend(
+            f"  change: {other.text}"
+            for other in lines
+            if other.event in _CHANGES
+            and other.fields.get("group", "") in ("", line.fields.get("group", ""))
+            and abs(other.at - line.at) <= _CHANGE
+        )
+    return story
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -45,6 +46,8 @@
 _SUPERVISED_AFTER_USE_SECONDS = 5.0
 # Commits that were held back for longer are logged: a proof by a replica takes some milliseconds.
 _HELD_LOGGED_SECONDS = 0.1
+# Some 3 s of a busy group's commits at one proxy: what a change of primary could leave out.
+_TOLD_COMMITS_KEPT = 64
 # What a proxy takes that is no home, while no home can be reached.
 _CONNECTIONS_WITHOUT_HOME = 1
 # A lead that could not be proven for so long is not proven here soon: reading the lock takes some
@@ -102,6 +105,7 @@
         self._proving = CircuitBreaker("lead proven", NOT_PROVEN_SECONDS)
         self._committing = CircuitBreaker("commit confirmed", NOT_CONFIRMING_SECONDS)
         self._told_open: set[str] = set()
+        self._told_commits: deque[tuple[str, Position]] = deque(maxlen=_TOLD_COMMITS_KEPT)
 
     @property
     def supervised(self) -> bool:
@@ -189,6 +193,8 @@
         if before != after:
             self._succeeded(self._proving)
             self._succeeded(self._committing)
+            if after is not None:
+                self._log_told_commits(after.term)
             log_event(
                 "primary_changed",
                 group=self.settings.name,
@@ -380,8 +386,7 @@
         """Return when a commit may be told; raises BackendConnectionLost where it is left out."""
         position = reply.position or Position(self.topology.primary_term(instance), 0)
         if self._guard.leased(instance):
-            self._leases.note_told(self.settings.name, position)
-            self._succeeded(self._proving)
+            self._note_told(asked.request_id, position)
             return
         held_at = self._loop.time()
         outcome = "out_of_time"
@@ -404,9 +409,25 @@
                 )
         if outcome != "told":
             raise BackendConnectionLost("a change of primary has left the commit out", sent=True)
+        self._note_told(asked.request_id, position)
+
+    def _note_told(self, request_id: str, position: Position) -> None:
         self._leases.note_told(self.settings.name, position)
+        self._told_commits.append((request_id, position))
         self._succeeded(self._proving)
 
+    def _log_told_commits(self, term: int) -> None:
+        """Name the last commits before a new primary: whether one was lost can be traced by it."""
+        told, self._told_commits = self._told_commits, deque(maxlen=_TOLD_COMMITS_KEPT)
+        older = [(name, end) for name, end in told if end.term < term]
+        if older:
+            log_event(
+                "commits_told",
+                group=self.settings.name,
+                before_term=term,
+                commits=" ".join(f"{name}@{end.term}.{end.lsn}" for name, end in older),
+            )
+
     def _count_attempt(
         self, instance: str, asked: InstanceMessage, reply: Reply, latest: bool, writes: bool
     ) -> None:
--- a/tests/test_logs_and_explain.py
+++ b/tests/test_logs_and_explain.py
@@ -72,6 +72,28 @@
         story(read_logs([path]), "a2")
 
 
+def test_a_commit_is_followed_from_its_id_to_the_change_of_primary_after_it(tmp_path):
+    at = "2026-01-02 03:04:0{}.000000+00:00"
+    lines = [
+        ("failover_choice node=p-2 group=g chosen=i-1", 4),
+        ("failover_choice node=p-2 group=h chosen=i-9", 4),
+        ('commits_told node=p-1 group=g before_term=3 commits="a1@2.7 b2@2.8"', 5),
+        ("promotion_sent node=p-2 group=g instance=i-1", 9),
+    ]
+    path = tmp_path / "proxies.log"
+    path.write_text(
+        "".join(f'level=INFO event={text} at="{at.format(second)}"\n' for text, second in lines)
+    )
+    told = story(read_logs([path]), "b2")
+    assert [line.split("event=")[1].split()[0] for line in told] == [
+        "commits_told",
+        "failover_choice",
+    ]
+    assert "group=g" in told[1]
+    with pytest.raises(RequestNotFound):
+        story(read_logs([path]), "c3")
+
+
 def test_platform_settings_are_checked_with_file_key_and_reason(tmp_path):
     path = tmp_path / "local.json"
     path.write_text('{"node_name": 3}')
