--- a/src/orchidwind_standins/platform/line_instance.py
+++ b/src/orchidwind_standins/platform/line_instance.py
@@ -39,6 +39,8 @@
     ran: list[tuple[str, str]] = field(default_factory=list)
     streams: set[IOStream] = field(default_factory=set)
     silent: bool = False
+    # Connections that have fallen silent for good: what comes is taken, not run and not answered.
+    swallowed: set[IOStream] = field(default_factory=set)
     answer_with: str = ""
     maximum_connections: int = 34
 
@@ -60,6 +62,10 @@
         self.things = dict(leader.things)
         self.log = list(leader.log)
 
+    def silence_open(self) -> None:
+        """All open connections fall silent for good; new ones work."""
+        self.swallowed |= self.streams
+
     def status_row(self) -> str:
         """Role, term, position, term held, lag, busy, connections."""
         busy, connections = 0, len(self.streams)
@@ -152,6 +158,8 @@
             session = _Session()
             while True:
                 line = (await stream.read_until(b"\r\n"))[:-2].decode("latin-1")
+                if stream in instance.swallowed:
+                    continue
                 if line == "TERMINATE":
                     break
                 answer = self._answer(session, line)
@@ -162,6 +170,7 @@
             return
         finally:
             instance.streams.discard(stream)
+            instance.swallowed.discard(stream)
             stream.close()
 
     async def _start(self, stream: IOStream) -> bool:
