--- a/src/orchidwind/commands/explain.py
+++ b/src/orchidwind/commands/explain.py
@@ -12,18 +12,40 @@
 
 _FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
 _BEFORE = timedelta(seconds=3)
+# A transaction whose connection fell silent at rest is told lost when its caller returns: as late
+# as a transaction may rest, 30 s by default.
+_LONGEST_REST = timedelta(seconds=30)
+_FOUND_AT_REST = "instance_resting"
+# A change of primary takes about a second; its lines come from the proxy that made it.
+_CHANGE = timedelta(seconds=3)
+_CHANGES = frozenset(
+    (
+        "failover_choice",
+        "failover_ended",
+        "failover_started",
+        "failover_step",
+        "promotion_lock",
+        "promotion_not_recorded",
+        "promotion_sent",
+    )
+)
 _BELIEFS = frozenset(
     (
         "configuration_in_force",
+        "connection_silent",
         "drain_started",
         "failover_ended",
         "failover_started",
         "failover_step",
+        "home_connected",
+        "home_lost",
         "instance_gone",
         "instance_listed",
         "instance_unreachable",
+        "peer_link_replaced",
         "primary_changed",
         "promotion_sent",
+        "silence_not_told",
         "started",
         "view_current_again",
         "view_told",
@@ -71,9 +93,28 @@
     return sorted(found, key=lambda line: line.at)
 
 
+def _nodes(request: LogLine) -> set[str]:
+    """The request's own proxy, and the homes that its attempts name."""
+    homes = re.findall(r"(\S+?):home(?:_lost)?:", request.fields.get("attempts", ""))
+    return {request.node, *homes}
+
+
+def _since(other: LogLine, request: LogLine) -> datetime:
+    """From when on a line counts."""
+    milliseconds = int(request.fields.get("milliseconds", "0"))
+    at_rest = other.fields.get("connection") == _FOUND_AT_REST
+    before = _LONGEST_REST if at_rest else _BEFORE
+    return request.at - timedelta(milliseconds=milliseconds) - before
+
+
 def _bears_on(other: LogLine, request: LogLine) -> bool:
-    """Whether a line tells what the request's proxy believed of itself or of its group."""
-    if other.event not in _BELIEFS or other.node != request.node:
+    """Whether a line tells what the request's proxy, or its home, believed of itself or its group.
+
+    Of a home only what it found silent: the rest is as the home's own log tells it.
+    """
+    if other.event not in _BELIEFS or other.node not in _nodes(request):
+        return False
+    if other.node != request.node and other.event != "connection_silent":
         return False
     group = request.fields.get("group", "")
     return group == "" or other.fields.get("group", "") in ("", group)
@@ -85,16 +126,37 @@
     Raises RequestNotFound.
     """
     own = [line for line in lines if line.fields.get("request_id") == request_id]
+    change = _change_after(lines, request_id)
+    if not own and change:
+        return change
     if not own:
         raise RequestNotFound(f"no line names the request {request_id}")
     told: list[str] = []
     for line in own:
-        milliseconds = int(line.fields.get("milliseconds", "0"))
-        since = line.at - timedelta(milliseconds=milliseconds) - _BEFORE
         told.extend(
             f"  before: {other.text}"
             for other in lines
-            if _bears_on(other, line) and since <= other.at <= line.at
+            if _bears_on(other, line) and _since(other, line) <= other.at <= line.at
         )
         told.append(f"request: {line.text}")
-    return told
+    return told + change
+
+
+def _change_after(lines: list[LogLine], request_id: str) -> list[str]:
+    """The change of primary that followed a commit, as all proxies tell it."""
+    told = [
+        line
+        for line in lines
+        if line.event == "commits_told" and f"{request_id}@" in line.fields.get("commits", "")
+    ]
+    story: list[str] = []
+    for line in told:
+        story.append(f"told before a change of primary: {line.text}")
+        story.extend(
+            f"  change: {other.text}"
+            for other in lines
+            if other.event in _CHANGES
+            and other.fields.get("group", "") in ("", line.fields.get("group", ""))
+            and abs(other.at - line.at) <= _CHANGE
+        )
+    return story
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -34,7 +35,9 @@
 from orchidwind.managed.lead_proofs import LeadProver, StatusTask
 from orchidwind.managed.metrics import ManagedMetrics
 from orchidwind.managed.ports import InstanceConnector
+from orchidwind.managed.resting_connections import RestingConnections
 from orchidwind.managed.status_calls import StatusCall, StatusCalls
+from orchidwind.silence import ConnectionKind, SilentConnection
 
 SILENCE_SECONDS = 0.25
 _SHORTEST_LOOK_SECONDS = 0.01
@@ -43,6 +46,8 @@
 _SUPERVISED_AFTER_USE_SECONDS = 5.0
 # Commits that were held back for longer are logged: a proof by a replica takes some milliseconds.
 _HELD_LOGGED_SECONDS = 0.1
+# Some 3 s of a busy group's commits at one proxy: what a change of primary could leave out.
+_TOLD_COMMITS_KEPT = 64
 # What a proxy takes that is no home, while no home can be reached.
 _CONNECTIONS_WITHOUT_HOME = 1
 # A lead that could not be proven for so long is not proven here soon: reading the lock takes some
@@ -81,7 +86,10 @@
         self.connections = GroupConnections(
             self.state, connector, self._suspect, self.mark_unreachable
         )
-        self._calls = StatusCalls(self.topology, self.connections, self.mark_unreachable)
+        self._calls = StatusCalls(
+            self.topology, self.connections, self.mark_unreachable, metrics.silent
+        )
+        self._resting = RestingConnections(self.connections, self._calls.close_resting)
         self.prover = LeadProver(self.topology, leases, self.ask_status)
         self._guard = CommitGuard(self.topology, self.prover, self.ask_status, last_promotion)
         self._waiters: set[asyncio.Future[None]] = set()
@@ -97,6 +105,7 @@
         self._proving = CircuitBreaker("lead proven", NOT_PROVEN_SECONDS)
         self._committing = CircuitBreaker("commit confirmed", NOT_CONFIRMING_SECONDS)
         self._told_open: set[str] = set()
+        self._told_commits: deque[tuple[str, Position]] = deque(maxlen=_TOLD_COMMITS_KEPT)
 
     @property
     def supervised(self) -> bool:
@@ -184,6 +193,8 @@
         if before != after:
             self._succeeded(self._proving)
             self._succeeded(self._committing)
+            if after is not None:
+                self._log_told_commits(after.term)
             log_event(
                 "primary_changed",
                 group=self.settings.name,
@@ -211,13 +222,19 @@
 
         A write that has left may still be answered.
         """
+        for connection in self._running_at(instance, older_than):
+            self.connections.links[connection].close()
+
+    def _running_at(self, instance: str, older_than: float) -> list[int]:
         connections = self.connections
         began_before = self._loop.time() - older_than
-        for connection, began in list(connections.in_exchange.items()):
-            if connection in self._writing or began > began_before:
-                continue
-            if connections.instance_of[connection] == instance:
-                connections.links[connection].close()
+        return [
+            connection
+            for connection, began in connections.in_exchange.items()
+            if connection not in self._writing
+            and began <= began_before
+            and connections.instance_of[connection] == instance
+        ]
 
     # --- waiting ------------------------------------------------------------------------------
 
@@ -304,6 +321,7 @@
     ) -> int:
         """Wait for a server connection; raises RequestError, BackendConnectionLost."""
         self._note_used()
+        self._resting.watch()
         return await self.connections.need(instance, traffic_class, deadline)
 
     def release(self, connection: int, reusable: bool) -> None:
@@ -368,8 +386,7 @@
         """Return when a commit may be told; raises BackendConnectionLost where it is left out."""
         position = reply.position or Position(self.topology.primary_term(instance), 0)
         if self._guard.leased(instance):
-            self._leases.note_told(self.settings.name, position)
-            self._succeeded(self._proving)
+            self._note_told(asked.request_id, position)
             return
         held_at = self._loop.time()
         outcome = "out_of_time"
@@ -392,9 +409,25 @@
                 )
         if outcome != "told":
             raise BackendConnectionLost("a change of primary has left the commit out", sent=True)
+        self._note_told(asked.request_id, position)
+
+    def _note_told(self, request_id: str, position: Position) -> None:
         self._leases.note_told(self.settings.name, position)
+        self._told_commits.append((request_id, position))
         self._succeeded(self._proving)
 
+    def _log_told_commits(self, term: int) -> None:
+        """Name the last commits before a new primary: whether one was lost can be traced by it."""
+        told, self._told_commits = self._told_commits, deque(maxlen=_TOLD_COMMITS_KEPT)
+        older = [(name, end) for name, end in told if end.term < term]
+        if older:
+            log_event(
+                "commits_told",
+                group=self.settings.name,
+                before_term=term,
+                commits=" ".join(f"{name}@{end.term}.{end.lsn}" for name, end in older),
+            )
+
     def _count_attempt(
         self, instance: str, asked: InstanceMessage, reply: Reply, latest: bool, writes: bool
     ) -> None:
@@ -452,22 +485,22 @@
         if now - self._checked_at.get(instance, float("-inf")) < _CHECK_AGAIN_SECONDS:
             return
         self._checked_at[instance] = now
+        self._resting.check(instance, since)
         task = self._loop.create_task(self._close_silent(instance, since))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _close_silent(self, instance: str, since: float) -> None:
-        silent = await self._calls.close_silent(instance, since)
-        if not silent:
+        if not await self._calls.close_silent(instance, since):
             return
-        log_event(
-            "connections_silent",
-            group=self.settings.name,
-            instance=instance,
-            closed=silent,
-            since=round(self._loop.time() - since, 3),
-            decision="reads that wait there go elsewhere",
-        )
+        kind = ConnectionKind.INSTANCE_RUNNING
+        for connection in self._running_at(instance, SILENCE_SECONDS):
+            opened_for, silent_for = self.connections.ages(connection)
+            decision = "its read goes elsewhere, its transaction is lost"
+            group = self.settings.name
+            self._metrics.silent(
+                SilentConnection(kind, instance, opened_for, silent_for, 1, decision, group)
+            )
         self._break_off(instance, older_than=SILENCE_SECONDS)
 
     def suspects(self) -> list[str]:
@@ -533,6 +566,7 @@
             task.cancel()
         if self._silence_timer is not None:
             self._silence_timer.cancel()
+        self._resting.close()
         self.prover.close()
         self._guard.close()
         self.connections.close()
