--- a/src/orchidwind_bench/exploration/proxy.py
+++ b/src/orchidwind_bench/exploration/proxy.py
@@ -187,6 +187,7 @@
             self.topology.roster_told(self._roster.members, now)
 
     def _take_lock_record(self, record: LockRecord) -> None:
+        self._observer.saw(self.now(), record.revision)
         if record.revision <= self._lock_revision:
             return
         self._lock_revision = record.revision
