--- a/src/orchidwind/core/managed/failover.py
+++ b/src/orchidwind/core/managed/failover.py
@@ -5,25 +5,26 @@
 acknowledges it:
 
 1. Only the holder of the promotion lock goes on, under a token that rises with each holder. Nobody,
-   not even a process started anew under the holder's name, takes the lock over while a promotion
-   that was called under it may still take effect.
+   not even a process started anew under the holder's name, takes the lock over for the time in
+   which a promotion that was called under it takes effect; one that is late then is met by 6.
 2. A primary that answers, and of which no successor can lead out of sight, is demoted: it takes no
    more commits. Any log that has as much as its own has every acknowledged commit; who had
    confirmed does not matter. If there is none, it can lead again itself.
 3. The other members are fenced with a term above every known one: they receive nothing more from
    an old primary that does not answer.
 4. Lead leases are waited out, or confirmed to be dropped (`lead_lease`). From then on no proxy
-   tells a commit as acknowledged unless a listed replica that is not fenced holds it. So what an
-   instance confirms that is not counted here (it joined, lost its fence in a restart, was freed
-   by a late call) is told to nobody.
+   tells a commit as acknowledged unless a listed replica holds it and all listed ones answer that
+   they are not fenced. So what an instance confirms that is not counted here (it joined, lost its
+   fence in a restart, was freed by a late call) is told to nobody who sees one of the fences.
 5. Without a demoted primary's log the fenced ones are counted. An acknowledged commit is on its
    primary and `s` others, so of all members but `s` at least one has it, and the longest log
    leads. That holds only if all who confirmed are members: they are read anew now, when nothing
    more is acknowledged, and after the time in which one that has begun to confirm is listed. A
    log counts only from where the newest term began: commits of the terms before are in that
    term's primary, and in those that have caught up with it.
-6. The promotion is written down in the store, with the end of the chosen log. A restart drops a
-   fence, so all fences are asked for again, right before the call.
+6. The promotion is written down in the store, with the end of the chosen log; until the chosen
+   instance has answered otherwise or is gone, no other counts as primary. A restart drops a fence,
+   so all fences are asked for again, right before the call.
 7. The promotion is sent while the lock is surely held, and settled by asking the instance.
 8. Then the old primary is demoted by whoever reaches it. The other replicas are freed when it is
    known to be no primary, or when they follow the new one.
@@ -82,6 +83,9 @@
 _ATTEMPTS_FOR_ANOTHER = 3
 # With 0.12 s each, where an instance is dark, and 1.1 s for leases, the lock is not yet lost.
 _SELECT_ATTEMPTS = 12
+# A log that is shorter than what proxies may have told is not taken before so many attempts, 0.05
+# to 0.12 s: an instance that holds the rest may be listed late.
+_ATTEMPTS_FOR_TOLD = 2
 # Members are read anew each 0.2 s while no candidate is found: one may have joined meanwhile.
 _READ_AGAIN_ATTEMPTS = 4
 
@@ -209,7 +213,7 @@
     plan: FailoverPlan
     demoted: InstanceStatus | None
     fence_term: int
-    told: ChoiceReport | None = None
+    reported: ChoiceReport | None = None
     sent: bool = False
 
     @property
@@ -287,16 +291,23 @@
     """The next primary, None where no log is known to be whole; tells on what that rests."""
     plan, demoted, fence_term = selection.plan, selection.demoted, selection.fence_term
     candidate = choose_candidate(plan, fenced, demoted, fence_term)
+    if candidate is not None and demoted is None and attempt < _ATTEMPTS_FOR_TOLD:
+        candidate = candidate if _has_all_told(plan, candidate) else None
     if candidate is None and attempt >= _ATTEMPTS_FOR_ANOTHER:
         # No other log is known to be whole, but the demoted primary's own is.
         candidate = demoted
     report = report_choice(plan, fenced, demoted, fence_term, candidate)
-    if report != selection.told:
-        selection.told = report
+    if report != selection.reported:
+        selection.reported = report
         yield ReportChoice(report)
     return candidate
 
 
+def _has_all_told(plan: FailoverPlan, candidate: InstanceStatus) -> bool:
+    """Whether a log has all that was told, or nobody knows how far that goes."""
+    return plan.told is None or holds(candidate.received, plan.told.end)
+
+
 def _read_members(
     plan: FailoverPlan,
 ) -> Generator[FailoverStep, FailoverStepResult, FailoverPlan]:
@@ -383,18 +394,24 @@
 ) -> bool:
     """Whether a replica that is freed can follow no primary older than the leader.
 
-    One that has not moved to the leader's term might, unless the only primary between is known to
-    lead no more.
+    One that has not moved to the leader's term might, unless all members answer, or the only
+    primary between is known to lead no more, or has left. Without that a change that lost its lock
+    would leave replicas that follow nobody, and no commit could be proven by them.
     """
     last = plan.last_promotion
-    if replica.term >= leader.term:
+    leading = [item for item in statuses.values() if item.role is InstanceRole.PRIMARY]
+    if replica.term >= leader.term or (leading == [leader] and set(plan.members) <= set(statuses)):
         return True
     if last is None or (last.term > leader.term and last.instance != leader.instance):
         return False
     if replica.term < min(last.term, leader.term) - 1:
         return False
+    if last.replaced == leader.instance:
+        return True
     replaced = statuses.get(last.replaced)
-    return replaced is not None and replaced.role is InstanceRole.REPLICA
+    if replaced is None:
+        return last.replaced not in plan.members or last.replaced in plan.unlisted
+    return replaced.role is InstanceRole.REPLICA
 
 
 def _demote_leader(
--- a/src/orchidwind/core/managed/failover_steps.py
+++ b/src/orchidwind/core/managed/failover_steps.py
@@ -35,8 +35,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ToldCommits:
-    """Up to where commits of a group may have been told by any proxy, none of which tells more.
+    """Up to where commits of a group may have been told by the proxies that hold lead leases.
 
+    Others tell only what a listed replica holds that nobody has fenced.
     `end` is an end of the primary's log at such a time, so it may lie beyond what was told.
     `known_since`: below this revision of the promotion lock a proxy may have told more, and ended.
     """
--- a/src/orchidwind/core/managed/supervision.py
+++ b/src/orchidwind/core/managed/supervision.py
@@ -9,7 +9,6 @@
     FailoverPlan,
     FailoverReason,
 )
-from orchidwind.core.managed.roster import PromotionRecord
 from orchidwind.core.managed.topology import GroupTopology
 
 ASK_AGAIN_SECONDS = 0.15
@@ -181,18 +180,14 @@
         if now < self._start_at:
             return None
         self._start_at = None
-        return self.plan(reason, members_known)
+        return self.plan(now, reason, members_known)
 
-    def plan(
-        self,
-        reason: FailoverReason,
-        members_known: bool,
-        last_promotion: PromotionRecord | None = None,
-    ) -> FailoverPlan:
+    def plan(self, now: float, reason: FailoverReason, members_known: bool) -> FailoverPlan:
         """A change of primary, by what is known now."""
         views = self._topology.instances
         heirs = self._topology.heirs()
         leader = self._known_leader()
+        last_promotion = self._topology.last_promotion
         if last_promotion is not None:
             promoted = heirs.get(last_promotion.instance, last_promotion.instance)
             last_promotion = replace(last_promotion, instance=promoted)
@@ -208,7 +203,7 @@
             synchronous_replicas=self._topology.settings.synchronous_replicas,
             members_known=members_known,
             led_term=self._topology.newest_led_term,
-            absent=tuple(sorted(self._topology.absent())),
+            absent=tuple(sorted(self._topology.absent(now))),
             unlisted=frozenset(name for name, view in views.items() if not view.listed),
             last_promotion=last_promotion,
         )
--- a/src/orchidwind/core/managed/topology.py
+++ b/src/orchidwind/core/managed/topology.py
@@ -20,6 +20,7 @@
     ManagedGroupSettings,
     ReadConsistency,
 )
+from orchidwind.core.managed.roster import PromotionRecord
 from orchidwind.core.positions import Position
 
 _SAMPLE_SPACING_SECONDS = 0.1
@@ -123,6 +124,8 @@
         self._departed: dict[str, float] = {}
         self._forgotten: set[str] = set()
         self._samples: deque[_Sample] = deque(maxlen=_SAMPLES_KEPT)
+        self.last_promotion: PromotionRecord | None = None
+        self._promotion_told_at = float("-inf")
         self._led_term = 0
         # The present term began after this time; nothing is known where this proxy did not see the
         # term before.
@@ -165,16 +168,39 @@
         ]
         for name in old:
             del self.instances[name]
-        departed = [name for name, at in self._departed.items() if self._outlived(at, now)]
+        # Of these nothing but their names is known here, so that nothing could show more.
+        departed = [name for name, at in self._departed.items() if now - at > MAY_CONFIRM_SECONDS]
         for name in departed:
             del self._departed[name]
         self._forgotten.update(old, departed)
         return old
 
+    def promotion_told(self, record: PromotionRecord | None, now: float) -> None:
+        """The roster names the last promotion."""
+        if record != self.last_promotion:
+            self.last_promotion = record
+            self._promotion_told_at = now
+
+    def superseded(self, instance: str, term: int) -> bool:
+        """Whether another instance was promoted since a term, and may lead out of sight.
+
+        Guards against a proxy on the side of an old primary: what it reaches knows of no later
+        term. An instance that has answered since, in a lower term, does not lead.
+        """
+        last = self.last_promotion
+        if last is None or last.term <= term or last.instance == instance:
+            return False
+        view = self.instances.get(last.instance)
+        if view is None or not view.listed:
+            return False
+        status = view.status
+        answered = status is not None and status.asked_at >= self._promotion_told_at
+        return not (answered and status is not None and status.term < last.term)
+
     def to_forget(self, now: float) -> bool:
         """Whether an instance left so long ago that only the others' logs speak against it."""
         gone = [view.gone_at for view in self.instances.values() if not view.listed]
-        return any(now - at > MAY_CONFIRM_SECONDS for at in (*gone, *self._departed.values()))
+        return any(now - at > MAY_CONFIRM_SECONDS for at in gone)
 
     def _outlived(self, gone_at: float, now: float) -> bool:
         """Whether what an instance may have confirmed alone is held by others.
@@ -225,9 +251,7 @@
         that proxies that know different things do not undo each other's changes.
         """
         listed = {name for name, view in self.instances.items() if view.listed}
-        # A later term began with every commit that these had confirmed.
-        outlived = {*self.absent(), *self.heirs()}
-        return tuple(sorted(set(held) - self._forgotten - outlived | listed))
+        return tuple(sorted(set(held) - self._forgotten - self.heirs().keys() | listed))
 
     # --- what instances tell ------------------------------------------------------------------
 
@@ -372,11 +396,20 @@
             if view.listed and view.status is not None and view.status.fence_term > term
         ]
 
-    def absent(self) -> list[str]:
-        """Instances that `may_confirm` leaves out, though they left not long ago."""
-        views, heirs = self.instances.items(), self.heirs()
-        unheard = [name for name, view in views if not self._may_have_confirmed(view)]
-        return [name for name in unheard if name not in heirs]
+    def absent(self, now: float) -> list[str]:
+        """Instances that `may_confirm` leaves out, though they left not long ago.
+
+        After that long they are taken as gone: else a group that lost several instances for good
+        would never have a primary again.
+        """
+        heirs = self.heirs()
+        return [
+            name
+            for name, view in self.instances.items()
+            if not self._may_have_confirmed(view)
+            and now - view.gone_at <= MAY_CONFIRM_SECONDS
+            and name not in heirs
+        ]
 
     def how_known(self, now: float) -> dict[str, str]:
         """By what each instance that may hold commits is known, and how old that knowledge is.
--- a/src/orchidwind/managed/commit_guard.py
+++ b/src/orchidwind/managed/commit_guard.py
@@ -6,11 +6,14 @@
 
 - the lead lease covers this moment: whoever changes a primary waits for its end, and reads
   afterwards who may have confirmed; or
-- a replica that the directory lists, and that is not about to leave, holds the commit, and no
-  replica that answers is fenced or knows of a later term: whoever fences it afterwards finds the
-  commit there; or
+- a replica that the directory lists, and that is not about to leave, holds the commit, and all
+  listed ones answer that they are neither fenced nor know of a later term (under the lead lease
+  those that answer): whoever fences them afterwards finds the commit there; or
 - the change is over, and the new primary's log began with the commit in it.
 
+None of them holds where the roster names a promotion to a later term that may have taken effect
+out of this proxy's sight.
+
 Without the guard a scripted day in which an instance joins loses 15 to 22 acknowledged commits
 (`tests/test_lost_commits.py`).
 """
@@ -19,10 +22,10 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from orchidwind.core.managed.commands import InstanceRole, InstanceStatus
 from orchidwind.core.managed.failover_choice import holds
-from orchidwind.core.managed.roster import PromotionRecord
 from orchidwind.core.managed.topology import GroupTopology
 from orchidwind.core.positions import Position
 from orchidwind.managed.lead_proofs import AskStatus, LeadProver
@@ -32,6 +35,14 @@
 ASK_AGAIN_SECONDS = 0.02
 
 
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    """Whose statuses are wanted, and which came."""
+
+    wanted: frozenset[str]
+    statuses: tuple[InstanceStatus, ...]
+
+
 class CommitGuard:
     """Decides for one group when a commit that its instance answered as done may be told."""
 
@@ -40,14 +51,12 @@
         topology: GroupTopology,
         prover: LeadProver,
         ask: AskStatus,
-        last_promotion: Callable[[], PromotionRecord | None],
     ) -> None:
         self._topology = topology
         self._prover = prover
         self._ask = ask
-        self._last_promotion = last_promotion
         self._loop = asyncio.get_running_loop()
-        self._query: SharedQuery[list[InstanceStatus]] = SharedQuery(self._ask_replicas)
+        self._query: SharedQuery[_Asked] = SharedQuery(self._ask_all)
 
     def leased(self, instance: str) -> bool:
         """Whether the lead lease covers a commit of a primary at this moment."""
@@ -73,41 +82,58 @@
 
     def _told_by_successor(self, position: Position) -> bool | None:
         """Whether the next primary's log began with a commit in it; None while not known."""
-        last = self._last_promotion()
-        if last is None or last.term <= position.term:
-            return None
-        if self._topology.newest_led_term < last.term or last.start.term > position.term:
+        last = self._topology.last_promotion
+        if last is None or last.term <= position.term or last.start.term > position.term:
             return None
+        if self._topology.primary_term(last.instance) < last.term:
+            return None  # it was written down; whether it took effect is another matter
         return holds(last.start, position)
 
     async def _held_by_replica(self, instance: str, position: Position) -> bool:
+        if not self._prover.registered:
+            return False  # nobody would ask this proxy what it has told
         lock_revision = self._prover.lock_revision
-        statuses = await asyncio.shield(self._query.join())
-        if any(status.newest_term > position.term for status in statuses):
+        asked = await asyncio.shield(self._query.join())
+        if any(status.newest_term > position.term for status in asked.statuses):
+            return False
+        if not self._prover.covered_now() and self._some_fence_unseen(instance, asked):
             return False
         holding = [
             status
-            for status in statuses
+            for status in asked.statuses
             if status.role is InstanceRole.REPLICA
+            and status.instance != instance
             and holds(status.received, position)
             and not self._topology.instances[status.instance].entry.draining
         ]
         if len(holding) < max(self._topology.settings.synchronous_replicas, 1):
             return False
+        if self._topology.superseded(instance, position.term):
+            return False
         self._prover.proven_under(instance, lock_revision)
         return True
 
-    async def _ask_replicas(self) -> list[InstanceStatus]:
-        """The statuses of all listed instances but the primary that answer."""
+    def _some_fence_unseen(self, instance: str, asked: _Asked) -> bool:
+        """Whether an instance that a change of primary may have fenced has not answered."""
+        answered = {status.instance for status in asked.statuses}
+        return bool(asked.wanted - answered - {instance})
+
+    async def _ask_all(self) -> _Asked:
+        """The statuses of all listed instances but the primary, if they answer.
+
+        The primary that was replaced last is not needed: the others were fenced against it. Under
+        the lead lease nobody waits for one that is known not to answer.
+        """
         primary = self._topology.primary(self._loop.time())
         led = primary.instance if primary is not None else ""
-        names = [
-            name
-            for name, view in self._topology.instances.items()
-            if view.listed and view.unreachable_since is None and name != led
-        ]
-        answers = await asyncio.gather(*(self._ask(name) for name in names))
-        return [status for status in answers if status is not None]
+        last = self._topology.last_promotion
+        replaced = last.replaced if last is not None else ""
+        views = {name: view for name, view in self._topology.instances.items() if view.listed}
+        wanted = frozenset(views) - {led, replaced}
+        silent = {name for name, view in views.items() if view.unreachable_since is not None}
+        asked = views.keys() - {led} - (silent if self._prover.covered_now() else silent - wanted)
+        answers = await asyncio.gather(*(self._ask(name) for name in sorted(asked)))
+        return _Asked(wanted, tuple(item for item in answers if item is not None))
 
     def close(self) -> None:
         """Give up what is under way."""
--- a/src/orchidwind/managed/failover_runner.py
+++ b/src/orchidwind/managed/failover_runner.py
@@ -108,7 +108,8 @@
         for _ in range(_LOCK_READ_BACKS):
             try:
                 record = await self._store.read()
-            except PlatformError:
+            except PlatformError as error:
+                log_event("promotion_lock_not_read_back", attempt=attempt, reason=str(error))
                 record = None
             if record is not None and record.attempt == attempt:
                 return held_lock(sent_at, record, attempt)
--- a/src/orchidwind/managed/group_service.py
+++ b/src/orchidwind/managed/group_service.py
@@ -23,7 +23,6 @@
     ManagedGroupSettings,
 )
 from orchidwind.core.managed.group import GroupState
-from orchidwind.core.managed.roster import PromotionRecord
 from orchidwind.core.managed.steps import ExchangeResult
 from orchidwind.core.managed.supervision import NOT_CONFIRMING_SECONDS
 from orchidwind.core.managed.topology import PrimaryView, ReadPlan
@@ -73,7 +72,6 @@
         leases: LeaseKeeper,
         entry_outlives: float,
         on_used: Callable[[], None],
-        last_promotion: Callable[[], PromotionRecord | None],
     ) -> None:
         """`on_used` is called when requests are served here."""
         self._on_used = on_used
@@ -91,7 +89,7 @@
         )
         self._resting = RestingConnections(self.connections, self._calls.close_resting)
         self.prover = LeadProver(self.topology, leases, self.ask_status)
-        self._guard = CommitGuard(self.topology, self.prover, self.ask_status, last_promotion)
+        self._guard = CommitGuard(self.topology, self.prover, self.ask_status)
         self._waiters: set[asyncio.Future[None]] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._writing: set[int] = set()
--- a/src/orchidwind/managed/lead_lease.py
+++ b/src/orchidwind/managed/lead_lease.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
 
 from orchidwind.core.errors import PeerUnavailable, PlatformError
 from orchidwind.core.managed.failover_steps import ToldCommits
@@ -65,6 +66,7 @@
         self._registered = False
         self._wanted = asyncio.Event()
         self._told: dict[str, Position] = {}
+        self._object_revision: int | None = None
         self._confirmed = 0
         self._to_confirm = 0
         self._confirm_wanted = asyncio.Event()
@@ -78,6 +80,11 @@
         """Whether no change of primary had taken effect at a time."""
         return self._registered and self.lease.covers(at)
 
+    @property
+    def registered(self) -> bool:
+        """Whether others wait for this proxy before they change a primary."""
+        return self._registered
+
     @property
     def free_revision(self) -> int | None:
         """The promotion lock's revision while it is known to be free, else None."""
@@ -120,7 +127,7 @@
     async def _register(self) -> bool:
         """Others wait for this proxy from now on, so its lease may count."""
         try:
-            await self._registry.confirm(self._confirmation(0))
+            self._object_revision = await self._registry.confirm(self._confirmation(0))
         except PlatformError as error:
             log_event("lease_not_registered", reason=str(error))
             return False
@@ -148,7 +155,8 @@
         try:
             async with asyncio.timeout(_REPORT_SECONDS):
                 report = await link.ask_lock()
-        except (PeerUnavailable, TimeoutError):
+        except (PeerUnavailable, TimeoutError) as error:
+            log_event("lock_not_told", peer=link.member.name, reason=repr(error))
             return None
         if not report.known or report.age > _OLDEST_REPORT_SECONDS:
             return None
@@ -230,7 +238,8 @@
             if revision <= self._confirmed or not self._registered:
                 continue
             try:
-                await self._registry.confirm(self._confirmation(revision))
+                told = self._confirmation(revision)
+                self._object_revision = await self._registry.confirm(told)
             except PlatformError as error:
                 log_event("lease_drop_not_confirmed", revision=revision, reason=str(error))
                 await self._confirm_again()
@@ -244,14 +253,21 @@
             self._confirm_wanted.set()
 
     async def leave(self) -> None:
-        """This proxy stops: nobody waits for it any more."""
+        """This proxy stops: nobody waits for it any more, but what it has told stays known.
+
+        Written over this process's own object only: a call that is late must not speak for the
+        process that is started next under the same name.
+        """
         self._registered = False
         self.lease.drop()
+        if self._object_revision is None:
+            return
+        left = replace(self._confirmation(0), left=True)
         try:
             async with asyncio.timeout(_LEAVE_SECONDS):
-                await self._registry.remove(self._node)
+                await self._registry.leave(left, self._object_revision)
         except (PlatformError, TimeoutError) as error:
-            log_event("lease_not_removed", reason=str(error))
+            log_event("lease_not_left", reason=str(error))
 
     async def wait_for_others(self, group: str, token: int, taken_at: float) -> ToldCommits | None:
         """Wait until no other proxy's lease counts; `taken_at` is when the lock's answer came.
@@ -276,7 +292,8 @@
             log_event("lease_confirmations_not_read", token=token, reason=str(error))
             return None
         others = [item for item in confirmed if item.node != self._node]
-        return None if any(item.revision < token for item in others) else others
+        waiting = any(item.revision < token and not item.left for item in others)
+        return None if waiting else others
 
 
 def _told_by(group: str, confirmed: Iterable[LeaseConfirmation]) -> ToldCommits:
--- a/src/orchidwind/managed/lead_proofs.py
+++ b/src/orchidwind/managed/lead_proofs.py
@@ -32,7 +32,20 @@
         """
         self._leases.want()
         covered = self._leases.covers(arrived_at)
-        return covered and self._known_leader == (instance, self._leases.free_revision)
+        known = self._known_leader == (instance, self._leases.free_revision)
+        return covered and known and not self._superseded(instance)
+
+    def _superseded(self, instance: str) -> bool:
+        return self._topology.superseded(instance, self._topology.primary_term(instance))
+
+    @property
+    def registered(self) -> bool:
+        """Whether those who change a primary wait for this proxy."""
+        return self._leases.registered
+
+    def covered_now(self) -> bool:
+        """Whether nobody can change a primary at this moment, whoever leads."""
+        return self._leases.covers(self._loop.time())
 
     @property
     def lock_revision(self) -> int | None:
@@ -64,7 +77,10 @@
     async def proves(self, query: StatusTask, term: int) -> bool:
         """Whether a query shows that no primary after `term` had begun when it was sent."""
         status = await asyncio.shield(query)
-        return status is not None and knows_no_later_term(status, term)
+        if status is None or not knows_no_later_term(status, term):
+            return False
+        primary = self._topology.primary(self._loop.time())
+        return primary is not None and not self._superseded(primary.instance)
 
     def close(self) -> None:
         """Give up what is under way."""
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -236,7 +236,6 @@
             self.leases,
             self._bounds.entry_outlives,
             self._coordinate,
-            lambda: self.rosters.last_promotion(name),
         )
         self.groups[name] = group
         for entry in self.directory.values():
--- a/src/orchidwind/managed/ports.py
+++ b/src/orchidwind/managed/ports.py
@@ -109,13 +109,15 @@
     """A proxy that may hold a lead lease, and what it wrote when it last dropped it.
 
     `revision` is the lock's at that time, `first_revision` the lock's when the process began.
-    `told` is, by group, the end of the primary's log up to which it may have told commits.
+    `told` is, by group, the end of the primary's log up to which it may have told commits. One that
+    has `left` holds no lease any more.
     """
 
     node: str
     revision: int
     first_revision: int = 0
     told: Mapping[str, Position] = field(default_factory=dict)
+    left: bool = False
 
 
 class MemberStore(Protocol):
@@ -167,14 +169,14 @@
 class LeaseRegistry(Protocol):
     """The proxies that may hold a lead lease; calls raise PlatformError."""
 
-    async def confirm(self, confirmation: LeaseConfirmation) -> None:
-        """Register a proxy, or tell that it dropped its lease."""
+    async def confirm(self, confirmation: LeaseConfirmation) -> int:
+        """Register a proxy, or tell that it dropped its lease; the revision of its object."""
 
     async def confirmations(self) -> tuple[LeaseConfirmation, ...]:
         """All registered proxies, read freshly."""
 
-    async def remove(self, node: str) -> None:
-        """A proxy holds no lease any more."""
+    async def leave(self, confirmation: LeaseConfirmation, revision: int) -> None:
+        """A proxy holds no lease any more; written only if its object stands at a revision."""
 
 
 class PromotionService(Protocol):
--- a/src/orchidwind/managed/rosters.py
+++ b/src/orchidwind/managed/rosters.py
@@ -57,11 +57,7 @@
         service = self._groups.get(group)
         if roster is not None and service is not None:
             service.topology.roster_told(roster.members, self._loop.time())
-
-    def last_promotion(self, group: str) -> PromotionRecord | None:
-        """The last promotion of a group, as far as its roster was read."""
-        roster = self._rosters.get(group)
-        return None if roster is None else roster.last_promotion
+            service.topology.promotion_told(roster.last_promotion, self._loop.time())
 
     def promotion_called(self, token: int) -> bool:
         """Whether a promotion may have been called under a fencing token, of any group."""
--- a/src/orchidwind/managed/status_calls.py
+++ b/src/orchidwind/managed/status_calls.py
@@ -87,6 +87,7 @@
         except BackendRefused as refused:
             if refused.sqlstate == OTHER_INSTANCE:
                 # What answers is not the instance: it was not heard, and may hold up no change.
+                log_event("instance_replaced", instance=instance, reason=str(refused))
                 self._on_unreachable(instance)
                 return None
             self._topology.answered(instance, self._loop.time())
--- a/src/orchidwind/managed/supervising.py
+++ b/src/orchidwind/managed/supervising.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 from collections.abc import Awaitable, Callable
 
@@ -90,10 +91,21 @@
         """Plan from views that are read anew; None where the store does not answer."""
         if not await self._refresh_views():
             return None
-        last_promotion = self._rosters.last_promotion(self._group.settings.name)
-        return self._supervisor.plan(reason, self._rosters.known, last_promotion)
+        return self._supervisor.plan(self._loop.time(), reason, self._rosters.known)
 
     async def _change_primary(self, planned: FailoverPlan) -> None:
+        try:
+            await self._look_into_change(planned)
+        except Exception as error:  # the next look tries again; what went wrong must be seen
+            log_event(
+                "failover_broke_off",
+                level=logging.ERROR,
+                group=planned.group,
+                reason=repr(error),
+            )
+            self._supervisor.ended(self._loop.time(), FailoverOutcome.NOT_SAFE)
+
+    async def _look_into_change(self, planned: FailoverPlan) -> None:
         reason = planned.reason
         plan = await self._read_members(reason)
         if plan is None:
--- a/src/orchidwind/platform/coordination.py
+++ b/src/orchidwind/platform/coordination.py
@@ -60,6 +60,7 @@
     revision: int = 0
     first_revision: int = 0
     told: dict[str, _ToldSpec] = {}
+    left: bool = False
 
 
 class _MemberSpec(msgspec.Struct):
@@ -131,26 +132,32 @@
         self._store = store
         self._path = OBJECTS + _LEASES
 
-    async def confirm(self, confirmation: LeaseConfirmation) -> None:
+    async def confirm(self, confirmation: LeaseConfirmation) -> int:
         """Write the proxy's object, whether or not it is there; raises PlatformError."""
-        told = {name: _ToldSpec(end.term, end.lsn) for name, end in confirmation.told.items()}
-        spec = _LeaseSpec(confirmation.revision, confirmation.first_revision, told)
-        await self._store.put_anyway(_LEASES, confirmation.node, spec)
+        spec = _lease_spec(confirmation)
+        written = await self._store.put_anyway(_LEASES, confirmation.node, spec)
+        return written.meta.revision
 
     async def confirmations(self) -> tuple[LeaseConfirmation, ...]:
         """All objects; raises PlatformError."""
         listing = await read_all(self._store, self._path, CALL_SECONDS)
         return tuple(_confirmation(item) for item in listing.items)
 
-    async def remove(self, node: str) -> None:
-        """Delete the proxy's object; raises PlatformError."""
-        await self._store.change("DELETE", f"{self._path}/{quote(node)}", b"")
+    async def leave(self, confirmation: LeaseConfirmation, revision: int) -> None:
+        """Write over the proxy's object at a revision; raises PlatformConflict, PlatformError."""
+        kept = KeptObject(_LEASES, confirmation.node, revision, create=False)
+        await self._store.keep(kept, _lease_spec(confirmation))
+
+
+def _lease_spec(confirmation: LeaseConfirmation) -> _LeaseSpec:
+    told = {name: _ToldSpec(end.term, end.lsn) for name, end in confirmation.told.items()}
+    return _LeaseSpec(confirmation.revision, confirmation.first_revision, told, confirmation.left)
 
 
 def _confirmation(stored: StoredObject) -> LeaseConfirmation:
     spec = decode(stored.spec, _LeaseSpec)
     told = {name: Position(end.term, end.number) for name, end in spec.told.items()}
-    return LeaseConfirmation(stored.meta.name, spec.revision, spec.first_revision, told)
+    return LeaseConfirmation(stored.meta.name, spec.revision, spec.first_revision, told, spec.left)
 
 
 class PromotionLockObject:
--- a/src/orchidwind/platform/store.py
+++ b/src/orchidwind/platform/store.py
@@ -157,14 +157,15 @@
             answer = await self.change("PUT", f"{path}/{quote(kept.name)}", body)
         return decode(answer.body, StoredObject)
 
-    async def put_anyway(self, kind: str, name: str, spec: msgspec.Struct) -> None:
+    async def put_anyway(self, kind: str, name: str, spec: msgspec.Struct) -> StoredObject:
         """Write an object whatever its revision, or create it; raises as `change`."""
         body = msgspec.json.encode({"meta": {"name": name, "finalizers": []}, "spec": spec})
         path = OBJECTS + kind
         try:
-            await self.change("PUT", f"{path}/{quote(name)}", body)
+            answer = await self.change("PUT", f"{path}/{quote(name)}", body)
         except PlatformMissing:
-            await self.change("POST", path, body)
+            answer = await self.change("POST", path, body)
+        return decode(answer.body, StoredObject)
 
     async def create_or_put(self, kind: str, name: str, spec: msgspec.Struct) -> bool:
         """Create an object, or write it where another is there; whether it was created.
--- a/src/orchidwind_bench/exploration/proxy.py
+++ b/src/orchidwind_bench/exploration/proxy.py
@@ -183,6 +183,7 @@
                 self.topology.entry_gone(name, now, lapsed)
         if roster is not None and (self._roster is None or roster.revision > self._roster.revision):
             self._roster = roster
+            self.topology.promotion_told(roster.last_promotion, self.now())
         if self._roster is not None:
             self.topology.roster_told(self._roster.members, now)
 
@@ -218,6 +219,7 @@
             return False
         if self._roster is None or written.revision > self._roster.revision:
             self._roster = written
+            self.topology.promotion_told(written.last_promotion, self.now())
         return True
 
     def record_promotion(self, record: PromotionRecord) -> Process[bool]:
@@ -313,8 +315,18 @@
 
     def lead_proven(self, instance: str) -> bool:
         """Whether the lead lease covers this moment and the lead was proven under it."""
-        covered = self._registered and self._lease.covers(self.now())
-        return covered and self._known_leader == (instance, self._lease.free_revision)
+        known = self._known_leader == (instance, self._lease.free_revision)
+        superseded = self.topology.superseded(instance, self.topology.primary_term(instance))
+        return self.covered_now() and known and not superseded
+
+    @property
+    def registered(self) -> bool:
+        """Whether those who change a primary wait for this proxy."""
+        return self._registered
+
+    def covered_now(self) -> bool:
+        """Whether nobody can change a primary at this moment, whoever leads."""
+        return self._registered and self._lease.covers(self.now())
 
     def wait_for_others(self, token: int, taken_at: float) -> Process[ToldCommits | None]:
         """Wait until every other registered proxy has dropped its lease, or all have run out.
@@ -431,7 +443,7 @@
         """Plan from views read anew; None where the store does not answer."""
         if not (yield from self._read_views()):
             return None
-        return self._supervisor.plan(reason, self._roster_known, self.last_promotion())
+        return self._supervisor.plan(self.now(), reason, self._roster_known)
 
     def _change_primary(self, reason: FailoverReason) -> Process[None]:
         plan = yield from self.read_members(reason)
--- a/src/orchidwind_bench/managed/callers.py
+++ b/src/orchidwind_bench/managed/callers.py
@@ -98,6 +98,8 @@
                 self._node = self._system.nodes[self._node_name]
                 self._new_session()
                 await self._node.wait_prepared(until)
+            if self._node.database(self._database) is None:
+                continue  # it has just started and knows no configuration: ask again later
             await self._operate()
             if self._random.random() < 0.05:
                 self._new_session()
--- a/src/orchidwind_bench/managed/store.py
+++ b/src/orchidwind_bench/managed/store.py
@@ -68,6 +68,7 @@
         self.lock: LockRecord | None = None
         self.lock_reads: dict[str, int] = {}
         self.leases: dict[str, LeaseConfirmation] = {}
+        self.lease_revisions: dict[str, int] = {}
         self.rosters: dict[str, Roster] = {}
         self.members: dict[str, ProxyMember] = {}
         self.configuration = simulated_configuration((GROUP,), connection_limit)
--- a/src/orchidwind_bench/managed/world.py
+++ b/src/orchidwind_bench/managed/world.py
@@ -316,20 +316,29 @@
         self._store = world.store
         self._node = node
 
-    async def confirm(self, confirmation: LeaseConfirmation) -> None:
+    async def confirm(self, confirmation: LeaseConfirmation) -> int:
         """Write the proxy's object."""
         await self._store.call(self._node)
-        self._store.leases[confirmation.node] = confirmation
+        return self._write(confirmation)
+
+    def _write(self, confirmation: LeaseConfirmation) -> int:
+        store = self._store
+        store.revision += 1
+        store.leases[confirmation.node] = confirmation
+        store.lease_revisions[confirmation.node] = store.revision
+        return store.revision
 
     async def confirmations(self) -> tuple[LeaseConfirmation, ...]:
         """All objects."""
         await self._store.call(self._node)
         return tuple(self._store.leases.values())
 
-    async def remove(self, node: str) -> None:
-        """Delete the proxy's object."""
+    async def leave(self, confirmation: LeaseConfirmation, revision: int) -> None:
+        """Write over the proxy's object at a revision."""
         await self._store.call(self._node)
-        self._store.leases.pop(node, None)
+        if self._store.lease_revisions.get(confirmation.node) != revision:
+            raise PlatformConflict("another process has written since")
+        self._write(confirmation)
 
 
 class Promotable:
