--- a/src/orchidwind_bench/platform/soak/directory.py
+++ b/src/orchidwind_bench/platform/soak/directory.py
@@ -57,6 +57,7 @@
             "state": "draining" if instance.draining else "ready",
             "db_role": instance.role,
         }
+        instance.told_draining = instance.draining
         if self._written.get(instance.name) != spec:
             self._written[instance.name] = spec
             self._store.put(_KIND, instance.name, spec)
--- a/src/orchidwind_bench/platform/soak/instances.py
+++ b/src/orchidwind_bench/platform/soak/instances.py
@@ -30,6 +30,8 @@
 # A platform's promotion that finds its instance paused takes effect this long after the call or
 # never.
 _LATEST_EFFECT_SECONDS = 1.0
+# An instance ends a while after the store has taken that it drains, or after this without it.
+_DRAIN_TOLD_SECONDS = 3.0
 _CONTROL_LINE_BYTES = 4096
 
 
@@ -66,6 +68,8 @@
     deaf: bool = False
     silent: bool = False
     cut: set[str] = field(default_factory=set)
+    # Whether the directory shows that it drains.
+    told_draining: bool = False
     control: asyncio.StreamWriter | None = None
 
     @property
@@ -358,6 +362,9 @@
         self.note(f"{instance.name} ({instance.role}) drains")
         instance.draining = True
         self.on_entry(instance, 0.0)
+        bound = time.monotonic() + _DRAIN_TOLD_SECONDS
+        while not instance.told_draining and time.monotonic() < bound:
+            await asyncio.sleep(_POLL_SECONDS)
         await asyncio.sleep(self._random.uniform(*self.times.draining))
         self.note(f"{instance.name} ({instance.role}) ends")
         instance.ended = True
