--- a/src/orchidwind_bench/platform/soak/promises.py
+++ b/src/orchidwind_bench/platform/soak/promises.py
@@ -114,7 +114,12 @@
     lost, losing = _check_promotions(record, history)
     _check_last_log(record, history, lost)
     _check_old_primaries(record, history)
-    record.judge_reads(lost)
+    order = {
+        (thing, int(data)): index
+        for index, entry in enumerate(history.last_log())
+        for thing, data in entry.writes
+    }
+    record.judge_reads(lost, order)
     return losing
 
 
