--- a/src/orchidwind_bench/platform/soak/callers.py
+++ b/src/orchidwind_bench/platform/soak/callers.py
@@ -228,7 +228,10 @@
     async def _transaction(self) -> bool:
         """Whether the session may go on."""
         number = self._number()
-        await self._ask("BEGIN")
+        _, lines = await self._ask("BEGIN")
+        if not lines[-1].startswith("READY T"):
+            self._record.count("BEGIN refused")
+            return False
         request_id, lines = await self._ask(f"WRITE {self._thing} {number}")
         if not self._succeeded(request_id, lines):
             self._refuse(number, lines)
@@ -236,9 +239,9 @@
             return lines[-1].startswith("READY I")
         await asyncio.sleep(self._random.random() * _THINK_SECONDS)
         if self._random.random() < 0.2:
-            await self._ask("ROLLBACK")
+            _, lines = await self._ask("ROLLBACK")
             self._record.refused.add((self._thing, number))
-            return True
+            return lines[-1].startswith("READY I")
         request_id, lines = await self._ask("COMMIT")
         if self._succeeded(request_id, lines):
             self._acknowledge(number)
