--- a/src/orchidwind/core/managed/failover.py
+++ b/src/orchidwind/core/managed/failover.py
@@ -106,7 +106,7 @@
     if not taken:
         return FailoverResult(FailoverOutcome.LOCK_HELD)
     try:
-        result = yield from _change_under_lock(plan)
+        result = yield from _change_under_lock(plan, leader_of(plan, statuses))
     except LockLost:
         # Another proxy may be at work by now: fences are left to it. To give the lock back is
         # safe, as that only succeeds while nobody has taken it over.
@@ -163,10 +163,12 @@
     )
 
 
-def _change_under_lock(plan: FailoverPlan) -> FailoverFlow:
+def _change_under_lock(plan: FailoverPlan, led_before: InstanceStatus | None) -> FailoverFlow:
     statuses = yield from _ask(plan.members)
     if _stands(plan, statuses):
         return (yield from _stand_down(plan, statuses))
+    if not _some_keep_up(plan, led_before, statuses):
+        return FailoverResult(FailoverOutcome.NOT_SAFE)
     if plan.reason is FailoverReason.LEFT_FENCED:
         return FailoverResult(FailoverOutcome.NOT_NEEDED)
     fence_term = _next_term(plan, statuses)
@@ -181,6 +183,27 @@
     return (yield from _replace(plan, demoted, fence_term))
 
 
+def _some_keep_up(
+    plan: FailoverPlan, led_before: InstanceStatus | None, statuses: Statuses
+) -> bool:
+    """Whether a primary that leaves has a successor in sight.
+
+    Guards against one that is demoted and, as its log alone is whole, promoted again, by one proxy
+    after the other, each second: two holders of the lock alternate then. `led_before` is what it
+    told a moment ago; who keeps up has that by now.
+    """
+    leader = leader_of(plan, statuses)
+    if leader is None or leader.instance not in plan.leaving:
+        return True
+    due = led_before if led_before is not None else leader
+    return any(
+        item.role is InstanceRole.REPLICA
+        and item.instance not in plan.leaving
+        and holds(item.received, due.received)
+        for item in statuses.values()
+    )
+
+
 def _next_term(plan: FailoverPlan, statuses: Statuses) -> int:
     """A term above every one that can have begun: an instance takes no fence below that."""
     newest = max([plan.led_term, *(item.newest_term for item in statuses.values())])
--- a/src/orchidwind/managed/failover_runner.py
+++ b/src/orchidwind/managed/failover_runner.py
@@ -37,6 +37,7 @@
     Wait,
 )
 from orchidwind.core.managed.promotion_lock import (
+    HOLD_SECONDS,
     HeldLock,
     LockDecision,
     LockObserver,
@@ -52,6 +53,8 @@
 from orchidwind.managed.rosters import RosterKeeper
 
 _CALL_MARGIN_SECONDS = 0.2
+# As long as the lock may be held, and half a second for what is on its way.
+ALTERNATION_SECONDS = HOLD_SECONDS + 0.5
 _LOCK_READ_BACKS = 6
 _LOCK_READ_BACK_SECONDS = 0.15
 
@@ -59,13 +62,13 @@
 class PromotionLockClient:
     """Takes and gives back the promotion lock; one change of primary at a time uses it."""
 
-    def __init__(
-        self, node: str, store: PromotionLockStore, promotion_called: Callable[[int], bool]
-    ) -> None:
-        """`promotion_called` tells whether one may have been called under a token."""
+    def __init__(self, node: str, store: PromotionLockStore, rosters: RosterKeeper) -> None:
+        """`rosters` tell which promotions were called under which tokens."""
         self._node = node
         self._store = store
-        self._promotion_called = promotion_called
+        self._rosters = rosters
+        self._called_at = float("-inf")
+        self._called_with = 0
         self._observer = LockObserver(node)
         self._loop = asyncio.get_running_loop()
         self.in_use = asyncio.Lock()
@@ -77,11 +80,27 @@
         """
         self._observer.saw(self._loop.time(), record.revision)
 
+    def note_called(self, token: int) -> None:
+        """A promotion was called under a token of this proxy."""
+        self._called_at = self._loop.time()
+        self._called_with = token
+
+    def _would_alternate(self) -> bool:
+        """Whether another holder has promoted since this one did, a moment ago.
+
+        Two holders must not take turns; a third may go on, or this one after a while.
+        """
+        lately = self._loop.time() - self._called_at < ALTERNATION_SECONDS
+        return lately and self._rosters.newest_token() > self._called_with
+
     async def take(self) -> HeldLock | None:
         """The lock, None where another holds it or the store does not answer."""
+        if self._would_alternate():
+            log_event("promotion_lock_left", reason="another has promoted since this proxy did")
+            return None
         try:
             record = await self._store.read()
-            called = record is not None and self._promotion_called(record.revision)
+            called = record is not None and self._rosters.promotion_called(record.revision)
             decision = self._observer.decide(self._loop.time(), record, called)
             if decision is LockDecision.WAIT:
                 return None
@@ -218,6 +237,7 @@
         assert self._held is not None
         token = self._held.token
         answer = await self._service.promote(plan.group, step.instance, token, seconds)
+        self._lock.note_called(token)
         self._unsettled = answer is not PromotionAnswer.REFUSED
         self._promoted = step.instance
         log_event(
--- a/src/orchidwind/managed/node.py
+++ b/src/orchidwind/managed/node.py
@@ -63,7 +63,7 @@
         self.directory: dict[str, DirectoryEntry] = {}
         self._directory_listed = False
         self.rosters = RosterKeeper(self.groups, ports.roster_store)
-        self._lock = PromotionLockClient(name, ports.lock_store, self.rosters.promotion_called)
+        self._lock = PromotionLockClient(name, ports.lock_store, self.rosters)
         self.registry = SessionRegistry()
         self.homes = PeerNetwork(
             own,
--- a/src/orchidwind/managed/rosters.py
+++ b/src/orchidwind/managed/rosters.py
@@ -64,6 +64,11 @@
         records = (roster.last_promotion for roster in self._rosters.values())
         return any(record is not None and record.token == token for record in records)
 
+    def newest_token(self) -> int:
+        """The fencing token of the last promotion of any group that is known; 0 where none is."""
+        records = [roster.last_promotion for roster in self._rosters.values()]
+        return max((record.token for record in records if record is not None), default=0)
+
     async def record_promotion(self, group: str, record: PromotionRecord) -> bool:
         """Write down a promotion before it is called; whether it surely stands in the store."""
         wanted = replace(self._held(group), last_promotion=record)
