--- a/src/orchidwind/managed/commit_guard.py
+++ b/src/orchidwind/managed/commit_guard.py
@@ -90,8 +90,6 @@
         return holds(last.start, position)
 
     async def _held_by_replica(self, instance: str, position: Position) -> bool:
-        if not self._prover.registered:
-            return False  # nobody would ask this proxy what it has told
         lock_revision = self._prover.lock_revision
         asked = await asyncio.shield(self._query.join())
         if any(status.newest_term > position.term for status in asked.statuses):
--- a/src/orchidwind/managed/lead_lease.py
+++ b/src/orchidwind/managed/lead_lease.py
@@ -80,11 +80,6 @@
         """Whether no change of primary had taken effect at a time."""
         return self._registered and self.lease.covers(at)
 
-    @property
-    def registered(self) -> bool:
-        """Whether others wait for this proxy before they change a primary."""
-        return self._registered
-
     @property
     def free_revision(self) -> int | None:
         """The promotion lock's revision while it is known to be free, else None."""
