--- a/src/orchidwind_bench/exploration/network.py
+++ b/src/orchidwind_bench/exploration/network.py
@@ -5,7 +5,7 @@
 from orchidwind_bench.exploration.timeline import Timeline
 
 STORE = "store"
-# One way between two machines of a site, in seconds; measured on the product's bench: 0.2 to 2 ms.
+# One way between two machines of a site, in seconds; 0.2 to 2 ms are usual within a site.
 WAY_SECONDS = 0.001
 
 
