--- a/src/orchidwind/managed/commit_guard.py
+++ b/src/orchidwind/managed/commit_guard.py
@@ -91,7 +91,11 @@
 
     async def _held_by_replica(self, instance: str, position: Position) -> bool:
         lock_revision = self._prover.lock_revision
-        asked = await asyncio.shield(self._query.join())
+        query = self._query.join()
+        await asyncio.wait({query})
+        if query.cancelled():  # this proxy closes its groups
+            return False
+        asked = query.result()
         if any(status.newest_term > position.term for status in asked.statuses):
             return False
         if not self._prover.covered_now() and self._some_fence_unseen(instance, asked):
