--- a/src/orchidwind/platform/http_call.py
+++ b/src/orchidwind/platform/http_call.py
@@ -67,6 +67,7 @@
 
     status: int
     body: bytes
+    headers: HTTPHeaders = field(default_factory=HTTPHeaders)
 
 
 class _AnswerCollector(HTTPMessageDelegate):
@@ -76,6 +77,7 @@
         self._on_body = on_body
         self._loop = asyncio.get_running_loop()
         self.status = 0
+        self.headers = HTTPHeaders()
         self.body = bytearray()
         self.finished = False
         # When bytes came last, in seconds of the steady clock; None: none came.
@@ -87,6 +89,7 @@
         self.last_byte_at = self._loop.time()
         if isinstance(start_line, ResponseStartLine):
             self.status = start_line.code
+            self.headers = headers
 
     def data_received(self, chunk: bytes) -> None:
         self.last_byte_at = self._loop.time()
@@ -179,4 +182,4 @@
     await connection.read_response(answer)
     if not answer.finished:
         raise StreamClosedError
-    return HttpAnswer(answer.status, bytes(answer.body))
+    return HttpAnswer(answer.status, bytes(answer.body), answer.headers)
--- a/src/orchidwind/platform/store.py
+++ b/src/orchidwind/platform/store.py
@@ -43,6 +43,8 @@
 
 # Statuses of a write that took effect.
 _WRITTEN = (200, 201)
+# The header with which each answer says how often the store has come back from an older copy.
+_ERA_HEADER = "Store-Era"
 
 Item = TypeVar("Item")
 Translated = TypeVar("Translated", covariant=True)
@@ -60,6 +62,14 @@
         self._address = address
         self._on_call = on_call
         self._on_silent = on_silent
+        self._era: str | None = None
+
+    def _note_era(self, answer: HttpAnswer) -> None:
+        """Log the era of the first answer, and each other one: revisions have gone back then."""
+        era = answer.headers.get(_ERA_HEADER, "0")
+        if era != self._era:
+            log_event("store_era", era=era, before=self._era)
+            self._era = era
 
     def _note(self, method: str, path: str) -> None:
         self._on_call(method, kind_of(path))
@@ -88,6 +98,7 @@
         except HttpCallFailed as error:
             self._note_failed("GET", path, error, "the next call has a new one")
             raise PlatformError(f"the store does not answer: {error}") from error
+        self._note_era(answer)
         if answer.status == 410:
             raise PlatformVersionGone("the store has dropped its history")
         if answer.status not in (200, 404):
@@ -106,6 +117,7 @@
             if error.sent:
                 raise PlatformUncertain(f"the store does not answer: {error}") from error
             raise PlatformError(f"the store cannot be reached: {error}") from error
+        self._note_era(answer)
         if answer.status == 409:
             raise PlatformConflict("the object has changed", held=answer.body)
         if answer.status == 404:
--- a/src/orchidwind/promoted/proxy_runtime.py
+++ b/src/orchidwind/promoted/proxy_runtime.py
@@ -67,7 +67,7 @@
         self._ports = ports
         self._background = BackgroundTasks()
         self._directory = InstanceDirectory(self.groups, self._note_prepared)
-        self._upkeep = Upkeep(self.groups, self.metrics)
+        self._upkeep = Upkeep(self.groups, self.metrics, lambda: self.views.evidence())
         self.rosters = RosterKeeper(self.groups, ports.roster_store)
         self._lock = PromotionLockClient(name, ports.lock_store, self.rosters)
         self.registry = SessionRegistry()
--- a/src/orchidwind/promoted/upkeep.py
+++ b/src/orchidwind/promoted/upkeep.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from typing import Any
 
 from orchidwind.promoted.group.group_service import GroupService
 from orchidwind.promoted.metrics import ProxyMetrics
@@ -19,7 +20,7 @@
 # How often it is checked which instances left long ago, seconds. Chosen: nothing waits for it but
 # memory, and each check that is due asks the instances for their status.
 _FORGET_SECONDS = 5.0
-# How often figures are logged, seconds. Chosen: five lines each time, and two changes of primary
+# How often figures are logged, seconds. Chosen: six lines each time, and two changes of primary
 # are seldom so near to one another.
 _FIGURES_SECONDS = 10.0
 
@@ -27,9 +28,16 @@
 class Upkeep:
     """The repeated work of one proxy; each method runs until it is cancelled."""
 
-    def __init__(self, groups: Mapping[str, GroupService], metrics: ProxyMetrics) -> None:
+    def __init__(
+        self,
+        groups: Mapping[str, GroupService],
+        metrics: ProxyMetrics,
+        views: Callable[[], Mapping[str, Any]],
+    ) -> None:
+        """`views` tells of each followed view who showed last that it is current."""
         self._groups = groups
         self._metrics = metrics
+        self._views = views
 
     async def trim_connections(self) -> None:
         """Close connections that were not used lately."""
@@ -52,5 +60,6 @@
             log_event("figures", **self._metrics.message_counts())
             log_event("attempts", **self._metrics.attempt_counts())
             log_event("store_calls", **self._metrics.store_call_counts())
+            log_event("views", **self._views())
             log_event("views_reported", **self._metrics.view_report_counts())
             log_event("silent_connections", **self._metrics.silent_counts())
--- a/src/orchidwind/promoted/views/collection_watch.py
+++ b/src/orchidwind/promoted/views/collection_watch.py
@@ -26,6 +26,7 @@
 from orchidwind.promoted.views.held_view import CollectionFollower, HeldView
 from orchidwind.promoted.views.second_path import ReportedView, SecondPath
 from orchidwind.shared.core.errors import PlatformError, PlatformVersionGone
+from orchidwind.shared.logs import is_power_of_two
 from orchidwind.shared.silence import ConnectionKind, OnSilent, SilentConnection, log_silent
 
 Item = TypeVar("Item")
@@ -84,6 +85,11 @@
         """The view was last different before this revision."""
         return self._view.changed_revision
 
+    @property
+    def evidence(self) -> str:
+        """What is held, how old it is, and who confirmed it last; for the log."""
+        return self._view.evidence
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
@@ -207,7 +213,7 @@
         self._read_next = True
         self._connected = False
         self._failed_attempts += 1
-        if _is_power_of_two(self._failed_attempts):
+        if is_power_of_two(self._failed_attempts):
             event = "watch_lost" if self._failed_attempts == 1 else "watch_attempt_failed"
             self._view.log(event, attempt=self._failed_attempts, reason=error)
         await self._check(may_be_old=True)
@@ -255,7 +261,7 @@
     def _take_report(self, reported: ReportedView[Item]) -> None:
         listing = reported.listing
         if listing is None:
-            self._view.confirm(reported.as_of)
+            self._view.confirm(reported.as_of, reported.peer, reported.revision)
             return
         now = self._loop.time()
         if not self._view.known and self._rule.first_view_outdated(now, reported.as_of):
@@ -267,9 +273,4 @@
                 reported_revision=listing.revision,
                 reported_age=round(now - reported.as_of, 3),
             )
-        self._view.take_listing(listing, reported.as_of)
-
-
-def _is_power_of_two(count: int) -> bool:
-    """Which attempts are logged: a long outage must not fill the log."""
-    return count & (count - 1) == 0
+        self._view.take_listing(listing, reported.as_of, reported.peer)
--- a/src/orchidwind/promoted/views/followed_views.py
+++ b/src/orchidwind/promoted/views/followed_views.py
@@ -159,6 +159,10 @@
         self._metrics.watch_age(watch.name, lambda: watch.age)
         self._spawn(watch.run)
 
+    def evidence(self) -> dict[str, str]:
+        """Of each view what is held, how old it is, and who confirmed it last."""
+        return {name: watch.evidence for name, watch in self.watches.items()}
+
     @property
     def configuration_age_ms(self) -> int:
         """How long ago the configuration in force was last known to be the newest; -1: unknown."""
--- a/src/orchidwind/promoted/views/held_view.py
+++ b/src/orchidwind/promoted/views/held_view.py
@@ -13,7 +13,10 @@
 
 from orchidwind.promoted.core.freshness import FollowRule, FollowTimes
 from orchidwind.promoted.ports import Changes, Listing
-from orchidwind.shared.logs import log_event
+from orchidwind.shared.logs import is_power_of_two, log_event
+
+# Who showed a view to be current, in log lines, where it was not another proxy.
+STORE = "store"
 
 Item = TypeVar("Item")
 Taken = TypeVar("Taken", contravariant=True)
@@ -42,6 +45,10 @@
         # The view is whole as of this revision; it was last different before `changed_revision`.
         self.revision = -1
         self.changed_revision = -1
+        # Who showed last that the view is current, and as of which revision of theirs.
+        self._confirmed_by = ""
+        self._confirmed_revision = -1
+        self._passed_over = 0
         self._logged_too_old = False
         self._loop = asyncio.get_running_loop()
         self.rule = FollowRule(times, self._loop.time())
@@ -56,13 +63,27 @@
         """Seconds since the view was last known to be current, or since the start."""
         return self.rule.age(self._loop.time())
 
-    def take_listing(self, listing: Listing[Item], as_of: float) -> None:
+    def take_listing(self, listing: Listing[Item], as_of: float, source: str = STORE) -> None:
         """All items, current at a time. One overtaken by a later one only confirms the view."""
         if listing.revision >= self.revision:
             if self._follower.listed(listing) or not self.known:
                 self.changed_revision = listing.revision
             self.revision = listing.revision
-        self.confirm(as_of)
+        else:
+            self._log_passed_over(listing, source)
+        self.confirm(as_of, source, listing.revision)
+
+    def _log_passed_over(self, listing: Listing[Item], source: str) -> None:
+        """A few lines, however often that happens."""
+        self._passed_over += 1
+        if is_power_of_two(self._passed_over):
+            self.log(
+                "listing_passed_over",
+                count=self._passed_over,
+                source=source,
+                listed_revision=listing.revision,
+                decision="keep what is held, as of a later revision",
+            )
 
     def take_changes(self, changes: Changes[Item], as_of: float) -> None:
         """Later changes, or none, current at a time."""
@@ -71,15 +92,24 @@
             if changes.changed or changes.gone:
                 self.changed_revision = changes.revision
             self._follower.changed(changes)
-        self.confirm(as_of)
+        self.confirm(as_of, STORE, changes.revision)
 
-    def confirm(self, as_of: float) -> None:
-        """What is held was current at a time."""
+    def confirm(self, as_of: float, source: str, revision: int) -> None:
+        """What is held was current at a time: a source shows it, whose view has a revision."""
         self.rule.confirmed(as_of)
+        self._confirmed_by, self._confirmed_revision = source, revision
         if self._logged_too_old and not self.rule.too_old(self._loop.time()):
             self._logged_too_old = False
             self.log("view_current_again")
 
+    @property
+    def evidence(self) -> str:
+        """Who showed last that the view is current, for the log."""
+        return (
+            f"held={self.revision},age={self.age:.3f}s,"
+            f"confirmed_by={self._confirmed_by}@{self._confirmed_revision}"
+        )
+
     def log_if_too_old(self) -> None:
         """One line when the view grows older than is promised."""
         if self._logged_too_old or not self.rule.too_old(self._loop.time()):
--- a/src/orchidwind/promoted/views/peer_views.py
+++ b/src/orchidwind/promoted/views/peer_views.py
@@ -134,7 +134,8 @@
             return None
         items = self._items(report)
         listing = Listing(items, report.revision) if items is not None else None
-        return ReportedView(link.member.name, asked_at - report.age, listing, report.omitted)
+        as_of = asked_at - report.age
+        return ReportedView(link.member.name, as_of, listing, report.omitted, report.revision)
 
 
 def _better(reported: ReportedView[Any], best: ReportedView[Any]) -> bool:
--- a/src/orchidwind/promoted/views/second_path.py
+++ b/src/orchidwind/promoted/views/second_path.py
@@ -17,6 +17,8 @@
 class ReportedView(Generic[Item]):
     """What another proxy reported of its view, which was current at `as_of` of this one's clock.
 
+    `revision` is that of the other's view.
+
     `listing` is None where the asking proxy's own view holds the same, or with `omitted`, where the
     other's is later and too long to be sent unasked.
     """
@@ -25,6 +27,7 @@
     as_of: float
     listing: Listing[Item] | None
     omitted: bool = False
+    revision: int = -1
 
 
 class SecondPath(Protocol[Item]):
--- a/src/orchidwind/shared/logs.py
+++ b/src/orchidwind/shared/logs.py
@@ -96,3 +96,8 @@
 def log_event(name: str, *, level: int = logging.INFO, **fields: object) -> None:
     """Log an event with its fields."""
     logging.getLogger("orchidwind").log(level, name, extra=fields)
+
+
+def is_power_of_two(count: int) -> bool:
+    """Which of many like events are logged: the 1st, 2nd, 4th, ... so that none fills the log."""
+    return count & (count - 1) == 0
