--- a/src/orchidwind/promoted/core/failover_choice.py
+++ b/src/orchidwind/promoted/core/failover_choice.py
@@ -28,9 +28,12 @@
 # Attempts before a demoted primary's own log is taken. Chosen: three attempts are 0.15 s and
 # what the calls take; a replica of its log is better, as the primary was demoted for a reason.
 ATTEMPTS_FOR_ANOTHER = 3
-# Attempts before a log that is shorter than what proxies may have acknowledged is taken: 0.1 to
-# 0.24 s. Chosen: an instance that holds the rest may be listed a little late.
-ATTEMPTS_FOR_ACKNOWLEDGED = 2
+# Attempts before a log that is shorter than what proxies may have acknowledged is taken: from 0.5 s
+# to 1.2 s, as long as the lock's time allows with three attempts left. An instance that holds the
+# rest may be listed late: with 2 attempts commits were lost in 9 of 30 plays where it was listed
+# 0.3 s late and in 15 of 15 at 0.6 s, with 9 in none of 30. From a crash to the next acknowledged
+# write the median of 20 plays stays at 0.59 s (virtual time): most candidates have all.
+ATTEMPTS_FOR_ACKNOWLEDGED = 9
 
 
 def choose_for_attempt(
