--- a/src/orchidwind/platform/coordination.py
+++ b/src/orchidwind/platform/coordination.py
@@ -22,7 +22,9 @@
 from orchidwind.promoted.core.homes import ProxyMember
 from orchidwind.promoted.core.promotion_lock import LockRecord
 from orchidwind.promoted.core.roster import PromotionRecord, Roster
-from orchidwind.promoted.ports import LeaseConfirmation
+from orchidwind.promoted.core.store_revision import StoreRevision
+from orchidwind.promoted.ports import LeaseConfirmation, Listing
+from orchidwind.shared.core.errors import PlatformError
 from orchidwind.shared.core.positions import Position
 
 _LOCKS = "promotion-locks"
@@ -81,9 +83,11 @@
 
     kind = _LOCKS
 
-    def item(self, stored: StoredObject) -> LockRecord | None:
-        """The lock's record."""
-        return _record(stored)
+    def item(self, stored: StoredObject, era: int) -> LockRecord | None:
+        """The lock's record, if it is the lock of that era."""
+        if stored.meta.name != _lock_name(era):
+            return None
+        return _record(stored, StoreRevision.of(era, stored.meta.revision))
 
 
 class RosterTranslation:
@@ -91,22 +95,23 @@
 
     kind = _ROSTERS
 
-    def item(self, stored: StoredObject) -> Roster | None:
+    def item(self, stored: StoredObject, era: int) -> Roster | None:
         """The roster of a group."""
-        return _roster(stored)
+        return _roster(stored, StoreRevision.of(era, stored.meta.revision))
 
 
-def _roster(stored: StoredObject) -> Roster:
+def _roster(stored: StoredObject, revision: StoreRevision) -> Roster:
     spec = decode(stored.spec, _RosterSpec)
     last = _promotion(spec.last_promotion)
-    return Roster(stored.meta.name, tuple(spec.members), stored.meta.revision, last)
+    return Roster(stored.meta.name, tuple(spec.members), revision, last)
 
 
 def _promotion(spec: _PromotionSpec | None) -> PromotionRecord | None:
     if spec is None:
         return None
     start = Position(spec.start_term, spec.start_number)
-    return PromotionRecord(spec.instance, spec.term, start, spec.token, spec.replaced)
+    token = StoreRevision(spec.token)
+    return PromotionRecord(spec.instance, spec.term, start, token, spec.replaced)
 
 
 def _promotion_spec(record: PromotionRecord | None) -> _PromotionSpec | None:
@@ -114,7 +119,7 @@
         return None
     start = record.start
     return _PromotionSpec(
-        record.instance, record.term, start.term, start.lsn, record.token, record.replaced
+        record.instance, record.term, start.term, start.lsn, int(record.token), record.replaced
     )
 
 
@@ -128,7 +133,8 @@
         """Create or replace one; raises PlatformConflict, -Uncertain, -Error."""
         version = ObjectVersion(_ROSTERS, roster.group, roster.revision, is_new=create)
         spec = _RosterSpec(list(roster.members), _promotion_spec(roster.last_promotion))
-        return _roster(await self._store.write(version, spec))
+        written = await self._store.write(version, spec)
+        return _roster(written.stored, written.revision)
 
 
 class LeaseObjects:
@@ -137,18 +143,18 @@
     def __init__(self, store: ObjectStore) -> None:
         self._store = store
 
-    async def confirm(self, confirmation: LeaseConfirmation) -> int:
+    async def confirm(self, confirmation: LeaseConfirmation) -> StoreRevision:
         """Write the proxy's object, whether or not it is there; raises PlatformError."""
         spec = _lease_spec(confirmation)
         written = await self._store.overwrite_or_create(_LEASES, confirmation.proxy, spec)
-        return written.meta.revision
+        return written.revision
 
-    async def confirmations(self) -> tuple[LeaseConfirmation, ...]:
+    async def confirmations(self) -> Listing[LeaseConfirmation]:
         """All objects; raises PlatformError."""
         listing = await read_all(self._store, _LEASES, STORE_CALL_SECONDS)
-        return tuple(_confirmation(item) for item in listing.items)
+        return Listing(tuple(_confirmation(item) for item in listing.items), listing.revision)
 
-    async def leave(self, confirmation: LeaseConfirmation, revision: int) -> None:
+    async def leave(self, confirmation: LeaseConfirmation, revision: StoreRevision) -> None:
         """Write over the proxy's object at a revision; raises PlatformConflict, PlatformError."""
         version = ObjectVersion(_LEASES, confirmation.proxy, revision, is_new=False)
         await self._store.write(version, _lease_spec(confirmation))
@@ -158,13 +164,15 @@
     ends = {
         group: _LogEndSpec(end.term, end.lsn) for group, end in confirmation.acknowledged.items()
     }
-    return _LeaseSpec(confirmation.revision, confirmation.first_revision, ends, confirmation.left)
+    revision, first = int(confirmation.revision), int(confirmation.first_revision)
+    return _LeaseSpec(revision, first, ends, confirmation.left)
 
 
 def _confirmation(stored: StoredObject) -> LeaseConfirmation:
     spec = decode(stored.spec, _LeaseSpec)
     ends = {group: Position(end.term, end.number) for group, end in spec.acknowledged.items()}
-    return LeaseConfirmation(stored.meta.name, spec.revision, spec.first_revision, ends, spec.left)
+    revision, first = StoreRevision(spec.revision), StoreRevision(spec.first_revision)
+    return LeaseConfirmation(stored.meta.name, revision, first, ends, spec.left)
 
 
 class PromotionLockObject:
@@ -172,23 +180,42 @@
 
     def __init__(self, store: ObjectStore) -> None:
         self._store = store
-        self._path = object_path(_LOCKS, _LOCK_NAME)
 
-    async def read(self) -> LockRecord | None:
-        """The record; raises PlatformError."""
-        answer = await self._store.read(self._path, STORE_CALL_SECONDS)
-        return None if answer.status == 404 else _record(decode(answer.body, StoredObject))
+    async def read(self) -> LockRecord:
+        """The record of the present era; raises PlatformError."""
+        era = self._store.era.current
+        answer = await self._store.read(_lock_path(era), STORE_CALL_SECONDS)
+        if answer.era != era:  # the store's era was not known before
+            era = answer.era
+            answer = await self._store.read(_lock_path(era), STORE_CALL_SECONDS)
+        if answer.era != era:
+            raise PlatformError("the store came back from a copy twice while the lock was read")
+        if answer.status == 404:
+            return LockRecord.absent(era)
+        stored = decode(answer.body, StoredObject)
+        return _record(stored, answer.at(stored.meta.revision))
 
     async def write(self, record: LockRecord, create: bool) -> LockRecord:
         """Create or replace it; raises PlatformConflict, -Uncertain, -Error."""
         spec = _LockSpec(record.holder, record.attempt, record.released)
-        version = ObjectVersion(_LOCKS, _LOCK_NAME, record.revision, is_new=create)
-        return _record(await self._store.write(version, spec))
+        name = _lock_name(record.revision.era)
+        version = ObjectVersion(_LOCKS, name, record.revision, is_new=create)
+        written = await self._store.write(version, spec)
+        return _record(written.stored, written.revision)
 
 
-def _record(stored: StoredObject) -> LockRecord:
+def _lock_name(era: int) -> str:
+    """Each era has a lock of its own: see `promotion_lock`."""
+    return f"{_LOCK_NAME}-{era}" if era else _LOCK_NAME
+
+
+def _lock_path(era: int) -> str:
+    return object_path(_LOCKS, _lock_name(era))
+
+
+def _record(stored: StoredObject, revision: StoreRevision) -> LockRecord:
     spec = decode(stored.spec, _LockSpec)
-    return LockRecord(spec.holder, spec.attempt, spec.released, stored.meta.revision)
+    return LockRecord(spec.holder, spec.attempt, spec.released, revision)
 
 
 class MemberTranslation:
@@ -196,7 +223,7 @@
 
     kind = _MEMBERS
 
-    def item(self, stored: StoredObject) -> ProxyMember | None:
+    def item(self, stored: StoredObject, era: int) -> ProxyMember | None:
         """A proxy."""
         spec = decode(stored.spec, _MemberSpec)
         return ProxyMember(stored.meta.name, spec.zone, spec.host, spec.port, spec.capacity)
--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -39,6 +39,7 @@
 from orchidwind.promoted.peers.peer_streams import PeerListener, PeerStreamConnector
 from orchidwind.promoted.ports import ProxyPorts
 from orchidwind.promoted.proxy_runtime import ProxyRuntime
+from orchidwind.promoted.store_era import StoreEra
 from orchidwind.promoted.views.followed_views import ProxyBounds
 from orchidwind.shared.core.errors import SettingsError
 from orchidwind.shared.logs import configure_logging, log_event
@@ -112,8 +113,12 @@
 
 def _proxy_runtime(settings: PlatformSettings) -> ProxyRuntime:
     metrics = ProxyMetrics()
-    store = ObjectStore(parse_address(settings.store.address), metrics.store_call, metrics.silent)
+    store_era = StoreEra()
+    store = ObjectStore(
+        parse_address(settings.store.address), metrics.store_call, metrics.silent, store_era
+    )
     ports = ProxyPorts(
+        store_era=store_era,
         connector=LineConnector(),
         directory=WatchedKind(store, InstanceTranslation()),
         configuration=WatchedKind(store, ConfigurationTranslation()),
--- a/src/orchidwind/platform/published.py
+++ b/src/orchidwind/platform/published.py
@@ -78,7 +78,7 @@
 
     kind = _INSTANCES
 
-    def item(self, stored: StoredObject) -> DirectoryEntry | None:
+    def item(self, stored: StoredObject, era: int) -> DirectoryEntry | None:
         """The entry of an instance."""
         spec = decode(stored.spec, _InstanceSpec)
         host, _, port = spec.address.rpartition(":")
@@ -107,7 +107,7 @@
 
     kind = _CONFIGURATION
 
-    def item(self, stored: StoredObject) -> PromotedConfiguration | None:
+    def item(self, stored: StoredObject, era: int) -> PromotedConfiguration | None:
         """The configuration, if this is the object that holds it."""
         if stored.meta.name != _CONFIGURATION_NAME:
             return None
--- a/src/orchidwind/platform/store.py
+++ b/src/orchidwind/platform/store.py
@@ -1,16 +1,19 @@
 """Calls to the platform's object store, and kinds of objects that can be followed.
 
 For: the adapters of this folder (`coordination`, `published`), which know what the objects hold.
-Owns nothing between two calls: each has a connection of its own. Relies on `http_call` and on
-`stored_objects` for the forms. It repeats no call; how long one may take is set by its caller or
-by `promoted.core.call_limits`. Outcomes are the errors of `shared.core.errors`: PlatformConflict,
-PlatformMissing, PlatformUncertain (it may have been done), PlatformError (it was not done).
+Owns nothing between two calls: each has a connection of its own. Each answer names the store's era;
+what was said in an earlier one than is known changes nothing and confirms nothing. Relies on
+`http_call`, on `stored_objects` for the forms and on `promoted.store_era` for what is known. It
+repeats no call; how long one may take is set by its caller or by `promoted.core.call_limits`.
+Outcomes are the errors of `shared.core.errors`: PlatformConflict, PlatformMissing,
+PlatformUncertain (it may have been done), PlatformError (it was not done).
 """
 
 from __future__ import annotations
 
 import logging
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 from urllib.parse import quote
 
@@ -30,7 +33,9 @@
     object_path,
 )
 from orchidwind.promoted.core.call_limits import STORE_CALL_SECONDS
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.ports import Changes, Listing
+from orchidwind.promoted.store_era import StoreEra
 from orchidwind.shared.core.errors import (
     PlatformConflict,
     PlatformError,
@@ -43,8 +48,10 @@
 
 # Statuses of a write that took effect.
 _WRITTEN = (200, 201)
-# The header with which each answer says how often the store has come back from an older copy.
+# The header with which each answer says how often the store has come back from an older copy, and
+# what a store means that does not send it; the users' page sets both.
 _ERA_HEADER = "Store-Era"
+_FIRST_ERA = "0"
 
 Item = TypeVar("Item")
 Translated = TypeVar("Translated", covariant=True)
@@ -52,24 +59,55 @@
 OnArrival = Callable[[], None]
 
 
+@dataclass(frozen=True, slots=True)
+class WrittenObject:
+    """An object as it was written."""
+
+    stored: StoredObject
+    revision: StoreRevision
+
+
+@dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """An answer of the store, and the era that it was given in."""
+
+    status: int
+    body: bytes
+    era: int
+
+    def at(self, revision: int) -> StoreRevision:
+        """A revision that the answer names; raises PlatformError where there is no such one."""
+        try:
+            return StoreRevision.of(self.era, revision)
+        except ValueError as error:
+            raise PlatformError(str(error)) from error
+
+
 class ObjectStore:
     """Calls to the store at one address."""
 
     def __init__(
-        self, address: tuple[str, int], on_call: OnCall, on_silent: OnSilent = log_silent
+        self,
+        address: tuple[str, int],
+        on_call: OnCall,
+        on_silent: OnSilent = log_silent,
+        era: StoreEra | None = None,
     ) -> None:
-        """`on_call` gets the method and the kind of object of each call."""
+        """`on_call` gets the method and the kind of object of each call; `era` is told of eras."""
+        self.era = era or StoreEra()
         self._address = address
         self._on_call = on_call
         self._on_silent = on_silent
-        self._era: str | None = None
 
-    def _note_era(self, answer: HttpAnswer) -> None:
-        """Log the era of the first answer, and each other one: revisions have gone back then."""
-        era = answer.headers.get(_ERA_HEADER, "0")
-        if era != self._era:
-            log_event("store_era", era=era, before=self._era)
-            self._era = era
+    def _in_era(self, answer: HttpAnswer) -> StoreAnswer | None:
+        """An answer with its era, None where it was given in one that is over."""
+        named = answer.headers.get(_ERA_HEADER, _FIRST_ERA)
+        try:
+            era = StoreRevision.of(int(named), 0).era
+        except ValueError as error:
+            raise PlatformError(f"the store names no era: {named!r}") from error
+        current = self.era.saw(era, "store")
+        return StoreAnswer(answer.status, answer.body, era) if current else None
 
     def _note(self, method: str, path: str) -> None:
         self._on_call(method, kind_of(path))
@@ -86,7 +124,7 @@
 
     async def read(
         self, path: str, seconds: float, on_arrival: OnArrival | None = None
-    ) -> HttpAnswer:
+    ) -> StoreAnswer:
         """A call that changes nothing; raises PlatformError.
 
         With `on_arrival` an answer that is arriving is waited for longer.
@@ -94,22 +132,24 @@
         self._note("GET", path)
         request = HttpRequest(self._address, "GET", path)
         try:
-            answer = await http_call(request, seconds, on_arrival)
+            received = await http_call(request, seconds, on_arrival)
         except HttpCallFailed as error:
             self._note_failed("GET", path, error, "the next call has a new one")
             raise PlatformError(f"the store does not answer: {error}") from error
-        self._note_era(answer)
+        answer = self._in_era(received)
+        if answer is None:
+            raise PlatformError("the answer is from before the store came back")
         if answer.status == 410:
             raise PlatformVersionGone("the store has dropped its history")
         if answer.status not in (200, 404):
             raise PlatformError(f"the store answers {answer.status}")
         return answer
 
-    async def change(self, method: str, path: str, body: bytes) -> HttpAnswer:
+    async def change(self, method: str, path: str, body: bytes) -> StoreAnswer:
         """A call that changes an object; raises PlatformConflict, -Uncertain, -Error."""
         self._note(method, path)
         try:
-            answer = await http_call(
+            received = await http_call(
                 HttpRequest(self._address, method, path, body), STORE_CALL_SECONDS
             )
         except HttpCallFailed as error:
@@ -117,7 +157,9 @@
             if error.sent:
                 raise PlatformUncertain(f"the store does not answer: {error}") from error
             raise PlatformError(f"the store cannot be reached: {error}") from error
-        self._note_era(answer)
+        answer = self._in_era(received)
+        if answer is None:
+            raise PlatformUncertain("the answer is from before the store came back")
         if answer.status == 409:
             raise PlatformConflict("the object has changed", held=answer.body)
         if answer.status == 404:
@@ -126,17 +168,28 @@
             raise PlatformError(f"the store answers {answer.status}")
         return answer
 
-    async def write(self, version: ObjectVersion, spec: msgspec.Struct) -> StoredObject:
-        """Create an object, or replace it unless it has changed; raises as `change`."""
+    async def write(self, version: ObjectVersion, spec: msgspec.Struct) -> WrittenObject:
+        """Create an object, or replace it unless it has changed; raises as `change`.
+
+        Revisions are given out again when the store comes back: one of an earlier era says nothing
+        about an object. Raises PlatformConflict where that is known, PlatformUncertain where the
+        store came back meanwhile: its copy may have had the revision.
+        """
+        if version.revision.era < self.era.current:
+            raise PlatformConflict("the store came back from a copy since the object was read")
         if version.is_new:
             body = encode_object(version.name, spec)
             answer = await self.change("POST", kind_path(version.kind), body)
         else:
             body = encode_object(version.name, spec, version.revision)
             answer = await self.change("PUT", object_path(version.kind, version.name), body)
-        return decode(answer.body, StoredObject)
+        if answer.era != version.revision.era:
+            raise PlatformUncertain("the store came back from a copy meanwhile")
+        return _written(answer)
 
-    async def overwrite_or_create(self, kind: str, name: str, spec: msgspec.Struct) -> StoredObject:
+    async def overwrite_or_create(
+        self, kind: str, name: str, spec: msgspec.Struct
+    ) -> WrittenObject:
         """Write an object that is expected to be there, whatever its revision.
 
         One call where it is there, two where it has to be created; raises as `change`.
@@ -146,7 +199,7 @@
             answer = await self.change("PUT", object_path(kind, name), body)
         except PlatformMissing:
             answer = await self.change("POST", kind_path(kind), body)
-        return decode(answer.body, StoredObject)
+        return _written(answer)
 
     async def create_or_overwrite(self, kind: str, name: str, spec: msgspec.Struct) -> bool:
         """Write an object that is expected to be new; whether it was created.
@@ -163,6 +216,11 @@
         return True
 
 
+def _written(answer: StoreAnswer) -> WrittenObject:
+    written = decode(answer.body, StoredObject)
+    return WrittenObject(written, answer.at(written.meta.revision))
+
+
 def _holds(body: bytes, spec: msgspec.Struct) -> bool:
     """Whether an object that the store sent back holds just this."""
     try:
@@ -182,14 +240,16 @@
     """
     items: list[StoredObject] = []
     path = kind_path(kind)
-    first_revision: int | None = None
+    first_revision: StoreRevision | None = None
     while True:
         answer = await store.read(path, limit, on_arrival)
         if answer.status == 404:
             raise PlatformError("the store does not know the kind")
         page = decode(answer.body, ObjectPage)
-        if first_revision is None or page.revision < first_revision:
-            first_revision = page.revision
+        at = answer.at(page.revision)
+        if first_revision is not None and first_revision.era != at.era:
+            raise PlatformError("the store came back from a copy between two pages")
+        first_revision = at if first_revision is None else min(first_revision, at)
         items.extend(page.items)
         if not page.has_more or not page.items:
             return Listing(tuple(items), first_revision)
@@ -201,8 +261,8 @@
 
     kind: str
 
-    def item(self, stored: StoredObject) -> Translated | None:
-        """The item of an object; None where the object is none."""
+    def item(self, stored: StoredObject, era: int) -> Translated | None:
+        """The item of an object, read in an era; None where the object is none."""
 
 
 class WatchedKind(Generic[Item]):
@@ -216,31 +276,36 @@
     async def list(self, limit: float, on_arrival: OnArrival) -> Listing[Item]:
         """Read all objects; raises PlatformError."""
         listing = await read_all(self._store, self._translation.kind, limit, on_arrival)
-        return Listing(self._items(listing.items), listing.revision)
+        return Listing(self._items(listing.items, listing.revision.era), listing.revision)
 
     async def watch(
-        self, revision: int, wait: float, limit: float, on_arrival: OnArrival
+        self, revision: StoreRevision, wait: float, limit: float, on_arrival: OnArrival
     ) -> Changes[Item]:
         """Wait for changes after a revision; raises PlatformVersionGone, PlatformError."""
+        if revision.era != self._store.era.current:
+            raise PlatformVersionGone("the store came back from a copy since that revision")
         milliseconds = int(wait * MILLISECONDS)
-        path = f"{self._path}?watch={revision}&wait_ms={milliseconds}"
+        path = f"{self._path}?watch={revision.in_era}&wait_ms={milliseconds}"
         answer = await self._store.read(path, limit, on_arrival)
         if answer.status == 404:
             raise PlatformVersionGone("the store does not know the kind")
+        if answer.era != revision.era:
+            # It tells what changed after a revision that was given out again.
+            raise PlatformVersionGone("the store came back from a copy meanwhile")
         answered = decode(answer.body, ObjectEvents)
         latest = {event.object.meta.name: event for event in answered.events}
         changed = [event.object for event in latest.values() if not event.gone]
         gone = tuple(name for name, event in latest.items() if event.gone)
-        return Changes(self._items(changed), gone, answered.revision)
+        return Changes(self._items(changed, answer.era), gone, answer.at(answered.revision))
 
-    def _items(self, objects: Sequence[StoredObject]) -> tuple[Item, ...]:
-        found = (self._item(stored) for stored in objects)
+    def _items(self, objects: Sequence[StoredObject], era: int) -> tuple[Item, ...]:
+        found = (self._item(stored, era) for stored in objects)
         return tuple(item for item in found if item is not None)
 
-    def _item(self, stored: StoredObject) -> Item | None:
+    def _item(self, stored: StoredObject, era: int) -> Item | None:
         """The item of an object; one that is not as described must not hide the others."""
         try:
-            return self._translation.item(stored)
+            return self._translation.item(stored, era)
         except (PlatformError, ValueError) as error:
             log_event(
                 "object_not_as_described",
--- a/src/orchidwind/platform/stored_objects.py
+++ b/src/orchidwind/platform/stored_objects.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.shared.core.errors import PlatformError
 
 # In a second.
@@ -24,7 +25,7 @@
 
 
 class Meta(msgspec.Struct):
-    """What the store keeps of each object. `revision` rises with each write of any object."""
+    """What the store keeps of each object. `revision` rises with each write in an era."""
 
     name: str
     revision: int = 0
@@ -67,7 +68,7 @@
 
     kind: str
     name: str
-    revision: int
+    revision: StoreRevision
     is_new: bool
 
 
@@ -79,12 +80,12 @@
         raise PlatformError(f"an answer of the store has another form: {error}") from error
 
 
-def encode_object(name: str, spec: msgspec.Struct, revision: int | None = None) -> bytes:
+def encode_object(name: str, spec: msgspec.Struct, revision: StoreRevision | None = None) -> bytes:
     """The body of a write; with `revision` the store refuses it where the object has changed."""
     # An empty list of finalizers: nobody else has to agree before the object can be deleted.
     meta: dict[str, Any] = {"name": name, "finalizers": []}
     if revision is not None:
-        meta["revision"] = revision
+        meta["revision"] = revision.in_era
     return msgspec.json.encode({"meta": meta, "spec": spec})
 
 
--- a/src/orchidwind/promoted/core/failover_steps.py
+++ b/src/orchidwind/promoted/core/failover_steps.py
@@ -12,6 +12,7 @@
 
 from orchidwind.promoted.core.commands import InstanceStatus
 from orchidwind.promoted.core.roster import PromotionRecord
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.shared.core.errors import OrchidwindError
 from orchidwind.shared.core.positions import Position
 
@@ -48,14 +49,18 @@
     """
 
     end: Position
-    known_since: int
+    known_since: StoreRevision
 
     @classmethod
     def by_all(
-        cls, ends: Iterable[Position], first_revisions: Iterable[int]
+        cls, ends: Iterable[Position], first_revisions: Iterable[StoreRevision], era: int
     ) -> AcknowledgedCommits:
-        """What all proxies reported: their ends, and the lock's revision that each saw first."""
-        return cls(max(ends, default=Position(0, 0)), max(first_revisions))
+        """What all proxies reported: their ends, and the lock's revision that each saw first.
+
+        Reports of an earlier era of the store than `era` may be lost, with what they said.
+        """
+        era_began = StoreRevision.of(era, 0)
+        return cls(max(ends, default=Position(0, 0)), max(era_began, *first_revisions))
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/orchidwind/promoted/core/homes.py
+++ b/src/orchidwind/promoted/core/homes.py
@@ -42,6 +42,10 @@
 # A list that does not name a proxy is believed so many seconds after the proxy wrote its entry.
 # Chosen: half of the age that the list may have (`ProxyBounds.members`).
 OWN_ENTRY_LISTED_AFTER_SECONDS = 10.0
+# After a return of the store from a copy, seconds for which a proxy that the copy lacks stays a
+# member. Chosen: proxies know of the return within half a second of one another, and list
+# themselves again within one; the rest is for calls that are refused.
+RELISTING_SECONDS = 3.0
 _LOCK_READER_KEY = "promotion-lock"
 # How many proxies read the promotion lock for the others. Chosen: the store may turn one away and
 # serve the other; they sit in different zones.
--- a/src/orchidwind/promoted/core/lead_lease.py
+++ b/src/orchidwind/promoted/core/lead_lease.py
@@ -22,6 +22,7 @@
 from dataclasses import dataclass
 
 from orchidwind.promoted.core.promotion_lock import LockRecord
+from orchidwind.promoted.core.store_revision import StoreRevision
 
 # Seconds from the sending of a reading for which nobody can lead anew. Chosen: longer leases mean
 # fewer readings of the lock (one each 0.75 s a reader), and a longer wait of a change of primary
@@ -57,18 +58,18 @@
     """What a read of the lock showed; `sent_at` is when its call was sent, or earlier."""
 
     sent_at: float
-    revision: int
+    revision: StoreRevision
     free: bool
 
     @classmethod
-    def of(cls, sent_at: float, record: LockRecord | None) -> LockReading:
-        """The reading of a record; without one the lock was never taken."""
-        if record is None:
-            return cls(sent_at, 0, free=True)
+    def of(cls, sent_at: float, record: LockRecord) -> LockReading:
+        """The reading of a record."""
         return cls(sent_at, record.revision, record.released)
 
     @classmethod
-    def relayed(cls, asked_at: float, age: float, revision: int, free: bool) -> LockReading:
+    def relayed(
+        cls, asked_at: float, age: float, revision: StoreRevision, free: bool
+    ) -> LockReading:
         """Another proxy's reading, which was `age` seconds old when it answered.
 
         It answered after it was asked, so its call was sent no earlier than `age` before that.
@@ -81,12 +82,12 @@
 
     def __init__(self) -> None:
         self._covered_until = float("-inf")
-        self._newest_revision = 0
-        self._first_revision: int | None = None
+        self._newest_revision = StoreRevision(0)
+        self._first_revision: StoreRevision | None = None
         self._free = False
 
     @property
-    def first_revision(self) -> int | None:
+    def first_revision(self) -> StoreRevision | None:
         """The lock's revision when this proxy first saw it, None before.
 
         Who saw it below a holder's token has run since before that holder's change of primary.
@@ -94,7 +95,7 @@
         return self._first_revision
 
     @property
-    def free_revision(self) -> int | None:
+    def free_revision(self) -> StoreRevision | None:
         """The lock's revision while it is known to be free, else None.
 
         As long as this stays the same, nobody has begun to change a primary.
@@ -122,14 +123,14 @@
         else:
             self.drop()
 
-    def lock_taken(self, revision: int) -> None:
+    def lock_taken(self, revision: StoreRevision) -> None:
         """Some proxy took the lock; earlier reads of it count no longer."""
         self._note_first(revision)
         if revision >= self._newest_revision:
             self._newest_revision = revision
             self.drop()
 
-    def _note_first(self, revision: int) -> None:
+    def _note_first(self, revision: StoreRevision) -> None:
         if self._first_revision is None:
             self._first_revision = revision
 
--- a/src/orchidwind/promoted/core/lead_proof.py
+++ b/src/orchidwind/promoted/core/lead_proof.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass
 
 from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
+from orchidwind.promoted.core.store_revision import StoreRevision
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,7 +30,7 @@
     """
 
     instance: str
-    lock_revision: int
+    lock_revision: StoreRevision
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +44,7 @@
     """
 
     covers: bool
-    lock_revision: int | None
+    lock_revision: StoreRevision | None
     proven: ProvenLead | None
     successor_may_lead: bool
 
--- a/src/orchidwind/promoted/core/promotion_lock.py
+++ b/src/orchidwind/promoted/core/promotion_lock.py
@@ -1,13 +1,19 @@
 """The lock that makes one proxy at a time the one that promotes. No I/O.
 
 The lock is one object in the store, changed by compare-and-put only. Its revision in the store is
-the fencing token: it rises with every change, so also with every holder. A holder uses the lock
+the fencing token: it rises with every change, so also with every holder, and across returns of the
+store from an older copy (`store_revision`). A holder uses the lock
 for a fixed time after it *sent* the call that took it. Others take it over only after they have
 seen it unchanged for longer than that, by their own steady clocks; the difference covers a
 promotion call that is still under way. So does the holder itself, and a process that was started
 anew under its name, once a promotion was written down under this hold: the call may take effect
 yet, and whoever finds the old primary leading would free the replicas for it.
 
+Each era of the store has a lock of its own. A return may lose the record of a holder that still
+acts, and a late call of its could hit a record that was given the same revision again. So the lock
+of a later era is not there at first, which counts as if an unknown proxy had taken it when the era
+was first seen: it is created when all rights from earlier eras have run out.
+
 Owns: since when the lock was seen at its revision (`LockObserver`). Relies on: a store whose
 compare-and-put gives each change a higher revision. Times are in seconds of the steady clock.
 """
@@ -18,6 +24,10 @@
 from enum import Enum, unique
 
 from orchidwind.promoted.core.call_limits import PROMOTION_CALL_SECONDS
+from orchidwind.promoted.core.store_revision import NOTHING_HELD, StoreRevision
+
+# The store's first era: no copy has come back, so a lock that is not there was never taken.
+_FIRST_ERA = 0
 
 # Seconds from the sending of the call that took the lock for which its holder uses it. Chosen: the
 # wait for leases, and twelve attempts to find a candidate (`failover`), fit in.
@@ -49,14 +59,24 @@
     holder: str
     attempt: str
     released: bool
-    revision: int
+    revision: StoreRevision
+
+    @classmethod
+    def absent(cls, era: int) -> LockRecord:
+        """No record in an era of the store; nobody holds the lock only in the first one."""
+        return cls("", "", era == _FIRST_ERA, StoreRevision.of(era, 0))
+
+    @property
+    def exists(self) -> bool:
+        """Whether the store has the record."""
+        return self.revision.in_era > 0
 
 
 @dataclass(frozen=True, slots=True)
 class HeldLock:
     """The lock in this proxy's hands, until `valid_until` of its steady clock."""
 
-    token: int
+    token: StoreRevision
     valid_until: float
 
 
@@ -74,32 +94,29 @@
 
     def __init__(self, node: str) -> None:
         self._node = node
-        self._seen_revision = -1
+        self._seen_revision = NOTHING_HELD
         self._seen_at = 0.0
 
-    def saw(self, now: float, revision: int) -> None:
+    def saw(self, now: float, revision: StoreRevision) -> None:
         """The lock was seen at a revision, in a call or by a watch."""
         if revision != self._seen_revision:
             self._seen_revision = revision
             self._seen_at = now
 
     def decide(
-        self, now: float, record: LockRecord | None, promotion_called: bool = False
+        self, now: float, record: LockRecord, promotion_called: bool = False
     ) -> LockDecision:
         """What to do about a record that was just read.
 
         `promotion_called`: a promotion may have been called under this very hold.
         """
-        if record is None:
-            return LockDecision.CREATE
+        take = LockDecision.REPLACE if record.exists else LockDecision.CREATE
         if record.released:
-            return LockDecision.REPLACE
+            return take
         if record.holder == self._node and not promotion_called:
-            return LockDecision.REPLACE
+            return take
         self.saw(now, record.revision)
-        if now - self._seen_at >= TAKE_OVER_SECONDS:
-            return LockDecision.REPLACE
-        return LockDecision.WAIT
+        return take if now - self._seen_at >= TAKE_OVER_SECONDS else LockDecision.WAIT
 
 
 def held_lock(sent_at: float, record: LockRecord, attempt: str) -> HeldLock | None:
@@ -117,7 +134,9 @@
     return left if left > CALL_MARGIN_SECONDS else None
 
 
-def would_alternate(since_call: float, called_with: int, newest_token: int) -> bool:
+def would_alternate(
+    since_call: float, called_with: StoreRevision, newest_token: StoreRevision
+) -> bool:
     """Whether a proxy must leave the lock to others: two holders must not take turns.
 
     `since_call`: seconds since its own last promotion call, under the token `called_with`;
--- a/src/orchidwind/promoted/core/roster.py
+++ b/src/orchidwind/promoted/core/roster.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.shared.core.positions import Position
 
 
@@ -24,7 +25,7 @@
     instance: str
     term: int
     start: Position
-    token: int
+    token: StoreRevision
     replaced: str = ""
 
 
@@ -34,5 +35,13 @@
 
     group: str
     members: tuple[str, ...]
-    revision: int
+    revision: StoreRevision
     last_promotion: PromotionRecord | None = None
+
+    def united_with(self, other: Roster) -> Roster:
+        """This one with the members of both, and the later promotion."""
+        members = tuple(sorted({*self.members, *other.members}))
+        records = [self.last_promotion, other.last_promotion]
+        known = [record for record in records if record is not None]
+        last = max(known, key=lambda record: record.token, default=None)
+        return replace(self, members=members, last_promotion=last)
--- a/src/orchidwind/promoted/group/exchanges.py
+++ b/src/orchidwind/promoted/group/exchanges.py
@@ -15,6 +15,7 @@
 from orchidwind.promoted.core.circuit_breaker import Dependency
 from orchidwind.promoted.core.commands import InstanceMessage, MessageKind, Reply, ReplyCode
 from orchidwind.promoted.core.steps import Exchange, ExchangeResult
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.core.topology import GroupTopology
 from orchidwind.promoted.group.connections import GroupConnections
 from orchidwind.promoted.group.group_breakers import GroupBreakers
@@ -64,7 +65,7 @@
 
     leased: bool
     query: StatusTask | None
-    lock_revision: int | None
+    lock_revision: StoreRevision | None
 
 
 class Exchanges:
--- a/src/orchidwind/promoted/group/failover_runner.py
+++ b/src/orchidwind/promoted/group/failover_runner.py
@@ -38,7 +38,7 @@
     UnfenceAll,
     Wait,
 )
-from orchidwind.promoted.core.promotion_lock import HeldLock, usable_seconds
+from orchidwind.promoted.core.promotion_lock import HeldLock
 from orchidwind.promoted.core.roster import PromotionRecord
 from orchidwind.promoted.flow_driver import drive
 from orchidwind.promoted.group.group_service import GroupService
@@ -131,16 +131,16 @@
 
     def _remaining(self) -> float:
         """Seconds for which the lock is surely held; raises LockLost where there are none."""
-        seconds = usable_seconds(self._held, self._loop.time())
+        seconds = self._lock.usable_seconds(self._held)
         if seconds is None:
-            raise LockLost("the promotion lock's time has passed")
+            raise LockLost("the promotion lock's time, or its era of the store, has passed")
         return seconds
 
     async def _promote(self, step: Promote, plan: FailoverPlan) -> FailoverStepResult:
         seconds = self._remaining()
         assert self._held is not None
         token = self._held.token
-        answer = await self._service.promote(plan.group, step.instance, token, seconds)
+        answer = await self._service.promote(plan.group, step.instance, int(token), seconds)
         self._lock.note_called(token)
         self._unsettled = answer is not PromotionAnswer.REFUSED
         self._promoted = step.instance
--- a/src/orchidwind/promoted/group/lead_prover.py
+++ b/src/orchidwind/promoted/group/lead_prover.py
@@ -19,6 +19,7 @@
     lease_proves_lead,
     shows_no_later_term,
 )
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.core.topology import GroupTopology
 from orchidwind.promoted.group.lease_keeper import LeaseKeeper
 from orchidwind.promoted.group.shared_query import SharedQuery
@@ -58,11 +59,11 @@
         return self._leases.covers(self._loop.time())
 
     @property
-    def lock_revision(self) -> int | None:
+    def lock_revision(self) -> StoreRevision | None:
         """The promotion lock's revision while it is known to be free."""
         return self._leases.free_revision
 
-    def proven_under(self, instance: str, lock_revision: int | None) -> None:
+    def proven_under(self, instance: str, lock_revision: StoreRevision | None) -> None:
         """An instance was proven to lead by a query sent while the lock stood at a revision."""
         if lock_revision is not None:
             self._proven = ProvenLead(instance, lock_revision)
--- a/src/orchidwind/promoted/group/lease_keeper.py
+++ b/src/orchidwind/promoted/group/lease_keeper.py
@@ -15,6 +15,7 @@
 import asyncio
 from collections.abc import Callable, Collection
 from dataclasses import replace
+from typing import Protocol
 
 from orchidwind.promoted.core.failover_steps import AcknowledgedCommits
 from orchidwind.promoted.core.lead_lease import (
@@ -25,6 +26,7 @@
 )
 from orchidwind.promoted.core.peer_messages import LockReport
 from orchidwind.promoted.core.promotion_lock import LockRecord, held_by_another
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.group.lock_readings import LockReadings
 from orchidwind.promoted.peers.peer_network import LockReaders
 from orchidwind.promoted.ports import (
@@ -34,6 +36,7 @@
     Listing,
     PromotionLockStore,
 )
+from orchidwind.promoted.store_era import StoreEra
 from orchidwind.shared.core.errors import PlatformError
 from orchidwind.shared.core.positions import Position
 from orchidwind.shared.logs import log_event
@@ -48,6 +51,19 @@
 assert _REGISTRY_RETRY_SECONDS * 2 < REVOCATION_WAIT_SECONDS
 
 
+class LockUse(Protocol):
+    """What takes and gives back the promotion lock, and knows since when it stands as it does."""
+
+    def saw(self, record: LockRecord) -> None:
+        """A watch shows the lock."""
+
+    async def create_free(self, absent: LockRecord) -> LockRecord:
+        """Create the lock of an era once no right from an earlier one can be in use.
+
+        The record as it is then; raises PlatformError.
+        """
+
+
 class LeaseKeeper:
     """One proxy's lease, while requests want it."""
 
@@ -56,24 +72,30 @@
         node: str,
         lock_store: PromotionLockStore,
         registry: LeaseRegistry,
+        store_era: StoreEra,
+        lock_use: LockUse,
         readers: Callable[[], LockReaders] = LockReaders,
-        on_lock_seen: Callable[[LockRecord], None] = lambda record: None,
     ) -> None:
         """`readers` returns the proxies that read the lock for others."""
-        self._on_lock_seen = on_lock_seen
-        self._readings = LockReadings(lock_store, readers)
+        self._lock_use = lock_use
+        self._store_era = store_era
+        self._readings = LockReadings(lock_store, readers, store_era, lock_use.create_free)
+        store_era.on_return(self._store_came_back)
         self._released = asyncio.Event()
         self.lease = LeadLease()
         self.holder = ""
         self._held_since = 0.0
         self._node = node
         self._registry = registry
-        self._registered = False
+        # From when on a reading of the lock counts: whoever takes the lock later waits for this
+        # proxy, which is registered in the lock's era. Infinite where it is not.
+        self._registered_at = float("inf")
+        self._object_revision: StoreRevision | None = None
         self._wanted = asyncio.Event()
+        self._left = False
         self._acknowledged: dict[str, Position] = {}
-        self._object_revision: int | None = None
-        self._confirmed = 0
-        self._to_confirm = 0
+        self._confirmed = StoreRevision(0)
+        self._to_confirm = StoreRevision(0)
         self._confirm_wanted = asyncio.Event()
         self._loop = asyncio.get_running_loop()
 
@@ -86,7 +108,7 @@
         return self._registered and self.lease.covers(at)
 
     @property
-    def free_revision(self) -> int | None:
+    def free_revision(self) -> StoreRevision | None:
         """The promotion lock's revision while it is known to be free, else None."""
         return self.lease.free_revision
 
@@ -94,7 +116,17 @@
         """A commit of a group is acknowledged, up to this end of the primary's log."""
         self._acknowledged[group] = max(position, self._acknowledged.get(group, position))
 
-    def _confirmation(self, revision: int) -> LeaseConfirmation:
+    @property
+    def _registered(self) -> bool:
+        return self._registered_at < float("inf")
+
+    def _store_came_back(self) -> None:
+        """The registration may be lost, so no lease counts until there is another."""
+        self._registered_at = float("inf")
+        self.lease.drop()
+        self._wanted.set()
+
+    def _confirmation(self, revision: StoreRevision) -> LeaseConfirmation:
         # Before the lock was seen, it is not known how long this process has run.
         first = self.lease.first_revision
         first = revision if first is None else first
@@ -102,11 +134,10 @@
 
     async def run(self) -> None:
         """Register with the first request, then read the lock as often as they want the lease."""
-        await self._wanted.wait()
-        while not await self._register():
-            await asyncio.sleep(_REGISTRY_RETRY_SECONDS)
         while True:
             await self._wanted.wait()
+            while not self._registered and not await self._register():
+                await asyncio.sleep(_REGISTRY_RETRY_SECONDS)
             self._wanted.clear()
             await self._renew()
             await self._rest()
@@ -123,16 +154,23 @@
 
     async def _register(self) -> bool:
         """Others wait for this proxy from now on, so its lease may count."""
+        confirmation = self._confirmation(StoreRevision(0))
         try:
-            self._object_revision = await self._registry.confirm(self._confirmation(0))
+            self._object_revision = await self._registry.confirm(confirmation)
         except PlatformError as error:
             log_event("lease_not_registered", reason=str(error))
             return False
-        self._registered = True
+        if self._store_era.current > self._object_revision.era or self._left:
+            return False
+        self.lease.drop()  # what was read before does not count
+        self._registered_at = self._loop.time()
         return True
 
     async def _renew(self) -> None:
         reading = await self._readings.current()
+        if reading is not None and reading.sent_at < self._registered_at:
+            # Whoever took the lock since then did not wait for this proxy.
+            reading = await self._readings.fresh()
         if reading is not None:
             self.lease.lock_seen(reading)
 
@@ -159,7 +197,7 @@
             self._take(record)
 
     def _take(self, record: LockRecord) -> None:
-        self._on_lock_seen(record)
+        self._lock_use.saw(record)
         self.holder = "" if record.released else record.holder
         self._held_since = self._loop.time()
         if record.released:
@@ -199,11 +237,12 @@
         Written over this process's own object only: a call that is late must not speak for the
         process that is started next under the same name.
         """
-        self._registered = False
+        self._left = True
+        self._registered_at = float("inf")
         self.lease.drop()
         if self._object_revision is None:
             return
-        left = replace(self._confirmation(0), left=True)
+        left = replace(self._confirmation(StoreRevision(0)), left=True)
         try:
             async with asyncio.timeout(_LEAVE_SECONDS):
                 await self._registry.leave(left, self._object_revision)
@@ -211,7 +250,7 @@
             log_event("lease_not_left", reason=str(error))
 
     async def wait_for_others(
-        self, group: str, token: int, taken_at: float
+        self, group: str, token: StoreRevision, taken_at: float
     ) -> AcknowledgedCommits | None:
         """Wait until no other proxy's lease counts; `taken_at` is when the lock's answer came.
 
@@ -222,25 +261,31 @@
         while (left := deadline - self._loop.time()) > 0:
             confirmed = await self._all_dropped(token)
             if confirmed is not None:
-                return _acknowledged_by(group, (*confirmed, self._confirmation(token)))
+                own = self._confirmation(token)
+                return _acknowledged_by(group, (*confirmed, own), token.era)
             await asyncio.sleep(min(CONFIRMATIONS_INTERVAL_SECONDS, left))
         return None
 
-    async def _all_dropped(self, token: int) -> list[LeaseConfirmation] | None:
+    async def _all_dropped(self, token: StoreRevision) -> list[LeaseConfirmation] | None:
         """What the others wrote with the drop of their leases, None until all have."""
         try:
-            confirmed = await self._registry.confirmations()
+            listing = await self._registry.confirmations()
         except PlatformError as error:
             # All leases have run out when the wait ends, whatever is confirmed.
             log_event("lease_confirmations_not_read", token=token, reason=str(error))
             return None
-        others = [item for item in confirmed if item.proxy != self._node]
+        if listing.revision.era != token.era:
+            return None  # registrations may be lost: leases are waited out
+        others = [item for item in listing.items if item.proxy != self._node]
         waiting = any(item.revision < token and not item.left for item in others)
         return None if waiting else others
 
 
-def _acknowledged_by(group: str, confirmed: Collection[LeaseConfirmation]) -> AcknowledgedCommits:
+def _acknowledged_by(
+    group: str, confirmed: Collection[LeaseConfirmation], era: int
+) -> AcknowledgedCommits:
     return AcknowledgedCommits.by_all(
         [item.acknowledged[group] for item in confirmed if group in item.acknowledged],
         [item.first_revision for item in confirmed],
+        era,
     )
--- a/src/orchidwind/promoted/group/lock_readings.py
+++ b/src/orchidwind/promoted/group/lock_readings.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 from orchidwind.promoted.core.lead_lease import (
     LONGEST_RELAYED_AGE_SECONDS,
@@ -18,18 +18,35 @@
     LockReading,
 )
 from orchidwind.promoted.core.peer_messages import LockReport
+from orchidwind.promoted.core.promotion_lock import LockRecord
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.peers.peer_link import PeerLink
 from orchidwind.promoted.peers.peer_network import LockReaders
 from orchidwind.promoted.ports import PromotionLockStore
+from orchidwind.promoted.store_era import StoreEra
 from orchidwind.shared.core.errors import PeerUnavailable, PlatformError
 from orchidwind.shared.logs import log_event
 
+CreateLock = Callable[[LockRecord], Awaitable[LockRecord]]
+
 
 class LockReadings:
     """Reads the lock for this proxy, and for others that ask it."""
 
-    def __init__(self, lock_store: PromotionLockStore, readers: Callable[[], LockReaders]) -> None:
-        """`readers` returns the proxies that read the lock for others."""
+    def __init__(
+        self,
+        lock_store: PromotionLockStore,
+        readers: Callable[[], LockReaders],
+        store_era: StoreEra,
+        create_lock: CreateLock,
+    ) -> None:
+        """`readers` returns the proxies that read the lock for others.
+
+        `create_lock` gets a record that is absent, though rights of earlier eras may have run out;
+        it returns the record as it is then.
+        """
+        self._store_era = store_era
+        self._create_lock = create_lock
         self._lock_store = lock_store
         self._readers = readers
         self._last: LockReading | None = None
@@ -44,13 +61,19 @@
         reading = await self._relayed(first_asked) or await self._recent()
         return reading or await self._relayed(readers.after)
 
+    async def fresh(self) -> LockReading | None:
+        """A reading that is sent to the store now, None where it does not answer."""
+        async with self._one_at_a_time:
+            return await self._read_store()
+
     async def report(self, number: int) -> LockReport:
         """Another proxy asks what the lock is: one reading serves all that ask meanwhile."""
         reading = await self._recent()
         if reading is None:
             return LockReport(number, known=False, age=0.0, revision=0, free=False)
         age = self._loop.time() - reading.sent_at
-        return LockReport(number, known=True, age=age, revision=reading.revision, free=reading.free)
+        revision = int(reading.revision)
+        return LockReport(number, known=True, age=age, revision=revision, free=reading.free)
 
     async def _recent(self) -> LockReading | None:
         """This proxy's last reading, or a new one where that is old."""
@@ -65,6 +88,8 @@
         sent_at = self._loop.time()
         try:
             record = await self._lock_store.read()
+            if not record.exists and not record.released:
+                record = await self._create_lock(record)
         except PlatformError as error:
             self._note_readable(False, str(error))
             return None
@@ -98,4 +123,7 @@
             return None
         if not report.known or report.age > LONGEST_RELAYED_AGE_SECONDS:
             return None
-        return LockReading.relayed(asked_at, report.age, report.revision, report.free)
+        revision = StoreRevision(report.revision)
+        if not self._store_era.saw(revision.era, link.member.name):
+            return None  # it does not know yet that the store came back
+        return LockReading.relayed(asked_at, report.age, revision, report.free)
--- a/src/orchidwind/promoted/group/promotion_lock_client.py
+++ b/src/orchidwind/promoted/group/promotion_lock_client.py
@@ -21,10 +21,13 @@
     LockObserver,
     LockRecord,
     held_lock,
+    usable_seconds,
     would_alternate,
 )
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.group.roster_keeper import RosterKeeper
 from orchidwind.promoted.ports import PromotionLockStore
+from orchidwind.promoted.store_era import StoreEra
 from orchidwind.shared.core.errors import (
     PlatformConflict,
     PlatformError,
@@ -36,13 +39,16 @@
 class PromotionLockClient:
     """Takes and gives back the promotion lock; one change of primary at a time uses it."""
 
-    def __init__(self, node: str, store: PromotionLockStore, rosters: RosterKeeper) -> None:
+    def __init__(
+        self, node: str, store: PromotionLockStore, rosters: RosterKeeper, store_era: StoreEra
+    ) -> None:
         """`rosters` name the promotions that were called, with their tokens."""
         self._node = node
         self._store = store
+        self._store_era = store_era
         self._rosters = rosters
         self._called_at = float("-inf")
-        self._called_with = 0
+        self._called_with = StoreRevision(0)
         self._observer = LockObserver(node)
         self._loop = asyncio.get_running_loop()
         self.in_use = asyncio.Lock()
@@ -54,7 +60,7 @@
         """
         self._observer.saw(self._loop.time(), record.revision)
 
-    def note_called(self, token: int) -> None:
+    def note_called(self, token: StoreRevision) -> None:
         """A promotion was called under a token of this proxy."""
         self._called_at = self._loop.time()
         self._called_with = token
@@ -71,22 +77,50 @@
             return None
         try:
             record = await self._store.read()
-            called = record is not None and self._rosters.promotion_called(record.revision)
-            decision = self._observer.decide(self._loop.time(), record, called)
-            if decision is LockDecision.WAIT:
+            if self._decide(record) is LockDecision.WAIT:
                 return None
             return await self._write(record)
         except PlatformError as error:
             log_event("promotion_lock_unavailable", reason=str(error))
             return None
 
-    async def _write(self, record: LockRecord | None) -> HeldLock | None:
+    def _decide(self, record: LockRecord) -> LockDecision:
+        if not record.exists:
+            # Whoever held the lock of an earlier era took it before this one was seen.
+            self._observer.saw(self._store_era.since, record.revision)
+        called = self._rosters.promotion_called(record.revision)
+        return self._observer.decide(self._loop.time(), record, called)
+
+    async def create_free(self, absent: LockRecord) -> LockRecord:
+        """Create the lock of an era, free, once no right from an earlier era can be in use.
+
+        The record as it is then; raises PlatformError. Without it no lead lease counts.
+        """
+        if self._decide(absent) is LockDecision.WAIT:
+            return absent
+        free = LockRecord("", "", released=True, revision=absent.revision)
+        try:
+            created = await self._store.write(free, create=True)
+        except PlatformConflict:
+            return await self._store.read()  # another proxy was faster
+        log_event("promotion_lock_created", revision=created.revision)
+        return created
+
+    def usable_seconds(self, held: HeldLock | None) -> float | None:
+        """For how many seconds the lock is surely held; None where no call may be begun any more.
+
+        A lock ends with its era: what its holder would read and write is not what it knew.
+        """
+        if held is None or held.token.era < self._store_era.current:
+            return None
+        return usable_seconds(held, self._loop.time())
+
+    async def _write(self, record: LockRecord) -> HeldLock | None:
         attempt = secrets.token_hex(8)
-        revision = record.revision if record is not None else 0
-        wanted = LockRecord(self._node, attempt, released=False, revision=revision)
+        wanted = LockRecord(self._node, attempt, released=False, revision=record.revision)
         sent_at = self._loop.time()
         try:
-            written = await self._store.write(wanted, create=record is None)
+            written = await self._store.write(wanted, create=not record.exists)
         except PlatformConflict:
             # Another proxy was faster, and logs that it holds the lock; the caller logs that this
             # one does not.
@@ -102,9 +136,9 @@
                 record = await self._store.read()
             except PlatformError as error:
                 log_event("promotion_lock_not_read_back", attempt=attempt, reason=str(error))
-                record = None
-            if record is not None and record.attempt == attempt:
-                return held_lock(sent_at, record, attempt)
+            else:
+                if record.attempt == attempt:
+                    return held_lock(sent_at, record, attempt)
             await asyncio.sleep(LOCK_READ_BACK_SECONDS)
         return None
 
--- a/src/orchidwind/promoted/peers/own_entry.py
+++ b/src/orchidwind/promoted/peers/own_entry.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 from orchidwind.promoted.core.homes import OWN_ENTRY_LISTED_AFTER_SECONDS, ProxyMember
 from orchidwind.promoted.ports import MemberStore
@@ -17,6 +18,10 @@
 # Before the own entry is written again, seconds. Chosen: the store refuses or is silent, and nobody
 # waits for it: others send work here a fraction of a second later.
 _WRITE_AGAIN_SECONDS = 0.25
+# Seconds over which all proxies list themselves again after a return of the store. Chosen: each is
+# listed within a second of knowing it, and 200 proxies stay at the 400 writes a second that the
+# first users' store takes.
+_RELISTING_SPREAD_SECONDS = 0.5
 
 
 class OwnEntry:
@@ -28,6 +33,8 @@
         self._write_due = asyncio.Event()
         self._written_at = float("-inf")
         self._removals = TaskSet()
+        # Seconds over which many proxies that write at the same time are spread.
+        self._spread = 0.0
         self._loop = asyncio.get_running_loop()
 
     async def write(self) -> bool:
@@ -50,7 +57,8 @@
         """Have this proxy listed whenever it is not; runs until cancelled."""
         while True:
             await self._write_due.wait()
-            await asyncio.sleep(_WRITE_AGAIN_SECONDS)
+            await asyncio.sleep(_WRITE_AGAIN_SECONDS + random.random() * self._spread)
+            self._spread = 0.0
             await self.write()
 
     def missing(self) -> None:
@@ -58,6 +66,11 @@
         if self._loop.time() - self._written_at > OWN_ENTRY_LISTED_AFTER_SECONDS:
             self._write_due.set()
 
+    def store_came_back(self) -> None:
+        """The store came back from a copy, in which this proxy may be missing."""
+        self._spread = _RELISTING_SPREAD_SECONDS
+        self._write_due.set()
+
     def removed(self) -> None:
         """Another proxy could not reach this one for long and took it off, but it is here."""
         self._write_due.set()
--- a/src/orchidwind/promoted/peers/peer_link.py
+++ b/src/orchidwind/promoted/peers/peer_link.py
@@ -26,6 +26,7 @@
     ViewQuery,
     ViewReport,
 )
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.peers.silence_watch import SilenceWatch, WatchedLink
 from orchidwind.promoted.ports import PeerConnection, PeerConnector
 from orchidwind.shared.core.errors import PeerUnavailable
@@ -91,14 +92,14 @@
         return answer
 
     async def ask_view(
-        self, view: str, revision: int, whole: bool, seldom: bool = False
+        self, view: str, revision: StoreRevision, whole: bool, seldom: bool = False
     ) -> ViewReport:
         """Ask what is later than a revision in a view; raises PeerUnavailable.
 
         `seldom`: another reader is asked as well in time, so for this query the link is not probed
         at rest.
         """
-        query = ViewQuery(self.next_number(), view, revision, whole)
+        query = ViewQuery(self.next_number(), view, int(revision), whole)
         answer = await self._ask(query, in_use=not seldom)
         assert isinstance(answer, ViewReport)
         return answer
--- a/src/orchidwind/promoted/peers/peer_network.py
+++ b/src/orchidwind/promoted/peers/peer_network.py
@@ -8,12 +8,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from itertools import count
 
 from orchidwind.promoted.core.homes import (
     FORGET_PROXY_SECONDS,
+    RELISTING_SECONDS,
     GroupHomes,
     ProxyMember,
     group_homes,
@@ -70,7 +71,11 @@
         self._groups = groups
         self._on_change = on_change
         self._on_silent = on_silent
+        self._listed: dict[str, ProxyMember] = {}
+        # Missing in the copy that the store came back from, and kept until they list themselves.
+        self._kept: dict[str, ProxyMember] = {}
         self._members: dict[str, ProxyMember] = {own.name: own}
+        self._era = 0
         self._links: dict[str, PeerLink] = {}
         self._placed: dict[str, GroupHomes] = {}
         self._preferred: dict[str, list[ProxyMember]] = {}
@@ -83,10 +88,13 @@
     def listed(self, listing: Listing[ProxyMember]) -> bool:
         """All members, read freshly; whether they differ from those that were held."""
         before, first = self._members, not self.known
-        self._members = {member.name: member for member in listing.items}
-        if self.own.name not in self._members:
+        self._listed = {member.name: member for member in listing.items}
+        if self.own.name not in self._listed:
             self.own_entry.missing()
-        self._members[self.own.name] = self.own
+        if not first and listing.revision.era > self._era:
+            self._keep(before)
+        self._era = listing.revision.era
+        self._merge()
         self.known = True
         if not first and self._members == before:
             return False
@@ -96,12 +104,34 @@
     def changed(self, changes: Changes[ProxyMember]) -> None:
         """Members that came, changed or went."""
         for member in changes.changed:
-            self._members[member.name] = member
+            self._listed[member.name] = member
         for name in changes.gone:
-            self._members.pop(name, None)
+            self._listed.pop(name, None)
+            self._kept.pop(name, None)
         if self.own.name in changes.gone:
             self.own_entry.removed()
-        self._members[self.own.name] = self.own
+        self._merge()
+        self._changed()
+
+    def _merge(self) -> None:
+        self._kept = {name: item for name, item in self._kept.items() if name not in self._listed}
+        self._members = {**self._listed, **self._kept, self.own.name: self.own}
+
+    def _keep(self, before: Mapping[str, ProxyMember]) -> None:
+        """The store came back from a copy, in which proxies may be missing that run.
+
+        They list themselves again. Gains that groups do not change their homes twice meanwhile.
+        """
+        self._kept = dict(before)
+        self._loop.call_later(RELISTING_SECONDS, self._drop_kept)
+
+    def _drop_kept(self) -> None:
+        """Who was missing in the copy and has not listed itself again is gone."""
+        if not self._kept:
+            return
+        log_event("members_not_listed_again", members=",".join(sorted(self._kept)))
+        self._kept.clear()
+        self._merge()
         self._changed()
 
     def _changed(self) -> None:
@@ -174,6 +204,11 @@
         links = (self.usable_link(member) for member in others)
         return [link for link in links if link is not None]
 
+    @property
+    def listed_members(self) -> Iterable[ProxyMember]:
+        """The proxies that the list names, and this one."""
+        return {**self._listed, self.own.name: self.own}.values()
+
     @property
     def members(self) -> Iterable[ProxyMember]:
         """All proxies that are known, this one among them."""
--- a/src/orchidwind/promoted/ports.py
+++ b/src/orchidwind/promoted/ports.py
@@ -18,6 +18,8 @@
 from orchidwind.promoted.core.peer_messages import PeerMessage
 from orchidwind.promoted.core.promotion_lock import LockRecord
 from orchidwind.promoted.core.roster import Roster
+from orchidwind.promoted.core.store_revision import StoreRevision
+from orchidwind.promoted.store_era import StoreEra
 from orchidwind.shared.core.positions import Position
 
 Item = TypeVar("Item", covariant=True)
@@ -57,7 +59,7 @@
     """All items of a collection, as of a revision."""
 
     items: tuple[Item, ...]
-    revision: int
+    revision: StoreRevision
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +68,7 @@
 
     changed: tuple[Item, ...]
     gone: tuple[str, ...]
-    revision: int
+    revision: StoreRevision
 
 
 class WatchedCollection(Protocol[Item]):
@@ -80,11 +82,11 @@
         """Read all of it, freshly."""
 
     async def watch(
-        self, revision: int, wait: float, limit: float, on_arrival: Callable[[], None]
+        self, revision: StoreRevision, wait: float, limit: float, on_arrival: Callable[[], None]
     ) -> Changes[Item]:
-        """Wait some seconds for changes after a revision.
+        """Wait some seconds for changes after a revision, in its era.
 
-        Raises PlatformVersionGone where the revision is too old.
+        Raises PlatformVersionGone where the revision is too old, or of another era.
         """
 
 
@@ -98,14 +100,14 @@
 class PromotionLockStore(Protocol):
     """The promotion lock's object in the store."""
 
-    async def read(self) -> LockRecord | None:
-        """The record, None where there is none; raises PlatformError."""
+    async def read(self) -> LockRecord:
+        """The record of the present era, which may be absent; raises PlatformError."""
 
     async def write(self, record: LockRecord, create: bool) -> LockRecord:
-        """Write over `record.revision`, or create it; the record as it is now.
+        """Write over `record.revision`, or create it, in its era; the record as it is now.
 
-        Raises PlatformConflict where it has changed, PlatformUncertain where no answer came, and
-        PlatformError where nothing was done.
+        Raises PlatformConflict where it has changed or its era is over, PlatformUncertain where no
+        answer came, and PlatformError where nothing was done.
         """
 
 
@@ -119,8 +121,8 @@
     """
 
     proxy: str
-    revision: int
-    first_revision: int = 0
+    revision: StoreRevision
+    first_revision: StoreRevision = StoreRevision(0)
     acknowledged: Mapping[str, Position] = field(default_factory=dict)
     left: bool = False
 
@@ -174,13 +176,13 @@
 class LeaseRegistry(Protocol):
     """The proxies that may hold a lead lease; calls raise PlatformError."""
 
-    async def confirm(self, confirmation: LeaseConfirmation) -> int:
+    async def confirm(self, confirmation: LeaseConfirmation) -> StoreRevision:
         """Register a proxy, or record that it dropped its lease; the revision of its object."""
 
-    async def confirmations(self) -> tuple[LeaseConfirmation, ...]:
+    async def confirmations(self) -> Listing[LeaseConfirmation]:
         """All registered proxies, read freshly."""
 
-    async def leave(self, confirmation: LeaseConfirmation, revision: int) -> None:
+    async def leave(self, confirmation: LeaseConfirmation, revision: StoreRevision) -> None:
         """A proxy holds no lease any more; written only if its object is at a revision."""
 
 
@@ -195,8 +197,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ProxyPorts:
-    """The adapters that a proxy is built on."""
+    """The adapters that a proxy is built on, and the store's era as they find it."""
 
+    store_era: StoreEra
     connector: InstanceConnector
     directory: DirectorySource
     configuration: ConfigurationSource
--- a/src/orchidwind/promoted/proxy_runtime.py
+++ b/src/orchidwind/promoted/proxy_runtime.py
@@ -69,15 +69,22 @@
         self._directory = InstanceDirectory(self.groups, self._note_prepared)
         self._upkeep = Upkeep(self.groups, self.metrics, lambda: self.views.evidence())
         self.rosters = RosterKeeper(self.groups, ports.roster_store)
-        self._lock = PromotionLockClient(name, ports.lock_store, self.rosters)
+        self.store_era = ports.store_era
+        self._lock = PromotionLockClient(name, ports.lock_store, self.rosters, self.store_era)
         self.registry = SessionRegistry()
         self.homes = self._peer_network(own)
         self.views = ProxyViews(
             ports, self._bounds, self.homes, self.metrics, self._background.spawn
         )
         self.leases = LeaseKeeper(
-            name, ports.lock_store, ports.leases, self.homes.lock_readers, self._lock.saw
+            name,
+            ports.lock_store,
+            ports.leases,
+            self.store_era,
+            self._lock,
+            self.homes.lock_readers,
         )
+        self.store_era.on_return(self.homes.own_entry.store_came_back)
         self.peer_service = PeerService(self._home_ports())
         self._coordinating = False
         self._prepared = asyncio.Event()
@@ -192,8 +199,8 @@
 
     @property
     def members(self) -> Iterable[ProxyMember]:
-        """All proxies that are known, this one among them."""
-        return self.homes.members
+        """All proxies that are listed, and this one."""
+        return self.homes.listed_members
 
     def watch(self, view: str) -> CollectionWatch[Any] | None:
         """The watch of a followed view, None where this proxy does not follow it."""
--- a/src/orchidwind/promoted/views/collection_watch.py
+++ b/src/orchidwind/promoted/views/collection_watch.py
@@ -21,6 +21,7 @@
     RetryPause,
     SourceRole,
 )
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.ports import WatchedCollection
 from orchidwind.promoted.views.hedged_call import Arrival, hedged
 from orchidwind.promoted.views.held_view import CollectionFollower, HeldView
@@ -66,6 +67,7 @@
         self._connected = False
         self._pause = RetryPause(times)
         self._failed_attempts = 0
+        self._step_under_way: asyncio.Task[None] | None = None
         # Since when the store is read without an answer; None where it is not being read.
         self._reading_since: float | None = None
         self._loop = asyncio.get_running_loop()
@@ -76,12 +78,12 @@
         return self._view.age
 
     @property
-    def revision(self) -> int:
-        """The view is whole as of this revision; -1: nothing is held yet."""
+    def revision(self) -> StoreRevision:
+        """The view is whole as of this revision, or `NOTHING_HELD`."""
         return self._view.revision
 
     @property
-    def changed_revision(self) -> int:
+    def changed_revision(self) -> StoreRevision:
         """The view was last different before this revision."""
         return self._view.changed_revision
 
@@ -94,7 +96,7 @@
         """Follow until cancelled."""
         while True:
             try:
-                await self._step()
+                await self._interruptible_step()
             except PlatformVersionGone:
                 self._view.log("watch_history_gone")
                 self._read_next = True
@@ -107,6 +109,29 @@
                 self._view.log("watch_failed_unexpectedly", logging.ERROR, reason=repr(error))
                 await self._after_error(PlatformError(repr(error)))
 
+    def store_came_back(self) -> None:
+        """The store is known to have come back from an older copy: read it anew now.
+
+        A call under way would be waited for, or its answer say nothing of the copy. A proxy that
+        others inform leaves it to them: so not all read the store at the same moment.
+        """
+        if self._role is SourceRole.RELYING and self._times.relying_wait is None:
+            return
+        self._read_next = True
+        if self._step_under_way is not None:
+            self._step_under_way.cancel()
+
+    async def _interruptible_step(self) -> None:
+        self._step_under_way = asyncio.ensure_future(self._step())
+        try:
+            await self._step_under_way
+        except asyncio.CancelledError:
+            own = asyncio.current_task()
+            if own is not None and own.cancelling():
+                raise
+        finally:
+            self._step_under_way = None
+
     async def refresh(self) -> bool:
         """Read the store now, beside what is under way; whether it answered."""
         try:
@@ -199,7 +224,7 @@
             self._reading_since = None
         await self._check(may_be_old or arriving)
 
-    def _store_answered(self, revision: int) -> None:
+    def _store_answered(self, revision: StoreRevision) -> None:
         self._pause.reset()
         if not self._connected:
             self._connected = True
--- a/src/orchidwind/promoted/views/followed_views.py
+++ b/src/orchidwind/promoted/views/followed_views.py
@@ -87,7 +87,12 @@
         times = FollowTimes.within(self._bounds.configuration, watched_by_all=False)
         network = self._network
         peers = PeerViews(
-            CONFIGURATION, times, network, lambda: network.members, reported_configuration
+            CONFIGURATION,
+            times,
+            network,
+            lambda: network.members,
+            reported_configuration,
+            self._ports.store_era,
         )
         source = self._ports.configuration
         self._follow(
@@ -100,7 +105,14 @@
         """Follow the list of proxies; every proxy does, and any may confirm it."""
         times = FollowTimes.within(self._bounds.members, watched_by_all=False)
         network = self._network
-        peers = PeerViews(MEMBERS, times, network, lambda: network.members, reported_members)
+        peers = PeerViews(
+            MEMBERS,
+            times,
+            network,
+            lambda: network.members,
+            reported_members,
+            self._ports.store_era,
+        )
         source = self._ports.member_source
         self._follow(
             CollectionWatch(
@@ -121,7 +133,9 @@
     ) -> None:
         """Follow the directory; `followers` gives the proxies that do so and may confirm it."""
         times = FollowTimes.within(self._bounds.directory)
-        peers = PeerViews(DIRECTORY, times, self._network, followers, reported_directory)
+        peers = PeerViews(
+            DIRECTORY, times, self._network, followers, reported_directory, self._ports.store_era
+        )
         source = self._ports.directory
         self._follow(
             CollectionWatch(
@@ -157,6 +171,7 @@
     def _follow(self, watch: CollectionWatch[Any]) -> None:
         self.watches[watch.name] = watch
         self._metrics.watch_age(watch.name, lambda: watch.age)
+        self._ports.store_era.on_return(watch.store_came_back)
         self._spawn(watch.run)
 
     def evidence(self) -> dict[str, str]:
--- a/src/orchidwind/promoted/views/held_view.py
+++ b/src/orchidwind/promoted/views/held_view.py
@@ -1,7 +1,9 @@
 """What a proxy holds of one followed collection: as of which revision, and how old that is.
 
 For: `collection_watch`, which brings listings and changes from the store and from other proxies.
-Owns revision and age, and that nothing goes back to an earlier revision. Relies on
+Owns revision and age, and that nothing goes back to an earlier revision. What is said of an earlier
+era of the store changes nothing and confirms nothing; within an era an answer that a later one has
+overtaken does confirm, as what is held is later than it. Relies on
 `promoted.core.freshness` for the age, and on the follower for the items themselves.
 """
 
@@ -12,6 +14,7 @@
 from typing import Generic, Protocol, TypeVar
 
 from orchidwind.promoted.core.freshness import FollowRule, FollowTimes
+from orchidwind.promoted.core.store_revision import NOTHING_HELD, StoreRevision
 from orchidwind.promoted.ports import Changes, Listing
 from orchidwind.shared.logs import is_power_of_two, log_event
 
@@ -43,11 +46,11 @@
         self._follower = follower
         self._bound = times.bound
         # The view is whole as of this revision; it was last different before `changed_revision`.
-        self.revision = -1
-        self.changed_revision = -1
+        self.revision = NOTHING_HELD
+        self.changed_revision = NOTHING_HELD
         # Who showed last that the view is current, and as of which revision of theirs.
         self._confirmed_by = ""
-        self._confirmed_revision = -1
+        self._confirmed_revision = NOTHING_HELD
         self._passed_over = 0
         self._logged_too_old = False
         self._loop = asyncio.get_running_loop()
@@ -66,27 +69,34 @@
     def take_listing(self, listing: Listing[Item], as_of: float, source: str = STORE) -> None:
         """All items, current at a time. One overtaken by a later one only confirms the view."""
         if listing.revision >= self.revision:
-            if self._follower.listed(listing) or not self.known:
+            differs = self._follower.listed(listing)
+            # Of another era nobody who asks can know by a revision whether it holds the same.
+            if differs or listing.revision.era != self.revision.era:
                 self.changed_revision = listing.revision
             self.revision = listing.revision
-        else:
-            self._log_passed_over(listing, source)
+        elif not self._of_this_era(listing.revision, source):
+            return
         self.confirm(as_of, source, listing.revision)
 
-    def _log_passed_over(self, listing: Listing[Item], source: str) -> None:
-        """A few lines, however often that happens."""
+    def _of_this_era(self, revision: StoreRevision, source: str) -> bool:
+        """Whether what came speaks of the era that is held; logs a few of those that do not."""
+        if revision.era == self.revision.era:
+            return True
         self._passed_over += 1
         if is_power_of_two(self._passed_over):
             self.log(
-                "listing_passed_over",
+                "earlier_era_passed_over",
                 count=self._passed_over,
                 source=source,
-                listed_revision=listing.revision,
-                decision="keep what is held, as of a later revision",
+                revision=revision,
+                decision="neither take it nor count the view as confirmed",
             )
+        return False
 
     def take_changes(self, changes: Changes[Item], as_of: float) -> None:
         """Later changes, or none, current at a time."""
+        if not self._of_this_era(changes.revision, STORE):
+            return
         if changes.revision >= self.revision:
             self.revision = changes.revision
             if changes.changed or changes.gone:
@@ -94,8 +104,10 @@
             self._follower.changed(changes)
         self.confirm(as_of, STORE, changes.revision)
 
-    def confirm(self, as_of: float, source: str, revision: int) -> None:
+    def confirm(self, as_of: float, source: str, revision: StoreRevision) -> None:
         """What is held was current at a time: a source shows it, whose view has a revision."""
+        if not self._of_this_era(revision, source):
+            return
         self.rule.confirmed(as_of)
         self._confirmed_by, self._confirmed_revision = source, revision
         if self._logged_too_old and not self.rule.too_old(self._loop.time()):
--- a/src/orchidwind/promoted/views/peer_views.py
+++ b/src/orchidwind/promoted/views/peer_views.py
@@ -19,12 +19,12 @@
 from orchidwind.promoted.core.freshness import FollowTimes
 from orchidwind.promoted.core.homes import ProxyMember, zone_readers
 from orchidwind.promoted.core.link_silence import LINK_REST_PROBE_SECONDS
-from orchidwind.promoted.core.peer_messages import (
-    ViewReport,
-)
+from orchidwind.promoted.core.peer_messages import ViewReport
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.peers.peer_link import PeerLink
 from orchidwind.promoted.peers.peer_network import PeerNetwork
 from orchidwind.promoted.ports import Listing
+from orchidwind.promoted.store_era import StoreEra
 from orchidwind.promoted.views.second_path import ReportedView
 from orchidwind.shared.core.errors import PeerUnavailable
 from orchidwind.shared.logs import log_event
@@ -53,8 +53,10 @@
         network: PeerNetwork,
         followers: Callable[[], Iterable[ProxyMember]],
         items: Callable[[ViewReport], tuple[Item, ...] | None],
+        store_era: StoreEra,
     ) -> None:
         """`followers` gives the proxies that follow the collection, this one among them."""
+        self._store_era = store_era
         self._view = view
         # With an older view the store would be read at once: then the next proxy is asked, too.
         self._fresh_seconds = times.read_at_age or 0.0
@@ -85,7 +87,7 @@
             self._zone_readers = zone_readers(self._view, self._followers())
         return self._zone_readers
 
-    async def ask(self, revision: int, whole: bool) -> ReportedView[Item] | None:
+    async def ask(self, revision: StoreRevision, whole: bool) -> ReportedView[Item] | None:
         """Ask one or two readers; the best that was reported, None where nobody knows.
 
         With `whole` they send the content however long it is.
@@ -118,7 +120,7 @@
         return [link for link in links if link is not None]
 
     async def _ask_one(
-        self, link: PeerLink, revision: int, whole: bool
+        self, link: PeerLink, revision: StoreRevision, whole: bool
     ) -> ReportedView[Item] | None:
         asked_at = self._loop.time()
         try:
@@ -132,10 +134,13 @@
             return None
         if not report.known:
             return None
+        as_of = StoreRevision(report.revision)
+        if not self._store_era.saw(as_of.era, link.member.name):
+            return None  # it does not know yet that the store came back
         items = self._items(report)
-        listing = Listing(items, report.revision) if items is not None else None
-        as_of = asked_at - report.age
-        return ReportedView(link.member.name, as_of, listing, report.omitted, report.revision)
+        listing = Listing(items, as_of) if items is not None else None
+        current_at = asked_at - report.age
+        return ReportedView(link.member.name, current_at, as_of, listing, report.omitted)
 
 
 def _better(reported: ReportedView[Any], best: ReportedView[Any]) -> bool:
--- a/src/orchidwind/promoted/views/second_path.py
+++ b/src/orchidwind/promoted/views/second_path.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.ports import Listing
 
 Item = TypeVar("Item")
@@ -25,9 +26,9 @@
 
     peer: str
     as_of: float
+    revision: StoreRevision
     listing: Listing[Item] | None
     omitted: bool = False
-    revision: int = -1
 
 
 class SecondPath(Protocol[Item]):
@@ -36,7 +37,7 @@
     def relied_upon(self) -> bool:
         """Whether others ask this proxy, so that it must not rely on them in its turn."""
 
-    async def ask(self, revision: int, whole: bool) -> ReportedView[Item] | None:
+    async def ask(self, revision: StoreRevision, whole: bool) -> ReportedView[Item] | None:
         """Ask for what is later than a revision; None where nobody knows.
 
         `whole`: a long content is to be sent, too.
--- a/src/orchidwind/promoted/views/view_reporter.py
+++ b/src/orchidwind/promoted/views/view_reporter.py
@@ -20,7 +20,9 @@
     ViewQuery,
     ViewReport,
 )
+from orchidwind.promoted.core.store_revision import NOTHING_HELD, StoreRevision
 from orchidwind.promoted.metrics import ProxyMetrics
+from orchidwind.promoted.store_era import StoreEra
 from orchidwind.promoted.views.collection_watch import CollectionWatch
 from orchidwind.promoted.views.peer_views import CONFIGURATION, DIRECTORY, MEMBERS
 from orchidwind.promoted.views.view_forms import configuration_view
@@ -36,6 +38,7 @@
 
     configuration: PromotedConfiguration | None
     metrics: ProxyMetrics
+    store_era: StoreEra
 
     @property
     def directory(self) -> Mapping[str, DirectoryEntry]:
@@ -70,12 +73,15 @@
 
     def report(self, query: ViewQuery) -> ViewReport:
         """Answer a query."""
+        asked = StoreRevision(query.revision)
+        if asked != NOTHING_HELD:
+            self._held.store_era.saw(asked.era, "another proxy")
         watch = self._held.watch(query.view)
         content = self._contents.get(query.view)
-        if watch is None or watch.revision < 0 or content is None:
+        if watch is None or watch.revision == NOTHING_HELD or content is None:
             return ViewReport(query.number, known=False, age=0.0, revision=-1)
-        report = ViewReport(query.number, known=True, age=watch.age, revision=watch.revision)
-        if watch.changed_revision <= query.revision:
+        report = ViewReport(query.number, known=True, age=watch.age, revision=int(watch.revision))
+        if watch.changed_revision <= asked:
             self._held.metrics.view_reported(query.view, "confirmed", 0)
             return report
         if not query.whole and content.items() > MOST_REPORTED_ITEMS:
--- a/src/orchidwind_bench/promoted/exploration/acknowledgement.py
+++ b/src/orchidwind_bench/promoted/exploration/acknowledgement.py
@@ -24,6 +24,7 @@
 )
 from orchidwind.promoted.core.lead_proof import LeaseEvidence
 from orchidwind.promoted.core.roster import PromotionRecord
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.core.topology import GroupTopology
 from orchidwind.shared.core.positions import Position
 from orchidwind_bench.promoted.exploration.instances import Commit
@@ -39,10 +40,10 @@
     def lease_evidence(self, instance: str, term: int) -> LeaseEvidence:
         """What the lead lease says now of an instance that led in a term."""
 
-    def free_revision(self) -> int | None:
+    def free_revision(self) -> StoreRevision | None:
         """The promotion lock's revision while it is known to be free."""
 
-    def proven_under(self, instance: str, revision: int | None) -> None:
+    def proven_under(self, instance: str, revision: StoreRevision | None) -> None:
         """An instance was proven to lead by a query sent while the lock stood at a revision."""
 
     @property
--- a/src/orchidwind_bench/promoted/exploration/performer.py
+++ b/src/orchidwind_bench/promoted/exploration/performer.py
@@ -34,6 +34,7 @@
 )
 from orchidwind.promoted.core.promotion_lock import HeldLock, usable_seconds
 from orchidwind.promoted.core.roster import PromotionRecord
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind_bench.promoted.exploration.instance_calls import InstanceOperation
 from orchidwind_bench.promoted.exploration.timeline import Process
 
@@ -54,7 +55,9 @@
     def release_lock(self, held: HeldLock) -> Process[None]:
         """Give it back."""
 
-    def wait_for_others(self, token: int, taken_at: float) -> Process[AcknowledgedCommits | None]:
+    def wait_for_others(
+        self, token: StoreRevision, taken_at: float
+    ) -> Process[AcknowledgedCommits | None]:
         """Wait until no proxy relies on the old primary; what all have acknowledged, if known."""
 
     def call_all(
--- a/src/orchidwind_bench/promoted/exploration/proxy.py
+++ b/src/orchidwind_bench/promoted/exploration/proxy.py
@@ -21,6 +21,7 @@
 from orchidwind.promoted.core.lead_proof import LeaseEvidence
 from orchidwind.promoted.core.promotion_lock import HeldLock
 from orchidwind.promoted.core.roster import PromotionRecord
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.core.supervision import GroupSupervisor
 from orchidwind.promoted.core.topology import GroupTopology
 from orchidwind_bench.promoted.exploration.instance_calls import InstanceOperation
@@ -84,11 +85,11 @@
         """What the lead lease says now of an instance that led in a term."""
         return self._lease.lease_evidence(instance, term)
 
-    def free_revision(self) -> int | None:
+    def free_revision(self) -> StoreRevision | None:
         """The promotion lock's revision while it is known to be free."""
         return self._lease.free_revision()
 
-    def proven_under(self, instance: str, revision: int | None) -> None:
+    def proven_under(self, instance: str, revision: StoreRevision | None) -> None:
         """An instance was proven to lead by a query sent while the lock stood at a revision."""
         self._lease.proven_under(instance, revision)
 
@@ -118,7 +119,9 @@
         """Give the lock back."""
         return self._lock.release(held)
 
-    def wait_for_others(self, token: int, taken_at: float) -> Process[AcknowledgedCommits | None]:
+    def wait_for_others(
+        self, token: StoreRevision, taken_at: float
+    ) -> Process[AcknowledgedCommits | None]:
         """Wait until no proxy relies on the old primary; what all have acknowledged."""
         return self._lease.wait_for_others(token, taken_at)
 
--- a/src/orchidwind_bench/promoted/exploration/proxy_views.py
+++ b/src/orchidwind_bench/promoted/exploration/proxy_views.py
@@ -11,6 +11,7 @@
 
 from orchidwind.promoted.core.configuration import DirectoryEntry, PromotedGroupSettings
 from orchidwind.promoted.core.roster import PromotionRecord, Roster
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.core.topology import GroupTopology
 from orchidwind_bench.promoted.exploration.store import Entry
 from orchidwind_bench.promoted.exploration.surroundings import (
@@ -91,7 +92,7 @@
             yield ROSTER_SECONDS
             if not self.roster_known:
                 continue
-            held = self._roster or Roster(GROUP, (), 0)
+            held = self._roster or Roster(GROUP, (), StoreRevision(0))
             wanted = self.topology.confirming.roster(held.members)
             if wanted == held.members:
                 continue
@@ -110,7 +111,7 @@
 
     def record_promotion(self, record: PromotionRecord) -> Process[bool]:
         """Write a promotion into the roster; whether it surely stands there."""
-        held = self._roster or Roster(GROUP, (), 0)
+        held = self._roster or Roster(GROUP, (), StoreRevision(0))
         return self._write_roster(replace(held, last_promotion=record))
 
     def last_promotion(self) -> PromotionRecord | None:
--- a/src/orchidwind_bench/promoted/simulation/callers.py
+++ b/src/orchidwind_bench/promoted/simulation/callers.py
@@ -12,6 +12,7 @@
 from orchidwind.promoted.core.homes import ProxyMember
 from orchidwind.promoted.ports import ProxyPorts
 from orchidwind.promoted.proxy_runtime import ProxyRuntime
+from orchidwind.promoted.store_era import StoreEra
 from orchidwind.shared.core.errors import ANSWERS, ErrorKind, Ran, RequestError
 from orchidwind_bench.promoted.simulation.connections import SimulatedConnector
 from orchidwind_bench.promoted.simulation.groups import SimulatedGroup
@@ -250,7 +251,10 @@
         self.nodes[name].start()
 
     def _ports(self, name: str) -> ProxyPorts:
+        # A process that starts knows of no era.
+        self.world.store.known_eras[name] = StoreEra()
         return ProxyPorts(
+            store_era=self.world.store.known_eras[name],
             connector=SimulatedConnector(name, self.group),
             directory=SimulatedDirectory(self.world, name),
             configuration=SimulatedConfiguration(self.world, name),
