--- a/src/orchidwind/promoted/core/lead_lease.py
+++ b/src/orchidwind/promoted/core/lead_lease.py
@@ -78,9 +78,14 @@
 
 
 class LeadLease:
-    """What one proxy may rely on. Times are in seconds of its steady clock."""
+    """What one proxy may rely on. Times are in seconds of its steady clock.
+
+    A reading counts only if it was sent when the proxy was registered already: whoever has taken
+    the lock since waits for this proxy then. A return of the store may lose the registration.
+    """
 
     def __init__(self) -> None:
+        self._registered_at: float | None = None
         self._covered_until = float("-inf")
         self._newest_revision = StoreRevision(0)
         self._first_revision: StoreRevision | None = None
@@ -102,6 +107,25 @@
         """
         return self._newest_revision if self._free else None
 
+    @property
+    def is_registered(self) -> bool:
+        """Whether a holder of the lock waits for this proxy."""
+        return self._registered_at is not None
+
+    def registered(self, at: float) -> None:
+        """The registration was answered, at a time; what was read before does not count."""
+        self.drop()
+        self._registered_at = at
+
+    def not_registered(self) -> None:
+        """Nobody surely waits for this proxy any more."""
+        self._registered_at = None
+        self.drop()
+
+    def predates_registration(self, reading: LockReading) -> bool:
+        """Whether the lock must be read anew for this lease."""
+        return self._registered_at is None or reading.sent_at < self._registered_at
+
     def covers(self, at: float) -> bool:
         """Whether no change of primary had taken effect at a time."""
         return at <= self._covered_until
@@ -117,11 +141,11 @@
         if reading.revision < self._newest_revision:
             return
         self._newest_revision = reading.revision
-        if reading.free:
+        if not reading.free:
+            self.drop()
+        elif not self.predates_registration(reading):
             self._free = True
             self._covered_until = max(self._covered_until, reading.sent_at + LEASE_SECONDS)
-        else:
-            self.drop()
 
     def lock_taken(self, revision: StoreRevision) -> None:
         """Some proxy took the lock; earlier reads of it count no longer."""
--- a/src/orchidwind/promoted/group/lease_keeper.py
+++ b/src/orchidwind/promoted/group/lease_keeper.py
@@ -87,9 +87,6 @@
         self._held_since = 0.0
         self._node = node
         self._registry = registry
-        # From when on a reading of the lock counts: whoever takes the lock later waits for this
-        # proxy, which is registered in the lock's era. Infinite where it is not.
-        self._registered_at = float("inf")
         self._object_revision: StoreRevision | None = None
         self._wanted = asyncio.Event()
         self._left = False
@@ -105,7 +102,7 @@
 
     def covers(self, at: float) -> bool:
         """Whether no change of primary had taken effect at a time."""
-        return self._registered and self.lease.covers(at)
+        return self.lease.covers(at)
 
     @property
     def free_revision(self) -> StoreRevision | None:
@@ -116,14 +113,9 @@
         """A commit of a group is acknowledged, up to this end of the primary's log."""
         self._acknowledged[group] = max(position, self._acknowledged.get(group, position))
 
-    @property
-    def _registered(self) -> bool:
-        return self._registered_at < float("inf")
-
     def _store_came_back(self) -> None:
         """The registration may be lost, so no lease counts until there is another."""
-        self._registered_at = float("inf")
-        self.lease.drop()
+        self.lease.not_registered()
         self._wanted.set()
 
     def _confirmation(self, revision: StoreRevision) -> LeaseConfirmation:
@@ -134,9 +126,9 @@
 
     async def run(self) -> None:
         """Register with the first request, then read the lock as often as they want the lease."""
-        while True:
+        while not self._left:
             await self._wanted.wait()
-            while not self._registered and not await self._register():
+            while not self.lease.is_registered and not await self._register():
                 await asyncio.sleep(_REGISTRY_RETRY_SECONDS)
             self._wanted.clear()
             await self._renew()
@@ -153,23 +145,23 @@
             return  # the usual end of this wait: the lease is due
 
     async def _register(self) -> bool:
-        """Others wait for this proxy from now on, so its lease may count."""
+        """Have others wait for this proxy; whether that need not be tried again."""
+        if self._left:
+            return True
         confirmation = self._confirmation(StoreRevision(0))
         try:
             self._object_revision = await self._registry.confirm(confirmation)
         except PlatformError as error:
             log_event("lease_not_registered", reason=str(error))
             return False
-        if self._store_era.current > self._object_revision.era or self._left:
-            return False
-        self.lease.drop()  # what was read before does not count
-        self._registered_at = self._loop.time()
+        if self._left or self._store_era.current > self._object_revision.era:
+            return self._left
+        self.lease.registered(self._loop.time())
         return True
 
     async def _renew(self) -> None:
         reading = await self._readings.current()
-        if reading is not None and reading.sent_at < self._registered_at:
-            # Whoever took the lock since then did not wait for this proxy.
+        if reading is not None and self.lease.predates_registration(reading):
             reading = await self._readings.fresh()
         if reading is not None:
             self.lease.lock_seen(reading)
@@ -214,7 +206,7 @@
             await self._confirm_wanted.wait()
             self._confirm_wanted.clear()
             revision = self._to_confirm
-            if revision <= self._confirmed or not self._registered:
+            if revision <= self._confirmed or not self.lease.is_registered:
                 continue
             try:
                 confirmation = self._confirmation(revision)
@@ -238,8 +230,7 @@
         process that is started next under the same name.
         """
         self._left = True
-        self._registered_at = float("inf")
-        self.lease.drop()
+        self.lease.not_registered()
         if self._object_revision is None:
             return
         left = replace(self._confirmation(StoreRevision(0)), left=True)
--- a/src/orchidwind/promoted/group/roster_keeper.py
+++ b/src/orchidwind/promoted/group/roster_keeper.py
@@ -4,22 +4,18 @@
 each instance that is listed is written to its group's roster, and taken off only when a proxy has
 seen it gone for as long as it may matter (`core/confirming_instances.py`).
 
-The store may come back from an older copy, whose rosters name fewer. What a proxy knew of before is
-carried over: it counts, and is written again, so that the store soon says no less than the union of
-its copy and of what any proxy knew.
-
-Owns: the newest roster of each group that this proxy has seen. Relies on: a watch that calls
-`listed` and `changed`, and a store that writes by compare-and-put.
+Owns: the roster of each group as this proxy knows it (`core/roster.py`). Relies on: a watch that
+calls `listed` and `changed`, and a store that writes by compare-and-put.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import replace
 
-from orchidwind.promoted.core.roster import PromotionRecord, Roster
+from orchidwind.promoted.core.roster import KnownRoster, PromotionRecord, Roster
 from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.group.group_service import GroupService
 from orchidwind.promoted.ports import Changes, Listing, RosterStore
@@ -41,20 +37,18 @@
         self.known = False
         self._groups = groups
         self._store = store
-        # As the store holds them.
-        self._rosters: dict[str, Roster] = {}
-        # Known from before the store came back, where its copy does not say as much.
-        self._carried: dict[str, Roster] = {}
-        self._era_began = StoreRevision(0)
+        self._rosters: dict[str, KnownRoster] = {}
+        # Of the store, as of the last whole reading.
+        self._era = 0
         self._loop = asyncio.get_running_loop()
 
     def listed(self, listing: Listing[Roster]) -> bool:
         """All rosters, read freshly: from now on nobody can have left unknown to this proxy."""
-        self._era_began = StoreRevision.of(listing.revision.era, 0)
-        for group in self._rosters.keys() - {roster.group for roster in listing.items}:
-            self._take(Roster(group, (), self._era_began))
+        self._era = listing.revision.era
         for roster in listing.items:
             self._take(roster)
+        for known in self._rosters.values():
+            known.absent(self._era)
         self.known = True
         return True
 
@@ -64,45 +58,41 @@
             self._take(roster)
 
     def _take(self, roster: Roster) -> None:
-        held = self._rosters.get(roster.group)
-        if held is None or held.revision < roster.revision:
-            if held is not None and held.revision.era < roster.revision.era:
-                self._carried[roster.group] = self._known(roster.group)
-            self._rosters[roster.group] = roster
+        self._of(roster.group).take(roster)
         self.apply(roster.group)
 
-    def _held(self, group: str) -> Roster:
-        """The roster as the store holds it."""
-        return self._rosters.get(group, Roster(group, (), self._era_began))
-
-    def _known(self, group: str) -> Roster:
-        """What the store holds, and what it lost in a return: its revision is the store's."""
-        held = self._held(group)
-        carried = self._carried.get(group)
-        return held if carried is None else held.united_with(carried)
+    def _of(self, group: str) -> KnownRoster:
+        known = self._rosters.get(group)
+        if known is None:
+            known = self._rosters[group] = KnownRoster(group, self._era)
+        return known
 
     def apply(self, group: str) -> None:
         """Pass a roster on to its group, which may be newer than the roster."""
         service = self._groups.get(group)
         if group in self._rosters and service is not None:
-            roster = self._known(group)
+            roster = self._rosters[group].known
             service.topology.confirming.roster_read(roster.members, self._loop.time())
             service.topology.promotion_read(roster.last_promotion, self._loop.time())
 
     def promotion_called(self, token: StoreRevision) -> bool:
         """Whether a promotion may have been called under a fencing token, of any group."""
-        records = (self._known(group).last_promotion for group in self._rosters)
-        return any(record is not None and record.token == token for record in records)
+        return any(record.token == token for record in self._last_promotions())
 
     def newest_token(self) -> StoreRevision:
         """The fencing token of the last promotion of any group that is known; 0 where none is."""
-        records = [self._known(group).last_promotion for group in self._rosters]
-        tokens = (record.token for record in records if record is not None)
+        tokens = [record.token for record in self._last_promotions()]
         return max(tokens, default=StoreRevision(0))
 
+    def _last_promotions(self) -> Iterator[PromotionRecord]:
+        for roster in self._rosters.values():
+            record = roster.known.last_promotion
+            if record is not None:
+                yield record
+
     async def record_promotion(self, group: str, record: PromotionRecord) -> bool:
         """Write down a promotion before it is called; whether it surely is in the store."""
-        wanted = replace(self._known(group), last_promotion=record)
+        wanted = replace(self._of(group).known, last_promotion=record)
         try:
             self._take(await self._store.write(wanted, create=wanted.revision.in_era == 0))
         except PlatformError as error:  # a conflict, too: the caller reads the roster anew
@@ -130,13 +120,7 @@
 
     def _wanted(self, group: str) -> Roster | None:
         """The roster as it should be, None where it is so."""
-        held, known = self._held(group), self._known(group)
-        members = self._groups[group].topology.confirming.roster(known.members)
-        wanted = replace(known, members=members)
-        if wanted != held:
-            return wanted
-        self._carried.pop(group, None)
-        return None
+        return self._of(group).wanted(self._groups[group].topology.confirming.roster)
 
     async def _write(self, wanted: Roster) -> None:
         try:
--- a/src/orchidwind/promoted/peers/peer_network.py
+++ b/src/orchidwind/promoted/peers/peer_network.py
@@ -103,6 +103,7 @@
 
     def changed(self, changes: Changes[ProxyMember]) -> None:
         """Members that came, changed or went."""
+        before = self._members
         for member in changes.changed:
             self._listed[member.name] = member
         for name in changes.gone:
@@ -111,7 +112,8 @@
         if self.own.name in changes.gone:
             self.own_entry.removed()
         self._merge()
-        self._changed()
+        if self._members != before:
+            self._changed()
 
     def _merge(self) -> None:
         self._kept = {name: item for name, item in self._kept.items() if name not in self._listed}
--- a/src/orchidwind/promoted/store_era.py
+++ b/src/orchidwind/promoted/store_era.py
@@ -18,7 +18,9 @@
 class StoreEra:
     """The newest era that anybody named. `returns`: how many returns were seen since the start."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] | None = None) -> None:
+        """`clock` is the steady clock in seconds; that of the running loop where none is given."""
+        self._clock = clock or _loop_clock
         self.current = 0
         self.returns = 0
         # Since when it is known, seconds of the steady clock.
@@ -41,7 +43,7 @@
         if era == self.current and not first:
             return True
         before, self.current = self.current, era
-        self.since = asyncio.get_running_loop().time()
+        self.since = self._clock()
         if first:
             log_event("store_era", era=era, source=source)
             return True
@@ -57,3 +59,7 @@
         for act in self._on_return:
             act()
         return True
+
+
+def _loop_clock() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/orchidwind_bench/main.py
+++ b/src/orchidwind_bench/main.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 import sys
 from pathlib import Path
@@ -158,6 +159,8 @@
     :param seconds: time for each of the two searches, on the machine's clock
     :param scenario: play all schedules of this scenario only
     """
+    # The parts of the product that are played would log each return of the store.
+    logging.getLogger("orchidwind").setLevel(logging.ERROR)
     explorer = Explorer(ProductLogic(), seconds)
     names = tuple(SCENARIOS) if scenario is None else (scenario,)
     explorer.few_deviations([Schedule(name) for name in names], depth)
--- a/src/orchidwind_bench/promoted/exploration/faults.py
+++ b/src/orchidwind_bench/promoted/exploration/faults.py
@@ -7,6 +7,7 @@
 from functools import partial
 from typing import Protocol
 
+from orchidwind.promoted.core.promotion_lock import TAKE_OVER_SECONDS
 from orchidwind_bench.promoted.exploration.instances import ModelGroup, ModelInstance
 from orchidwind_bench.promoted.exploration.network import STORE, ModelNetwork
 from orchidwind_bench.promoted.exploration.store import ENTRY_OUTLIVES_SECONDS, ModelStore
@@ -23,6 +24,8 @@
 LONG_SECONDS = 4.6
 # A replica that lags receives so much later, in seconds.
 LAG_SECONDS = 0.4
+# The store comes back as it was so long before, in seconds.
+RETURN_AGES = {"a moment": 0.1, "a second": 1.0, "three seconds": 3.0}
 
 
 class Proxies(Protocol):
@@ -105,6 +108,8 @@
                 add(self._cut(proxy, name))
         add(Fault("store down", lambda: self._store_down(())))
         add(Fault("store down, entries lapse", lambda: self._store_down(names)))
+        for text, age in RETURN_AGES.items():
+            add(Fault(f"store returns, {text} older", partial(self._store_returns, age)))
         add(Fault("cut primary off", self._cut_primary_off))
         return faults
 
@@ -182,6 +187,11 @@
         self._until(seconds)
         self._proxies.kill(proxy, seconds)
 
+    def _store_returns(self, age_seconds: float) -> None:
+        """From an older copy; a primary can be changed again when old rights have run out."""
+        self._until(TAKE_OVER_SECONDS)
+        self._store.come_back(age_seconds, tuple(self._group.instances.values()))
+
     def _store_down(self, lapsing: tuple[str, ...]) -> None:
         self._until(MIDDLE_SECONDS + 2.0)
         items = tuple(self._group.instances[name] for name in lapsing)
--- a/src/orchidwind_bench/promoted/exploration/performer.py
+++ b/src/orchidwind_bench/promoted/exploration/performer.py
@@ -32,7 +32,7 @@
     UnfenceAll,
     Wait,
 )
-from orchidwind.promoted.core.promotion_lock import HeldLock, usable_seconds
+from orchidwind.promoted.core.promotion_lock import HeldLock
 from orchidwind.promoted.core.roster import PromotionRecord
 from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind_bench.promoted.exploration.instance_calls import InstanceOperation
@@ -55,6 +55,9 @@
     def release_lock(self, held: HeldLock) -> Process[None]:
         """Give it back."""
 
+    def lock_usable(self, held: HeldLock) -> bool:
+        """Whether a call may still be begun under the promotion lock."""
+
     def wait_for_others(
         self, token: StoreRevision, taken_at: float
     ) -> Process[AcknowledgedCommits | None]:
@@ -148,7 +151,7 @@
 
     def _require_lock(self) -> HeldLock:
         held = self._held
-        if held is None or usable_seconds(held, self._proxy.now()) is None:
+        if held is None or not self._proxy.lock_usable(held):
             raise LockLost("the promotion lock's time has passed")
         return held
 
--- a/src/orchidwind_bench/promoted/exploration/proxy.py
+++ b/src/orchidwind_bench/promoted/exploration/proxy.py
@@ -119,6 +119,10 @@
         """Give the lock back."""
         return self._lock.release(held)
 
+    def lock_usable(self, held: HeldLock) -> bool:
+        """Whether a call may still be begun under the promotion lock."""
+        return self._lock.usable(held)
+
     def wait_for_others(
         self, token: StoreRevision, taken_at: float
     ) -> Process[AcknowledgedCommits | None]:
--- a/src/orchidwind_bench/promoted/exploration/proxy_lock.py
+++ b/src/orchidwind_bench/promoted/exploration/proxy_lock.py
@@ -15,6 +15,7 @@
     LockRecord,
     held_by_another,
     held_lock,
+    usable_seconds,
 )
 from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind_bench.promoted.exploration.proxy_views import ProxyViews
@@ -68,8 +69,7 @@
         record = yield from self.read()
         if record is None:
             return None
-        called = self._views.promotion_called(record.revision)
-        if self._observer.decide(self._life.now(), record, called) is LockDecision.WAIT:
+        if self._decide(record) is LockDecision.WAIT:
             return None
         attempt = f"{self._life.name}@{self._life.now():.6f}"
         wanted = LockRecord(self._life.name, attempt, released=False, revision=record.revision)
@@ -88,6 +88,27 @@
             yield LOCK_READ_BACK_SECONDS
         return None
 
+    def _decide(self, record: LockRecord) -> LockDecision:
+        if not record.exists:
+            self._observer.saw(self._life.store_era.since, record.revision)
+        called = self._views.promotion_called(record.revision)
+        return self._observer.decide(self._life.now(), record, called)
+
+    def create_free(self, absent: LockRecord) -> Process[None]:
+        """Create the lock of an era once no right from an earlier one can be in use."""
+        if self._decide(absent) is LockDecision.WAIT:
+            return
+        free = LockRecord("", "", released=True, revision=absent.revision)
+        yield from self._store.call(
+            self._life.name, "create", lambda: self._store.write_lock(free), writes=True
+        )
+
+    def usable(self, held: HeldLock) -> bool:
+        """Whether a call may still be begun under the lock, which ends with its era."""
+        if held.token.era < self._life.store_era.current:
+            return False
+        return usable_seconds(held, self._life.now()) is not None
+
     def _taken(self, held: HeldLock | None) -> HeldLock | None:
         if held is not None:
             self._life.note(f"holds the lock, token {held.token}, until {held.valid_until:.3f}")
--- a/src/orchidwind_bench/promoted/exploration/store.py
+++ b/src/orchidwind_bench/promoted/exploration/store.py
@@ -2,6 +2,8 @@
 
 Its answers are linearizable. It may be down, a call may be slow, its answer may be lost, and a
 writing call whose answer is lost may be carried out seconds later if its condition still holds.
+It may come back from an older copy: what was written since is lost, and its revisions are given out
+again. Conditions compare bare revisions, so a late call may meet one that was given out twice.
 """
 
 from __future__ import annotations
@@ -15,6 +17,7 @@
 from orchidwind.promoted.core.roster import Roster
 from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.ports import LeaseConfirmation
+from orchidwind.promoted.store_era import StoreEra
 from orchidwind_bench.promoted.exploration.choices import Choices
 from orchidwind_bench.promoted.exploration.instances import ModelInstance
 from orchidwind_bench.promoted.exploration.network import STORE, WAY_SECONDS, ModelNetwork
@@ -35,6 +38,8 @@
 # After these, in seconds, a writing call is carried out whose answer was lost.
 LATE_WRITES_SECONDS = (0.0, 0.8, 2.5)
 SLOW_SECONDS = 0.3
+# An instance that runs writes its entry again so long after a return of the store, in seconds.
+AGAIN_SECONDS = {"soon": 0.05, "later": 0.6, "much later": 1.9}
 
 
 @unique
@@ -64,6 +69,17 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What the store held from a time on, in seconds."""
+
+    since: float
+    revision: int
+    entries: dict[str, Entry]
+    roster: Roster | None
+    leases: dict[str, LeaseConfirmation]
+
+
 @dataclass(frozen=True, slots=True)
 class Conflict:
     """The condition of a writing call did not hold."""
@@ -83,6 +99,9 @@
         self.lock: LockRecord | None = None
         self.roster: Roster | None = None
         self.leases: dict[str, LeaseConfirmation] = {}
+        # What each proxy that runs knows of the era.
+        self.known_eras: dict[str, StoreEra] = {}
+        self._copies: list[StoreCopy] = []
         self._watchers: dict[str, Callable[[], None]] = {}
         self._notified: set[str] = set()
 
@@ -137,6 +156,43 @@
             self._timeline.after(seconds + LAPSED_SECONDS, partial(self.tell, instance))
         self._timeline.after(seconds + WAY_SECONDS, self.changed)
 
+    # --- copies -------------------------------------------------------------------------------
+
+    def _keep_copy(self) -> None:
+        self._copies.append(
+            StoreCopy(
+                self._timeline.now,
+                self.revision,
+                dict(self.entries),
+                self.roster,
+                dict(self.leases),
+            )
+        )
+
+    def come_back(self, age_seconds: float, instances: tuple[ModelInstance, ...]) -> None:
+        """Hold what was held some seconds ago; instances that run write again what was lost."""
+        taken_at = self._timeline.now - age_seconds
+        older = [copy for copy in self._copies if copy.since <= taken_at]
+        if not older:
+            return
+        copy = older[-1]
+        self.era += 1
+        self.revision = copy.revision
+        self.entries = dict(copy.entries)
+        self.leases = dict(copy.leases)
+        self.lock = None
+        self.roster = copy.roster
+        if copy.roster is not None:
+            revision = StoreRevision.of(self.era, copy.roster.revision.in_era)
+            self.roster = replace(copy.roster, revision=revision)
+        # An older copy than this one is none of the present era.
+        self._copies = []
+        for instance in instances:
+            which = self._choices.pick("again", instance.name, tuple(AGAIN_SECONDS))
+            self._timeline.after(AGAIN_SECONDS[which], partial(self.tell, instance))
+            self.drop_silent(instance, ENTRY_OUTLIVES_SECONDS)
+        self.changed()
+
     # --- watches ------------------------------------------------------------------------------
 
     def watch(self, proxy: str, on_change: Callable[[], None]) -> None:
@@ -145,6 +201,7 @@
 
     def changed(self) -> None:
         """Something has changed: watches tell of it."""
+        self._keep_copy()
         for proxy in list(self._watchers):
             if proxy in self._notified:
                 continue
@@ -181,9 +238,15 @@
         def arrive() -> None:
             if not self.reaches(proxy) or fate is CallFate.NOT_DONE:
                 return
-            answer = operation()
+            answer, era = operation(), self.era
+
+            def deliver() -> None:
+                # As in the product, an answer of an earlier era than is known says nothing.
+                if self.known_eras[proxy].saw(era, STORE):
+                    answers.deliver("answer", answer)
+
             if not lost:
-                self._timeline.after(way, lambda: answers.deliver("answer", answer))
+                self._timeline.after(way, deliver)
 
         self._timeline.after(way, arrive)
         yield answers
@@ -211,6 +274,7 @@
     def confirm(self, confirmation: LeaseConfirmation) -> bool:
         """A proxy registers, or tells that it dropped its lease; whatever it wrote before goes."""
         self.leases[confirmation.proxy] = confirmation
+        self._keep_copy()
         return True
 
     def write_roster(self, roster: Roster) -> Roster | Conflict:
--- a/src/orchidwind_bench/promoted/exploration/surroundings.py
+++ b/src/orchidwind_bench/promoted/exploration/surroundings.py
@@ -11,6 +11,7 @@
 from orchidwind.promoted.core.failover import change_primary
 from orchidwind.promoted.core.failover_steps import FailoverFlow, FailoverPlan
 from orchidwind.promoted.core.promotion_lock import LockObserver
+from orchidwind.promoted.store_era import StoreEra
 from orchidwind_bench.promoted.exploration.acknowledgement import (
     AcknowledgementRule,
     GuardedCommits,
@@ -57,7 +58,7 @@
 
 
 class ProxyLife:
-    """One life of a proxy: its name, whether it runs, and the processes it begins.
+    """One life of a proxy: its name, whether it runs, the store's era that it knows, its processes.
 
     `paused_until` is in seconds of virtual time.
     """
@@ -67,6 +68,8 @@
         self.alive = True
         self.paused_until = 0.0
         self._around = around
+        self.store_era = StoreEra(self.now)
+        around.store.known_eras[name] = self.store_era
 
     def now(self) -> float:
         """The steady clock, in seconds."""
--- a/src/orchidwind_bench/promoted/exploration/world.py
+++ b/src/orchidwind_bench/promoted/exploration/world.py
@@ -48,6 +48,8 @@
     "not-confirming": ((1.0, "cut primary off"),),
     "one-replica": ((0.5, "leave i-2"), (2.8, "crash i-0")),
     "replaced-replica": ((0.5, "leave i-2"), (2.45, "cut primary off"), (3.0, "join i-3")),
+    "return": ((1.0, "store returns, three seconds older"), (1.5, "crash i-0")),
+    "return-in-a-change": ((2.0, "crash i-0"), (2.25, "store returns, a second older")),
     "twice": ((1.0, "crash i-0"), (2.3, "crash i-1"), (2.3, "crash i-2")),
 }
 
--- a/tests/promoted/test_promoted_core.py
+++ b/tests/promoted/test_promoted_core.py
@@ -115,6 +115,7 @@
 def test_a_lease_never_covers_a_time_after_the_lock_was_seen_taken(events, at):
     """No read of a revision below the newest one known gives a lease back."""
     lease = LeadLease()
+    lease.registered(float("-inf"))
     newest, free_reads = 0, []
     for kind, sent_at, revision, released in events:
         if kind == "taken":
@@ -384,6 +385,7 @@
     own_clock = asked_at + clock_offset
     age = answered_at - read_at
     lease = LeadLease()
+    lease.registered(float("-inf"))
     lease.lock_seen(LockReading.relayed(own_clock, age, 1, free=True))
     assert lease.covered_until - clock_offset <= read_at + LEASE_SECONDS + 1e-6
 
--- a/tests/promoted/test_store_returns.py
+++ b/tests/promoted/test_store_returns.py
@@ -11,9 +11,19 @@
 """
 
 import asyncio
+from dataclasses import replace
 
+import pytest
 from support.platform_system import with_system
 
+from orchidwind.promoted.core.homes import RELISTING_SECONDS
+from orchidwind.promoted.core.promotion_lock import TAKE_OVER_SECONDS
+from orchidwind.promoted.core.store_revision import StoreRevision
+from orchidwind.promoted.views.followed_views import ProxyBounds
+from orchidwind_bench.promoted.simulation.callers import PromotedSystem
+from orchidwind_bench.promoted.simulation.store import GROUP, STORE, STORE_SECONDS
+from orchidwind_bench.promoted.simulation.virtual_time import run_virtual
+
 BOUNDS = {"config_apply_ms": 1500, "contact_ms": 4000}
 APPLY_SECONDS = BOUNDS["config_apply_ms"] / 1000
 ROUTES = {"latest": "primary"}
@@ -63,3 +73,188 @@
         assert system.proxy._proxy.configuration.version == system.version
 
     with_system(tmp_path, scenario, bounds=BOUNDS)
+
+
+# --- several proxies, on virtual time -------------------------------------------------------------
+
+PROXIES = tuple(f"proxy-{letter}" for letter in "abcdef")
+BOUND = ProxyBounds().configuration
+# Operators and instances write again what was lost after so many seconds at the latest.
+AGAIN_SECONDS = 2.0
+# From a return on until a primary can be changed again: rights of the era before have run out, the
+# change itself takes 0.6 s at the median, and a dark primary is found within 0.8 s.
+CHANGE_AGAIN_SECONDS = TAKE_OVER_SECONDS + 1.4
+
+
+def with_proxies(scenario, seed=1):
+    async def work():
+        system = PromotedSystem(seed, proxies=PROXIES)
+        for node in system.nodes.values():
+            assert await node.wait_prepared(5.0)
+        await asyncio.sleep(3.0)
+        await scenario(system)
+
+    run_virtual(work())
+
+
+def configure(system):
+    """An operator's change; returns its version."""
+    store = system.world.store
+    store.put_configuration(replace(store.configuration, version=store.configuration.version + 1))
+    return store.configuration.version
+
+
+def versions(system):
+    return {name: node.configuration.version for name, node in system.nodes.items()}
+
+
+def come_back(system, copy):
+    system.world.store.come_back_from(copy, lambda: system.world.random.random() * AGAIN_SECONDS)
+
+
+def refuse_one(system):
+    system.world.store.refused.add(system.world.random.choice(PROXIES))
+
+
+def cut_one_off(system):
+    system.world.network.cut(system.world.random.choice(PROXIES), STORE)
+
+
+def restart_one(system):
+    system.restart_proxy(system.world.random.choice(PROXIES))
+
+
+TROUBLES = (None, refuse_one, cut_one_off, restart_one)
+SEEDS = range(200)
+
+
+def change_after_a_return(seed):
+    """The versions that proxies hold one bound after a change that follows a return."""
+    held = []
+
+    async def scenario(system):
+        random, store = system.world.random, system.world.store
+        copy = store.copy()
+        for _ in range(random.randrange(4)):
+            configure(system)
+            await asyncio.sleep(random.random() * BOUND)
+        trouble = random.choice(TROUBLES)
+        await asyncio.sleep(random.random())
+        before = versions(system)
+        come_back(system, copy)
+        if trouble is not None:
+            trouble(system)
+        await asyncio.sleep(random.random() * 2 * AGAIN_SECONDS)
+        store.configuration = max(store.configuration, lost(before, store), key=by_version)
+        version = configure(system)
+        await asyncio.sleep(BOUND)
+        held.append((version, before, versions(system)))
+
+    with_proxies(scenario, seed)
+    return held[0]
+
+
+def lost(before, store):
+    """The newest configuration that an operator knows to be acknowledged."""
+    newest = max([*before.values(), store.configuration.version])
+    return replace(store.configuration, version=newest)
+
+
+def by_version(configuration):
+    return configuration.version
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_change_after_a_return_is_in_force_at_all_proxies_in_time(seed):
+    version, _, after = change_after_a_return(seed)
+    assert set(after.values()) == {version}
+
+
+def test_nothing_confirmed_goes_back_though_the_copy_stays_at_an_older_version():
+    async def scenario(system):
+        store = system.world.store
+        copy = store.copy()
+        version = configure(system)
+        await asyncio.sleep(BOUND)
+        store.come_back_from(copy, lambda: 3600.0)
+        for _ in range(20):
+            await asyncio.sleep(1.0)
+            assert set(versions(system).values()) == {version}
+
+    with_proxies(scenario)
+
+
+def test_proxies_learn_of_a_return_from_one_another_and_list_themselves_within_a_second():
+    placed = []
+
+    async def scenario(system):
+        store = system.world.store
+        copy = replace(store.copy(), members={}, leases={})
+        for node in system.nodes.values():
+            node.homes.limits_changed = count_calls(node.homes.limits_changed, placed)
+        come_back(system, copy)
+        await asyncio.sleep(0.15 * BOUND + STORE_SECONDS * 4)
+        assert {node.store_era.current for node in system.nodes.values()} == {1}
+        await asyncio.sleep(1.0)
+        assert set(store.members) == set(PROXIES)
+        await asyncio.sleep(RELISTING_SECONDS)
+        members = [{item.name for item in node.homes.members} for node in system.nodes.values()]
+        assert members == [set(PROXIES)] * len(PROXIES)
+
+    with_proxies(scenario)
+    assert placed == []
+
+
+def count_calls(function, calls):
+    def counted():
+        calls.append(function)
+        function()
+
+    return counted
+
+
+def test_rosters_say_no_less_than_the_copy_and_what_was_known():
+    async def scenario(system):
+        store = system.world.store
+        copy = replace(store.copy(), rosters={})
+        known = store.rosters[GROUP]
+        come_back(system, copy)
+        await asyncio.sleep(2.0)
+        assert set(known.members) <= set(store.rosters[GROUP].members)
+
+    with_proxies(scenario)
+
+
+@pytest.mark.parametrize("lost_seconds", [0.0, 3.0])
+@pytest.mark.parametrize("seed", range(10))
+def test_promises_hold_and_a_primary_can_be_changed_again(seed, lost_seconds):
+    """The store returns while callers ask; the primary crashes just before, with or just after."""
+
+    async def work():
+        system = PromotedSystem(seed, proxies=PROXIES)
+        loop, random = asyncio.get_running_loop(), system.world.random
+        copies = []
+        returned_at = 4.0 + random.random()
+        crashed_at = returned_at + random.random() - 0.5
+        loop.call_at(returned_at - lost_seconds, lambda: copies.append(system.world.store.copy()))
+        loop.call_at(returned_at, lambda: come_back(system, copies[0]))
+        loop.call_at(crashed_at, lambda: system.group.primary().crash())
+        await system.run(15.0)
+        history = system.world.history
+        assert history.broken == []
+        led = [at for at, _, _ in history.promotions]
+        assert led
+        assert max(led) < max(returned_at, crashed_at) + CHANGE_AGAIN_SECONDS
+        later = [commit for commit in history.acknowledged if commit.at > max(led)]
+        assert later
+
+    run_virtual(work())
+
+
+def test_the_tokens_of_a_later_era_are_greater_whatever_the_revisions():
+    before, after = StoreRevision.of(3, 70_000), StoreRevision.of(4, 1)
+    assert before < after
+    assert (after.era, after.in_era) == (4, 1)
+    assert StoreRevision(int(after)).era == 4
+    assert StoreRevision.of(0, 70_000) == 70_000, "as stored and sent before eras were known"
+    assert StoreRevision.of(2**13 - 1, 2**40 - 1) < 2**53
