--- a/src/orchidwind/promoted/metrics.py
+++ b/src/orchidwind/promoted/metrics.py
@@ -111,6 +111,12 @@
         self.configuration_version = make.gauge(
             "orchidwind_configuration_version", "Version of the configuration in force"
         )
+        self.store_era = make.gauge(
+            "orchidwind_store_era", "How often the store has come back from an older copy of itself"
+        )
+        self.store_returns = make.gauge(
+            "orchidwind_store_returns", "Of these, how many this process has seen"
+        )
         self.age = make.gauge(
             "orchidwind_view_age_seconds",
             "Time since a followed view was last known to be current",
@@ -130,6 +136,11 @@
         self.sessions = self._callers.sessions
         self.configuration_version = self._views.configuration_version
 
+    def store_era(self, era: Callable[[], float], returns: Callable[[], float]) -> None:
+        """The store's era and its returns, asked for whenever the figures are read."""
+        self._views.store_era.set_function(era)
+        self._views.store_returns.set_function(returns)
+
     def watch_age(self, view: str, seconds: Callable[[], float]) -> None:
         """The age of a view, asked for whenever the figures are read."""
         self._views.age.labels(view).set_function(seconds)
--- a/src/orchidwind/promoted/proxy_runtime.py
+++ b/src/orchidwind/promoted/proxy_runtime.py
@@ -69,7 +69,8 @@
         self._directory = InstanceDirectory(self.groups, self._note_prepared)
         self._upkeep = Upkeep(self.groups, self.metrics, lambda: self.views.evidence())
         self.rosters = RosterKeeper(self.groups, ports.roster_store)
-        self.store_era = ports.store_era
+        self.store_era = era = ports.store_era
+        self.metrics.store_era(lambda: era.current, lambda: era.returns)
         self._lock = PromotionLockClient(name, ports.lock_store, self.rosters, self.store_era)
         self.registry = SessionRegistry()
         self.homes = self._peer_network(own)
--- a/src/orchidwind_bench/platform/soak/directory.py
+++ b/src/orchidwind_bench/platform/soak/directory.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Iterable
 from typing import Any
 
 from orchidwind_bench.platform.soak.instance_state import HOST, SoakInstance
@@ -73,6 +74,16 @@
         if self._written.pop(name, None) is not None:
             self._store.remove(_KIND, name)
 
+    def came_back(self, held: dict[str, dict[str, Any]], present: Iterable[str]) -> None:
+        """The store holds these entries, after its return from a copy.
+
+        Those of instances that are gone lapse; the others are written again by `follow`.
+        """
+        self._written = held
+        loop = asyncio.get_running_loop()
+        for name in held.keys() - set(present):
+            loop.call_later(ENTRY_OUTLIVES_SECONDS, self._remove, name)
+
     def lapse(self) -> None:
         """All entries go at once, as they may after the store was down."""
         for name in list(self._written):
--- a/src/orchidwind_bench/platform/soak/promotions.py
+++ b/src/orchidwind_bench/platform/soak/promotions.py
@@ -127,6 +127,7 @@
     "lose_answers_of_store": (0.1, 0.8),
     "silence_store": (0.1, 0.6),
     "forget_history": (0.0, 0.0),
+    "return_store": (0.3, 3.0),
 }
 
 
--- a/src/orchidwind_bench/platform/soak/store_faults.py
+++ b/src/orchidwind_bench/platform/soak/store_faults.py
@@ -70,6 +70,18 @@
         self._system.store.forget_history()
         return None
 
+    def return_store(self, part: int) -> Undo:
+        """The store comes back as it was when the fault began: what was written since is lost."""
+        if not self._claims.claim("store returns"):
+            return None
+        copy = self._system.store.copy()
+
+        def come_back() -> None:
+            self._system.come_back_from(copy)
+            self._claims.release("store returns")
+
+        return come_back
+
     def silence_store(self, part: int) -> Undo:
         """The store takes calls and never answers them, not even when it is back."""
         if not self._claims.claim("store silent"):
@@ -96,5 +108,6 @@
     "lapse_directory": StoreFaults.lapse_directory,
     "lose_answers_of_store": StoreFaults.lose_answers_of_store,
     "refuse_at_store": StoreFaults.refuse_at_store,
+    "return_store": StoreFaults.return_store,
     "silence_store": StoreFaults.silence_store,
 }
--- a/src/orchidwind_bench/platform/soak/system.py
+++ b/src/orchidwind_bench/platform/soak/system.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import random
 import subprocess
 import sys
 import time
@@ -21,7 +22,7 @@
 from orchidwind_bench.platform.soak.instance_state import HOST, ZONES, InstanceTimes, SoakInstance
 from orchidwind_bench.platform.soak.instances import InstanceGroup
 from orchidwind_bench.processes import Program, free_ports
-from orchidwind_standins.platform.object_store import StoreState, listen
+from orchidwind_standins.platform.object_store import StoreCopy, StoreState, listen
 
 GROUPS = ("ledger", "stock", "orders")
 DATABASES = {"latest": "primary", "bounded": "bounded_staleness", "own": "read_own_writes"}
@@ -38,6 +39,9 @@
 THAW_SLACK_SECONDS = 0.3
 STORE = "store"
 _PORTS_A_PROXY = 4
+# Operators and instances write again what a return of the store has lost within so many seconds;
+# the users' page sets it for instances.
+_WRITTEN_AGAIN_SECONDS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +94,8 @@
         self.on_promotion: Callable[[str], None] = lambda service: None
         # What happened, by the steady clock, for traces.
         self.happened: list[tuple[float, str]] = []
+        self._newest_configuration: dict[str, Any] = {}
+        self._random = random.Random(f"{seed}/store")
         self._http: HTTPServer | None = None
         self._versions: list[tuple[float, int]] = []
         self._disturbances: dict[str, list[tuple[float, float]]] = {}
@@ -152,9 +158,33 @@
             for name in self.groups
         ]
         spec = {"version": version, "routes": routes, "services": services, "limits": {}}
+        self._newest_configuration = spec
         self.store.put("config", "main", spec)
         self._versions.append((time.monotonic(), version))
 
+    def come_back_from(self, copy: StoreCopy) -> None:
+        """The store holds what a copy held; operators and instances soon write again."""
+        now = time.monotonic()
+        self.disturbed(STORE, now, now)
+        self.store.come_back_from(copy)
+        held = {name: item.spec for (kind, name), item in copy.objects.items() if kind == "servers"}
+        present = [item for group in self.groups.values() for item in group.present()]
+        self.directory.came_back(held, [item.name for item in present])
+        for group in self.groups.values():
+            for instance in group.present():
+                group.on_entry(instance, self._again_after())
+        asyncio.get_running_loop().call_later(self._again_after(), self._configure_again)
+
+    def _again_after(self) -> float:
+        return self._random.uniform(0.0, _WRITTEN_AGAIN_SECONDS)
+
+    def _configure_again(self) -> None:
+        """The operator finds an older version than it has written."""
+        held = self.store.objects.get(("config", "main"))
+        newest = self._newest_configuration
+        if held is None or held.spec["version"] < newest["version"]:
+            self.store.put("config", "main", newest)
+
     @staticmethod
     def route(version: int) -> str:
         """The database that only one version has."""
