--- a/src/orchidwind/promoted/core/freshness.py
+++ b/src/orchidwind/promoted/core/freshness.py
@@ -204,12 +204,16 @@
         relying = role is SourceRole.RELYING
         return self._times.relying_wait if relying else self._times.watch_wait
 
-    def watch_confirms(self, sent_at: float, answered_at: float, wait: float) -> float:
+    def watch_confirms(
+        self, sent_at: float, answered_at: float, wait: float, told_changes: bool
+    ) -> float:
         """As of when the answer to a watch shows the view to be current.
 
-        One that came before its wait was over may have been made at any time since it was sent.
+        Without changes it was made when the wait was over. One that tells of changes, or came
+        before, may have been made at any time since the watch was sent, and been long on its way.
         """
-        return sent_at + wait if answered_at - sent_at >= wait else sent_at
+        waited = answered_at - sent_at >= wait and not told_changes
+        return sent_at + wait if waited else sent_at
 
     def ask_due_in(self, now: float, role: SourceRole) -> float | None:
         """Seconds until others are to be asked; None: never.
--- a/src/orchidwind/promoted/views/collection_watch.py
+++ b/src/orchidwind/promoted/views/collection_watch.py
@@ -194,10 +194,11 @@
         limit = wait + self._times.answer_slack
         call = self._source.watch(self.revision, wait, limit, arrival.note)
         changes = await self._answered(call, arrival, may_be_old=False)
-        as_of = self._rule.watch_confirms(sent_at, self._loop.time(), wait)
+        told = bool(changes.changed or changes.gone)
+        as_of = self._rule.watch_confirms(sent_at, self._loop.time(), wait, told)
         self._store_answered(changes.revision)
         self._view.take_changes(changes, as_of)
-        return bool(changes.changed or changes.gone)
+        return told
 
     async def _answered(
         self, call: Awaitable[Answer], arrival: Arrival, may_be_old: bool
--- a/src/orchidwind/promoted/views/held_view.py
+++ b/src/orchidwind/promoted/views/held_view.py
@@ -98,10 +98,12 @@
         if not self._of_this_era(changes.revision, STORE):
             return
         if changes.revision >= self.revision:
+            # Taken before the revision is claimed: another proxy that asks is told by it what is
+            # held, and a fault of the follower must leave the view as it was.
+            self._follower.changed(changes)
             self.revision = changes.revision
             if changes.changed or changes.gone:
                 self.changed_revision = changes.revision
-            self._follower.changed(changes)
         self.confirm(as_of, STORE, changes.revision)
 
     def confirm(self, as_of: float, source: str, revision: StoreRevision) -> None:
--- a/src/orchidwind_standins/platform/object_store.py
+++ b/src/orchidwind_standins/platform/object_store.py
@@ -223,6 +223,9 @@
             if not state.forgotten <= revision <= state.revision:
                 self.answer(410, {})
                 return
+        # Looked for anew: `at` must not be later than what is told, and something may have been
+        # written since the wait has ended.
+        events = state.events_after(kind, revision)
         forms = [{"object": event.form, "gone": event.gone} for event in events]
         self.answer(200, {"events": forms, "at": state.revision})
 
--- a/tests/promoted/test_view_parts.py
+++ b/tests/promoted/test_view_parts.py
@@ -214,6 +214,34 @@
     run_virtual(work())
 
 
+def test_a_change_that_the_follower_does_not_take_leaves_the_view_as_it_was():
+    """Another proxy that asks must not be told that the change is held."""
+
+    class Failing(Follower):
+        def changed(self, changes):
+            raise ValueError("fault")
+
+    class Unreadable(Source):
+        async def list(self, limit, on_arrival):
+            if self.read:
+                await asyncio.get_running_loop().create_future()
+            self.read = True
+            return self.listing
+
+    async def work():
+        source = Unreadable()
+        source.read = False
+        watch = CollectionWatch("x", source, Failing(), FollowTimes.within(3.0), 0.0, Told())
+        task = asyncio.create_task(watch.run())
+        await asyncio.sleep(0.1)
+        source.answers.put_nowait(Changes(("b",), (), StoreRevision(6)))
+        await asyncio.sleep(0.4)
+        assert (watch.revision, watch.changed_revision) == (5, 5)
+        task.cancel()
+
+    run_virtual(work())
+
+
 def test_a_reader_that_is_told_of_changes_does_not_read_the_store_besides():
     """An answer with a change confirms only what was so when its watch was sent."""
     times = FollowTimes.within(10.0)
