--- a/tests/promoted/test_exploration.py
+++ b/tests/promoted/test_exploration.py
@@ -19,7 +19,7 @@
     ReadMembers,
     RecordPromotion,
 )
-from orchidwind.promoted.core.promotion_lock import LockObserver
+from orchidwind.promoted.core.promotion_lock import LockDecision, LockObserver
 from orchidwind_bench.promoted.exploration.acknowledgement import GuardedCommits, at_once
 from orchidwind_bench.promoted.exploration.checks import BrokenPromise
 from orchidwind_bench.promoted.exploration.choices import Schedule
@@ -240,3 +240,26 @@
         schedule = lost_in(logic, beginning, ("restart i-1",))
         assert broken(schedule) == set(), "the look before a commit is told"
     assert broken(schedule) == set()
+
+
+class TakingAbsentLock(LockObserver):
+    """Takes the lock of a new era of the store at once: nobody is known to hold it."""
+
+    def decide(self, now, record, promotion_called=False):
+        if not record.exists:
+            return LockDecision.CREATE
+        return super().decide(now, record, promotion_called)
+
+
+def test_a_lock_that_is_taken_at_once_after_a_return_of_the_store_has_two_promoters():
+    """The holder of before is paused right before its promotion, and goes on after the other's."""
+    schedule = Schedule(
+        "crash",
+        {
+            "fault:p-2:AskAll#2": "store returns, three seconds older",
+            "fault:p-2:Promote#0": "pause p-2",
+        },
+    )
+    logic = ProductLogic(lock_observer=TakingAbsentLock)
+    assert BrokenPromise.TWO_PROMOTERS in broken(schedule, logic)
+    assert broken(schedule) == set()
--- a/tests/promoted/test_store_returns.py
+++ b/tests/promoted/test_store_returns.py
@@ -16,10 +16,23 @@
 import pytest
 from support.platform_system import with_system
 
+from orchidwind.promoted.core.failover_steps import AcknowledgedCommits
 from orchidwind.promoted.core.homes import RELISTING_SECONDS
-from orchidwind.promoted.core.promotion_lock import TAKE_OVER_SECONDS
+from orchidwind.promoted.core.lead_lease import LeadLease, LockReading
+from orchidwind.promoted.core.promotion_lock import (
+    TAKE_OVER_SECONDS,
+    HeldLock,
+    LockDecision,
+    LockObserver,
+    LockRecord,
+)
+from orchidwind.promoted.core.roster import KnownRoster, PromotionRecord, Roster
 from orchidwind.promoted.core.store_revision import StoreRevision
+from orchidwind.promoted.group.promotion_lock_client import PromotionLockClient
+from orchidwind.promoted.group.roster_keeper import RosterKeeper
+from orchidwind.promoted.store_era import StoreEra
 from orchidwind.promoted.views.followed_views import ProxyBounds
+from orchidwind.shared.core.positions import Position
 from orchidwind_bench.promoted.simulation.callers import PromotedSystem
 from orchidwind_bench.promoted.simulation.store import GROUP, STORE, STORE_SECONDS
 from orchidwind_bench.promoted.simulation.virtual_time import run_virtual
@@ -258,3 +271,68 @@
     assert StoreRevision(int(after)).era == 4
     assert StoreRevision.of(0, 70_000) == 70_000, "as stored and sent before eras were known"
     assert StoreRevision.of(2**13 - 1, 2**40 - 1) < 2**53
+
+
+# --- the rules, each by itself --------------------------------------------------------------------
+
+
+def test_a_lease_counts_only_from_readings_that_were_sent_after_the_registration():
+    lease, free = LeadLease(), StoreRevision.of(1, 7)
+    lease.lock_seen(LockReading(1.0, free, free=True))
+    assert not lease.covers(1.0)
+    lease.registered(2.0)
+    lease.lock_seen(LockReading(1.9, free, free=True))
+    assert not lease.covers(1.9)
+    lease.lock_seen(LockReading(2.1, free, free=True))
+    assert lease.covers(2.1)
+    lease.not_registered()
+    assert not lease.covers(2.1)
+
+
+def test_the_lock_of_a_new_era_is_taken_once_all_rights_of_before_have_run_out():
+    observer, absent = LockObserver("me"), LockRecord.absent(1)
+    seen_at = 10.0
+    observer.saw(seen_at, absent.revision)
+    late = seen_at + TAKE_OVER_SECONDS
+    assert observer.decide(late - 0.01, absent) is LockDecision.WAIT
+    assert observer.decide(late, absent) is LockDecision.CREATE
+    assert LockRecord.absent(0).released, "in the first era nobody can have had it"
+
+
+def test_a_lock_ends_with_its_era_for_a_holder_that_knows_of_the_return():
+    async def work():
+        era = StoreEra()
+        era.saw(0, "store")
+        client = PromotionLockClient("me", None, RosterKeeper({}, None), era)
+        held = HeldLock(StoreRevision.of(0, 9), asyncio.get_running_loop().time() + 3.0)
+        assert client.usable_seconds(held) is not None
+        era.saw(1, "another proxy")
+        assert client.usable_seconds(held) is None
+
+    run_virtual(work())
+
+
+def test_what_proxies_acknowledged_says_nothing_of_terms_that_began_in_an_earlier_era():
+    """A proxy's report may be lost with the copy, and the proxy gone."""
+    token = StoreRevision.of(0, 9)
+    ends = [Position(1, 5)]
+    same = AcknowledgedCommits.by_all(ends, [StoreRevision(3)], era=0)
+    later = AcknowledgedCommits.by_all(ends, [StoreRevision(3)], era=1)
+    assert same.known_since < token < later.known_since
+
+
+def test_a_roster_is_united_with_what_was_known_and_its_promotion_never_goes_back():
+    old = PromotionRecord("i-0", 2, Position(1, 5), StoreRevision.of(0, 7))
+    new = PromotionRecord("i-1", 3, Position(2, 9), StoreRevision.of(0, 12))
+    known = KnownRoster(GROUP)
+    known.take(Roster(GROUP, ("i-0", "i-1", "i-2"), StoreRevision.of(0, 13), new))
+    known.take(Roster(GROUP, ("i-0", "i-1"), StoreRevision.of(1, 8), old))
+    assert known.known.members == ("i-0", "i-1", "i-2")
+    assert known.known.last_promotion == new
+    written = known.wanted(tuple)
+    assert written.revision == StoreRevision.of(1, 8)
+    known.take(replace(written, revision=StoreRevision.of(1, 9)))
+    assert known.wanted(tuple) is None
+    known.take(Roster(GROUP, ("i-0", "i-1"), StoreRevision.of(1, 10), old))
+    assert known.known.members == ("i-0", "i-1"), "taken off by another proxy, in the same era"
+    assert known.known.last_promotion == new, "a late write of before the return"
