--- a/src/orchidwind/platform/published.py
+++ b/src/orchidwind/platform/published.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated, Literal
+
 import msgspec
 
 from orchidwind.platform.stored_objects import MILLISECONDS, StoredObject, decode
@@ -18,10 +20,12 @@
     PromotedGroupSettings,
     ReadConsistency,
 )
+from orchidwind.shared.core.errors import PlatformError
 
 _INSTANCES = "servers"
 _CONFIGURATION = "config"
 _CONFIGURATION_NAME = "main"
+_GREATEST_PORT = 65535
 # What holds where the configuration names no value, milliseconds; the users' page sets them.
 _DEFAULT_STALENESS_MS = 1000.0
 _DEFAULT_TIMEOUT_MS = 1000.0
@@ -34,11 +38,20 @@
     group: str = msgspec.field(name="service")
     # HOST:PORT.
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
+    zone: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: Literal["ready", "draining"]
     # What the instance says of itself: it may be out of date, and two may say "primary".
-    claimed_role: str = msgspec.field(default="replica", name="db_role")
+    claimed_role: Literal["primary", "replica"] = msgspec.field(name="db_role")
+
+    def host_and_port(self) -> tuple[str, int]:
+        """Where the instance listens; raises PlatformError."""
+        host, _, port = self.address.rpartition(":")
+        if not host or not port.isascii() or not port.isdecimal():
+            raise PlatformError(f"no address: {self.address!r}")
+        if not 0 < int(port) <= _GREATEST_PORT:
+            raise PlatformError(f"no port: {port}")
+        return host, int(port)
 
 
 class _RouteSpec(msgspec.Struct):
@@ -74,19 +87,23 @@
 
 
 class InstanceTranslation:
-    """Entries that the instances write of themselves."""
+    """Entries that the instances write of themselves.
+
+    An entry may come from another writer: one that lacks a field, or has another type or word in
+    it, names no instance.
+    """
 
     kind = _INSTANCES
 
     def item(self, stored: StoredObject, era: int) -> DirectoryEntry | None:
         """The entry of an instance."""
         spec = decode(stored.spec, _InstanceSpec)
-        host, _, port = spec.address.rpartition(":")
+        host, port = spec.host_and_port()
         return DirectoryEntry(
             instance=stored.meta.name,
             group=spec.group,
             host=host,
-            port=int(port),
+            port=port,
             zone=spec.zone,
             claims_primary=spec.claimed_role == "primary",
             draining=spec.state == "draining",
--- a/src/orchidwind/platform/store.py
+++ b/src/orchidwind/platform/store.py
@@ -271,12 +271,15 @@
     def __init__(self, store: ObjectStore, translation: Translation[Item]) -> None:
         self._store = store
         self._translation = translation
+        # Of objects that could not be read: the revision at which that was logged.
+        self._unreadable: dict[str, int] = {}
         self._path = kind_path(translation.kind)
 
     async def list(self, limit: float, on_arrival: OnArrival) -> Listing[Item]:
         """Read all objects; raises PlatformError."""
         listing = await read_all(self._store, self._translation.kind, limit, on_arrival)
-        return Listing(self._items(listing.items, listing.revision.era), listing.revision)
+        items, _ = self._translate(listing.items, listing.revision.era)
+        return Listing(items, listing.revision)
 
     async def watch(
         self, revision: StoreRevision, wait: float, limit: float, on_arrival: OnArrival
@@ -295,23 +298,44 @@
         answered = decode(answer.body, ObjectEvents)
         latest = {event.object.meta.name: event for event in answered.events}
         changed = [event.object for event in latest.values() if not event.gone]
-        gone = tuple(name for name, event in latest.items() if event.gone)
-        return Changes(self._items(changed, answer.era), gone, answer.at(answered.revision))
-
-    def _items(self, objects: Sequence[StoredObject], era: int) -> tuple[Item, ...]:
-        found = (self._item(stored, era) for stored in objects)
-        return tuple(item for item in found if item is not None)
-
-    def _item(self, stored: StoredObject, era: int) -> Item | None:
-        """The item of an object; one that is not as described must not hide the others."""
-        try:
-            return self._translation.item(stored, era)
-        except (PlatformError, ValueError) as error:
-            log_event(
-                "object_not_as_described",
-                level=logging.ERROR,
-                kind=self._translation.kind,
-                object=stored.meta.name,
-                reason=error,
-            )
-            return None
+        gone = [name for name, event in latest.items() if event.gone]
+        items, unreadable = self._translate(changed, answer.era)
+        for name in gone:
+            self._unreadable.pop(name, None)
+        # What can't be read any more is not what was held before.
+        return Changes(items, (*gone, *unreadable), answer.at(answered.revision))
+
+    def _translate(
+        self, objects: Sequence[StoredObject], era: int
+    ) -> tuple[tuple[Item, ...], tuple[str, ...]]:
+        """The items of objects, and the names of those that are not as described.
+
+        These must not hide the others; each revision of one is logged once.
+        """
+        items = []
+        unreadable = []
+        for stored in objects:
+            name = stored.meta.name
+            try:
+                item = self._translation.item(stored, era)
+            except (PlatformError, ValueError) as error:
+                unreadable.append(name)
+                self._log_unreadable(stored, error)
+                continue
+            self._unreadable.pop(name, None)
+            if item is not None:
+                items.append(item)
+        return tuple(items), tuple(unreadable)
+
+    def _log_unreadable(self, stored: StoredObject, error: Exception) -> None:
+        if self._unreadable.get(stored.meta.name) == stored.meta.revision:
+            return
+        self._unreadable[stored.meta.name] = stored.meta.revision
+        log_event(
+            "object_not_as_described",
+            level=logging.ERROR,
+            kind=self._translation.kind,
+            object=stored.meta.name,
+            revision=stored.meta.revision,
+            reason=error,
+        )
