--- a/src/orchidwind/platform/instances.py
+++ b/src/orchidwind/platform/instances.py
@@ -16,6 +16,7 @@
 from orchidwind.platform import instance_lines, line_format
 from orchidwind.promoted.core.commands import InstanceMessage, InstanceStatus, Reply, ReplyCode
 from orchidwind.promoted.core.configuration import DirectoryEntry
+from orchidwind.promoted.core.instance_lives import identity_of
 from orchidwind.promoted.group.connection_opener import CONNECTION_LIMIT_MET, OTHER_INSTANCE
 from orchidwind.shared.core.errors import BackendConnectionLost, BackendRefused
 from orchidwind.shared.sockets import client_socket
@@ -44,7 +45,7 @@
     async def start(self, group: str) -> None:
         """Name the expected instance; raises BackendRefused, BackendConnectionLost."""
         self._reader = asyncio.get_running_loop().create_task(self._read())
-        waiting = self._send(instance_lines.startup_line(group, self._instance), 1)
+        waiting = self._send(instance_lines.startup_line(group, identity_of(self._instance)), 1)
         reply = await waiting[0]
         self._started = True
         if reply.code is not ReplyCode.DONE:
--- a/src/orchidwind/platform/promotions.py
+++ b/src/orchidwind/platform/promotions.py
@@ -11,6 +11,7 @@
 from orchidwind.platform.http_call import HttpCallFailed, HttpRequest, http_call
 from orchidwind.promoted.core.call_limits import PROMOTION_CALL_SECONDS
 from orchidwind.promoted.core.failover_steps import PromotionAnswer
+from orchidwind.promoted.core.instance_lives import identity_of
 from orchidwind.shared.silence import ConnectionKind, OnSilent, SilentConnection, log_silent
 
 _PATH = "/promotions"
@@ -32,7 +33,7 @@
         self, group: str, instance: str, token: int, seconds: float
     ) -> PromotionAnswer:
         """Send one promotion; its connection is ended when its time has passed."""
-        body = msgspec.json.encode({"service": group, "id": instance})
+        body = msgspec.json.encode({"service": group, "id": identity_of(instance)})
         headers = {_HOLDER: self._proxy, _TOKEN: str(token)}
         request = HttpRequest(self._address, "POST", _PATH, body, headers)
         try:
--- a/src/orchidwind/platform/published.py
+++ b/src/orchidwind/platform/published.py
@@ -20,6 +20,7 @@
     PromotedGroupSettings,
     ReadConsistency,
 )
+from orchidwind.promoted.core.instance_lives import NO_START, life_name
 from orchidwind.shared.core.errors import PlatformError
 
 _INSTANCES = "servers"
@@ -43,6 +44,10 @@
     state: Literal["ready", "draining"]
     # What the instance says of itself: it may be out of date, and two may say "primary".
     claimed_role: Literal["primary", "replica"] = msgspec.field(name="db_role")
+    # Unix milliseconds of the instance's start; not every deployment has it.
+    started_at_ms: Annotated[int, msgspec.Meta(ge=1)] | msgspec.UnsetType = msgspec.field(
+        default=msgspec.UNSET, name="born"
+    )
 
     def host_and_port(self) -> tuple[str, int]:
         """Where the instance listens; raises PlatformError."""
@@ -99,8 +104,9 @@
         """The entry of an instance."""
         spec = decode(stored.spec, _InstanceSpec)
         host, port = spec.host_and_port()
+        started_at_ms = NO_START if spec.started_at_ms is msgspec.UNSET else spec.started_at_ms
         return DirectoryEntry(
-            instance=stored.meta.name,
+            instance=life_name(stored.meta.name, started_at_ms),
             group=spec.group,
             host=host,
             port=port,
--- a/src/orchidwind/promoted/core/configuration.py
+++ b/src/orchidwind/promoted/core/configuration.py
@@ -62,7 +62,10 @@
 
 @dataclass(frozen=True, slots=True)
 class DirectoryEntry:
-    """One instance as the directory lists it. `revision` is that of the entry's last change."""
+    """One instance as the directory lists it. `revision` is that of the entry's last change.
+
+    `instance` names this life of it (`instance_lives`).
+    """
 
     instance: str
     group: str
--- a/src/orchidwind/promoted/core/confirming_instances.py
+++ b/src/orchidwind/promoted/core/confirming_instances.py
@@ -7,7 +7,8 @@
 The rule. An instance counts while it is listed, and afterwards: it serves on after its entry has
 gone, and its entry also goes while it is only cut off from the directory. It counts no longer
 
-- when another instance is listed at its address: that one has its log;
+- when another instance is listed at its address: that one has its log. It is none where the same
+  instance has started anew, without what it held;
 - when neither this proxy nor the directory has heard of it since the present term began, which is
   bounded by the last proof that the primary of the term before still led (it is *absent* then);
 - `MAY_CONFIRM_SECONDS` after its entry went, if the primary's log of that time is held by enough
@@ -93,7 +94,7 @@
         return {
             name: listed[view.address]
             for name, view in self._instances.items()
-            if not view.listed and view.address in listed
+            if not view.listed and not view.ended and view.address in listed
         }
 
     def _may_have_confirmed(self, view: InstanceView) -> bool:
--- a/src/orchidwind/promoted/core/instance_view.py
+++ b/src/orchidwind/promoted/core/instance_view.py
@@ -35,7 +35,8 @@
 class InstanceView:
     """One instance: its entry, and what its answers show.
 
-    `listed`: its entry is in the directory; else `gone_at` is when it went, and `removal_unseen`
+    `ended`: it has started anew since, with another name and without its log. `listed`: its entry
+    is in the directory; else `gone_at` is when it went, and `removal_unseen`
     that it was missing when the directory was read as a whole, so it may come back with it.
     `avoid_until`: others are preferred until then. Until `behind_until` it may lack
     `behind_position`. `last_answer_at`: when it last answered anything, or was sent what it
@@ -44,6 +45,7 @@
 
     entry: DirectoryEntry
     listed: bool = True
+    ended: bool = False
     removal_unseen: bool = False
     gone_at: float = 0.0
     status: InstanceStatus | None = None
@@ -73,7 +75,7 @@
 
     def usable(self, now: float) -> bool:
         """Whether new work may go there."""
-        if self.entry.draining:
+        if self.entry.draining or self.ended:
             return False
         return self.listed or now - self.gone_at <= GONE_USABLE_SECONDS
 
--- a/src/orchidwind/promoted/core/topology.py
+++ b/src/orchidwind/promoted/core/topology.py
@@ -81,6 +81,17 @@
             view.removal_unseen = removal_unseen
             view.gone_at = now
 
+    def life_ended(self, instance: str, now: float) -> None:
+        """An instance has started anew, under another name here: this life's log is gone.
+
+        It counts as one that left and took its log along, and nobody asks it for anything: what
+        listens at its address would answer for the life that follows.
+        """
+        self.entry_gone(instance, now)
+        view = self.instances.get(instance)
+        if view is not None:
+            view.ended = True
+
     def promotion_read(self, record: PromotionRecord | None, now: float) -> None:
         """The roster names the last promotion."""
         if record != self.last_promotion:
--- a/src/orchidwind/promoted/group/connection_opener.py
+++ b/src/orchidwind/promoted/group/connection_opener.py
@@ -42,6 +42,8 @@
         view = self._topology.instances.get(instance)
         if view is None:
             raise BackendConnectionLost("the instance is unknown", sent=False)
+        if view.ended:
+            raise BackendConnectionLost("the instance has started anew since", sent=False)
         try:
             async with asyncio.timeout(INSTANCE_CONNECT_SECONDS):
                 return await self._connector.connect(view.entry, on_lost)
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -180,6 +180,12 @@
         self._waiting.wake()
         self._on_wake()
 
+    def life_ended(self, instance: str, next_life: str) -> None:
+        """An instance has started anew: links under its old name may lead to the new life."""
+        self.view_changes.life_ended(instance, next_life)
+        self.status_calls.close_link(instance)
+        self.connections.drop_idle(instance)
+
     async def forget_old(self) -> None:
         """Drop what belongs to instances that left long ago, if others have their logs."""
         if self.supervised and self.topology.confirming.some_due(self._loop.time()):
--- a/src/orchidwind/promoted/group/view_changes.py
+++ b/src/orchidwind/promoted/group/view_changes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 
 from orchidwind.promoted.core.circuit_breaker import Dependency
@@ -61,6 +62,19 @@
         )
         self._on_change()
 
+    def life_ended(self, instance: str, next_life: str) -> None:
+        """An instance has started anew, without what it held."""
+        self._topology.life_ended(instance, self._loop.time())
+        log_event(
+            "instance_started_anew",
+            level=logging.WARNING,
+            group=self._topology.settings.name,
+            instance=instance,
+            next_life=next_life,
+            decision="its log counts as lost, its connections are closed",
+        )
+        self._on_change()
+
     def take_status(self, status: InstanceStatus) -> None:
         """An instance reported its status."""
         now = self._loop.time()
