--- a/src/orchidwind_bench/promoted/simulation/groups.py
+++ b/src/orchidwind_bench/promoted/simulation/groups.py
@@ -8,6 +8,7 @@
 
 from orchidwind.promoted.core.commands import InstanceRole
 from orchidwind.promoted.core.configuration import DirectoryEntry, ReadConsistency
+from orchidwind.promoted.core.instance_lives import identity_of, life_name, start_of
 from orchidwind_bench.promoted.simulation.instances import SimulatedInstance
 from orchidwind_bench.promoted.simulation.replication import Replication
 from orchidwind_bench.promoted.simulation.store import GROUP
@@ -27,6 +28,9 @@
 SHIP_AGAIN_SECONDS = 0.05
 _PART_ENTRIES = 20
 _STEP_DOWN_SECONDS = 1.0
+# A started instance writes its entry after so long: the most that was measured (docs/incidents, the
+# one at Dakar on LOST).
+_LISTED_SECONDS = 0.014
 
 
 class SimulatedGroup:
@@ -129,6 +133,27 @@
         successor.term, successor.log = old.term, list(old.log)
         self._start_receiving(successor, announced_after=0.0)
 
+    def start_anew(self, name: str, told: bool = True) -> None:
+        """An instance starts again under its identity, at its address, and holds nothing.
+
+        Its entry tells the start of the new life, and so its name; without `told` it does not.
+        """
+        old = self.instances[name]
+        old.crash()
+        if not told:
+            old.log.clear()
+            old.term = 1
+            old.role = InstanceRole.REPLICA
+            old.restart()
+            return
+        old.ended = True
+        life = life_name(identity_of(name), start_of(name) + 1)
+        self.instances[life] = SimulatedInstance(
+            self, life, InstanceRole.REPLICA, old.zone, old.port
+        )
+        self.world.store.entries.pop(name, None)  # the same entry, with another start
+        self._start_receiving(self.instances[life], _LISTED_SECONDS)
+
     # --- replication --------------------------------------------------------------------------
 
     def ship(self, leader: SimulatedInstance) -> None:
--- a/tests/promoted/test_instance_lives.py
+++ b/tests/promoted/test_instance_lives.py
@@ -11,6 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from support.platform_system import SERVICE, LineClient, with_system
+from support.scripted_days import deafen, play
 
 from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
 from orchidwind.promoted.core.configuration import DirectoryEntry, PromotedGroupSettings
@@ -163,3 +164,37 @@
         assert system.store.promotions[0][:2] in ((SERVICE, "i-1"), (SERVICE, "i-2"))
 
     with_system(tmp_path, scenario, born=7)
+
+
+# --- on virtual time ------------------------------------------------------------------------------
+
+
+def after_a_new_life(seed, told):
+    """What happens where the only replica that had the last commits starts anew, empty.
+
+    i-2 receives nothing from 3.0 s on; i-1 starts anew and the primary crashes at 3.5 s, for 3 s.
+    """
+
+    def start_and_crash(system):
+        system.group.start_anew("i-1", told)
+        system.group.primary().crash()
+
+    plan = [
+        (3.0, lambda system: deafen(system, "i-2")),
+        (3.5, start_and_crash),
+        (6.5, lambda system: system.group.instances["i-0"].restart()),
+    ]
+    system = play(seed, plan, 14.0)
+    return system.world.history
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_commits_of_an_ended_life_are_missed_until_the_primary_is_back(seed):
+    history = after_a_new_life(seed, told=True)
+    assert history.broken == []
+    assert [commit for commit in history.acknowledged if commit.at > 7.0], "served again"
+
+
+def test_without_a_name_for_each_life_they_are_lost():
+    """The danger is real: entries that do not tell the start leave a proxy without a sign."""
+    assert any("LOST" in blame for blame in after_a_new_life(1, told=False).broken)
