--- /dev/null
+++ b/tests/support/virtual_proxies.py
@@ -0,0 +1,34 @@
+"""Six proxies before one simulated group on virtual time, and an operator who changes things."""
+
+import asyncio
+from dataclasses import replace
+
+from orchidwind_bench.promoted.simulation.callers import PromotedSystem
+from orchidwind_bench.promoted.simulation.virtual_time import run_virtual
+
+PROXIES = tuple(f"proxy-{letter}" for letter in "abcdef")
+
+
+def with_proxies(scenario, proxies=PROXIES, seed=1):
+    """Play a scenario on a system that has served for 3 s."""
+
+    async def work():
+        system = PromotedSystem(seed, proxies=proxies)
+        for node in system.nodes.values():
+            assert await node.wait_prepared(5.0)
+        await asyncio.sleep(3.0)
+        await scenario(system)
+
+    run_virtual(work())
+
+
+def apply_configuration(system):
+    """An operator's change; returns its version."""
+    store = system.world.store
+    store.put_configuration(replace(store.configuration, version=store.configuration.version + 1))
+    return store.configuration.version
+
+
+def versions(system):
+    """The version that each proxy has in force."""
+    return {name: node.configuration.version for name, node in system.nodes.items()}
