--- a/src/orchidwind/platform/coordination.py
+++ b/src/orchidwind/platform/coordination.py
@@ -22,7 +22,7 @@
 from orchidwind.promoted.core.homes import ProxyMember
 from orchidwind.promoted.core.promotion_lock import LockRecord
 from orchidwind.promoted.core.roster import PromotionRecord, Roster
-from orchidwind.promoted.core.store_revision import StoreRevision
+from orchidwind.promoted.core.store_revision import FIRST_ERA, StoreRevision
 from orchidwind.promoted.ports import LeaseConfirmation, Listing
 from orchidwind.shared.core.errors import PlatformError
 from orchidwind.shared.core.positions import Position
@@ -206,7 +206,7 @@
 
 def _lock_name(era: int) -> str:
     """Each era has a lock of its own: see `promotion_lock`."""
-    return f"{_LOCK_NAME}-{era}" if era else _LOCK_NAME
+    return _LOCK_NAME if era == FIRST_ERA else f"{_LOCK_NAME}-{era}"
 
 
 def _lock_path(era: int) -> str:
--- a/src/orchidwind/platform/published.py
+++ b/src/orchidwind/platform/published.py
@@ -21,12 +21,11 @@
     ReadConsistency,
 )
 from orchidwind.promoted.core.instance_lives import NO_START, life_name
-from orchidwind.shared.core.errors import PlatformError
+from orchidwind.shared.settings import parse_address
 
 _INSTANCES = "servers"
 _CONFIGURATION = "config"
 _CONFIGURATION_NAME = "main"
-_GREATEST_PORT = 65535
 # What holds where the configuration names no value, milliseconds; the users' page sets them.
 _DEFAULT_STALENESS_MS = 1000.0
 _DEFAULT_TIMEOUT_MS = 1000.0
@@ -50,13 +49,11 @@
     )
 
     def host_and_port(self) -> tuple[str, int]:
-        """Where the instance listens; raises PlatformError."""
-        host, _, port = self.address.rpartition(":")
-        if not host or not port.isascii() or not port.isdecimal():
-            raise PlatformError(f"no address: {self.address!r}")
-        if not 0 < int(port) <= _GREATEST_PORT:
-            raise PlatformError(f"no port: {port}")
-        return host, int(port)
+        """Where the instance listens; raises ValueError."""
+        host, port = parse_address(self.address)
+        if not host:
+            raise ValueError(f"{self.address!r} names no host")
+        return host, port
 
 
 class _RouteSpec(msgspec.Struct):
--- a/src/orchidwind/platform/store.py
+++ b/src/orchidwind/platform/store.py
@@ -33,7 +33,7 @@
     object_path,
 )
 from orchidwind.promoted.core.call_limits import STORE_CALL_SECONDS
-from orchidwind.promoted.core.store_revision import StoreRevision
+from orchidwind.promoted.core.store_revision import FIRST_ERA, StoreRevision
 from orchidwind.promoted.ports import Changes, Listing
 from orchidwind.promoted.store_era import StoreEra
 from orchidwind.shared.core.errors import (
@@ -48,10 +48,9 @@
 
 # Statuses of a write that took effect.
 _WRITTEN = (200, 201)
-# The header with which each answer says how often the store has come back from an older copy, and
-# what a store means that does not send it; the users' page sets both.
+# The header with which each answer says how often the store has come back from an older copy; the
+# users' page sets it.
 _ERA_HEADER = "Store-Era"
-_FIRST_ERA = "0"
 
 Item = TypeVar("Item")
 Translated = TypeVar("Translated", covariant=True)
@@ -101,7 +100,7 @@
 
     def _in_era(self, answer: HttpAnswer) -> StoreAnswer | None:
         """An answer with its era, None where it was given in one that is over."""
-        named = answer.headers.get(_ERA_HEADER, _FIRST_ERA)
+        named = answer.headers.get(_ERA_HEADER, str(FIRST_ERA))
         try:
             era = StoreRevision.of(int(named), 0).era
         except ValueError as error:
--- a/src/orchidwind/promoted/core/instance_view.py
+++ b/src/orchidwind/promoted/core/instance_view.py
@@ -35,12 +35,11 @@
 class InstanceView:
     """One instance: its entry, and what its answers show.
 
-    `ended`: it has started anew since, with another name and without its log. `listed`: its entry
-    is in the directory; else `gone_at` is when it went, and `removal_unseen`
+    `listed`: its entry is in the directory; else `gone_at` is when it went, and `removal_unseen`
     that it was missing when the directory was read as a whole, so it may come back with it.
-    `avoid_until`: others are preferred until then. Until `behind_until` it may lack
-    `behind_position`. `last_answer_at`: when it last answered anything, or was sent what it
-    answered.
+    `ended`: it has started anew since, with another name and without its log. `avoid_until`: others
+    are preferred until then. Until `behind_until` it may lack `behind_position`. `last_answer_at`:
+    when it last answered anything, or was sent what it answered.
     """
 
     entry: DirectoryEntry
--- a/src/orchidwind/promoted/core/promotion_lock.py
+++ b/src/orchidwind/promoted/core/promotion_lock.py
@@ -2,12 +2,12 @@
 
 The lock is one object in the store, changed by compare-and-put only. Its revision in the store is
 the fencing token: it rises with every change, so also with every holder, and across returns of the
-store from an older copy (`store_revision`). A holder uses the lock
-for a fixed time after it *sent* the call that took it. Others take it over only after they have
-seen it unchanged for longer than that, by their own steady clocks; the difference covers a
-promotion call that is still under way. So does the holder itself, and a process that was started
-anew under its name, once a promotion was written down under this hold: the call may take effect
-yet, and whoever finds the old primary leading would free the replicas for it.
+store from an older copy (`store_revision`). A holder uses the lock for a fixed time after it *sent*
+the call that took it. Others take it over only after they have seen it unchanged for longer than
+that, by their own steady clocks; the difference covers a promotion call that is still under way. So
+does the holder itself, and a process that was started anew under its name, once a promotion was
+written down under this hold: the call may take effect yet, and whoever finds the old primary
+leading would free the replicas for it.
 
 Each era of the store has a lock of its own. A return may lose the record of a holder that still
 acts, and a late call of its could hit a record that was given the same revision again. So the lock
@@ -24,10 +24,7 @@
 from enum import Enum, unique
 
 from orchidwind.promoted.core.call_limits import PROMOTION_CALL_SECONDS
-from orchidwind.promoted.core.store_revision import NOTHING_HELD, StoreRevision
-
-# The store's first era: no copy has come back, so a lock that is not there was never taken.
-_FIRST_ERA = 0
+from orchidwind.promoted.core.store_revision import FIRST_ERA, NOTHING_HELD, StoreRevision
 
 # Seconds from the sending of the call that took the lock for which its holder uses it. Chosen: the
 # wait for leases, and twelve attempts to find a candidate (`failover`), fit in.
@@ -63,8 +60,8 @@
 
     @classmethod
     def absent(cls, era: int) -> LockRecord:
-        """No record in an era of the store; nobody holds the lock only in the first one."""
-        return cls("", "", era == _FIRST_ERA, StoreRevision.of(era, 0))
+        """No record in an era of the store; only in the first one nobody ever held the lock."""
+        return cls("", "", era == FIRST_ERA, StoreRevision.of(era, 0))
 
     @property
     def exists(self) -> bool:
@@ -126,9 +123,13 @@
     return HeldLock(record.revision, sent_at + HOLD_SECONDS)
 
 
-def usable_seconds(held: HeldLock | None, now: float) -> float | None:
-    """For how many seconds the lock is surely held; None where no call may be begun any more."""
-    if held is None:
+def usable_seconds(held: HeldLock | None, now: float, era: int) -> float | None:
+    """For how many seconds the lock is surely held; None where no call may be begun any more.
+
+    A lock ends with its era, once its holder knows of a later one (`era` is the one that it knows):
+    what it would read and write then is not what it knew.
+    """
+    if held is None or held.token.era < era:
         return None
     left = held.valid_until - now
     return left if left > CALL_MARGIN_SECONDS else None
--- a/src/orchidwind/promoted/core/store_revision.py
+++ b/src/orchidwind/promoted/core/store_revision.py
@@ -21,6 +21,8 @@
 # last for 87 years; 13 bits are 8,192 eras, one a day for 22 years.
 _REVISION_BITS = 40
 _ERA_BITS = 13
+# The era of a store that never came back from a copy, and of one that names none.
+FIRST_ERA = 0
 
 
 class StoreRevision(int):
--- a/src/orchidwind/promoted/group/lease_keeper.py
+++ b/src/orchidwind/promoted/group/lease_keeper.py
@@ -126,10 +126,13 @@
 
     async def run(self) -> None:
         """Register with the first request, then read the lock as often as they want the lease."""
-        while not self._left:
+        while True:
             await self._wanted.wait()
-            while not self.lease.is_registered and not await self._register():
+            if self._left:
+                return
+            if not self.lease.is_registered and not await self._register():
                 await asyncio.sleep(_REGISTRY_RETRY_SECONDS)
+                continue
             self._wanted.clear()
             await self._renew()
             await self._rest()
@@ -145,9 +148,7 @@
             return  # the usual end of this wait: the lease is due
 
     async def _register(self) -> bool:
-        """Have others wait for this proxy; whether that need not be tried again."""
-        if self._left:
-            return True
+        """Have others wait for this proxy from now on, so that its lease may count."""
         confirmation = self._confirmation(StoreRevision(0))
         try:
             self._object_revision = await self._registry.confirm(confirmation)
@@ -155,7 +156,7 @@
             log_event("lease_not_registered", reason=str(error))
             return False
         if self._left or self._store_era.current > self._object_revision.era:
-            return self._left
+            return False
         self.lease.registered(self._loop.time())
         return True
 
--- a/src/orchidwind/promoted/group/promotion_lock_client.py
+++ b/src/orchidwind/promoted/group/promotion_lock_client.py
@@ -107,13 +107,8 @@
         return created
 
     def usable_seconds(self, held: HeldLock | None) -> float | None:
-        """For how many seconds the lock is surely held; None where no call may be begun any more.
-
-        A lock ends with its era: what its holder would read and write is not what it knew.
-        """
-        if held is None or held.token.era < self._store_era.current:
-            return None
-        return usable_seconds(held, self._loop.time())
+        """For how many seconds calls may be begun under the lock; None: no longer."""
+        return usable_seconds(held, self._loop.time(), self._store_era.current)
 
     async def _write(self, record: LockRecord) -> HeldLock | None:
         attempt = secrets.token_hex(8)
--- a/src/orchidwind/promoted/instance_directory.py
+++ b/src/orchidwind/promoted/instance_directory.py
@@ -37,10 +37,9 @@
         """The whole directory was read; whether it differs from the one that was held."""
         listed = {entry.instance: entry for entry in listing.items if self._is_newest(entry)}
         differs = listed != self.entries or not self.read
-        following = {identity_of(name): name for name in listed}
-        for name in [name for name in self.entries if name not in listed]:
-            if identity_of(name) not in following:
-                self._entry_gone(name, removal_unseen=True)
+        identities = {identity_of(name) for name in listed}
+        for name in [name for name in self.entries if identity_of(name) not in identities]:
+            self._entry_gone(name, removal_unseen=True)
         for entry in listed.values():
             self._entry_listed(entry)
         self.read = True
--- a/src/orchidwind/promoted/store_era.py
+++ b/src/orchidwind/promoted/store_era.py
@@ -12,6 +12,7 @@
 import logging
 from collections.abc import Callable
 
+from orchidwind.promoted.core.store_revision import FIRST_ERA
 from orchidwind.shared.logs import log_event
 
 
@@ -21,7 +22,7 @@
     def __init__(self, clock: Callable[[], float] | None = None) -> None:
         """`clock` is the steady clock in seconds; that of the running loop where none is given."""
         self._clock = clock or _loop_clock
-        self.current = 0
+        self.current = FIRST_ERA
         self.returns = 0
         # Since when it is known, seconds of the steady clock.
         self.since = float("-inf")
--- a/src/orchidwind/promoted/views/collection_watch.py
+++ b/src/orchidwind/promoted/views/collection_watch.py
@@ -113,9 +113,9 @@
         """The store is known to have come back from an older copy: read it anew now.
 
         A call under way would be waited for, or its answer say nothing of the copy. A proxy that
-        others inform leaves it to them: so not all read the store at the same moment.
+        does not watch the store leaves it to others: so not all read it at the same moment.
         """
-        if self._role is SourceRole.RELYING and self._times.relying_wait is None:
+        if self._rule.watch_wait(self._role) is None:
             return
         self._read_next = True
         if self._step_under_way is not None:
--- a/src/orchidwind/promoted/views/held_view.py
+++ b/src/orchidwind/promoted/views/held_view.py
@@ -74,8 +74,6 @@
             if differs or listing.revision.era != self.revision.era:
                 self.changed_revision = listing.revision
             self.revision = listing.revision
-        elif not self._of_this_era(listing.revision, source):
-            return
         self.confirm(as_of, source, listing.revision)
 
     def _of_this_era(self, revision: StoreRevision, source: str) -> bool:
--- a/src/orchidwind/shared/settings.py
+++ b/src/orchidwind/shared/settings.py
@@ -94,6 +94,7 @@
 def parse_address(text: str) -> tuple[str, int]:
     """Read "HOST:PORT"; raises ValueError."""
     host, separator, port = text.rpartition(":")
-    if not separator or not port.isdigit() or not 1 <= int(port) <= _HIGHEST_PORT:
+    digits = port.isascii() and port.isdecimal()
+    if not separator or not digits or not 1 <= int(port) <= _HIGHEST_PORT:
         raise ValueError(f"{text!r} is not HOST:PORT")
     return host, int(port)
