--- a/src/orchidwind/platform/caller_lines.py
+++ b/src/orchidwind/platform/caller_lines.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from orchidwind.platform.line_format import ENCODING, NO_VALUE, STATE_LETTERS, WireError
 from orchidwind.promoted.core.commands import (
@@ -19,15 +19,13 @@
 from orchidwind.shared.core.errors import ErrorKind, RequestError
 
 
-@dataclass(frozen=True, slots=True)
-class Startup:
+class Startup(Struct, frozen=True):
     """A caller names its database."""
 
     database: str
 
 
-@dataclass(frozen=True, slots=True)
-class Terminate:
+class Terminate(Struct, frozen=True):
     """A caller ends its session."""
 
 
--- a/src/orchidwind/platform/http_call.py
+++ b/src/orchidwind/platform/http_call.py
@@ -9,8 +9,8 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
+from msgspec import Struct, field
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
     HTTPHeaders,
@@ -50,8 +50,7 @@
         self.silent_for = silent_for
 
 
-@dataclass(frozen=True, slots=True)
-class HttpRequest:
+class HttpRequest(Struct, frozen=True):
     """A call. `address` is (host, port)."""
 
     address: tuple[str, int]
@@ -61,8 +60,7 @@
     headers: dict[str, str] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class HttpAnswer:
+class HttpAnswer(Struct, frozen=True):
     """A whole answer."""
 
     status: int
--- a/src/orchidwind/platform/store.py
+++ b/src/orchidwind/platform/store.py
@@ -13,11 +13,11 @@
 
 import logging
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 from urllib.parse import quote
 
 import msgspec
+from msgspec import Struct
 
 from orchidwind.platform.http_call import HttpAnswer, HttpCallFailed, HttpRequest, http_call
 from orchidwind.platform.stored_objects import (
@@ -58,16 +58,14 @@
 OnArrival = Callable[[], None]
 
 
-@dataclass(frozen=True, slots=True)
-class WrittenObject:
+class WrittenObject(Struct, frozen=True):
     """An object as it was written."""
 
     stored: StoredObject
     revision: StoreRevision
 
 
-@dataclass(frozen=True, slots=True)
-class StoreAnswer:
+class StoreAnswer(Struct, frozen=True):
     """An answer of the store, and the era that it was given in."""
 
     status: int
--- a/src/orchidwind/platform/stored_objects.py
+++ b/src/orchidwind/platform/stored_objects.py
@@ -8,11 +8,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Any, TypeVar
 from urllib.parse import quote
 
 import msgspec
+from msgspec import Struct
 
 from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.shared.core.errors import PlatformError
@@ -62,8 +62,7 @@
     revision: int = msgspec.field(default=0, name="at")
 
 
-@dataclass(frozen=True, slots=True)
-class ObjectVersion:
+class ObjectVersion(Struct, frozen=True):
     """An object that is to be written: a new one, or one that has not changed since a revision."""
 
     kind: str
--- a/src/orchidwind/promoted/core/circuit_breaker.py
+++ b/src/orchidwind/promoted/core/circuit_breaker.py
@@ -13,9 +13,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum, unique
 
+from msgspec import Struct
+
 from orchidwind.promoted.core.change_reasons import NOT_CONFIRMING_SECONDS
 from orchidwind.shared.core.errors import ErrorKind
 
@@ -84,8 +85,7 @@
         return False
 
 
-@dataclass(frozen=True, slots=True)
-class ImmediateRefusal:
+class ImmediateRefusal(Struct, frozen=True):
     """A request is refused before it waits. `reason` is for its caller and the log."""
 
     missing: Dependency
--- a/src/orchidwind/promoted/core/command_limits.py
+++ b/src/orchidwind/promoted/core/command_limits.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from orchidwind.promoted.core.configuration import DatabaseRoute
 from orchidwind.shared.core.admission import TrafficClass
@@ -25,8 +25,7 @@
 _SHORTEST_PAUSE_SHARE = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class TimeLimits:
+class TimeLimits(Struct, frozen=True):
     """Until when a command may run, and until when it may wait unsent; steady clock, seconds."""
 
     deadline: float
--- a/src/orchidwind/promoted/core/commands.py
+++ b/src/orchidwind/promoted/core/commands.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum, unique
 
+from msgspec import Struct
+
 from orchidwind.shared.core.positions import Position
 
 
@@ -29,8 +30,7 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(frozen=True, slots=True)
-class Command:
+class Command(Struct, frozen=True):
     """One statement of a caller.
 
     `request_id` and `text` are passed on unchanged. `name` is the setting's or the prepared
@@ -47,8 +47,7 @@
     shape: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class PreparedStatement:
+class PreparedStatement(Struct, frozen=True):
     """What a prepared name stands for. The shared name is the same for all sessions."""
 
     writes: bool
@@ -86,8 +85,7 @@
     FAILED = "failed"
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
+class Reply(Struct, frozen=True):
     """An instance's whole answer to one message. `position`: the end of its log, None where
     the answer has none."""
 
@@ -118,8 +116,7 @@
     EXECUTE = "execute"
 
 
-@dataclass(frozen=True, slots=True)
-class InstanceMessage:
+class InstanceMessage(Struct, frozen=True):
     """One message to an instance. Without `request_id` it is the proxy's own.
 
     `floor` asks the instance to refuse unless its log holds that position.
@@ -141,8 +138,7 @@
     REPLICA = "replica"
 
 
-@dataclass(frozen=True, slots=True)
-class InstanceStatus:
+class InstanceStatus(Struct, frozen=True):
     """An instance's answer to a status query or a control call.
 
     `received` is the end of its log. `fence_term` is the term above which it accepts no older
@@ -163,8 +159,7 @@
         return max(self.term, self.fence_term)
 
 
-@dataclass(frozen=True, slots=True)
-class CommandResult:
+class CommandResult(Struct, frozen=True):
     """The answer to one command that succeeded."""
 
     rows: tuple[str, ...] = ()
--- a/src/orchidwind/promoted/core/commit_acknowledgement.py
+++ b/src/orchidwind/promoted/core/commit_acknowledgement.py
@@ -27,9 +27,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from enum import Enum, unique
 
+from msgspec import Struct
+
 from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
 from orchidwind.promoted.core.lead_proof import LeaseEvidence, lease_proves_lead
 from orchidwind.promoted.core.log_positions import holds
@@ -50,16 +51,14 @@
     NOT_PROVEN = "not yet proven"
 
 
-@dataclass(frozen=True, slots=True)
-class ConfirmedCommit:
+class ConfirmedCommit(Struct, frozen=True):
     """A commit that `primary` confirmed; `position` is the end of its log with the commit."""
 
     primary: str
     position: Position
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaEvidence:
+class ReplicaEvidence(Struct, frozen=True):
     """What the listed instances answered to one round of status queries.
 
     `statuses`: of those that answered. `must_answer`: see `must_answer`. `staying`: known instances
--- a/src/orchidwind/promoted/core/configuration.py
+++ b/src/orchidwind/promoted/core/configuration.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from enum import Enum, unique
 
+from msgspec import Struct, field
+
 # Seconds for which an open transaction may rest, where the configuration names no other time.
 # Chosen: it holds a server connection meanwhile.
 DEFAULT_TRANSACTION_IDLE_SECONDS = 30.0
@@ -28,8 +29,7 @@
     SESSION = "session"
 
 
-@dataclass(frozen=True, slots=True)
-class DatabaseRoute:
+class DatabaseRoute(Struct, frozen=True):
     """A database as callers name it. Times are in seconds; `priority` 0 is the highest."""
 
     name: str
@@ -41,8 +41,7 @@
     priority: int
 
 
-@dataclass(frozen=True, slots=True)
-class PromotedGroupSettings:
+class PromotedGroupSettings(Struct, frozen=True):
     """A group: its connection limit over all callers, and how many replicas confirm a commit."""
 
     name: str
@@ -50,8 +49,7 @@
     synchronous_replicas: int
 
 
-@dataclass(frozen=True, slots=True)
-class PromotedConfiguration:
+class PromotedConfiguration(Struct, frozen=True):
     """All databases and groups of one version. Versions only rise."""
 
     version: int
@@ -60,8 +58,7 @@
     transaction_idle: float = DEFAULT_TRANSACTION_IDLE_SECONDS
 
 
-@dataclass(frozen=True, slots=True)
-class DirectoryEntry:
+class DirectoryEntry(Struct, frozen=True):
     """One instance as the directory lists it. `revision` is that of the entry's last change.
 
     `instance` names this life of it (`instance_lives`).
--- a/src/orchidwind/promoted/core/drain_plan.py
+++ b/src/orchidwind/promoted/core/drain_plan.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 # New sessions are taken for so many seconds. Chosen: the first users' platform sends no caller here
 # some probes after the proxy is no longer ready.
@@ -22,8 +22,7 @@
 _END_SHARE = 0.85
 
 
-@dataclass(frozen=True, slots=True)
-class DrainPlan:
+class DrainPlan(Struct, frozen=True):
     """The stop of a proxy: the time that it has, and the sessions that it had when it began."""
 
     grace_seconds: float
--- a/src/orchidwind/promoted/core/failover.py
+++ b/src/orchidwind/promoted/core/failover.py
@@ -42,7 +42,9 @@
 from __future__ import annotations
 
 from collections.abc import Generator
-from dataclasses import dataclass, replace
+
+from msgspec import Struct
+from msgspec.structs import replace
 
 from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
 from orchidwind.promoted.core.failover_choice import (
@@ -194,8 +196,7 @@
     return None
 
 
-@dataclass(slots=True)
-class _Selection:
+class _Selection(Struct):
     """The search for the next primary, from one attempt to the next.
 
     `reported`: the last line of the log on what the choice rests. `sent`: a promotion may have been
--- a/src/orchidwind/promoted/core/failover_members.py
+++ b/src/orchidwind/promoted/core/failover_members.py
@@ -10,7 +10,8 @@
 from __future__ import annotations
 
 from collections.abc import Generator
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from orchidwind.promoted.core.failover_fences import Answers, ask
 from orchidwind.promoted.core.failover_steps import (
--- a/src/orchidwind/promoted/core/failover_steps.py
+++ b/src/orchidwind/promoted/core/failover_steps.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Generator, Iterable, Mapping
-from dataclasses import dataclass
 from enum import Enum, unique
 
+from msgspec import Struct
+
 from orchidwind.promoted.core.commands import InstanceStatus
 from orchidwind.promoted.core.roster import PromotionRecord
 from orchidwind.promoted.core.store_revision import StoreRevision
@@ -38,8 +39,7 @@
     NOT_SAFE = "not_safe"
 
 
-@dataclass(frozen=True, slots=True)
-class AcknowledgedCommits:
+class AcknowledgedCommits(Struct, frozen=True):
     """Up to where proxies that hold lead leases may have acknowledged commits of a group.
 
     Others acknowledge only what a listed replica holds that nobody has fenced.
@@ -63,8 +63,7 @@
         return cls(max(ends, default=Position(0, 0)), max(era_began, *first_revisions))
 
 
-@dataclass(frozen=True, slots=True)
-class FailoverPlan:
+class FailoverPlan(Struct, frozen=True):
     """What the proxy believes when it begins, and again when it has read the members anew.
 
     `members` are all instances that may have confirmed commits; `leaving` those of them that must
@@ -92,8 +91,7 @@
     last_promotion: PromotionRecord | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class FailoverResult:
+class FailoverResult(Struct, frozen=True):
     """The outcome; `primary` and `term` where it is DONE."""
 
     outcome: FailoverOutcome
@@ -114,8 +112,7 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(frozen=True, slots=True)
-class ChoiceReport:
+class ChoiceReport(Struct, frozen=True):
     """On what a choice of the next primary rested, for the log.
 
     `passed_over`: each instance that was not chosen, and why. `chosen` is empty where no instance
@@ -132,68 +129,58 @@
     passed_over: tuple[tuple[str, str], ...]
 
 
-@dataclass(frozen=True, slots=True)
-class TakeLock:
+class TakeLock(Struct, frozen=True):
     """Take the promotion lock; the result is a bool."""
 
 
-@dataclass(frozen=True, slots=True)
-class ReleaseLock:
+class ReleaseLock(Struct, frozen=True):
     """Give the lock back."""
 
 
-@dataclass(frozen=True, slots=True)
-class AskAll:
+class AskAll(Struct, frozen=True):
     """Ask instances for their status; the result is a map of those that answered."""
 
     instances: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class FenceAll:
+class FenceAll(Struct, frozen=True):
     """Keep instances from receiving of primaries below `term`; the result as for AskAll."""
 
     instances: tuple[str, ...]
     term: int
 
 
-@dataclass(frozen=True, slots=True)
-class UnfenceAll:
+class UnfenceAll(Struct, frozen=True):
     """Let instances receive again; the result as for AskAll."""
 
     instances: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Demote:
+class Demote(Struct, frozen=True):
     """Turn a primary of a lower term into a replica; the result as for AskAll."""
 
     instance: str
     term: int
 
 
-@dataclass(frozen=True, slots=True)
-class AwaitRevocation:
+class AwaitRevocation(Struct, frozen=True):
     """Wait until no proxy relies on the old primary by a lead lease, to read or to acknowledge.
 
     The result is AcknowledgedCommits, None where some proxy did not say what it acknowledged.
     """
 
 
-@dataclass(frozen=True, slots=True)
-class ReadMembers:
+class ReadMembers(Struct, frozen=True):
     """Read anew who may have confirmed; a FailoverPlan, None where the store does not answer."""
 
 
-@dataclass(frozen=True, slots=True)
-class ReportChoice:
+class ReportChoice(Struct, frozen=True):
     """Log on what a choice rested."""
 
     report: ChoiceReport
 
 
-@dataclass(frozen=True, slots=True)
-class RecordPromotion:
+class RecordPromotion(Struct, frozen=True):
     """Write down that an instance is about to be promoted; whether it surely is in the store.
 
     `term` is the least term that it will lead, `start` the end of its log.
@@ -204,15 +191,13 @@
     start: Position
 
 
-@dataclass(frozen=True, slots=True)
-class Promote:
+class Promote(Struct, frozen=True):
     """Send the promotion, if the lock is surely held (else LockLost is thrown in)."""
 
     instance: str
 
 
-@dataclass(frozen=True, slots=True)
-class Wait:
+class Wait(Struct, frozen=True):
     """Wait for some seconds; LockLost is thrown in where the lock's time has passed."""
 
     seconds: float
--- a/src/orchidwind/promoted/core/flow_parts.py
+++ b/src/orchidwind/promoted/core/flow_parts.py
@@ -9,7 +9,9 @@
 from __future__ import annotations
 
 from collections.abc import Generator
-from dataclasses import dataclass, field, replace
+
+from msgspec import Struct, field
+from msgspec.structs import replace
 
 from orchidwind.promoted.core.answers import reported
 from orchidwind.promoted.core.attempts import (
@@ -50,8 +52,7 @@
 )
 
 
-@dataclass(slots=True)
-class CommandContext:
+class CommandContext(Struct):
     """What the flows of one command share.
 
     `arrived_at`: in seconds of the steady clock. `excluded`: replicas that have failed it.
--- a/src/orchidwind/promoted/core/forwarded_commands.py
+++ b/src/orchidwind/promoted/core/forwarded_commands.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from orchidwind.promoted.core.answers import transaction_lost
 from orchidwind.promoted.core.commands import Command, CommandKind, CommandResult
 from orchidwind.promoted.core.configuration import DatabaseRoute, ReadConsistency
@@ -33,16 +34,14 @@
     CONTINUES = "continues"
 
 
-@dataclass(frozen=True, slots=True)
-class CommandNumbers:
+class CommandNumbers(Struct, frozen=True):
     """The number of a command on its link, and the number of its session there (the channel)."""
 
     command: int
     channel: int
 
 
-@dataclass(frozen=True, slots=True)
-class TimeLeft:
+class TimeLeft(Struct, frozen=True):
     """Seconds until a command's deadline, and for how many it may wait unsent."""
 
     to_deadline: float
--- a/src/orchidwind/promoted/core/freshness.py
+++ b/src/orchidwind/promoted/core/freshness.py
@@ -20,9 +20,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum, auto
 
+from msgspec import Struct
+
 # Shares of the bound, chosen as said above. Two waits together stay below the age at which the
 # store is read: an answer that tells of a change may have been on its way since its watch was sent,
 # so only the next one confirms the view.
@@ -59,8 +60,7 @@
 SHORTEST_CHECK_SECONDS = 0.01
 
 
-@dataclass(frozen=True, slots=True)
-class FollowTimes:
+class FollowTimes(Struct, frozen=True):
     """The times by which one view is followed, all in seconds.
 
     `bound`: the greatest age that a promise allows, None where none depends on the view.
--- a/src/orchidwind/promoted/core/group_state.py
+++ b/src/orchidwind/promoted/core/group_state.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from orchidwind.promoted.core.commands import InstanceMessage, MessageKind, PreparedStatement
 from orchidwind.promoted.core.configuration import PromotedGroupSettings
@@ -17,8 +18,7 @@
 from orchidwind.shared.core.positions import Position
 
 
-@dataclass(slots=True)
-class _Carried:
+class _Carried(Struct):
     """The settings and prepared statements that a server connection has."""
 
     settings: dict[str, str] = field(default_factory=dict)
--- a/src/orchidwind/promoted/core/homes.py
+++ b/src/orchidwind/promoted/core/homes.py
@@ -17,9 +17,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 from math import ceil
 
+from msgspec import Struct
+
 from orchidwind.shared.core.rendezvous import first, rank
 
 # Connections of a proxy to each instance. Chosen: with fewer, its requests wait for one another's.
@@ -52,8 +53,7 @@
 _LOCK_READERS = 2
 
 
-@dataclass(frozen=True, slots=True)
-class ProxyMember:
+class ProxyMember(Struct, frozen=True):
     """One proxy. `capacity` weighs it against others; `host` and `port` take peer links."""
 
     name: str
@@ -63,8 +63,7 @@
     capacity: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class GroupHomes:
+class GroupHomes(Struct, frozen=True):
     """The homes of a group, and how many connections each may hold to each instance."""
 
     group: str
--- a/src/orchidwind/promoted/core/instance_silence.py
+++ b/src/orchidwind/promoted/core/instance_silence.py
@@ -20,7 +20,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 # Seconds after which an answer is overdue. Chosen: within the shortest statement time-out (0.8 s)
 # it leaves the time to find the silent connection and to run a read elsewhere.
@@ -76,8 +76,7 @@
 RESTING_SILENT_SECONDS = 0.4
 
 
-@dataclass(frozen=True, slots=True)
-class OverdueCheck:
+class OverdueCheck(Struct, frozen=True):
     """Whether an answer is overdue, and in how many seconds to check again."""
 
     overdue: bool
--- a/src/orchidwind/promoted/core/instance_view.py
+++ b/src/orchidwind/promoted/core/instance_view.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
 from orchidwind.promoted.core.configuration import DirectoryEntry
@@ -31,8 +31,7 @@
 _UNREACHABLE_PAUSE_SECONDS = 1.0
 
 
-@dataclass(slots=True)
-class InstanceView:
+class InstanceView(Struct):
     """One instance: its entry, and what its answers show.
 
     `listed`: its entry is in the directory; else `gone_at` is when it went, and `removal_unseen`
--- a/src/orchidwind/promoted/core/lead_lease.py
+++ b/src/orchidwind/promoted/core/lead_lease.py
@@ -19,7 +19,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from orchidwind.promoted.core.promotion_lock import LockRecord
 from orchidwind.promoted.core.store_revision import StoreRevision
@@ -53,8 +53,7 @@
 assert RELAY_CALL_SECONDS < RENEWAL_MARGIN_SECONDS < LEASE_SECONDS < REVOCATION_WAIT_SECONDS
 
 
-@dataclass(frozen=True, slots=True)
-class LockReading:
+class LockReading(Struct, frozen=True):
     """What a read of the lock showed; `sent_at` is when its call was sent, or earlier."""
 
     sent_at: float
--- a/src/orchidwind/promoted/core/promotion_lock.py
+++ b/src/orchidwind/promoted/core/promotion_lock.py
@@ -20,9 +20,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum, unique
 
+from msgspec import Struct
+
 from orchidwind.promoted.core.call_limits import PROMOTION_CALL_SECONDS
 from orchidwind.promoted.core.store_revision import FIRST_ERA, NOTHING_HELD, StoreRevision
 
@@ -49,8 +50,7 @@
 assert ALTERNATION_SECONDS < TAKE_OVER_SECONDS
 
 
-@dataclass(frozen=True, slots=True)
-class LockRecord:
+class LockRecord(Struct, frozen=True):
     """The lock as the store holds it. `attempt` is another for each call of one holder."""
 
     holder: str
@@ -69,8 +69,7 @@
         return self.revision.in_era > 0
 
 
-@dataclass(frozen=True, slots=True)
-class HeldLock:
+class HeldLock(Struct, frozen=True):
     """The lock in this proxy's hands, until `valid_until` of its steady clock."""
 
     token: StoreRevision
--- a/src/orchidwind/promoted/core/proven_floors.py
+++ b/src/orchidwind/promoted/core/proven_floors.py
@@ -13,7 +13,8 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from orchidwind.shared.core.positions import Position
 
@@ -25,8 +26,7 @@
 _MOST_SAMPLES = 64
 
 
-@dataclass(frozen=True, slots=True)
-class _Sample:
+class _Sample(Struct, frozen=True):
     at: float
     position: Position
 
--- a/src/orchidwind/promoted/core/read_planning.py
+++ b/src/orchidwind/promoted/core/read_planning.py
@@ -17,15 +17,15 @@
 from __future__ import annotations
 
 from collections.abc import Collection
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from orchidwind.promoted.core.configuration import DatabaseRoute, ReadConsistency
 from orchidwind.promoted.core.topology import GroupTopology, PrimaryView
 from orchidwind.shared.core.positions import Position
 
 
-@dataclass(frozen=True, slots=True)
-class ReadRequest:
+class ReadRequest(Struct, frozen=True):
     """What a read asks for.
 
     `session_floor`: up to where its session has written, None where it has not. `arrived_at`: in
@@ -38,8 +38,7 @@
     excluded: Collection[str] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class ReadPlan:
+class ReadPlan(Struct, frozen=True):
     """Run a read on `instance`, at `floor` where given.
 
     `proof_of_term` asks for the proof that this is still the primary in that term, as of the
--- a/src/orchidwind/promoted/core/roster.py
+++ b/src/orchidwind/promoted/core/roster.py
@@ -8,14 +8,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+
+from msgspec import Struct
+from msgspec.structs import replace
 
 from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.shared.core.positions import Position
 
 
-@dataclass(frozen=True, slots=True)
-class PromotionRecord:
+class PromotionRecord(Struct, frozen=True):
     """The last promotion that was called, or was about to be; written before its call.
 
     `instance` leads at `term` or later, if it took effect. `start` is the end of its log then: the
@@ -30,8 +31,7 @@
     replaced: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Roster:
+class Roster(Struct, frozen=True):
     """A group's roster as the store holds it. `members` are sorted names."""
 
     group: str
--- a/src/orchidwind/promoted/core/session.py
+++ b/src/orchidwind/promoted/core/session.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from orchidwind.promoted.core.commands import (
     Command,
@@ -25,8 +25,7 @@
 MAXIMUM_PREPARED = 1024
 
 
-@dataclass(slots=True)
-class OpenTransaction:
+class OpenTransaction(Struct):
     """A transaction of a session.
 
     `connection` and `instance` are empty until its first statement runs. `database` holds the
@@ -41,8 +40,7 @@
     last_used: float = 0.0
 
 
-@dataclass(slots=True)
-class Session:
+class Session(Struct):
     """What a proxy remembers of one connection of a caller."""
 
     settings: dict[str, str] = field(default_factory=dict)
--- a/src/orchidwind/promoted/core/steps.py
+++ b/src/orchidwind/promoted/core/steps.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Generator
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from orchidwind.promoted.core.commands import CommandResult, InstanceMessage, Reply
 from orchidwind.promoted.core.read_planning import ReadPlan
@@ -15,8 +16,7 @@
 from orchidwind.shared.core.positions import Position
 
 
-@dataclass(frozen=True, slots=True)
-class WaitForPrimary:
+class WaitForPrimary(Struct, frozen=True):
     """Wait for a primary; the result is a PrimaryView.
 
     `lead_proof`: its lead must be proven; `commit`: it must confirm commits. Where that is known to
@@ -27,16 +27,14 @@
     commit: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class WaitForReadPlan:
+class WaitForReadPlan(Struct, frozen=True):
     """Wait for an instance that may serve a read; the result is a ReadPlan."""
 
     session_floor: Position | None
     excluded: frozenset[str]
 
 
-@dataclass(frozen=True, slots=True)
-class WaitForConnection:
+class WaitForConnection(Struct, frozen=True):
     """Wait for a server connection; the result is its number.
 
     Ends by BackendConnectionLost where the instance does not answer.
@@ -45,8 +43,7 @@
     instance: str
 
 
-@dataclass(frozen=True, slots=True)
-class Exchange:
+class Exchange(Struct, frozen=True):
     """Send messages in one write; the result is an ExchangeResult.
 
     `proof_of_term` asks, at the same time, for the proof that no primary after that term has
@@ -58,31 +55,27 @@
     proof_of_term: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class ExchangeResult:
+class ExchangeResult(Struct, frozen=True):
     """The replies, and when the instance is proven to have led; None where that is not known."""
 
     replies: tuple[Reply, ...]
     led_at: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class WaitForProof:
+class WaitForProof(Struct, frozen=True):
     """Ask now for the proof that no primary after `term` has begun; the result is a bool."""
 
     term: int
 
 
-@dataclass(frozen=True, slots=True)
-class Release:
+class Release(Struct, frozen=True):
     """Give a connection back; done at once."""
 
     connection: int
     reusable: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Pause:
+class Pause(Struct, frozen=True):
     """Wait for some seconds, within the request's deadline."""
 
     seconds: float
--- a/src/orchidwind/promoted/core/supervision.py
+++ b/src/orchidwind/promoted/core/supervision.py
@@ -13,7 +13,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from msgspec import Struct
+from msgspec.structs import replace
 
 from orchidwind.promoted.core.change_reasons import ChangeReasons
 from orchidwind.promoted.core.failover_steps import (
@@ -52,8 +53,7 @@
 assert TROUBLED_INTERVAL_SECONDS < JITTER_SECONDS < CALM_INTERVAL_SECONDS
 
 
-@dataclass(frozen=True, slots=True)
-class SupervisionDecision:
+class SupervisionDecision(Struct, frozen=True):
     """What to do now: whose status to ask for, and by which plan to change the primary, if at all.
 
     `again_after`: seconds to the next decision at the latest.
--- a/src/orchidwind/promoted/core/topology.py
+++ b/src/orchidwind/promoted/core/topology.py
@@ -11,7 +11,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from msgspec import Struct
+from msgspec.structs import replace
 
 from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
 from orchidwind.promoted.core.configuration import DirectoryEntry, PromotedGroupSettings
@@ -26,8 +27,7 @@
 from orchidwind.shared.core.positions import Position
 
 
-@dataclass(frozen=True, slots=True)
-class PrimaryView:
+class PrimaryView(Struct, frozen=True):
     """The instance believed to be primary, and its term (0 while that is not known)."""
 
     instance: str
--- a/src/orchidwind/promoted/group/commit_guard.py
+++ b/src/orchidwind/promoted/group/commit_guard.py
@@ -11,7 +11,8 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from orchidwind.promoted.core.commands import InstanceStatus
 from orchidwind.promoted.core.commit_acknowledgement import (
@@ -31,8 +32,7 @@
 from orchidwind.promoted.group.shared_query import SharedQuery
 
 
-@dataclass(frozen=True, slots=True)
-class _StatusRound:
+class _StatusRound(Struct, frozen=True):
     """One round of status queries: who has to answer, and what came."""
 
     must_answer: frozenset[str]
--- a/src/orchidwind/promoted/group/connection_records.py
+++ b/src/orchidwind/promoted/group/connection_records.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from orchidwind.promoted.ports import InstanceLink
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionAges:
+class ConnectionAges(Struct, frozen=True):
     """For how many seconds a connection has been open and silent, None where unknown."""
 
     opened_for: float | None = None
--- a/src/orchidwind/promoted/group/exchanges.py
+++ b/src/orchidwind/promoted/group/exchanges.py
@@ -10,7 +10,8 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from orchidwind.promoted.core.circuit_breaker import Dependency
 from orchidwind.promoted.core.commands import InstanceMessage, MessageKind, Reply, ReplyCode
@@ -28,8 +29,7 @@
 from orchidwind.shared.core.errors import BackendConnectionLost
 
 
-@dataclass(frozen=True, slots=True)
-class ExchangeParts:
+class ExchangeParts(Struct, frozen=True):
     """What the exchanges of one group rely on.
 
     `on_unproven` is called where a proof of the lead failed: the primary may have been replaced.
@@ -46,8 +46,7 @@
     on_unproven: Callable[[], None]
 
 
-@dataclass(frozen=True, slots=True)
-class _SentExchange:
+class _SentExchange(Struct, frozen=True):
     """An exchange as it is sent; `sent_at` is in seconds of the loop's clock."""
 
     step: Exchange
@@ -56,8 +55,7 @@
     writes: bool
 
 
-@dataclass(frozen=True, slots=True)
-class _ProofUnderWay:
+class _ProofUnderWay(Struct, frozen=True):
     """What an exchange relies on for the lead: the lease, a query of a replica, or neither.
 
     `lock_revision` is the promotion lock's when the query was asked for.
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -20,7 +20,8 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from orchidwind.promoted.core.commands import InstanceStatus
 from orchidwind.promoted.core.configuration import (
@@ -60,8 +61,7 @@
 _CONNECTIONS_WITHOUT_HOME = 1
 
 
-@dataclass(frozen=True, slots=True)
-class GroupEnvironment:
+class GroupEnvironment(Struct, frozen=True):
     """What all groups of one proxy share.
 
     `entry_outlives` is for how many seconds a directory entry stays after its instance's last sign
--- a/src/orchidwind/promoted/group/group_supervision.py
+++ b/src/orchidwind/promoted/group/group_supervision.py
@@ -11,7 +11,8 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from orchidwind.promoted.core.failover_steps import (
     FailoverOutcome,
@@ -33,8 +34,7 @@
 _UNSUPERVISED_CHECK_SECONDS = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class SupervisionServices:
+class SupervisionServices(Struct, frozen=True):
     """What all groups of a proxy share for changes of primary.
 
     `refresh_views` reads anew who may hold commits, and returns whether the store answered.
--- a/src/orchidwind/promoted/group/held_commits.py
+++ b/src/orchidwind/promoted/group/held_commits.py
@@ -8,7 +8,8 @@
 
 import asyncio
 from collections import deque
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from orchidwind.promoted.core.circuit_breaker import Dependency
 from orchidwind.promoted.core.commands import InstanceMessage, Reply
@@ -29,8 +30,7 @@
 _COMMITS_REMEMBERED = 64
 
 
-@dataclass(frozen=True, slots=True)
-class _AcknowledgedCommit:
+class _AcknowledgedCommit(Struct, frozen=True):
     request_id: str
     position: Position
 
--- a/src/orchidwind/promoted/group/instance_pools.py
+++ b/src/orchidwind/promoted/group/instance_pools.py
@@ -6,9 +6,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 from itertools import count
 
+from msgspec import Struct
+
 from orchidwind.shared.core.concurrency_window import ConcurrencyWindow
 from orchidwind.shared.core.pool import InstancePool
 
@@ -17,8 +18,7 @@
 _CONNECTIONS_BEFORE_PLACEMENT = 2
 
 
-@dataclass(frozen=True, slots=True)
-class PoolUsage:
+class PoolUsage(Struct, frozen=True):
     """The connections to one instance, and the requests that wait for one."""
 
     connections: int
--- a/src/orchidwind/promoted/group/lease_keeper.py
+++ b/src/orchidwind/promoted/group/lease_keeper.py
@@ -14,9 +14,10 @@
 
 import asyncio
 from collections.abc import Callable, Collection
-from dataclasses import replace
 from typing import Protocol
 
+from msgspec.structs import replace
+
 from orchidwind.promoted.core.failover_steps import AcknowledgedCommits
 from orchidwind.promoted.core.lead_lease import (
     CONFIRMATIONS_INTERVAL_SECONDS,
--- a/src/orchidwind/promoted/group/roster_keeper.py
+++ b/src/orchidwind/promoted/group/roster_keeper.py
@@ -13,7 +13,8 @@
 import asyncio
 import random
 from collections.abc import Iterator, Mapping
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from orchidwind.promoted.core.roster import KnownRoster, PromotionRecord, Roster
 from orchidwind.promoted.core.store_revision import StoreRevision
--- a/src/orchidwind/promoted/group/status_calls.py
+++ b/src/orchidwind/promoted/group/status_calls.py
@@ -9,9 +9,10 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import replace
 from typing import Any
 
+from msgspec.structs import replace
+
 from orchidwind.promoted.core.commands import InstanceStatus
 from orchidwind.promoted.core.instance_silence import (
     STATUS_HEDGE_PAUSE_SECONDS,
--- a/src/orchidwind/promoted/group/waiting_grants.py
+++ b/src/orchidwind/promoted/group/waiting_grants.py
@@ -7,16 +7,16 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from itertools import count
 
+from msgspec import Struct
+
 from orchidwind.shared.core.admission import Refusal
 from orchidwind.shared.core.errors import BackendConnectionLost, ErrorKind, RequestError
 from orchidwind.shared.core.pool import Grant, InstancePool
 
 
-@dataclass(frozen=True, slots=True)
-class WaitingGrant:
+class WaitingGrant(Struct, frozen=True):
     """A request that waits for a connection to an instance; `granted` gets its number."""
 
     ticket: int
--- a/src/orchidwind/promoted/peers/forwarding.py
+++ b/src/orchidwind/promoted/peers/forwarding.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import Protocol
 
+from msgspec import Struct
+
 from orchidwind.promoted.core.command_limits import TimeLimits
 from orchidwind.promoted.core.commands import Command, CommandKind, CommandResult
 from orchidwind.promoted.core.flow_parts import CommandContext
@@ -42,8 +43,7 @@
         """A number for a session at a home, not used before."""
 
 
-@dataclass(frozen=True, slots=True)
-class _OpenChannel:
+class _OpenChannel(Struct, frozen=True):
     """Where the session's transaction is open."""
 
     link: PeerLink
--- a/src/orchidwind/promoted/peers/home_ports.py
+++ b/src/orchidwind/promoted/peers/home_ports.py
@@ -6,7 +6,8 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from orchidwind.promoted.callers.session_registry import SessionRegistry
 from orchidwind.promoted.core.peer_messages import LockReport, PeerMessage, ViewQuery, ViewReport
@@ -18,8 +19,7 @@
 ReportView = Callable[[ViewQuery], ViewReport]
 
 
-@dataclass(frozen=True, slots=True)
-class HomePorts:
+class HomePorts(Struct, frozen=True):
     """What the service needs of its proxy.
 
     `read_lock` takes the number of a query and gives the promotion lock as the store has it.
@@ -33,8 +33,7 @@
     report_view: ReportView
 
 
-@dataclass(frozen=True, slots=True)
-class LinkWriter:
+class LinkWriter(Struct, frozen=True):
     """The way back on a link.
 
     `send` does not wait. `drained` waits until what was sent has left, `close` resets.
--- a/src/orchidwind/promoted/peers/peer_network.py
+++ b/src/orchidwind/promoted/peers/peer_network.py
@@ -9,9 +9,10 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass
 from itertools import count
 
+from msgspec import Struct
+
 from orchidwind.promoted.core.homes import (
     FORGET_PROXY_SECONDS,
     RELISTING_SECONDS,
@@ -27,16 +28,14 @@
 from orchidwind.shared.silence import OnSilent, log_silent
 
 
-@dataclass(frozen=True, slots=True)
-class LockReaders:
+class LockReaders(Struct, frozen=True):
     """Whom to ask for the promotion lock: `before` the store is read, and `after` that failed."""
 
     before: Sequence[PeerLink] = ()
     after: Sequence[PeerLink] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class GroupFacts:
+class GroupFacts(Struct, frozen=True):
     """What the placement of groups needs to know of them.
 
     `connection_limit`: how many connections an instance of a group takes, over all proxies.
--- a/src/orchidwind/promoted/peers/silence_watch.py
+++ b/src/orchidwind/promoted/peers/silence_watch.py
@@ -8,14 +8,14 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from orchidwind.promoted.core import link_silence
 from orchidwind.promoted.core.link_silence import LinkCheck, LinkSilence
 
 
-@dataclass(frozen=True, slots=True)
-class WatchedLink:
+class WatchedLink(Struct, frozen=True):
     """What the watch needs of its link.
 
     `last_byte_at`: when bytes came last, in seconds of the steady clock; None: it is not open.
--- a/src/orchidwind/promoted/ports.py
+++ b/src/orchidwind/promoted/ports.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
 from typing import Generic, Protocol, TypeVar
 
+from msgspec import Struct, field
+
 from orchidwind.promoted.core.commands import InstanceMessage, InstanceStatus, Reply
 from orchidwind.promoted.core.configuration import DirectoryEntry, PromotedConfiguration
 from orchidwind.promoted.core.failover_steps import PromotionAnswer
@@ -54,16 +55,14 @@
         """Open a connection; raises BackendRefused or BackendConnectionLost."""
 
 
-@dataclass(frozen=True, slots=True)
-class Listing(Generic[Item]):
+class Listing(Struct, Generic[Item], frozen=True):
     """All items of a collection, as of a revision."""
 
     items: tuple[Item, ...]
     revision: StoreRevision
 
 
-@dataclass(frozen=True, slots=True)
-class Changes(Generic[Item]):
+class Changes(Struct, Generic[Item], frozen=True):
     """Items that changed and names that went, up to a revision."""
 
     changed: tuple[Item, ...]
@@ -111,8 +110,7 @@
         """
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseConfirmation:
+class LeaseConfirmation(Struct, frozen=True):
     """A proxy that may hold a lead lease, and what it wrote when it last dropped it.
 
     `revision` is the lock's at that time, `first_revision` the lock's when the process began.
@@ -195,8 +193,7 @@
         """Send one promotion, broken off after some seconds."""
 
 
-@dataclass(frozen=True, slots=True)
-class ProxyPorts:
+class ProxyPorts(Struct, frozen=True):
     """The adapters that a proxy is built on, and the store's era as they find it."""
 
     store_era: StoreEra
--- a/src/orchidwind/promoted/views/followed_views.py
+++ b/src/orchidwind/promoted/views/followed_views.py
@@ -8,9 +8,10 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass
 from typing import Any
 
+from msgspec import Struct
+
 from orchidwind.promoted.core.configuration import DirectoryEntry, PromotedConfiguration
 from orchidwind.promoted.core.confirming_instances import DEFAULT_ENTRY_OUTLIVES_SECONDS
 from orchidwind.promoted.core.freshness import FollowTimes
@@ -47,8 +48,7 @@
 Spawn = Callable[[Callable[[], Awaitable[None]]], None]
 
 
-@dataclass(frozen=True, slots=True)
-class ProxyBounds:
+class ProxyBounds(Struct, frozen=True):
     """Times, in seconds, that others hold this proxy to, or that it may count on.
 
     `entry_outlives`: how long a directory entry stays after its last renewal. `configuration` and
--- a/src/orchidwind/promoted/views/second_path.py
+++ b/src/orchidwind/promoted/views/second_path.py
@@ -5,17 +5,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
+from msgspec import Struct
+
 from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.ports import Listing
 
 Item = TypeVar("Item")
 
 
-@dataclass(frozen=True, slots=True)
-class ReportedView(Generic[Item]):
+class ReportedView(Struct, Generic[Item], frozen=True):
     """What another proxy reported of its view, which was current at `as_of` of this one's clock.
 
     `revision` is that of the other's view.
--- a/src/orchidwind/promoted/views/view_reporter.py
+++ b/src/orchidwind/promoted/views/view_reporter.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
 from typing import Any, Protocol
 
 import msgspec
+from msgspec import Struct
 
 from orchidwind.promoted.core.configuration import DirectoryEntry, PromotedConfiguration
 from orchidwind.promoted.core.homes import ProxyMember
@@ -52,8 +52,7 @@
         """The watch of a view, None where the proxy does not follow it."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Content:
+class _Content(Struct, frozen=True):
     """How one view is reported: how many items it holds, and a report that holds them."""
 
     items: Callable[[], int]
--- a/src/orchidwind/shared/core/admission.py
+++ b/src/orchidwind/shared/core/admission.py
@@ -13,7 +13,8 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 # Weight of the newest request in the mean time that requests hold a connection. Chosen: the mean
 # follows a change of load within some ten requests.
@@ -26,8 +27,7 @@
 _SHORTEST_RETRY_SECONDS = 0.05
 
 
-@dataclass(frozen=True, slots=True)
-class TrafficClass:
+class TrafficClass(Struct, frozen=True):
     """How requests of one class are treated.
 
     `deadline` is in seconds from arrival, `queue_bound` in waiting requests. The defaults, chosen,
@@ -40,8 +40,7 @@
     queue_bound: int = 200
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(Struct, frozen=True):
     """A request was not taken; come back after `retry_after` seconds."""
 
     ticket: int
@@ -49,15 +48,13 @@
     expired: bool
 
 
-@dataclass(slots=True)
-class _Waiting:
+class _Waiting(Struct):
     ticket: int
     finish: float
     expires_at: float
 
 
-@dataclass(slots=True)
-class _ClassQueue:
+class _ClassQueue(Struct):
     traffic_class: TrafficClass
     waiting: OrderedDict[int, _Waiting] = field(default_factory=OrderedDict)
     last_finish: float = 0.0
--- a/src/orchidwind/shared/core/errors.py
+++ b/src/orchidwind/shared/core/errors.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum, unique
 
+from msgspec import Struct
+
 
 @unique
 class Ran(Enum):
@@ -46,8 +47,7 @@
     INTERNAL = "internal"
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(Struct, frozen=True):
     """What a caller gets for an error kind.
 
     `retry_after_milliseconds` is the default time to come back, None where a repeat is of no use.
--- a/src/orchidwind/shared/core/pool.py
+++ b/src/orchidwind/shared/core/pool.py
@@ -13,7 +13,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from orchidwind.shared.core.admission import AdmissionQueue, Refusal, TrafficClass
 from orchidwind.shared.core.concurrency_window import ConcurrencyWindow
@@ -36,24 +37,21 @@
 MOST_OPENING = 2
 
 
-@dataclass(frozen=True, slots=True)
-class Grant:
+class Grant(Struct, frozen=True):
     """A waiting request got a connection."""
 
     ticket: int
     connection: int
 
 
-@dataclass(frozen=True, slots=True)
-class OpenConnection:
+class OpenConnection(Struct, frozen=True):
     """Open a connection to an instance under this number."""
 
     instance: str
     connection: int
 
 
-@dataclass(frozen=True, slots=True)
-class CloseConnection:
+class CloseConnection(Struct, frozen=True):
     """Close a connection."""
 
     connection: int
--- a/src/orchidwind/shared/core/positions.py
+++ b/src/orchidwind/shared/core/positions.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 _LSN_LOW_BITS = 32
 _LSN_LOW_MASK = (1 << _LSN_LOW_BITS) - 1
 
 
-@dataclass(frozen=True, order=True, slots=True)
-class Position:
+class Position(Struct, frozen=True, order=True):
     """A point in the history of a group: `term`, then byte offset `lsn` within the log."""
 
     term: int
--- a/src/orchidwind/shared/silence.py
+++ b/src/orchidwind/shared/silence.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from orchidwind.shared.logs import log_event
 
 
@@ -25,8 +26,7 @@
     PROMOTION = "promotion"
 
 
-@dataclass(frozen=True, slots=True)
-class SilentConnection:
+class SilentConnection(Struct, frozen=True):
     """A connection that delivers nothing while another way to the same end works, or should.
 
     `opened_for` and `silent_for` are in seconds, None where they are unknown; `owed` counts the
--- a/src/orchidwind_bench/promoted/exploration/acknowledgement.py
+++ b/src/orchidwind_bench/promoted/exploration/acknowledgement.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Protocol
 
+from msgspec.structs import replace
+
 from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
 from orchidwind.promoted.core.commit_acknowledgement import (
     PROOF_RETRY_SECONDS,
--- a/src/orchidwind_bench/promoted/exploration/proxy_calls.py
+++ b/src/orchidwind_bench/promoted/exploration/proxy_calls.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from msgspec.structs import replace
 
 from orchidwind.promoted.core.instance_silence import status_time_limit
 from orchidwind_bench.promoted.exploration.instance_calls import InstanceOperation
--- a/src/orchidwind_bench/promoted/exploration/proxy_views.py
+++ b/src/orchidwind_bench/promoted/exploration/proxy_views.py
@@ -6,9 +6,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
 from functools import partial
 
+from msgspec.structs import replace
+
 from orchidwind.promoted.core.configuration import DirectoryEntry, PromotedGroupSettings
 from orchidwind.promoted.core.roster import KnownRoster, PromotionRecord, Roster
 from orchidwind.promoted.core.store_revision import StoreRevision
--- a/src/orchidwind_bench/promoted/exploration/store.py
+++ b/src/orchidwind_bench/promoted/exploration/store.py
@@ -9,10 +9,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from enum import Enum, unique
 from functools import partial
 
+from msgspec.structs import replace
+
 from orchidwind.promoted.core.promotion_lock import LockRecord
 from orchidwind.promoted.core.roster import Roster
 from orchidwind.promoted.core.store_revision import StoreRevision
--- a/src/orchidwind_bench/promoted/simulation/fleet.py
+++ b/src/orchidwind_bench/promoted/simulation/fleet.py
@@ -9,9 +9,11 @@
 import asyncio
 import copy
 from collections.abc import Awaitable, Callable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any, cast
 
+from msgspec.structs import replace
+
 from orchidwind.promoted.core.commands import (
     Command,
     CommandKind,
--- a/src/orchidwind_bench/promoted/simulation/store.py
+++ b/src/orchidwind_bench/promoted/simulation/store.py
@@ -7,9 +7,11 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from itertools import count
 
+from msgspec.structs import replace
+
 from orchidwind.promoted.core.call_limits import ARRIVING_SECONDS
 from orchidwind.promoted.core.configuration import (
     DatabaseRoute,
--- a/src/orchidwind_bench/promoted/simulation/world.py
+++ b/src/orchidwind_bench/promoted/simulation/world.py
@@ -5,7 +5,9 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+
+from msgspec.structs import replace
 
 from orchidwind.promoted.core.configuration import (
     DirectoryEntry,
--- a/tests/promoted/test_commit_acknowledgement.py
+++ b/tests/promoted/test_commit_acknowledgement.py
@@ -1,8 +1,7 @@
 """The rule by which a confirmed commit may be acknowledged, input by input."""
 
-from dataclasses import replace
-
 import pytest
+from msgspec.structs import replace
 
 from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
 from orchidwind.promoted.core.commit_acknowledgement import (
--- a/tests/promoted/test_exploration.py
+++ b/tests/promoted/test_exploration.py
@@ -5,10 +5,10 @@
 """
 
 import json
-from dataclasses import replace
 from pathlib import Path
 
 import pytest
+from msgspec.structs import replace
 
 from orchidwind.promoted.core import failover, failover_choice
 from orchidwind.promoted.core.failover import change_primary
--- a/tests/promoted/test_fleet_connections.py
+++ b/tests/promoted/test_fleet_connections.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import random
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 
 from orchidwind.promoted.core import freshness, instance_silence, link_silence
 from orchidwind.promoted.views.followed_views import ProxyBounds
--- a/tests/promoted/test_fleet_cost.py
+++ b/tests/promoted/test_fleet_cost.py
@@ -1,9 +1,10 @@
 """What a proxy of a large fleet costs the store, on virtual time."""
 
 import asyncio
-from dataclasses import replace
 from itertools import count
 
+from msgspec.structs import replace
+
 from orchidwind.promoted.callers.session_executor import SessionExecutor
 from orchidwind.promoted.core.commands import Command, CommandKind
 from orchidwind.promoted.core.homes import zone_readers
--- a/tests/promoted/test_promoted_core.py
+++ b/tests/promoted/test_promoted_core.py
@@ -1,11 +1,11 @@
 """The core of promoted groups by itself: pool, lock, lease, candidate, topology."""
 
-from dataclasses import replace
 from itertools import count
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from orchidwind.promoted.core.attempts import RETRY_PAUSE_SECONDS
 from orchidwind.promoted.core.commands import (
--- a/tests/promoted/test_view_freshness.py
+++ b/tests/promoted/test_view_freshness.py
@@ -1,11 +1,11 @@
 """Followed views on virtual time: each source silenced in turn, and both for a while."""
 
 import asyncio
-from dataclasses import replace
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 from support.virtual_proxies import PROXIES, apply_configuration, versions, with_proxies
 
 from orchidwind.promoted.core.freshness import FollowTimes
--- a/tests/support/virtual_proxies.py
+++ b/tests/support/virtual_proxies.py
@@ -1,7 +1,8 @@
 """Six proxies before one simulated group on virtual time, and an operator who changes things."""
 
 import asyncio
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from orchidwind_bench.promoted.simulation.callers import PromotedSystem
 from orchidwind_bench.promoted.simulation.virtual_time import run_virtual
