--- a/src/orchidwind/promoted/core/topology.py
+++ b/src/orchidwind/promoted/core/topology.py
@@ -189,9 +189,13 @@
         names = [name for name, view in self.instances.items() if name != led and view.usable(now)]
         return sorted(names, key=lambda name: self._preference(name, now))
 
+    def is_near(self, name: str) -> bool:
+        """Whether an instance runs in this proxy's zone."""
+        return self.instances[name].entry.zone == self._zone
+
     def _preference(self, name: str, now: float) -> tuple[bool, bool, bool]:
         view = self.instances[name]
-        return (not view.reachable, view.avoid_until > now, view.entry.zone != self._zone)
+        return (not view.reachable, view.avoid_until > now, not self.is_near(name))
 
     def of_uncertain_role(self) -> list[str]:
         """Listed instances whose role in the directory is not what they answered last."""
--- a/src/orchidwind/promoted/group/connections.py
+++ b/src/orchidwind/promoted/group/connections.py
@@ -70,7 +70,7 @@
         self.records.exchange_began_at[connection] = self._loop.time()
         pool = self._driver.pool_of(connection)
         if pool is not None:
-            pool.exchange_began(connection)
+            pool.exchange_began(connection, self._loop.time())
 
     def exchange_ended(self, connection: int, rejected: bool | None) -> None:
         """They were answered, `rejected` where the instance had no room; None: they were not."""
@@ -82,6 +82,10 @@
             now = self._loop.time()
             self._driver.perform(pool.exchange_ended(connection, now - began, rejected, now))
 
+    def expected_answer(self, instance: str) -> float:
+        """Seconds until an instance would answer one more request."""
+        return self.pools.of(instance).expected_answer(self._loop.time())
+
     # --- the proxy's own use ------------------------------------------------------------------
 
     def borrow_idle(self, instance: str) -> int | None:
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -245,8 +245,9 @@
         """Wait for an instance that may serve a read; raises RequestError."""
 
         request = ReadRequest(database, session_floor, arrived_at, excluded)
+        expected = self.connections.expected_answer
         plan = await self._waiting.wait_for(
-            lambda: plan_read(self.topology, request, self._loop.time()),
+            lambda: plan_read(self.topology, request, self._loop.time(), expected),
             deadline,
             ErrorKind.NO_REPLICA,
         )
--- a/src/orchidwind/shared/core/pool.py
+++ b/src/orchidwind/shared/core/pool.py
@@ -17,6 +17,7 @@
 from msgspec import Struct
 
 from orchidwind.shared.core.admission import AdmissionQueue, Refusal, TrafficClass
+from orchidwind.shared.core.answer_times import AnswerTimes
 from orchidwind.shared.core.concurrency_window import ConcurrencyWindow
 
 # Seconds until a connection that could not be opened is tried again, doubled up to the longest.
@@ -82,6 +83,7 @@
         self.instance = instance
         self.share = share
         self.queue = AdmissionQueue()
+        self.answer_times = AnswerTimes()
         self.idle: list[int] = []
         self.busy: dict[int, float] = {}
         self.opening: set[int] = set()
@@ -107,6 +109,10 @@
         """Requests that run or wait, for each connection that may be held."""
         return (len(self.queue) + len(self.busy)) / max(self.usable, 1)
 
+    def expected_answer(self, now: float) -> float:
+        """Seconds until one more request would be answered, as far as is known here."""
+        return self.answer_times.expected(len(self.running) + len(self.queue), now)
+
     def set_share(self, share: int, now: float) -> list[PoolEffect]:
         """Hold this many connections; a lower share closes idle ones at once."""
         self.share = share
@@ -170,9 +176,10 @@
         self._reopen_at = max(self._reopen_at, now + self._reopen_delay)
         return self._settle(now)
 
-    def exchange_began(self, connection: int) -> None:
+    def exchange_began(self, connection: int, now: float) -> None:
         """A request runs on a connection that it was granted."""
         self.running.add(connection)
+        self.answer_times.began(connection, now)
 
     def exchange_ended(
         self, connection: int, seconds: float, rejected: bool | None, now: float
@@ -186,6 +193,10 @@
         elif self.window is not None and rejected is False:
             self.window.answered(len(self.running))
             self.queue.note_service(seconds)
+        if rejected:
+            self.answer_times.rejected(connection)
+        else:
+            self.answer_times.ended(connection, now, answered=rejected is False)
         self.running.discard(connection)
         return self._settle(now)
 
--- a/tests/promoted/test_promoted_core.py
+++ b/tests/promoted/test_promoted_core.py
@@ -234,6 +234,29 @@
     assert plan_read(view, ReadRequest(DATABASE, None, 10.0, {"a", "b"}), 10.0).instance == "p"
 
 
+def planned(view, expected):
+    """Where a read without floor of its own runs, if these answer in so many seconds."""
+    return plan_read(view, ReadRequest(DATABASE, None, 10.0), 10.0, expected.__getitem__)
+
+
+def test_reads_go_to_the_replica_that_is_expected_to_answer_first():
+    view = topology()
+    view.floors.prove(9.0, Position(1, 4))
+    assert planned(view, {"p": 0.02, "a": 0.02, "b": 0.02}).instance == "a"
+    assert planned(view, {"p": 0.02, "a": 0.022, "b": 0.02}).instance == "a", "the way is longer"
+    assert planned(view, {"p": 0.02, "a": 0.04, "b": 0.02}).instance == "b"
+
+
+def test_the_primary_takes_a_read_where_replicas_would_answer_much_later():
+    view = topology()
+    view.floors.prove(9.0, Position(1, 4))
+    assert planned(view, {"p": 0.02, "a": 0.05, "b": 0.05}).instance == "a"
+    chosen = planned(view, {"p": 0.02, "a": 0.2, "b": 0.1})
+    assert (chosen.instance, chosen.floor, chosen.proof_of_term) == ("p", Position(1, 4), 0)
+    view.busy("p", 10.0)
+    assert planned(view, {"p": 0.02, "a": 0.2, "b": 0.1}).instance == "b"
+
+
 def test_a_replica_behind_one_session_still_serves_the_others():
     """Found on a day whose replicas lag 60 ms: the busiest instance had 7.4 times the mean."""
     view = topology()
--- /dev/null
+++ b/tests/shared/test_answer_times.py
@@ -0,0 +1,47 @@
+"""What an instance is expected to take, from its answers and from what it owes."""
+
+import pytest
+
+from orchidwind.shared.core.answer_times import AnswerTimes
+
+
+def answered(times, seconds, count, start=0.0):
+    now = start
+    for _ in range(count):
+        times.began(1, now)
+        now += seconds
+        times.ended(1, now, answered=True)
+    return now
+
+
+def test_it_follows_the_answers():
+    times = AnswerTimes()
+    now = answered(times, 0.02, 50)
+    assert times.expected(0, now) == pytest.approx(0.02, rel=0.1)
+    assert times.expected(3, now) == pytest.approx(0.08, rel=0.1), "those ahead come first"
+    now = answered(times, 0.1, 50, now)
+    assert times.expected(0, now) == pytest.approx(0.1, rel=0.1)
+
+
+def test_an_answer_that_does_not_come_counts_while_it_is_owed():
+    times = AnswerTimes()
+    now = answered(times, 0.02, 50)
+    times.began(2, now)
+    assert times.expected(1, now + 0.5) == pytest.approx(1.0, rel=0.1)
+
+
+def test_a_request_that_was_given_up_counts_for_a_while():
+    times = AnswerTimes()
+    now = answered(times, 0.02, 50)
+    times.began(2, now)
+    times.ended(2, now + 0.4, answered=False)
+    assert times.expected(0, now + 0.4) == pytest.approx(0.4, rel=0.1)
+    assert times.expected(0, now + 0.4 + 6.0) == pytest.approx(0.02, rel=0.1), "it is tried again"
+
+
+def test_what_was_not_run_says_nothing():
+    times = AnswerTimes()
+    now = answered(times, 0.02, 50)
+    times.began(2, now)
+    times.rejected(2)
+    assert times.expected(0, now + 1.0) == pytest.approx(0.02, rel=0.1)
