--- a/src/orchidwind/commands/explain.py
+++ b/src/orchidwind/commands/explain.py
@@ -16,7 +16,7 @@
 from orchidwind.shared.core.errors import OrchidwindError
 
 _FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
-# What a proxy came to believe so long before a request arrived is shown. Chosen: a change of
+# What a proxy came to believe so long before a request arrived is shown. A change of
 # primary takes about a second, and the views' bounds are 3 s.
 _BEFORE = timedelta(seconds=3)
 # A caller learns that the connection of its resting transaction fell silent when it comes back: as
--- a/src/orchidwind/commands/operations.py
+++ b/src/orchidwind/commands/operations.py
@@ -21,7 +21,7 @@
 from orchidwind.shared.core.errors import PlatformConflict, PlatformError, SettingsError
 
 # Readings of the object before `apply` fails, and the first pause between two, which grows by
-# itself each time, seconds. Chosen: 3 s in all, as an operator waits for the outcome.
+# itself each time, seconds. 3 s in all, as an operator waits for the outcome.
 _READ_ATTEMPTS = 5
 _READ_PAUSE_SECONDS = 0.3
 
--- a/src/orchidwind/elected/core/caller_session.py
+++ b/src/orchidwind/elected/core/caller_session.py
@@ -36,7 +36,7 @@
 _SETTING_NAME = re.compile(r"[a-z_][a-z0-9_.]*")
 _SETTING_VALUE = re.compile(r"'(?:[^']|'')*'|[\w.+\-]+(?:\s*,\s*[\w.+\-]+)*|\"[^\"]*\"")
 _REFUSED_SETTINGS = frozenset(("role", "session_authorization", "session characteristics"))
-# Chosen: settings of a session, all of which travel with each of its requests.
+# Settings of a session, all of which travel with each of its requests.
 _MAXIMUM_SETTINGS = 50
 
 _REQUEST_KINDS = {
--- a/src/orchidwind/elected/core/classification.py
+++ b/src/orchidwind/elected/core/classification.py
@@ -16,7 +16,7 @@
 
 from orchidwind.elected.core.sql_text import tokenize_statements
 
-# Chosen: texts whose classification is remembered; bounds memory where values stand in the texts.
+# Texts whose classification is remembered; bounds memory where values stand in the texts.
 CACHED_STATEMENTS = 4096
 
 
--- a/src/orchidwind/elected/core/commit_barrier.py
+++ b/src/orchidwind/elected/core/commit_barrier.py
@@ -15,7 +15,7 @@
 from orchidwind.elected.core.group_view import GroupView, InstanceReport
 from orchidwind.shared.core.positions import Position
 
-# Chosen: how long a commit waits for its confirmation though its request's deadline passes; then
+# How long a commit waits for its confirmation though its request's deadline passes; then
 # its outcome is unknown. It spans several status rounds (`polling.py`), so that one slow instance
 # does not turn a commit that lasts into one that is in doubt.
 CONFIRM_SECONDS = 2.0
--- a/src/orchidwind/elected/core/group_effects.py
+++ b/src/orchidwind/elected/core/group_effects.py
@@ -14,7 +14,7 @@
 from orchidwind.elected.core.statements import Outcome, Statement, StatementRequest
 from orchidwind.shared.core.pool import CloseConnection, OpenConnection
 
-# Chosen: a transaction without a statement for this time is rolled back, as it holds a connection.
+# A transaction without a statement for this time is rolled back, as it holds a connection.
 TRANSACTION_IDLE_SECONDS = 60.0
 
 
--- a/src/orchidwind/elected/core/group_view.py
+++ b/src/orchidwind/elected/core/group_view.py
@@ -12,10 +12,10 @@
 
 from orchidwind.shared.core.positions import ORIGIN, Position
 
-# Chosen: three times the idle interval of status queries (`polling.py`): a replica whose report is
+# Three times the idle interval of status queries (`polling.py`): a replica whose report is
 # older, after two lost queries, gets no reads.
 STALE_AFTER_SECONDS = 6.0
-# Chosen: positions of the log remembered, one for each report that showed a new one; a position
+# Positions of the log remembered, one for each report that showed a new one; a position
 # before them has no time, and a replica that far behind counts as having no delay.
 _LOG_SAMPLES = 512
 
--- a/src/orchidwind/elected/core/membership_settings.py
+++ b/src/orchidwind/elected/core/membership_settings.py
@@ -9,27 +9,27 @@
 class MembershipSettings:
     """Durations in seconds, unless the name says otherwise; counts without a unit."""
 
-    # Chosen: one probe a node and second. All other times of membership are multiples of it.
+    # One probe a node and second. All other times of membership are multiples of it.
     period: float = 1.0
-    # Chosen: must exceed a round trip between regions; leaves the indirect probes the rest of the
+    # Must exceed a round trip between regions; leaves the indirect probes the rest of the
     # period.
     answer_timeout: float = 0.3
-    # Chosen, as in SWIM: this many others probe a member that did not answer.
+    # As in SWIM: this many others probe a member that did not answer.
     indirect_probes: int = 3
-    # Measured on the simulator, with `announce_fanout` (docs/DECISIONS.md, "Urgent membership news
-    # is pushed"): fewer periods declare live members dead under loss, more delay the loss of roles.
+    # Fewer periods declare live members dead under loss, more delay the loss of roles
+    # (docs/DECISIONS.md, "Urgent membership news is pushed").
     suspicion_periods: float = 2.0
-    # Chosen: a probe with 8 updates takes 533 bytes (encoded with names of 15 characters), well
+    # A probe with 8 updates takes 533 bytes (encoded with names of 15 characters), well
     # below the 1,472 of an unfragmented datagram.
     updates_a_message: int = 8
-    # Chosen, as in SWIM: each update travels on this many messages times the logarithm (base 2) of
+    # As in SWIM: each update travels on this many messages times the logarithm (base 2) of
     # the members, so that it reaches all with a probability that does not fall as they grow.
     spread_factor: float = 3.0
-    # Chosen: mends what lost datagrams left different; traffic grows with members over this time.
+    # Mends what lost datagrams left different; traffic grows with members over this time.
     exchange_interval: float = 30.0
-    # Chosen: members of the whole list in one datagram; 16 take 992 bytes, encoded as above.
+    # Members of the whole list in one datagram; 16 take 992 bytes, encoded as above.
     exchange_part: int = 16
-    # Chosen: longer than old news of a dead member may travel, so that it isn't taken for new.
+    # Longer than old news of a dead member may travel, so that it isn't taken for new.
     forget_dead_after: float = 120.0
-    # Measured with `suspicion_periods`, in the same place: how many learn urgent news at once.
+    # How many learn urgent news at once.
     announce_fanout: int = 4
--- a/src/orchidwind/elected/core/polling.py
+++ b/src/orchidwind/elected/core/polling.py
@@ -12,7 +12,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-# Chosen: the time between two rounds that somebody waits for is this share of the age of the oldest
+# The time between two rounds that somebody waits for is this share of the age of the oldest
 # wait, within the two bounds; so a wait costs queries that grow with the logarithm of its length.
 _GAP_SHARE_OF_AGE = 0.1
 _SHORTEST_GAP_SECONDS = 0.001
@@ -23,12 +23,12 @@
 class PollingSettings:
     """Intervals between queries to an instance, in seconds."""
 
-    # Measured: once a second, unprepared, they took about the whole control traffic of a node
+    # More often, they take about the whole control traffic of a node
     # (docs/DECISIONS.md, "Status queries: prepared, every 2 s while idle").
     idle_interval: float = 2.0
-    # Chosen: while no primary is known. Bounds what the search adds to a failover gap.
+    # While no primary is known. Bounds what the search adds to a failover gap.
     searching_interval: float = 0.05
-    # Chosen: without an answer for this time an instance counts as away; reads run elsewhere.
+    # Without an answer for this time an instance counts as away; reads run elsewhere.
     timeout: float = 0.4
 
 
--- a/src/orchidwind/elected/core/request_deadlines.py
+++ b/src/orchidwind/elected/core/request_deadlines.py
@@ -18,7 +18,7 @@
 from orchidwind.elected.core.statements import RequestKind
 from orchidwind.elected.core.steps import Run
 
-# Chosen: how often, in seconds, a statement past its deadline is looked at, and its front learns
+# How often, in seconds, a statement past its deadline is looked at, and its front learns
 # that it still runs. The front waits that much longer each time (`network/front.py`).
 STILL_RUNNING_SECONDS = 2.0
 
--- a/src/orchidwind/elected/core/retries.py
+++ b/src/orchidwind/elected/core/retries.py
@@ -26,13 +26,13 @@
 from orchidwind.elected.core.statements import Outcome, RequestKind, StatementRequest
 from orchidwind.shared.core.errors import ErrorKind, RequestError
 
-# Chosen: bounds what one read costs while several instances fail one after the other.
+# Bounds what one read costs while several instances fail one after the other.
 READ_ATTEMPTS = 3
-# Chosen: the pause before a request is sent to a home again. The request's deadline bounds the
+# The pause before a request is sent to a home again. The request's deadline bounds the
 # waits; a new home is known some time after the old one has gone (docs/DECISIONS.md, "Urgent
 # membership news is pushed").
 HOME_RETRY_SECONDS = 0.05
-# Chosen: a home repeats at most one statement for each ten requests, so that retries add a tenth to
+# A home repeats at most one statement for each ten requests, so that retries add a tenth to
 # an overload at most; a burst of twenty covers the statements that one lost instance interrupts.
 _EARNED_A_REQUEST = 0.1
 _MOST_SAVED = 20.0
--- a/src/orchidwind/elected/core/routing.py
+++ b/src/orchidwind/elected/core/routing.py
@@ -16,11 +16,11 @@
 class RoutingSettings:
     """Bounds and costs of the choice, in seconds of expected wait."""
 
-    # Chosen: the default of `replica_wait_ms`; a read that would wait longer runs elsewhere.
+    # The default of `replica_wait_ms`; a read that would wait longer runs elsewhere.
     longest_replica_wait: float = 0.1
-    # Chosen: what a pool with one request for each connection counts for.
+    # What a pool with one request for each connection counts for.
     load_cost: float = 0.005
-    # Chosen: what it counts to leave the instance of the session's last read, since that takes a
+    # What it counts to leave the instance of the session's last read, since that takes a
     # status round first. Without it every third read of an indexed load took such a round.
     switch_cost: float = 0.01
 
--- a/src/orchidwind/elected/core/slot_leases.py
+++ b/src/orchidwind/elected/core/slot_leases.py
@@ -17,16 +17,16 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-# Chosen: how long connections are lent for. A lender that gets callers of its own waits that long
-# for them, a borrower asks anew that often. What leases gain was measured: docs/DECISIONS.md,
+# How long connections are lent for. A lender that gets callers of its own waits that long
+# for them, a borrower asks anew that often. What leases gain: docs/DECISIONS.md,
 # "Slots are lent between homes".
 SLOT_LEASE_SECONDS = 3.0
-# Chosen: the lender waits this share of the lease longer. Bounds how much faster its clock may run;
+# The lender waits this share of the lease longer. Bounds how much faster its clock may run;
 # without it the homes hold more connections than the database has (a test shows that).
 _CLOCK_MARGIN = 0.2
-# Chosen: a lender that had nothing to spare is asked again after this time.
+# A lender that had nothing to spare is asked again after this time.
 _ASK_LENDER_AGAIN_SECONDS = 0.5
-# Chosen: one renewal may be lost, and repeated, before the lease ends.
+# One renewal may be lost, and repeated, before the lease ends.
 _RENEW_BEFORE_SECONDS = 1.0
 # A home without any connection refuses its callers until the lease ends, which outlasts deadlines.
 _CONNECTIONS_NEVER_LENT = 1
--- a/src/orchidwind/elected/core/view_waits.py
+++ b/src/orchidwind/elected/core/view_waits.py
@@ -24,7 +24,7 @@
 )
 from orchidwind.shared.core.positions import Position
 
-# Chosen: the least time between two queries about a replica that is expected to have replayed what
+# The least time between two queries about a replica that is expected to have replayed what
 # a read needs at any moment. Shorter asks the instance more often, longer delays the read.
 REPLAY_CHECK_SECONDS = 0.003
 
--- a/src/orchidwind/elected/daemon.py
+++ b/src/orchidwind/elected/daemon.py
@@ -36,11 +36,11 @@
 from orchidwind.shared.logs import log_event
 from orchidwind.shared.settings import ProxySettings
 
-# Chosen: the time for other proxies to learn of a planned stop, shorter than the 0.7 s until all of
+# The time for other proxies to learn of a planned stop, shorter than the 0.7 s until all of
 # 100 had (docs/DECISIONS.md, "Urgent membership news is pushed"): requests that come later are sent
 # back.
 _ANNOUNCE_SECONDS = 0.5
-# Chosen: the end of the last request is noticed so late at the latest, a tenth of the announcement.
+# The end of the last request is noticed so late at the latest, a tenth of the announcement.
 _DRAIN_CHECK_SECONDS = 0.05
 
 
--- a/src/orchidwind/elected/metrics.py
+++ b/src/orchidwind/elected/metrics.py
@@ -17,7 +17,7 @@
 from orchidwind.elected.core.statements import Outcome, RequestKind
 from orchidwind.shared.core.errors import RequestError
 
-# Seconds; chosen, from a read on a near replica to the longest deadlines.
+# Seconds, from a read on a near replica to the longest deadlines.
 _LATENCY_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
 _TARGET_NAMES = {True: "replica", False: "primary"}
 
--- a/src/orchidwind/elected/network/backend.py
+++ b/src/orchidwind/elected/network/backend.py
@@ -21,7 +21,7 @@
 from orchidwind.elected.network.connection_target import ConnectionTarget
 from orchidwind.shared.core.errors import BackendConnectionLost, BackendRefused
 
-# Chosen: rows of a result that libpq holds at once.
+# Rows of a result that libpq holds at once.
 _ROWS_A_CHUNK = 256
 _STATUS_BYTES = {
     pq.TransactionStatus.IDLE: b"I",
--- a/src/orchidwind/elected/network/cluster.py
+++ b/src/orchidwind/elected/network/cluster.py
@@ -39,9 +39,9 @@
 from orchidwind.shared.settings import ProxySettings, parse_address
 from orchidwind.shared.task_set import TaskSet
 
-# Chosen: changes of members within this time lead to one change of roles.
+# Changes of members within this time lead to one change of roles.
 _VIEW_SETTLE_SECONDS = 0.05
-# Chosen: one that dies leaves one, while the store has few watches.
+# One that dies leaves one, while the store has few watches.
 WATCHERS_A_ZONE = 2
 
 
--- a/src/orchidwind/elected/network/datagrams.py
+++ b/src/orchidwind/elected/network/datagrams.py
@@ -20,9 +20,9 @@
 from orchidwind.elected.network import codec
 from orchidwind.shared.logs import log_event
 
-# Chosen: a deadline that has passed is served this much later, so that other work runs in between.
+# A deadline that has passed is served this much later, so that other work runs in between.
 _SHORTEST_TIMER_SECONDS = 0.001
-# Chosen: datagrams that are not understood are logged at most this often; anybody may send them.
+# Datagrams that are not understood are logged at most this often; anybody may send them.
 _LOG_DROPPED_SECONDS = 60.0
 
 
--- a/src/orchidwind/elected/network/frame_stream.py
+++ b/src/orchidwind/elected/network/frame_stream.py
@@ -9,9 +9,9 @@
 from orchidwind.elected.network import codec
 from orchidwind.shared.avro_records import FrameCutter
 
-# Chosen: above the largest message, a row of 64 MB (`postgres/wire.py`).
+# Above the largest message, a row of 64 MB (`postgres/wire.py`).
 LINK_BUFFER_BYTES = 128 * 1024 * 1024
-# Chosen: one read of the socket.
+# One read of the socket.
 _READ_BYTES = 256 * 1024
 
 
--- a/src/orchidwind/elected/network/front.py
+++ b/src/orchidwind/elected/network/front.py
@@ -20,14 +20,14 @@
 from orchidwind.shared.core.admission import TrafficClass
 from orchidwind.shared.core.errors import PeerUnavailable
 
-# Chosen: the home's own answer to a passed deadline says more, and has this long to come.
+# The home's own answer to a passed deadline says more, and has this long to come.
 _ANSWER_GRACE_SECONDS = 0.25
-# Chosen: what a home may take after its last sign that a statement runs: above CONFIRM_SECONDS of
+# What a home may take after its last sign that a statement runs: above CONFIRM_SECONDS of
 # `core/commit_barrier.py`, with which it may still wait for the commit.
 _CONFIRM_GRACE_SECONDS = 2.5
 # The origin of channels whose home is in the same process.
 LOCAL_ORIGIN = "local"
-# Chosen: a quarter of the window of `link_answer.py`, so that an answer flows without a stop.
+# A quarter of the window of `link_answer.py`, so that an answer flows without a stop.
 _CREDIT_BYTES = 128 * 1024
 
 
--- a/src/orchidwind/elected/network/group_runner.py
+++ b/src/orchidwind/elected/network/group_runner.py
@@ -36,7 +36,7 @@
 from orchidwind.shared.core.pool import CloseConnection, OpenConnection
 from orchidwind.shared.task_set import TaskSet
 
-# Chosen: a deadline that has passed is served this much later, so that other work runs in between.
+# A deadline that has passed is served this much later, so that other work runs in between.
 _SHORTEST_TIMER_SECONDS = 0.0005
 
 OnFinished = Callable[[Outcome], None]
--- a/src/orchidwind/elected/network/home_service.py
+++ b/src/orchidwind/elected/network/home_service.py
@@ -19,7 +19,7 @@
 from orchidwind.elected.network.slot_lending import LeasePort
 from orchidwind.shared.core.errors import ErrorKind, RequestError
 
-# Chosen: how late the connections of a former home are closed after its last transaction.
+# How late the connections of a former home are closed after its last transaction.
 _CLOSE_FORMER_SECONDS = 1.0
 
 
--- a/src/orchidwind/elected/network/instance_connections.py
+++ b/src/orchidwind/elected/network/instance_connections.py
@@ -23,12 +23,12 @@
 from orchidwind.shared.silence import ConnectionKind, SilentConnection, log_silent
 from orchidwind.shared.task_set import TaskSet
 
-# Chosen: a caller that takes no rows for this time is given up; eight such callers held all replica
+# A caller that takes no rows for this time is given up; eight such callers held all replica
 # connections of a home (docs/DECISIONS.md, "A caller that does not read for 2 s is given up").
 _STALLED_SECONDS = 2.0
 # SQLSTATE too_many_connections.
 _LIMIT_MET = "53300"
-# Chosen: the end of an answer may be on its way while the database already rests.
+# The end of an answer may be on its way while the database already rests.
 _ANSWER_ON_ITS_WAY_SECONDS = 0.25
 
 
--- a/src/orchidwind/elected/network/instance_targets.py
+++ b/src/orchidwind/elected/network/instance_targets.py
@@ -8,7 +8,7 @@
 from orchidwind.elected.core.configuration import DatabaseSettings
 from orchidwind.elected.network.connection_target import ConnectionTarget
 
-# Chosen: some tens of times the 10 to 25 ms that a new connection takes with its login; requests
+# Some tens of times the 10 to 25 ms that a new connection takes with its login; requests
 # that wait for it have deadlines of their own.
 DATABASE_CONNECT_SECONDS = 2.0
 
--- a/src/orchidwind/elected/network/link_answer.py
+++ b/src/orchidwind/elected/network/link_answer.py
@@ -16,11 +16,11 @@
 from orchidwind.elected.network.answer_port import AnswerPort
 from orchidwind.elected.network.link_messages import to_records
 
-# Chosen: bytes of one answer that may be under way; bounds memory at the caller's proxy.
+# Bytes of one answer that may be under way; bounds memory at the caller's proxy.
 _WINDOW_BYTES = 512 * 1024
-# Chosen: messages gathered into one write of the socket.
+# Messages gathered into one write of the socket.
 _GATHERED_BYTES = 32 * 1024
-# Chosen: an answer up to this size travels in one message (docs/DECISIONS.md, "One record a link
+# An answer up to this size travels in one message (docs/DECISIONS.md, "One record a link
 # message"); a longer one leaves in pieces of it.
 _SHORT_ANSWER_BYTES = 16 * 1024
 
--- a/src/orchidwind/elected/network/link_silence.py
+++ b/src/orchidwind/elected/network/link_silence.py
@@ -10,16 +10,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-# Chosen: above a round trip between regions, so that most answers come without a probe.
+# Above a round trip between regions, so that most answers come without a probe.
 PROBE_AFTER_SECONDS = 0.25
-# Chosen: two lost packets in a row come again by then, and the shortest deadline of a class is 5 s
+# Two lost packets in a row come again by then, and the shortest deadline of a class is 5 s
 # by default.
 SILENT_SECONDS = 1.0
-# Chosen: one that was used lately is probed at rest, so that no request finds out first.
+# One that was used lately is probed at rest, so that no request finds out first.
 REST_PROBE_SECONDS = 1.0
-# Chosen: bounds the probes of a link that nobody uses any longer.
+# Bounds the probes of a link that nobody uses any longer.
 _IN_USE_SECONDS = 5.0
-# Chosen: a silence is noticed so late at the latest, a tenth of the time that it takes.
+# A silence is noticed so late at the latest, a tenth of the time that it takes.
 _CHECK_SECONDS = 0.1
 
 
--- a/src/orchidwind/elected/network/object_api_client.py
+++ b/src/orchidwind/elected/network/object_api_client.py
@@ -15,9 +15,9 @@
 from orchidwind.shared.core.errors import PlatformConflict, PlatformError, PlatformVersionGone
 
 OBJECT_NAME = "configuration"
-# Chosen: a read or a write of the whole configuration; 1 MB takes 1.6 s at 5 Mbit/s.
+# A read or a write of the whole configuration; 1 MB takes 1.6 s at 5 Mbit/s.
 _REQUEST_SECONDS = 3.0
-# Chosen: above any configuration; bounds memory against a faulty store.
+# Above any configuration; bounds memory against a faulty store.
 _MAXIMUM_BODY_BYTES = 64 * 1024 * 1024
 # Status codes of HTTP.
 _CONFLICT = 409
--- a/src/orchidwind/elected/network/object_api_watch.py
+++ b/src/orchidwind/elected/network/object_api_watch.py
@@ -15,17 +15,17 @@
 from orchidwind.shared.core.errors import PlatformError, PlatformVersionGone
 from orchidwind.shared.logs import log_event
 
-# Chosen: peers have this long to pass their configuration on before the store is read.
+# Peers have this long to pass their configuration on before the store is read.
 _FIRST_READ_AFTER_SECONDS = 1.0
-# Chosen: bounds the delay with which a new watcher begins.
+# Bounds the delay with which a new watcher begins.
 _ROLE_CHECK_SECONDS = 0.5
 # A watch that fell silent tells of no change, so each is opened anew: a configuration is to be in
 # force everywhere within 7 s (docs/DEVELOPERS.md), and takes a second or two from the watchers on.
 LONGEST_OBJECT_WATCH_SECONDS = 4.0
-# Chosen: pauses between calls to a store that fails; they double, and are spread at random.
+# Pauses between calls to a store that fails; they double, and are spread at random.
 _SHORTEST_PAUSE_SECONDS = 0.2
 _LONGEST_PAUSE_SECONDS = 5.0
-# Chosen: the list only names members that gossip does not know, so it is read seldom.
+# The list only names members that gossip does not know, so it is read seldom.
 _MACHINE_LIST_SECONDS = 30.0
 
 
--- a/src/orchidwind/elected/network/peer_link.py
+++ b/src/orchidwind/elected/network/peer_link.py
@@ -19,7 +19,7 @@
 from orchidwind.shared.silence import ConnectionKind, SilentConnection, log_silent
 from orchidwind.shared.sockets import watchful
 
-# Chosen: as long as an open link may be silent (`link_silence.py`).
+# As long as an open link may be silent (`link_silence.py`).
 _LINK_CONNECT_SECONDS = 1.0
 
 AnswerPart = (
--- a/src/orchidwind/elected/network/slot_lending.py
+++ b/src/orchidwind/elected/network/slot_lending.py
@@ -11,10 +11,10 @@
 from orchidwind.elected.core.configuration import DatabaseSettings
 from orchidwind.elected.core.slot_leases import LeaseAnswer, SlotLeases
 
-# Chosen: requests that wait for longer let the home borrow connections (docs/DECISIONS.md,
+# Requests that wait for longer let the home borrow connections (docs/DECISIONS.md,
 # "Slots are lent between homes"). Seconds.
 _SHORT_OF_SLOTS_SECONDS = 0.1
-# Chosen: connections asked of each lender; it lends what it can spare.
+# Connections asked of each lender; it lends what it can spare.
 _WANTED_SLOTS = 4
 
 
--- a/src/orchidwind/elected/postgres/extended_query.py
+++ b/src/orchidwind/elected/postgres/extended_query.py
@@ -14,7 +14,7 @@
 from orchidwind.elected.postgres.wire import codec
 from orchidwind.shared.core.errors import RequestError
 
-# Chosen: messages without Sync; bounds memory.
+# Messages without Sync; bounds memory.
 _MAXIMUM_BATCH_MESSAGES = 20_000
 EXTENDED_TAGS = frozenset(
     (codec.PARSE, codec.BIND, codec.DESCRIBE, codec.EXECUTE, codec.CLOSE),
--- a/src/orchidwind/elected/postgres/message_reader.py
+++ b/src/orchidwind/elected/postgres/message_reader.py
@@ -13,9 +13,9 @@
 
 from orchidwind.elected.postgres import wire
 
-# Chosen: one read of the socket.
+# One read of the socket.
 _READ_BYTES = 64 * 1024
-# Chosen: read while a statement runs, to notice a caller that goes; bounds memory.
+# Read while a statement runs, to notice a caller that goes; bounds memory.
 _READ_AHEAD_BYTES = 256 * 1024
 
 
--- a/src/orchidwind/elected/postgres/output.py
+++ b/src/orchidwind/elected/postgres/output.py
@@ -14,9 +14,9 @@
 from orchidwind.elected.postgres.wire import Column, codec
 from orchidwind.shared.core.errors import ErrorKind, RequestError
 
-# Chosen: bytes for a caller that wait before more rows are taken; bounds memory.
+# Bytes for a caller that wait before more rows are taken; bounds memory.
 _WRITE_HIGH_WATER_BYTES = 256 * 1024
-# Chosen: rows that a portal fetched in parts may hold; bounds memory.
+# Rows that a portal fetched in parts may hold; bounds memory.
 _SUSPENDED_ROWS_LIMIT = 10_000
 
 
--- a/src/orchidwind/elected/postgres/portals.py
+++ b/src/orchidwind/elected/postgres/portals.py
@@ -11,7 +11,7 @@
 from orchidwind.elected.postgres.wire import codec
 from orchidwind.shared.core.errors import ErrorKind, RequestError
 
-# Chosen: a caller's named statements; bounds memory.
+# A caller's named statements; bounds memory.
 MAXIMUM_PREPARED_STATEMENTS = 2_000
 _OID_MASK = 0xFFFFFFFF  # the codec reads type identifiers as signed
 
--- a/src/orchidwind/elected/postgres/server_session.py
+++ b/src/orchidwind/elected/postgres/server_session.py
@@ -26,9 +26,9 @@
 from orchidwind.elected.postgres.wire import codec
 from orchidwind.shared.core.errors import ErrorKind, RequestError
 
-# Chosen: from the connection to the end of the login; silent connections are closed after it.
+# From the connection to the end of the login; silent connections are closed after it.
 _LOGIN_SECONDS = 10.0
-# Chosen: what a caller may take to read that the proxy stops.
+# What a caller may take to read that the proxy stops.
 _FAREWELL_SECONDS = 2.0
 # The protocol's secret is a signed number of 32 bits.
 _SECRET_BITS = 31
--- a/src/orchidwind/elected/postgres/wire.py
+++ b/src/orchidwind/elected/postgres/wire.py
@@ -40,7 +40,7 @@
 # PostgreSQL's own bounds (MAX_STARTUP_PACKET_LENGTH, PG_MAX_AUTH_TOKEN_LENGTH).
 MAXIMUM_STARTUP_BYTES = 10_000
 MAXIMUM_AUTHENTICATION_BYTES = 65_536
-# Chosen: one message of a caller that has logged in; bounds memory.
+# One message of a caller that has logged in; bounds memory.
 MAXIMUM_MESSAGE_BYTES = 64 * 1024 * 1024
 
 
--- a/src/orchidwind/platform/callers.py
+++ b/src/orchidwind/platform/callers.py
@@ -21,7 +21,7 @@
 from orchidwind.shared.logs import log_event
 from orchidwind.shared.sockets import watchful
 
-# One read of a socket, bytes. Chosen: a window of TCP; longer messages take several reads.
+# One read of a socket, bytes. A window of TCP; longer messages take several reads.
 _READ_BYTES = 65536
 _MALFORMED = RequestError(ErrorKind.PROTOCOL_VIOLATION, "the message is not of this protocol")
 _TOO_LARGE = RequestError(ErrorKind.MESSAGE_TOO_LARGE, "the message is too long")
--- a/src/orchidwind/platform/http_call.py
+++ b/src/orchidwind/platform/http_call.py
@@ -25,7 +25,7 @@
 from orchidwind.shared.core.errors import OrchidwindError
 from orchidwind.shared.sockets import client_socket
 
-# Chosen: 64 times the longest object of the first users' store, so no listing of it is cut.
+# 64 times the longest object of the first users' store, so no listing of it is cut.
 _MAXIMUM_BODY_BYTES = 64 * 1024 * 1024
 
 
--- a/src/orchidwind/platform/instances.py
+++ b/src/orchidwind/platform/instances.py
@@ -21,7 +21,7 @@
 from orchidwind.shared.core.errors import BackendConnectionLost, BackendRefused
 from orchidwind.shared.sockets import client_socket
 
-# One read of a socket, bytes. Chosen: a window of TCP; longer replies take several reads.
+# One read of a socket, bytes. A window of TCP; longer replies take several reads.
 _READ_BYTES = 65536
 # SQLSTATE of a refused connection, as `BackendRefused` carries it.
 _OTHER_REFUSAL = "08004"
--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -45,13 +45,13 @@
 from orchidwind.shared.logs import configure_logging, log_event
 from orchidwind.shared.settings import parse_address
 
-# Connections that may wait to be accepted. Chosen: more than the callers of a zone that come back
+# Connections that may wait to be accepted. More than the callers of a zone that come back
 # at once after another proxy has stopped.
 _BACKLOG = 1024
 # Renewals of a directory entry that may be missing before it goes; the users' page PROTOCOL.md
 # sets it.
 _MISSED_HEARTBEATS = 3
-# The collector of cycles would stop requests for milliseconds. Chosen: what lives as long as the
+# The collector of cycles would stop requests for milliseconds. What lives as long as the
 # process is left out, and young objects are collected after so many allocations, not after 700.
 _GC_THRESHOLDS = (20_000, 20, 50)
 
--- a/src/orchidwind/promoted/callers/session_executor.py
+++ b/src/orchidwind/promoted/callers/session_executor.py
@@ -27,7 +27,7 @@
 from orchidwind.shared.core.errors import ANSWERS, ErrorKind, RequestError
 from orchidwind.shared.logs import log_event
 
-# So many attempts go into a log line. Chosen: the last ones tell the outcome.
+# So many attempts go into a log line. The last ones tell the outcome.
 _LOGGED_ATTEMPTS = 6
 
 
--- a/src/orchidwind/promoted/callers/session_registry.py
+++ b/src/orchidwind/promoted/callers/session_registry.py
@@ -12,7 +12,7 @@
 from orchidwind.promoted.core.drain_plan import DrainPlan
 from orchidwind.shared.logs import log_event
 
-# How often sessions are closed while the proxy stops, seconds. Chosen: with the times of the plan a
+# How often sessions are closed while the proxy stops, seconds. With the times of the plan a
 # fiftieth of the sessions at a time.
 _STEP_SECONDS = 0.05
 
--- a/src/orchidwind/promoted/core/attempts.py
+++ b/src/orchidwind/promoted/core/attempts.py
@@ -32,12 +32,12 @@
 
 from orchidwind.promoted.core.commands import Reply, ReplyCode, TransactionState
 
-# Seconds until a command is sent again. Chosen: a few round trips long.
+# Seconds until a command is sent again. A few round trips long.
 RETRY_PAUSE_SECONDS = 0.015
 # How often the pause doubles while instances are busy, up to 0.12 s: a full queue of the first
 # users' instances takes 0.1 to 0.3 s to run empty.
 MOST_PAUSE_DOUBLINGS = 3
-# Attempts of one statement in an open transaction, 0.6 s of pauses at the mean. Chosen: the
+# Attempts of one statement in an open transaction, 0.6 s of pauses at the mean. The
 # transaction holds a connection meanwhile, and what others wait for.
 MOST_ATTEMPTS_IN_TRANSACTION = 8
 
--- a/src/orchidwind/promoted/core/change_reasons.py
+++ b/src/orchidwind/promoted/core/change_reasons.py
@@ -23,17 +23,17 @@
 from orchidwind.promoted.core.failover_steps import FailoverReason
 from orchidwind.promoted.core.topology import GroupTopology
 
-# Chosen: with less, an answer that comes late would begin a change of primary.
+# With less, an answer that comes late would begin a change of primary.
 NO_PRIMARY_SECONDS = 0.1
-# Chosen: below the first users' statement timeouts of 0.8 s, so that a caller's write can still
+# Below the first users' statement timeouts of 0.8 s, so that a caller's write can still
 # be answered. The circuit breaker of commits opens after the same time.
 NOT_CONFIRMING_SECONDS = 0.6
-# Chosen: with less an entry that is taken off and put back at once would cost a change of primary.
+# With less an entry that is taken off and put back at once would cost a change of primary.
 GONE_SECONDS = 1.0
 # Entries that were missing after an outage of the directory are back about 2 s after it; the rest
 # is for late ones (docs/DECISIONS.md).
 UNSEEN_REMOVAL_SECONDS = 2.3
-# Chosen: a change of primary ends, or its holder's time does, before replicas count as left fenced.
+# A change of primary ends, or its holder's time does, before replicas count as left fenced.
 LEFT_FENCED_SECONDS = 1.0
 
 assert GONE_SECONDS < UNSEEN_REMOVAL_SECONDS, "who was seen to go is gone with less doubt"
--- a/src/orchidwind/promoted/core/circuit_breaker.py
+++ b/src/orchidwind/promoted/core/circuit_breaker.py
@@ -20,16 +20,16 @@
 from orchidwind.promoted.core.change_reasons import NOT_CONFIRMING_SECONDS
 from orchidwind.shared.core.errors import ErrorKind
 
-# Seconds between two requests that are let through while a breaker is open. Chosen: hardly a caller
+# Seconds between two requests that are let through while a breaker is open. Hardly a caller
 # waits in vain, and service is back a quarter of a second after its cause.
 PROBE_SECONDS = 0.25
 
-# For how long no instance is found until requests are refused, seconds. Chosen: a change of primary
+# For how long no instance is found until requests are refused, seconds. A change of primary
 # takes about a second (docs/DECISIONS.md); one that takes longer waits for what this proxy does not
 # reach.
 NOT_FOUND_SECONDS = 1.5
 
-# The same for proofs of the lead, seconds. Chosen: reading the lock takes some milliseconds and a
+# The same for proofs of the lead, seconds. Reading the lock takes some milliseconds and a
 # query of a replica as long as a statement, so a proof that takes longer is not to be had soon.
 NOT_PROVEN_SECONDS = 0.4
 
--- a/src/orchidwind/promoted/core/command_limits.py
+++ b/src/orchidwind/promoted/core/command_limits.py
@@ -12,16 +12,16 @@
 from orchidwind.promoted.core.peer_messages import RunCommand
 from orchidwind.shared.core.admission import NO_TARGET, TrafficClass
 
-# The share of a statement's time for which it may wait unsent. Chosen: the other half is left to
+# The share of a statement's time for which it may wait unsent. The other half is left to
 # run it, or to run it elsewhere.
 _HOLD_SHARE = 0.5
-# The weight of priority 0; each further step of priority has half of it. Chosen: only the ratios
+# The weight of priority 0; each further step of priority has half of it. Only the ratios
 # count, and priorities 0 to 3 get whole numbers.
 _HIGHEST_WEIGHT = 8.0
-# Requests of one class that wait for an instance at most. Chosen: a bound of memory; admission
+# Requests of one class that wait for an instance at most. A bound of memory; admission
 # refuses by the time that the queue takes long before (`shared.core.admission`).
 _QUEUE_BOUND = 400
-# Pauses last from half to one and a half times as long as the flow says. Chosen: commands that were
+# Pauses last from half to one and a half times as long as the flow says. Commands that were
 # refused together must not ask together again.
 _SHORTEST_PAUSE_SHARE = 0.5
 
--- a/src/orchidwind/promoted/core/commit_acknowledgement.py
+++ b/src/orchidwind/promoted/core/commit_acknowledgement.py
@@ -37,7 +37,7 @@
 from orchidwind.promoted.core.roster import PromotionRecord
 from orchidwind.shared.core.positions import Position
 
-# Seconds between two rounds of status queries for one commit. Chosen: a replica receives within
+# Seconds between two rounds of status queries for one commit. A replica receives within
 # some milliseconds, and asked more often it would only be kept busy.
 PROOF_RETRY_SECONDS = 0.02
 
--- a/src/orchidwind/promoted/core/configuration.py
+++ b/src/orchidwind/promoted/core/configuration.py
@@ -12,7 +12,7 @@
 from msgspec import Struct, field
 
 # Seconds for which an open transaction may rest, where the configuration names no other time.
-# Chosen: it holds a server connection meanwhile.
+# It holds a server connection meanwhile.
 DEFAULT_TRANSACTION_IDLE_SECONDS = 30.0
 
 
--- a/src/orchidwind/promoted/core/confirming_instances.py
+++ b/src/orchidwind/promoted/core/confirming_instances.py
@@ -28,7 +28,7 @@
 from orchidwind.promoted.core.proven_floors import ProvenFloors
 from orchidwind.shared.core.positions import Position
 
-# Seconds for which an instance may go on confirming after its entry has gone. Chosen, on the safe
+# Seconds for which an instance may go on confirming after its entry has gone. On the safe
 # side: with less an instance that is cut off from the directory alone is forgotten too soon, with
 # more a group that lost several instances for good waits longer for a primary.
 MAY_CONFIRM_SECONDS = 20.0
--- a/src/orchidwind/promoted/core/drain_plan.py
+++ b/src/orchidwind/promoted/core/drain_plan.py
@@ -9,15 +9,15 @@
 
 from msgspec import Struct
 
-# New sessions are taken for so many seconds. Chosen: the first users' platform sends no caller here
+# New sessions are taken for so many seconds. The first users' platform sends no caller here
 # some probes after the proxy is no longer ready.
 _ACCEPT_SECONDS = 2.6
 # ... and for no more than this share of the time given, where that is short.
 _ACCEPT_SHARE = 0.45
-# From this share of the time on, sessions in a transaction are closed, too. Chosen: a transaction
+# From this share of the time on, sessions in a transaction are closed, too. A transaction
 # has half of the time to end.
 _TRANSACTION_SHARE = 0.5
-# After this share nothing is waited for any more. Chosen: the rest is for ending links and the lead
+# After this share nothing is waited for any more. The rest is for ending links and the lead
 # lease before the process is killed.
 _END_SHARE = 0.85
 
--- a/src/orchidwind/promoted/core/failover.py
+++ b/src/orchidwind/promoted/core/failover.py
@@ -108,17 +108,17 @@
 from orchidwind.promoted.core.lead_lease import REVOCATION_WAIT_SECONDS
 from orchidwind.promoted.core.promotion_lock import CALL_MARGIN_SECONDS, HOLD_SECONDS
 
-# Seconds between two attempts to find a candidate. Chosen: some round trips long.
+# Seconds between two attempts to find a candidate. Some round trips long.
 RETRY_SECONDS = 0.05
-# Polls of a promoted instance until it leads: 1.2 s and the calls. Chosen: a promotion takes effect
+# Polls of a promoted instance until it leads: 1.2 s and the calls. A promotion takes effect
 # some hundred milliseconds after its call, or the lock is lost first.
 _LEAD_POLLS = 60
 # Seconds that one attempt takes where an instance is dark: the pause, and the limit of a call.
 _DARK_ATTEMPT_SECONDS = RETRY_SECONDS + HURRIED_STATUS_SECONDS
-# Chosen as many as fit, after the wait for leases, into the time for which the lock is held.
+# As many as fit, after the wait for leases, into the time for which the lock is held.
 _SELECT_ATTEMPTS = 12
 # Members are read anew each so many attempts, 0.2 s, while no candidate is found: one may have
-# joined meanwhile. Chosen: each reading costs a call of the store.
+# joined meanwhile. Each reading costs a call of the store.
 _READ_AGAIN_ATTEMPTS = 4
 
 # The longest search: the wait for leases, the attempts, and the time for late entries before each
--- a/src/orchidwind/promoted/core/failover_choice.py
+++ b/src/orchidwind/promoted/core/failover_choice.py
@@ -25,7 +25,7 @@
 from orchidwind.promoted.core.failover_steps import FailoverPlan, Statuses
 from orchidwind.promoted.core.log_positions import holds
 
-# Attempts before a demoted primary's own log is taken. Chosen: three attempts are 0.15 s and
+# Attempts before a demoted primary's own log is taken. Three attempts are 0.15 s and
 # what the calls take; a replica of its log is better, as the primary was demoted for a reason.
 ATTEMPTS_FOR_ANOTHER = 3
 # Attempts before a log that is shorter than what proxies may have acknowledged is taken: from 0.5 s
--- a/src/orchidwind/promoted/core/failover_fences.py
+++ b/src/orchidwind/promoted/core/failover_fences.py
@@ -31,13 +31,13 @@
 )
 from orchidwind.promoted.core.log_positions import holds
 
-# Seconds between two polls of instances that are expected to change at once. Chosen: some round
+# Seconds between two polls of instances that are expected to change at once. Some round
 # trips long.
 POLL_SECONDS = 0.02
-# Polls for a replica that has all of a demoted primary's log. Chosen: what the primary had sent
+# Polls for a replica that has all of a demoted primary's log. What the primary had sent
 # arrives within a round trip or two.
 _ARRIVAL_POLLS = 3
-# Polls for replicas that move to a new primary, 0.12 s and the calls. Chosen: who moves later drops
+# Polls for replicas that move to a new primary, 0.12 s and the calls. Who moves later drops
 # its fence by itself.
 _SETTLE_POLLS = 6
 
--- a/src/orchidwind/promoted/core/forwarded_commands.py
+++ b/src/orchidwind/promoted/core/forwarded_commands.py
@@ -22,7 +22,7 @@
 
 # Under this name a session at the home holds the one statement that its command executes.
 _PREPARED_NAME = "forwarded"
-# So many attempts of the home go into the front's log line. Chosen: the last ones tell the outcome.
+# So many attempts of the home go into the front's log line. The last ones tell the outcome.
 _LOGGED_ATTEMPTS = 4
 
 
--- a/src/orchidwind/promoted/core/freshness.py
+++ b/src/orchidwind/promoted/core/freshness.py
@@ -12,10 +12,9 @@
     watch_wait + answer_slack                       a swallowed watch is given up       0.40
     or read_at_age + hedge_after                    a view confirmed by others ends     0.80
 
-of the bound, and a call of the store takes some milliseconds. The shares are chosen so that these
-sums hold; what they leave is for slow machines and slow answers. Measured: with half of all
-connections silent at once, the oldest configuration 1.7 s of 3 s and the oldest directory 2.0 s of
-4 s (docs/SILENCE.md, "Connections (promoted groups)").
+of the bound, and a call of the store takes some milliseconds. The shares are such that these
+sums hold; what they leave is for slow machines and slow answers
+(docs/SILENCE.md, "Connections (promoted groups)", has the ages that are reached).
 """
 
 from __future__ import annotations
@@ -24,7 +23,7 @@
 
 from msgspec import Struct
 
-# Shares of the bound, chosen as said above. Two waits together stay below the age at which the
+# Shares of the bound, as said above. Two waits together stay below the age at which the
 # store is read: an answer that tells of a change may have been on its way since its watch was sent,
 # so only the next one confirms the view.
 _WATCH_WAIT_SHARE = 0.25
@@ -40,22 +39,22 @@
 _RELYING_PAUSE_SHARE = 0.3
 # A watch that nobody's promise waits for costs one call each 30 s, the longest the store allows.
 LONGEST_WATCH_SECONDS = 30.0
-# Time beyond its wait that such a watch has for its answer. Chosen: a store slowed a hundredfold
+# Time beyond its wait that such a watch has for its answer. A store slowed a hundredfold
 # takes 0.4 s.
 _UNHURRIED_SLACK_SECONDS = 1.0
-# Where no promise says otherwise. Chosen: a store slowed a hundredfold answers twice meanwhile.
+# Where no promise says otherwise. A store slowed a hundredfold answers twice meanwhile.
 _UNHURRIED_HEDGE_SECONDS = 1.0
-# Chosen: an outage is found over within a second.
+# An outage is found over within a second.
 _UNHURRIED_PAUSE_SECONDS = 0.5
-# Chosen; no view without a bound is long.
+# No view without a bound is long.
 _UNHURRIED_WHOLE_SECONDS = 2.0
-# So many calls at once let a store answer that needs as many times `hedge_after`. Chosen: with 0.2
+# So many calls at once let a store answer that needs as many times `hedge_after`. With 0.2
 # of the bound each, a call that is given up has lasted for the whole bound.
 MOST_CALLS = 5
-# The first pause after a failed call, seconds; each further one is twice as long. Chosen: a store
+# The first pause after a failed call, seconds; each further one is twice as long. A store
 # that refused once is asked again before any bound is near.
 FIRST_PAUSE_SECONDS = 0.1
-# Between two checks at least, seconds. Chosen: a check that finds nothing to do must not be
+# Between two checks at least, seconds. A check that finds nothing to do must not be
 # repeated without a pause.
 SHORTEST_CHECK_SECONDS = 0.01
 
--- a/src/orchidwind/promoted/core/homes.py
+++ b/src/orchidwind/promoted/core/homes.py
@@ -23,32 +23,32 @@
 
 from orchidwind.shared.core.rendezvous import first, rank
 
-# Connections of a proxy to each instance. Chosen: with fewer, its requests wait for one another's.
+# Connections of a proxy to each instance. With fewer, its requests wait for one another's.
 FEWEST_USEFUL_CONNECTIONS = 4
-# Connections of a home to each instance where few proxies are homes. Chosen: half more than the
+# Connections of a home to each instance where few proxies are homes. Half more than the
 # fewest, as a home carries the requests of several proxies.
 CONNECTIONS_OF_A_HOME = 6
 # One can be lost, and requests still have a home in their zone.
 MOST_HOMES_A_ZONE = 2
-# How many groups a proxy may be home of before more proxies of the zone share them. Chosen: with as
+# How many groups a proxy may be home of before more proxies of the zone share them. With as
 # many, the busiest home of 195 proxies spent 0.07 of a core on a calm day (docs/CAPACITY.md).
 GROUPS_OF_A_HOME = 10
-# Connections that a home opens at least, whatever its share. Chosen: a transaction that rests must
+# Connections that a home opens at least, whatever its share. A transaction that rests must
 # not stop all other requests; an instance that is over its limit refuses the others.
 _FEWEST_CONNECTIONS = 2
 _SHARED_KEY = "shared-homes"
-# A proxy that was not reached for so many seconds is taken off the list of proxies. Chosen: long
+# A proxy that was not reached for so many seconds is taken off the list of proxies. Long
 # beside a restart (a second); its lost link keeps requests away from it until then.
 FORGET_PROXY_SECONDS = 30.0
 # A list that does not name a proxy is believed so many seconds after the proxy wrote its entry.
-# Chosen: half of the age that the list may have (`ProxyBounds.members`).
+# Half of the age that the list may have (`ProxyBounds.members`).
 OWN_ENTRY_LISTED_AFTER_SECONDS = 10.0
 # After a return of the store from a copy, seconds for which a proxy that the copy lacks stays a
-# member. Chosen: proxies know of the return within half a second of one another, and list
+# member. Proxies know of the return within half a second of one another, and list
 # themselves again within one; the rest is for calls that are refused.
 RELISTING_SECONDS = 3.0
 _LOCK_READER_KEY = "promotion-lock"
-# How many proxies read the promotion lock for the others. Chosen: the store may turn one away and
+# How many proxies read the promotion lock for the others. The store may turn one away and
 # serve the other; they sit in different zones.
 _LOCK_READERS = 2
 
--- a/src/orchidwind/promoted/core/instance_silence.py
+++ b/src/orchidwind/promoted/core/instance_silence.py
@@ -22,56 +22,56 @@
 
 from msgspec import Struct
 
-# Seconds after which an answer is overdue. Chosen: within the shortest statement time-out (0.8 s)
+# Seconds after which an answer is overdue. Within the shortest statement time-out (0.8 s)
 # it leaves the time to find the silent connection and to run a read elsewhere.
 ANSWER_OVERDUE_SECONDS = 0.25
 
-# Shortest pause between two checks for overdue answers, seconds. Chosen: bounds the wake-ups.
+# Shortest pause between two checks for overdue answers, seconds. Bounds the wake-ups.
 _SHORTEST_CHECK_PAUSE_SECONDS = 0.01
 
-# An instance's idle connections are asked at most once in so many seconds. Chosen: each check is a
+# An instance's idle connections are asked at most once in so many seconds. Each check is a
 # query on each of them, and a full instance must not be kept busy by checks.
 CONNECTION_CHECK_PAUSE_SECONDS = 1.0
 
-# Time that a new connection to an instance has to open, seconds. Chosen, below the shortest
+# Time that a new connection to an instance has to open, seconds. Below the shortest
 # statement time-out (0.8 s); one takes 12 to 32 ms, more where the instance is in another region
 # (docs/DECISIONS.md, "Homes for promoted groups").
 INSTANCE_CONNECT_SECONDS = 0.6
 
-# Time that a status or control call has, seconds. Chosen: more than a new connection in another
+# Time that a status or control call has, seconds. More than a new connection in another
 # region takes; how soon a lost primary is noticed depends on it.
 STATUS_SECONDS = 0.2
 
-# The same where a change of primary waits for an instance that did not answer last time. Chosen:
-# each such instance delays the change by as much.
+# The same where a change of primary waits for an instance that did not answer last time.
+# Each such instance delays the change by as much.
 HURRIED_STATUS_SECONDS = 0.07
 
 # The same where nothing was ever delivered by an instance: silence is no sign yet, as all homes of
 # a fleet that starts connect at once and an instance takes them one after the other.
 FIRST_STATUS_SECONDS = INSTANCE_CONNECT_SECONDS
 
-# A status call without an answer for so many seconds is repeated on a new connection. Chosen,
-# below HURRIED_STATUS_SECONDS and about twice the time that a new connection takes (12 to 32 ms);
+# A status call without an answer for so many seconds is repeated on a new connection.
+# Below HURRIED_STATUS_SECONDS and about twice the time that a new connection takes (12 to 32 ms);
 # in a hurried call the second one has hardly time left.
 STATUS_HEDGE_SECONDS = 0.06
 
-# A status call to an instance is hedged at most once in so many seconds. Chosen: a new connection
+# A status call to an instance is hedged at most once in so many seconds. A new connection
 # costs the instance a slot for a while.
 STATUS_HEDGE_PAUSE_SECONDS = 1.0
 
-# So many seconds longer than a new connection an idle one has for its answer. Chosen: both wait
+# So many seconds longer than a new connection an idle one has for its answer. Both wait
 # alike for a slot of the instance, and what differs is the way.
 SILENT_AFTER_NEW_SECONDS = 0.05
 
-# A held connection at rest is asked once it has delivered nothing for so many seconds. Measured:
-# no message more at 3 requests a second a proxy, 3 % at 1 and 10 % at 0.4 (docs/SILENCE.md).
+# A held connection at rest is asked once it has delivered nothing for so many seconds.
+# A busy connection is hardly ever asked (docs/SILENCE.md has what it costs).
 HELD_REST_PROBE_SECONDS = 1.0
 
-# Held connections are looked through each so many seconds. Chosen: with the two times beside it,
+# Held connections are looked through each so many seconds. With the two times beside it,
 # a silent one at rest is found within 1.65 s, below the shortest rest of a transaction (3 s).
 REST_CHECK_SECONDS = 0.25
 
-# A held connection that is asked counts as silent after so many seconds. Chosen as for links
+# A held connection that is asked counts as silent after so many seconds. As for links
 # between proxies: a lost packet is sent again after 0.2 s, and closing costs the transaction.
 RESTING_SILENT_SECONDS = 0.4
 
--- a/src/orchidwind/promoted/core/instance_view.py
+++ b/src/orchidwind/promoted/core/instance_view.py
@@ -14,19 +14,19 @@
 from orchidwind.shared.core.positions import Position
 
 # Seconds for which an instance still gets work after its entry has gone: it goes on serving, and
-# its entry also goes when it is only cut off from the directory. Chosen; requests that fail there
-# are run elsewhere.
+# its entry also goes when it is only cut off from the directory. Requests that fail
+# there are run elsewhere.
 GONE_USABLE_SECONDS = 2.0
-# Seconds for which a replica gets no read that needs a position it lacked. Chosen: some times the
+# Seconds for which a replica gets no read that needs a position it lacked. Some times the
 # 60 ms by which replicas lagged where reads piled up on the primary.
 _BEHIND_PAUSE_SECONDS = 0.15
-# Seconds for which others are preferred to an instance that refused work beyond its queue. Chosen:
-# short, so that an instance whose queue has room again is not left idle.
+# Seconds for which others are preferred to an instance that refused work beyond its queue.
+# Short, so that an instance whose queue has room again is not left idle.
 _BUSY_PAUSE_SECONDS = 0.02
 # Seconds for which a primary that refused work counts as having no room, so that replicas are not
 # passed over for it: a full queue of the first users' instances takes 0.1 to 0.3 s to run empty.
 _BUSY_RECENTLY_SECONDS = 0.3
-# Seconds for which others are preferred to an instance that did not answer. Chosen: by then a
+# Seconds for which others are preferred to an instance that did not answer. By then a
 # status query (`supervision`) has shown whether it is back.
 _UNREACHABLE_PAUSE_SECONDS = 1.0
 
--- a/src/orchidwind/promoted/core/lead_lease.py
+++ b/src/orchidwind/promoted/core/lead_lease.py
@@ -24,29 +24,29 @@
 from orchidwind.promoted.core.promotion_lock import LockRecord
 from orchidwind.promoted.core.store_revision import StoreRevision
 
-# Seconds from the sending of a reading for which nobody can lead anew. Chosen: longer leases mean
+# Seconds from the sending of a reading for which nobody can lead anew. Longer leases mean
 # fewer readings of the lock (one each 0.75 s a reader), and a longer wait of a change of primary
 # for a proxy that does not confirm.
 LEASE_SECONDS = 1.0
-# A lease is renewed so many seconds before it runs out. Chosen: time for a few calls of the store.
+# A lease is renewed so many seconds before it runs out. Time for a few calls of the store.
 RENEWAL_MARGIN_SECONDS = 0.25
-# What steady clocks of two machines may differ by over a lease, in seconds. Chosen: a tenth of the
+# What steady clocks of two machines may differ by over a lease, in seconds. A tenth of the
 # lease, far beyond any clock's drift.
 _CLOCK_RATE_MARGIN_SECONDS = 0.1
 # Seconds for which a change of primary waits, from when it holds the lock: all leases have run out.
 REVOCATION_WAIT_SECONDS = LEASE_SECONDS + _CLOCK_RATE_MARGIN_SECONDS
-# The lock is not read more often than each so many seconds. Chosen, for a lease that is short
+# The lock is not read more often than each so many seconds. For a lease that is short
 # because its reading was old when it came.
 _SHORTEST_RENEWAL_SECONDS = 0.1
-# Seconds between two readings while the lock is not known to be free. Chosen: as often as a lease
+# Seconds between two readings while the lock is not known to be free. As often as a lease
 # is renewed; the watch of the lock ends this wait when the lock is given back.
 _WITHOUT_LEASE_SECONDS = LEASE_SECONDS - RENEWAL_MARGIN_SECONDS
-# A reading older than this is not passed on. Chosen: half of the lease is left then.
+# A reading older than this is not passed on. Half of the lease is left then.
 LONGEST_RELAYED_AGE_SECONDS = LEASE_SECONDS / 2
-# Seconds for which another proxy is asked for its reading. Chosen: what a reading of the store by
+# Seconds for which another proxy is asked for its reading. What a reading of the store by
 # this proxy would lose by waiting longer.
 RELAY_CALL_SECONDS = 0.1
-# Seconds between two readings of the others' confirmations. Chosen: a few calls of the store long
+# Seconds between two readings of the others' confirmations. A few calls of the store long
 # (4 ms each with the first users); what is left of a change of primary waits for it.
 CONFIRMATIONS_INTERVAL_SECONDS = 0.025
 
--- a/src/orchidwind/promoted/core/link_silence.py
+++ b/src/orchidwind/promoted/core/link_silence.py
@@ -5,33 +5,32 @@
 
 An open connection may swallow all that is sent, for good and without an end, while a new one works.
 The other side answers a probe at once whatever else it does, so a link on which an answer is owed
-and no byte comes is silent, not busy. Measured with half of all connections silent at once in a
-fleet of 200 proxies: docs/SILENCE.md, "Connections (promoted groups)".
+and no byte comes is silent, not busy. docs/SILENCE.md, "Connections (promoted groups)", has what
+that comes to in a large fleet.
 """
 
 from __future__ import annotations
 
 from enum import Enum, auto
 
-# A new connection that is not open after so long has failed. Chosen: as long as silence of an open
+# A new connection that is not open after so long has failed. As long as silence of an open
 # one, since the same commands wait for either.
 LINK_CONNECT_SECONDS = 0.4
-# While an answer is owed, a link without a byte for so long is probed. Chosen: answers on one site
+# While an answer is owed, a link without a byte for so long is probed. Answers on one site
 # take milliseconds, and a probe that is lost once comes again before the link is given up.
 LINK_PROBE_AFTER_SECONDS = 0.15
-# While an answer is owed, a link without a byte for longer is given up. Chosen: half of 0.8 s, the
+# While an answer is owed, a link without a byte for longer is given up. Half of 0.8 s, the
 # shortest statement time-out of the first users, so that a read has time left at another home.
 LINK_SILENT_SECONDS = 0.4
-# How often an owed answer is checked. Chosen: it adds at most an eighth to the time above.
+# How often an owed answer is checked. It adds at most an eighth to the time above.
 LINK_CHECK_SECONDS = 0.05
 # One that was used lately is probed when nothing came for so long, so that no request finds the
-# silence first. Measured: no more messages at 3 requests a second a proxy, 3 % at 1, 10 % at 0.4
-# (docs/SILENCE.md).
+# silence first. A busy link is hardly ever probed (docs/SILENCE.md has what it costs).
 LINK_REST_PROBE_SECONDS = 1.0
-# For so long after its last use a link is probed at rest. Chosen: what is used seldom costs the
+# For so long after its last use a link is probed at rest. What is used seldom costs the
 # fleet more in probes than its next user loses.
 LINK_IN_USE_SECONDS = 5.0
-# Pauses between attempts to open a lost link anew. Chosen: no request waits for them, so a cut that
+# Pauses between attempts to open a lost link anew. No request waits for them, so a cut that
 # has healed may be noticed within a second; a machine that is gone costs a packet each.
 FIRST_REOPEN_PAUSE_SECONDS = 0.25
 LONGEST_REOPEN_PAUSE_SECONDS = 1.0
--- a/src/orchidwind/promoted/core/newest_term.py
+++ b/src/orchidwind/promoted/core/newest_term.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-# Seconds from the last proof of a lead until the next term at the earliest. Chosen, on the safe
+# Seconds from the last proof of a lead until the next term at the earliest. On the safe
 # side: a promotion takes effect some hundred milliseconds after its call, which follows that proof.
 _SHORTEST_PROMOTION_SECONDS = 0.2
 
--- a/src/orchidwind/promoted/core/promotion_lock.py
+++ b/src/orchidwind/promoted/core/promotion_lock.py
@@ -27,21 +27,21 @@
 from orchidwind.promoted.core.call_limits import PROMOTION_CALL_SECONDS
 from orchidwind.promoted.core.store_revision import FIRST_ERA, NOTHING_HELD, StoreRevision
 
-# Seconds from the sending of the call that took the lock for which its holder uses it. Chosen: the
+# Seconds from the sending of the call that took the lock for which its holder uses it. The
 # wait for leases, and twelve attempts to find a candidate (`failover`), fit in.
 HOLD_SECONDS = 3.0
 # Seconds that a promotion call may still be under way when its caller's hold has ended: the call's
-# limit, and chosen, some tenths for it to take effect.
+# limit, and some tenths for it to take effect.
 _LATE_PROMOTION_SECONDS = 1.3
 # Seconds after which others take over a lock that has not changed.
 TAKE_OVER_SECONDS = HOLD_SECONDS + _LATE_PROMOTION_SECONDS
-# No call is begun in so many last seconds of the hold. Chosen: as long as a call of an instance
+# No call is begun in so many last seconds of the hold. As long as a call of an instance
 # may take.
 CALL_MARGIN_SECONDS = 0.2
 # Seconds after its promotion for which a proxy leaves the lock to others, where another has
 # promoted since: the other may hold it so long, and half a second is for what is on its way.
 ALTERNATION_SECONDS = HOLD_SECONDS + 0.5
-# How often, and each how many seconds, a lock is read whose write was not answered. Chosen: 0.9 s
+# How often, and each how many seconds, a lock is read whose write was not answered. 0.9 s
 # and the calls; a lock that is known to be held later has hardly any time left.
 LOCK_READ_BACKS = 6
 LOCK_READ_BACK_SECONDS = 0.15
--- a/src/orchidwind/promoted/core/proven_floors.py
+++ b/src/orchidwind/promoted/core/proven_floors.py
@@ -18,10 +18,10 @@
 
 from orchidwind.shared.core.positions import Position
 
-# Seconds between two samples. Chosen: a read's floor is newer than its bound by that much at most,
+# Seconds between two samples. A read's floor is newer than its bound by that much at most,
 # against bounds of some seconds.
 _SAMPLE_SPACING_SECONDS = 0.1
-# How many samples are held. Chosen: with the spacing they reach back 6.4 s; a read with a longer
+# How many samples are held. With the spacing they reach back 6.4 s; a read with a longer
 # bound takes the oldest one, which is a stricter floor than it needs.
 _MOST_SAMPLES = 64
 
--- a/src/orchidwind/promoted/core/session.py
+++ b/src/orchidwind/promoted/core/session.py
@@ -19,7 +19,7 @@
 from orchidwind.shared.core.errors import ErrorKind, RequestError
 from orchidwind.shared.core.positions import Position
 
-# Settings and prepared statements of one session at most. Chosen: bounds what a caller makes a
+# Settings and prepared statements of one session at most. Bounds what a caller makes a
 # proxy hold, and what a connection may have to be brought to before a statement.
 MAXIMUM_SETTINGS = 256
 MAXIMUM_PREPARED = 1024
--- a/src/orchidwind/promoted/core/supervision.py
+++ b/src/orchidwind/promoted/core/supervision.py
@@ -24,19 +24,19 @@
 )
 from orchidwind.promoted.core.topology import GroupTopology
 
-# Seconds between two status queries of one instance. Chosen: each query has its price, and a change
+# Seconds between two status queries of one instance. Each query has its price, and a change
 # of primary takes about a second.
 STATUS_RETRY_SECONDS = 0.15
-# The longest interval of one that stays silent. Chosen: by then others have long taken its work.
+# The longest interval of one that stays silent. By then others have long taken its work.
 LONGEST_STATUS_RETRY_SECONDS = 1.0
-# Chosen: proxies that see the same loss do not all reach for the promotion lock at once.
+# Proxies that see the same loss do not all reach for the promotion lock at once.
 JITTER_SECONDS = 0.06
-# Seconds to the next decision at the latest. Chosen: the first where nothing is wrong, the second
+# Seconds to the next decision at the latest. The first where nothing is wrong, the second
 # while something is; a part of the times that it watches for (`change_reasons`).
 CALM_INTERVAL_SECONDS = 0.5
 TROUBLED_INTERVAL_SECONDS = 0.03
 # Seconds before the next try, by how the last one ended; after a failure (NOT_SAFE, LOCK_LOST) they
-# are doubled at once, to 0.5 or 0.6 s, then to 1.0 or 1.2 s. Chosen: longer than the news of its
+# are doubled at once, to 0.5 or 0.6 s, then to 1.0 or 1.2 s. Longer than the news of its
 # end take, and much shorter than a change.
 _PAUSE_AFTER: dict[FailoverOutcome, float] = {
     FailoverOutcome.DONE: 0.2,
@@ -45,7 +45,7 @@
     FailoverOutcome.LOCK_LOST: 0.3,
     FailoverOutcome.NOT_SAFE: 0.25,
 }
-# How often the pause doubles while tries fail. Chosen: a change that cannot be made now is looked
+# How often the pause doubles while tries fail. A change that cannot be made now is looked
 # into about once a second.
 _MOST_DOUBLINGS = 2
 
--- a/src/orchidwind/promoted/group/connection_opener.py
+++ b/src/orchidwind/promoted/group/connection_opener.py
@@ -20,8 +20,8 @@
 # sqlclient_unable_to_establish_sqlconnection.
 OTHER_INSTANCE = "08001"
 
-# An instance that refused a connection is taken to have no room for so many seconds. Chosen:
-# instances count the connections of lost proxies for up to 3 s, and each refusal begins it anew.
+# An instance that refused a connection is taken to have no room for so many seconds.
+# Instances count the connections of lost proxies for up to 3 s, and each refusal begins it anew.
 _NO_ROOM_SECONDS = 1.0
 
 
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -53,11 +53,11 @@
 from orchidwind.shared.logs import log_event
 from orchidwind.shared.task_set import TaskSet
 
-# A proxy that is no home watches over a group for so many seconds after it served it. Chosen, as
+# A proxy that is no home watches over a group for so many seconds after it served it. As
 # links between proxies are probed at rest for as long after their last use.
 _SUPERVISED_AFTER_USE_SECONDS = 5.0
 # Connections to each instance of a proxy that is no home, which serves only while no home can be
-# reached. Chosen: the least, as the homes' shares may add up to the instance's limit.
+# reached. The least, as the homes' shares may add up to the instance's limit.
 _CONNECTIONS_WITHOUT_HOME = 1
 
 
--- a/src/orchidwind/promoted/group/group_supervision.py
+++ b/src/orchidwind/promoted/group/group_supervision.py
@@ -29,7 +29,7 @@
 from orchidwind.promoted.ports import PromotionService
 from orchidwind.shared.logs import log_event
 
-# Seconds after which a proxy without a part in a group checks whether it has one now. Chosen: to
+# Seconds after which a proxy without a part in a group checks whether it has one now. To
 # take part wakes the supervisor at once, so nothing waits for it.
 _UNSUPERVISED_CHECK_SECONDS = 1.0
 
--- a/src/orchidwind/promoted/group/held_commits.py
+++ b/src/orchidwind/promoted/group/held_commits.py
@@ -22,10 +22,10 @@
 from orchidwind.shared.core.positions import Position
 from orchidwind.shared.logs import log_event
 
-# Commits that wait for longer are logged, seconds. Chosen: a proof by a replica takes some
+# Commits that wait for longer are logged, seconds. A proof by a replica takes some
 # milliseconds.
 _WAIT_LOGGED_SECONDS = 0.1
-# The last acknowledged commits that are named at a change of primary. Chosen: some 3 s of a busy
+# The last acknowledged commits that are named at a change of primary. Some 3 s of a busy
 # group's commits at one proxy, which is what a change of primary could leave out.
 _COMMITS_REMEMBERED = 64
 
--- a/src/orchidwind/promoted/group/instance_pools.py
+++ b/src/orchidwind/promoted/group/instance_pools.py
@@ -13,7 +13,7 @@
 from orchidwind.shared.core.concurrency_window import ConcurrencyWindow
 from orchidwind.shared.core.pool import InstancePool
 
-# Connections to each instance before the placement of homes is known. Chosen: one for statements
+# Connections to each instance before the placement of homes is known. One for statements
 # and one beside it.
 _CONNECTIONS_BEFORE_PLACEMENT = 2
 
--- a/src/orchidwind/promoted/group/lease_keeper.py
+++ b/src/orchidwind/promoted/group/lease_keeper.py
@@ -42,10 +42,10 @@
 from orchidwind.shared.core.positions import Position
 from orchidwind.shared.logs import log_event
 
-# Seconds until a registration or confirmation that failed is tried again. Chosen: a holder waits
+# Seconds until a registration or confirmation that failed is tried again. A holder waits
 # 1.1 s for a confirmation, so a second and a third try still count.
 _REGISTRY_RETRY_SECONDS = 0.25
-# Seconds that a proxy which stops waits for its last write to the registry. Chosen: a planned stop
+# Seconds that a proxy which stops waits for its last write to the registry. A planned stop
 # has used most of its grace by then.
 _LEAVE_SECONDS = 0.3
 
--- a/src/orchidwind/promoted/group/pool_driver.py
+++ b/src/orchidwind/promoted/group/pool_driver.py
@@ -31,10 +31,10 @@
 from orchidwind.shared.logs import log_event
 from orchidwind.shared.task_set import TaskSet
 
-# Shortest pause before a pool is looked at again, seconds. Chosen: bounds the wake-ups.
+# Shortest pause before a pool is looked at again, seconds. Bounds the wake-ups.
 _SHORTEST_RETRY_SECONDS = 0.01
 # Seconds after which a connection is tried again where the instance had no room. Requests go
-# elsewhere meanwhile. Chosen: an attempt that is turned away costs the instance nothing.
+# elsewhere meanwhile. An attempt that is turned away costs the instance nothing.
 _OPEN_AGAIN_SECONDS = 0.25
 
 
--- a/src/orchidwind/promoted/group/roster_keeper.py
+++ b/src/orchidwind/promoted/group/roster_keeper.py
@@ -23,10 +23,10 @@
 from orchidwind.shared.core.errors import PlatformError, PlatformUncertain
 from orchidwind.shared.logs import log_event
 
-# Seconds between two checks of what is to be written. Chosen: an instance that is listed, confirms
+# Seconds between two checks of what is to be written. An instance that is listed, confirms
 # and leaves in less, while all proxies lose power, is missed (docs/DECISIONS.md).
 _CHECK_INTERVAL_SECONDS = 0.5
-# A writer waits for a random part of this, in seconds. Chosen: proxies see the same change at the
+# A writer waits for a random part of this, in seconds. Proxies see the same change at the
 # same time, and the first to write spares the others.
 _JITTER_SECONDS = 0.4
 
--- a/src/orchidwind/promoted/metrics.py
+++ b/src/orchidwind/promoted/metrics.py
@@ -15,7 +15,7 @@
 from orchidwind.shared.core.errors import ErrorKind
 from orchidwind.shared.silence import SilentConnection, log_silent
 
-# Bounds of the times of requests, seconds. Chosen: from one round trip to the longest time-out,
+# Bounds of the times of requests, seconds. From one round trip to the longest time-out,
 # each about twice the one before.
 _LATENCY_BUCKETS = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
 
--- a/src/orchidwind/promoted/peers/forwarding.py
+++ b/src/orchidwind/promoted/peers/forwarding.py
@@ -28,7 +28,7 @@
 from orchidwind.promoted.peers.peer_link import PeerLink
 from orchidwind.shared.core.errors import ErrorKind, PeerUnavailable, RequestError
 
-# The home answers at the deadline by itself; this is for the way back, seconds. Chosen: the way
+# The home answers at the deadline by itself; this is for the way back, seconds. The way
 # between two zones takes some milliseconds, on a slow machine some dozens.
 _ANSWER_GRACE_SECONDS = 0.05
 
--- a/src/orchidwind/promoted/peers/long_sends.py
+++ b/src/orchidwind/promoted/peers/long_sends.py
@@ -9,7 +9,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-# So many long contents wait to be sent. Chosen: 13 askers of 2,855 databases take 1.5 s of
+# So many long contents wait to be sent. 13 askers of 2,855 databases take 1.5 s of
 # a link of 10 Mbit/s (docs/DECISIONS.md, "Long contents of a view come from the store"), 0.12 s
 # each; with more of them waiting, the last ones would come after their askers had given up.
 MOST_WAITING_LONG_SENDS = 4
--- a/src/orchidwind/promoted/peers/own_entry.py
+++ b/src/orchidwind/promoted/peers/own_entry.py
@@ -15,10 +15,10 @@
 from orchidwind.shared.logs import log_event
 from orchidwind.shared.task_set import TaskSet
 
-# Before the own entry is written again, seconds. Chosen: the store refuses or is silent, and nobody
+# Before the own entry is written again, seconds. The store refuses or is silent, and nobody
 # waits for it: others send work here a fraction of a second later.
 _WRITE_AGAIN_SECONDS = 0.25
-# Seconds over which all proxies list themselves again after a return of the store. Chosen: each is
+# Seconds over which all proxies list themselves again after a return of the store. Each is
 # listed within a second of knowing it, and 200 proxies stay at the 400 writes a second that the
 # first users' store takes.
 _RELISTING_SPREAD_SECONDS = 0.5
--- a/src/orchidwind/promoted/peers/peer_codec.py
+++ b/src/orchidwind/promoted/peers/peer_codec.py
@@ -23,7 +23,7 @@
 
 __all__ = ["MAXIMUM_PEER_FRAME_BYTES", "DecodeError", "FrameCutter", "decode_peer", "encode_peer"]
 
-# The longest message of another proxy, bytes. Chosen: four times the longest message of a caller,
+# The longest message of another proxy, bytes. Four times the longest message of a caller,
 # and of the longest configuration between proxies (217 KB for 4,254 databases, docs/SILENCE.md)
 # many times its size.
 MAXIMUM_PEER_FRAME_BYTES = 4 * 1024 * 1024
--- a/src/orchidwind/promoted/peers/peer_streams.py
+++ b/src/orchidwind/promoted/peers/peer_streams.py
@@ -26,7 +26,7 @@
 from orchidwind.shared.core.errors import PeerUnavailable
 from orchidwind.shared.sockets import client_socket, watchful
 
-# One read of a socket, bytes. Chosen: a window of TCP; longer messages take several reads.
+# One read of a socket, bytes. A window of TCP; longer messages take several reads.
 _READ_BYTES = 65536
 # Linger for zero seconds: closing resets the connection and drops what was not sent.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
--- a/src/orchidwind/promoted/peers/remote_session.py
+++ b/src/orchidwind/promoted/peers/remote_session.py
@@ -28,7 +28,7 @@
 from orchidwind.shared.logs import log_event
 
 # The front ends a transaction that rests for too long; the home does after so many seconds more.
-# Chosen: the front's message is there by then, also over a link that was just opened anew.
+# The front's message is there by then, also over a link that was just opened anew.
 _FRONT_MARGIN_SECONDS = 1.0
 
 
--- a/src/orchidwind/promoted/proxy_runtime.py
+++ b/src/orchidwind/promoted/proxy_runtime.py
@@ -42,7 +42,7 @@
 from orchidwind.shared.core.errors import ErrorKind
 from orchidwind.shared.logs import log_event
 
-# One success in so many is logged; failures are all logged. Chosen: at some hundred requests a
+# One success in so many is logged; failures are all logged. At some hundred requests a
 # second a line or two, enough to see what a usual request does.
 _LOGGED_SUCCESSES = 200
 
--- a/src/orchidwind/promoted/upkeep.py
+++ b/src/orchidwind/promoted/upkeep.py
@@ -14,13 +14,13 @@
 from orchidwind.promoted.metrics import ProxyMetrics
 from orchidwind.shared.logs import log_event
 
-# How often connections that were not used lately are closed, seconds. Chosen: proxies that are back
+# How often connections that were not used lately are closed, seconds. Proxies that are back
 # from a loss of power find room at the instances within the time that their callers wait.
 _TRIM_SECONDS = 1.5
-# How often it is checked which instances left long ago, seconds. Chosen: nothing waits for it but
+# How often it is checked which instances left long ago, seconds. Nothing waits for it but
 # memory, and each check that is due asks the instances for their status.
 _FORGET_SECONDS = 5.0
-# How often figures are logged, seconds. Chosen: six lines each time, and two changes of primary
+# How often figures are logged, seconds. Six lines each time, and two changes of primary
 # are seldom so near to one another.
 _FIGURES_SECONDS = 10.0
 
--- a/src/orchidwind/promoted/views/followed_views.py
+++ b/src/orchidwind/promoted/views/followed_views.py
@@ -32,17 +32,17 @@
 
 PROMOTION_LOCK = "promotion_lock"
 ROSTERS = "rosters"
-# How long a watch of lock and rosters waits, seconds. Chosen: these cost time at most when they are
+# How long a watch of lock and rosters waits, seconds. These cost time at most when they are
 # old: a revocation that goes unnoticed delays a change of primary by a second, and rosters are read
 # anew before one.
 _COORDINATION_WATCH_SECONDS = 8.0
 # How long further changes are waited for after one, seconds: many proxies or instances change at
-# the same time, and one answer then tells of several. Chosen: proxies of a site start within 0.3 s
+# the same time, and one answer then tells of several. Proxies of a site start within 0.3 s
 # of one another, and a new one gets work some seconds later in any case.
 GATHER_MEMBERS_SECONDS = 0.6
-# Chosen: an instance that leaves gets work for so much longer, far below the directory's bound.
+# An instance that leaves gets work for so much longer, far below the directory's bound.
 _GATHER_DIRECTORY_SECONDS = 0.15
-# Chosen: as rosters are read anew before a change of primary, nobody waits for them.
+# As rosters are read anew before a change of primary, nobody waits for them.
 _GATHER_ROSTERS_SECONDS = 0.5
 
 Spawn = Callable[[Callable[[], Awaitable[None]]], None]
--- a/src/orchidwind/promoted/views/peer_views.py
+++ b/src/orchidwind/promoted/views/peer_views.py
@@ -33,10 +33,10 @@
 CONFIGURATION = "configuration"
 DIRECTORY = "directory"
 MEMBERS = "members"
-# An answer is waited for so many seconds. Chosen: between two zones it takes some milliseconds, on
+# An answer is waited for so many seconds. Between two zones it takes some milliseconds, on
 # a machine slowed fivefold some dozens; a silent link is found after 0.4 s (`core.link_silence`).
 _ANSWER_SECONDS = 0.5
-# So many proxies are asked at a time: the reader of the zone, and one more. Chosen: each costs a
+# So many proxies are asked at a time: the reader of the zone, and one more. Each costs a
 # message, and a silent one costs its time.
 _MOST_ASKED = 2
 
--- a/src/orchidwind/promoted/views/view_reporter.py
+++ b/src/orchidwind/promoted/views/view_reporter.py
@@ -28,7 +28,7 @@
 from orchidwind.promoted.views.view_forms import configuration_view
 
 # A view with more items is not sent unasked: the others read it at the store, which has the
-# bandwidth. Chosen: so many items have about 10 KB, which to 30 proxies at once take 0.25 s of a
+# bandwidth. So many items have about 10 KB, which to 30 proxies at once take 0.25 s of a
 # link of 10 Mbit/s; small sites stay below it (docs/DECISIONS.md).
 MOST_REPORTED_ITEMS = 200
 
--- a/src/orchidwind/shared/avro_records.py
+++ b/src/orchidwind/shared/avro_records.py
@@ -15,7 +15,7 @@
 import fastavro
 
 LENGTH = struct.Struct("!I")
-# The longest frame where a codec names no other bound. Chosen: a bound of memory for what another
+# The longest frame where a codec names no other bound. A bound of memory for what another
 # process may send, above the longest answer that a link carries.
 MAXIMUM_FRAME_BYTES = 80 * 1024 * 1024
 # What the Avro library raises for bytes that do not fit the schema.
--- a/src/orchidwind/shared/core/admission.py
+++ b/src/orchidwind/shared/core/admission.py
@@ -23,13 +23,13 @@
 
 from msgspec import Struct, field
 
-# Weight of the newest request in the mean time that requests hold a connection. Chosen: the mean
+# Weight of the newest request in the mean time that requests hold a connection. The mean
 # follows a change of load within some ten requests.
 _SERVICE_SMOOTHING = 0.1
-# That mean before the first request has ended, seconds. Chosen: low, so that none is refused on a
+# That mean before the first request has ended, seconds. Low, so that none is refused on a
 # guess.
 _INITIAL_SERVICE_SECONDS = 0.002
-# Shortest time after which a refused request is asked to come back, seconds. Chosen: it spreads the
+# Shortest time after which a refused request is asked to come back, seconds. It spreads the
 # repeats of callers that were refused together.
 _SHORTEST_RETRY_SECONDS = 0.05
 # Where for so many seconds no slot was left for requests that have missed their target, those that
@@ -48,7 +48,7 @@
 class TrafficClass(Struct, frozen=True):
     """How requests of one class are treated.
 
-    `deadline` is in seconds from arrival, `queue_bound` in waiting requests. The defaults, chosen,
+    `deadline` is in seconds from arrival, `queue_bound` in waiting requests. The defaults
     apply to elected groups without traffic classes of their own.
     """
 
--- a/src/orchidwind/shared/core/concurrency_window.py
+++ b/src/orchidwind/shared/core/concurrency_window.py
@@ -19,7 +19,7 @@
 
 from __future__ import annotations
 
-# Requests at once before anything is learned. Chosen: a little more than the first users' instances
+# Requests at once before anything is learned. A little more than the first users' instances
 # run at once (2 or 3 slots).
 FIRST_WINDOW = 4.0
 # Requests at once at the least, as only an answer can make the window grow again.
@@ -30,14 +30,13 @@
 # A window grows to so many fair shares at most. With two, a third of the proxies can use all slots
 # while the others have nothing to do.
 _MOST_SHARES = 2.0
-# Factor of the window at a rejection. Chosen, milder than the usual half: of a few slots the half
-# stays idle until the window has grown again. Measured for the window as a whole: 2,482 rejections
-# on a calm day of the grown site, 23,057 before (docs/CAPACITY.md).
+# Factor of the window at a rejection. Milder than the usual half: of a few slots the half stays
+# idle until the window has grown again.
 _DECREASE = 0.7
 # The same where answers show that requests wait at the instance: it is no loss yet.
 _DECREASE_QUEUEING = 0.9
 # Seconds for which rejections count as one: a full queue rejects many requests at the same moment.
-# Chosen: below the 0.1 to 0.3 s in which a full queue of the first users' instances runs empty.
+# Below the 0.1 to 0.3 s in which a full queue of the first users' instances runs empty.
 _DECREASE_PAUSE_SECONDS = 0.05
 
 
--- a/src/orchidwind/shared/core/errors.py
+++ b/src/orchidwind/shared/core/errors.py
@@ -59,7 +59,7 @@
     severity: str = "ERROR"
 
 
-# The times to come back, in milliseconds, are chosen: 500 within a change of primary, which takes
+# The times to come back, in milliseconds: 500 within a change of primary, which takes
 # about a second, 200 for a queue to drain, 50 where another attempt may run at once, 1000 where
 # other callers have to end first. How soon refused callers repeat depends on them.
 ANSWERS: dict[ErrorKind, Answer] = {
--- a/src/orchidwind/shared/core/pool.py
+++ b/src/orchidwind/shared/core/pool.py
@@ -21,16 +21,15 @@
 from orchidwind.shared.core.concurrency_window import ConcurrencyWindow
 
 # Seconds until a connection that could not be opened is tried again, doubled up to the longest.
-# Chosen: the first bounds the pause after a lost instance, the second the attempts at a dead one.
+# The first bounds the pause after a lost instance, the second the attempts at a dead one.
 _REOPEN_SECONDS = 0.1
 _LONGEST_REOPEN_SECONDS = 2.0
-# Seconds after which an eager pool tries one connection more than the limit it met. Chosen: each
+# Seconds after which an eager pool tries one connection more than the limit it met. Each
 # attempt costs the database a login.
 _GROW_AGAIN_SECONDS = 2.0
 # The same, in seconds, where connections are opened for requests that wait: after a restart of
 # proxies an instance counts their old connections for up to 3 s, and an attempt that it turns away
-# costs it nothing. Measured: with the longer time a restarted home served on one connection for 6 s
-# (docs/CAPACITY.md).
+# costs it nothing. With the longer time a restarted home would serve on one connection for seconds.
 _TRY_LIMIT_SECONDS = 0.25
 # Connections opened at once for requests that wait. Each new one holds a slot of the instance for
 # longer than a request does (12 to 32 ms, docs/DECISIONS.md, "Homes for promoted groups"): opened
--- a/src/orchidwind/shared/logs.py
+++ b/src/orchidwind/shared/logs.py
@@ -16,7 +16,7 @@
 from pythonjsonlogger.core import BaseJsonFormatter
 
 _QUOTED_SIGNS = set(' "=\n\r\t')
-# Lines that wait for their reader at most. Chosen: some seconds of a busy proxy, below 1 MB.
+# Lines that wait for their reader at most. Some seconds of a busy proxy, below 1 MB.
 _MOST_WAITING_LINES = 2000
 
 
--- a/src/orchidwind/shared/sockets.py
+++ b/src/orchidwind/shared/sockets.py
@@ -9,12 +9,12 @@
 
 import socket
 
-# At rest: probes after 1 s, each second, two of them unanswered. Chosen: 3 s, the shortest rest
+# At rest: probes after 1 s, each second, two of them unanswered. 3 s, the shortest rest
 # that a caller is allowed, and two probes so that one lost packet ends nothing.
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
-# Sent bytes that stay unacknowledged for so long end the connection. Chosen: as at rest.
+# Sent bytes that stay unacknowledged for so long end the connection. As at rest.
 USER_TIMEOUT_MILLISECONDS = 3000
 
 
