--- a/src/orchidwind_bench/main.py
+++ b/src/orchidwind_bench/main.py
@@ -1,4 +1,4 @@
-"""`orchidwind-bench`: demonstration, experiments, soak and exploration on this machine.
+"""`orchidwind-bench`: demonstration, experiments, soak, exploration and load on this machine.
 
 Owns the commands and their exit codes; `printing` has what they print.
 """
@@ -28,6 +28,7 @@
     print_day,
     print_experiment,
     print_exploration,
+    print_laboratory,
     print_progress,
     print_soak,
 )
@@ -35,6 +36,8 @@
 from orchidwind_bench.promoted.exploration.explorer import Explorer
 from orchidwind_bench.promoted.exploration.surroundings import ProductLogic
 from orchidwind_bench.promoted.exploration.world import SCENARIOS
+from orchidwind_bench.promoted.laboratory.scenarios import SCENARIOS as LABORATORY_SCENARIOS
+from orchidwind_bench.promoted.laboratory.scenarios import figures_of
 from orchidwind_standins.platform.replicated_instance import PositionTerm
 
 Experiment = Literal[
@@ -169,6 +172,18 @@
     return 1 if report.broken else 0
 
 
+def laboratory(*scenarios: str, seeds: int = 3) -> int:
+    """Play load and faults on the decisions of six proxies, on virtual time; a line each.
+
+    :param scenarios: names of `laboratory/scenarios.py`; all without
+    :param seeds: how many seeds, from 1 on
+    """
+    logging.getLogger("orchidwind").setLevel(logging.CRITICAL)
+    for scenario in scenarios or tuple(LABORATORY_SCENARIOS):
+        print_laboratory(scenario, [figures_of(scenario, seed) for seed in range(1, seeds + 1)])
+    return 0
+
+
 def main() -> None:
     """Entry point of `orchidwind-bench`."""
-    sys.exit(defopt.run([demo, run, soak, explore]))
+    sys.exit(defopt.run([demo, run, soak, explore, laboratory]))
--- a/src/orchidwind_bench/printing.py
+++ b/src/orchidwind_bench/printing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from statistics import median
 
 from orchidwind_bench.elected.day import DayReport
 from orchidwind_bench.elected.loaded_run import ExperimentReport
@@ -10,6 +11,7 @@
 from orchidwind_bench.promoted.exploration.explorer import ExplorationReport
 from orchidwind_bench.promoted.exploration.surroundings import ProductLogic
 from orchidwind_bench.promoted.exploration.world import play
+from orchidwind_bench.promoted.laboratory.play import Figures
 
 # Of what broke, so many are printed; reports have all.
 _PRINTED_VIOLATIONS = 10
@@ -81,3 +83,18 @@
         print("\n".join(f"  {line}" for line in trace))
     searched = "all" if report.complete else "cut short"
     print(f"{report.speed()}; {searched}; broken schedules {report.broken}")
+
+
+def print_laboratory(scenario: str, plays: list[tuple[Figures, list[Figures]]]) -> None:
+    """The medians over the plays of one scenario; shares of operations, times in milliseconds."""
+
+    def middle(name: str) -> float:
+        return median(getattr(whole, name) for whole, _ in plays)
+
+    kinds = zip(*(by_kind for _, by_kind in plays), strict=True)
+    credits = " ".join(f"{median(item.credit for item in kind):.3f}" for kind in kinds)
+    print_progress(
+        f"{scenario:9} credit {middle('credit'):.3f} ({credits}) in time {middle('in_time'):.3f}"
+        f" late {middle('late'):.3f} refused {middle('refused'):.3f} failed {middle('failed'):.3f}"
+        f" p50 {middle('median') * 1000:.0f} p99 {middle('slowest') * 1000:.0f}"
+    )
--- /dev/null
+++ b/src/orchidwind_bench/promoted/laboratory/scenarios.py
@@ -0,0 +1,96 @@
+"""Named loads and faults of the laboratory, and what callers get in each.
+
+For: `orchidwind-bench laboratory` and the tests of load. Owns the scenarios. The faults last from
+`FAULT_FROM` to `FAULT_UNTIL`, in seconds from the first arrival on; the figures are of that time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from orchidwind_bench.promoted.laboratory.load import KINDS
+from orchidwind_bench.promoted.laboratory.play import (
+    INSTANCES,
+    Fault,
+    Figures,
+    LoadPlan,
+    play_load,
+    slots,
+)
+from orchidwind_bench.promoted.simulation.fleet import FleetSystem
+
+FAULT_FROM = 1.0
+FAULT_UNTIL = 6.0
+PRIMARY, REPLICA = INSTANCES[0], INSTANCES[1]
+
+
+def hang(hung: bool) -> Fault:
+    """A replica takes connections and status queries, and ends no statement."""
+
+    def fault(system: FleetSystem) -> None:
+        slots(system, REPLICA).hung = hung
+
+    return fault
+
+
+def slow(factor: float) -> Fault:
+    """A replica's work takes so many times as long."""
+
+    def fault(system: FleetSystem) -> None:
+        slots(system, REPLICA).slowness = factor
+
+    return fault
+
+
+def lose_answers(share: float) -> Fault:
+    """A share of the primary's answers is lost."""
+
+    def fault(system: FleetSystem) -> None:
+        system.sides["group"].group.instances[PRIMARY].lose_answers = share
+
+    return fault
+
+
+def lag(seconds: float) -> Fault:
+    """Reads at both replicas see what was received so long ago."""
+
+    def fault(system: FleetSystem) -> None:
+        for name in INSTANCES[1:]:
+            system.sides["group"].group.instances[name].apply_seconds = seconds
+
+    return fault
+
+
+def between(begin: Fault, end: Fault) -> tuple[tuple[float, Fault], ...]:
+    """A fault that begins and ends at the times above."""
+    return ((FAULT_FROM, begin), (FAULT_UNTIL, end))
+
+
+def _faulty(load: float, begin: Fault, end: Fault) -> Callable[[int], LoadPlan]:
+    return lambda seed: LoadPlan(load, faults=between(begin, end), seed=seed)
+
+
+def _loaded(load: float) -> Callable[[int], LoadPlan]:
+    return lambda seed: LoadPlan(load, seed=seed)
+
+
+SCENARIOS: dict[str, Callable[[int], LoadPlan]] = {
+    "calm": _loaded(0.5),
+    "near": _loaded(0.8),
+    "full": _loaded(1.1),
+    "over": _loaded(1.5),
+    "double": _loaded(2.0),
+    "fourfold": _loaded(4.0),
+    "hang": _faulty(0.5, hang(True), hang(False)),
+    "slow": _faulty(0.5, slow(5.0), slow(1.0)),
+    "lost": _faulty(0.5, lose_answers(0.2), lose_answers(0.0)),
+    "lag": _faulty(0.55, lag(4.0), lag(0.0)),
+}
+
+
+def figures_of(scenario: str, seed: int) -> tuple[Figures, list[Figures]]:
+    """Play one scenario; the figures of all callers, and those of each kind of request."""
+    played = play_load(SCENARIOS[scenario](seed))
+    assert not played.broken, played.broken
+    by_kind = [played.figures(FAULT_FROM, FAULT_UNTIL, kind) for kind in KINDS]
+    return played.figures(FAULT_FROM, FAULT_UNTIL), by_kind
