--- a/src/orchidwind/promoted/core/read_planning.py
+++ b/src/orchidwind/promoted/core/read_planning.py
@@ -35,6 +35,8 @@
 # The primary takes a read that a replica could serve where it is expected to answer so many times
 # as soon: a read there delays writes, which no other instance takes.
 _PRIMARY_SOONER = 3.0
+# And where it gains at least so many seconds: less may be the noise of a few answers.
+_PRIMARY_SAVES_SECONDS = 0.05
 
 # In how many seconds an instance is expected to answer.
 ExpectedAnswer = Callable[[str], float]
@@ -103,7 +105,9 @@
     view = topology.instances[primary.instance]
     if primary.instance in request.excluded or not view.reachable or view.busy_recently(now):
         return False
-    return expected_answer(primary.instance) * _PRIMARY_SOONER < expected_answer(replica)
+    at_primary, at_replica = expected_answer(primary.instance), expected_answer(replica)
+    saves = at_replica - at_primary >= _PRIMARY_SAVES_SECONDS
+    return saves and at_primary * _PRIMARY_SOONER < at_replica
 
 
 def _floor(topology: GroupTopology, request: ReadRequest) -> Position | None:
--- a/tests/promoted/test_promoted_core.py
+++ b/tests/promoted/test_promoted_core.py
@@ -251,6 +251,7 @@
     view = topology()
     view.floors.prove(9.0, Position(1, 4))
     assert planned(view, {"p": 0.02, "a": 0.05, "b": 0.05}).instance == "a"
+    assert planned(view, {"p": 0.001, "a": 0.04, "b": 0.03}).instance == "b", "it gains little"
     chosen = planned(view, {"p": 0.02, "a": 0.2, "b": 0.1})
     assert (chosen.instance, chosen.floor, chosen.proof_of_term) == ("p", Position(1, 4), 0)
     view.busy("p", 10.0)
