--- a/src/orchidwind/shared/core/answer_times.py
+++ b/src/orchidwind/shared/core/answer_times.py
@@ -6,8 +6,8 @@
 
 The estimate is the mean time of the last answers, the age of the oldest request that is still
 without one, or that of one that was given up lately, whichever is longest, for each request that
-would be ahead and for the new one. Without news it goes back to the usual time, so that an instance
-that was slow is tried again.
+would be ahead and for the new one. Without news it goes back to that of an instance of which nothing
+is known, so that one that was slow is tried again.
 
 Owns: the two means of one instance, and which exchanges are under way. Times are in seconds of one
 steady clock.
@@ -33,7 +33,7 @@
 # lost.
 _OVERDUE_FACTOR = 4.0
 _SHORTEST_OVERDUE_SECONDS = 0.1
-# Without an answer the mean goes back to the usual time by two thirds in so many seconds.
+# Without an answer the mean goes back to the first one by two thirds in so many seconds.
 _FORGET_SECONDS = 1.0
 
 
@@ -93,7 +93,8 @@
         # A request sent after the last answer would be answered by now.
         without_news = max(now - self._noted_at - self._recent, 0.0)
         kept = exp(-without_news / _FORGET_SECONDS)
-        return self._usual + (self._recent - self._usual) * kept
+        forgotten = min(self._recent, _FIRST_ANSWER_SECONDS)
+        return forgotten + (self._recent - forgotten) * kept
 
     def _given_up_lately(self, now: float) -> float:
         """How long a request waited in vain, less the longer ago that is."""
