--- a/src/orchidwind/shared/core/answer_times.py
+++ b/src/orchidwind/shared/core/answer_times.py
@@ -6,8 +6,8 @@
 
 The estimate is the mean time of the last answers, the age of the oldest request that is still
 without one, or that of one that was given up lately, whichever is longest, for each request that
-would be ahead and for the new one. Without news it goes back to that of an instance of which nothing
-is known, so that one that was slow is tried again.
+would be ahead and for the new one. Without news it goes back to that of an instance of which
+nothing is known, so that one that was slow is tried again.
 
 Owns: the two means of one instance, and which exchanges are under way. Times are in seconds of one
 steady clock.
