--- a/src/orchidwind/shared/core/admission.py
+++ b/src/orchidwind/shared/core/admission.py
@@ -41,6 +41,8 @@
 # Such a request that is refused is asked to come back after this share of the time to its target at
 # most, as another proxy may have room: later than that, it could hardly be served in time.
 _RETRY_SHARE = 0.1
+# And after so many seconds at least: there is room no sooner than one request has ended.
+_SOONEST_RETRY_SECONDS = 0.01
 # The target of a request that has none.
 NO_TARGET = float("inf")
 
@@ -149,7 +151,7 @@
             return Refusal(ticket, max(wait, _SHORTEST_RETRY_SECONDS), expired=False)
         excess = self._excess(wait, target_at - now)
         if excess > 0 and now - self._slot_left_at > _NO_SLOT_LEFT_SECONDS:
-            return Refusal(ticket, min(excess, (target_at - now) * _RETRY_SHARE), expired=False)
+            return Refusal(ticket, _soon(excess, target_at - now), expired=False)
         if not queue.waiting:
             self._schedule(queue)
         queue.waiting[ticket] = _Waiting(ticket, expires_at, target_at)
@@ -240,3 +242,8 @@
             for waiting in queue.waiting.values()
         ]
         return min(times, default=None)
+
+
+def _soon(excess: float, time_left: float) -> float:
+    """When to come back: once the queue has drained, and with time left to the target."""
+    return max(min(excess, time_left * _RETRY_SHARE), _SOONEST_RETRY_SECONDS)
--- a/tests/shared/test_admission.py
+++ b/tests/shared/test_admission.py
@@ -72,6 +72,15 @@
     assert refusal.retry_after == pytest.approx(0.02), "soon enough to be served in time elsewhere"
 
 
+def test_a_request_that_comes_after_its_target_is_not_asked_back_before_now():
+    """One that another instance refused first may come late: the time told was negative."""
+    queue = queue_at()
+    full_for_long(queue, 0.0)
+    refusal = enter(queue, 1, target_at=0.1, now=0.15)
+    assert isinstance(refusal, Refusal)
+    assert refusal.retry_after >= 0.01
+
+
 def test_one_whose_target_comes_first_does_not_count_those_that_come_later():
     queue = queue_at()
     for ticket in range(100, 120):
