--- /dev/null
+++ b/src/orchidwind_bench/account/failed_commands.py
@@ -0,0 +1,91 @@
+"""Counts the failed commands of a log by second, group and cause.
+
+What for: it says where callers were not served, and why, before a rule is changed. Owns the closed
+list of causes. Relies on the lines `request_failed` (docs/OPERATIONS.md); every one of them is
+counted, and what fits no cause stands in a row of its own. Commands that succeed are only sampled
+in the logs, so late answers are not in it.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from enum import Enum, unique
+
+from msgspec import Struct
+
+from orchidwind.commands.explain import LogLine
+from orchidwind.shared.core.errors import ErrorKind
+
+_FAILED = "request_failed"
+# Milliseconds within which a refusal counts as one on arrival.
+_AT_ONCE_MILLISECONDS = 20
+
+
+@unique
+class Cause(Enum):
+    """Why a command failed."""
+
+    CALLER_LEFT = "the caller left"
+    NO_PRIMARY = "waited for a primary"
+    NO_REPLICA = "no instance had what the read must see"
+    REFUSED_AT_ONCE = "refused on arrival"
+    QUEUED_IN_VAIN = "refused after waiting for an instance"
+    INSTANCE_LOST = "the instance's connection was lost"
+    HOME_LOST = "the home was lost"
+    NOT_ANSWERED = "the instance did not answer in time"
+    TRANSACTION_LOST = "its transaction was rolled back"
+    REJECTED = "rejected by the proxy or the instance for what it asks"
+    UNEXPLAINED = "unexplained"
+
+
+_BY_KIND: dict[ErrorKind, Cause] = {
+    ErrorKind.CANCELLED: Cause.CALLER_LEFT,
+    ErrorKind.NO_PRIMARY: Cause.NO_PRIMARY,
+    ErrorKind.NO_REPLICA: Cause.NO_REPLICA,
+    ErrorKind.NO_HOME: Cause.HOME_LOST,
+    ErrorKind.DEADLINE_PASSED: Cause.QUEUED_IN_VAIN,
+    ErrorKind.STATEMENT_TIMEOUT: Cause.NOT_ANSWERED,
+    ErrorKind.OUTCOME_UNKNOWN: Cause.NOT_ANSWERED,
+    ErrorKind.READ_INTERRUPTED: Cause.NOT_ANSWERED,
+    ErrorKind.TRANSACTION_LOST: Cause.TRANSACTION_LOST,
+    ErrorKind.STATEMENT_FAILED: Cause.REJECTED,
+    ErrorKind.UNKNOWN_STATEMENT: Cause.REJECTED,
+    ErrorKind.UNKNOWN_DATABASE: Cause.REJECTED,
+    ErrorKind.PROTOCOL_VIOLATION: Cause.REJECTED,
+}
+
+
+class LostCommands(Struct, frozen=True, order=True):
+    """So many commands of one group that failed in one second, counted from the first line."""
+
+    second: int
+    group: str
+    cause: str
+    count: int
+
+
+def cause_of(line: LogLine) -> Cause:
+    """Why the command of a `request_failed` line failed."""
+    attempts = line.fields.get("attempts", "")
+    if "home_lost" in attempts:
+        return Cause.HOME_LOST
+    if "connection_lost" in attempts:
+        return Cause.INSTANCE_LOST
+    reason = line.fields.get("reason", "")
+    if reason == ErrorKind.OVERLOADED.value:
+        at_once = float(line.fields.get("milliseconds", "inf")) < _AT_ONCE_MILLISECONDS
+        return Cause.REFUSED_AT_ONCE if at_once else Cause.QUEUED_IN_VAIN
+    known = {kind.value: cause for kind, cause in _BY_KIND.items()}
+    return known.get(reason, Cause.UNEXPLAINED)
+
+
+def failed_commands(lines: Iterable[LogLine]) -> list[LostCommands]:
+    """The rows of an account, in the order of time."""
+    counted: Counter[tuple[int, str, str]] = Counter()
+    ordered = sorted(lines, key=lambda line: line.at)
+    for line in ordered:
+        if line.event == _FAILED:
+            second = int((line.at - ordered[0].at).total_seconds())
+            counted[second, line.fields.get("group", ""), cause_of(line).value] += 1
+    return sorted(LostCommands(*key, count) for key, count in counted.items())
--- a/src/orchidwind_bench/main.py
+++ b/src/orchidwind_bench/main.py
@@ -15,7 +15,9 @@
 import defopt
 import msgspec
 
+from orchidwind.commands.explain import read_logs
 from orchidwind.elected.core.commit_barrier import Acknowledge
+from orchidwind_bench.account.failed_commands import failed_commands
 from orchidwind_bench.elected import demo as demo_module
 from orchidwind_bench.elected.day import run_day
 from orchidwind_bench.elected.experiments import run_experiment
@@ -184,6 +186,16 @@
     return 0
 
 
+def account(*logs: Path) -> int:
+    """Count the failed commands of proxies' logs by second, group and cause.
+
+    :param logs: the files
+    """
+    for row in failed_commands(read_logs(logs)):
+        print(f"{row.second:5} s {row.group:12} {row.count:6} {row.cause}")
+    return 0
+
+
 def main() -> None:
     """Entry point of `orchidwind-bench`."""
-    sys.exit(defopt.run([demo, run, soak, explore, laboratory]))
+    sys.exit(defopt.run([demo, run, soak, explore, laboratory, account]))
