--- a/src/orchidwind/shared/core/pool.py
+++ b/src/orchidwind/shared/core/pool.py
@@ -218,7 +218,7 @@
         return expired + self._settle(now)
 
     def deadline(self, now: float = float("-inf")) -> float | None:
-        """When `tick` has something to do."""
+        """When `tick` has something to do; with a window, `now` tells what is overdue already."""
         times = [self.queue.deadline()]
         if self._wants_another(now):
             times.append(self._reopen_at)
