--- a/src/orchidwind/shared/core/admission.py
+++ b/src/orchidwind/shared/core/admission.py
@@ -205,7 +205,8 @@
         start = queue.finish - 1 / queue.traffic_class.weight
         self._virtual_time = max(self._virtual_time, start)
         self.leave(ticket)
-        self._schedule(queue)
+        if queue.waiting:
+            self._schedule(queue)
         return ticket
 
     def leave(self, ticket: int) -> None:
--- a/tests/shared/test_admission.py
+++ b/tests/shared/test_admission.py
@@ -109,3 +109,19 @@
     assert queue.next(0.15) == 1
     assert queue.expire(0.2) == []
     assert queue.next(0.24) == 2
+
+
+def test_a_class_with_one_request_at_a_time_gets_its_share_of_a_backlog():
+    """Each time its queue ran empty it was charged twice, and had a third instead of the half."""
+    queue = queue_at(service=0.0001)
+    other = TrafficClass("other", queue_bound=1000)
+    for ticket in range(1000, 1300):
+        queue.enter(ticket, other, 0.0, LATEST, 1)
+    taken_of_class = 0
+    queue.enter(0, CLASS, 0.0, LATEST, 1)
+    for _ in range(200):
+        ticket = queue.next()
+        if ticket < 1000:
+            taken_of_class += 1
+            queue.enter(ticket + 1, CLASS, 0.0, LATEST, 1)
+    assert 95 <= taken_of_class <= 105
