--- a/src/orchidwind/shared/core/admission.py
+++ b/src/orchidwind/shared/core/admission.py
@@ -180,7 +180,6 @@
             self._note_overdue(queue, now)
         timely = self._first_class(lambda queue: queue.timely > 0)
         if timely is not None:
-            timely.drop_gone()
             return self._take(timely, timely.by_target[0][2])
         self._slot_left_at = now
         late = self._first_class(lambda queue: bool(queue.waiting))
--- a/src/orchidwind/shared/core/answer_times.py
+++ b/src/orchidwind/shared/core/answer_times.py
@@ -49,11 +49,6 @@
         self._given_up_at = float("-inf")
         self._began_at: dict[int, float] = {}
 
-    @property
-    def usual(self) -> float:
-        """The mean time of an answer while little work waits at the instance."""
-        return self._usual
-
     def began(self, connection: int, now: float) -> None:
         """A request was sent on a connection."""
         self._began_at[connection] = now
--- a/src/orchidwind_bench/promoted/simulation/groups.py
+++ b/src/orchidwind_bench/promoted/simulation/groups.py
@@ -28,7 +28,7 @@
 SHIP_AGAIN_SECONDS = 0.05
 _PART_ENTRIES = 20
 _STEP_DOWN_SECONDS = 1.0
-# A started instance writes its entry after so long: the most that was measured (docs/incidents, the
+# A started instance writes its entry after so long at most (docs/incidents, the
 # one at Dakar on LOST).
 _LISTED_SECONDS = 0.014
 
