--- a/src/orchidwind/platform/caller_lines.py
+++ b/src/orchidwind/platform/caller_lines.py
@@ -17,12 +17,14 @@
     TransactionState,
 )
 from orchidwind.shared.core.errors import ErrorKind, RequestError
+from orchidwind.shared.core.tenants import key_digest
 
 
 class Startup(Struct, frozen=True):
-    """A caller names its database."""
+    """A caller names its database, and itself: by the digest of its API key where it has one."""
 
     database: str
+    key_digest: bytes
 
 
 class Terminate(Struct, frozen=True):
@@ -55,7 +57,7 @@
     database, separator, user = rest.partition(" ")
     if not database or not separator or not user:
         raise WireError("a start without database and user")
-    return Startup(database)
+    return Startup(database, key_digest(user))
 
 
 _BARE_TEXTS = {
@@ -103,6 +105,8 @@
     ErrorKind.OUTCOME_UNKNOWN: "INDOUBT",
     ErrorKind.CANCELLED: "BUSY",
     ErrorKind.AUTHENTICATION_FAILED: "AUTHFAIL",
+    ErrorKind.CONFIGURATION_TOO_OLD: "BUSY",
+    ErrorKind.QUOTA_EXCEEDED: "BUSY",
     ErrorKind.UNKNOWN_DATABASE: "NODB",
     ErrorKind.NOT_SUPPORTED: "MALFORMED",
     ErrorKind.PROTOCOL_VIOLATION: "MALFORMED",
--- a/src/orchidwind/platform/callers.py
+++ b/src/orchidwind/platform/callers.py
@@ -110,7 +110,7 @@
         message = await self._next_message()
         if not isinstance(message, caller_lines.Startup):
             raise line_format.WireError("a session begins with its database")
-        error = await self._refusal(message.database)
+        error = await self._refusal(message)
         if error is not None:
             configuration = self._proxy.configuration
             log_event(
@@ -122,15 +122,19 @@
             )
             await self._stream.write(caller_lines.error_line(error))
             return False
-        self._executor = SessionExecutor(self._proxy, message.database)
+        self._executor = SessionExecutor(self._proxy, message.database, message.key_digest)
         await self._stream.write(caller_lines.ready_line(TransactionState.IDLE))
         return True
 
-    async def _refusal(self, database: str) -> RequestError | None:
+    async def _refusal(self, message: caller_lines.Startup) -> RequestError | None:
         if not await self._proxy.wait_prepared(FIRST_CONFIGURATION_SECONDS):
             return RequestError(ErrorKind.NO_HOME, "no configuration is known yet")
-        if self._proxy.database(database) is None:
-            return RequestError(ErrorKind.UNKNOWN_DATABASE, database)
+        if self._proxy.database(message.database) is None:
+            return RequestError(ErrorKind.UNKNOWN_DATABASE, message.database)
+        try:
+            self._proxy.tenant_of(message.database, message.key_digest)
+        except RequestError as error:
+            return error
         return None
 
     async def _answer_next(self) -> bool:
--- a/src/orchidwind/platform/instance_lines.py
+++ b/src/orchidwind/platform/instance_lines.py
@@ -27,10 +27,13 @@
 )
 from orchidwind.shared.core.positions import Position
 
+# Who a connection belongs to that serves no tenant.
+_PROXY_ITSELF = "orchidwind"
 
-def startup_line(group: str, instance: str) -> bytes:
-    """Open a connection to one named instance of a group."""
-    return f"STARTUP {group} orchidwind {instance}\r\n".encode(ENCODING)
+
+def startup_line(group: str, tenant: str, instance: str) -> bytes:
+    """Open a connection of a tenant, or of the proxy itself, to one named instance of a group."""
+    return f"STARTUP {group} {tenant or _PROXY_ITSELF} {instance}\r\n".encode(ENCODING)
 
 
 def message_line(message: InstanceMessage) -> bytes:
--- a/src/orchidwind/platform/instances.py
+++ b/src/orchidwind/platform/instances.py
@@ -42,10 +42,11 @@
         self._lost = False
         self._started = False
 
-    async def start(self, group: str) -> None:
-        """Name the expected instance; raises BackendRefused, BackendConnectionLost."""
+    async def start(self, group: str, tenant: str) -> None:
+        """Name instance and tenant; raises BackendRefused, BackendConnectionLost."""
         self._reader = asyncio.get_running_loop().create_task(self._read())
-        waiting = self._send(instance_lines.startup_line(group, identity_of(self._instance)), 1)
+        line = instance_lines.startup_line(group, tenant, identity_of(self._instance))
+        waiting = self._send(line, 1)
         reply = await waiting[0]
         self._started = True
         if reply.code is not ReplyCode.DONE:
@@ -150,13 +151,15 @@
 class LineConnector:
     """Opens connections to instances."""
 
-    async def connect(self, entry: DirectoryEntry, on_lost: Callable[[], None]) -> LineLink:
-        """Open a connection; raises BackendRefused or BackendConnectionLost."""
+    async def connect(
+        self, entry: DirectoryEntry, on_lost: Callable[[], None], tenant: str
+    ) -> LineLink:
+        """Open a connection for a tenant; raises BackendRefused or BackendConnectionLost."""
         stream = IOStream(client_socket())
         try:
             await stream.connect((entry.host, entry.port))
             link = LineLink(stream, entry.instance, on_lost)
-            await link.start(entry.group)
+            await link.start(entry.group, tenant)
         except (StreamClosedError, OSError) as error:
             stream.close()
             raise BackendConnectionLost(str(error), sent=False) from error
--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -51,6 +51,9 @@
 # Renewals of a directory entry that may be missing before it goes; the users' page PROTOCOL.md
 # sets it.
 _MISSED_HEARTBEATS = 3
+# The share of the time in which an API key may still be used that a proxy without a way to the
+# store is expected to serve for; the users' page LATER.md of the shifted deployment sets it.
+_OWED_WITHOUT_NEWS_SHARE = 0.6
 # The collector of cycles would stop requests for milliseconds. What lives as long as the
 # process is left out, and young objects are collected after so many allocations, not after 700.
 _GC_THRESHOLDS = (20_000, 20, 50)
@@ -143,10 +146,16 @@
     # A path that has come back is held to its own bound, which may be the shorter one.
     configuration_ms = min(bounds.configuration_ms, bounds.store_contact_ms)
     directory_ms = min(bounds.leaving_instance_ms, bounds.store_contact_ms)
+    revocation = None
+    if bounds.revocation_binds:
+        # Callers are served on without news of the store for the rest of that time.
+        configuration_ms = min(configuration_ms, bounds.revocation_ms * _OWED_WITHOUT_NEWS_SHARE)
+        revocation = bounds.revocation_ms / MILLISECONDS
     return ProxyBounds(
         entry_outlives=entry_outlives_ms / MILLISECONDS,
         configuration=configuration_ms / MILLISECONDS,
         directory=directory_ms / MILLISECONDS,
+        revocation=revocation,
     )
 
 
--- a/src/orchidwind/platform/published.py
+++ b/src/orchidwind/platform/published.py
@@ -21,6 +21,7 @@
     ReadConsistency,
 )
 from orchidwind.promoted.core.instance_lives import NO_START, life_name
+from orchidwind.shared.core.tenants import Tenant, key_digest, tenant_faults
 from orchidwind.shared.settings import parse_address
 
 _INSTANCES = "servers"
@@ -67,6 +68,8 @@
     staleness_ms: float | None = msgspec.field(default=None, name="max_staleness_ms")
     # 0 is the most important.
     priority: int = 0
+    # Callers need no API key, and belong to no tenant.
+    public: bool = False
 
 
 class _GroupSpec(msgspec.Struct):
@@ -77,6 +80,14 @@
     synchronous_replicas: int = msgspec.field(default=1, name="sync_replicas")
 
 
+class _TenantSpec(msgspec.Struct):
+    name: str
+    api_keys: list[str] = msgspec.field(default_factory=list)
+    # Operations a second over all proxies, and so many at once.
+    rate_per_s: float = float("inf")
+    burst: float = float("inf")
+
+
 class _LimitsSpec(msgspec.Struct):
     transaction_idle_ms: float | None = msgspec.field(default=None, name="tx_idle_ms")
 
@@ -86,6 +97,8 @@
     databases: list[_RouteSpec] = msgspec.field(default_factory=list, name="routes")
     groups: list[_GroupSpec] = msgspec.field(default_factory=list, name="services")
     limits: _LimitsSpec = msgspec.field(default_factory=_LimitsSpec)
+    # Not every deployment has tenants.
+    tenants: list[_TenantSpec] | None = None
 
 
 class InstanceTranslation:
@@ -140,7 +153,31 @@
             for group in spec.groups
         }
         idle = _given(spec.limits.transaction_idle_ms, _DEFAULT_TRANSACTION_IDLE_MS) / MILLISECONDS
-        return PromotedConfiguration(spec.version, databases, groups, idle)
+        return PromotedConfiguration(
+            spec.version,
+            databases,
+            groups,
+            idle,
+            tenants=_tenants(spec.tenants),
+            public=frozenset(route.database for route in spec.databases if route.public),
+        )
+
+
+def _tenants(specs: list[_TenantSpec] | None) -> tuple[Tenant, ...] | None:
+    """The tenants; raises ValueError where they contradict one another."""
+    if specs is None:
+        return None
+    tenants = tuple(_tenant(spec) for spec in specs)
+    faults = list(tenant_faults(tenants))
+    if faults:
+        raise ValueError("; ".join(faults))
+    return tenants
+
+
+def _tenant(spec: _TenantSpec) -> Tenant:
+    """A tenant; of its keys only the digests are kept."""
+    digests = tuple(key_digest(api_key) for api_key in spec.api_keys)
+    return Tenant(spec.name, digests, spec.rate_per_s, spec.burst)
 
 
 def _given(value: float | None, default: float) -> float:
--- a/src/orchidwind/platform/settings.py
+++ b/src/orchidwind/platform/settings.py
@@ -49,6 +49,10 @@
     leaving_instance_ms: float = msgspec.field(default=7000.0, name="drain_ms")
     # From the return of this machine's path to the store until both of the above hold again.
     store_contact_ms: float = msgspec.field(default=4000.0, name="contact_ms")
+    # Whether a key that was taken away is of no use after `revocation_ms`, whatever happens.
+    revocation_binds: bool = msgspec.field(default=False, name="strict_revocation")
+    # From the acknowledgement of a configuration that takes an API key away.
+    revocation_ms: float = msgspec.field(default=5000.0, name="revoke_ms")
 
 
 class ServiceAddress(msgspec.Struct, frozen=True):
--- a/src/orchidwind/promoted/callers/session_executor.py
+++ b/src/orchidwind/promoted/callers/session_executor.py
@@ -43,6 +43,12 @@
     def database(self, name: str) -> DatabaseRoute | None:
         """A database as callers name it."""
 
+    def tenant_of(self, database: str, key_digest: bytes) -> str:
+        """The tenant that a request belongs to, empty where no key is needed.
+
+        Raises RequestError where the key is held by nobody, or cannot be judged.
+        """
+
     def group(self, name: str) -> GroupService | None:
         """The group of a database."""
 
@@ -61,8 +67,9 @@
 class SessionExecutor:
     """One session. `execute` is called for one command at a time."""
 
-    def __init__(self, databases: Databases, name: str) -> None:
+    def __init__(self, databases: Databases, name: str, key_digest: bytes = b"") -> None:
         self.name = name
+        self._key_digest = key_digest
         self.session = Session()
         self._databases = databases
         self._loop = asyncio.get_running_loop()
@@ -201,21 +208,43 @@
             return self._after_failure(command)
         if database is None:
             raise RequestError(ErrorKind.UNKNOWN_DATABASE, self.name)
+        tenant = self._tenant(command, database)
         if command.kind in (CommandKind.BEGIN, CommandKind.BEGIN_READ_ONLY):
-            return self._begin(command, database, arrived_at)
+            return self._begin(command, database, arrived_at, tenant)
         if session.answer_locally(command):
             return CommandResult()
         ends = command.kind in (CommandKind.COMMIT, CommandKind.ROLLBACK)
         if ends and session.transaction is None:
             raise RequestError(ErrorKind.PROTOCOL_VIOLATION, "no transaction is open")
-        return await self._run(command, database, arrived_at)
+        return await self._run(command, database, arrived_at, tenant)
+
+    def _tenant(self, command: Command, database: DatabaseRoute) -> str:
+        """The tenant that a command belongs to; raises RequestError.
+
+        A COMMIT without a valid key is not sent: the transaction is rolled back.
+        """
+        transaction = self.session.transaction
+        if command.kind is CommandKind.ROLLBACK:
+            return "" if transaction is None else transaction.tenant
+        try:
+            tenant = self._databases.tenant_of(database.name, self._key_digest)
+            if transaction is not None and transaction.tenant != tenant:
+                raise transaction_lost()
+        except RequestError:
+            if command.kind is CommandKind.COMMIT:
+                self._fail_transaction()
+                self.session.end_transaction()
+            raise
+        return tenant
 
     async def _run(
-        self, command: Command, database: DatabaseRoute, arrived_at: float
+        self, command: Command, database: DatabaseRoute, arrived_at: float, tenant: str
     ) -> CommandResult:
         """Carry out a command that needs an instance, here or at the group's home."""
         group = self._group_of(database)
-        context = CommandContext(self.session, group.state, database, command, arrived_at)
+        context = CommandContext(
+            self.session, group.state, database, command, arrived_at, tenant=tenant
+        )
         self._context = context
         limits = TimeLimits.of_new(database, arrived_at)
         if not self._opened_here and self._forwarder.serves(database.group):
@@ -264,12 +293,16 @@
             raise transaction_lost()
         raise RequestError(ErrorKind.PROTOCOL_VIOLATION, "the transaction has failed")
 
-    def _begin(self, command: Command, database: DatabaseRoute, arrived_at: float) -> CommandResult:
+    def _begin(
+        self, command: Command, database: DatabaseRoute, arrived_at: float, tenant: str
+    ) -> CommandResult:
         """The transaction is opened on an instance with its first statement."""
         if self.session.transaction is not None:
             raise RequestError(ErrorKind.PROTOCOL_VIOLATION, "a transaction is open already")
         read_only = command.kind is CommandKind.BEGIN_READ_ONLY
-        self.session.transaction = OpenTransaction(database, read_only, last_used=arrived_at)
+        self.session.transaction = OpenTransaction(
+            database, read_only, last_used=arrived_at, tenant=tenant
+        )
         return CommandResult()
 
     def close(self) -> None:
--- a/src/orchidwind/promoted/core/configuration.py
+++ b/src/orchidwind/promoted/core/configuration.py
@@ -1,7 +1,7 @@
 """The configuration of promoted groups: databases as callers name them, and their groups. No I/O.
 
 What for: the types of one version of the configuration, and of a directory entry, as the adapter
-decodes them. Owns: nothing. Relies on: nothing.
+decodes them. Owns: nothing. Relies on: `shared/core/tenants`.
 """
 
 from __future__ import annotations
@@ -11,6 +11,8 @@
 
 from msgspec import Struct, field
 
+from orchidwind.shared.core.tenants import Tenant
+
 # Seconds for which an open transaction may rest, where the configuration names no other time.
 # It holds a server connection meanwhile.
 DEFAULT_TRANSACTION_IDLE_SECONDS = 30.0
@@ -50,12 +52,22 @@
 
 
 class PromotedConfiguration(Struct, frozen=True):
-    """All databases and groups of one version. Versions only rise."""
+    """All databases, groups and tenants of one version. Versions only rise.
+
+    `tenants` is None where callers need no API key; `public` names the databases that need none
+    where others do.
+    """
 
     version: int
     databases: Mapping[str, DatabaseRoute] = field(default_factory=dict)
     groups: Mapping[str, PromotedGroupSettings] = field(default_factory=dict)
     transaction_idle: float = DEFAULT_TRANSACTION_IDLE_SECONDS
+    tenants: tuple[Tenant, ...] | None = None
+    public: frozenset[str] = frozenset()
+
+    def needs_key(self, database: str) -> bool:
+        """Whether callers of a database need an API key."""
+        return self.tenants is not None and database not in self.public
 
 
 class DirectoryEntry(Struct, frozen=True):
--- a/src/orchidwind/promoted/core/flow_parts.py
+++ b/src/orchidwind/promoted/core/flow_parts.py
@@ -58,7 +58,8 @@
     `arrived_at`: in seconds of the steady clock. `excluded`: replicas that have failed it.
     `sent_write`: an exchange that is under way may change data. `attempts`: what each attempt was
     based on and how it ended, for the log. `sent_to`: the instance of the last attempt.
-    `busy_replies`: how many attempts were answered BUSY.
+    `busy_replies`: how many attempts were answered BUSY. `tenant`: its caller's, whose connections
+    it runs on.
     """
 
     session: Session
@@ -71,6 +72,7 @@
     attempts: list[str] = field(default_factory=list)
     sent_to: str = ""
     busy_replies: int = 0
+    tenant: str = ""
 
     def note(self, instance: str, what: str) -> None:
         """Keep what one attempt was based on and how it ended, for the log."""
--- a/src/orchidwind/promoted/core/forwarded_commands.py
+++ b/src/orchidwind/promoted/core/forwarded_commands.py
@@ -78,6 +78,7 @@
         read_only=transaction is not None and transaction.read_only,
         remaining=left.to_deadline,
         hold=left.to_hold,
+        tenant=context.tenant,
     )
 
 
@@ -98,7 +99,7 @@
         _PREPARED_NAME if message.prepared is not None else "",
         message.argument,
     )
-    return CommandContext(session, group, database, command, now)
+    return CommandContext(session, group, database, command, now, tenant=message.tenant)
 
 
 def _database(message: RunCommand) -> DatabaseRoute:
@@ -127,7 +128,7 @@
     if message.transaction == TransactionProgress.CONTINUES.value:
         raise transaction_lost()
     if message.transaction == TransactionProgress.BEGINS.value:
-        session.transaction = OpenTransaction(database, message.read_only)
+        session.transaction = OpenTransaction(database, message.read_only, tenant=message.tenant)
 
 
 def answer_with_result(
--- a/src/orchidwind/promoted/core/freshness.py
+++ b/src/orchidwind/promoted/core/freshness.py
@@ -138,6 +138,10 @@
         """The view was current at a time."""
         self._confirmed_at = max(self._confirmed_at, as_of)
 
+    def first_known(self, as_of: float) -> None:
+        """The first content, which was current at a time: it may be older than this proxy."""
+        self._confirmed_at = as_of
+
     def asked(self, now: float) -> None:
         """Others are asked now."""
         self._asked_at = now
@@ -194,6 +198,10 @@
         """The view was current at a time."""
         self._age.confirmed(as_of)
 
+    def first_known(self, as_of: float) -> None:
+        """The first content, which was current at a time: it may be older than this proxy."""
+        self._age.first_known(as_of)
+
     def asked(self, now: float) -> None:
         """Others are asked now."""
         self._age.asked(now)
--- a/src/orchidwind/promoted/core/peer_messages.py
+++ b/src/orchidwind/promoted/core/peer_messages.py
@@ -17,6 +17,7 @@
 )
 from orchidwind.promoted.core.homes import ProxyMember
 from orchidwind.shared.core.positions import Position
+from orchidwind.shared.core.tenants import Tenant
 
 
 class SettingValue(msgspec.Struct, frozen=True):
@@ -38,7 +39,7 @@
     `channel` stands for the session on this link. `transaction` is "none", "begins" for the first
     command that a transaction sends to an instance, or "continues". The rules of the database are
     those in force at the sender. `remaining` is the time until the command's deadline, `hold` the
-    time for which it may wait unsent.
+    time for which it may wait unsent. `tenant` is the caller's, empty where it needs no API key.
     """
 
     number: int
@@ -60,6 +61,7 @@
     read_only: bool
     remaining: float
     hold: float
+    tenant: str = ""
 
 
 class CommandAnswer(msgspec.Struct, frozen=True):
@@ -128,12 +130,14 @@
 
 
 class ConfigurationView(msgspec.Struct, frozen=True):
-    """A configuration, whole."""
+    """A configuration, whole. `tenants` is None where callers need no API key."""
 
     version: int
     databases: tuple[DatabaseRoute, ...]
     groups: tuple[PromotedGroupSettings, ...]
     transaction_idle: float
+    tenants: tuple[Tenant, ...] | None = None
+    public: tuple[str, ...] = ()
 
 
 class DirectoryView(msgspec.Struct, frozen=True):
--- a/src/orchidwind/promoted/core/session.py
+++ b/src/orchidwind/promoted/core/session.py
@@ -29,7 +29,8 @@
     """A transaction of a session.
 
     `connection` and `instance` are empty until its first statement runs. `database` holds the
-    rules in force when it began. `last_used` is in seconds of the steady clock.
+    rules in force when it began, `tenant` is its caller's. `last_used` is in seconds of the steady
+    clock.
     """
 
     database: DatabaseRoute
@@ -38,6 +39,7 @@
     instance: str = ""
     wrote: bool = False
     last_used: float = 0.0
+    tenant: str = ""
 
 
 class Session(Struct):
--- a/src/orchidwind/promoted/group/connection_opener.py
+++ b/src/orchidwind/promoted/group/connection_opener.py
@@ -13,6 +13,7 @@
 from orchidwind.promoted.core.topology import GroupTopology
 from orchidwind.promoted.ports import InstanceConnector, InstanceLink
 from orchidwind.shared.core.errors import BackendConnectionLost
+from orchidwind.shared.core.tenant_connections import NO_TENANT
 
 # The instance's connection limit is met: SQLSTATE too_many_connections.
 CONNECTION_LIMIT_MET = "53300"
@@ -35,8 +36,10 @@
         self._no_room_until: dict[str, float] = {}
         self._loop = asyncio.get_running_loop()
 
-    async def open(self, instance: str, on_lost: Callable[[], None]) -> InstanceLink:
-        """Open a connection; raises BackendRefused, BackendConnectionLost."""
+    async def open(
+        self, instance: str, on_lost: Callable[[], None], tenant: str = NO_TENANT
+    ) -> InstanceLink:
+        """Open a connection of a tenant; raises BackendRefused, BackendConnectionLost."""
         if self.closed:
             raise BackendConnectionLost("this proxy has stopped", sent=False)
         view = self._topology.instances.get(instance)
@@ -46,7 +49,7 @@
             raise BackendConnectionLost("the instance has started anew since", sent=False)
         try:
             async with asyncio.timeout(INSTANCE_CONNECT_SECONDS):
-                return await self._connector.connect(view.entry, on_lost)
+                return await self._connector.connect(view.entry, on_lost, tenant)
         except TimeoutError as error:
             raise BackendConnectionLost("no answer to a new connection", sent=False) from error
 
--- a/src/orchidwind/promoted/group/connections.py
+++ b/src/orchidwind/promoted/group/connections.py
@@ -9,12 +9,27 @@
 import asyncio
 from collections.abc import Callable
 
+from msgspec import Struct
+
 from orchidwind.promoted.core.group_state import GroupState
 from orchidwind.promoted.group.pool_driver import PoolDriver
 from orchidwind.promoted.ports import InstanceConnector
 from orchidwind.shared.core.admission import NO_TARGET, TrafficClass
 from orchidwind.shared.core.errors import ErrorKind, RequestError
 from orchidwind.shared.core.pool import InstancePool
+from orchidwind.shared.core.tenant_connections import NO_TENANT
+
+
+class ConnectionWait(Struct, frozen=True):
+    """How a request waits for a server connection.
+
+    Until `deadline`; after `target_at` its answer is late; the connection is one of `tenant`.
+    """
+
+    traffic_class: TrafficClass
+    deadline: float
+    target_at: float = NO_TARGET
+    tenant: str = NO_TENANT
 
 
 class GroupConnections:
@@ -39,25 +54,26 @@
 
     # --- requests -----------------------------------------------------------------------------
 
-    async def acquire(
-        self,
-        instance: str,
-        traffic_class: TrafficClass,
-        deadline: float,
-        target_at: float = NO_TARGET,
-    ) -> int:
+    async def acquire(self, instance: str, wait: ConnectionWait) -> int:
         """Wait for a server connection; raises RequestError, BackendConnectionLost."""
         if self.opener.closed:
             raise RequestError(ErrorKind.PROXY_STOPPING, "this proxy has stopped")
         pool = self.pools.of(instance)
         waiting = self._waiting.add(instance)
         self._driver.perform(
-            pool.acquire(waiting.ticket, traffic_class, self._loop.time(), deadline, target_at)
+            pool.acquire(
+                waiting.ticket,
+                wait.traffic_class,
+                self._loop.time(),
+                wait.deadline,
+                wait.target_at,
+                wait.tenant,
+            )
         )
         try:
             if not waiting.granted.done():
                 self._driver.settle_later(pool)
-            async with asyncio.timeout_at(deadline):
+            async with asyncio.timeout_at(wait.deadline):
                 return await waiting.granted
         except TimeoutError as error:
             pool.cancel(waiting.ticket)
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -33,7 +33,7 @@
 from orchidwind.promoted.core.steps import Exchange, ExchangeResult
 from orchidwind.promoted.core.topology import PrimaryView
 from orchidwind.promoted.group.commit_guard import CommitGuard
-from orchidwind.promoted.group.connections import GroupConnections
+from orchidwind.promoted.group.connections import ConnectionWait, GroupConnections
 from orchidwind.promoted.group.exchanges import ExchangeParts, Exchanges
 from orchidwind.promoted.group.group_breakers import GroupBreakers
 from orchidwind.promoted.group.held_commits import HeldCommits
@@ -261,11 +261,13 @@
         traffic_class: TrafficClass,
         deadline: float,
         target_at: float = NO_TARGET,
+        tenant: str = "",
     ) -> int:
         """Wait for a server connection; raises RequestError, BackendConnectionLost."""
         self._note_used()
         self._silent.resting.watch()
-        return await self.connections.acquire(instance, traffic_class, deadline, target_at)
+        wait = ConnectionWait(traffic_class, deadline, target_at, tenant)
+        return await self.connections.acquire(instance, wait)
 
     def release(self, connection: int, reusable: bool) -> None:
         """Give a connection back."""
--- a/src/orchidwind/promoted/group/pool_driver.py
+++ b/src/orchidwind/promoted/group/pool_driver.py
@@ -133,7 +133,9 @@
         number, instance = effect.connection, effect.instance
         pool = self.pools.of(instance)
         try:
-            link = await self.opener.open(instance, lambda: self._lost_outside_exchange(number))
+            link = await self.opener.open(
+                instance, lambda: self._lost_outside_exchange(number), effect.tenant
+            )
         except BackendRefused as refused:
             log_event("connection_refused", instance=instance, reason=str(refused))
             limit_met = refused.sqlstate == CONNECTION_LIMIT_MET
--- a/src/orchidwind/promoted/peers/peer_codec.py
+++ b/src/orchidwind/promoted/peers/peer_codec.py
@@ -42,13 +42,28 @@
         peer_messages.ViewReport,
     )
 }
+# The records of messages that concern a tenant. The others keep the bytes that proxies of a build
+# before tenants read.
+_RUN_TENANT_COMMAND = "RunTenantCommand"
+_TENANT_VIEW_REPORT = "TenantViewReport"
+_TYPES[_RUN_TENANT_COMMAND] = peer_messages.RunCommand
+_TYPES[_TENANT_VIEW_REPORT] = peer_messages.ViewReport
 _SCHEMA = load_schema("peer")
 
 
 def encode_peer(message: PeerMessage) -> bytes:
     """A frame."""
     fields: Any = msgspec.to_builtins(message, builtin_types=(bytes,))
-    return encode_frame_record(_SCHEMA, type(message).__name__, fields)
+    return encode_frame_record(_SCHEMA, _record_of(message), fields)
+
+
+def _record_of(message: PeerMessage) -> str:
+    if isinstance(message, peer_messages.RunCommand) and message.tenant:
+        return _RUN_TENANT_COMMAND
+    if isinstance(message, peer_messages.ViewReport) and message.configuration is not None:
+        has_tenants = message.configuration.tenants is not None
+        return _TENANT_VIEW_REPORT if has_tenants else type(message).__name__
+    return type(message).__name__
 
 
 def decode_peer(body: bytes) -> PeerMessage:
--- a/src/orchidwind/promoted/ports.py
+++ b/src/orchidwind/promoted/ports.py
@@ -51,8 +51,13 @@
 class InstanceConnector(Protocol):
     """Opens server connections."""
 
-    async def connect(self, entry: DirectoryEntry, on_lost: Callable[[], None]) -> InstanceLink:
-        """Open a connection; raises BackendRefused or BackendConnectionLost."""
+    async def connect(
+        self, entry: DirectoryEntry, on_lost: Callable[[], None], tenant: str
+    ) -> InstanceLink:
+        """Open a connection for a tenant's statements, or the proxy's own where it is empty.
+
+        Raises BackendRefused or BackendConnectionLost.
+        """
 
 
 class Listing(Struct, Generic[Item], frozen=True):
--- a/src/orchidwind/promoted/proxy_runtime.py
+++ b/src/orchidwind/promoted/proxy_runtime.py
@@ -40,6 +40,8 @@
 from orchidwind.promoted.views.followed_views import GATHER_MEMBERS_SECONDS, ProxyBounds, ProxyViews
 from orchidwind.promoted.views.view_reporter import ViewReporter
 from orchidwind.shared.core.errors import ErrorKind
+from orchidwind.shared.core.tenant_connections import NO_TENANT
+from orchidwind.shared.core.tenants import KeyJudge, TenantTable
 from orchidwind.shared.logs import log_event
 
 # One success in so many is logged; failures are all logged. At some hundred requests a
@@ -62,6 +64,8 @@
         self.zone = own.zone
         self.metrics = metrics or ProxyMetrics()
         self.configuration: PromotedConfiguration | None = None
+        self._tenants = TenantTable(())
+        self._key_judge = KeyJudge.within(self._bounds.revocation)
         self.transaction_idle = DEFAULT_TRANSACTION_IDLE_SECONDS
         self.groups: dict[str, GroupService] = {}
         self._ports = ports
@@ -175,6 +179,17 @@
         """A database as callers name it."""
         return None if self.configuration is None else self.configuration.databases.get(name)
 
+    def tenant_of(self, database: str, key_digest: bytes) -> str:
+        """The tenant that a request belongs to, empty where no key is needed.
+
+        Raises RequestError where the key is held by nobody, or cannot be judged.
+        """
+        configuration = self.configuration
+        if configuration is None or not configuration.needs_key(database):
+            return NO_TENANT
+        age = self.views.configuration_age
+        return self._key_judge.tenant_of(self._tenants, key_digest, age).name
+
     def _target_latency(self, name: str) -> float | None:
         database = self.database(name)
         return None if database is None else database.target_latency
@@ -220,6 +235,7 @@
         if current is not None and configuration.version <= current.version:
             return False
         self.configuration = configuration
+        self._tenants = TenantTable(configuration.tenants or ())
         self.transaction_idle = configuration.transaction_idle
         self.metrics.configuration_version.set(configuration.version)
         log_event(
@@ -227,6 +243,7 @@
             version=configuration.version,
             databases=len(configuration.databases),
             groups=len(configuration.groups),
+            tenants=len(self._tenants.tenants),
         )
         for name, settings in configuration.groups.items():
             if name in self.groups:
--- a/src/orchidwind/promoted/views/followed_views.py
+++ b/src/orchidwind/promoted/views/followed_views.py
@@ -55,12 +55,15 @@
     `directory`: the greatest age of these views; the defaults are those of the first users.
     `members`: the age that the list of proxies is kept below. No promise rests on it: an old one
     costs a hop, or connections of too many homes; new proxies take work after a seventh of it.
+    `revocation`: from the acknowledgement of a configuration that takes an API key away until no
+    request with it is accepted; None where that is not promised.
     """
 
     entry_outlives: float = DEFAULT_ENTRY_OUTLIVES_SECONDS
     configuration: float = 3.0
     directory: float = 4.0
     members: float = 20.0
+    revocation: float | None = None
 
 
 class ProxyViews:
@@ -179,10 +182,16 @@
         return {name: watch.evidence for name, watch in self.watches.items()}
 
     @property
-    def configuration_age_ms(self) -> int:
-        """How long ago the configuration in force was last known to be the newest; -1: unknown."""
+    def configuration_age(self) -> float:
+        """Seconds since the configuration in force was last known to be the newest."""
         watch = self.watches.get(CONFIGURATION)
-        return -1 if watch is None else int(watch.age * 1000)
+        return float("inf") if watch is None else watch.age
+
+    @property
+    def configuration_age_ms(self) -> int:
+        """The same in milliseconds; -1: unknown."""
+        age = self.configuration_age
+        return -1 if age == float("inf") else int(age * 1000)
 
     async def refresh_before_failover(self) -> bool:
         """Read anew who may hold commits; whether the store answered.
--- a/src/orchidwind/promoted/views/held_view.py
+++ b/src/orchidwind/promoted/views/held_view.py
@@ -68,6 +68,8 @@
 
     def take_listing(self, listing: Listing[Item], as_of: float, source: str = STORE) -> None:
         """All items, current at a time. One overtaken by a later one only confirms the view."""
+        if not self.known:
+            self.rule.first_known(as_of)
         if listing.revision >= self.revision:
             differs = self._follower.listed(listing)
             # Of another era nobody who asks can know by a revision whether it holds the same.
--- a/src/orchidwind/promoted/views/view_forms.py
+++ b/src/orchidwind/promoted/views/view_forms.py
@@ -17,6 +17,8 @@
         tuple(configuration.databases.values()),
         tuple(configuration.groups.values()),
         configuration.transaction_idle,
+        configuration.tenants,
+        tuple(sorted(configuration.public)),
     )
 
 
@@ -27,7 +29,16 @@
         return None
     databases = {database.name: database for database in view.databases}
     groups = {group.name: group for group in view.groups}
-    return (PromotedConfiguration(view.version, databases, groups, view.transaction_idle),)
+    return (
+        PromotedConfiguration(
+            view.version,
+            databases,
+            groups,
+            view.transaction_idle,
+            view.tenants,
+            frozenset(view.public),
+        ),
+    )
 
 
 def reported_members(report: ViewReport) -> tuple[ProxyMember, ...] | None:
--- a/src/orchidwind/shared/core/admission.py
+++ b/src/orchidwind/shared/core/admission.py
@@ -47,6 +47,14 @@
 NO_TARGET = float("inf")
 
 
+# Whether a waiting request, by its ticket, may be taken now.
+Eligible = Callable[[int], bool]
+
+
+def _any_ticket(ticket: int) -> bool:
+    return True
+
+
 class TrafficClass(Struct, frozen=True):
     """How requests of one class are treated.
 
@@ -96,6 +104,15 @@
         while self.by_target and not self._is_timely(self.by_target[0][2]):
             heappop(self.by_target)
 
+    def first_timely(self, eligible: Eligible) -> int | None:
+        """Of those that can be answered by their target, the eligible one with the earliest."""
+        self.drop_gone()
+        if not self.by_target or eligible(self.by_target[0][2]):
+            return self.by_target[0][2] if self.by_target else None
+        in_order = (ticket for _, _, ticket in sorted(self.by_target))
+        timely = (ticket for ticket in in_order if self._is_timely(ticket))
+        return next(filter(eligible, timely), None)
+
     def _is_timely(self, ticket: int) -> bool:
         return ticket in self.waiting and ticket not in self.overdue
 
@@ -174,16 +191,22 @@
         share = queue.traffic_class.weight / total
         return queue.ahead_of(target_at) * self.service_seconds / (max(slots, 1) * share)
 
-    def next(self, now: float = 0.0) -> int | None:
-        """Take the ticket that is due, None where nobody waits."""
+    def next(self, now: float = 0.0, eligible: Eligible = _any_ticket) -> int | None:
+        """Take the ticket that is due of those that are eligible, None where none of them waits."""
         for queue in self._classes.values():
             self._note_overdue(queue, now)
-        timely = self._first_class(lambda queue: queue.timely > 0)
-        if timely is not None:
-            return self._take(timely, timely.by_target[0][2])
-        self._slot_left_at = now
-        late = self._first_class(lambda queue: bool(queue.waiting))
-        return None if late is None else self._take(late, next(iter(late.overdue)))
+        in_order = sorted(self._classes.values(), key=lambda queue: queue.finish)
+        for queue in in_order:
+            ticket = queue.first_timely(eligible)
+            if ticket is not None:
+                return self._take(queue, ticket)
+        if not any(queue.timely for queue in in_order):
+            self._slot_left_at = now
+        for queue in in_order:
+            ticket = next(filter(eligible, queue.overdue), None)
+            if ticket is not None:
+                return self._take(queue, ticket)
+        return None
 
     def _note_overdue(self, queue: _ClassQueue, now: float) -> None:
         """Set aside what can no longer be answered by its target."""
@@ -195,11 +218,6 @@
             queue.overdue[ticket] = waiting
             queue.drop_gone()
 
-    def _first_class(self, wanted: Callable[[_ClassQueue], bool]) -> _ClassQueue | None:
-        """Of the classes with wanted requests, the one with the first virtual finish time."""
-        chosen = [queue for queue in self._classes.values() if wanted(queue)]
-        return min(chosen, key=lambda queue: queue.finish, default=None)
-
     def _take(self, queue: _ClassQueue, ticket: int) -> int:
         start = queue.finish - 1 / queue.traffic_class.weight
         self._virtual_time = max(self._virtual_time, start)
--- a/src/orchidwind/shared/core/errors.py
+++ b/src/orchidwind/shared/core/errors.py
@@ -35,6 +35,8 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     CANCELLED = "cancelled"
     AUTHENTICATION_FAILED = "authentication_failed"
+    CONFIGURATION_TOO_OLD = "configuration_too_old"
+    QUOTA_EXCEEDED = "quota_exceeded"
     UNKNOWN_DATABASE = "unknown_database"
     NOT_SUPPORTED = "not_supported"
     PROTOCOL_VIOLATION = "protocol_violation"
@@ -59,9 +61,10 @@
     severity: str = "ERROR"
 
 
-# The times to come back, in milliseconds: 500 within a change of primary, which takes
-# about a second, 200 for a queue to drain, 50 where another attempt may run at once, 1000 where
-# other callers have to end first. How soon refused callers repeat depends on them.
+# The times to come back, in milliseconds: 500 within a change of primary, which takes about a
+# second, and until a proxy has news of its configuration, 200 for a queue to drain, 50 where
+# another attempt may run at once, 1000 where other callers have to end first. How soon refused
+# callers repeat depends on them.
 ANSWERS: dict[ErrorKind, Answer] = {
     ErrorKind.OVERLOADED: Answer("53000", Ran.NO, 200),
     ErrorKind.DEADLINE_PASSED: Answer("57014", Ran.NO, 200),
@@ -74,6 +77,8 @@
     ErrorKind.OUTCOME_UNKNOWN: Answer("08007", Ran.UNKNOWN, None),
     ErrorKind.CANCELLED: Answer("57014", Ran.NO, None),
     ErrorKind.AUTHENTICATION_FAILED: Answer("28P01", Ran.NO, None, "FATAL"),
+    ErrorKind.CONFIGURATION_TOO_OLD: Answer("57P03", Ran.NO, 500),
+    ErrorKind.QUOTA_EXCEEDED: Answer("53400", Ran.NO, 1000),
     ErrorKind.UNKNOWN_DATABASE: Answer("3D000", Ran.NO, None, "FATAL"),
     ErrorKind.NOT_SUPPORTED: Answer("0A000", Ran.NO, None),
     ErrorKind.PROTOCOL_VIOLATION: Answer("08P01", Ran.NO, None, "FATAL"),
--- a/src/orchidwind/shared/core/pool.py
+++ b/src/orchidwind/shared/core/pool.py
@@ -5,9 +5,13 @@
 that its limit is met (SQLSTATE 53300), the database has the last word: the usable share shrinks,
 and grows again step by step.
 
+A connection belongs to one tenant. A request whose tenant has none that is idle gets a new one, in
+the place of the one that was idle for longest where there is no other place.
+
 Owns: which connections are open, idle, held and being opened, and when to open the next. Relies on
-`admission` for the order of requests and on `concurrency_window` for how many may run; its user
-carries out the effects and reports what came of them. Times are in seconds of one steady clock.
+`admission` for the order of requests, on `concurrency_window` for how many may run and on
+`tenant_connections` for whose a connection is; its user carries out the effects and reports what
+came of them. Times are in seconds of one steady clock.
 """
 
 from __future__ import annotations
@@ -19,6 +23,7 @@
 from orchidwind.shared.core.admission import NO_TARGET, AdmissionQueue, Refusal, TrafficClass
 from orchidwind.shared.core.answer_times import AnswerTimes
 from orchidwind.shared.core.concurrency_window import ConcurrencyWindow
+from orchidwind.shared.core.tenant_connections import NO_TENANT, TenantConnections
 
 # Seconds until a connection that could not be opened is tried again, doubled up to the longest.
 # The first bounds the pause after a lost instance, the second the attempts at a dead one.
@@ -45,10 +50,11 @@
 
 
 class OpenConnection(Struct, frozen=True):
-    """Open a connection to an instance under this number."""
+    """Open a connection of a tenant to an instance under this number."""
 
     instance: str
     connection: int
+    tenant: str = NO_TENANT
 
 
 class CloseConnection(Struct, frozen=True):
@@ -86,6 +92,7 @@
         self.idle: list[int] = []
         self.busy: dict[int, float] = {}
         self.opening: set[int] = set()
+        self.tenants = TenantConnections()
         self._numbers = numbers
         self._limit = share
         self._reopen_at = 0.0
@@ -125,12 +132,14 @@
         now: float,
         expires_at: float,
         target_at: float = NO_TARGET,
+        tenant: str = NO_TENANT,
     ) -> list[PoolEffect]:
-        """Ask for a connection: granted now, queued, or refused."""
+        """Ask for a connection of a tenant: granted now, queued, or refused."""
         slots = self.usable if self.window is None else min(self.usable, self.window.size)
         refusal = self.queue.enter(ticket, traffic_class, now, expires_at, max(slots, 1), target_at)
         if refusal is not None:
             return [refusal]
+        self.tenants.waits(ticket, tenant)
         return self._settle(now)
 
     def opened(self, connection: int, now: float) -> list[PoolEffect]:
@@ -145,6 +154,7 @@
     def open_failed(self, connection: int, now: float, limit_met: bool) -> list[PoolEffect]:
         """A connection could not be opened; try again later, with fewer if the limit is met."""
         self.opening.discard(connection)
+        self.tenants.closed(connection)
         if limit_met:
             self._limit = max(self.size, 1)
             self._grow_at = now + self._grow_seconds
@@ -167,7 +177,7 @@
         if reusable:
             self.idle.append(connection)
         else:
-            effects.append(CloseConnection(connection))
+            effects.append(self._close(connection))
         return effects + self._settle(now)
 
     def lost(self, connection: int, now: float) -> list[PoolEffect]:
@@ -177,6 +187,7 @@
         if connection in self.idle:
             self.idle.remove(connection)
         self.opening.discard(connection)
+        self.tenants.closed(connection)
         self._reopen_at = max(self._reopen_at, now + self._reopen_delay)
         return self._settle(now)
 
@@ -208,14 +219,17 @@
     def cancel(self, ticket: int) -> None:
         """A waiting request gave up."""
         self.queue.leave(ticket)
+        self.tenants.ended(ticket)
 
     def tick(self, now: float) -> list[PoolEffect]:
         """Refuse what expired and open what is missing."""
         if self._grow_at and now >= self._grow_at and self._limit < self.share:
             self._limit += 1 if self._eager else max(1, self._limit // 2)
             self._grow_at = now + self._grow_seconds
-        expired: list[PoolEffect] = list(self.queue.expire(now))
-        return expired + self._settle(now)
+        expired = self.queue.expire(now)
+        for refusal in expired:
+            self.tenants.ended(refusal.ticket)
+        return [*expired, *self._settle(now)]
 
     def deadline(self, now: float = float("-inf")) -> float | None:
         """When `tick` has something to do; with a window, `now` tells what is overdue already."""
@@ -239,7 +253,7 @@
         effects: list[PoolEffect] = []
         while spare > 0 and self.idle:
             # The connection that has been idle for longest is the first.
-            effects.append(CloseConnection(self.idle.pop(0)))
+            effects.append(self._close(self.idle.pop(0)))
             spare -= 1
         return effects
 
@@ -261,16 +275,34 @@
 
     def open_one(self) -> list[OpenConnection]:
         """Open a connection though nobody waits, if there is none."""
-        if self.size:
-            return []
+        return [] if self.size else [self._open(NO_TENANT)]
+
+    def _open(self, tenant: str) -> OpenConnection:
         connection = next(self._numbers)
         self.opening.add(connection)
-        return [OpenConnection(self.instance, connection)]
+        self.tenants.opening(connection, tenant)
+        return OpenConnection(self.instance, connection, tenant)
+
+    def _close(self, connection: int) -> CloseConnection:
+        self.tenants.closed(connection)
+        return CloseConnection(connection)
 
     def _wants_another(self, now: float) -> bool:
-        if self.size >= self.usable or not self._has_room(now):
-            return False
-        return self._eager or len(self.opening) < min(len(self.queue), MOST_OPENING)
+        return self._next_to_open(now) is not None
+
+    def _next_to_open(self, now: float) -> str | None:
+        """For which tenant a connection is to be opened next; None where none is."""
+        if not self._has_room(now):
+            return None
+        if self._eager and self.size < self.usable:
+            return NO_TENANT
+        if self._eager or len(self.opening) >= MOST_OPENING:
+            return None
+        if self.size >= self.usable and not self.idle:
+            return None
+        idle = self.tenants.among(self.idle)
+        lacking = (tenant for tenant in self.tenants.lacking(self.opening) if tenant not in idle)
+        return next(lacking, None)
 
     @property
     def _grow_seconds(self) -> float:
@@ -283,18 +315,36 @@
         return len(self.running) - self.answer_times.overdue(now) < self.window.size
 
     def _settle(self, now: float) -> list[PoolEffect]:
-        effects: list[PoolEffect] = []
         self._most_needed = max(self._most_needed, len(self.busy) + len(self.queue))
+        effects: list[PoolEffect] = []
         while self.idle and self.size > self.usable:
-            effects.append(CloseConnection(self.idle.pop()))
-        while self.idle and self._has_room(now) and (ticket := self.queue.next(now)) is not None:
-            connection = self.idle.pop()
-            self.busy[connection] = now
-            self.running.add(connection)
-            effects.append(Grant(ticket, connection))
+            effects.append(self._close(self.idle.pop()))
+        effects.extend(self._grant(now))
         if now >= self._reopen_at:
-            while self._wants_another(now):
-                connection = next(self._numbers)
-                self.opening.add(connection)
-                effects.append(OpenConnection(self.instance, connection))
+            effects.extend(self._open_wanted(now))
         return effects
+
+    def _grant(self, now: float) -> Iterator[Grant]:
+        """Give idle connections to requests of their tenants, in the order of the queue."""
+        while self.idle and self._has_room(now):
+            ticket = self.queue.next(now, self._has_idle)
+            if ticket is None:
+                return
+            connection = self.tenants.last_of(self.tenants.of_request(ticket), self.idle)
+            assert connection is not None
+            self.tenants.ended(ticket)
+            self.idle.remove(connection)
+            self.busy[connection] = now
+            self.running.add(connection)
+            yield Grant(ticket, connection)
+
+    def _has_idle(self, ticket: int) -> bool:
+        """Whether a connection of a request's tenant is idle."""
+        return self.tenants.last_of(self.tenants.of_request(ticket), self.idle) is not None
+
+    def _open_wanted(self, now: float) -> Iterator[PoolEffect]:
+        """Open connections; the one that was idle for longest makes place where there is none."""
+        while (tenant := self._next_to_open(now)) is not None:
+            if self.size >= self.usable:
+                yield self._close(self.idle.pop(0))
+            yield self._open(tenant)
--- a/src/orchidwind_bench/account/failed_commands.py
+++ b/src/orchidwind_bench/account/failed_commands.py
@@ -35,6 +35,8 @@
     HOME_LOST = "the home was lost"
     NOT_ANSWERED = "the instance did not answer in time"
     TRANSACTION_LOST = "its transaction was rolled back"
+    CONFIGURATION_OLD = "no news of the configuration for too long"
+    QUOTA = "more than its tenant's quota"
     REJECTED = "rejected by the proxy or the instance for what it asks"
     UNEXPLAINED = "unexplained"
 
@@ -51,6 +53,8 @@
     ErrorKind.TRANSACTION_LOST: Cause.TRANSACTION_LOST,
     ErrorKind.STATEMENT_FAILED: Cause.REJECTED,
     ErrorKind.UNKNOWN_STATEMENT: Cause.REJECTED,
+    ErrorKind.CONFIGURATION_TOO_OLD: Cause.CONFIGURATION_OLD,
+    ErrorKind.QUOTA_EXCEEDED: Cause.QUOTA,
     ErrorKind.UNKNOWN_DATABASE: Cause.REJECTED,
     ErrorKind.PROTOCOL_VIOLATION: Cause.REJECTED,
 }
--- a/src/orchidwind_bench/promoted/simulation/connections.py
+++ b/src/orchidwind_bench/promoted/simulation/connections.py
@@ -306,7 +306,9 @@
         self.node = node
         self._group = group
 
-    async def connect(self, entry: DirectoryEntry, on_lost: Callable[[], None]) -> SimulatedLink:
+    async def connect(
+        self, entry: DirectoryEntry, on_lost: Callable[[], None], tenant: str = ""
+    ) -> SimulatedLink:
         """Open a connection to an instance."""
         instance = self._group.instances[entry.instance]
         network = self._group.world.network
--- a/src/orchidwind_bench/promoted/simulation/fleet.py
+++ b/src/orchidwind_bench/promoted/simulation/fleet.py
@@ -116,10 +116,12 @@
     def __init__(self, node: str, groups: dict[str, SimulatedGroup]) -> None:
         self._connectors = {name: SimulatedConnector(node, group) for name, group in groups.items()}
 
-    async def connect(self, entry: DirectoryEntry, on_lost: Callable[[], None]) -> FleetLink:
+    async def connect(
+        self, entry: DirectoryEntry, on_lost: Callable[[], None], tenant: str
+    ) -> FleetLink:
         """Open a connection to an instance."""
         own = replace(entry, instance=_own_name(entry.instance))
-        return FleetLink(await self._connectors[entry.group].connect(own, on_lost))
+        return FleetLink(await self._connectors[entry.group].connect(own, on_lost, tenant))
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/orchidwind_standins/platform/line_session.py
+++ b/src/orchidwind_standins/platform/line_session.py
@@ -88,6 +88,8 @@
         self._instance = instance
         # While this is set, what comes is taken, and neither run nor answered.
         self.swallows = False
+        # Who the connection belongs to, as its first line said.
+        self.tenant = ""
         self._prepared: dict[str, str] = {}
         self._transaction: list[tuple[str, str]] | None = None
         self._read_only = False
@@ -98,7 +100,9 @@
     ) -> None:
         """Serve a connection whose first line was read; it ends with the connection."""
         instance = self._instance
-        refusal = self._refusal(first.rstrip(b"\r\n").decode("latin-1").split(" "))
+        words = first.rstrip(b"\r\n").decode("latin-1").split(" ")
+        self.tenant = " ".join(words[2:3])
+        refusal = self._refusal(words)
         if refusal:
             writer.write(f"ERROR {refusal}\r\n".encode())
             return
--- a/src/orchidwind_standins/platform/memory_group.py
+++ b/src/orchidwind_standins/platform/memory_group.py
@@ -30,7 +30,8 @@
 class MemoryInstance:
     """One instance: its role, data and faults.
 
-    `ran` has the request ids and texts that were run, in their order. `answer_with` is an error
+    `ran` has the request ids and texts that were run, in their order, `ran_for` the tenant of each
+    request id's connection. `answer_with` is an error
     code that the next statement of a caller is answered with, once.
     """
 
@@ -43,6 +44,7 @@
     fence: int = 0
     things: dict[str, str] = field(default_factory=dict)
     ran: list[tuple[str, str]] = field(default_factory=list)
+    ran_for: dict[str, str] = field(default_factory=dict)
     answer_with: str = ""
     sessions: dict[LineSession, asyncio.StreamWriter] = field(default_factory=dict)
     # While this is not set, statements are taken and run, and no answer is sent.
@@ -141,6 +143,7 @@
 
     def _note_run(self, request_id: str, text: str) -> None:
         self._faulty.ran.append((request_id, text))
+        self._faulty.ran_for[request_id] = self.tenant
 
 
 class MemoryGroup:
--- /dev/null
+++ b/tests/platform/test_tenants.py
@@ -0,0 +1,168 @@
+"""Callers with API keys before one proxy on real sockets: whose statements run, and on what.
+
+The story: on the first days of the shifted deployment every statement ran in the name of the proxy
+itself (12,597 on a quiet day), sessions with a key that nobody holds were served (21), and keys
+that an operator had taken away were of use until their sessions ended (3,496 statements of a day).
+"""
+
+import asyncio
+
+from support.platform_system import SERVICE, LineClient, with_system
+
+TENANTS = {"tern": (["key-a", "key-b"], 1000, 1000), "heron": (["key-c"], 1000, 1000)}
+# A configuration is in force everywhere after this time, seconds; the stand-in tells it at once.
+IN_FORCE_SECONDS = 0.5
+
+
+def with_tenants(folder, scenario, **limits):
+    with_system(folder, scenario, tenants=dict(TENANTS), **limits)
+
+
+async def reconfigure(system, tenants):
+    system.tenants = tenants
+    system.write_configuration({"latest": "primary", "own": "read_own_writes"})
+    await asyncio.sleep(IN_FORCE_SECONDS)
+
+
+def test_an_instance_is_told_the_tenant_and_never_the_key(tmp_path):
+    async def scenario(system):
+        for number, (key, tenant) in enumerate(
+            [("key-a", "tern"), ("key-c", "heron"), ("key-b", "tern"), ("key-c", "heron")]
+        ):
+            client = await LineClient.open(system.front_port, "latest", key)
+            assert (await client.ask(f"WRITE t{number} x", f"w{number}"))[0].startswith("COMPLETE")
+            assert system.ran_for(f"w{number}") == tenant
+            assert await client.ask("BEGIN") == ["COMPLETE -", "READY T -"]
+            await client.ask("READ t0", f"r{number}")
+            assert (await client.ask("COMMIT", f"c{number}"))[-1] == "READY I -"
+            assert system.ran_for(f"r{number}") == system.ran_for(f"c{number}") == tenant
+
+    with_tenants(tmp_path, scenario)
+
+
+def test_a_key_that_nobody_holds_begins_no_session(tmp_path):
+    async def scenario(system):
+        client = await LineClient.open(system.front_port, "latest", "key-z")
+        assert client.greeting.startswith("ERROR AUTHFAIL")
+        assert await client.closed()
+
+    with_tenants(tmp_path, scenario)
+
+
+def test_a_public_database_needs_no_key(tmp_path):
+    async def scenario(system):
+        system.public = ("own",)
+        await reconfigure(system, system.tenants)
+        client = await LineClient.open(system.front_port, "own", "anybody")
+        assert (await client.ask("READ t0", "r1"))[-2].startswith("COMPLETE")
+        refused = await LineClient.open(system.front_port, "latest", "anybody")
+        assert refused.greeting.startswith("ERROR AUTHFAIL")
+
+    with_tenants(tmp_path, scenario)
+
+
+def test_a_key_that_is_taken_away_ends_open_sessions_and_transactions(tmp_path):
+    async def scenario(system):
+        resting = await LineClient.open(system.front_port, "latest", "key-a")
+        other = await LineClient.open(system.front_port, "latest", "key-b")
+        inside = await LineClient.open(system.front_port, "latest", "key-a")
+        await inside.ask("BEGIN")
+        assert (await inside.ask("WRITE t1 x", "w1"))[0].startswith("COMPLETE")
+        await reconfigure(system, {**TENANTS, "tern": (["key-b"], 1000, 1000)})
+        assert (await resting.ask("READ t1", "r1"))[0].startswith("ERROR AUTHFAIL")
+        lines = await inside.ask("COMMIT", "c1")
+        assert lines[0].startswith("ERROR AUTHFAIL")
+        assert lines[-1] == "READY I -"
+        assert system.runs("r1") == system.runs("c1") == []
+        assert (await other.ask("READ t1", "r2"))[0] == "DATAROW none", "it was rolled back"
+
+    with_tenants(tmp_path, scenario)
+
+
+def test_a_key_that_goes_to_another_tenant_ends_the_transactions_of_the_first(tmp_path):
+    async def scenario(system):
+        client = await LineClient.open(system.front_port, "latest", "key-a")
+        await client.ask("BEGIN")
+        await client.ask("WRITE t1 x", "w1")
+        moved = {"tern": (["key-b"], 1000, 1000), "heron": (["key-c", "key-a"], 1000, 1000)}
+        await reconfigure(system, moved)
+        assert (await client.ask("COMMIT", "c1"))[0].startswith("ERROR ABORTED")
+        assert (await client.ask("READ t1", "r1"))[0] == "DATAROW none"
+        assert system.ran_for("r1") == "heron"
+
+    with_tenants(tmp_path, scenario)
+
+
+def test_without_news_of_the_configuration_keys_are_of_no_use_after_the_bound(tmp_path):
+    """The store is silent: nobody could tell that a key was taken away."""
+
+    async def scenario(system):
+        client = await LineClient.open(system.front_port, "latest", "key-a")
+        assert (await client.ask("READ t1", "r1"))[-2].startswith("COMPLETE")
+        system.store.fall_silent()
+        await asyncio.sleep(0.3)
+        assert (await client.ask("READ t1", "r2"))[-2].startswith("COMPLETE")
+        await asyncio.sleep(1.0)
+        lines = await client.ask("READ t1", "r3")
+        assert lines[0].startswith("ERROR BUSY configuration_too_old")
+        assert system.runs("r3") == []
+
+    bounds = {"strict_revocation": True, "revoke_ms": 1000}
+    with_tenants(tmp_path, scenario, bounds=bounds)
+
+
+def test_no_page_and_no_log_line_shows_a_key(tmp_path, caplog):
+    caplog.set_level("DEBUG")
+
+    async def scenario(system):
+        await LineClient.open(system.front_port, "latest", "key-z")
+        client = await LineClient.open(system.front_port, "latest", "key-a")
+        await client.ask("READ t1", "r1")
+        await client.ask("READ", "r2")
+        await reconfigure(system, {"tern": (["key-b"], 1000, 1000)})
+        await client.ask("READ t1", "r3")
+        pages = [await system.status_of(path, system.ports[2]) for path in ("/metrics", "/status")]
+        shown = "".join(page.body.decode() for page in pages)
+        logged = "".join(str(record.__dict__) for record in caplog.records)
+        assert "configuration_in_force" in logged and "request_failed" in logged
+        for key in ("key-a", "key-b", "key-c", "key-z"):
+            assert key not in shown
+            assert key not in logged
+
+    with_tenants(tmp_path, scenario)
+
+
+def test_a_configuration_whose_tenants_contradict_is_not_taken(tmp_path, caplog):
+    caplog.set_level("ERROR")
+
+    async def scenario(system):
+        version = system.proxy._proxy.configuration.version
+        await reconfigure(system, {"tern": (["key-a"], 1, 1), "heron": (["key-a"], 1, 1)})
+        assert system.proxy._proxy.configuration.version == version
+        (told,) = [item for item in caplog.records if item.message == "object_not_as_described"]
+        assert "also held by tenant tern" in str(told.reason)
+        assert "key-a" not in str(told.reason)
+
+    with_tenants(tmp_path, scenario)
+
+
+def test_more_tenants_than_connections_take_turns_on_them(tmp_path):
+    """Each of 40 tenants is served, though an instance takes 34 connections."""
+    many = {f"tenant-{number}": ([f"key-{number}"], 1000, 1000) for number in range(40)}
+
+    async def scenario(system):
+        clients = [
+            await LineClient.open(system.front_port, "latest", f"key-{number}")
+            for number in range(40)
+        ]
+        for turn in range(2):
+            answers = await asyncio.gather(
+                *(client.ask("READ t0", f"r{turn}-{i}") for i, client in enumerate(clients))
+            )
+            assert all(lines[-2].startswith("COMPLETE") for lines in answers)
+            told = [system.ran_for(f"r{turn}-{number}") for number in range(40)]
+            assert told == [f"tenant-{number}" for number in range(40)]
+        pools = system.proxy._proxy.groups[SERVICE].connections.pools
+        assert max(pool.size for pool in pools) <= 34
+
+    with_system(tmp_path, scenario, tenants=many)
--- a/tests/shared/test_recorded_messages.py
+++ b/tests/shared/test_recorded_messages.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+import msgspec
 import pytest
 
 from orchidwind.elected.core.member_table import Member, MemberState
@@ -97,6 +98,7 @@
 from orchidwind.shared.core.admission import TrafficClass
 from orchidwind.shared.core.errors import ErrorKind, RequestError
 from orchidwind.shared.core.positions import Position
+from orchidwind.shared.core.tenants import Tenant
 
 RECORDED: dict[str, dict[str, dict[str, str]]] = json.loads(
     (Path(__file__).parent / "recorded_messages.json").read_text()
@@ -421,6 +423,17 @@
         yield f"consistency={consistency.value}", ViewReport(6, True, 0.5, 9, configuration=told)
 
 
+def tenant_report_cases() -> Iterator[tuple[str, ViewReport]]:
+    """A report of a configuration with tenants, with and without items."""
+    tenants = (Tenant("bode960", (b"0123456789abcdef", b"fedcba9876543210"), 98.0, 49.0),)
+    told = msgspec.structs.replace(CONFIGURATION_TOLD, tenants=tenants, public=("open-data",))
+    yield ALL, ViewReport(300, True, 0.25, 9, True, told)
+    bare = ConfigurationView(0, (), (), 0.0, tenants=())
+    yield ABSENT, ViewReport(1, known=False, age=0.0, revision=-1, configuration=bare)
+    keyless = ConfigurationView(0, (), (), 0.0, tenants=(Tenant("", (), 0.0, 0.0),))
+    yield "no keys", ViewReport(2, True, 0.5, 9, configuration=keyless)
+
+
 def run_command_cases() -> Iterator[tuple[str, RunCommand]]:
     """A command of each consistency, kind, and progress of a transaction."""
     yield ALL, run_command()
@@ -470,6 +483,12 @@
         yield case("ViewQuery", ViewQuery(2, name, 9), f"view={view}")
     for variant, report in view_report_cases():
         yield case("ViewReport", report, variant)
+    yield case("RunTenantCommand", msgspec.structs.replace(run_command(), tenant="bode960"))
+    yield case(
+        "RunTenantCommand", msgspec.structs.replace(bare_command(), tenant="bode960"), ABSENT
+    )
+    for variant, report in tenant_report_cases():
+        yield case("TenantViewReport", report, variant)
 
 
 CASES: tuple[Case, ...] = (*link_cases(), *datagram_cases(), *peer_cases())
