--- a/src/orchidwind/commands/explain.py
+++ b/src/orchidwind/commands/explain.py
@@ -52,6 +52,8 @@
         "peer_link_replaced",
         "primary_changed",
         "promotion_sent",
+        "quota_exceeded",
+        "quota_shares",
         "silence_not_confirmed",
         "started",
         "view_current_again",
--- a/src/orchidwind/platform/coordination.py
+++ b/src/orchidwind/platform/coordination.py
@@ -1,8 +1,9 @@
-"""The product's own objects in the store: promotion lock, rosters, lead leases, proxies.
+"""The product's own objects in the store: promotion lock, rosters, lead leases, quotas, proxies.
 
-For: the ports `PromotionLockStore`, `RosterStore`, `LeaseRegistry`, `MemberStore` and the watched
-collections of these kinds. Owns the names under which their content is stored, which older and
-newer processes read from one another: they do not change. Relies on `store` for the calls.
+For: the ports `PromotionLockStore`, `RosterStore`, `LeaseRegistry`, `QuotaShareStore`,
+`MemberStore` and the watched collections of these kinds. Owns the names under which their content
+is stored, which older and newer processes read from one another: they do not change. Relies on
+`store` for the calls.
 
 Source: the users' page PROTOCOL.md, "The platform's metadata store".
 """
@@ -21,6 +22,7 @@
 from orchidwind.promoted.core.call_limits import STORE_CALL_SECONDS
 from orchidwind.promoted.core.homes import ProxyMember
 from orchidwind.promoted.core.promotion_lock import LockRecord
+from orchidwind.promoted.core.quota_shares import QuotaShares
 from orchidwind.promoted.core.roster import PromotionRecord, Roster
 from orchidwind.promoted.core.store_revision import FIRST_ERA, StoreRevision
 from orchidwind.promoted.ports import LeaseConfirmation, Listing
@@ -32,6 +34,8 @@
 _LEASES = "lead-leases"
 _ROSTERS = "group-members"
 _MEMBERS = "proxies"
+_QUOTAS = "tenant-quotas"
+_QUOTA_SHARES = "shares"
 
 
 class _LockSpec(msgspec.Struct):
@@ -71,6 +75,11 @@
     left: bool = False
 
 
+class _QuotaSharesSpec(msgspec.Struct):
+    holders: list[str] = []
+    following: list[str] = []
+
+
 class _MemberSpec(msgspec.Struct):
     zone: str
     host: str
@@ -218,6 +227,37 @@
     return LockRecord(spec.holder, spec.attempt, spec.released, revision)
 
 
+class QuotaShareTranslation:
+    """Who holds shares of the tenants' quotas, as a collection of one."""
+
+    kind = _QUOTAS
+
+    def item(self, stored: StoredObject, era: int) -> QuotaShares | None:
+        """The object, if it is the one that names the holders."""
+        if stored.meta.name != _QUOTA_SHARES:
+            return None
+        return _quota_shares(stored, StoreRevision.of(era, stored.meta.revision))
+
+
+def _quota_shares(stored: StoredObject, revision: StoreRevision) -> QuotaShares:
+    spec = decode(stored.spec, _QuotaSharesSpec)
+    return QuotaShares(tuple(spec.holders), tuple(spec.following), revision)
+
+
+class QuotaShareObject:
+    """One object for all tenants."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+
+    async def write(self, shares: QuotaShares, create: bool) -> QuotaShares:
+        """Create or replace it; raises PlatformConflict, -Uncertain, -Error."""
+        version = ObjectVersion(_QUOTAS, _QUOTA_SHARES, shares.revision, is_new=create)
+        spec = _QuotaSharesSpec(list(shares.holders), list(shares.following))
+        written = await self._store.write(version, spec)
+        return _quota_shares(written.stored, written.revision)
+
+
 class MemberTranslation:
     """The proxies that list themselves."""
 
--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -20,6 +20,8 @@
     MemberObjects,
     MemberTranslation,
     PromotionLockObject,
+    QuotaShareObject,
+    QuotaShareTranslation,
     RosterObjects,
     RosterTranslation,
 )
@@ -42,6 +44,7 @@
 from orchidwind.promoted.store_era import StoreEra
 from orchidwind.promoted.views.followed_views import ProxyBounds
 from orchidwind.shared.core.errors import SettingsError
+from orchidwind.shared.core.quota import QuotaRules
 from orchidwind.shared.logs import configure_logging, log_event
 from orchidwind.shared.settings import parse_address
 
@@ -130,6 +133,8 @@
         leases=LeaseObjects(store),
         roster_source=WatchedKind(store, RosterTranslation()),
         roster_store=RosterObjects(store),
+        quota_share_source=WatchedKind(store, QuotaShareTranslation()),
+        quota_share_store=QuotaShareObject(store),
         member_source=WatchedKind(store, MemberTranslation()),
         member_store=MemberObjects(store),
         peers=PeerStreamConnector(),
@@ -156,6 +161,7 @@
         configuration=configuration_ms / MILLISECONDS,
         directory=directory_ms / MILLISECONDS,
         revocation=revocation,
+        quotas=QuotaRules(bounds.quota_window_s, bounds.quota_overshoot, bounds.quota_slack),
     )
 
 
--- a/src/orchidwind/platform/settings.py
+++ b/src/orchidwind/platform/settings.py
@@ -53,6 +53,11 @@
     revocation_binds: bool = msgspec.field(default=False, name="strict_revocation")
     # From the acknowledgement of a configuration that takes an API key away.
     revocation_ms: float = msgspec.field(default=5000.0, name="revoke_ms")
+    # How far the operations of a tenant may exceed its quota in any window of so many seconds: by a
+    # share of what the quota allows in it, and by so many operations.
+    quota_window_s: float = 1.0
+    quota_overshoot: float = 0.0
+    quota_slack: float = 0.0
 
 
 class ServiceAddress(msgspec.Struct, frozen=True):
--- a/src/orchidwind/promoted/callers/command_runner.py
+++ b/src/orchidwind/promoted/callers/command_runner.py
@@ -12,7 +12,7 @@
 import random
 
 from orchidwind.promoted.core.command_limits import TimeLimits, spread_pause, traffic_class
-from orchidwind.promoted.core.commands import CommandResult, MessageKind
+from orchidwind.promoted.core.commands import CommandKind, CommandResult, MessageKind
 from orchidwind.promoted.core.flow_parts import CommandContext
 from orchidwind.promoted.core.flows import command_flow
 from orchidwind.promoted.core.session import Session
@@ -29,14 +29,17 @@
 )
 from orchidwind.promoted.flow_driver import drive
 from orchidwind.promoted.group.group_service import GroupService
+from orchidwind.promoted.quotas.quota_service import Quotas
 from orchidwind.shared.core.errors import BackendConnectionLost, ErrorKind, RequestError
+from orchidwind.shared.core.tenant_connections import NO_TENANT
 
 
 class CommandRunner:
     """The commands of one session, one at a time."""
 
-    def __init__(self, session: Session) -> None:
+    def __init__(self, session: Session, quotas: Quotas) -> None:
         self.caller_gone = False
+        self._quotas = quotas
         self._session = session
         self._loop = asyncio.get_running_loop()
         self._held: set[int] = set()
@@ -45,6 +48,29 @@
         self, context: CommandContext, group: GroupService, limits: TimeLimits
     ) -> CommandResult:
         """Carry a command out; raises RequestError."""
+        counts = self._counts(context)
+        if counts:
+            await self._quotas.pass_operation(context.tenant)
+        try:
+            return await self._drive(context, group, limits)
+        except RequestError:
+            if counts and not context.sent_to:
+                self._quotas.give_back(context.tenant)
+            raise
+
+    def _counts(self, context: CommandContext) -> bool:
+        """Whether a command is the first of its operation that an instance is to run.
+
+        Operations count against their tenant's quota: a single statement, or a whole transaction.
+        """
+        if context.tenant == NO_TENANT or context.command.kind is CommandKind.ROLLBACK:
+            return False
+        transaction = self._session.transaction
+        return transaction is None or not transaction.connection
+
+    async def _drive(
+        self, context: CommandContext, group: GroupService, limits: TimeLimits
+    ) -> CommandResult:
         try:
             return await drive(
                 command_flow(context),
--- a/src/orchidwind/promoted/callers/session_executor.py
+++ b/src/orchidwind/promoted/callers/session_executor.py
@@ -24,6 +24,7 @@
 from orchidwind.promoted.core.session import OpenTransaction, Session
 from orchidwind.promoted.group.group_service import GroupService
 from orchidwind.promoted.peers.forwarding import CommandForwarder, Homes
+from orchidwind.promoted.quotas.quota_service import Quotas
 from orchidwind.shared.core.errors import ANSWERS, ErrorKind, RequestError
 from orchidwind.shared.logs import log_event
 
@@ -40,6 +41,10 @@
     def homes(self) -> Homes:
         """Where the groups' connections are held."""
 
+    @property
+    def quotas(self) -> Quotas:
+        """How much tenants may ask."""
+
     def database(self, name: str) -> DatabaseRoute | None:
         """A database as callers name it."""
 
@@ -74,7 +79,7 @@
         self._databases = databases
         self._loop = asyncio.get_running_loop()
         self._group: GroupService | None = None
-        self._runner = CommandRunner(self.session)
+        self._runner = CommandRunner(self.session, databases.quotas)
         self._forwarder = CommandForwarder(self.session, databases.homes)
         self._context: CommandContext | None = None
         self._running = False
@@ -142,6 +147,7 @@
             database=self.name,
             group=group.settings.name if group is not None else "",
             reason=kind.value,
+            tenant=self._context.tenant if self._context is not None else "",
             ran=ANSWERS[kind].ran.value,
             primary=primary.instance if primary else "",
             term=primary.term if primary else 0,
--- a/src/orchidwind/promoted/core/peer_messages.py
+++ b/src/orchidwind/promoted/core/peer_messages.py
@@ -152,6 +152,29 @@
     proxies: tuple[ProxyMember, ...]
 
 
+class QuotaSharesView(msgspec.Struct, frozen=True):
+    """Who holds shares of the tenants' quotas; `revision` is that of the object."""
+
+    holders: tuple[str, ...]
+    following: tuple[str, ...]
+    revision: int
+
+
+class TokenQuery(msgspec.Struct, frozen=True):
+    """Asks for tokens of a tenant's quota."""
+
+    number: int
+    tenant: str
+    wanted: int
+
+
+class TokenGrant(msgspec.Struct, frozen=True):
+    """Tokens that the asker may use at once; the sender has them no longer."""
+
+    number: int
+    granted: int
+
+
 class ViewReport(msgspec.Struct, frozen=True):
     """A proxy's view, which was known to be current `age` seconds before this, as of `revision`.
 
@@ -167,6 +190,7 @@
     configuration: ConfigurationView | None = None
     directory: DirectoryView | None = None
     members: MembersView | None = None
+    quota_shares: QuotaSharesView | None = None
 
 
 PeerMessage = (
@@ -180,4 +204,6 @@
     | LockReport
     | ViewQuery
     | ViewReport
+    | TokenQuery
+    | TokenGrant
 )
--- a/src/orchidwind/promoted/group/operator_status.py
+++ b/src/orchidwind/promoted/group/operator_status.py
@@ -6,9 +6,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import msgspec
 
 from orchidwind.promoted.group.group_service import GroupService
+from orchidwind.promoted.quotas.quota_service import QuotaService, TenantUse
+from orchidwind.shared.core.tenants import Tenant
 
 
 class OperatorInstanceStatus(msgspec.Struct, frozen=True):
@@ -36,6 +40,20 @@
     instances: list[OperatorInstanceStatus]
 
 
+class OperatorTenantStatus(msgspec.Struct, frozen=True):
+    """One tenant: its quota over all proxies, and what this one let pass since it started.
+
+    `rate` is in operations a second, `share` what this proxy holds of the quota, 0 to 1.
+    """
+
+    name: str
+    rate: float
+    burst: float
+    share: float
+    passed: int
+    refused: int
+
+
 class OperatorStatus(msgspec.Struct, frozen=True):
     """One proxy. `configuration_age_ms`: since when nobody has confirmed that it is the newest.
 
@@ -49,6 +67,27 @@
     lead_lease: bool
     promotion_lock_holder: str
     groups: list[OperatorGroupStatus]
+    tenants: list[OperatorTenantStatus] = []
+
+
+def tenant_statuses(
+    tenants: Mapping[str, Tenant], quotas: QuotaService
+) -> list[OperatorTenantStatus]:
+    """The tenants of the configuration, those first that this proxy refused most."""
+    statuses = []
+    for tenant in tenants.values():
+        use = quotas.use.get(tenant.name, TenantUse())
+        statuses.append(
+            OperatorTenantStatus(
+                name=tenant.name,
+                rate=tenant.rate,
+                burst=tenant.burst,
+                share=round(quotas.share, 3),
+                passed=use.passed,
+                refused=use.refused,
+            )
+        )
+    return sorted(statuses, key=lambda status: (-status.refused, status.name))
 
 
 def group_status(group: GroupService, now: float) -> OperatorGroupStatus:
--- a/src/orchidwind/promoted/metrics.py
+++ b/src/orchidwind/promoted/metrics.py
@@ -7,9 +7,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Mapping
+from typing import Protocol
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
 
 from orchidwind.promoted.core.commands import CommandKind
 from orchidwind.shared.core.errors import ErrorKind
@@ -18,6 +21,10 @@
 # Bounds of the times of requests, seconds. From one round trip to the longest time-out,
 # each about twice the one before.
 _LATENCY_BUCKETS = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
+# Tenants with figures of their own at most: a bound of the page's length.
+_TENANTS_SHOWN = 20
+# The label of all others together. No tenant has it: names are without blanks.
+_OTHER_TENANTS = "all others"
 
 
 class _Figures:
@@ -124,6 +131,36 @@
         )
 
 
+class TenantOperations(Protocol):
+    """What became of one tenant's operations."""
+
+    passed: int
+    refused: int
+
+
+class _TenantFigures(Collector):
+    """The operations of the tenants that ask most, and of all others together."""
+
+    def __init__(self, use: Callable[[], Mapping[str, TenantOperations]]) -> None:
+        self._use = use
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        family = CounterMetricFamily(
+            "orchidwind_tenant_operations",
+            "Operations counted here against the quotas of tenants, by tenant and result",
+            labels=("tenant", "result"),
+        )
+        by_size = sorted(self._use().items(), key=lambda item: -item[1].passed - item[1].refused)
+        for name, use in by_size[:_TENANTS_SHOWN]:
+            family.add_metric((name, "passed"), use.passed)
+            family.add_metric((name, "refused"), use.refused)
+        others = [use for _, use in by_size[_TENANTS_SHOWN:]]
+        if others:
+            family.add_metric((_OTHER_TENANTS, "passed"), sum(use.passed for use in others))
+            family.add_metric((_OTHER_TENANTS, "refused"), sum(use.refused for use in others))
+        yield family
+
+
 class ProxyMetrics:
     """All figures; one object a process."""
 
@@ -141,6 +178,10 @@
         self._views.store_era.set_function(era)
         self._views.store_returns.set_function(returns)
 
+    def tenant_operations(self, use: Callable[[], Mapping[str, TenantOperations]]) -> None:
+        """What became of the tenants' operations, asked for whenever the figures are read."""
+        self.registry.register(_TenantFigures(use))
+
     def watch_age(self, view: str, seconds: Callable[[], float]) -> None:
         """The age of a view, asked for whenever the figures are read."""
         self._views.age.labels(view).set_function(seconds)
--- a/src/orchidwind/promoted/peers/home_ports.py
+++ b/src/orchidwind/promoted/peers/home_ports.py
@@ -12,13 +12,19 @@
 from orchidwind.promoted.callers.session_registry import SessionRegistry
 from orchidwind.promoted.core.peer_messages import LockReport, PeerMessage, ViewQuery, ViewReport
 from orchidwind.promoted.group.group_service import GroupService
+from orchidwind.promoted.quotas.quota_service import NoQuotas, Quotas
 
 SendBack = Callable[[PeerMessage], None]
 GroupLookup = Callable[[str], GroupService | None]
 ReadLock = Callable[[int], Awaitable[LockReport]]
+LendTokens = Callable[[str, int], int]
 ReportView = Callable[[ViewQuery], ViewReport]
 
 
+def _no_tokens(tenant: str, wanted: int) -> int:
+    return 0
+
+
 def _no_target(database: str) -> float | None:
     return None
 
@@ -28,7 +34,8 @@
 
     `read_lock` takes the number of a query and gives the promotion lock as the store has it.
     `transaction_idle` gives for how many seconds a transaction may rest, `target_latency` after how
-    many seconds an answer of a database is late, None where it is not known.
+    many seconds an answer of a database is late, None where it is not known. `quotas` lets the
+    operations of tenants pass, `lend_tokens` gives another proxy some of a tenant's quota.
     """
 
     groups: GroupLookup
@@ -37,6 +44,8 @@
     transaction_idle: Callable[[], float]
     report_view: ReportView
     target_latency: Callable[[str], float | None] = _no_target
+    quotas: Quotas = NoQuotas()
+    lend_tokens: LendTokens = _no_tokens
 
 
 class LinkWriter(Struct, frozen=True):
--- a/src/orchidwind/promoted/peers/peer_codec.py
+++ b/src/orchidwind/promoted/peers/peer_codec.py
@@ -40,14 +40,18 @@
         peer_messages.LockReport,
         peer_messages.ViewQuery,
         peer_messages.ViewReport,
+        peer_messages.TokenQuery,
+        peer_messages.TokenGrant,
     )
 }
 # The records of messages that concern a tenant. The others keep the bytes that proxies of a build
 # before tenants read.
 _RUN_TENANT_COMMAND = "RunTenantCommand"
 _TENANT_VIEW_REPORT = "TenantViewReport"
+_QUOTA_SHARES_REPORT = "QuotaSharesReport"
 _TYPES[_RUN_TENANT_COMMAND] = peer_messages.RunCommand
 _TYPES[_TENANT_VIEW_REPORT] = peer_messages.ViewReport
+_TYPES[_QUOTA_SHARES_REPORT] = peer_messages.ViewReport
 _SCHEMA = load_schema("peer")
 
 
@@ -60,9 +64,11 @@
 def _record_of(message: PeerMessage) -> str:
     if isinstance(message, peer_messages.RunCommand) and message.tenant:
         return _RUN_TENANT_COMMAND
-    if isinstance(message, peer_messages.ViewReport) and message.configuration is not None:
-        has_tenants = message.configuration.tenants is not None
-        return _TENANT_VIEW_REPORT if has_tenants else type(message).__name__
+    if isinstance(message, peer_messages.ViewReport):
+        if message.quota_shares is not None:
+            return _QUOTA_SHARES_REPORT
+        if message.configuration is not None and message.configuration.tenants is not None:
+            return _TENANT_VIEW_REPORT
     return type(message).__name__
 
 
--- a/src/orchidwind/promoted/peers/peer_link.py
+++ b/src/orchidwind/promoted/peers/peer_link.py
@@ -23,6 +23,8 @@
     PeerMessage,
     Probe,
     RunCommand,
+    TokenGrant,
+    TokenQuery,
     ViewQuery,
     ViewReport,
 )
@@ -33,7 +35,7 @@
 from orchidwind.shared.logs import log_event
 from orchidwind.shared.silence import ConnectionKind, OnSilent, SilentConnection, log_silent
 
-Answer = CommandAnswer | LockReport | ViewReport
+Answer = CommandAnswer | LockReport | ViewReport | TokenGrant
 
 
 class PeerLink:
@@ -91,6 +93,12 @@
         assert isinstance(answer, LockReport)
         return answer
 
+    async def ask_tokens(self, tenant: str, wanted: int) -> int:
+        """Ask for tokens of a tenant's quota; how many were lent. Raises PeerUnavailable."""
+        answer = await self._ask(TokenQuery(self.next_number(), tenant, wanted))
+        assert isinstance(answer, TokenGrant)
+        return answer.granted
+
     async def ask_view(
         self, view: str, revision: StoreRevision, whole: bool, seldom: bool = False
     ) -> ViewReport:
@@ -105,7 +113,7 @@
         return answer
 
     async def _ask(
-        self, message: RunCommand | LockQuery | ViewQuery, in_use: bool = True
+        self, message: RunCommand | LockQuery | ViewQuery | TokenQuery, in_use: bool = True
     ) -> Answer:
         connection = await self._open()
         answered: asyncio.Future[Answer] = self._loop.create_future()
--- a/src/orchidwind/promoted/peers/remote_session.py
+++ b/src/orchidwind/promoted/peers/remote_session.py
@@ -40,7 +40,7 @@
         self._home = home
         self._rest_timer: asyncio.TimerHandle | None = None
         self._session = Session()
-        self._runner = CommandRunner(self._session)
+        self._runner = CommandRunner(self._session, home.quotas)
         self._group: GroupService | None = None
         self._loop = asyncio.get_running_loop()
 
--- a/src/orchidwind/promoted/peers/served_link.py
+++ b/src/orchidwind/promoted/peers/served_link.py
@@ -18,6 +18,8 @@
     PeerMessage,
     Probe,
     RunCommand,
+    TokenGrant,
+    TokenQuery,
     ViewQuery,
 )
 from orchidwind.promoted.peers.home_ports import HomePorts, LinkWriter
@@ -60,6 +62,9 @@
             self._tasks.start(self._report_lock(message))
         elif isinstance(message, ViewQuery):
             self._report_view(message)
+        elif isinstance(message, TokenQuery):
+            lent = self._home.lend_tokens(message.tenant, message.wanted)
+            self._send(TokenGrant(message.number, lent))
         elif isinstance(message, Probe):
             self._send(Alive(self._leaving()))
         elif isinstance(message, CloseChannel):
--- a/src/orchidwind/promoted/ports.py
+++ b/src/orchidwind/promoted/ports.py
@@ -18,6 +18,7 @@
 from orchidwind.promoted.core.homes import ProxyMember
 from orchidwind.promoted.core.peer_messages import PeerMessage
 from orchidwind.promoted.core.promotion_lock import LockRecord
+from orchidwind.promoted.core.quota_shares import QuotaShares
 from orchidwind.promoted.core.roster import Roster
 from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.store_era import StoreEra
@@ -96,6 +97,7 @@
 
 DirectorySource = WatchedCollection[DirectoryEntry]
 LockSource = WatchedCollection[LockRecord]
+QuotaShareSource = WatchedCollection[QuotaShares]
 RosterSource = WatchedCollection[Roster]
 MemberSource = WatchedCollection[ProxyMember]
 ConfigurationSource = WatchedCollection[PromotedConfiguration]
@@ -176,6 +178,16 @@
         """
 
 
+class QuotaShareStore(Protocol):
+    """The object in the store that names who holds shares of the tenants' quotas."""
+
+    async def write(self, shares: QuotaShares, create: bool) -> QuotaShares:
+        """Write over `shares.revision`, or create it; the object as it is now.
+
+        Raises as `PromotionLockStore.write`.
+        """
+
+
 class LeaseRegistry(Protocol):
     """The proxies that may hold a lead lease; calls raise PlatformError."""
 
@@ -211,6 +223,8 @@
     roster_source: RosterSource
     roster_store: RosterStore
     promotions: PromotionService
+    quota_share_source: QuotaShareSource
+    quota_share_store: QuotaShareStore
     member_source: MemberSource
     member_store: MemberStore
     peers: PeerConnector
--- a/src/orchidwind/promoted/proxy_runtime.py
+++ b/src/orchidwind/promoted/proxy_runtime.py
@@ -22,22 +22,31 @@
     PromotedConfiguration,
 )
 from orchidwind.promoted.core.homes import ProxyMember
+from orchidwind.promoted.core.quota_shares import QuotaShares
 from orchidwind.promoted.group.group_service import GroupEnvironment, GroupService
 from orchidwind.promoted.group.group_supervision import GroupSupervision, SupervisionServices
 from orchidwind.promoted.group.lease_keeper import LeaseKeeper
-from orchidwind.promoted.group.operator_status import OperatorStatus, group_status
+from orchidwind.promoted.group.operator_status import (
+    OperatorStatus,
+    group_status,
+    tenant_statuses,
+)
 from orchidwind.promoted.group.promotion_lock_client import PromotionLockClient
 from orchidwind.promoted.group.roster_keeper import RosterKeeper
 from orchidwind.promoted.instance_directory import InstanceDirectory
 from orchidwind.promoted.metrics import ProxyMetrics
 from orchidwind.promoted.peers.home_ports import HomePorts
+from orchidwind.promoted.peers.peer_link import PeerLink
 from orchidwind.promoted.peers.peer_network import GroupFacts, PeerNetwork
 from orchidwind.promoted.peers.peer_service import PeerService
 from orchidwind.promoted.ports import ProxyPorts
+from orchidwind.promoted.quotas.quota_service import QuotaService
+from orchidwind.promoted.quotas.share_keeper import ShareKeeper
 from orchidwind.promoted.upkeep import Upkeep
 from orchidwind.promoted.views.collection_watch import CollectionWatch
 from orchidwind.promoted.views.configuration_follower import ConfigurationFollower
 from orchidwind.promoted.views.followed_views import GATHER_MEMBERS_SECONDS, ProxyBounds, ProxyViews
+from orchidwind.promoted.views.peer_views import QUOTA_SHARES
 from orchidwind.promoted.views.view_reporter import ViewReporter
 from orchidwind.shared.core.errors import ErrorKind
 from orchidwind.shared.core.tenant_connections import NO_TENANT
@@ -90,6 +99,17 @@
             self.homes.lock_readers,
         )
         self.store_era.on_return(self.homes.own_entry.store_came_back)
+        self.quotas = QuotaService(
+            self._bounds.quotas, lambda: self._tenants.tenants, self._token_lenders
+        )
+        self.metrics.tenant_operations(lambda: self.quotas.use)
+        self._shares = ShareKeeper(
+            name,
+            ports.quota_share_store,
+            self.quotas,
+            self._wanted_share_holders,
+            self._note_prepared,
+        )
         self.peer_service = PeerService(self._home_ports())
         self._coordinating = False
         self._prepared = asyncio.Event()
@@ -114,6 +134,8 @@
             transaction_idle=lambda: self.transaction_idle,
             report_view=ViewReporter(self).report,
             target_latency=self._target_latency,
+            quotas=self.quotas,
+            lend_tokens=self.quotas.lend,
         )
 
     def start(self) -> None:
@@ -145,6 +167,34 @@
         self._background.spawn(self.rosters.run)
         self._background.spawn(self.leases.run)
         self._background.spawn(self.leases.confirm_drops)
+        self._follow_quota_shares()
+
+    def _follow_quota_shares(self) -> None:
+        """Follow who holds shares of the quotas, where there are tenants and callers are served."""
+        configuration = self.configuration
+        if not self._coordinating or configuration is None or configuration.tenants is None:
+            return
+        if QUOTA_SHARES in self.views.watches:
+            return
+        watch = self.views.follow_quota_shares(self._shares, self._directory_followers)
+        self.quotas.confirmed_by(lambda: watch.confirmed_at)
+        self._background.spawn(self._shares.run)
+
+    def _wanted_share_holders(self) -> list[str]:
+        """The homes of all groups, none while the proxies are not known."""
+        return [home.name for home in self._directory_followers()] if self.homes.known else []
+
+    def _token_lenders(self) -> Iterable[PeerLink]:
+        """Links to the other homes, those of this zone first."""
+        homes = sorted(self._directory_followers(), key=lambda home: home.zone != self.zone)
+        others = (home for home in homes if home.name != self.name)
+        links = (self.homes.usable_link(home) for home in others)
+        return [link for link in links if link is not None]
+
+    @property
+    def quota_shares(self) -> QuotaShares:
+        """Who holds shares of the tenants' quotas, as far as this proxy knows."""
+        return self._shares.held
 
     def _directory_followers(self) -> Iterable[ProxyMember]:
         """The homes of all groups."""
@@ -169,6 +219,7 @@
     def close(self) -> None:
         """Stop following and close every connection."""
         self._background.close()
+        self.quotas.close()
         self.homes.close()
         for group in self.groups.values():
             group.close()
@@ -250,6 +301,7 @@
                 self.groups[name].topology.settings = settings
             else:
                 self._add_group(name)
+        self._follow_quota_shares()
         if current is None or current.groups != configuration.groups:
             self.homes.limits_changed()
         self._note_prepared()
@@ -308,6 +360,8 @@
             return
         if self._coordinating and not self._directory.read:
             return
+        if QUOTA_SHARES in self.views.watches and not self._shares.known:
+            return
         if not self._prepared.is_set():
             log_event("prepared", version=self.configuration.version)
         self._prepared.set()
@@ -324,4 +378,5 @@
             lead_lease=self.leases.covers(now),
             promotion_lock_holder=self.leases.holder,
             groups=[group_status(group, now) for group in self.groups.values()],
+            tenants=tenant_statuses(self._tenants.tenants, self.quotas),
         )
--- /dev/null
+++ b/src/orchidwind/promoted/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers: the tenants' quotas, and which proxies hold shares of them."""
--- a/src/orchidwind/promoted/views/collection_watch.py
+++ b/src/orchidwind/promoted/views/collection_watch.py
@@ -77,6 +77,11 @@
         """Seconds since the view was last known to be current, or since the start."""
         return self._view.age
 
+    @property
+    def confirmed_at(self) -> float:
+        """When the view was last known to be current, by the loop's clock; never: -inf."""
+        return self._loop.time() - self.age if self._view.known else float("-inf")
+
     @property
     def revision(self) -> StoreRevision:
         """The view is whole as of this revision, or `NOTHING_HELD`."""
--- a/src/orchidwind/promoted/views/followed_views.py
+++ b/src/orchidwind/promoted/views/followed_views.py
@@ -16,6 +16,7 @@
 from orchidwind.promoted.core.confirming_instances import DEFAULT_ENTRY_OUTLIVES_SECONDS
 from orchidwind.promoted.core.freshness import FollowTimes
 from orchidwind.promoted.core.homes import ProxyMember
+from orchidwind.promoted.core.quota_shares import QuotaShares
 from orchidwind.promoted.group.lease_keeper import LeaseKeeper
 from orchidwind.promoted.group.roster_keeper import RosterKeeper
 from orchidwind.promoted.metrics import ProxyMetrics
@@ -23,14 +24,25 @@
 from orchidwind.promoted.ports import ProxyPorts
 from orchidwind.promoted.views.collection_watch import CollectionWatch
 from orchidwind.promoted.views.held_view import CollectionFollower
-from orchidwind.promoted.views.peer_views import CONFIGURATION, DIRECTORY, MEMBERS, PeerViews
+from orchidwind.promoted.views.peer_views import (
+    CONFIGURATION,
+    DIRECTORY,
+    MEMBERS,
+    QUOTA_SHARES,
+    PeerViews,
+)
 from orchidwind.promoted.views.view_forms import (
     reported_configuration,
     reported_directory,
     reported_members,
+    reported_quota_shares,
 )
+from orchidwind.shared.core.quota import SHARE_VALID_SECONDS, QuotaRules
 
 PROMOTION_LOCK = "promotion_lock"
+# The age below which the view of the quota shares is kept, as a share of the time for which they
+# are valid: the rest is for a store that is down.
+_QUOTA_SHARES_FOLLOWED = 0.6
 ROSTERS = "rosters"
 # How long a watch of lock and rosters waits, seconds. These cost time at most when they are
 # old: a revocation that goes unnoticed delays a change of primary by a second, and rosters are read
@@ -56,7 +68,8 @@
     `members`: the age that the list of proxies is kept below. No promise rests on it: an old one
     costs a hop, or connections of too many homes; new proxies take work after a seventh of it.
     `revocation`: from the acknowledgement of a configuration that takes an API key away until no
-    request with it is accepted; None where that is not promised.
+    request with it is accepted; None where that is not promised. `quotas`: how far the operations
+    of a tenant may exceed its quota.
     """
 
     entry_outlives: float = DEFAULT_ENTRY_OUTLIVES_SECONDS
@@ -64,6 +77,7 @@
     directory: float = 4.0
     members: float = 20.0
     revocation: float | None = None
+    quotas: QuotaRules = QuotaRules()
 
 
 class ProxyViews:
@@ -152,6 +166,27 @@
             )
         )
 
+    def follow_quota_shares(
+        self,
+        follower: CollectionFollower[QuotaShares],
+        followers: Callable[[], Iterable[ProxyMember]],
+    ) -> CollectionWatch[QuotaShares]:
+        """Follow who holds shares of the quotas; `followers` gives the proxies that do so."""
+        times = FollowTimes.within(SHARE_VALID_SECONDS * _QUOTA_SHARES_FOLLOWED, False)
+        era = self._ports.store_era
+        peers = PeerViews(QUOTA_SHARES, times, self._network, followers, reported_quota_shares, era)
+        watch = CollectionWatch(
+            QUOTA_SHARES,
+            self._ports.quota_share_source,
+            follower,
+            times,
+            0.0,
+            peers,
+            self._metrics.silent,
+        )
+        self._follow(watch)
+        return watch
+
     def follow_coordination(self, leases: LeaseKeeper, rosters: RosterKeeper) -> None:
         """Follow the promotion lock and the rosters."""
         times = FollowTimes.unhurried(_COORDINATION_WATCH_SECONDS)
--- a/src/orchidwind/promoted/views/peer_views.py
+++ b/src/orchidwind/promoted/views/peer_views.py
@@ -33,6 +33,7 @@
 CONFIGURATION = "configuration"
 DIRECTORY = "directory"
 MEMBERS = "members"
+QUOTA_SHARES = "quota_shares"
 # An answer is waited for so many seconds. Between two zones it takes some milliseconds, on
 # a machine slowed fivefold some dozens; a silent link is found after 0.4 s (`core.link_silence`).
 _ANSWER_SECONDS = 0.5
--- a/src/orchidwind/promoted/views/view_forms.py
+++ b/src/orchidwind/promoted/views/view_forms.py
@@ -7,7 +7,9 @@
 
 from orchidwind.promoted.core.configuration import DirectoryEntry, PromotedConfiguration
 from orchidwind.promoted.core.homes import ProxyMember
-from orchidwind.promoted.core.peer_messages import ConfigurationView, ViewReport
+from orchidwind.promoted.core.peer_messages import ConfigurationView, QuotaSharesView, ViewReport
+from orchidwind.promoted.core.quota_shares import QuotaShares
+from orchidwind.promoted.core.store_revision import StoreRevision
 
 
 def configuration_view(configuration: PromotedConfiguration) -> ConfigurationView:
@@ -46,6 +48,19 @@
     return None if report.members is None else report.members.proxies
 
 
+def quota_shares_view(shares: QuotaShares) -> QuotaSharesView:
+    """The quota shares as they are sent."""
+    return QuotaSharesView(shares.holders, shares.following, int(shares.revision))
+
+
+def reported_quota_shares(report: ViewReport) -> tuple[QuotaShares, ...] | None:
+    """The quota shares that a report holds, None where there are none."""
+    view = report.quota_shares
+    if view is None:
+        return None
+    return (QuotaShares(view.holders, view.following, StoreRevision(view.revision)),)
+
+
 def reported_directory(report: ViewReport) -> tuple[DirectoryEntry, ...] | None:
     """The directory that a report holds, None where there is none."""
     return None if report.directory is None else report.directory.entries
--- a/src/orchidwind/promoted/views/view_reporter.py
+++ b/src/orchidwind/promoted/views/view_reporter.py
@@ -20,12 +20,18 @@
     ViewQuery,
     ViewReport,
 )
+from orchidwind.promoted.core.quota_shares import QuotaShares
 from orchidwind.promoted.core.store_revision import NOTHING_HELD, StoreRevision
 from orchidwind.promoted.metrics import ProxyMetrics
 from orchidwind.promoted.store_era import StoreEra
 from orchidwind.promoted.views.collection_watch import CollectionWatch
-from orchidwind.promoted.views.peer_views import CONFIGURATION, DIRECTORY, MEMBERS
-from orchidwind.promoted.views.view_forms import configuration_view
+from orchidwind.promoted.views.peer_views import (
+    CONFIGURATION,
+    DIRECTORY,
+    MEMBERS,
+    QUOTA_SHARES,
+)
+from orchidwind.promoted.views.view_forms import configuration_view, quota_shares_view
 
 # A view with more items is not sent unasked: the others read it at the store, which has the
 # bandwidth. So many items have about 10 KB, which to 30 proxies at once take 0.25 s of a
@@ -40,6 +46,10 @@
     metrics: ProxyMetrics
     store_era: StoreEra
 
+    @property
+    def quota_shares(self) -> QuotaShares:
+        """Who holds shares of the tenants' quotas."""
+
     @property
     def directory(self) -> Mapping[str, DirectoryEntry]:
         """The instances that are known."""
@@ -65,8 +75,9 @@
     def __init__(self, held: HeldViews) -> None:
         self._held = held
         self._contents = {
-            CONFIGURATION: _Content(self._databases, self._with_configuration),
+            CONFIGURATION: _Content(self._configured_items, self._with_configuration),
             DIRECTORY: _Content(lambda: len(held.directory), self._with_directory),
+            QUOTA_SHARES: _Content(lambda: 1, self._with_quota_shares),
             MEMBERS: _Content(lambda: len(tuple(held.members)), self._with_members),
         }
 
@@ -89,9 +100,11 @@
         self._held.metrics.view_reported(query.view, "content", content.items())
         return content.fill(report)
 
-    def _databases(self) -> int:
+    def _configured_items(self) -> int:
         configuration = self._held.configuration
-        return 0 if configuration is None else len(configuration.databases)
+        if configuration is None:
+            return 0
+        return len(configuration.databases) + len(configuration.tenants or ())
 
     def _with_configuration(self, report: ViewReport) -> ViewReport:
         configuration = self._held.configuration
@@ -102,6 +115,10 @@
         view = DirectoryView(tuple(self._held.directory.values()))
         return msgspec.structs.replace(report, directory=view)
 
+    def _with_quota_shares(self, report: ViewReport) -> ViewReport:
+        view = quota_shares_view(self._held.quota_shares)
+        return msgspec.structs.replace(report, quota_shares=view)
+
     def _with_members(self, report: ViewReport) -> ViewReport:
         return msgspec.structs.replace(report, members=MembersView(tuple(self._held.members)))
 
@@ -109,5 +126,5 @@
 def omitted(report: ViewReport) -> ViewReport:
     """The same report without content; it tells that there is one."""
     return msgspec.structs.replace(
-        report, omitted=True, configuration=None, directory=None, members=None
+        report, omitted=True, configuration=None, directory=None, members=None, quota_shares=None
     )
--- a/src/orchidwind_bench/promoted/simulation/callers.py
+++ b/src/orchidwind_bench/promoted/simulation/callers.py
@@ -13,6 +13,7 @@
 from orchidwind.promoted.ports import ProxyPorts
 from orchidwind.promoted.proxy_runtime import ProxyRuntime
 from orchidwind.promoted.store_era import StoreEra
+from orchidwind.promoted.views.followed_views import ProxyBounds
 from orchidwind.shared.core.errors import ANSWERS, ErrorKind, Ran, RequestError
 from orchidwind_bench.promoted.simulation.connections import SimulatedConnector
 from orchidwind_bench.promoted.simulation.groups import SimulatedGroup
@@ -27,6 +28,7 @@
     SimulatedLockStore,
     SimulatedMembers,
     SimulatedPromotions,
+    SimulatedQuotaShares,
     SimulatedRosters,
     World,
 )
@@ -220,8 +222,10 @@
         instances: int = 3,
         connection_limit: int = CONNECTION_LIMIT,
         proxies: tuple[str, ...] = NODES,
+        bounds: ProxyBounds | None = None,
     ) -> None:
         """With a `connection_limit` too low for all `proxies`, some forward to the others."""
+        self._bounds = bounds
         self.world = World(seed, connection_limit)
         self.group = SimulatedGroup(self.world, (ZONES * 2)[:instances], seed)
         self.tally = Tally()
@@ -247,7 +251,7 @@
             self.nodes[name].close()
         zone = ZONES[self._proxies.index(name) % len(ZONES)]
         own = ProxyMember(name, zone, name, _PEER_PORT)
-        self.nodes[name] = ProxyRuntime(own, self._ports(name))
+        self.nodes[name] = ProxyRuntime(own, self._ports(name), self._bounds)
         self.nodes[name].start()
 
     def _ports(self, name: str) -> ProxyPorts:
@@ -263,6 +267,8 @@
             leases=SimulatedLeases(self.world, name),
             roster_source=SimulatedRosters(self.world, name),
             roster_store=SimulatedRosters(self.world, name),
+            quota_share_source=SimulatedQuotaShares(self.world, name),
+            quota_share_store=SimulatedQuotaShares(self.world, name),
             member_source=SimulatedMembers(self.world, name),
             member_store=SimulatedMembers(self.world, name),
             peers=SimulatedPeerConnector(self.links, name),
--- a/src/orchidwind_bench/promoted/simulation/connections.py
+++ b/src/orchidwind_bench/promoted/simulation/connections.py
@@ -20,7 +20,7 @@
 from orchidwind.shared.core.errors import BackendConnectionLost, BackendRefused
 from orchidwind_bench.promoted.simulation.groups import SimulatedGroup
 from orchidwind_bench.promoted.simulation.instances import SimulatedInstance
-from orchidwind_bench.promoted.simulation.world import ConfirmedCommit, World
+from orchidwind_bench.promoted.simulation.world import ConfirmedCommit, RanStatement, World
 
 CONNECT_SECONDS = 0.012
 # What a status or control call takes where the instance has slots.
@@ -47,8 +47,10 @@
         group: SimulatedGroup,
         instance: SimulatedInstance,
         on_lost: Callable[[], None],
+        tenant: str = "",
     ) -> None:
         self.node = node
+        self.tenant = tenant
         self._group = group
         self._instance = instance
         self._on_lost = on_lost
@@ -191,6 +193,10 @@
         if expected is None:
             history.blame(self._world.now, f"UNASKED: {message}")
             return
+        history.ran.append(RanStatement(self._world.now, message.request_id, self.tenant))
+        if self.tenant != expected.tenant:
+            told = f"{message.request_id} of {expected.tenant!r} ran for {self.tenant!r}"
+            history.blame(self._world.now, f"UNASKED: {told}")
         if tuple(sorted(self._settings.items())) != expected.settings:
             history.blame(
                 self._world.now,
@@ -321,7 +327,7 @@
         await network.travel(instance.name, self.node)
         if len(instance.links) >= self._group.world.connection_limit:
             raise BackendRefused("the limit is met", "53300")
-        link = SimulatedLink(self.node, self._group, instance, on_lost)
+        link = SimulatedLink(self.node, self._group, instance, on_lost, tenant)
         instance.links.add(link)
         return link
 
--- a/src/orchidwind_bench/promoted/simulation/store.py
+++ b/src/orchidwind_bench/promoted/simulation/store.py
@@ -22,6 +22,7 @@
 )
 from orchidwind.promoted.core.homes import ProxyMember
 from orchidwind.promoted.core.promotion_lock import LockRecord
+from orchidwind.promoted.core.quota_shares import QuotaShares
 from orchidwind.promoted.core.roster import Roster
 from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.ports import LeaseConfirmation
@@ -38,8 +39,9 @@
 LOCK_EVENT = "promotion lock"
 ROSTER_EVENT = "rosters"
 MEMBER_EVENT = "members"
+QUOTA_EVENT = "quota shares"
 CONFIGURATION_EVENT = "configuration"
-OWN_EVENTS = (LOCK_EVENT, ROSTER_EVENT, MEMBER_EVENT, CONFIGURATION_EVENT)
+OWN_EVENTS = (LOCK_EVENT, ROSTER_EVENT, MEMBER_EVENT, QUOTA_EVENT, CONFIGURATION_EVENT)
 GROUP = "ledger"
 
 
@@ -61,6 +63,7 @@
     lease_revisions: dict[str, StoreRevision]
     rosters: dict[str, Roster]
     members: dict[str, ProxyMember]
+    quota_shares: QuotaShares | None
     configuration: PromotedConfiguration
 
 
@@ -94,6 +97,7 @@
         self.lease_revisions: dict[str, StoreRevision] = {}
         self.rosters: dict[str, Roster] = {}
         self.members: dict[str, ProxyMember] = {}
+        self.quota_shares: QuotaShares | None = None
         self.configuration = simulated_configuration((GROUP,), connection_limit)
         self._events: list[tuple[int, str]] = []
         self._changed = asyncio.Event()
@@ -117,6 +121,7 @@
             dict(self.lease_revisions),
             dict(self.rosters),
             dict(self.members),
+            self.quota_shares,
             self.configuration,
         )
 
@@ -138,6 +143,10 @@
             for name, roster in copy.rosters.items()
         }
         self.members = dict(copy.members)
+        shares = copy.quota_shares
+        if shares is not None:
+            shares = replace(shares, revision=self._again(shares.revision))
+        self.quota_shares = shares
         self.configuration = copy.configuration
         self.lock = None
         self._events = [item for item in self._events if item[0] <= copy.revision]
--- a/src/orchidwind_bench/promoted/simulation/world.py
+++ b/src/orchidwind_bench/promoted/simulation/world.py
@@ -17,6 +17,7 @@
 from orchidwind.promoted.core.failover_steps import PromotionAnswer
 from orchidwind.promoted.core.homes import ProxyMember
 from orchidwind.promoted.core.promotion_lock import LockRecord
+from orchidwind.promoted.core.quota_shares import QuotaShares
 from orchidwind.promoted.core.roster import Roster
 from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.ports import Changes, LeaseConfirmation, Listing
@@ -29,6 +30,7 @@
     LOCK_EVENT,
     MEMBER_EVENT,
     OWN_EVENTS,
+    QUOTA_EVENT,
     ROSTER_EVENT,
     STORE_SECONDS,
     SimulatedStore,
@@ -66,6 +68,16 @@
     session: int
     settings: tuple[tuple[str, str], ...]
     session_commits: tuple[str, ...]
+    tenant: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class RanStatement:
+    """A statement that an instance ran, when, and for which tenant."""
+
+    at: float
+    request_id: str
+    tenant: str
 
 
 @dataclass(slots=True)
@@ -75,6 +87,7 @@
     confirmed: dict[str, ConfirmedCommit] = field(default_factory=dict)
     acknowledged: list[AcknowledgedCommit] = field(default_factory=list)
     expected: dict[str, ExpectedRequest] = field(default_factory=dict)
+    ran: list[RanStatement] = field(default_factory=list)
     stale: dict[str, str] = field(default_factory=dict)
     rolled_back: set[str] = field(default_factory=set)
     broken: list[str] = field(default_factory=list)
@@ -275,6 +288,42 @@
         return written
 
 
+class SimulatedQuotaShares:
+    """Who holds shares of the quotas, as one proxy follows and writes it."""
+
+    def __init__(self, world: World, node: str) -> None:
+        self._store = world.store
+        self._node = node
+
+    async def list(self, limit: float, on_arrival: OnArrival) -> Listing[QuotaShares]:
+        """The object, where it is there."""
+        await self._store.call(self._node, limit)
+        return Listing(self._items(), self._store.at)
+
+    def _items(self) -> tuple[QuotaShares, ...]:
+        return () if self._store.quota_shares is None else (self._store.quota_shares,)
+
+    async def watch(
+        self, revision: StoreRevision, wait: float, limit: float, on_arrival: OnArrival
+    ) -> Changes[QuotaShares]:
+        """The object, when something has changed."""
+        events = await self._store.wait_event(self._node, revision, wait, limit)
+        items = self._items() if QUOTA_EVENT in events.names else ()
+        return Changes(items, (), events.revision)
+
+    async def write(self, shares: QuotaShares, create: bool) -> QuotaShares:
+        """Compare and put."""
+        await self._store.call(self._node)
+        held = self._store.quota_shares
+        if create != (held is None) or (held is not None and held.revision != shares.revision):
+            raise PlatformConflict("the quota shares have changed")
+        self._store.revision += 1
+        written = replace(shares, revision=self._store.at)
+        self._store.quota_shares = written
+        self._store.note(QUOTA_EVENT)
+        return written
+
+
 class SimulatedMembers:
     """The proxies that list themselves, as one proxy follows and writes them."""
 
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import json
 
 from support.platform_system import SERVICE, LineClient, with_system
 
@@ -132,6 +133,34 @@
     with_tenants(tmp_path, scenario)
 
 
+def test_an_operator_sees_who_was_refused_and_by_which_limit(tmp_path, caplog):
+    caplog.set_level("INFO")
+
+    async def scenario(system):
+        await reconfigure(system, {"tern": (["key-a"], 1, 3), "heron": (["key-c"], 1000, 1000)})
+        client = await LineClient.open(system.front_port, "latest", "key-a")
+        answers = [await client.ask("READ t1", f"r{number}") for number in range(8)]
+        refused = [lines[0] for lines in answers if lines[0].startswith("ERROR")]
+        assert refused and all("BUSY quota_exceeded retry_after_ms=" in line for line in refused)
+        page = await system.status_of("/status", system.ports[2])
+        (first, second) = json.loads(page.body)["tenants"]
+        assert first == {
+            "name": "tern",
+            "rate": 1.0,
+            "burst": 3.0,
+            "share": 1.0,
+            "passed": 8 - len(refused),
+            "refused": len(refused),
+        }
+        assert second["refused"] == 0
+        figures = (await system.status_of("/metrics", system.ports[2])).body.decode()
+        assert 'orchidwind_tenant_operations_total{result="refused",tenant="tern"}' in figures
+        told = next(item for item in caplog.records if item.message == "quota_exceeded")
+        assert (told.tenant, told.rate, told.share) == ("tern", 1.0, 1.0)
+
+    with_tenants(tmp_path, scenario)
+
+
 def test_a_configuration_whose_tenants_contradict_is_not_taken(tmp_path, caplog):
     caplog.set_level("ERROR")
 
--- a/tests/shared/test_recorded_messages.py
+++ b/tests/shared/test_recorded_messages.py
@@ -83,8 +83,11 @@
     LockQuery,
     LockReport,
     MembersView,
+    QuotaSharesView,
     RunCommand,
     SettingValue,
+    TokenGrant,
+    TokenQuery,
     ViewQuery,
     ViewReport,
 )
@@ -489,6 +492,12 @@
     )
     for variant, report in tenant_report_cases():
         yield case("TenantViewReport", report, variant)
+    yield case("TokenQuery", TokenQuery(300, "bode960", 7))
+    yield case("TokenGrant", TokenGrant(300, 5))
+    shares = QuotaSharesView(("front-1", "front-2"), ("front-3",), 70_000)
+    yield case("QuotaSharesReport", ViewReport(300, True, 0.25, 9, quota_shares=shares))
+    nobody = QuotaSharesView((), (), 0)
+    yield case("QuotaSharesReport", ViewReport(1, False, 0.0, -1, quota_shares=nobody), ABSENT)
 
 
 CASES: tuple[Case, ...] = (*link_cases(), *datagram_cases(), *peer_cases())
--- a/tests/shared/test_recorded_store.py
+++ b/tests/shared/test_recorded_store.py
@@ -30,6 +30,8 @@
     MemberObjects,
     MemberTranslation,
     PromotionLockObject,
+    QuotaShareObject,
+    QuotaShareTranslation,
     RosterObjects,
     RosterTranslation,
 )
@@ -46,6 +48,7 @@
 from orchidwind.promoted.core.failover_steps import PromotionAnswer
 from orchidwind.promoted.core.homes import ProxyMember
 from orchidwind.promoted.core.promotion_lock import LockRecord
+from orchidwind.promoted.core.quota_shares import QuotaShares
 from orchidwind.promoted.core.roster import PromotionRecord, Roster
 from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.ports import Changes, LeaseConfirmation, Listing
@@ -158,6 +161,8 @@
 LISTED_ROSTER = Roster("svc 1/é", ("i-0", "i-1"), LATER, None)
 PROMOTED_ROSTER = Roster("svc1", ("i-0", "i-1", "i-2"), LATER, PROMOTION)
 FIRST_ROSTER = Roster("svc1", ("i-0",), LATER, FIRST_PROMOTION)
+FIRST_SHARES = QuotaShares(("front-1", "front-2"), (), StoreRevision(0))
+CHANGING_SHARES = QuotaShares(("front-1",), ("front-2", "front-é"), LATER)
 LEASE = LeaseConfirmation(
     "front-1", LATER, StoreRevision(69_000), {"svc1": Position(3, 1209), "svc2": Position(0, 0)}
 )
@@ -224,6 +229,11 @@
     return Write(lambda at: RosterObjects(objects(at)).write(roster, create), written)
 
 
+def quota_shares_write(shares: QuotaShares, create: bool) -> Write:
+    written = QuotaShares(shares.holders, shares.following, REVISION)
+    return Write(lambda at: QuotaShareObject(objects(at)).write(shares, create), written)
+
+
 def lease_write(lease: LeaseConfirmation, *answers: Given) -> Write:
     return Write(lambda at: LeaseObjects(objects(at)).confirm(lease), REVISION, answers)
 
@@ -245,6 +255,8 @@
     "lock taken": lock_write(HELD_LOCK, False),
     "lock released": lock_write(RELEASED_LOCK, False),
     "lock free": lock_write(FREE_LOCK, True),
+    "quota shares created": quota_shares_write(FIRST_SHARES, True),
+    "quota shares that change": quota_shares_write(CHANGING_SHARES, False),
     "roster created": roster_write(NEW_ROSTER, True),
     "roster of a name to be quoted": roster_write(LISTED_ROSTER, False),
     "roster with a promotion": roster_write(PROMOTED_ROSTER, False),
@@ -310,6 +322,14 @@
         RosterTranslation(),
         at_revision(FIRST_ROSTER),
     ),
+    "quota shares created": (
+        QuotaShareTranslation(),
+        QuotaShares(FIRST_SHARES.holders, (), REVISION),
+    ),
+    "quota shares that change": (
+        QuotaShareTranslation(),
+        QuotaShares(CHANGING_SHARES.holders, CHANGING_SHARES.following, REVISION),
+    ),
     "member created": (MemberTranslation(), MEMBER),
     "member that differs": (MemberTranslation(), BARE_MEMBER),
 }
--- a/tests/support/platform_system.py
+++ b/tests/support/platform_system.py
@@ -200,6 +200,8 @@
     task = asyncio.create_task(proxy.run())
     while not proxy._proxy.prepared:
         await asyncio.sleep(0.01)
+    while system.tenants is not None and not proxy._proxy.quotas.share:
+        await asyncio.sleep(0.01)
     system.proxy = proxy
     try:
         yield system
