--- a/src/orchidwind/promoted/core/forwarded_commands.py
+++ b/src/orchidwind/promoted/core/forwarded_commands.py
@@ -69,7 +69,8 @@
         timeout=database.statement_timeout,
         kind=command.kind.value,
         request_id=command.request_id,
-        text=command.text,
+        # Of an EXECUTE only its argument goes to an instance: the text would carry it twice.
+        text="" if executes else command.text,
         argument=command.argument,
         prepared=session.prepared_for(command) if executes else None,
         settings=tuple(SettingValue(*item) for item in session.settings.items()),
--- a/src/orchidwind/promoted/group/pool_driver.py
+++ b/src/orchidwind/promoted/group/pool_driver.py
@@ -55,7 +55,7 @@
         self.homes = 1
         self.pools = InstancePools(
             self._fair_window,
-            state.topology.is_near,
+            self._is_near,
             lambda instance: state.topology.primary_term(instance) > 0,
         )
         self.opener = ConnectionOpener(state.topology, connector)
@@ -73,6 +73,9 @@
         view = self._topology.instances.get(instance)
         return FIRST_WINDOW if view is None else fair_share(view.entry.slots, self.homes)
 
+    def _is_near(self, instance: str) -> bool:
+        return instance in self._topology.instances and self._topology.is_near(instance)
+
     def pool_of(self, connection: int) -> InstancePool | None:
         """The pool of an open connection; None once its instance is forgotten."""
         return self.pools.known(self.records.instance_of.get(connection, ""))
