--- a/src/orchidwind/shared/core/pool.py
+++ b/src/orchidwind/shared/core/pool.py
@@ -295,11 +295,12 @@
 
     def _next_to_open(self, now: float) -> str | None:
         """For which tenant a connection is to be opened next; None where none is."""
-        if not self._has_room(now):
-            return None
         if self._eager:
-            return NO_TENANT if self.size < self.usable else None
-        if self.size >= self.usable and not self.idle:
+            wanted = self.size < self.usable and self._has_room(now)
+            return NO_TENANT if wanted else None
+        if not len(self.queue) or (self.size >= self.usable and not self.idle):
+            return None
+        if not self._has_room(now):
             return None
         idle = self.tenants.among(self.idle)
         lacking = (tenant for tenant in self.tenants.lacking(self.opening) if tenant not in idle)
@@ -334,7 +335,7 @@
 
     def _grant(self, now: float) -> Iterator[Grant]:
         """Give idle connections to requests of their tenants, in the order of the queue."""
-        while self.idle and self._has_room(now):
+        while self.idle and len(self.queue) and self._has_room(now):
             ticket = self.queue.next(now, self._has_idle)
             if ticket is None:
                 return
