--- a/src/orchidwind/promoted/core/quota_shares.py
+++ b/src/orchidwind/promoted/core/quota_shares.py
@@ -1,13 +1,12 @@
 """Which proxies hold a share of the tenants' quotas, and how that changes. No I/O, no clock.
 
-One object in the store names the holders. Of each tenant's quota one of them has the greatest
-share, by the same hash that chooses the home of the tenant's requests, and the others the same
-each. While the holders change, the object also names those that follow: meanwhile a proxy that is
-among both has the smaller of its two shares, and the others have none. Whoever acts on the object
-has heard of it less than `quota.SHARE_VALID_SECONDS` ago, so once it has named both for
-`SETTLE_SECONDS`, nobody fills buckets by the larger shares of before, and those that follow take
-their place. So the shares in force add up to one at most, whatever each proxy has heard, and
-however late.
+One object in the store names the holders; each has the same share of every quota, so that whoever
+is cut off from the others can serve some of each. While the holders change, the object also names
+those that follow: meanwhile a proxy that is among both has the smaller of its two shares, and the
+others have none. Whoever acts on the object has heard of it less than `quota.SHARE_VALID_SECONDS`
+ago, so once it has named both for `SETTLE_SECONDS`, nobody fills buckets by the larger shares of
+before, and those that follow take their place. So the shares in force add up to one at most,
+whatever each proxy has heard, and however late.
 
 A proxy that starts anew under its name holds its share again at once: its life before is over.
 
@@ -17,18 +16,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection
 
 from msgspec import Struct
 
 from orchidwind.promoted.core.store_revision import StoreRevision
-from orchidwind.shared.core.rendezvous import first
 
 # After so many seconds everybody who uses a share has heard of a change. Longer than
 # `quota.SHARE_VALID_SECONDS` by the drift of two clocks and the way of an answer.
 SETTLE_SECONDS = 10.2
-# The share of a quota at the holder where most of the tenant's operations run, if there are others.
-_MAIN_SHARE = 0.4
 
 
 class QuotaShares(Struct, frozen=True):
@@ -43,23 +39,11 @@
         """Whether the store holds it."""
         return self.revision.in_era > 0
 
-    def share_of(self, proxy: str, tenant: str) -> float:
-        """Which share of a tenant's quota a proxy holds, 0 to 1."""
-        share = _share_among(self.holders, proxy, tenant)
-        if self.following:
-            return min(share, _share_among(self.following, proxy, tenant))
-        return share
-
-
-def _share_among(holders: Sequence[str], proxy: str, tenant: str) -> float:
-    if proxy not in holders:
-        return 0.0
-    if len(holders) == 1:
-        return 1.0
-    main = max(_MAIN_SHARE, 1.0 / len(holders))
-    if proxy == first(tenant, holders):
-        return main
-    return (1.0 - main) / (len(holders) - 1)
+    def share_of(self, proxy: str) -> float:
+        """Which share of each quota a proxy holds, 0 to 1."""
+        if proxy not in self.holders or (self.following and proxy not in self.following):
+            return 0.0
+        return 1.0 / max(len(self.holders), len(self.following))
 
 
 def next_shares(held: QuotaShares, wanted: Collection[str], known_for: float) -> QuotaShares | None:
--- a/src/orchidwind/promoted/group/operator_status.py
+++ b/src/orchidwind/promoted/group/operator_status.py
@@ -82,7 +82,7 @@
                 name=tenant.name,
                 rate=tenant.rate,
                 burst=tenant.burst,
-                share=round(quotas.share_of(tenant.name), 3),
+                share=round(quotas.share, 3),
                 passed=use.passed,
                 refused=use.refused,
             )
--- a/src/orchidwind/promoted/quotas/quota_service.py
+++ b/src/orchidwind/promoted/quotas/quota_service.py
@@ -15,7 +15,7 @@
 
 from orchidwind.promoted.peers.peer_link import PeerLink
 from orchidwind.shared.core.errors import ErrorKind, PeerUnavailable, RequestError
-from orchidwind.shared.core.quota import QuotaKeeper, QuotaRules, ShareOf
+from orchidwind.shared.core.quota import QuotaKeeper, QuotaRules
 from orchidwind.shared.core.tenants import Tenant
 from orchidwind.shared.logs import is_power_of_two, log_event
 from orchidwind.shared.task_set import TaskSet
@@ -83,17 +83,18 @@
         self._tasks = TaskSet()
         self._loop = asyncio.get_running_loop()
 
-    def share_of(self, tenant: str) -> float:
-        """This proxy's share of a tenant's quota, 0 to 1."""
-        return self._keeper.share_of(tenant)
+    @property
+    def share(self) -> float:
+        """This proxy's share of each quota, 0 to 1."""
+        return self._keeper.share
 
     def confirmed_by(self, confirmed_at: Callable[[], float]) -> None:
         """From now on this tells when the share was last known to be in force."""
         self._share_confirmed_at = confirmed_at
 
-    def shares_are(self, share_of: ShareOf) -> None:
-        """This proxy's shares, as it was just heard that they have changed."""
-        self._keeper.shares_are(share_of, self._loop.time(), self._share_confirmed_at())
+    def share_is(self, share: float) -> None:
+        """This proxy's share, as it was just heard of."""
+        self._keeper.share_is(share, self._loop.time(), self._share_confirmed_at())
 
     async def pass_operation(self, name: str) -> None:
         """Let one operation of a tenant pass; raises RequestError where its quota is used up."""
@@ -114,7 +115,7 @@
                 passed=use.passed,
                 rate=tenant.rate,
                 burst=tenant.burst,
-                share=round(self.share_of(name), 3),
+                share=round(self.share, 3),
                 share_age=round(self._loop.time() - self._share_confirmed_at(), 3),
             )
         raise RequestError(
--- a/src/orchidwind/promoted/quotas/share_keeper.py
+++ b/src/orchidwind/promoted/quotas/share_keeper.py
@@ -82,12 +82,12 @@
         self.held = shares
         if changed:
             self._held_since = self._loop.time()
-            self._service.shares_are(lambda tenant: shares.share_of(self._name, tenant))
+            self._service.share_is(shares.share_of(self._name))
             log_event(
                 "quota_shares",
                 holders=",".join(shares.holders),
                 following=",".join(shares.following),
-                holds=self._name in shares.holders,
+                share=round(shares.share_of(self._name), 3),
                 revision=shares.revision,
             )
 
--- a/src/orchidwind/shared/core/pool.py
+++ b/src/orchidwind/shared/core/pool.py
@@ -36,6 +36,8 @@
 # proxies an instance counts their old connections for up to 3 s, and an attempt that it turns away
 # costs it nothing. With the longer time a restarted home would serve on one connection for seconds.
 _TRY_LIMIT_SECONDS = 0.25
+# Connections of a proxy and of its life before that an instance counts at the same time.
+_GENERATIONS = 2
 # Connections opened at once for requests that wait. Each new one holds a slot of the instance for
 # longer than a request does (12 to 32 ms, docs/DECISIONS.md, "Homes for promoted groups"): opened
 # all at once, they hold up the requests that they were opened for.
@@ -246,12 +248,12 @@
         """Close idle connections beyond the most that were needed at once since the last trim.
 
         One stays. Fewer connections leave room for the new ones of proxies that lost power: an
-        instance counts their old ones for some seconds more. Those of tenants stay, as another
-        tenant's cannot be used in their place.
+        instance counts their old ones for some seconds more. Of those of tenants so many stay as
+        leave that room, since another tenant's cannot be used in their place.
         """
-        if self.tenants.among(self.idle) - {NO_TENANT}:
-            return []
-        spare = self.size - max(self._most_needed, 1)
+        of_tenants = self.tenants.among(self.idle) - {NO_TENANT}
+        kept = self.usable // _GENERATIONS if of_tenants else 1
+        spare = self.size - max(self._most_needed, kept)
         self._most_needed = len(self.busy) + len(self.queue)
         effects: list[PoolEffect] = []
         while spare > 0 and self.idle:
--- a/src/orchidwind/shared/core/quota.py
+++ b/src/orchidwind/shared/core/quota.py
@@ -22,7 +22,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from math import ceil, floor, inf
 
 from msgspec import Struct
@@ -131,20 +130,11 @@
         self._valid_until = max(valid_until, self._valid_until)
 
 
-# Which share of a tenant's quota a proxy holds, by the tenant's name, 0 to 1.
-ShareOf = Callable[[str], float]
-
-
-def _no_share(tenant: str) -> float:
-    return 0.0
-
-
 class QuotaKeeper:
-    """The buckets of one proxy."""
+    """The buckets of one proxy; `share` is its share of each tenant's quota, 0 to 1."""
 
     def __init__(self, rules: QuotaRules) -> None:
-        self._share_of: ShareOf = _no_share
-        self._has_share = False
+        self.share = 0.0
         self._rules = rules
         self._clock = ShareClock()
         self._buckets: dict[str, TokenBucket] = {}
@@ -154,32 +144,28 @@
         # Of the first share of this life: what a bucket then begins with, in shares of the excess.
         self._start_share = _START_SHARE
 
-    def shares_are(self, share_of: ShareOf, now: float, confirmed_at: float) -> None:
-        """The shares as of now, where they have changed."""
+    def share_is(self, share: float, now: float, confirmed_at: float) -> None:
+        """The share as of now."""
         self._clock.advance(now, confirmed_at)
-        if self._has_share:
+        if share == self.share:
+            return
+        if self.share:
             self._start_share = 0.0
-        self._has_share = True
-        self._share_of = share_of
+        self.share = share
         self._share_since = self._clock.seconds
         for name, bucket in self._buckets.items():
             bucket.fill(self._clock.seconds)
             bucket.resize(*self._rate_and_size(self._limits[name]))
 
-    def share_of(self, tenant: str) -> float:
-        """The share of a tenant's quota that this proxy holds, 0 to 1."""
-        return self._share_of(tenant)
-
     def _rate_and_size(self, tenant: Tenant) -> tuple[float, float]:
-        share = self._share_of(tenant.name)
         size = tenant.burst + self._rules.excess(tenant) * _STOCK_SHARE
-        return tenant.rate * share, size * share
+        return tenant.rate * self.share, size * self.share
 
     def _bucket(self, tenant: Tenant) -> TokenBucket:
         bucket = self._buckets.get(tenant.name)
         if bucket is None:
             rate, size = self._rate_and_size(tenant)
-            start = self._rules.excess(tenant) * self._start_share * self._share_of(tenant.name)
+            start = self._rules.excess(tenant) * self._start_share * self.share
             bucket = TokenBucket(start, rate, size)
             bucket.filled_at = self._share_since
             self._buckets[tenant.name] = bucket
--- a/tests/promoted/test_quotas.py
+++ b/tests/promoted/test_quotas.py
@@ -181,6 +181,22 @@
     play(scenario)
 
 
+def test_a_home_that_is_cut_off_serves_its_part_of_each_tenant():
+    """Found on a day whose fleet was split: one home of six was left to a third of the callers, had
+    an eighth of most quotas, as the shares were uneven, and refused 2,400 commands in four seconds.
+    """
+
+    async def scenario(system):
+        for other in (STORE, *PROXIES[1:]):
+            system.world.network.cut(PROXIES[0], other)
+        askers = [Asker(system, name, 6.5 / TENANTS[name].rate, PROXIES[:1]) for name in TENANTS]
+        await asyncio.gather(*(asker.run(4.0) for asker in askers))
+        for asker in askers:
+            assert ErrorKind.QUOTA_EXCEEDED not in asker.refused()
+
+    play(scenario)
+
+
 def test_a_key_that_is_taken_away_is_of_no_use_after_the_bound_on_any_proxy():
     async def scenario(system):
         asker = Asker(system, "heron", 1 / 4)
