--- a/src/orchidwind_bench/platform/soak/callers.py
+++ b/src/orchidwind_bench/platform/soak/callers.py
@@ -20,6 +20,7 @@
     STALENESS_MILLISECONDS,
     THAW_SLACK_SECONDS,
     SoakSystem,
+    api_key,
     database_name,
 )
 
@@ -132,6 +133,7 @@
         self._database = database_name(kind, service)
         self._proxy = ""
         self._thing = f"t{number}"
+        self._api_key = api_key(number)
         self._random = random.Random(f"{seed}/{number}")
         self._next = 0
         self._own = 0
@@ -158,7 +160,7 @@
 
     async def _session(self, until: float) -> None:
         self._own = 0
-        await self._stream.write(f"STARTUP {self._database} soak\r\n".encode())
+        await self._stream.write(f"STARTUP {self._database} {self._api_key}\r\n".encode())
         if not (await self._line()).startswith("READY"):
             await asyncio.sleep(_RECONNECT_SECONDS)
             return
