--- a/src/orchidwind/promoted/proxy_runtime.py
+++ b/src/orchidwind/promoted/proxy_runtime.py
@@ -37,21 +37,17 @@
 from orchidwind.promoted.instance_directory import InstanceDirectory
 from orchidwind.promoted.metrics import ProxyMetrics
 from orchidwind.promoted.peers.home_ports import HomePorts
-from orchidwind.promoted.peers.peer_link import PeerLink
 from orchidwind.promoted.peers.peer_network import GroupFacts, PeerNetwork
 from orchidwind.promoted.peers.peer_service import PeerService
 from orchidwind.promoted.ports import ProxyPorts
-from orchidwind.promoted.quotas.quota_service import QuotaService
-from orchidwind.promoted.quotas.share_keeper import ShareKeeper
+from orchidwind.promoted.quotas.tenancy import Tenancy
 from orchidwind.promoted.upkeep import Upkeep
 from orchidwind.promoted.views.collection_watch import CollectionWatch
 from orchidwind.promoted.views.configuration_follower import ConfigurationFollower
 from orchidwind.promoted.views.followed_views import GATHER_MEMBERS_SECONDS, ProxyBounds, ProxyViews
-from orchidwind.promoted.views.peer_views import QUOTA_SHARES
 from orchidwind.promoted.views.view_reporter import ViewReporter
 from orchidwind.shared.core.errors import ErrorKind
 from orchidwind.shared.core.tenant_connections import NO_TENANT
-from orchidwind.shared.core.tenants import KeyJudge, TenantTable
 from orchidwind.shared.logs import log_event
 
 # One success in so many is logged; failures are all logged. At some hundred requests a
@@ -74,8 +70,6 @@
         self.zone = own.zone
         self.metrics = metrics or ProxyMetrics()
         self.configuration: PromotedConfiguration | None = None
-        self._tenants = TenantTable(())
-        self._key_judge = KeyJudge.within(self._bounds.revocation)
         self.transaction_idle = DEFAULT_TRANSACTION_IDLE_SECONDS
         self.groups: dict[str, GroupService] = {}
         self._ports = ports
@@ -100,17 +94,15 @@
             self.homes.lock_readers,
         )
         self.store_era.on_return(self.homes.own_entry.store_came_back)
-        self.quotas = QuotaService(
-            self._bounds.quotas, lambda: self._tenants.tenants, self._token_lenders
-        )
-        self.metrics.tenant_operations(lambda: self.quotas.use)
-        self._shares = ShareKeeper(
-            name,
+        self._tenancy = Tenancy(
+            self._bounds,
             ports.quota_share_store,
-            self.quotas,
-            self._wanted_share_holders,
+            self.homes,
+            self._directory_followers,
             self._note_prepared,
         )
+        self.quotas = self._tenancy.quotas
+        self.metrics.tenant_operations(lambda: self.quotas.use)
         self.peer_service = PeerService(self._home_ports())
         self._coordinating = False
         self._prepared = asyncio.Event()
@@ -121,8 +113,8 @@
             self._connection_limit,
             lambda: len(self.groups),
             self._starved,
-            lambda tenant: tenant in self._tenants.large,
-            lambda: bool(self._tenants.tenants),
+            lambda tenant: tenant in self._tenancy.table.large,
+            lambda: bool(self._tenancy.table.tenants),
         )
         return PeerNetwork(
             own,
@@ -179,29 +171,13 @@
     def _follow_quota_shares(self) -> None:
         """Follow who holds shares of the quotas, where there are tenants and callers are served."""
         configuration = self.configuration
-        if not self._coordinating or configuration is None or configuration.tenants is None:
-            return
-        if QUOTA_SHARES in self.views.watches:
-            return
-        watch = self.views.follow_quota_shares(self._shares, self._directory_followers)
-        self.quotas.confirmed_by(lambda: watch.confirmed_at)
-        self._background.spawn(self._shares.run)
-
-    def _wanted_share_holders(self) -> list[str]:
-        """The homes of all groups, none while the proxies are not known."""
-        return [home.name for home in self._directory_followers()] if self.homes.known else []
-
-    def _token_lenders(self) -> Iterable[PeerLink]:
-        """Links to the other homes, those of this zone first."""
-        homes = sorted(self._directory_followers(), key=lambda home: home.zone != self.zone)
-        others = (home for home in homes if home.name != self.name)
-        links = (self.homes.usable_link(home) for home in others)
-        return [link for link in links if link is not None]
+        if self._coordinating and configuration is not None and configuration.tenants is not None:
+            self._tenancy.follow(self.views, self._background.spawn)
 
     @property
     def quota_shares(self) -> QuotaShares:
         """Who holds shares of the tenants' quotas, as far as this proxy knows."""
-        return self._shares.held
+        return self._tenancy.shares
 
     def _directory_followers(self) -> Iterable[ProxyMember]:
         """The homes of all groups."""
@@ -226,7 +202,7 @@
     def close(self) -> None:
         """Stop following and close every connection."""
         self._background.close()
-        self.quotas.close()
+        self._tenancy.close()
         self.homes.close()
         for group in self.groups.values():
             group.close()
@@ -242,11 +218,10 @@
 
         Raises RequestError where the key is held by nobody, or cannot be judged.
         """
-        configuration = self.configuration
-        if configuration is None or not configuration.needs_key(database):
+        if self.configuration is None:
             return NO_TENANT
         age = self.views.configuration_age
-        return self._key_judge.tenant_of(self._tenants, key_digest, age).name
+        return self._tenancy.tenant_of(self.configuration, database, key_digest, age)
 
     def _target_latency(self, name: str) -> float | None:
         database = self.database(name)
@@ -293,8 +268,7 @@
         if current is not None and configuration.version <= current.version:
             return False
         self.configuration = configuration
-        self._tenants = TenantTable(configuration.tenants or ())
-        self.homes.tenants_changed()
+        self._tenancy.adopt(configuration)
         self.transaction_idle = configuration.transaction_idle
         self.metrics.configuration_version.set(configuration.version)
         log_event(
@@ -302,7 +276,7 @@
             version=configuration.version,
             databases=len(configuration.databases),
             groups=len(configuration.groups),
-            tenants=len(self._tenants.tenants),
+            tenants=len(self._tenancy.table.tenants),
         )
         for name, settings in configuration.groups.items():
             if name in self.groups:
@@ -376,7 +350,7 @@
             return
         if self._coordinating and not self._directory.read:
             return
-        if QUOTA_SHARES in self.views.watches and not self._shares.known:
+        if not self._tenancy.ready:
             return
         if not self._prepared.is_set():
             log_event("prepared", version=self.configuration.version)
@@ -394,5 +368,5 @@
             lead_lease=self.leases.covers(now),
             promotion_lock_holder=self.leases.holder,
             groups=[group_status(group, now) for group in self.groups.values()],
-            tenants=tenant_statuses(self._tenants.tenants, self.quotas),
+            tenants=tenant_statuses(self._tenancy.table.tenants, self.quotas),
         )
