--- a/src/orchidwind/promoted/core/peer_messages.py
+++ b/src/orchidwind/promoted/core/peer_messages.py
@@ -161,18 +161,18 @@
 
 
 class TokenQuery(msgspec.Struct, frozen=True):
-    """Asks for tokens of a tenant's quota."""
+    """Asks for tokens of a tenant's quota, parts of one too."""
 
     number: int
     tenant: str
-    wanted: int
+    wanted: float
 
 
 class TokenGrant(msgspec.Struct, frozen=True):
     """Tokens that the asker may use at once; the sender has them no longer."""
 
     number: int
-    granted: int
+    granted: float
 
 
 class ViewReport(msgspec.Struct, frozen=True):
--- a/src/orchidwind/promoted/peers/home_ports.py
+++ b/src/orchidwind/promoted/peers/home_ports.py
@@ -17,12 +17,12 @@
 SendBack = Callable[[PeerMessage], None]
 GroupLookup = Callable[[str], GroupService | None]
 ReadLock = Callable[[int], Awaitable[LockReport]]
-LendTokens = Callable[[str, int], int]
+LendTokens = Callable[[str, float], float]
 ReportView = Callable[[ViewQuery], ViewReport]
 
 
-def _no_tokens(tenant: str, wanted: int) -> int:
-    return 0
+def _no_tokens(tenant: str, wanted: float) -> float:
+    return 0.0
 
 
 def _no_target(database: str) -> float | None:
--- a/src/orchidwind/promoted/peers/peer_link.py
+++ b/src/orchidwind/promoted/peers/peer_link.py
@@ -93,7 +93,7 @@
         assert isinstance(answer, LockReport)
         return answer
 
-    async def ask_tokens(self, tenant: str, wanted: int) -> int:
+    async def ask_tokens(self, tenant: str, wanted: float) -> float:
         """Ask for tokens of a tenant's quota; how many were lent. Raises PeerUnavailable."""
         answer = await self._ask(TokenQuery(self.next_number(), tenant, wanted))
         assert isinstance(answer, TokenGrant)
--- a/src/orchidwind/promoted/quotas/quota_service.py
+++ b/src/orchidwind/promoted/quotas/quota_service.py
@@ -26,6 +26,8 @@
 # Where others had nothing to lend, they are asked again after so many seconds: a tenant that asks
 # for more than its quota would else have every proxy ask all others for each operation.
 _ASK_AGAIN_SECONDS = 0.25
+# So little of a token is not asked for.
+_HARDLY_ANY = 1e-6
 
 
 class Quotas(Protocol):
@@ -135,11 +137,11 @@
 
     # --- tokens of other proxies --------------------------------------------------------------
 
-    def lend(self, name: str, wanted: int) -> int:
+    def lend(self, name: str, wanted: float) -> float:
         """Tokens of a tenant for another proxy, which this one has no longer."""
         tenant = self._tenants().get(name)
         if tenant is None:
-            return 0
+            return 0.0
         return self._keeper.lend(tenant, wanted, self._loop.time(), self._share_confirmed_at())
 
     async def _borrow(self, tenant: Tenant) -> bool:
@@ -163,26 +165,24 @@
     async def _ask(self, tenant: Tenant, borrowing: _Borrowing) -> None:
         """Ask one proxy after the other, until those that wait have a token each."""
         await asyncio.sleep(0)  # those that arrived together are counted first
-        lent = 0
         for link in self._lenders():
-            wanted = borrowing.waiting - lent
-            if wanted <= 0:
+            missing = self._keeper.missing(tenant, borrowing.waiting, self._loop.time())
+            if missing <= _HARDLY_ANY:
                 break
-            lent += await self._ask_one(link, tenant.name, wanted)
-        borrowing.task = None
-        if lent:
+            lent = await self._ask_one(link, tenant.name, missing)
             self._keeper.borrow(tenant, lent, self._loop.time())
-        else:
+        borrowing.task = None
+        if self._keeper.missing(tenant, 1, self._loop.time()) > _HARDLY_ANY:
             borrowing.not_before = self._loop.time() + _ASK_AGAIN_SECONDS
 
-    async def _ask_one(self, link: PeerLink, tenant: str, wanted: int) -> int:
+    async def _ask_one(self, link: PeerLink, tenant: str, wanted: float) -> float:
         try:
             async with asyncio.timeout(_BORROW_SECONDS):
                 return await link.ask_tokens(tenant, wanted)
         except (PeerUnavailable, TimeoutError) as error:
             reason = str(error) or "no answer in time"
             log_event("tokens_not_lent", tenant=tenant, peer=link.member.name, reason=reason)
-            return 0
+            return 0.0
 
     def close(self) -> None:
         """Ask no more."""
--- a/src/orchidwind/shared/core/quota.py
+++ b/src/orchidwind/shared/core/quota.py
@@ -22,7 +22,7 @@
 
 from __future__ import annotations
 
-from math import ceil, floor, inf
+from math import inf
 
 from msgspec import Struct
 
@@ -37,6 +37,8 @@
 # Borrowed tokens that are not used so soon are dropped, seconds. Long beside the way to a request
 # that waits for one.
 BORROWED_VALID_SECONDS = 0.15
+# What is lent in parts adds up to a token but for rounding.
+_WHOLE = 1.0 - 1e-9
 # When to come back, where more than the quota was asked, seconds. Sooner would cost more than it
 # gains; later, callers of a tenant that is below its quota again would wait for nothing.
 _SOONEST_RETRY_SECONDS = 0.05
@@ -67,7 +69,7 @@
         self.size = size
         # Up to when it is filled, on the clock of `ShareClock`.
         self.filled_at = 0.0
-        self._borrowed = 0
+        self._borrowed = 0.0
         self._borrowed_until = -inf
 
     def fill(self, clock: float) -> None:
@@ -82,28 +84,36 @@
         self.tokens = min(self.tokens, size)
 
     def take(self, now: float) -> bool:
-        """Take one token, a borrowed one first; whether there was one."""
-        if self._borrowed and now < self._borrowed_until:
-            self._borrowed -= 1
-            return True
-        if self.tokens < 1.0:
+        """Take one token, of what was borrowed first; whether there was one."""
+        borrowed = min(self._borrowed_now(now), 1.0)
+        if borrowed + self.tokens < _WHOLE:
             return False
-        self.tokens -= 1.0
+        self._borrowed -= borrowed
+        self.tokens = max(self.tokens - (1.0 - borrowed), 0.0)
         return True
 
+    def _borrowed_now(self, now: float) -> float:
+        if now >= self._borrowed_until:
+            self._borrowed = 0.0
+        return self._borrowed
+
+    def missing(self, operations: int, now: float) -> float:
+        """How many tokens are missing for so many operations."""
+        return max(operations - self.tokens - self._borrowed_now(now), 0.0)
+
     def give_back(self) -> None:
         """A token was taken for a request that has not run."""
         self.tokens = min(self.tokens + 1.0, self.size)
 
-    def lend(self, wanted: int) -> int:
-        """Take tokens out for another proxy: half of what is there at most."""
-        lent = min(wanted, ceil(floor(self.tokens) / 2))
+    def lend(self, wanted: float) -> float:
+        """Take tokens out for another proxy, parts of one too."""
+        lent = min(max(wanted, 0.0), self.tokens)
         self.tokens -= lent
         return lent
 
-    def borrow(self, tokens: int, now: float) -> None:
+    def borrow(self, tokens: float, now: float) -> None:
         """Another proxy has taken tokens out for this one."""
-        self._borrowed = tokens
+        self._borrowed = self._borrowed_now(now) + tokens
         self._borrowed_until = now + BORROWED_VALID_SECONDS
 
     @property
@@ -185,12 +195,16 @@
         """An operation that passed has not run."""
         self._bucket(tenant).give_back()
 
-    def lend(self, tenant: Tenant, wanted: int, now: float, confirmed_at: float) -> int:
+    def missing(self, tenant: Tenant, operations: int, now: float) -> float:
+        """How many tokens are missing here for so many operations."""
+        return self._bucket(tenant).missing(operations, now)
+
+    def lend(self, tenant: Tenant, wanted: float, now: float, confirmed_at: float) -> float:
         """How many operations another proxy may let pass in the place of this one."""
         self._clock.advance(now, confirmed_at)
         return self._bucket(tenant).lend(wanted)
 
-    def borrow(self, tenant: Tenant, tokens: int, now: float) -> None:
+    def borrow(self, tenant: Tenant, tokens: float, now: float) -> None:
         """Another proxy lets so many operations pass here."""
         self._bucket(tenant).borrow(tokens, now)
 
--- a/tests/shared/test_quota.py
+++ b/tests/shared/test_quota.py
@@ -98,6 +98,24 @@
     assert not borrower.take(SMALL, 10.0 + BORROWED_VALID_SECONDS, 10.0)
 
 
+def test_what_several_have_in_parts_is_lent_as_one():
+    """Else each proxy keeps up to a token of a small quota that nobody can use."""
+    lenders = [keeper_with(1 / 6) for _ in range(5)]
+    borrower = keeper_with(1 / 6)
+    now = 10.0
+    for keeper in (*lenders, borrower):
+        while keeper.take(SMALL, now, now):
+            pass
+    held = [1.0 - keeper.missing(SMALL, 1, now) for keeper in (*lenders, borrower)]
+    assert all(0.0 < part < 1.0 for part in held)
+    passed = 0
+    for lender in lenders:
+        missing = borrower.missing(SMALL, 1, now)
+        borrower.borrow(SMALL, lender.lend(SMALL, missing, now, now), now)
+        passed += borrower.take(SMALL, now, now)
+    assert passed == int(sum(held)) > 1
+
+
 def test_a_lower_limit_binds_at_once_and_a_higher_one_gives_no_burst():
     keeper = keeper_with(1.0)
     assert keeper.take(LARGE, 10.0, 10.0)
