--- a/src/orchidwind/shared/core/quota.py
+++ b/src/orchidwind/shared/core/quota.py
@@ -74,7 +74,8 @@
 
     def fill(self, clock: float) -> None:
         """Fill it up to a time of the clock of the share."""
-        self.tokens = min(self.tokens + self.rate * (clock - self.filled_at), self.size)
+        tokens = self.tokens + self.rate * (clock - self.filled_at)
+        self.tokens = tokens if tokens < self.size else self.size
         self.filled_at = clock
 
     def resize(self, rate: float, size: float) -> None:
@@ -85,6 +86,9 @@
 
     def take(self, now: float) -> bool:
         """Take one token, of what was borrowed first; whether there was one."""
+        if not self._borrowed and self.tokens >= 1.0:
+            self.tokens -= 1.0
+            return True
         borrowed = min(self._borrowed_now(now), 1.0)
         if borrowed + self.tokens < _WHOLE:
             return False
@@ -132,12 +136,16 @@
 
     def advance(self, now: float, confirmed_at: float) -> None:
         """The share was confirmed last as of a time. What is not surely covered does not count."""
-        covered = max(min(now, self._valid_until) - self._seen_at, 0.0)
-        begins = max(confirmed_at, self._valid_until, self._seen_at)
         valid_until = confirmed_at + SHARE_VALID_SECONDS
-        self.seconds += covered + max(min(now, valid_until) - begins, 0.0)
+        if now <= self._valid_until:
+            self.seconds += max(now - self._seen_at, 0.0)
+        else:
+            covered = max(self._valid_until - self._seen_at, 0.0)
+            begins = max(confirmed_at, self._valid_until, self._seen_at)
+            self.seconds += covered + max(min(now, valid_until) - begins, 0.0)
         self._seen_at = now
-        self._valid_until = max(valid_until, self._valid_until)
+        if valid_until > self._valid_until:
+            self._valid_until = valid_until
 
 
 class QuotaKeeper:
