--- a/src/orchidwind/promoted/quotas/quota_service.py
+++ b/src/orchidwind/promoted/quotas/quota_service.py
@@ -165,13 +165,15 @@
     async def _ask(self, tenant: Tenant, borrowing: _Borrowing) -> None:
         """Ask one proxy after the other, until those that wait have a token each."""
         await asyncio.sleep(0)  # those that arrived together are counted first
-        for link in self._lenders():
-            missing = self._keeper.missing(tenant, borrowing.waiting, self._loop.time())
-            if missing <= _HARDLY_ANY:
-                break
-            lent = await self._ask_one(link, tenant.name, missing)
-            self._keeper.borrow(tenant, lent, self._loop.time())
-        borrowing.task = None
+        try:
+            for link in self._lenders():
+                missing = self._keeper.missing(tenant, borrowing.waiting, self._loop.time())
+                if missing <= _HARDLY_ANY:
+                    break
+                lent = await self._ask_one(link, tenant.name, missing)
+                self._keeper.borrow(tenant, lent, self._loop.time())
+        finally:
+            borrowing.task = None
         if self._keeper.missing(tenant, 1, self._loop.time()) > _HARDLY_ANY:
             borrowing.not_before = self._loop.time() + _ASK_AGAIN_SECONDS
 
--- a/tests/promoted/test_quotas.py
+++ b/tests/promoted/test_quotas.py
@@ -13,6 +13,7 @@
 from orchidwind.promoted.callers.session_executor import SessionExecutor
 from orchidwind.promoted.core.commands import Command, CommandKind
 from orchidwind.promoted.core.configuration import ReadConsistency
+from orchidwind.promoted.quotas.quota_service import QuotaService
 from orchidwind.promoted.views.followed_views import ProxyBounds
 from orchidwind.shared.core.errors import ErrorKind, RequestError
 from orchidwind.shared.core.quota import QuotaRules
@@ -253,3 +254,25 @@
                 assert node.views.configuration_age >= system.world.now - down_since - 0.1
 
     play(scenario)
+
+
+def test_a_fault_while_tokens_are_asked_for_ends_one_operation_not_all_that_follow():
+    """Found on reading: what was asked stayed noted as under way, with its error for all later."""
+
+    class Broken:
+        def __init__(self):
+            self.asked = 0
+
+        async def ask_tokens(self, tenant, wanted):
+            self.asked += 1
+            raise ValueError("a fault of the program")
+
+    async def work():
+        link = Broken()
+        service = QuotaService(RULES, lambda: TENANTS, lambda: [link])
+        for _ in range(2):
+            with pytest.raises(ValueError, match="a fault of the program"):
+                await service.pass_operation("heron")
+        assert link.asked == 2
+
+    run_virtual(work())
