--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -55,7 +55,7 @@
 # sets it.
 _MISSED_HEARTBEATS = 3
 # The share of the time in which an API key may still be used that a proxy without a way to the
-# store is expected to serve for; the users' page LATER.md of the shifted deployment sets it.
+# store is expected to serve for; the users' pages set it, under "The score".
 _OWED_WITHOUT_NEWS_SHARE = 0.6
 # The collector of cycles would stop requests for milliseconds. What lives as long as the
 # process is left out, and young objects are collected after so many allocations, not after 700.
--- a/src/orchidwind/promoted/callers/session_executor.py
+++ b/src/orchidwind/promoted/callers/session_executor.py
@@ -26,6 +26,7 @@
 from orchidwind.promoted.peers.forwarding import CommandForwarder, Homes
 from orchidwind.promoted.quotas.quota_service import Quotas
 from orchidwind.shared.core.errors import ANSWERS, ErrorKind, RequestError
+from orchidwind.shared.core.tenant_connections import NO_TENANT
 from orchidwind.shared.logs import log_event
 
 # So many attempts go into a log line. The last ones tell the outcome.
@@ -231,7 +232,7 @@
         """
         transaction = self.session.transaction
         if command.kind is CommandKind.ROLLBACK:
-            return "" if transaction is None else transaction.tenant
+            return NO_TENANT if transaction is None else transaction.tenant
         try:
             tenant = self._databases.tenant_of(database.name, self._key_digest)
             if transaction is not None and transaction.tenant != tenant:
--- a/src/orchidwind/promoted/core/failover_members.py
+++ b/src/orchidwind/promoted/core/failover_members.py
@@ -24,7 +24,7 @@
 )
 
 # Seconds from the first commit that an instance confirms until its entry is listed: it writes
-# its entry at once, within 12 to 14 ms (docs/incidents, the one at Dakar on LOST); four times that.
+# its entry at once, within 12 to 14 ms (docs/incidents, the one on LOST); four times that.
 # One that is listed later is missed: docs/DECISIONS.md, "What a change of primary rests on".
 LISTING_SECONDS = 0.06
 
--- a/src/orchidwind/promoted/core/flow_parts.py
+++ b/src/orchidwind/promoted/core/flow_parts.py
@@ -50,6 +50,7 @@
     BackendConnectionLost,
     ProofMissing,
 )
+from orchidwind.shared.core.tenant_connections import NO_TENANT
 
 
 class CommandContext(Struct):
@@ -72,7 +73,7 @@
     attempts: list[str] = field(default_factory=list)
     sent_to: str = ""
     busy_replies: int = 0
-    tenant: str = ""
+    tenant: str = NO_TENANT
 
     def note(self, instance: str, what: str) -> None:
         """Keep what one attempt was based on and how it ended, for the log."""
--- a/src/orchidwind/promoted/core/peer_messages.py
+++ b/src/orchidwind/promoted/core/peer_messages.py
@@ -17,6 +17,7 @@
 )
 from orchidwind.promoted.core.homes import ProxyMember
 from orchidwind.shared.core.positions import Position
+from orchidwind.shared.core.tenant_connections import NO_TENANT
 from orchidwind.shared.core.tenants import Tenant
 
 
@@ -61,7 +62,7 @@
     read_only: bool
     remaining: float
     hold: float
-    tenant: str = ""
+    tenant: str = NO_TENANT
 
 
 class CommandAnswer(msgspec.Struct, frozen=True):
--- a/src/orchidwind/promoted/core/session.py
+++ b/src/orchidwind/promoted/core/session.py
@@ -18,6 +18,7 @@
 from orchidwind.promoted.core.configuration import DatabaseRoute
 from orchidwind.shared.core.errors import ErrorKind, RequestError
 from orchidwind.shared.core.positions import Position
+from orchidwind.shared.core.tenant_connections import NO_TENANT
 
 # Settings and prepared statements of one session at most. Bounds what a caller makes a
 # proxy hold, and what a connection may have to be brought to before a statement.
@@ -39,7 +40,7 @@
     instance: str = ""
     wrote: bool = False
     last_used: float = 0.0
-    tenant: str = ""
+    tenant: str = NO_TENANT
 
 
 class Session(Struct):
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -51,6 +51,7 @@
 from orchidwind.shared.core.admission import NO_TARGET, TrafficClass
 from orchidwind.shared.core.errors import ErrorKind
 from orchidwind.shared.core.positions import Position
+from orchidwind.shared.core.tenant_connections import NO_TENANT
 from orchidwind.shared.logs import log_event
 from orchidwind.shared.task_set import TaskSet
 
@@ -262,7 +263,7 @@
         traffic_class: TrafficClass,
         deadline: float,
         target_at: float = NO_TARGET,
-        tenant: str = "",
+        tenant: str = NO_TENANT,
     ) -> int:
         """Wait for a server connection; raises RequestError, BackendConnectionLost."""
         self._note_used()
--- a/src/orchidwind/promoted/views/followed_views.py
+++ b/src/orchidwind/promoted/views/followed_views.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
-from typing import Any
+from typing import Any, Generic, TypeVar
 
 from msgspec import Struct
 
@@ -16,12 +16,13 @@
 from orchidwind.promoted.core.confirming_instances import DEFAULT_ENTRY_OUTLIVES_SECONDS
 from orchidwind.promoted.core.freshness import FollowTimes
 from orchidwind.promoted.core.homes import ProxyMember
+from orchidwind.promoted.core.peer_messages import ViewReport
 from orchidwind.promoted.core.quota_shares import QuotaShares
 from orchidwind.promoted.group.lease_keeper import LeaseKeeper
 from orchidwind.promoted.group.roster_keeper import RosterKeeper
 from orchidwind.promoted.metrics import ProxyMetrics
 from orchidwind.promoted.peers.peer_network import PeerNetwork
-from orchidwind.promoted.ports import ProxyPorts
+from orchidwind.promoted.ports import ProxyPorts, WatchedCollection
 from orchidwind.promoted.views.collection_watch import CollectionWatch
 from orchidwind.promoted.views.held_view import CollectionFollower
 from orchidwind.promoted.views.peer_views import (
@@ -58,6 +59,8 @@
 _GATHER_ROSTERS_SECONDS = 0.5
 
 Spawn = Callable[[Callable[[], Awaitable[None]]], None]
+ProxiesOf = Callable[[], Iterable[ProxyMember]]
+Item = TypeVar("Item")
 
 
 class ProxyBounds(Struct, frozen=True):
@@ -80,6 +83,14 @@
     quotas: QuotaRules = QuotaRules()
 
 
+class _PeerConfirmation(Struct, Generic[Item], frozen=True):
+    """How a view is confirmed by other proxies: by which times, by whom, and what they report."""
+
+    times: FollowTimes
+    followers: ProxiesOf
+    items: Callable[[ViewReport], tuple[Item, ...] | None]
+
+
 class ProxyViews:
     """The followed views of one proxy; `watches` by their names."""
 
@@ -101,88 +112,58 @@
 
     def follow_configuration(self, follower: CollectionFollower[PromotedConfiguration]) -> None:
         """Follow the configuration; every proxy does, and any may confirm it."""
-        times = FollowTimes.within(self._bounds.configuration, watched_by_all=False)
-        network = self._network
-        peers = PeerViews(
-            CONFIGURATION,
-            times,
-            network,
-            lambda: network.members,
+        peers = _PeerConfirmation(
+            FollowTimes.within(self._bounds.configuration, watched_by_all=False),
+            lambda: self._network.members,
             reported_configuration,
-            self._ports.store_era,
-        )
-        source = self._ports.configuration
-        self._follow(
-            CollectionWatch(
-                CONFIGURATION, source, follower, times, 0.0, peers, self._metrics.silent
-            )
         )
+        self._follow_confirmed(CONFIGURATION, self._ports.configuration, follower, peers)
 
     def follow_members(self) -> None:
         """Follow the list of proxies; every proxy does, and any may confirm it."""
-        times = FollowTimes.within(self._bounds.members, watched_by_all=False)
-        network = self._network
-        peers = PeerViews(
-            MEMBERS,
-            times,
-            network,
-            lambda: network.members,
+        peers = _PeerConfirmation(
+            FollowTimes.within(self._bounds.members, watched_by_all=False),
+            lambda: self._network.members,
             reported_members,
-            self._ports.store_era,
         )
         source = self._ports.member_source
-        self._follow(
-            CollectionWatch(
-                MEMBERS,
-                source,
-                network,
-                times,
-                GATHER_MEMBERS_SECONDS,
-                peers,
-                self._metrics.silent,
-            )
-        )
+        self._follow_confirmed(MEMBERS, source, self._network, peers, GATHER_MEMBERS_SECONDS)
 
     def follow_directory(
-        self,
-        follower: CollectionFollower[DirectoryEntry],
-        followers: Callable[[], Iterable[ProxyMember]],
+        self, follower: CollectionFollower[DirectoryEntry], followers: ProxiesOf
     ) -> None:
         """Follow the directory; `followers` gives the proxies that do so and may confirm it."""
-        times = FollowTimes.within(self._bounds.directory)
-        peers = PeerViews(
-            DIRECTORY, times, self._network, followers, reported_directory, self._ports.store_era
+        peers = _PeerConfirmation(
+            FollowTimes.within(self._bounds.directory), followers, reported_directory
         )
         source = self._ports.directory
-        self._follow(
-            CollectionWatch(
-                DIRECTORY,
-                source,
-                follower,
-                times,
-                _GATHER_DIRECTORY_SECONDS,
-                peers,
-                self._metrics.silent,
-            )
-        )
+        self._follow_confirmed(DIRECTORY, source, follower, peers, _GATHER_DIRECTORY_SECONDS)
 
     def follow_quota_shares(
-        self,
-        follower: CollectionFollower[QuotaShares],
-        followers: Callable[[], Iterable[ProxyMember]],
+        self, follower: CollectionFollower[QuotaShares], followers: ProxiesOf
     ) -> CollectionWatch[QuotaShares]:
         """Follow who holds shares of the quotas; `followers` gives the proxies that do so."""
-        times = FollowTimes.within(SHARE_VALID_SECONDS * _QUOTA_SHARES_FOLLOWED, False)
-        era = self._ports.store_era
-        peers = PeerViews(QUOTA_SHARES, times, self._network, followers, reported_quota_shares, era)
+        bound = SHARE_VALID_SECONDS * _QUOTA_SHARES_FOLLOWED
+        peers = _PeerConfirmation(
+            FollowTimes.within(bound, watched_by_all=False), followers, reported_quota_shares
+        )
+        source = self._ports.quota_share_source
+        return self._follow_confirmed(QUOTA_SHARES, source, follower, peers)
+
+    def _follow_confirmed(
+        self,
+        name: str,
+        source: WatchedCollection[Item],
+        follower: CollectionFollower[Item],
+        peers: _PeerConfirmation[Item],
+        gather_seconds: float = 0.0,
+    ) -> CollectionWatch[Item]:
+        """Follow a view that other proxies confirm, too."""
+        second_path = PeerViews(
+            name, peers.times, self._network, peers.followers, peers.items, self._ports.store_era
+        )
         watch = CollectionWatch(
-            QUOTA_SHARES,
-            self._ports.quota_share_source,
-            follower,
-            times,
-            0.0,
-            peers,
-            self._metrics.silent,
+            name, source, follower, peers.times, gather_seconds, second_path, self._metrics.silent
         )
         self._follow(watch)
         return watch
--- a/src/orchidwind_bench/promoted/simulation/callers.py
+++ b/src/orchidwind_bench/promoted/simulation/callers.py
@@ -15,6 +15,7 @@
 from orchidwind.promoted.store_era import StoreEra
 from orchidwind.promoted.views.followed_views import ProxyBounds
 from orchidwind.shared.core.errors import ANSWERS, ErrorKind, Ran, RequestError
+from orchidwind.shared.core.tenant_connections import NO_TENANT
 from orchidwind.shared.core.tenants import key_digest
 from orchidwind_bench.promoted.simulation.connections import SimulatedConnector
 from orchidwind_bench.promoted.simulation.groups import SimulatedGroup
@@ -74,7 +75,7 @@
 
     think_seconds = _THINK_SECONDS
     # Whose API key it names; empty where callers need none.
-    tenant = ""
+    tenant = NO_TENANT
 
     def __init__(
         self, system: CallersSystem, node_name: str, number: int, consistency: ReadConsistency
--- a/src/orchidwind_bench/promoted/simulation/connections.py
+++ b/src/orchidwind_bench/promoted/simulation/connections.py
@@ -18,6 +18,7 @@
 )
 from orchidwind.promoted.core.configuration import DirectoryEntry
 from orchidwind.shared.core.errors import BackendConnectionLost, BackendRefused
+from orchidwind.shared.core.tenant_connections import NO_TENANT
 from orchidwind_bench.promoted.simulation.groups import SimulatedGroup
 from orchidwind_bench.promoted.simulation.instances import SimulatedInstance
 from orchidwind_bench.promoted.simulation.world import ConfirmedCommit, RanStatement, World
@@ -47,7 +48,7 @@
         group: SimulatedGroup,
         instance: SimulatedInstance,
         on_lost: Callable[[], None],
-        tenant: str = "",
+        tenant: str = NO_TENANT,
     ) -> None:
         self.node = node
         self.tenant = tenant
@@ -313,7 +314,7 @@
         self._group = group
 
     async def connect(
-        self, entry: DirectoryEntry, on_lost: Callable[[], None], tenant: str = ""
+        self, entry: DirectoryEntry, on_lost: Callable[[], None], tenant: str = NO_TENANT
     ) -> SimulatedLink:
         """Open a connection to an instance."""
         instance = self._group.instances[entry.instance]
--- a/src/orchidwind_bench/promoted/simulation/groups.py
+++ b/src/orchidwind_bench/promoted/simulation/groups.py
@@ -29,7 +29,7 @@
 _PART_ENTRIES = 20
 _STEP_DOWN_SECONDS = 1.0
 # A started instance writes its entry after so long at most (docs/incidents, the
-# one at Dakar on LOST).
+# one on LOST).
 _LISTED_SECONDS = 0.014
 
 
