--- a/src/orchidwind/promoted/core/quota_shares.py
+++ b/src/orchidwind/promoted/core/quota_shares.py
@@ -9,6 +9,9 @@
 replace the current ones. The shares in use therefore add up to at most one, whatever each proxy
 knows and however late it learns it.
 
+Two sets without a common proxy would leave nobody with a share until the change is complete. The
+next holders then include the current ones, which leave by a change of their own afterwards.
+
 A proxy that restarts under the same name holds its share again at once, because its previous
 process has ended.
 
@@ -63,4 +66,6 @@
         return None
     if not held.holders:
         return QuotaShares(names, (), held.revision)
+    if not set(names) & set(held.holders):
+        names = tuple(sorted({*names, *held.holders}))
     return QuotaShares(held.holders, names, held.revision)
