--- a/src/orchidwind/promoted/peers/peer_link.py
+++ b/src/orchidwind/promoted/peers/peer_link.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from itertools import count
 
 from orchidwind.promoted.core import link_silence
@@ -42,6 +43,8 @@
 )
 
 Answer = CommandAnswer | LockReport | ViewReport | TokenGrant
+# Shortest interval between two probes of a link that is to be verified, seconds.
+_VERIFY_SECONDS = 0.5
 
 
 class PeerLink:
@@ -58,9 +61,12 @@
         member: ProxyMember,
         connector: PeerConnector,
         on_silent: OnSilent = log_silent_connection,
+        on_lost: Callable[[], None] = lambda: None,
     ) -> None:
+        """`on_lost` is called each time the link is found lost."""
         self.member = member
         self._on_silent = on_silent
+        self._on_lost = on_lost
         self.leaving = False
         self.lost_since: float | None = None
         self._own = own
@@ -79,6 +85,7 @@
         self._closed = False
         self._reopening: asyncio.TimerHandle | None = None
         self._pause = ReopenPause()
+        self._verified_at = float("-inf")
 
     def usable(self) -> bool:
         """Whether new work may be sent: the link is not lost, the other proxy is not stopping."""
@@ -139,6 +146,21 @@
         if self._connection is not None:
             self._connection.send(message)
 
+    def verify(self) -> None:
+        """Find out whether the other proxy answers: open the link, or probe it if it is open.
+
+        Without an answer, the link counts as lost within a second.
+        """
+        now = self._loop.time()
+        if self._down or self._opening is not None or now - self._verified_at < _VERIFY_SECONDS:
+            return
+        self._verified_at = now
+        if self._connection is None:
+            self._begin_opening()
+            return
+        self.notify(Probe())
+        self._silence_watch.record_request()
+
     def close(self) -> None:
         """Close the link; pending requests fail with PeerUnavailable."""
         self._closed = True
@@ -228,11 +250,13 @@
                 waiting.set_exception(PeerUnavailable(reason, sent=True))
 
     def _mark_lost(self, reason: str) -> None:
-        if not self._down:
-            log_event("home_lost", home=self.member.name, reason=reason)
+        newly_lost = not self._down
         self._down = True
         if self.lost_since is None:
             self.lost_since = self._loop.time()
+        if newly_lost:
+            log_event("home_lost", home=self.member.name, reason=reason)
+            self._on_lost()
         if self._reopening is not None:
             self._reopening.cancel()
         if not self._closed:
--- a/src/orchidwind/promoted/peers/peer_network.py
+++ b/src/orchidwind/promoted/peers/peer_network.py
@@ -254,6 +254,16 @@
         self._remove_if_unreachable(link)
         return None
 
+    def _verify_homes(self) -> None:
+        """Find out which homes still answer, as the link to one proxy was lost.
+
+        Many may be lost at once. Commands that tried one after the other would wait for each.
+        """
+        homes = {home.name: home for placed in self._placed.values() for home in placed.homes}
+        for name, home in homes.items():
+            if name != self.own.name:
+                self._link(home).verify()
+
     def next_channel(self) -> int:
         """Return a new number for a session at a home."""
         return next(self._channels)
@@ -261,7 +271,9 @@
     def _link(self, member: ProxyMember) -> PeerLink:
         link = self._links.get(member.name)
         if link is None:
-            link = PeerLink(self.own.name, member, self._connector, self._on_silent)
+            link = PeerLink(
+                self.own.name, member, self._connector, self._on_silent, self._verify_homes
+            )
             self._links[member.name] = link
         return link
 
