--- a/src/orchidwind/promoted/proxy_runtime.py
+++ b/src/orchidwind/promoted/proxy_runtime.py
@@ -101,6 +101,7 @@
             self.homes,
             self._directory_followers,
             self._update_prepared,
+            self._start_coordination,
         )
         self.quotas = self._tenancy.quotas
         self.metrics.tenant_operations(lambda: self.quotas.use)
@@ -158,8 +159,9 @@
     def _start_coordination(self) -> None:
         """Start to follow what only home proxies need, unless that has been done.
 
-        This covers the directory, the promotion lock, the rosters and the leadership lease. A proxy
-        that is not a home starts it when it has to serve requests itself.
+        This covers the directory, the promotion lock, the rosters, the leadership lease and the
+        shares of the quotas. A proxy that is not a home starts it when it has to serve requests
+        itself.
         """
         if self._coordinating:
             return
--- a/src/orchidwind/promoted/quotas/quota_service.py
+++ b/src/orchidwind/promoted/quotas/quota_service.py
@@ -78,12 +78,17 @@
         rules: QuotaRules,
         tenants: Callable[[], Mapping[str, Tenant]],
         lenders: Callable[[], Iterable[PeerLink]],
+        on_used: Callable[[], None] = lambda: None,
     ) -> None:
-        """`tenants` gives the tenants in force by name, `lenders` the proxies to ask, in order."""
+        """`tenants` gives the tenants in force by name, `lenders` the proxies to ask, in order.
+
+        `on_used` is called with each operation that is to be admitted here.
+        """
         self.use: dict[str, TenantUse] = {}
         self._limiter = QuotaLimiter(rules)
         self._tenants = tenants
         self._lenders = lenders
+        self._on_used = on_used
         # Returns when the share was last known to be in force.
         self._share_confirmed_at = lambda: float("-inf")
         self._borrowing: dict[str, _Borrowing] = {}
@@ -105,6 +110,7 @@
 
     async def admit_operation(self, name: str) -> None:
         """Admit one operation of a tenant; raises RequestError if its quota is used up."""
+        self._on_used()
         tenant = self._tenants().get(name)
         if tenant is None:
             raise RequestError(ErrorKind.CONFIGURATION_TOO_OLD, f"tenant {name} is not known here")
--- a/src/orchidwind/promoted/quotas/tenancy.py
+++ b/src/orchidwind/promoted/quotas/tenancy.py
@@ -33,17 +33,21 @@
         network: PeerNetwork,
         homes: Callable[[], Iterable[ProxyMember]],
         on_known: Callable[[], None],
+        on_used: Callable[[], None],
     ) -> None:
         """`homes` returns the home proxies of all groups, which may include this one.
 
-        `on_known` is called whenever the holders of quota shares were read from the store.
+        `on_known` is called whenever the holders of quota shares were read from the store,
+        `on_used` with each operation of a tenant that is to be admitted here.
         """
         self.table = TenantTable(())
         self._key_checker = KeyChecker.within(bounds.revocation)
         self._network = network
         self._homes = homes
         self._following = False
-        self.quotas = QuotaService(bounds.quotas, lambda: self.table.tenants, self._lenders)
+        self.quotas = QuotaService(
+            bounds.quotas, lambda: self.table.tenants, self._lenders, on_used
+        )
         self._shares = ShareKeeper(
             network.own.name, store, self.quotas, self._wanted_holders, on_known
         )
