--- a/src/orchidwind/promoted/group/operator_status.py
+++ b/src/orchidwind/promoted/group/operator_status.py
@@ -43,7 +43,8 @@
     """One tenant: its quota over all proxies, and this proxy's counts since its start.
 
     `rate` is in operations per second; `share` is this proxy's fraction of the quota, 0 to 1.
-    `passed` and `refused` count operations at this proxy.
+    `passed`, `refused` (beyond the quota) and `unavailable` (not all of the quota was in force at
+    proxies that could be asked) count operations at this proxy.
     """
 
     name: str
@@ -52,6 +53,7 @@
     share: float
     passed: int
     refused: int
+    unavailable: int = 0
 
 
 class OperatorStatus(msgspec.Struct, frozen=True):
@@ -87,6 +89,7 @@
                 share=round(quotas.share, 3),
                 passed=use.passed,
                 refused=use.refused,
+                unavailable=use.unavailable,
             )
         )
     return sorted(statuses, key=lambda status: (-status.refused, status.name))
--- a/src/orchidwind/promoted/metrics.py
+++ b/src/orchidwind/promoted/metrics.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 from typing import Protocol
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
@@ -134,10 +134,14 @@
 
 
 class TenantOperations(Protocol):
-    """How many operations of one tenant were admitted and refused."""
+    """How many operations of one tenant were admitted and refused.
+
+    `refused`: beyond its quota. `unavailable`: not all of the quota was in force.
+    """
 
     passed: int
     refused: int
+    unavailable: int
 
 
 class _TenantMetrics(Collector):
@@ -152,18 +156,25 @@
             "Operations counted by this proxy against tenants' quotas, by tenant and result",
             labels=("tenant", "result"),
         )
-        busiest_first = sorted(
-            self._use().items(), key=lambda item: -item[1].passed - item[1].refused
-        )
+        busiest_first = sorted(self._use().items(), key=lambda item: -_asked(item[1]))
         for name, use in busiest_first[:_MAX_TENANT_LABELS]:
-            family.add_metric((name, "passed"), use.passed)
-            family.add_metric((name, "refused"), use.refused)
+            self._add(family, name, [use])
         others = [use for _, use in busiest_first[_MAX_TENANT_LABELS:]]
         if others:
-            family.add_metric((_OTHER_TENANTS, "passed"), sum(use.passed for use in others))
-            family.add_metric((_OTHER_TENANTS, "refused"), sum(use.refused for use in others))
+            self._add(family, _OTHER_TENANTS, others)
         yield family
 
+    def _add(
+        self, family: CounterMetricFamily, label: str, uses: Collection[TenantOperations]
+    ) -> None:
+        family.add_metric((label, "passed"), sum(use.passed for use in uses))
+        family.add_metric((label, "refused"), sum(use.refused for use in uses))
+        family.add_metric((label, "unavailable"), sum(use.unavailable for use in uses))
+
+
+def _asked(use: TenantOperations) -> int:
+    return use.passed + use.refused + use.unavailable
+
 
 class ProxyMetrics:
     """All metrics of a proxy; one object for each process."""
--- a/src/orchidwind/promoted/quotas/quota_service.py
+++ b/src/orchidwind/promoted/quotas/quota_service.py
@@ -16,7 +16,7 @@
 
 from orchidwind.promoted.peers.peer_link import PeerLink
 from orchidwind.shared.core.errors import ErrorKind, PeerUnavailable, RequestError
-from orchidwind.shared.core.quota import QuotaLimiter, QuotaRules
+from orchidwind.shared.core.quota import SHARE_VALID_SECONDS, QuotaLimiter, QuotaRules
 from orchidwind.shared.core.tenants import Tenant
 from orchidwind.shared.logs import is_power_of_two, log_event
 from orchidwind.shared.task_set import TaskSet
@@ -29,13 +29,19 @@
 _BORROW_RETRY_SECONDS = 0.25
 # Smaller amounts than this part of a token are not borrowed.
 _NEGLIGIBLE_TOKENS = 1e-6
+# A quota counts as used up if the proxies that were asked for tokens hold at least this share of it
+# together: all of it, within rounding errors.
+_WHOLE_QUOTA = 0.999
+# When to come back where no share is in force here and it is not known when one will be, seconds:
+# about the time in which the loss of its holders is noticed.
+_UNKNOWN_SHARE_RETRY_SECONDS = 0.5
 
 
 class Quotas(Protocol):
     """Admission by tenants' quotas, as the runners of commands use it."""
 
     async def admit_operation(self, name: str) -> None:
-        """Admit one operation of a tenant; raises RequestError if its quota is used up."""
+        """Admit one operation of a tenant; raises RequestError if there is no token for it."""
 
     def refund(self, name: str) -> None:
         """Return the token of an operation that was admitted and did not run."""
@@ -52,10 +58,22 @@
 
 
 class TenantUse(Struct):
-    """How many operations of one tenant this proxy admitted and refused since it started."""
+    """How many operations of one tenant this proxy admitted and refused since it started.
+
+    `refused` counts those beyond the tenant's quota, `unavailable` those that were refused because
+    not all of the quota was in force at proxies that could be asked.
+    """
 
     passed: int = 0
     refused: int = 0
+    unavailable: int = 0
+
+
+class KnownShares(Protocol):
+    """What is known of the shares of the quotas at other proxies."""
+
+    def share_of(self, proxy: str) -> float:
+        """The share of each quota that another proxy holds, 0 to 1."""
 
 
 class _Borrowing(Struct):
@@ -63,11 +81,13 @@
 
     `waiting` operations need a token each. `task` asks other proxies for tokens; it is None while
     no request is in progress. Other proxies are not asked again before the time `not_before`.
+    `asked_share` is the share of the quota held by this proxy and those that answered last.
     """
 
     waiting: int = 0
     task: asyncio.Task[None] | None = None
     not_before: float = 0.0
+    asked_share: float = 0.0
 
 
 class QuotaService:
@@ -91,15 +111,25 @@
         self._on_used = on_used
         # Returns when the share was last known to be in force.
         self._share_confirmed_at = lambda: float("-inf")
+        self._shares: KnownShares | None = None
         self._borrowing: dict[str, _Borrowing] = {}
         self._tasks = TaskSet()
         self._loop = asyncio.get_running_loop()
 
+    def use_shares(self, shares: KnownShares) -> None:
+        """Set what is known of the shares of the quotas."""
+        self._shares = shares
+
     @property
     def share(self) -> float:
         """This proxy's share of each quota, 0 to 1."""
         return self._limiter.share
 
+    def share_in_force(self) -> float:
+        """This proxy's share of each quota that is in force now, 0 to 1."""
+        age = self._loop.time() - self._share_confirmed_at()
+        return self._limiter.share if age <= SHARE_VALID_SECONDS else 0.0
+
     def set_confirmation_time(self, confirmed_at: Callable[[], float]) -> None:
         """Set the function that returns when the share was last known to be in force."""
         self._share_confirmed_at = confirmed_at
@@ -109,7 +139,7 @@
         self._limiter.set_share(share, self._loop.time(), self._share_confirmed_at())
 
     async def admit_operation(self, name: str) -> None:
-        """Admit one operation of a tenant; raises RequestError if its quota is used up."""
+        """Admit one operation of a tenant; raises RequestError if there is no token for it."""
         self._on_used()
         tenant = self._tenants().get(name)
         if tenant is None:
@@ -118,25 +148,62 @@
         if self._take(tenant) or (await self._borrow(tenant) and self._take(tenant)):
             use.passed += 1
             return
+        raise self._refusal(tenant, use)
+
+    def _refusal(self, tenant: Tenant, use: TenantUse) -> RequestError:
+        """Count and log the refusal of an operation; return the error that names its reason."""
+        asked_share = self._borrowing[tenant.name].asked_share
+        if asked_share >= _WHOLE_QUOTA:
+            return self._quota_exceeded(tenant, use)
+        return self._quota_unavailable(tenant, use, asked_share)
+
+    def _quota_exceeded(self, tenant: Tenant, use: TenantUse) -> RequestError:
         use.refused += 1
-        retry_after = self._limiter.retry_after(tenant)
         if is_power_of_two(use.refused):
             log_event(
                 "quota_exceeded",
-                tenant=name,
+                tenant=tenant.name,
                 refused=use.refused,
                 passed=use.passed,
                 rate=tenant.rate,
                 burst=tenant.burst,
-                share=round(self.share, 3),
+                share=round(self.share_in_force(), 3),
                 share_age=round(self._loop.time() - self._share_confirmed_at(), 3),
             )
-        raise RequestError(
+        return RequestError(
             ErrorKind.QUOTA_EXCEEDED,
-            f"tenant {name} has used up its quota",
+            f"tenant {tenant.name} has used up its quota",
+            retry_after_milliseconds=int(self._limiter.retry_after(tenant) * 1000),
+        )
+
+    def _quota_unavailable(
+        self, tenant: Tenant, use: TenantUse, asked_share: float
+    ) -> RequestError:
+        use.unavailable += 1
+        retry_after = self._seconds_to_tokens(tenant)
+        if is_power_of_two(use.unavailable):
+            log_event(
+                "quota_unavailable",
+                tenant=tenant.name,
+                unavailable=use.unavailable,
+                passed=use.passed,
+                asked_share=round(asked_share, 3),
+                share=round(self.share_in_force(), 3),
+                share_age=round(self._loop.time() - self._share_confirmed_at(), 3),
+                retry_after=round(retry_after, 3),
+            )
+        return RequestError(
+            ErrorKind.QUOTA_UNAVAILABLE,
+            f"the quota of tenant {tenant.name} is in force in part only ({asked_share:.2f} of it)",
             retry_after_milliseconds=int(retry_after * 1000),
         )
 
+    def _seconds_to_tokens(self, tenant: Tenant) -> float:
+        """When to come back: with the next token here, or when a share may be in force again."""
+        if self.share_in_force() > 0:
+            return self._limiter.retry_after(tenant)
+        return _UNKNOWN_SHARE_RETRY_SECONDS
+
     def _take(self, tenant: Tenant) -> bool:
         return self._limiter.take(tenant, self._loop.time(), self._share_confirmed_at())
 
@@ -176,26 +243,33 @@
     async def _request_tokens(self, tenant: Tenant, borrowing: _Borrowing) -> None:
         """Ask one proxy after the other until there is a token for each waiting operation."""
         await asyncio.sleep(0)  # so that operations that arrived together are all counted
+        asked_share = self.share_in_force()
         try:
             for link in self._lenders():
                 missing = self._limiter.missing(tenant, borrowing.waiting, self._loop.time())
                 if missing <= _NEGLIGIBLE_TOKENS:
                     break
                 lent = await self._request_from(link, tenant.name, missing)
+                if lent is None:
+                    continue
                 self._limiter.borrow(tenant, lent, self._loop.time())
+                if self._shares is not None:
+                    asked_share += self._shares.share_of(link.member.name)
         finally:
             borrowing.task = None
+            borrowing.asked_share = asked_share
         if self._limiter.missing(tenant, 1, self._loop.time()) > _NEGLIGIBLE_TOKENS:
             borrowing.not_before = self._loop.time() + _BORROW_RETRY_SECONDS
 
-    async def _request_from(self, link: PeerLink, tenant: str, wanted: float) -> float:
+    async def _request_from(self, link: PeerLink, tenant: str, wanted: float) -> float | None:
+        """Return how many tokens a proxy lent, None if it did not answer."""
         try:
             async with asyncio.timeout(_BORROW_SECONDS):
                 return await link.ask_tokens(tenant, wanted)
         except (PeerUnavailable, TimeoutError) as error:
             reason = str(error) or "no answer in time"
             log_event("tokens_not_lent", tenant=tenant, peer=link.member.name, reason=reason)
-            return 0.0
+            return None
 
     def close(self) -> None:
         """Cancel the requests for tokens that are in progress."""
--- a/src/orchidwind/promoted/quotas/share_keeper.py
+++ b/src/orchidwind/promoted/quotas/share_keeper.py
@@ -56,6 +56,11 @@
         self._held_since = self._loop.time()
         self._last_wanted: tuple[str, ...] = ()
         self._wanted_since = self._loop.time()
+        service.use_shares(self)
+
+    def share_of(self, proxy: str) -> float:
+        """The share of each quota that a proxy holds, 0 to 1."""
+        return self.held.share_of(proxy)
 
     def listed(self, listing: Listing[QuotaShares]) -> bool:
         """Apply a fresh read of the object. Returns whether it differs from the held copy."""
--- a/src/orchidwind/shared/core/errors.py
+++ b/src/orchidwind/shared/core/errors.py
@@ -37,6 +37,7 @@
     AUTHENTICATION_FAILED = "authentication_failed"
     CONFIGURATION_TOO_OLD = "configuration_too_old"
     QUOTA_EXCEEDED = "quota_exceeded"
+    QUOTA_UNAVAILABLE = "quota_unavailable"
     UNKNOWN_DATABASE = "unknown_database"
     NOT_SUPPORTED = "not_supported"
     PROTOCOL_VIOLATION = "protocol_violation"
@@ -62,9 +63,9 @@
 
 
 # The retry delays, in milliseconds: 500 while the primary is being replaced, which takes about a
-# second, and until a proxy receives a newer configuration; 200 for a queue to drain; 50 where a
-# retry may run at once; 1000 where other callers have to finish first. They determine how soon
-# refused callers retry.
+# second, and until a proxy receives a newer configuration or a share of a quota; 200 for a queue to
+# drain; 50 where a retry may run at once; 1000 where other callers have to finish first. They
+# determine how soon refused callers retry.
 ANSWERS: dict[ErrorKind, Answer] = {
     ErrorKind.OVERLOADED: Answer("53000", Ran.NO, 200),
     ErrorKind.DEADLINE_PASSED: Answer("57014", Ran.NO, 200),
@@ -79,6 +80,7 @@
     ErrorKind.AUTHENTICATION_FAILED: Answer("28P01", Ran.NO, None, "FATAL"),
     ErrorKind.CONFIGURATION_TOO_OLD: Answer("57P03", Ran.NO, 500),
     ErrorKind.QUOTA_EXCEEDED: Answer("53400", Ran.NO, 1000),
+    ErrorKind.QUOTA_UNAVAILABLE: Answer("57P03", Ran.NO, 500),
     ErrorKind.UNKNOWN_DATABASE: Answer("3D000", Ran.NO, None, "FATAL"),
     ErrorKind.NOT_SUPPORTED: Answer("0A000", Ran.NO, None),
     ErrorKind.PROTOCOL_VIOLATION: Answer("08P01", Ran.NO, None, "FATAL"),
--- a/src/orchidwind_bench/account/failed_commands.py
+++ b/src/orchidwind_bench/account/failed_commands.py
@@ -37,6 +37,7 @@
     TRANSACTION_LOST = "its transaction was rolled back"
     CONFIGURATION_OLD = "no news of the configuration for too long"
     QUOTA = "more than its tenant's quota"
+    QUOTA_NOT_IN_FORCE = "the shares of its tenant's quota were not all in force or reachable"
     REJECTED = "rejected by the proxy or the instance for what it asks"
     UNEXPLAINED = "unexplained"
 
@@ -56,6 +57,7 @@
     ErrorKind.AUTHENTICATION_FAILED: Cause.REJECTED,
     ErrorKind.CONFIGURATION_TOO_OLD: Cause.CONFIGURATION_OLD,
     ErrorKind.QUOTA_EXCEEDED: Cause.QUOTA,
+    ErrorKind.QUOTA_UNAVAILABLE: Cause.QUOTA_NOT_IN_FORCE,
     ErrorKind.UNKNOWN_DATABASE: Cause.REJECTED,
     ErrorKind.PROTOCOL_VIOLATION: Cause.REJECTED,
 }
