--- a/src/orchidwind/promoted/peers/peer_link.py
+++ b/src/orchidwind/promoted/peers/peer_link.py
@@ -63,7 +63,7 @@
         on_silent: OnSilent = log_silent_connection,
         on_lost: Callable[[], None] = lambda: None,
     ) -> None:
-        """`on_lost` is called each time the link is found lost."""
+        """`on_lost` is called each time the link is found lost, but not when it is closed here."""
         self.member = member
         self._on_silent = on_silent
         self._on_lost = on_lost
@@ -89,7 +89,7 @@
 
     def usable(self) -> bool:
         """Whether new work may be sent: the link is not lost, the other proxy is not stopping."""
-        return not self.leaving and not self._down
+        return not (self.leaving or self._down or self._closed)
 
     def next_number(self) -> int:
         """Return a new number for a message on this link."""
@@ -256,7 +256,8 @@
             self.lost_since = self._loop.time()
         if newly_lost:
             log_event("home_lost", home=self.member.name, reason=reason)
-            self._on_lost()
+            if not self._closed:
+                self._on_lost()
         if self._reopening is not None:
             self._reopening.cancel()
         if not self._closed:
--- a/tests/promoted/test_peer_links.py
+++ b/tests/promoted/test_peer_links.py
@@ -130,6 +130,23 @@
     return next(node for node in system.nodes.values() if not node.homes.is_home(GROUP))
 
 
+def test_a_link_that_was_closed_while_it_opened_takes_no_commands():
+    """Guards against a command that tries a closed link again and again without ever waiting."""
+
+    class NeverOpens:
+        async def connect(self, member, on_message, on_lost):
+            await asyncio.get_running_loop().create_future()
+
+    async def work():
+        link = PeerLink("proxy-a", MEMBER, NeverOpens())
+        link.verify()
+        await asyncio.sleep(0.1)
+        link.close()
+        assert not link.usable()
+
+    run_virtual(work())
+
+
 async def keep_reading(node, number, seconds, outcomes):
     executor = SessionExecutor(node, "session")
     loop = asyncio.get_running_loop()
