--- a/src/orchidwind/commands/explain.py
+++ b/src/orchidwind/commands/explain.py
@@ -55,6 +55,7 @@
         "promotion_sent",
         "quota_exceeded",
         "quota_shares",
+        "quota_shares_not_written",
         "quota_unavailable",
         "silence_not_confirmed",
         "started",
--- a/src/orchidwind/platform/coordination.py
+++ b/src/orchidwind/platform/coordination.py
@@ -79,6 +79,10 @@
 class _QuotaSharesSpec(msgspec.Struct):
     holders: list[str] = []
     following: list[str] = []
+    # Only written during a change, and only where they are not the defaults. Processes that do not
+    # know these fields wait for the end of the change.
+    early_passed: bool | msgspec.UnsetType = msgspec.UNSET
+    first_revision: int | msgspec.UnsetType = msgspec.UNSET
 
 
 class _MemberSpec(msgspec.Struct):
@@ -254,7 +258,13 @@
 
 def _quota_shares(stored: StoredObject, revision: StoreRevision) -> QuotaShares:
     spec = decode(stored.spec, _QuotaSharesSpec)
-    return QuotaShares(tuple(spec.holders), tuple(spec.following), revision)
+    return QuotaShares(
+        holders=tuple(spec.holders),
+        following=tuple(spec.following),
+        revision=revision,
+        early_passed=spec.early_passed is True,
+        first_revision=StoreRevision(spec.first_revision or 0),
+    )
 
 
 class QuotaShareObject:
@@ -269,7 +279,12 @@
         Raises PlatformConflict, PlatformUncertain or PlatformError.
         """
         version = ObjectVersion(_QUOTAS, _QUOTA_SHARES, shares.revision, is_new=create)
-        spec = _QuotaSharesSpec(list(shares.holders), list(shares.following))
+        spec = _QuotaSharesSpec(
+            holders=list(shares.holders),
+            following=list(shares.following),
+            early_passed=shares.early_passed or msgspec.UNSET,
+            first_revision=int(shares.first_revision) or msgspec.UNSET,
+        )
         written = await self._store.write(version, spec)
         return _quota_shares(written.stored, written.revision)
 
--- a/src/orchidwind/promoted/group/operator_status.py
+++ b/src/orchidwind/promoted/group/operator_status.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from orchidwind.promoted.core.share_status import ShareStatus
 from orchidwind.promoted.group.group_service import GroupService
 from orchidwind.promoted.quotas.quota_service import QuotaService, TenantUse
 from orchidwind.shared.core.tenants import Tenant
@@ -42,9 +43,9 @@
 class OperatorTenantStatus(msgspec.Struct, frozen=True):
     """One tenant: its quota over all proxies, and this proxy's counts since its start.
 
-    `rate` is in operations per second; `share` is this proxy's fraction of the quota, 0 to 1.
-    `passed`, `refused` (beyond the quota) and `unavailable` (not all of the quota was in force at
-    proxies that could be asked) count operations at this proxy.
+    `rate` is in operations per second; `share` is this proxy's fraction of the quota that is in
+    force, 0 to 1. `passed`, `refused` (beyond the quota) and `unavailable` (not all of the quota
+    was in force at proxies that could be asked) count operations at this proxy.
     """
 
     name: str
@@ -56,11 +57,28 @@
     unavailable: int = 0
 
 
+class OperatorQuotaShare(msgspec.Struct, frozen=True):
+    """This proxy's share of every tenant's quota, each figure from 0 to 1.
+
+    `state` says why it has just this share. `in_force` may be used here now, `share` once it is
+    confirmed; `reachable` is in force here or held by other proxies that answer. `holders` hold the
+    shares; `following` are to hold them next.
+    """
+
+    state: str
+    share: float
+    in_force: float
+    reachable: float
+    holders: list[str]
+    following: list[str]
+
+
 class OperatorStatus(msgspec.Struct, frozen=True):
     """One proxy.
 
     `configuration_age_ms` is the time since the configuration was last confirmed to be the newest.
-    `promotion_lock_holder` is the proxy that is changing a primary now, if any.
+    `promotion_lock_holder` is the proxy that is changing a primary now, if any. `quota_share` is
+    None where this proxy does not follow the shares of the quotas.
     """
 
     node: str
@@ -72,6 +90,21 @@
     promotion_lock_holder: str
     groups: list[OperatorGroupStatus]
     tenants: list[OperatorTenantStatus] = []
+    quota_share: OperatorQuotaShare | None = None
+
+
+def quota_share_status(status: ShareStatus | None) -> OperatorQuotaShare | None:
+    """This proxy's share of the quotas; None if it does not follow the shares."""
+    if status is None:
+        return None
+    return OperatorQuotaShare(
+        state=status.state.value,
+        share=round(status.share, 3),
+        in_force=round(status.in_force, 3),
+        reachable=round(status.reachable, 3),
+        holders=list(status.holders),
+        following=list(status.following),
+    )
 
 
 def tenant_statuses(
@@ -86,7 +119,7 @@
                 name=tenant.name,
                 rate=tenant.rate,
                 burst=tenant.burst,
-                share=round(quotas.share, 3),
+                share=round(quotas.share_in_force(), 3),
                 passed=use.passed,
                 refused=use.refused,
                 unavailable=use.unavailable,
--- a/src/orchidwind/promoted/metrics.py
+++ b/src/orchidwind/promoted/metrics.py
@@ -176,6 +176,20 @@
     return use.passed + use.refused + use.unavailable
 
 
+class _SecondsWithoutShare(Collector):
+    """For how long no share of the quotas was in force here or at a reachable proxy."""
+
+    def __init__(self, seconds: Callable[[], float]) -> None:
+        self._seconds = seconds
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        yield CounterMetricFamily(
+            "orchidwind_seconds_without_quota_share",
+            "Seconds in which no share of the quotas was in force here or at a reachable proxy",
+            value=self._seconds(),
+        )
+
+
 class ProxyMetrics:
     """All metrics of a proxy; one object for each process."""
 
@@ -197,6 +211,10 @@
         """Register the function that returns the counts of the tenants' operations."""
         self.registry.register(_TenantMetrics(use))
 
+    def seconds_without_quota_share(self, seconds: Callable[[], float]) -> None:
+        """Register the function that returns for how long no share of the quotas was in force."""
+        self.registry.register(_SecondsWithoutShare(seconds))
+
     def watch_age(self, view: str, seconds: Callable[[], float]) -> None:
         """Register the function that returns the age of a view in seconds."""
         self._views.age.labels(view).set_function(seconds)
--- a/src/orchidwind/promoted/peers/peer_network.py
+++ b/src/orchidwind/promoted/peers/peer_network.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from itertools import count
 
 from msgspec import Struct
@@ -246,6 +246,20 @@
         """All known proxies, including this one."""
         return self._members.values()
 
+    def _verify_homes(self) -> None:
+        """Find out which homes still answer, as the link to one proxy was lost.
+
+        Many may be lost at once. Commands that tried one after the other would wait for each.
+        """
+        homes = {home.name: home for placed in self._placed.values() for home in placed.homes}
+        for name, home in homes.items():
+            if name != self.own.name:
+                self._link(home).verify()
+
+    def known_members(self, names: Collection[str]) -> list[ProxyMember]:
+        """Return those of these proxies that are members."""
+        return [self._members[name] for name in sorted(names) if name in self._members]
+
     def usable_link(self, member: ProxyMember) -> PeerLink | None:
         """Return the link to a proxy, None while the proxy does not answer or is stopping."""
         link = self._link(member)
@@ -254,15 +268,25 @@
         self._remove_if_unreachable(link)
         return None
 
-    def _verify_homes(self) -> None:
-        """Find out which homes still answer, as the link to one proxy was lost.
+    def unreachable(self, names: Iterable[str]) -> set[str]:
+        """Return which of these proxies do not answer or are no longer members.
 
-        Many may be lost at once. Commands that tried one after the other would wait for each.
+        While there are any, the links to the others are verified: an idle link does not show that
+        its other side is gone.
         """
-        homes = {home.name: home for placed in self._placed.values() for home in placed.homes}
-        for name, home in homes.items():
-            if name != self.own.name:
-                self._link(home).verify()
+        links: list[PeerLink] = []
+        missing: set[str] = set()
+        for name in set(names) - {self.own.name}:
+            member = self._members.get(name)
+            if member is None:
+                missing.add(name)
+            else:
+                links.append(self._link(member))
+        lost = {link.member.name for link in links if link.lost_since is not None}
+        if lost or missing:
+            for link in links:
+                link.verify()
+        return lost | missing
 
     def next_channel(self) -> int:
         """Return a new number for a session at a home."""
--- a/src/orchidwind/promoted/proxy_runtime.py
+++ b/src/orchidwind/promoted/proxy_runtime.py
@@ -31,6 +31,7 @@
 from orchidwind.promoted.group.operator_status import (
     OperatorStatus,
     group_status,
+    quota_share_status,
     tenant_statuses,
 )
 from orchidwind.promoted.group.promotion_lock_client import PromotionLockClient
@@ -105,6 +106,7 @@
         )
         self.quotas = self._tenancy.quotas
         self.metrics.tenant_operations(lambda: self.quotas.use)
+        self.metrics.seconds_without_quota_share(lambda: self._tenancy.seconds_without_share)
         self.peer_service = PeerService(self._home_ports())
         self._coordinating = False
         self._prepared = asyncio.Event()
@@ -375,4 +377,5 @@
             promotion_lock_holder=self.leases.holder,
             groups=[group_status(group, now) for group in self.groups.values()],
             tenants=tenant_statuses(self._tenancy.table.tenants, self.quotas),
+            quota_share=quota_share_status(self._tenancy.share_status),
         )
--- a/src/orchidwind/promoted/quotas/quota_service.py
+++ b/src/orchidwind/promoted/quotas/quota_service.py
@@ -14,9 +14,10 @@
 
 from msgspec import Struct
 
+from orchidwind.promoted.core.share_status import ShareStatus
 from orchidwind.promoted.peers.peer_link import PeerLink
 from orchidwind.shared.core.errors import ErrorKind, PeerUnavailable, RequestError
-from orchidwind.shared.core.quota import SHARE_VALID_SECONDS, QuotaLimiter, QuotaRules
+from orchidwind.shared.core.quota import MIN_RETRY_SECONDS, HeldShare, QuotaLimiter, QuotaRules
 from orchidwind.shared.core.tenants import Tenant
 from orchidwind.shared.logs import is_power_of_two, log_event
 from orchidwind.shared.task_set import TaskSet
@@ -70,11 +71,17 @@
 
 
 class KnownShares(Protocol):
-    """What is known of the shares of the quotas at other proxies."""
+    """What is known of the shares of the quotas, here and at other proxies."""
 
     def share_of(self, proxy: str) -> float:
         """The share of each quota that another proxy holds, 0 to 1."""
 
+    def status(self) -> ShareStatus:
+        """How this proxy stands with its own share."""
+
+    def seconds_to_share(self) -> float | None:
+        """Seconds until a change of the holders gives out a part of the quotas; None: unknown."""
+
 
 class _Borrowing(Struct):
     """The state of borrowing tokens for one tenant.
@@ -120,23 +127,18 @@
         """Set what is known of the shares of the quotas."""
         self._shares = shares
 
-    @property
-    def share(self) -> float:
-        """This proxy's share of each quota, 0 to 1."""
-        return self._limiter.share
-
-    def share_in_force(self) -> float:
-        """This proxy's share of each quota that is in force now, 0 to 1."""
-        age = self._loop.time() - self._share_confirmed_at()
-        return self._limiter.share if age <= SHARE_VALID_SECONDS else 0.0
-
     def set_confirmation_time(self, confirmed_at: Callable[[], float]) -> None:
-        """Set the function that returns when the share was last known to be in force."""
+        """Set the function that returns when the share in use was last known to be in force."""
         self._share_confirmed_at = confirmed_at
 
-    def set_share(self, share: float) -> None:
-        """Set this proxy's share, which was read just now."""
-        self._limiter.set_share(share, self._loop.time(), self._share_confirmed_at())
+    def hold(self, share: HeldShare) -> None:
+        """Use a share of each quota from now on."""
+        now = self._loop.time()
+        self._limiter.set_share(share.late, now, share.confirmed_at, share.early)
+
+    def share_in_force(self) -> float:
+        """This proxy's share of each quota that is in force now, 0 to 1."""
+        return self._limiter.in_force(self._loop.time(), self._share_confirmed_at())
 
     async def admit_operation(self, name: str) -> None:
         """Admit one operation of a tenant; raises RequestError if there is no token for it."""
@@ -182,6 +184,7 @@
         use.unavailable += 1
         retry_after = self._seconds_to_tokens(tenant)
         if is_power_of_two(use.unavailable):
+            status = self._shares.status() if self._shares is not None else None
             log_event(
                 "quota_unavailable",
                 tenant=tenant.name,
@@ -190,6 +193,9 @@
                 asked_share=round(asked_share, 3),
                 share=round(self.share_in_force(), 3),
                 share_age=round(self._loop.time() - self._share_confirmed_at(), 3),
+                state="" if status is None else status.state.value,
+                holders="" if status is None else ",".join(status.holders),
+                following="" if status is None else ",".join(status.following),
                 retry_after=round(retry_after, 3),
             )
         return RequestError(
@@ -199,10 +205,11 @@
         )
 
     def _seconds_to_tokens(self, tenant: Tenant) -> float:
-        """When to come back: with the next token here, or when a share may be in force again."""
+        """When to come back: with the next token here, or with the next share of the quota."""
         if self.share_in_force() > 0:
             return self._limiter.retry_after(tenant)
-        return _UNKNOWN_SHARE_RETRY_SECONDS
+        seconds = None if self._shares is None else self._shares.seconds_to_share()
+        return _UNKNOWN_SHARE_RETRY_SECONDS if seconds is None else max(seconds, MIN_RETRY_SECONDS)
 
     def _take(self, tenant: Tenant) -> bool:
         return self._limiter.take(tenant, self._loop.time(), self._share_confirmed_at())
--- a/src/orchidwind/promoted/quotas/share_keeper.py
+++ b/src/orchidwind/promoted/quotas/share_keeper.py
@@ -1,31 +1,32 @@
-"""Follows which proxies hold shares of the tenants' quotas, and makes the home proxies the holders.
+"""Follows which proxies hold shares of the tenants' quotas, and writes changes of the holders.
 
 For: `tenancy`, which has it follow a view. Owns this proxy's copy of the object in the store that
-names the holders. Relies on `core.quota_shares` for what to write next, on a store that writes by
-compare-and-swap, and on `QuotaService`, which fills the token buckets by the share.
+names the holders. Relies on `core.share_changes` for what to write when, on `core.own_share` for
+what this proxy may use, on a store that writes by compare-and-swap, and on `QuotaService`, which
+fills the token buckets by the share.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Awaitable, Callable, Collection
 
-from orchidwind.promoted.core.quota_shares import QuotaShares, next_shares
+from orchidwind.promoted.core.own_share import OwnShare
+from orchidwind.promoted.core.quota_shares import QuotaShares
+from orchidwind.promoted.core.share_changes import ShareChanges, Surroundings
+from orchidwind.promoted.core.share_status import ShareStatus, share_status
 from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.ports import Changes, Listing, QuotaShareStore
 from orchidwind.promoted.quotas.quota_service import QuotaService
-from orchidwind.shared.core.errors import PlatformError
+from orchidwind.shared.core.errors import PlatformConflict, PlatformError
 from orchidwind.shared.logs import log_event
 
 # Interval at which it is checked whether the holders must change, seconds. A share that comes a
 # little late refuses no operation: other proxies lend their tokens.
 _CHECK_SECONDS = 0.1
-# How long the set of home proxies must stay the same before it replaces other holders, seconds.
-# While proxies start, each sees the others appear one by one. The first holders are named at once.
-_UNCHANGED_SECONDS = 1.5
-# The first of the wanted holders by name writes the change. Each further one writes this many
-# seconds after the one before it, if those before it have not written.
-_TURN_SECONDS = 2.0
+# Pauses after a write that failed, seconds; each is twice as long as the one before.
+_FIRST_WRITE_PAUSE_SECONDS = 0.25
+_LONGEST_WRITE_PAUSE_SECONDS = 2.0
 
 
 class ShareKeeper:
@@ -37,30 +38,53 @@
         store: QuotaShareStore,
         service: QuotaService,
         wanted: Callable[[], Collection[str]],
+        unreachable: Callable[[Collection[str]], set[str]],
         on_known: Callable[[], None],
     ) -> None:
         """`wanted` returns the proxies that are to hold shares; empty while they are not known.
 
-        `on_known` is called whenever the object was read from the store.
+        `unreachable` returns which of the given proxies do not answer. `on_known` is called
+        whenever the object was read from the store.
         """
         # Whether the object was read since the start.
         self.known = False
         self._listed = asyncio.Event()
         self._on_known = on_known
-        self.held = QuotaShares()
         self._name = name
         self._store = store
         self._service = service
         self._wanted = wanted
+        self._unreachable = unreachable
         self._loop = asyncio.get_running_loop()
-        self._held_since = self._loop.time()
-        self._last_wanted: tuple[str, ...] = ()
-        self._wanted_since = self._loop.time()
+        self._changes = ShareChanges(name, self._loop.time())
+        self._confirmed_at = lambda: float("-inf")
+        self._own_share = OwnShare(name)
+        # When the previous share was last confirmed, while the service uses that one.
+        self._previous_confirmed_at: float | None = None
+        self._read_again: Callable[[], Awaitable[bool]] | None = None
+        self._write_pause = _FIRST_WRITE_PAUSE_SECONDS
+        self._lost: set[str] = set()
+        self._checked_at = self._loop.time()
+        # For how long no share of the quotas was in force here or at a reachable proxy, seconds.
+        self.seconds_without_share = 0.0
         service.use_shares(self)
+        service.set_confirmation_time(self._share_confirmed_at)
 
-    def share_of(self, proxy: str) -> float:
-        """The share of each quota that a proxy holds, 0 to 1."""
-        return self.held.share_of(proxy)
+    @property
+    def held(self) -> QuotaShares:
+        """The object as last read or written by this proxy."""
+        return self._changes.held
+
+    def use_view(
+        self, confirmed_at: Callable[[], float], read_again: Callable[[], Awaitable[bool]]
+    ) -> None:
+        """Set the functions of the followed view.
+
+        `confirmed_at` returns when the object was last known to be current; `read_again` reads it
+        from the store now.
+        """
+        self._confirmed_at = confirmed_at
+        self._read_again = read_again
 
     def listed(self, listing: Listing[QuotaShares]) -> bool:
         """Apply a fresh read of the object. Returns whether it differs from the held copy."""
@@ -81,50 +105,92 @@
 
     def _apply(self, shares: QuotaShares) -> None:
         """Hold this version of the object, unless it is older than the held one."""
-        if shares.revision < self.held.revision:
+        if shares.revision < self.held.revision or shares == self.held:
             return
-        if shares == self.held:
+        now = self._loop.time()
+        self._own_share.learned(shares, now, self._confirmed_at())
+        self._changes.learned(shares, now)
+        self._use_share(now)
+        log_event(
+            "quota_shares",
+            holders=",".join(shares.holders),
+            following=",".join(shares.following),
+            early_passed=shares.early_passed,
+            share=round(shares.whole_share_of(self._name), 3),
+            revision=shares.revision,
+        )
+
+    # --- The share of this proxy --------------------------------------------------------------
+
+    def _use_share(self, now: float) -> None:
+        """Have the service use what this proxy may use of the quotas now."""
+        used = self._own_share.in_use(now, self._confirmed_at())
+        previous = self._own_share.previous
+        self._previous_confirmed_at = None if previous is None else previous.confirmed_at
+        self._service.hold(used)
+
+    def _share_confirmed_at(self) -> float:
+        """When the share that the service uses was last known to be in force."""
+        kept = self._previous_confirmed_at
+        return self._confirmed_at() if kept is None else kept
+
+    def _drop_previous_share(self, now: float) -> None:
+        """Use the present share once more of it is in force than of the previous one."""
+        if self._previous_confirmed_at is None:
             return
-        changed = (shares.holders, shares.following) != (self.held.holders, self.held.following)
-        self.held = shares
-        if changed:
-            self._held_since = self._loop.time()
-            self._service.set_share(shares.share_of(self._name))
-            log_event(
-                "quota_shares",
-                holders=",".join(shares.holders),
-                following=",".join(shares.following),
-                share=round(shares.share_of(self._name), 3),
-                revision=shares.revision,
-            )
+        self._own_share.in_use(now, self._confirmed_at())
+        if self._own_share.previous is None:
+            self._use_share(now)
+
+    def share_of(self, proxy: str) -> float:
+        """The share of each quota that a proxy holds, 0 to 1."""
+        return self.held.whole_share_of(proxy)
+
+    def status(self) -> ShareStatus:
+        """How this proxy stands with its own share."""
+        held = self.held if self.known else None
+        now = self._loop.time()
+        used = self._own_share.in_use(now, self._confirmed_at())
+        return share_status(self._name, held, used, self._lost, now)
+
+    def seconds_to_share(self) -> float | None:
+        """Seconds until a change of the holders gives out a part of the quotas; None: unknown."""
+        if not self.known:
+            return 0.0  # reading them takes some milliseconds
+        return self._changes.seconds_to_share(self._loop.time())
+
+    # --- Changes of the holders ---------------------------------------------------------------
 
     async def run(self) -> None:
         """Write changes of the holders whenever it is this proxy's turn; runs until cancelled."""
         await self._listed.wait()
         while True:
-            following = self._next_write()
+            following = self._check()
             if following is not None:
                 await self._write(following)
             await asyncio.sleep(_CHECK_SECONDS)
 
-    def _next_write(self) -> QuotaShares | None:
-        """The object that this proxy is to write now; None if it is to write nothing."""
+    def _check(self) -> QuotaShares | None:
+        """Bring the share up to date; return the object that this proxy is to write now."""
         wanted = tuple(sorted(self._wanted()))
+        self._lost = self._unreachable({*self.held.holders, *self.held.following, *wanted})
         now = self._loop.time()
-        if wanted != self._last_wanted:
-            self._last_wanted, self._wanted_since = wanted, now
-        if self._name not in wanted:
-            return None
-        turn_delay = wanted.index(self._name) * _TURN_SECONDS
-        settle_time = _UNCHANGED_SECONDS if self.held.holders else 0.0
-        if now - self._wanted_since < settle_time + turn_delay:
-            return None
-        return next_shares(self.held, wanted, now - self._held_since - turn_delay)
+        self._drop_previous_share(now)
+        if self._service.share_in_force() == 0 and self.status().reachable == 0:
+            self.seconds_without_share += now - self._checked_at
+        self._checked_at = now
+        return self._changes.next_write(now, Surroundings(wanted, self._lost))
 
     async def _write(self, shares: QuotaShares) -> None:
         try:
             self._apply(await self._store.write(shares, create=not shares.exists))
-        except (
-            PlatformError
-        ) as error:  # also a conflict: the watch then delivers the present object
+        except PlatformConflict as error:
+            log_event("quota_shares_not_written", reason=str(error))
+            if self._read_again is not None:
+                await self._read_again()
+        except PlatformError as error:
             log_event("quota_shares_not_written", reason=str(error))
+            await asyncio.sleep(self._write_pause)
+            self._write_pause = min(self._write_pause * 2, _LONGEST_WRITE_PAUSE_SECONDS)
+        else:
+            self._write_pause = _FIRST_WRITE_PAUSE_SECONDS
--- a/src/orchidwind/promoted/quotas/tenancy.py
+++ b/src/orchidwind/promoted/quotas/tenancy.py
@@ -13,6 +13,7 @@
 from orchidwind.promoted.core.configuration import PromotedConfiguration
 from orchidwind.promoted.core.homes import ProxyMember
 from orchidwind.promoted.core.quota_shares import QuotaShares
+from orchidwind.promoted.core.share_status import ShareStatus
 from orchidwind.promoted.peers.peer_link import PeerLink
 from orchidwind.promoted.peers.peer_network import PeerNetwork
 from orchidwind.promoted.ports import QuotaShareStore
@@ -49,7 +50,12 @@
             bounds.quotas, lambda: self.table.tenants, self._lenders, on_used
         )
         self._shares = ShareKeeper(
-            network.own.name, store, self.quotas, self._wanted_holders, on_known
+            network.own.name,
+            store,
+            self.quotas,
+            self._wanted_holders,
+            network.unreachable,
+            on_known,
         )
 
     def adopt(self, configuration: PromotedConfiguration) -> None:
@@ -77,7 +83,7 @@
             return
         self._following = True
         watch = views.follow_quota_shares(self._shares, self._homes)
-        self.quotas.set_confirmation_time(lambda: watch.confirmed_at)
+        self._shares.use_view(lambda: watch.confirmed_at, watch.refresh)
         spawn(self._shares.run)
 
     @property
@@ -90,16 +96,29 @@
         """The holders of quota shares, as last read by this proxy."""
         return self._shares.held
 
+    @property
+    def share_status(self) -> ShareStatus | None:
+        """How this proxy stands with its share of the quotas; None if it does not follow them."""
+        return self._shares.status() if self._following else None
+
+    @property
+    def seconds_without_share(self) -> float:
+        """For how long no share was in force here or at a reachable proxy, since the start."""
+        return self._shares.seconds_without_share
+
     def _wanted_holders(self) -> list[str]:
         """The home proxies of all groups; empty while the proxies are not known."""
         return [home.name for home in self._homes()] if self._network.known else []
 
     def _lenders(self) -> list[PeerLink]:
-        """The usable links to the other home proxies, those of this zone first."""
+        """The usable links to the other proxies that may hold shares, those of this zone first."""
         own = self._network.own
-        homes = sorted(self._homes(), key=lambda home: home.zone != own.zone)
-        others = (home for home in homes if home.name != own.name)
-        links = (self._network.usable_link(home) for home in others)
+        held = self._shares.held
+        holders = self._network.known_members({*held.holders, *held.following})
+        candidates = {member.name: member for member in (*holders, *self._homes())}
+        candidates.pop(own.name, None)
+        nearest_first = sorted(candidates.values(), key=lambda member: member.zone != own.zone)
+        links = (self._network.usable_link(member) for member in nearest_first)
         return [link for link in links if link is not None]
 
     def close(self) -> None:
--- a/src/orchidwind/promoted/views/followed_views.py
+++ b/src/orchidwind/promoted/views/followed_views.py
@@ -42,8 +42,9 @@
 
 PROMOTION_LOCK = "promotion_lock"
 # The bound on the age of the quota shares' view, as a fraction of the time for which the shares are
-# valid. The remainder covers an outage of the store.
-_QUOTA_SHARES_AGE_FRACTION = 0.6
+# valid. The remainder covers an outage of the store. In normal operation the age stays below 0.4 of
+# the bound (`core.freshness`), which is within the time for which the early part is valid.
+_QUOTA_SHARES_AGE_FRACTION = 0.45
 ROSTERS = "rosters"
 # How long a watch of the promotion lock or the rosters waits for a change, seconds. A stale view of
 # them only costs time: a revocation that is noticed late delays a change of primary by a second,
@@ -89,12 +90,14 @@
     """How other proxies confirm a view.
 
     `followers` returns the proxies that follow the view. `items` extracts the view's items from a
-    report, or returns None where the report has none.
+    report, or returns None where the report has none. `replaces_lost_reader`: this proxy watches
+    the store while the reader of its zone does not answer.
     """
 
     times: FollowTimes
     followers: ProxiesOf
     items: Callable[[ViewReport], tuple[Item, ...] | None]
+    replaces_lost_reader: bool = False
 
 
 class ProxyViews:
@@ -154,7 +157,10 @@
         """
         bound = SHARE_VALID_SECONDS * _QUOTA_SHARES_AGE_FRACTION
         peers = _PeerConfirmation(
-            FollowTimes.within(bound, watched_by_all=False), followers, reported_quota_shares
+            FollowTimes.within(bound, watched_by_all=False),
+            followers,
+            reported_quota_shares,
+            replaces_lost_reader=True,
         )
         source = self._ports.quota_share_source
         return self._follow_with_peers(QUOTA_SHARES, source, follower, peers)
@@ -169,7 +175,13 @@
     ) -> CollectionWatch[Item]:
         """Follow a view that other proxies confirm as well; returns its watch."""
         peer_source = PeerViews(
-            name, peers.times, self._network, peers.followers, peers.items, self._ports.store_era
+            name,
+            peers.times,
+            self._network,
+            peers.followers,
+            peers.items,
+            self._ports.store_era,
+            peers.replaces_lost_reader,
         )
         watch = CollectionWatch(
             name, source, follower, peers.times, batch_seconds, peer_source, self._metrics.silent
--- a/src/orchidwind/promoted/views/peer_views.py
+++ b/src/orchidwind/promoted/views/peer_views.py
@@ -57,11 +57,15 @@
         followers: Callable[[], Iterable[ProxyMember]],
         items: Callable[[ViewReport], tuple[Item, ...] | None],
         store_era: StoreEra,
+        replaces_lost_reader: bool = False,
     ) -> None:
         """`followers` returns the proxies that follow the collection, including this one.
 
-        `items` extracts the collection's items from a report, or returns None if it has none.
+        `items` extracts the collection's items from a report, or returns None if it has none. With
+        `replaces_lost_reader` this proxy watches the store itself while the reader of its zone does
+        not answer; only for views that few proxies follow.
         """
+        self._replaces_lost_reader = replaces_lost_reader
         self._store_era = store_era
         self._view = view
         # A report older than this would not avoid a read of the store: the next proxy is asked.
@@ -84,9 +88,11 @@
         """
         if not self._network.known:
             return False
-        readers = self._readers()
         own = self._network.own
-        return readers.get(own.zone, own).name == own.name
+        reader = self._readers().get(own.zone, own)
+        if reader.name == own.name:
+            return True
+        return self._replaces_lost_reader and self._network.usable_link(reader) is None
 
     def _readers(self) -> Mapping[str, ProxyMember]:
         if self._generation != self._network.generation:
--- a/src/orchidwind/promoted/views/view_reporter.py
+++ b/src/orchidwind/promoted/views/view_reporter.py
@@ -116,7 +116,11 @@
         return msgspec.structs.replace(report, directory=view)
 
     def _with_quota_shares(self, report: ViewReport) -> ViewReport:
-        view = quota_shares_view(self._held.quota_shares)
+        shares = self._held.quota_shares
+        if shares.early_passed or shares.first_revision:
+            # The message has no fields for these; without content, the other proxy reads the store.
+            return omitted(report)
+        view = quota_shares_view(shares)
         return msgspec.structs.replace(report, quota_shares=view)
 
     def _with_members(self, report: ViewReport) -> ViewReport:
