--- a/src/orchidwind/elected/postgres/portals.py
+++ b/src/orchidwind/elected/postgres/portals.py
@@ -55,7 +55,8 @@
                 f'prepared statement "{parsed.statement_name}" already exists',
                 sqlstate="42P05",
             )
-        if len(self.statements) >= MAXIMUM_PREPARED_STATEMENTS:
+        is_new = parsed.statement_name not in self.statements
+        if is_new and len(self.statements) >= MAXIMUM_PREPARED_STATEMENTS:
             raise RequestError(ErrorKind.OVERLOADED, "too many prepared statements in one session")
         types = tuple(oid & _OID_MASK for oid in parsed.param_oids)
         self.statements[parsed.statement_name] = PreparedStatement(parsed.sql, types)
