--- a/src/orchidwind/elected/network/status_queries.py
+++ b/src/orchidwind/elected/network/status_queries.py
@@ -82,5 +82,10 @@
         if observer is None or observer.broken:
             async with asyncio.timeout(DATABASE_CONNECT_SECONDS):
                 observer = await Observer.open(self._targets.for_status(instance))
+            opened_meanwhile = self._observers.get(instance)
+            if opened_meanwhile is not None and not opened_meanwhile.broken:
+                # By another query, as the one before was overdue: one connection is enough.
+                observer.close()
+                return opened_meanwhile
             self._observers[instance] = observer
         return observer
