--- a/src/orchidwind/elected/network/cluster.py
+++ b/src/orchidwind/elected/network/cluster.py
@@ -250,6 +250,8 @@
 
     def close(self) -> None:
         """Close the links and the membership socket."""
+        if self._roles_timer is not None:
+            self._roles_timer.cancel()
         for link in self._links.values():
             link.close()
         self.members.close()
