--- a/src/orchidwind/promoted/peers/peer_network.py
+++ b/src/orchidwind/promoted/peers/peer_network.py
@@ -85,6 +85,7 @@
         # Members missing in the copy from which the store was restored; they count as members until
         # they register again or `RELISTING_SECONDS` have passed.
         self._retained: dict[str, ProxyMember] = {}
+        self._retained_timer: asyncio.TimerHandle | None = None
         self._members: dict[str, ProxyMember] = {own.name: own}
         self._era = 0
         self._links: dict[str, PeerLink] = {}
@@ -140,7 +141,9 @@
         keeps groups from changing their homes twice in the meantime.
         """
         self._retained = dict(before)
-        self._loop.call_later(RELISTING_SECONDS, self._drop_retained)
+        if self._retained_timer is not None:
+            self._retained_timer.cancel()
+        self._retained_timer = self._loop.call_later(RELISTING_SECONDS, self._drop_retained)
 
     def _drop_retained(self) -> None:
         """Drop the retained members that have not registered again: they are gone."""
@@ -316,5 +319,7 @@
     def close(self) -> None:
         """Close all links."""
         self.member_registration.close()
+        if self._retained_timer is not None:
+            self._retained_timer.cancel()
         for link in self._links.values():
             link.close()
