--- a/src/orchidwind/commands/explain.py
+++ b/src/orchidwind/commands/explain.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 from orchidwind.shared.core.errors import OrchidwindError
+from orchidwind.shared.logs import unquoted
 
 _FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
 # How long before the arrival of a request events are shown. A change of primary takes about a
@@ -86,7 +87,7 @@
 
 def parse_line(text: str) -> LogLine | None:
     """Parse a line; return None if it is not a line of a proxy's log."""
-    fields = {name: value.strip('"') for name, value in _FIELD.findall(text)}
+    fields = {name: unquoted(value) for name, value in _FIELD.findall(text)}
     if "event" not in fields or "at" not in fields:
         return None
     try:
--- a/src/orchidwind/shared/logs.py
+++ b/src/orchidwind/shared/logs.py
@@ -9,6 +9,7 @@
 
 import logging
 import os
+import re
 import sys
 from collections import deque
 from typing import Any
@@ -16,6 +17,8 @@
 from pythonjsonlogger.core import BaseJsonFormatter
 
 _QUOTED_CHARACTERS = set(' "=\n\r\t')
+_ESCAPED = re.compile(r"\\(.)", re.DOTALL)
+_ESCAPES = {"n": "\n", "r": "\r", "t": "\t"}
 # Maximum number of buffered lines: some seconds of a busy proxy's output, less than 1 MB.
 _MAX_BUFFERED_LINES = 2000
 
@@ -36,6 +39,13 @@
     return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r").replace("\t", "\\t") + '"'
 
 
+def unquoted(text: str) -> str:
+    """Return the value of a field as it was before it was written to a line."""
+    if not text.startswith('"'):
+        return text
+    return _ESCAPED.sub(lambda found: _ESCAPES.get(found[1], found[1]), text[1:-1])
+
+
 class NonBlockingHandler(logging.Handler):
     """Writes lines to a file descriptor without ever blocking on its reader."""
 
--- a/tests/shared/test_logs_and_explain.py
+++ b/tests/shared/test_logs_and_explain.py
@@ -50,6 +50,23 @@
     os.close(writing)
 
 
+@pytest.mark.parametrize(
+    "value", ["plain", "", "two words", 'a "quoted" word', "back\\slash n", "a\nb\r\tc", "\\n "]
+)
+def test_a_field_is_read_as_it_was_logged(value, tmp_path):
+    """Guards against fields that keep the escapes of the line: explain compares their values."""
+    path = tmp_path / "proxy.log"
+    root = logging.getLogger()
+    before = (root.handlers, root.level)
+    with path.open("wb") as log:
+        configure_logging("INFO", "front-1", log.fileno())
+        try:
+            log_event("primary_changed", reason=value)
+        finally:
+            root.handlers, root.level = before
+    assert [line.fields["reason"] for line in read_logs([path])] == [value]
+
+
 def test_a_request_is_followed_from_its_id_to_what_its_proxy_believed(tmp_path, capfd):
     path = tmp_path / "proxy.log"
     root = logging.getLogger()
