--- a/src/orchidwind_bench/platform/soak/faults.py
+++ b/src/orchidwind_bench/platform/soak/faults.py
@@ -65,7 +65,10 @@
             if not fault.promotion:
                 await asyncio.sleep(max(0.0, began + fault.at - loop.time()))
                 self._running.append(loop.create_task(self._play_one(fault)))
-        await asyncio.gather(*self._running)
+        # A promotion that is called meanwhile adds further faults.
+        while self._running:
+            running, self._running = self._running, []
+            await asyncio.gather(*running)
 
     def _promotion_called(self, schedule: list[PlannedFault], service: str) -> None:
         self._promotions += 1
