--- a/src/orchidwind/promoted/core/configuration.py
+++ b/src/orchidwind/promoted/core/configuration.py
@@ -47,7 +47,8 @@
     """The settings of a group.
 
     `maximum_connections` limits the connections of all proxies to each instance.
-    `synchronous_replicas` is the number of replicas that must confirm a commit.
+    `synchronous_replicas` is the number of replicas that must receive a commit before the primary
+    confirms it.
     """
 
     name: str
--- a/src/orchidwind_standins/elected/sql_session.py
+++ b/src/orchidwind_standins/elected/sql_session.py
@@ -373,6 +373,12 @@
     async def describe(self, sql: str, parameter_types: tuple[int, ...]) -> Description:
         """Return the parameter and column types of a statement; raises RequestError."""
         await self._server.on_request(self)
+        try:
+            return self._description(sql, parameter_types)
+        finally:
+            await self._server.on_response(self)
+
+    def _description(self, sql: str, parameter_types: tuple[int, ...]) -> Description:
         if _first_word(sql) == "SHOW":
             return Description(columns=(Column(sql[4:].strip(), text_oid()),))
         if _first_word(sql) in _COMMANDS_WITHOUT_RESULT or _SLEEP.match(sql):
