--- a/tests/support/known_red.py
+++ b/tests/support/known_red.py
@@ -5,7 +5,6 @@
 """
 
 import re
-
 from dataclasses import dataclass
 from pathlib import Path
 
