--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -151,6 +151,7 @@
             "share": 1.0,
             "passed": 8 - len(refused),
             "refused": len(refused),
+            "unavailable": 0,
         }
         assert second["refused"] == 0
         figures = (await system.status_of("/metrics", system.ports[2])).body.decode()
