--- a/src/orchidwind/promoted/core/share_changes.py
+++ b/src/orchidwind/promoted/core/share_changes.py
@@ -130,8 +130,10 @@
 
     def _planned_change(self, now: float, around: Surroundings) -> QuotaShares | None:
         wanted = around.wanted
-        if self._name not in wanted or any(name in around.lost for name in wanted):
+        if self._name not in wanted:
             return None
+        if self.held.holders and any(name in around.lost for name in wanted):
+            return None  # the present holders serve until all next ones answer
         turn_delay = wanted.index(self._name) * TURN_SECONDS
         settle_time = UNCHANGED_SECONDS if self.held.holders else 0.0
         if now - self._wanted_since < settle_time + turn_delay:
--- a/tests/promoted/test_share_changes.py
+++ b/tests/promoted/test_share_changes.py
@@ -307,6 +307,16 @@
     assert sum(proxy.in_force(site.now) for proxy in site.alive.values()) >= 1.0 - ROUNDING
 
 
+def test_the_first_holders_are_named_though_one_of_the_homes_is_gone():
+    """Guards against a site without any share because a home listed at its start is lost."""
+    site = Site(holders=())
+    site.wanted = ("a", "b")
+    site.kill("b")
+    site.run(1.0, site.unreachable)
+    assert site.stored.holders == ("a", "b")
+    assert site.alive["a"].in_force(site.now) > 0.0
+
+
 def test_a_proxy_that_alone_cannot_reach_the_holders_changes_nothing():
     """The holders withdraw its change; it waits longer each time before it proposes again."""
     site = Site(holders=("a", "b", "c"))
