--- a/src/orchidwind_standins/elected/postgres_main.py
+++ b/src/orchidwind_standins/elected/postgres_main.py
@@ -28,7 +28,8 @@
     Instance,
     Outgoing,
 )
-from orchidwind_standins.elected.sql_session import SessionServer, SqlSession
+from orchidwind_standins.elected.session_server import SessionServer
+from orchidwind_standins.elected.sql_session import SqlSession
 from orchidwind_standins.elected.sql_store import SqlStore
 
 _PEER_QUEUE_BYTES = 512 * 1024 * 1024
