--- a/src/orchidwind_bench/promoted/laboratory/load.py
+++ b/src/orchidwind_bench/promoted/laboratory/load.py
@@ -15,6 +15,7 @@
 from orchidwind.promoted.core.commands import CommandKind
 from orchidwind.promoted.core.configuration import ReadConsistency
 from orchidwind.shared.core.errors import ANSWERS, ErrorKind, Ran, RequestError
+from orchidwind.shared.core.tenant_connections import NO_TENANT
 from orchidwind_bench.promoted.simulation.callers import SimulatedCaller
 
 MAX_RETRIES = 2
@@ -29,7 +30,7 @@
     `share` is its part of all arrivals, `work` the mean execution time of a statement, `target` the
     latency up to which an answer is in time, `deadline` the time after which no retry begins, and
     `writes` the share of writes. `credit` is the value of an answer in time, `late_credit` that of
-    a later one.
+    a later one. A statement ends after `statement_timeout`.
     """
 
     consistency: ReadConsistency
@@ -41,6 +42,7 @@
     late_credit: float
     priority: int
     writes: float
+    statement_timeout: float = 1.5
 
 
 # Shares, execution times and latency targets of the first users' busiest workload.
@@ -50,6 +52,13 @@
     LoadKind(ReadConsistency.SESSION, 0.7, 0.014, 0.2, 0.8, 2.0, 0.1, 2, 0.12),
 )
 
+# Kinds whose execution times, targets and values differ by several times.
+MIXED_KINDS = (
+    LoadKind(ReadConsistency.LATEST, 0.5, 0.011, 0.2, 4.0, 3.5, 0.43, 0, 0.4, 1.0),
+    LoadKind(ReadConsistency.SESSION, 0.3, 0.033, 0.4, 4.0, 1.9, 0.28, 1, 0.12, 1.0),
+    LoadKind(ReadConsistency.BOUNDED, 0.2, 0.055, 1.5, 12.0, 0.47, 0.21, 2, 0.0, 3.0),
+)
+
 
 @unique
 class Result(Enum):
@@ -69,6 +78,7 @@
     began: float
     ended: float
     result: Result
+    tenant: str = NO_TENANT
 
     @property
     def credit(self) -> float:
@@ -107,7 +117,7 @@
             if error is None:
                 in_time = now - began <= kind.target
                 result = Result.IN_TIME if in_time else Result.LATE
-                return OperationOutcome(kind, began, now, result)
+                return OperationOutcome(kind, began, now, result, self.tenant)
             if attempt == MAX_RETRIES or not self._may_repeat(error, write):
                 break
             if now + retry_after - began >= kind.deadline:
@@ -116,7 +126,7 @@
         assert error is not None
         refused = ANSWERS[error].ran is Ran.NO
         result = Result.REFUSED if refused else Result.FAILED
-        return OperationOutcome(kind, began, self._system.world.now, result)
+        return OperationOutcome(kind, began, self._system.world.now, result, self.tenant)
 
     async def _attempt(self, kind: LoadKind, write: bool) -> tuple[ErrorKind | None, float]:
         """Run one statement; return its error, if any, and the seconds to wait before a retry."""
