--- a/src/orchidwind/promoted/callers/command_runner.py
+++ b/src/orchidwind/promoted/callers/command_runner.py
@@ -106,7 +106,12 @@
         if isinstance(step, WaitForConnection):
             share = traffic_class(context.database)
             connection = await group.wait_for_connection(
-                step.instance, share, hold_until, limits.target_at, context.tenant
+                step.instance,
+                share,
+                hold_until,
+                limits.target_at,
+                context.tenant,
+                self._quotas.weight(context.tenant),
             )
             self._held.add(connection)
             return connection
--- a/src/orchidwind/promoted/core/command_limits.py
+++ b/src/orchidwind/promoted/core/command_limits.py
@@ -15,9 +15,11 @@
 # The share of its timeout for which a statement may wait before it is sent. The other half is left
 # to run it, on another instance if necessary.
 _HOLD_SHARE = 0.5
-# The weight of priority 0; each lower priority has half the weight of the one above. Only the
-# ratios matter; with 8, priorities 0 to 3 have integer weights.
-_HIGHEST_WEIGHT = 8.0
+# The weight of priority 0, and how many times that of the next lower priority each weight is. Only
+# the ratios matter; with 64, priorities 0 to 3 have integer weights. While all of three priorities
+# wait, the lowest gets 1/21 of the time of the slots; of four priorities, 1/85.
+_HIGHEST_WEIGHT = 64.0
+_WEIGHT_RATIO = 4.0
 # Maximum number of requests of one class that wait for an instance. It limits memory only:
 # admission refuses requests by their expected waiting time long before (`shared.core.admission`).
 _QUEUE_BOUND = 400
@@ -67,7 +69,7 @@
 
 def traffic_class(database: DatabaseRoute) -> TrafficClass:
     """Returns the traffic class of a database's requests, by its priority."""
-    weight = _HIGHEST_WEIGHT / 2**database.priority
+    weight = _HIGHEST_WEIGHT / _WEIGHT_RATIO**database.priority
     return TrafficClass(
         f"priority-{database.priority}", weight, database.statement_timeout, _QUEUE_BOUND
     )
--- a/src/orchidwind/promoted/group/connections.py
+++ b/src/orchidwind/promoted/group/connections.py
@@ -15,7 +15,7 @@
 from orchidwind.promoted.group.instance_pools import ConnectionShares
 from orchidwind.promoted.group.pool_driver import PoolDriver
 from orchidwind.promoted.ports import InstanceConnector
-from orchidwind.shared.core.admission import NO_TARGET, TrafficClass
+from orchidwind.shared.core.admission import EQUAL_WEIGHT, NO_TARGET, RefusalReason, TrafficClass
 from orchidwind.shared.core.errors import ErrorKind, RequestError
 from orchidwind.shared.core.pool import InstancePool
 from orchidwind.shared.core.tenant_connections import NO_TENANT
@@ -25,20 +25,22 @@
     """How a request waits for a server connection.
 
     The wait ends at `deadline`; an answer after `target_at` is late. The connection belongs to
-    `tenant`. Times are in seconds of the loop's clock.
+    `tenant`, whose share of the slots follows `tenant_weight`. Times are in seconds of the loop's
+    clock.
     """
 
     traffic_class: TrafficClass
     deadline: float
     target_at: float = NO_TARGET
     tenant: str = NO_TENANT
+    tenant_weight: float = EQUAL_WEIGHT
 
 
 class GroupConnections:
     """The connections of one group. Times are in seconds of the loop's clock.
 
     `on_suspect` is called with an instance whose connection broke, `on_unreachable` with one to
-    which no connection can be opened.
+    which no connection can be opened, `on_refused` with the reason why the queue refused a request.
     """
 
     def __init__(
@@ -47,12 +49,14 @@
         connector: InstanceConnector,
         on_suspect: Callable[[str], None],
         on_unreachable: Callable[[str], None],
+        on_refused: Callable[[RefusalReason], None] = lambda reason: None,
     ) -> None:
         self._driver = PoolDriver(state, connector, on_suspect, on_unreachable)
         self.records = self._driver.records
         self.pools = self._driver.pools
         self.opener = self._driver.opener
         self._waiting = self._driver.waiting
+        self._waiting.on_refused = on_refused
         self._loop = asyncio.get_running_loop()
 
     # --- requests -----------------------------------------------------------------------------
@@ -65,7 +69,7 @@
         if self.opener.closed:
             raise RequestError(ErrorKind.PROXY_STOPPING, "this proxy has stopped")
         pool = self.pools.of(instance)
-        waiting = self._waiting.add(instance)
+        waiting = self._waiting.add(instance, wait.tenant)
         self._driver.perform(
             pool.acquire(
                 waiting.ticket,
@@ -74,6 +78,7 @@
                 wait.deadline,
                 wait.target_at,
                 wait.tenant,
+                wait.tenant_weight,
             )
         )
         try:
@@ -91,6 +96,10 @@
             if waiting.granted.cancelled():
                 pool.cancel(waiting.ticket)
 
+    def refused(self, instance: str) -> dict[str, int]:
+        """Return how many requests for an instance were refused, by the names of the reasons."""
+        return self._waiting.refused(instance)
+
     def release(self, connection: int, reusable: bool) -> None:
         """Return a connection to its pool."""
         self._driver.release(connection, reusable)
@@ -219,6 +228,7 @@
         """Drop the state of an instance that left long ago."""
         self.drop_idle(instance)
         self.pools.forget(instance)
+        self._waiting.forget(instance)
         self.opener.forget(instance)
 
     def close(self) -> None:
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -50,7 +50,7 @@
 from orchidwind.promoted.group.waiting_requests import WaitingRequests
 from orchidwind.promoted.metrics import ProxyMetrics
 from orchidwind.promoted.ports import InstanceConnector
-from orchidwind.shared.core.admission import NO_TARGET, TrafficClass
+from orchidwind.shared.core.admission import EQUAL_WEIGHT, NO_TARGET, TrafficClass
 from orchidwind.shared.core.errors import ErrorKind
 from orchidwind.shared.core.positions import Position
 from orchidwind.shared.core.tenant_connections import NO_TENANT
@@ -109,7 +109,11 @@
     def _create_connection_components(self) -> None:
         connector, on_silent = self._environment.connector, self._metrics.silent
         self.connections = GroupConnections(
-            self.state, connector, self._connection_broke, self.mark_unreachable
+            self.state,
+            connector,
+            self._connection_broke,
+            self.mark_unreachable,
+            lambda reason: self._metrics.refused(reason.value),
         )
         self.status_calls = StatusCalls(
             self.topology, self.connections, self.mark_unreachable, on_silent
@@ -273,11 +277,12 @@
         deadline: float,
         target_at: float = NO_TARGET,
         tenant: str = NO_TENANT,
+        tenant_weight: float = EQUAL_WEIGHT,
     ) -> int:
         """Wait for a server connection. Raises RequestError, BackendConnectionLost."""
         self._note_used()
         self._silent.resting.watch()
-        wait = ConnectionWait(traffic_class, deadline, target_at, tenant)
+        wait = ConnectionWait(traffic_class, deadline, target_at, tenant, tenant_weight)
         return await self.connections.acquire(instance, wait)
 
     def release(self, connection: int, reusable: bool) -> None:
--- a/src/orchidwind/promoted/group/operator_status.py
+++ b/src/orchidwind/promoted/group/operator_status.py
@@ -16,7 +16,10 @@
 
 
 class OperatorInstanceStatus(msgspec.Struct, frozen=True):
-    """One instance. `view_age_ms` is the age of its last status, or -1 if none is known."""
+    """One instance. `view_age_ms` is the age of its last status, or -1 if none is known.
+
+    `refused` counts the requests that this proxy's queue for the instance has refused, by reason.
+    """
 
     name: str
     role: str
@@ -29,6 +32,7 @@
     view_age_ms: int
     connections: int
     queued: int
+    refused: dict[str, int] = {}
 
 
 class OperatorGroupStatus(msgspec.Struct, frozen=True):
@@ -148,6 +152,7 @@
                 view_age_ms=int((now - status.asked_at) * 1000) if status else -1,
                 connections=usage.connections,
                 queued=usage.queued,
+                refused=group.connections.refused(name),
             )
         )
     return OperatorGroupStatus(
--- a/src/orchidwind/promoted/metrics.py
+++ b/src/orchidwind/promoted/metrics.py
@@ -89,6 +89,11 @@
             "role",
             "answer",
         )
+        self.refused = factory.counter(
+            "orchidwind_refused_requests",
+            "Requests for a connection to an instance that its queue refused, by reason",
+            "reason",
+        )
         self.silent = factory.counter(
             "orchidwind_silent_connections",
             "Open connections found to be silent, by purpose of the connection",
@@ -252,6 +257,10 @@
         """Count a command that was forwarded to a home proxy and has ended."""
         self._callers.forwarded.labels(outcome).inc()
 
+    def refused(self, reason: str) -> None:
+        """Count a request that the queue of an instance refused."""
+        self._instances.refused.labels(reason).inc()
+
     def silent(self, found: SilentConnection) -> None:
         """Log and count an open connection that was found silent."""
         log_silent_connection(found)
--- a/src/orchidwind/promoted/quotas/quota_service.py
+++ b/src/orchidwind/promoted/quotas/quota_service.py
@@ -16,6 +16,7 @@
 
 from orchidwind.promoted.core.share_status import ShareStatus
 from orchidwind.promoted.peers.peer_link import PeerLink
+from orchidwind.shared.core.admission import EQUAL_WEIGHT
 from orchidwind.shared.core.errors import ErrorKind, PeerUnavailable, RequestError
 from orchidwind.shared.core.quota import MIN_RETRY_SECONDS, HeldShare, QuotaLimiter, QuotaRules
 from orchidwind.shared.core.tenants import Tenant
@@ -47,6 +48,9 @@
     def refund(self, name: str) -> None:
         """Return the token of an operation that was admitted and did not run."""
 
+    def weight(self, name: str) -> float:
+        """The weight of a tenant where tenants share connections: the rate of its quota."""
+
 
 class NoQuotas:
     """Admits every operation: for a proxy without tenants."""
@@ -57,6 +61,10 @@
     def refund(self, name: str) -> None:
         """Do nothing: no token was taken."""
 
+    def weight(self, name: str) -> float:
+        """The same weight for every tenant."""
+        return EQUAL_WEIGHT
+
 
 class TenantUse(Struct):
     """How many operations of one tenant this proxy admitted and refused since it started.
@@ -140,6 +148,11 @@
         """This proxy's share of each quota that is in force now, 0 to 1."""
         return self._limiter.in_force(self._loop.time(), self._share_confirmed_at())
 
+    def weight(self, name: str) -> float:
+        """The rate of a tenant's quota, and the usual weight if the tenant is not known here."""
+        tenant = self._tenants().get(name)
+        return EQUAL_WEIGHT if tenant is None else tenant.rate
+
     async def admit_operation(self, name: str) -> None:
         """Admit one operation of a tenant; raises RequestError if there is no token for it."""
         self._on_used()
--- a/src/orchidwind/shared/core/admission.py
+++ b/src/orchidwind/shared/core/admission.py
@@ -1,35 +1,36 @@
 """Weighted fair queueing of requests for the server connections of one instance.
 
 Each traffic class has a weight, a maximum queue length and a deadline. Classes are ordered by
-virtual finish time (start-time fair queueing), so a class with a high weight gets its share and a
-class with a low weight is never starved. Within a class, requests are ordered by their target, the
-time by which they should be answered, earliest first. Overdue requests, which can no longer be
-answered by their target, come after all others: under overload, the requests that are served are
-still served in time. Requests without a target are served in order of arrival.
+virtual finish time, and each request is charged by the expected service time of its class divided
+by the weight: while all classes wait, each gets its weight's share of the time of the slots, so a
+class with a low weight is never starved. Within a class, tenants share the time by start-time fair
+queueing (`fair_queue`), and the requests of a tenant are ordered by their target, the time by which
+they should be answered, earliest first. Overdue requests, which can no longer be answered by their
+target, come after all others: under overload, the requests that are served are still served in
+time. Requests without a target are served in order of arrival.
 
 A request that cannot start before its deadline is refused on arrival, with the time that the queue
 needs to drain as its retry delay. An overdue request is refused once no slot is left for overdue
 requests. A request that expires in the queue is refused with the time that a single slot needs to
 serve all requests still waiting.
 
-Owns: the queues and the estimate of how long a request holds a connection. The user of a queue
-passes in the time, in seconds of a monotonic clock, and the number of slots.
+Owns: the queues. `service_times` estimates how long a request holds a connection. The user of a
+queue passes in the time, in seconds of a monotonic clock, and the number of slots.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from heapq import heappop, heappush
-from itertools import count
+from collections.abc import Container
+from enum import Enum, unique
+from itertools import chain, count
 
-from msgspec import Struct, field
+from msgspec import Struct
+from msgspec.structs import replace
+
+from orchidwind.shared.core.fair_queue import Eligible, FairQueue, WaitingRequest
+from orchidwind.shared.core.service_times import ServiceTimes
+from orchidwind.shared.core.tenant_connections import NO_TENANT
 
-# Weight of the newest request in the moving average of the time that a request holds a connection.
-# The average follows a change of load within about ten requests.
-_SERVICE_SMOOTHING = 0.1
-# Initial value of that average, in seconds, until the first request has ended. It is low so that no
-# request is refused because of a guess.
-_INITIAL_SERVICE_SECONDS = 0.002
 # Lower bound on the retry delay of a refused request, in seconds. It spreads out the retries of
 # callers that were refused at the same time.
 _SHORTEST_RETRY_SECONDS = 0.05
@@ -47,13 +48,12 @@
 _SHORTEST_TARGET_RETRY_SECONDS = 0.01
 # Target time of a request without a target.
 NO_TARGET = float("inf")
+# Weight of a tenant if no weights are configured.
+EQUAL_WEIGHT = 1.0
 
 
-# Returns whether the waiting request with this ticket may be granted a connection now.
-Eligible = Callable[[int], bool]
-
-
-def _always_eligible(ticket: int) -> bool:
+def always_eligible(tenant: str) -> bool:
+    """Let every tenant be granted connections."""
     return True
 
 
@@ -70,6 +70,20 @@
     queue_bound: int = 200
 
 
+@unique
+class RefusalReason(Enum):
+    """Why the queue refused a request."""
+
+    # The traffic class has its maximum number of waiting requests.
+    QUEUE_FULL = "queue_full"
+    # Without the fair sharing among tenants, the request would have been queued.
+    TENANT_SHARE = "tenant_share_used_up"
+    # The request cannot start before its deadline, or did not.
+    DEADLINE = "deadline_not_reachable"
+    # The request cannot be answered by its target, and other requests use all slots.
+    TARGET = "target_not_reachable"
+
+
 class Refusal(Struct, frozen=True):
     """A request was refused; the caller may retry after `retry_after` seconds.
 
@@ -79,83 +93,76 @@
     ticket: int
     retry_after: float
     expired: bool
+    reason: RefusalReason = RefusalReason.DEADLINE
 
 
-class _WaitingRequest(Struct):
-    """A queued request; `overdue_at` is when it was found to be unable to meet its target."""
+class Admitted(Struct, frozen=True):
+    """A request that is granted a connection, and the service that its tenant was charged."""
 
     ticket: int
-    expires_at: float
-    target_at: float
-    overdue_at: float | None = None
+    class_name: str
+    tenant: str
+    charged: float
 
 
 class _ClassQueue(Struct):
-    """The waiting requests of one class.
-
-    `by_target` is a heap of the requests that can still meet their target. It may also contain
-    requests that have left the queue, which are dropped lazily. `overdue` holds the overdue
-    requests in the order in which they were found to be overdue. `virtual_finish` is the virtual
-    finish time of the next request of the class.
-    """
+    """The waiting requests of one class, and the virtual times of its next request."""
 
     traffic_class: TrafficClass
-    waiting: dict[int, _WaitingRequest] = field(default_factory=dict)
-    by_target: list[tuple[float, int, int]] = field(default_factory=list)
-    overdue: dict[int, _WaitingRequest] = field(default_factory=dict)
+    waiting: FairQueue
+    virtual_start: float = 0.0
     virtual_finish: float = 0.0
 
-    def drop_stale(self) -> None:
-        """Pop entries from the head of `by_target` that have left the queue or are overdue."""
-        while self.by_target and not self._is_timely(self.by_target[0][2]):
-            heappop(self.by_target)
-
-    def first_timely(self, eligible: Eligible) -> int | None:
-        """Return the eligible request with the earliest target that can still be met, or None."""
-        self.drop_stale()
-        if not self.by_target or eligible(self.by_target[0][2]):
-            return self.by_target[0][2] if self.by_target else None
-        in_order = (ticket for _, _, ticket in sorted(self.by_target))
-        timely = (ticket for ticket in in_order if self._is_timely(ticket))
-        return next(filter(eligible, timely), None)
-
-    def _is_timely(self, ticket: int) -> bool:
-        return ticket in self.waiting and ticket not in self.overdue
-
-    def ahead_of(self, target_at: float) -> int:
-        """Return the number of waiting requests that go before a new one with this target."""
-        return sum(
-            waiting.overdue_at is None and waiting.target_at <= target_at
-            for waiting in self.waiting.values()
-        )
-
     @property
-    def timely_count(self) -> int:
-        """Number of waiting requests that can still meet their target."""
-        return len(self.waiting) - len(self.overdue)
+    def name(self) -> str:
+        """The name of the class."""
+        return self.traffic_class.name
+
+
+class _Place(Struct, frozen=True):
+    """The queue in which a request waits."""
+
+    queue: _ClassQueue
+    tenant: str
 
 
 class AdmissionQueue:
     """The requests that wait for a server connection of one instance.
 
-    `service_seconds` is the estimated time for which a request holds a connection.
+    `times` are the estimated times for which requests hold a connection.
     """
 
     def __init__(self) -> None:
-        self.service_seconds = _INITIAL_SERVICE_SECONDS
+        self.times = ServiceTimes()
         self._classes: dict[str, _ClassQueue] = {}
         self._virtual_time = 0.0
-        self._queue_of: dict[int, _ClassQueue] = {}
+        self._place_of: dict[int, _Place] = {}
         self._sequence = count()
         # When a slot was last available for overdue requests.
         self._slot_left_at = float("-inf")
 
     def __len__(self) -> int:
-        return len(self._queue_of)
+        return len(self._place_of)
 
-    def record_service_time(self, seconds: float) -> None:
-        """Update the estimated service time with a request that held a connection this long."""
-        self.service_seconds += _SERVICE_SMOOTHING * (seconds - self.service_seconds)
+    @property
+    def service_seconds(self) -> float:
+        """The estimated service time of all requests, whatever their class."""
+        return self.times.overall.mean
+
+    @service_seconds.setter
+    def service_seconds(self, seconds: float) -> None:
+        self.times.overall.mean = seconds
+
+    def record_service_time(self, seconds: float, admitted: Admitted, first: bool = True) -> None:
+        """Record that an admitted request held a connection this long.
+
+        `first` is false if this is a further statement of a request already recorded. The tenant is
+        charged for the difference to what it was charged before.
+        """
+        self.times.record(admitted.class_name, seconds)
+        charged = admitted.charged if first else 0.0
+        queue = self._classes[admitted.class_name].waiting
+        queue.charge(admitted.tenant, seconds - charged)
 
     def enqueue(
         self,
@@ -165,99 +172,158 @@
         expires_at: float,
         slots: int,
         target_at: float = NO_TARGET,
+        tenant: str = NO_TENANT,
+        tenant_weight: float = EQUAL_WEIGHT,
     ) -> Refusal | None:
         """Queue a request and return None, or return the refusal if it cannot be served in time."""
-        queue = self._classes.setdefault(traffic_class.name, _ClassQueue(traffic_class))
+        queue = self._classes.get(traffic_class.name)
+        if queue is None:
+            queue = self._classes[traffic_class.name] = _ClassQueue(traffic_class, FairQueue())
         queue.traffic_class = traffic_class
-        wait = self._expected_wait(queue, slots, target_at)
-        if not self._queue_of:
+        if not self._place_of:
             self._slot_left_at = now
-        full = len(queue.waiting) >= traffic_class.queue_bound
-        if full or now + wait > expires_at:
-            return Refusal(ticket, max(wait, _SHORTEST_RETRY_SECONDS), expired=False)
-        excess = self._target_excess(wait, target_at - now)
-        if excess > 0 and now - self._slot_left_at > _NO_SLOT_SECONDS:
-            return Refusal(ticket, _retry_delay(excess, target_at - now), expired=False)
+        refusal = self._refusal(
+            queue, WaitingRequest(ticket, expires_at, target_at), now, slots, tenant, tenant_weight
+        )
+        if refusal is not None:
+            return refusal
         if not queue.waiting:
             self._schedule_next(queue)
-        queue.waiting[ticket] = _WaitingRequest(ticket, expires_at, target_at)
-        heappush(queue.by_target, (target_at, next(self._sequence), ticket))
-        self._queue_of[ticket] = queue
+        request = WaitingRequest(ticket, expires_at, target_at)
+        queue.waiting.add(request, next(self._sequence), tenant, tenant_weight)
+        self._place_of[ticket] = _Place(queue, tenant)
         return None
 
-    def _target_excess(self, wait: float, time_left: float) -> float:
-        """Return by how much a request exceeds its share of the time left; negative if it fits."""
-        return wait + self.service_seconds - time_left * _TARGET_SHARE
+    def _refusal(
+        self,
+        queue: _ClassQueue,
+        request: WaitingRequest,
+        now: float,
+        slots: int,
+        tenant: str,
+        tenant_weight: float,
+    ) -> Refusal | None:
+        """Return why a new request is refused, or None if it may wait."""
+        name, target_at = queue.name, request.target_at
+        ahead = queue.waiting.service_ahead(
+            tenant, tenant_weight, target_at, self.times.expected(name)
+        )
+        wait = self._expected_wait(queue, ahead, slots)
+        late = self._lateness(queue, request, now, wait)
+        if len(queue.waiting) >= queue.traffic_class.queue_bound:
+            return _refused_on_arrival(request, wait, RefusalReason.QUEUE_FULL)
+        if late is None:
+            return None
+        ahead = queue.waiting.service_ahead_by_target(target_at, self.times.expected(name))
+        in_order_of_target = self._expected_wait(queue, ahead, slots)
+        if self._lateness(queue, request, now, in_order_of_target) is None:
+            late = replace(late, reason=RefusalReason.TENANT_SHARE)
+        return late
+
+    def _lateness(
+        self, queue: _ClassQueue, request: WaitingRequest, now: float, wait: float
+    ) -> Refusal | None:
+        """Return the refusal of a request that would be too late after this wait, or None."""
+        if now + wait > request.expires_at:
+            return _refused_on_arrival(request, wait, RefusalReason.DEADLINE)
+        time_left = request.target_at - now
+        excess = wait + self.times.expected(queue.name) - time_left * _TARGET_SHARE
+        if excess > 0 and now - self._slot_left_at > _NO_SLOT_SECONDS:
+            delay = _retry_delay(excess, time_left)
+            return Refusal(request.ticket, delay, expired=False, reason=RefusalReason.TARGET)
+        return None
 
     def _schedule_next(self, queue: _ClassQueue) -> None:
-        """Set the virtual finish time of the next request of a class."""
-        start = max(self._virtual_time, queue.virtual_finish)
-        queue.virtual_finish = start + 1.0 / queue.traffic_class.weight
-
-    def _expected_wait(self, queue: _ClassQueue, slots: int, target_at: float) -> float:
-        """Return the estimated wait of a new request, at its class's share of the slots."""
-        busy = [other for other in self._classes.values() if other.waiting or other is queue]
-        total = sum(other.traffic_class.weight for other in busy)
-        share = queue.traffic_class.weight / total
-        return queue.ahead_of(target_at) * self.service_seconds / (max(slots, 1) * share)
-
-    def next(self, now: float = 0.0, eligible: Eligible = _always_eligible) -> int | None:
+        """Set the virtual times of the next request of a class."""
+        queue.virtual_start = max(self._virtual_time, queue.virtual_finish)
+        service = self.times.expected(queue.name)
+        queue.virtual_finish = queue.virtual_start + service / queue.traffic_class.weight
+
+    def _expected_wait(self, queue: _ClassQueue, ahead: float, slots: int) -> float:
+        """Return the estimated wait of a request with this service ahead in its class, in seconds.
+
+        Until the request has been served as well, other classes get their share of the slots, as
+        far as they have use for it.
+        """
+        total = ahead
+        seconds = total + self.times.expected(queue.name)
+        for other in self._classes.values():
+            if other is not queue and other.waiting:
+                waiting = other.waiting.timely_count * self.times.expected(other.name)
+                share = other.traffic_class.weight / queue.traffic_class.weight
+                total += min(waiting, seconds * share)
+        return total / max(slots, 1)
+
+    def next(self, now: float = 0.0, eligible: Eligible = always_eligible) -> int | None:
         """Remove and return the next eligible ticket, or None if no eligible request waits."""
+        admitted = self.take(now, eligible)
+        return None if admitted is None else admitted.ticket
+
+    def take(self, now: float = 0.0, eligible: Eligible = always_eligible) -> Admitted | None:
+        """Remove and return the next request of an eligible tenant, or None if none waits."""
         for queue in self._classes.values():
-            self._move_overdue(queue, now)
+            queue.waiting.move_overdue(now + self.times.expected(queue.name), now)
         in_order = sorted(self._classes.values(), key=lambda queue: queue.virtual_finish)
         for queue in in_order:
-            ticket = queue.first_timely(eligible)
+            ticket = queue.waiting.first_timely(eligible)
             if ticket is not None:
                 return self._dequeue(queue, ticket)
-        if not any(queue.timely_count for queue in in_order):
+        if not any(queue.waiting.timely_count for queue in in_order):
             self._slot_left_at = now
         for queue in in_order:
-            ticket = next(filter(eligible, queue.overdue), None)
+            ticket = queue.waiting.first_overdue(eligible)
             if ticket is not None:
                 return self._dequeue(queue, ticket)
         return None
 
-    def _move_overdue(self, queue: _ClassQueue, now: float) -> None:
-        """Move requests that can no longer meet their target to `overdue`."""
-        queue.drop_stale()
-        while queue.by_target and queue.by_target[0][0] < now + self.service_seconds:
-            _, _, ticket = heappop(queue.by_target)
-            waiting = queue.waiting[ticket]
-            waiting.overdue_at = now
-            queue.overdue[ticket] = waiting
-            queue.drop_stale()
-
-    def _dequeue(self, queue: _ClassQueue, ticket: int) -> int:
-        """Remove a request that is granted a connection and advance the virtual time."""
-        start = queue.virtual_finish - 1 / queue.traffic_class.weight
-        self._virtual_time = max(self._virtual_time, start)
+    def first_tenant(self, tenants: Container[str]) -> str | None:
+        """Return the one of these tenants whose waiting request goes first, or None."""
+        in_order = sorted(self._classes.values(), key=lambda queue: queue.virtual_finish)
+        first = (queue.waiting.first_timely(tenants.__contains__) for queue in in_order)
+        overdue = (queue.waiting.first_overdue(tenants.__contains__) for queue in in_order)
+        ticket = next((item for item in chain(first, overdue) if item is not None), None)
+        return None if ticket is None else self._place_of[ticket].tenant
+
+    def _dequeue(self, queue: _ClassQueue, ticket: int) -> Admitted:
+        """Remove a request that is granted a connection and advance the virtual times."""
+        self._virtual_time = max(self._virtual_time, queue.virtual_start)
+        tenant = self._place_of[ticket].tenant
+        charged = self.times.expected(queue.name)
+        queue.waiting.charge(tenant, charged, granted=True)
         self.remove(ticket)
         if queue.waiting:
             self._schedule_next(queue)
-        return ticket
+        return Admitted(ticket, queue.name, tenant, charged)
 
     def remove(self, ticket: int) -> None:
         """Remove a request from the queue, if it is there."""
-        queue = self._queue_of.pop(ticket, None)
-        if queue is not None:
-            queue.waiting.pop(ticket, None)
-            queue.overdue.pop(ticket, None)
+        place = self._place_of.pop(ticket, None)
+        if place is not None:
+            place.queue.waiting.remove(ticket, place.tenant)
 
     def expire(self, now: float) -> list[Refusal]:
         """Remove and refuse expired requests, and overdue ones for which no slot is left."""
         expired = [
-            waiting.ticket
+            waiting
             for queue in self._classes.values()
-            for waiting in queue.waiting.values()
+            for waiting in queue.waiting.requests()
             if self._refuse_at(waiting) <= now
         ]
-        for ticket in expired:
-            self.remove(ticket)
-        retry_after = max(self.service_seconds * len(self), _SHORTEST_RETRY_SECONDS)
-        return [Refusal(ticket, retry_after, expired=True) for ticket in expired]
+        for waiting in expired:
+            self.remove(waiting.ticket)
+        retry_after = max(self._waiting_seconds(), _SHORTEST_RETRY_SECONDS)
+        return [
+            Refusal(waiting.ticket, retry_after, expired=True, reason=_reason(waiting, now))
+            for waiting in expired
+        ]
+
+    def _waiting_seconds(self) -> float:
+        """Return the expected service time of all waiting requests."""
+        return sum(
+            len(queue.waiting) * self.times.expected(queue.name) for queue in self._classes.values()
+        )
 
-    def _refuse_at(self, waiting: _WaitingRequest) -> float:
+    def _refuse_at(self, waiting: WaitingRequest) -> float:
         """Return when a waiting request is to be refused unless it is granted a connection."""
         if waiting.overdue_at is None:
             return waiting.expires_at
@@ -269,11 +335,22 @@
         times = [
             self._refuse_at(waiting)
             for queue in self._classes.values()
-            for waiting in queue.waiting.values()
+            for waiting in queue.waiting.requests()
         ]
         return min(times, default=None)
 
 
+def _reason(waiting: WaitingRequest, now: float) -> RefusalReason:
+    """Return why a request that waited is refused."""
+    return RefusalReason.DEADLINE if waiting.expires_at <= now else RefusalReason.TARGET
+
+
+def _refused_on_arrival(request: WaitingRequest, wait: float, reason: RefusalReason) -> Refusal:
+    """Return the refusal of a request that may come back when the queue has drained."""
+    delay = max(wait, _SHORTEST_RETRY_SECONDS)
+    return Refusal(request.ticket, delay, expired=False, reason=reason)
+
+
 def _retry_delay(excess: float, time_left: float) -> float:
     """Return the retry delay: the time to drain the queue, bounded to leave time to the target."""
     return max(min(excess, time_left * _TARGET_RETRY_SHARE), _SHORTEST_TARGET_RETRY_SECONDS)
--- a/src/orchidwind/shared/core/pool.py
+++ b/src/orchidwind/shared/core/pool.py
@@ -20,7 +20,14 @@
 
 from msgspec import Struct
 
-from orchidwind.shared.core.admission import NO_TARGET, AdmissionQueue, Refusal, TrafficClass
+from orchidwind.shared.core.admission import (
+    EQUAL_WEIGHT,
+    NO_TARGET,
+    AdmissionQueue,
+    Refusal,
+    TrafficClass,
+)
+from orchidwind.shared.core.admitted_requests import AdmittedRequests
 from orchidwind.shared.core.answer_times import AnswerTimes
 from orchidwind.shared.core.concurrency_window import ConcurrencyWindow
 from orchidwind.shared.core.tenant_connections import NO_TENANT, TenantConnections
@@ -102,6 +109,7 @@
         self.idle: list[int] = []
         self.busy: dict[int, float] = {}
         self.opening: set[int] = set()
+        self._admitted = AdmittedRequests(self.queue)
         self.tenants = TenantConnections()
         self._numbers = numbers
         self._limit = share
@@ -143,11 +151,19 @@
         expires_at: float,
         target_at: float = NO_TARGET,
         tenant: str = NO_TENANT,
+        tenant_weight: float = EQUAL_WEIGHT,
     ) -> list[PoolEffect]:
-        """Request a connection for a tenant: it is granted at once, queued or refused."""
+        """Request a connection for a tenant of a weight: it is granted at once, queued or refused."""
         slots = self.usable if self.window is None else min(self.usable, self.window.size)
         refusal = self.queue.enqueue(
-            ticket, traffic_class, now, expires_at, max(slots, 1), target_at
+            ticket,
+            traffic_class,
+            now,
+            expires_at,
+            max(slots, 1),
+            target_at,
+            tenant,
+            tenant_weight,
         )
         if refusal is not None:
             return [refusal]
@@ -187,7 +203,8 @@
         if granted_at is None:
             return effects
         if self.window is None:
-            self.queue.record_service_time(now - granted_at)
+            self._admitted.ran(connection, now - granted_at)
+        self._admitted.ended(connection)
         self.running.discard(connection)
         if reusable:
             self.idle.append(connection)
@@ -198,6 +215,7 @@
     def lost(self, connection: int, now: float) -> list[PoolEffect]:
         """Record that a connection broke."""
         self.busy.pop(connection, None)
+        self._admitted.ended(connection)
         self.running.discard(connection)
         if connection in self.idle:
             self.idle.remove(connection)
@@ -228,7 +246,7 @@
         elif self.window is not None and rejected is False:
             queueing = self.answer_times.is_queueing(now)
             self.window.answered(len(self.running), queueing, now)
-            self.queue.record_service_time(seconds)
+            self._admitted.ran(connection, seconds)
         self.running.discard(connection)
         return self._rebalance(now)
 
@@ -324,12 +342,8 @@
         if not self._has_room(now):
             return None
         idle = self.tenants.tenants_of(self.idle)
-        lacking = (
-            tenant
-            for tenant in self.tenants.tenants_lacking_connections(self.opening)
-            if tenant not in idle
-        )
-        tenant = next(lacking, None)
+        lacking = set(self.tenants.tenants_lacking_connections(self.opening)) - idle
+        tenant = self.queue.first_tenant(lacking)
         if tenant == NO_TENANT:
             return tenant if len(self.opening) < MAX_OPENING else None
         return tenant if self._has_room(now, len(self.opening)) else None
@@ -364,25 +378,18 @@
     def _grant(self, now: float) -> Iterator[Grant]:
         """Grant idle connections to waiting requests of the same tenant, in queue order."""
         while self.idle and len(self.queue) and self._has_room(now):
-            ticket = self.queue.next(now, self._has_idle_connection)
-            if ticket is None:
+            idle_tenants = self.tenants.tenants_of(self.idle)
+            admitted = self.queue.take(now, idle_tenants.__contains__)
+            if admitted is None:
                 return
-            connection = self.tenants.last_connection_of(
-                self.tenants.tenant_of_request(ticket), self.idle
-            )
+            connection = self.tenants.last_connection_of(admitted.tenant, self.idle)
             assert connection is not None
-            self.tenants.request_ended(ticket)
+            self.tenants.request_ended(admitted.ticket)
             self.idle.remove(connection)
             self.busy[connection] = now
+            self._admitted.granted(connection, admitted)
             self.running.add(connection)
-            yield Grant(ticket, connection)
-
-    def _has_idle_connection(self, ticket: int) -> bool:
-        """Return whether the tenant of a waiting request has an idle connection."""
-        return (
-            self.tenants.last_connection_of(self.tenants.tenant_of_request(ticket), self.idle)
-            is not None
-        )
+            yield Grant(admitted.ticket, connection)
 
     def _open_needed(self, now: float) -> Iterator[PoolEffect]:
         """Open needed connections; if the pool is full, close the longest idle ones for them."""
