--- a/src/orchidwind/shared/core/pool.py
+++ b/src/orchidwind/shared/core/pool.py
@@ -153,7 +153,7 @@
         tenant: str = NO_TENANT,
         tenant_weight: float = EQUAL_WEIGHT,
     ) -> list[PoolEffect]:
-        """Request a connection for a tenant of a weight: it is granted at once, queued or refused."""
+        """Request a connection for a tenant: it is granted at once, queued or refused."""
         slots = self.usable if self.window is None else min(self.usable, self.window.size)
         refusal = self.queue.enqueue(
             ticket,
