--- a/tests/shared/test_recorded_names.py
+++ b/tests/shared/test_recorded_names.py
@@ -25,6 +25,7 @@
 from orchidwind.platform.settings import SETTINGS_VARIABLE, PlatformSettings
 from orchidwind.promoted.core.commands import CommandKind
 from orchidwind.promoted.metrics import ProxyMetrics
+from orchidwind.shared.core.admission import RefusalReason
 from orchidwind.shared.core.errors import ANSWERS, ErrorKind, Ran, RequestError
 from orchidwind.shared.core.positions import Position
 from orchidwind.shared.settings import ProxySettings
@@ -86,6 +87,8 @@
         metrics.finished("latest", command, None, 0.001)
     for error in ErrorKind:
         metrics.finished("latest", CommandKind.READ, error, 0.001)
+    for reason in RefusalReason:
+        metrics.refused(reason.value)
     for kind in ConnectionKind:
         metrics.silent(silent(kind))
     metrics.failover("crashed", "done")
