--- a/src/orchidwind/shared/core/admission.py
+++ b/src/orchidwind/shared/core/admission.py
@@ -3,9 +3,11 @@
 Each traffic class has a weight, a maximum queue length and a deadline. Classes are ordered by
 virtual finish time, and each request is charged by the expected service time of its class divided
 by the weight: while all classes wait, each gets its weight's share of the time of the slots, so a
-class with a low weight is never starved. Within a class, tenants share the time by start-time fair
-queueing (`fair_queue`), and the requests of a tenant are ordered by their target, the time by which
-they should be answered, earliest first. Overdue requests, which can no longer be answered by their
+class with a low weight is never starved. Within a class, the tenant that was given the least
+service for its weight goes first (`fair_queue`), and the requests of a tenant are ordered by their
+target, the time by which they should be answered, earliest first. The requests of a tenant that has
+used up its share of the slots (`tenant_accounts`) come after those of the others in all classes.
+Overdue requests, which can no longer be answered by their
 target, come after all others: under overload, the requests that are served are still served in
 time. Requests without a target are served in order of arrival.
 
@@ -27,8 +29,9 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from orchidwind.shared.core.fair_queue import Eligible, FairQueue, WaitingRequest
+from orchidwind.shared.core.fair_queue import Eligible, FairQueue, WaitingRequest, always_eligible
 from orchidwind.shared.core.service_times import ServiceTimes
+from orchidwind.shared.core.tenant_accounts import TenantAccounts
 from orchidwind.shared.core.tenant_connections import NO_TENANT
 
 # Lower bound on the retry delay of a refused request, in seconds. It spreads out the retries of
@@ -46,17 +49,14 @@
 _TARGET_RETRY_SHARE = 0.1
 # Lower bound on the same delay, in seconds: no slot becomes free before a running request ends.
 _SHORTEST_TARGET_RETRY_SECONDS = 0.01
+# Weight of the newest grant in the mean time between two grants to a class.
+_INTERVAL_SMOOTHING = 0.1
 # Target time of a request without a target.
 NO_TARGET = float("inf")
 # Weight of a tenant if no weights are configured.
 EQUAL_WEIGHT = 1.0
 
 
-def always_eligible(tenant: str) -> bool:
-    """Let every tenant be granted connections."""
-    return True
-
-
 class TrafficClass(Struct, frozen=True):
     """Scheduling parameters of a traffic class.
 
@@ -112,6 +112,9 @@
     waiting: FairQueue
     virtual_start: float = 0.0
     virtual_finish: float = 0.0
+    # Mean time between two grants while requests wait, in seconds; and since when one is due.
+    grant_interval: float = 0.0
+    waiting_since: float = 0.0
 
     @property
     def name(self) -> str:
@@ -135,6 +138,7 @@
     def __init__(self) -> None:
         self.times = ServiceTimes()
         self._classes: dict[str, _ClassQueue] = {}
+        self._accounts = TenantAccounts()
         self._virtual_time = 0.0
         self._place_of: dict[int, _Place] = {}
         self._sequence = count()
@@ -161,8 +165,7 @@
         """
         self.times.record(admitted.class_name, seconds)
         charged = admitted.charged if first else 0.0
-        queue = self._classes[admitted.class_name].waiting
-        queue.charge(admitted.tenant, seconds - charged)
+        self._accounts.charge(admitted.tenant, seconds - charged)
 
     def enqueue(
         self,
@@ -178,18 +181,19 @@
         """Queue a request and return None, or return the refusal if it cannot be served in time."""
         queue = self._classes.get(traffic_class.name)
         if queue is None:
-            queue = self._classes[traffic_class.name] = _ClassQueue(traffic_class, FairQueue())
+            queue = self._classes[traffic_class.name] = _ClassQueue(
+                traffic_class, FairQueue(self._accounts)
+            )
         queue.traffic_class = traffic_class
         if not self._place_of:
             self._slot_left_at = now
-        refusal = self._refusal(
-            queue, WaitingRequest(ticket, expires_at, target_at), now, slots, tenant, tenant_weight
-        )
+        request = WaitingRequest(ticket, expires_at, target_at)
+        refusal = self._refusal(queue, request, now, slots, tenant, tenant_weight)
         if refusal is not None:
             return refusal
         if not queue.waiting:
             self._schedule_next(queue)
-        request = WaitingRequest(ticket, expires_at, target_at)
+            queue.waiting_since = now
         queue.waiting.add(request, next(self._sequence), tenant, tenant_weight)
         self._place_of[ticket] = _Place(queue, tenant)
         return None
@@ -205,19 +209,16 @@
     ) -> Refusal | None:
         """Return why a new request is refused, or None if it may wait."""
         name, target_at = queue.name, request.target_at
-        ahead = queue.waiting.service_ahead(
-            tenant, tenant_weight, target_at, self.times.expected(name)
-        )
-        wait = self._expected_wait(queue, ahead, slots)
+        wait = self._tenant_wait(queue, tenant, tenant_weight, target_at, slots)
         late = self._lateness(queue, request, now, wait)
         if len(queue.waiting) >= queue.traffic_class.queue_bound:
             return _refused_on_arrival(request, wait, RefusalReason.QUEUE_FULL)
         if late is None:
             return None
-        ahead = queue.waiting.service_ahead_by_target(target_at, self.times.expected(name))
-        in_order_of_target = self._expected_wait(queue, ahead, slots)
+        ahead = queue.waiting.all_ahead(target_at) * self.times.expected(name)
+        in_order_of_target = self._class_wait(queue, ahead, slots)
         if self._lateness(queue, request, now, in_order_of_target) is None:
-            late = replace(late, reason=RefusalReason.TENANT_SHARE)
+            return replace(late, reason=RefusalReason.TENANT_SHARE)
         return late
 
     def _lateness(
@@ -239,11 +240,36 @@
         service = self.times.expected(queue.name)
         queue.virtual_finish = queue.virtual_start + service / queue.traffic_class.weight
 
-    def _expected_wait(self, queue: _ClassQueue, ahead: float, slots: int) -> float:
-        """Return the estimated wait of a request with this service ahead in its class, in seconds.
+    def _tenant_wait(
+        self, queue: _ClassQueue, tenant: str, weight: float, target_at: float, slots: int
+    ) -> float:
+        """Return the estimated wait of a new request of a tenant, in seconds."""
+        service = self.times.expected(queue.name)
+        own = queue.waiting.own_ahead(tenant, target_at) * service
+        start = self._accounts.virtual_start(tenant)
+        if self._accounts.has_share_left(tenant, own):
+            until = start + own / weight
+            ahead = own + queue.waiting.others_ahead(tenant, until, service)
+            return self._class_wait(queue, ahead, slots)
+        # The request goes after those of the other tenants in all classes.
+        own = sum(
+            other.waiting.own_ahead(tenant, target_at if other is queue else NO_TARGET)
+            * self.times.expected(other.name)
+            for other in self._classes.values()
+        )
+        until = start + own / weight
+        total = own + sum(
+            other.waiting.others_ahead(tenant, until, self.times.expected(other.name))
+            for other in self._classes.values()
+        )
+        return total / max(slots, 1)
+
+    def _class_wait(self, queue: _ClassQueue, ahead: float, slots: int) -> float:
+        """Return the estimated wait of a request with so much service ahead of it in its class.
 
         Until the request has been served as well, other classes get their share of the slots, as
-        far as they have use for it.
+        far as they have use for it. Their later requests count too: the wait is at least what it
+        takes at the pace of the latest grants to the class.
         """
         total = ahead
         seconds = total + self.times.expected(queue.name)
@@ -252,7 +278,10 @@
                 waiting = other.waiting.timely_count * self.times.expected(other.name)
                 share = other.traffic_class.weight / queue.traffic_class.weight
                 total += min(waiting, seconds * share)
-        return total / max(slots, 1)
+        if len(self._classes) == 1 or not queue.waiting:
+            return total / max(slots, 1)
+        pace = queue.grant_interval * ahead / self.times.expected(queue.name)
+        return max(total / max(slots, 1), pace)
 
     def next(self, now: float = 0.0, eligible: Eligible = always_eligible) -> int | None:
         """Remove and return the next eligible ticket, or None if no eligible request waits."""
@@ -264,41 +293,56 @@
         for queue in self._classes.values():
             queue.waiting.move_overdue(now + self.times.expected(queue.name), now)
         in_order = sorted(self._classes.values(), key=lambda queue: queue.virtual_finish)
+        self._accounts.advance(eligible)
+        with_share = self._with_share_left(eligible)
+        for queue in in_order:
+            ticket = queue.waiting.first_timely(with_share)
+            if ticket is not None:
+                return self._dequeue(queue, ticket, now)
         for queue in in_order:
             ticket = queue.waiting.first_timely(eligible)
             if ticket is not None:
-                return self._dequeue(queue, ticket)
+                return self._dequeue(queue, ticket, now)
         if not any(queue.waiting.timely_count for queue in in_order):
             self._slot_left_at = now
         for queue in in_order:
             ticket = queue.waiting.first_overdue(eligible)
             if ticket is not None:
-                return self._dequeue(queue, ticket)
+                return self._dequeue(queue, ticket, now)
         return None
 
+    def _with_share_left(self, eligible: Eligible) -> Eligible:
+        """Restrict the eligible tenants to those that have not used up their share."""
+        return lambda tenant: self._accounts.has_share_left(tenant) and eligible(tenant)
+
     def first_tenant(self, tenants: Container[str]) -> str | None:
         """Return the one of these tenants whose waiting request goes first, or None."""
         in_order = sorted(self._classes.values(), key=lambda queue: queue.virtual_finish)
-        first = (queue.waiting.first_timely(tenants.__contains__) for queue in in_order)
-        overdue = (queue.waiting.first_overdue(tenants.__contains__) for queue in in_order)
-        ticket = next((item for item in chain(first, overdue) if item is not None), None)
-        return None if ticket is None else self._place_of[ticket].tenant
-
-    def _dequeue(self, queue: _ClassQueue, ticket: int) -> Admitted:
+        eligible = tenants.__contains__
+        with_share = self._with_share_left(eligible)
+        first = (queue.waiting.first_timely(with_share) for queue in in_order)
+        timely = (queue.waiting.first_timely(eligible) for queue in in_order)
+        overdue = (queue.waiting.first_overdue(eligible) for queue in in_order)
+        tickets = (ticket for ticket in chain(first, timely, overdue) if ticket is not None)
+        return next((self._place_of[ticket].tenant for ticket in tickets), None)
+
+    def _dequeue(self, queue: _ClassQueue, ticket: int, now: float) -> Admitted:
         """Remove a request that is granted a connection and advance the virtual times."""
         self._virtual_time = max(self._virtual_time, queue.virtual_start)
         tenant = self._place_of[ticket].tenant
         charged = self.times.expected(queue.name)
-        queue.waiting.charge(tenant, charged, granted=True)
+        self._accounts.charge(tenant, charged)
         self.remove(ticket)
+        longer = now - queue.waiting_since - queue.grant_interval
+        queue.grant_interval += _INTERVAL_SMOOTHING * longer
+        queue.waiting_since = now
         if queue.waiting:
             self._schedule_next(queue)
         return Admitted(ticket, queue.name, tenant, charged)
 
     def remove(self, ticket: int) -> None:
         """Remove a request from the queue, if it is there."""
-        place = self._place_of.pop(ticket, None)
-        if place is not None:
+        if (place := self._place_of.pop(ticket, None)) is not None:
             place.queue.waiting.remove(ticket, place.tenant)
 
     def expire(self, now: float) -> list[Refusal]:
--- a/src/orchidwind/shared/core/fair_queue.py
+++ b/src/orchidwind/shared/core/fair_queue.py
@@ -1,13 +1,11 @@
 """The waiting requests of one traffic class, shared fairly among tenants. No I/O, no clock.
 
-Tenants share a class by start-time fair queueing: the tenant with the lowest virtual start goes
-first, and each granted request moves its tenant's virtual start on by its service time divided by
-the tenant's weight. A tenant that did not wait begins at the virtual time of the class, so room
-that others leave unused is not saved up. Within a tenant, requests are ordered by their target,
-earliest first; those that can no longer meet it are overdue and come after all others.
-
-Owns: the waiting requests of a class and what each tenant has used. `admission` decides which class
-goes next. Service times are in seconds.
+The tenant that was given the least service for its weight goes first (`tenant_accounts`). Within a
+tenant, requests are ordered by their target, earliest first; those that can no longer meet it are
+overdue and come after all others.
+
+Owns: the waiting requests of a class. `admission` decides which class goes next, and charges the
+tenants. Service times are in seconds.
 """
 
 from __future__ import annotations
@@ -17,14 +15,17 @@
 
 from msgspec import Struct, field
 
-# Number of tenants kept per class before those are dropped that wait for nothing and have no use
-# above the others to their account.
-_KEPT_TENANTS = 256
+from orchidwind.shared.core.tenant_accounts import TenantAccount, TenantAccounts
 
 # Returns whether a tenant's requests may be granted a connection now.
 Eligible = Callable[[str], bool]
 
 
+def always_eligible(tenant: str) -> bool:
+    """Let every tenant be granted connections."""
+    return True
+
+
 class WaitingRequest(Struct):
     """A queued request; `overdue_at` is when it was found to be unable to meet its target."""
 
@@ -39,16 +40,13 @@
 
     `by_target` is a heap of the requests that can still meet their target. It may also contain
     requests that have left the queue, which are dropped lazily. `overdue` holds the overdue
-    requests in the order in which they were found to be overdue. `virtual_start` is the virtual
-    start time of the next request.
+    requests in the order in which they were found to be overdue.
     """
 
-    tenant: str
-    weight: float = 1.0
+    account: TenantAccount
     waiting: dict[int, WaitingRequest] = field(default_factory=dict)
     by_target: list[tuple[float, int, int]] = field(default_factory=list)
     overdue: dict[int, WaitingRequest] = field(default_factory=dict)
-    virtual_start: float = 0.0
 
     def first_timely(self) -> int | None:
         """Return the request with the earliest target that can still be met, or None."""
@@ -84,13 +82,11 @@
 
 
 class FairQueue:
-    """The waiting requests of one class, by tenant."""
+    """The waiting requests of one class, by tenant; only tenants with waiting requests."""
 
-    def __init__(self) -> None:
-        self._tenants: dict[str, TenantQueue] = {}
-        # The tenants with waiting requests.
+    def __init__(self, accounts: TenantAccounts) -> None:
+        self._accounts = accounts
         self._busy: dict[str, TenantQueue] = {}
-        self._virtual_time = 0.0
 
     def __bool__(self) -> bool:
         return bool(self._busy)
@@ -110,30 +106,22 @@
 
     def add(self, request: WaitingRequest, sequence: int, tenant: str, weight: float) -> None:
         """Add a request; `sequence` orders requests with the same target."""
-        queue = self._queue_of(tenant)
-        queue.weight = weight
-        if not queue.waiting:
-            queue.virtual_start = max(queue.virtual_start, self._virtual_time)
-            self._busy[tenant] = queue
+        self._accounts.joined(tenant, weight)
+        queue = self._busy.get(tenant)
+        if queue is None:
+            queue = self._busy[tenant] = TenantQueue(self._accounts.of(tenant, weight))
         queue.waiting[request.ticket] = request
         heappush(queue.by_target, (request.target_at, sequence, request.ticket))
 
     def remove(self, ticket: int, tenant: str) -> None:
         """Remove a waiting request."""
+        self._accounts.left(tenant)
         queue = self._busy[tenant]
         del queue.waiting[ticket]
         queue.overdue.pop(ticket, None)
         if not queue.waiting:
-            queue.by_target.clear()
             del self._busy[tenant]
 
-    def charge(self, tenant: str, service: float, granted: bool = False) -> None:
-        """Charge a tenant for service, at the time of the grant or when it is known better."""
-        queue = self._queue_of(tenant)
-        if granted:
-            self._virtual_time = max(self._virtual_time, queue.virtual_start)
-        queue.virtual_start += service / queue.weight
-
     def move_overdue(self, until: float, now: float) -> None:
         """Mark the requests whose target is before `until` as overdue."""
         for queue in self._busy.values():
@@ -152,44 +140,29 @@
         chosen = None
         lowest = float("inf")
         for name, queue in self._busy.items():
-            if queue.virtual_start >= lowest or not eligible(name):
+            if queue.account.virtual_start >= lowest or not eligible(name):
                 continue
             ticket = first(queue)
             if ticket is not None:
-                chosen, lowest = ticket, queue.virtual_start
+                chosen, lowest = ticket, queue.account.virtual_start
         return chosen
 
-    def service_ahead(self, tenant: str, weight: float, target_at: float, service: float) -> float:
-        """Return the service that goes before a new request of a tenant.
-
-        `service` is that of one request.
-        """
-        queue = self._tenants.get(tenant)
-        own = 0.0 if queue is None else queue.ahead_of(target_at) * service
-        start = self._virtual_time if queue is None else queue.virtual_start
-        start = max(start, self._virtual_time) + own / weight
-        others = (other for other in self._busy.values() if other is not queue)
-        return own + sum(
-            min(other.timely_count * service, max(start - other.virtual_start, 0.0) * other.weight)
-            for other in others
-        )
+    def own_ahead(self, tenant: str, target_at: float) -> int:
+        """Return the number of requests of a tenant that go before a new one with this target."""
+        queue = self._busy.get(tenant)
+        return 0 if queue is None else queue.ahead_of(target_at)
 
-    def service_ahead_by_target(self, target_at: float, service: float) -> float:
-        """Return the same if all tenants shared one order by target."""
-        return sum(queue.ahead_of(target_at) for queue in self._busy.values()) * service
+    def others_ahead(self, tenant: str, until: float, service: float) -> float:
+        """Return the service that other tenants get until a virtual start; `service` is of one."""
+        return sum(
+            min(
+                other.timely_count * service,
+                max(until - other.account.virtual_start, 0.0) * other.account.weight,
+            )
+            for name, other in self._busy.items()
+            if name != tenant
+        )
 
-    def _queue_of(self, tenant: str) -> TenantQueue:
-        queue = self._tenants.get(tenant)
-        if queue is None:
-            if len(self._tenants) >= _KEPT_TENANTS:
-                self._drop_tenants()
-            queue = self._tenants[tenant] = TenantQueue(tenant, virtual_start=self._virtual_time)
-        return queue
-
-    def _drop_tenants(self) -> None:
-        """Forget the tenants that wait for nothing and are not ahead of the virtual time."""
-        self._tenants = {
-            name: queue
-            for name, queue in self._tenants.items()
-            if queue.waiting or queue.virtual_start > self._virtual_time
-        }
+    def all_ahead(self, target_at: float) -> int:
+        """Return the number of requests that go before a new one if tenants share one order."""
+        return sum(queue.ahead_of(target_at) for queue in self._busy.values())
--- a/tests/shared/test_fair_queue.py
+++ b/tests/shared/test_fair_queue.py
@@ -184,6 +184,68 @@
         assert spent[item.name] / total == pytest.approx(item.weight / 84, rel=0.2)
 
 
+# --- shares over all classes -------------------------------------------------------------------
+
+
+def serve_two_priorities(seconds):
+    """Serve one tenant's high priority and another's low one this long; return what each got."""
+    queue = queue_at(service=0.0001)
+    backlog(queue, {"tern": 1.0}, each=900)
+    for ticket in range(9000, 9900):
+        enter(queue, ticket, "heron", traffic_class=CLASSES[2])
+    return serve(queue, round(seconds / SERVICE), lambda admitted: SERVICE)
+
+
+def test_priority_goes_before_the_shares_of_tenants_for_short_bursts():
+    spent = serve_two_priorities(0.5)
+    assert spent["tern"] >= 0.85 * 0.5
+
+
+def test_a_tenant_that_used_up_its_share_goes_after_the_lower_priority_of_others():
+    """With priority alone, the other tenant got a seventeenth."""
+    spent = serve_two_priorities(8.0)
+    assert spent["tern"] + spent["heron"] == pytest.approx(8.0)
+    assert spent["tern"] - spent["heron"] <= 1.0 + 2 * SERVICE
+
+
+def test_what_a_tenant_used_long_ago_delays_it_for_a_bounded_time():
+    queue = queue_at(service=0.0001)
+    backlog(queue, {"tern": 1.0}, each=900)
+    enter(queue, 9000, "heron", traffic_class=CLASSES[2])
+    for _ in range(900):
+        queue.record_service_time(SERVICE, queue.take(0.0, {"tern"}.__contains__))
+    for ticket in range(10_000, 10_900):
+        enter(queue, ticket, "heron", traffic_class=CLASSES[2])
+    enter(queue, 20_000, "tern")
+    served = 0
+    while (admitted := queue.take()).ticket != 20_000:
+        queue.record_service_time(SERVICE, admitted)
+        served += 1
+    assert served * SERVICE <= 4.0
+
+
+def test_the_wait_of_a_low_priority_counts_the_later_requests_of_a_higher_one():
+    """Otherwise it is admitted, waits long and is refused then."""
+    queue, low = queue_at(), CLASSES[2]
+    for ticket in range(3):
+        enter(queue, ticket, NO_TENANT, traffic_class=low)
+    now = 0.0
+    enter(queue, 99, NO_TENANT)
+    for ticket in range(100, 700):
+        now += SERVICE
+        admitted = queue.take(now)
+        queue.record_service_time(SERVICE, admitted)
+        same = low if admitted.class_name == low.name else ANY
+        enter(queue, ticket, NO_TENANT, traffic_class=same, now=now)
+    refusals = [
+        enter(queue, 5000 + ticket, NO_TENANT, traffic_class=low, target_at=now + 0.5, now=now)
+        for ticket in range(10)
+    ]
+    # With weights of 64 and 4, one of them is served in 17 times the service time.
+    assert refusals.count(None) <= 0.5 / (17 * SERVICE)
+    assert refusals[-1].reason is RefusalReason.TARGET
+
+
 # --- refusals ----------------------------------------------------------------------------------
 
 
