--- a/src/orchidwind/commands/explain.py
+++ b/src/orchidwind/commands/explain.py
@@ -40,6 +40,7 @@
 )
 _CONTEXT_EVENTS = frozenset(
     (
+        "command_rerouted",
         "configuration_in_force",
         "connection_silent",
         "drain_started",
@@ -109,7 +110,7 @@
 
 def _nodes(request: LogLine) -> set[str]:
     """Return the proxy that logged the request and the home proxies that its attempts name."""
-    homes = re.findall(r"(\S+?):home(?:_lost)?:", request.fields.get("attempts", ""))
+    homes = re.findall(r"(\S+?):(?:home(?:_lost)?|rerouted):", request.fields.get("attempts", ""))
     return {request.node, *homes}
 
 
--- a/src/orchidwind/promoted/callers/session_executor.py
+++ b/src/orchidwind/promoted/callers/session_executor.py
@@ -25,6 +25,7 @@
 from orchidwind.promoted.core.session import OpenTransaction, Session
 from orchidwind.promoted.group.group_service import GroupService
 from orchidwind.promoted.peers.forwarding import CommandForwarder, Homes
+from orchidwind.promoted.peers.home_selection import SelectedHome, refusal_by_home
 from orchidwind.promoted.quotas.quota_service import Quotas
 from orchidwind.shared.core.errors import ANSWERS, ErrorKind, RequestError
 from orchidwind.shared.core.tenant_connections import NO_TENANT
@@ -40,8 +41,8 @@
     transaction_idle: float
 
     @property
-    def homes(self) -> Homes:
-        """The home proxies of the groups, and the links to them."""
+    def home_selection(self) -> Homes:
+        """Selects the home proxies of commands."""
 
     @property
     def quotas(self) -> Quotas:
@@ -82,7 +83,7 @@
         self._loop = asyncio.get_running_loop()
         self._group: GroupService | None = None
         self._runner = CommandRunner(self.session, services.quotas)
-        self._forwarder = CommandForwarder(self.session, services.homes)
+        self._forwarder = CommandForwarder(self.session, services.home_selection)
         self._context: CommandContext | None = None
         self._running = False
         self._idle_timer: asyncio.TimerHandle | None = None
@@ -252,23 +253,74 @@
         """Run a command that needs an instance, at this proxy or at a home proxy of the group."""
         group = self._group_of(database)
         context = CommandContext(
-            self.session, group.state, database, command, arrived_at, tenant=tenant
+            self.session,
+            group.state,
+            database,
+            command,
+            arrived_at,
+            tenant=tenant,
+            in_transaction=self.session.transaction is not None,
+            needs_primary=self.session.needs_primary(command),
         )
         self._context = context
         limits = TimeLimits.for_new_command(database, arrived_at)
-        if not self._opened_here and self._forwarder.forwards(database.group, tenant):
-            forwarded = await self._forward(context, limits)
-            if forwarded is not None:
-                return forwarded
-            limits = limits.after_lost_home(self._loop.time())
-        return await self._runner.run(context, group, limits)
-
-    async def _forward(self, context: CommandContext, limits: TimeLimits) -> CommandResult | None:
-        """Have a home proxy of the group run a command; None if no home proxy is left to try."""
+        if self._opened_here:
+            return await self._runner.run(context, group, limits)
+        return await self._run_at_home(context, group, limits)
+
+    async def _run_at_home(
+        self, context: CommandContext, group: GroupService, limits: TimeLimits
+    ) -> CommandResult:
+        """Run a command at its home: this proxy or another one."""
+        home = self._forwarder.select(context)
+        if home.link is not None:
+            outcome = await self._forward(context, limits, home)
+            if isinstance(outcome, CommandResult):
+                return outcome
+            home, limits = outcome, limits.after_lost_home(self._loop.time())
+            context.sent_to = ""
+        now = self._loop.time()
+        try:
+            result = await self._runner.run(
+                context, group, limits.for_probe(now) if home.probe else limits
+            )
+        except RequestError as refusal:
+            return await self._run_elsewhere(context, group, limits, refusal)
+        self._services.home_selection.served(context, home.name)
+        return result
+
+    async def _run_elsewhere(
+        self,
+        context: CommandContext,
+        group: GroupService,
+        limits: TimeLimits,
+        refusal: RequestError,
+    ) -> CommandResult:
+        """Run a command at another home that this proxy, as its home, has refused.
+
+        Raises the refusal if the command is not tried again.
+        """
+        selection = self._services.home_selection
+        left = limits.deadline - self._loop.time()
+        own = selection.own_home().name
+        facts = refusal_by_home(context, own, refusal, bool(context.sent_to), left)
+        other = selection.second_home(context, facts)
+        if other is None or other.link is None:
+            raise refusal
+        limits = limits.after_lost_home(self._loop.time())
+        outcome = await self._forward(context, limits, other)
+        if isinstance(outcome, CommandResult):
+            return outcome
+        raise refusal
+
+    async def _forward(
+        self, context: CommandContext, limits: TimeLimits, home: SelectedHome
+    ) -> CommandResult | SelectedHome:
+        """Have a home proxy of the group run a command; return this proxy if it is to run it."""
         outcome = "no_home"
         try:
-            result = await self._forwarder.run(context, limits)
-            outcome = outcome if result is None else "ok"
+            result = await self._forwarder.run(context, limits, home)
+            outcome = "ok" if isinstance(result, CommandResult) else outcome
             return result
         except RequestError as error:
             outcome = error.kind.value
--- a/src/orchidwind/promoted/core/circuit_breaker.py
+++ b/src/orchidwind/promoted/core/circuit_breaker.py
@@ -18,7 +18,7 @@
 from msgspec import Struct
 
 from orchidwind.promoted.core.change_reasons import NOT_CONFIRMING_SECONDS
-from orchidwind.shared.core.errors import ErrorKind
+from orchidwind.shared.core.errors import ErrorKind, RequestError
 
 # Seconds between two probes while a breaker is open. Few callers wait for a failure, and requests
 # are accepted again at most a quarter of a second after the fault is gone.
@@ -35,6 +35,18 @@
 NOT_PROVEN_SECONDS = 0.4
 
 
+# The reason of a refusal while no instance is found; home proxies pass it on to fronts.
+_NOT_FOUND_REASON = "no instance has served for long"
+
+
+def found_none(refusal: RequestError) -> bool:
+    """Whether a request was refused because no instance was found for it.
+
+    Requests that waited in vain are refused with the error kind alone as their message.
+    """
+    return refusal.message in (refusal.kind.value, _NOT_FOUND_REASON)
+
+
 @unique
 class Dependency(Enum):
     """Something that a request depends on; the values appear in log lines."""
@@ -119,7 +131,7 @@
 
     def refuse_without_instance(self, kind: ErrorKind, now: float) -> ImmediateRefusal | None:
         """Returns the refusal of a request for which no instance is known now, if any."""
-        return self._refuse(Dependency.INSTANCE, kind, "no instance has served for long", now)
+        return self._refuse(Dependency.INSTANCE, kind, _NOT_FOUND_REASON, now)
 
     def refuse_unproven_read(self, now: float) -> ImmediateRefusal | None:
         """Returns the refusal of a read that needs a proof of leadership, if any."""
--- a/src/orchidwind/promoted/core/command_limits.py
+++ b/src/orchidwind/promoted/core/command_limits.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 
 from orchidwind.promoted.core.configuration import DatabaseRoute
+from orchidwind.promoted.core.home_choice import PROBE_HOLD_SECONDS
 from orchidwind.promoted.core.peer_messages import RunCommand
 from orchidwind.shared.core.admission import NO_TARGET, TrafficClass
 
@@ -57,13 +58,18 @@
         return cls(now + message.remaining, now + message.hold, target_at)
 
     def after_lost_home(self, now: float) -> TimeLimits:
-        """Returns the limits of the next attempt after the home proxy was lost.
+        """Returns the limits of the next attempt after the home proxy was lost or has refused.
 
         The command may wait for at least half of the time that is left.
         """
         halfway = (now + self.deadline) / 2
         return TimeLimits(self.deadline, max(self.hold_until, halfway), self.target_at)
 
+    def for_probe(self, now: float) -> TimeLimits:
+        """Returns the limits at a home that may still be unable to serve the command."""
+        hold_until = min(self.hold_until, now + PROBE_HOLD_SECONDS)
+        return TimeLimits(self.deadline, hold_until, self.target_at)
+
 
 def traffic_class(database: DatabaseRoute) -> TrafficClass:
     """Returns the traffic class of a database's requests, by its priority."""
--- a/src/orchidwind/promoted/core/flow_parts.py
+++ b/src/orchidwind/promoted/core/flow_parts.py
@@ -63,6 +63,10 @@
     - `sent_to`: the instance of the last attempt.
     - `busy_replies`: the number of attempts that were answered BUSY.
     - `tenant`: the caller's tenant, whose server connections the command uses.
+    - `in_transaction`: whether the command was part of a transaction when it arrived.
+    - `needs_primary`: whether it writes, or its transaction may.
+    - `probes`: whether it finds out if its home is able again; its second attempt is accounted for.
+    - `rerouted`: whether a home refused the command and another one was asked.
     """
 
     session: Session
@@ -76,6 +80,10 @@
     sent_to: str = ""
     busy_replies: int = 0
     tenant: str = NO_TENANT
+    in_transaction: bool = False
+    needs_primary: bool = False
+    probes: bool = False
+    rerouted: bool = False
 
     def record_attempt(self, instance: str, outcome: str) -> None:
         """Records the basis and the outcome of one attempt for the log."""
--- a/src/orchidwind/promoted/core/session.py
+++ b/src/orchidwind/promoted/core/session.py
@@ -77,6 +77,15 @@
             return self.prepared_for(command).writes
         return command.kind is CommandKind.WRITE
 
+    def needs_primary(self, command: Command) -> bool:
+        """Whether a command writes, or belongs to a transaction that may; as `writes`, it raises.
+
+        A transaction that is not read-only runs on the primary from its first statement.
+        """
+        if self.transaction is not None:
+            return not self.transaction.read_only
+        return self.writes(command)
+
     def run_locally(self, command: Command) -> bool:
         """Runs a command that needs no instance; returns False if the command needs one.
 
--- a/src/orchidwind/promoted/group/operator_status.py
+++ b/src/orchidwind/promoted/group/operator_status.py
@@ -32,12 +32,16 @@
 
 
 class OperatorGroupStatus(msgspec.Struct, frozen=True):
-    """One group; `primary` is empty while no primary is known."""
+    """One group; `primary` is empty while no primary is known.
+
+    `homes_lacking` are the homes that refused this proxy's commands of late, as `home:reason`.
+    """
 
     name: str
     primary: str
     term: int
     instances: list[OperatorInstanceStatus]
+    homes_lacking: list[str] = []
 
 
 class OperatorTenantStatus(msgspec.Struct, frozen=True):
@@ -128,7 +132,7 @@
     return sorted(statuses, key=lambda status: (-status.refused, status.name))
 
 
-def group_status(group: GroupService, now: float) -> OperatorGroupStatus:
+def group_status(group: GroupService, now: float, homes_lacking: list[str]) -> OperatorGroupStatus:
     """The state of one group at a time of the monotonic clock, in seconds."""
     primary = group.topology.primary(now)
     instances = []
@@ -155,4 +159,5 @@
         primary=primary.instance if primary else "",
         term=primary.term if primary else 0,
         instances=instances,
+        homes_lacking=homes_lacking,
     )
--- a/src/orchidwind/promoted/metrics.py
+++ b/src/orchidwind/promoted/metrics.py
@@ -64,6 +64,11 @@
             "Commands forwarded to home proxies, by outcome",
             "outcome",
         )
+        self.rerouted = factory.counter(
+            "orchidwind_rerouted_commands",
+            "Commands that a home refused and that were sent to another one, by reason",
+            "reason",
+        )
         self.sessions = factory.gauge("orchidwind_callers", "Open sessions of callers")
 
 
@@ -252,6 +257,10 @@
         """Count a command that was forwarded to a home proxy and has ended."""
         self._callers.forwarded.labels(outcome).inc()
 
+    def rerouted(self, reason: str) -> None:
+        """Count a command that a home refused and that is sent to another one."""
+        self._callers.rerouted.labels(reason).inc()
+
     def silent(self, found: SilentConnection) -> None:
         """Log and count an open connection that was found silent."""
         log_silent_connection(found)
--- a/src/orchidwind/promoted/peers/forwarding.py
+++ b/src/orchidwind/promoted/peers/forwarding.py
@@ -1,9 +1,9 @@
 """Forwards the commands of one caller's session to the homes of its group.
 
-For: `callers.session_executor`, where this proxy is not a home of the group. Owns the record of the
-home at which the session's transaction is open. Relies on `peer_link` to send, on
-`core.forwarded_commands` for the messages and on `core.peer_loss` for the outcome of a command
-whose home was lost.
+For: `callers.session_executor`, where another proxy is the home of a command. Owns the record of
+the home at which the session's transaction is open. Relies on `peer_link` to send, on
+`home_selection` for the home, on `core.forwarded_commands` for the messages and on `core.peer_loss`
+for the outcome of a command whose home was lost.
 """
 
 from __future__ import annotations
@@ -23,9 +23,11 @@
     result_at_front,
     run_command,
 )
+from orchidwind.promoted.core.home_choice import HomeRefusal
 from orchidwind.promoted.core.peer_loss import after_lost_home
 from orchidwind.promoted.core.peer_messages import CloseChannel, CommandAnswer, RunCommand
 from orchidwind.promoted.core.session import Session
+from orchidwind.promoted.peers.home_selection import SelectedHome, refusal_by_home
 from orchidwind.promoted.peers.peer_link import PeerLink
 from orchidwind.shared.core.errors import ErrorKind, PeerUnavailable, RequestError
 
@@ -35,10 +37,19 @@
 
 
 class Homes(Protocol):
-    """Selects the home proxies that hold the groups' connections."""
+    """Selects the homes of commands; `HomeSelection` implements it."""
 
-    def home_link(self, group: str, tenant: str) -> PeerLink | None:
-        """Return the link to the home that runs a tenant's commands; None: this proxy runs them."""
+    def first_home(self, context: CommandContext) -> SelectedHome:
+        """Select the home of a new command, or of one whose home was lost."""
+
+    def second_home(self, context: CommandContext, refusal: HomeRefusal) -> SelectedHome | None:
+        """Select another home for a command that a home refused; None if it is not tried again."""
+
+    def own_home(self) -> SelectedHome:
+        """This proxy, as the home of a command."""
+
+    def served(self, context: CommandContext, home: str) -> None:
+        """Record that a home served a command."""
 
     def next_channel(self) -> int:
         """Return a new number for a session at a home."""
@@ -61,23 +72,29 @@
         self._transaction_channel: _OpenChannel | None = None
         self._running_channel: _OpenChannel | None = None
 
-    def forwards(self, group: str, tenant: str) -> bool:
-        """Whether a tenant's commands for a group are currently forwarded to another proxy."""
-        return (
-            self._transaction_channel is not None
-            or self._homes.home_link(group, tenant) is not None
-        )
-
-    async def run(self, context: CommandContext, limits: TimeLimits) -> CommandResult | None:
-        """Run a command at a home; return its result, None if no home is left.
-
-        Raises RequestError.
+    def select(self, context: CommandContext) -> SelectedHome:
+        """Select the home of a command; without a link, this proxy runs it."""
+        opened = self._transaction_channel
+        if opened is not None:
+            return SelectedHome(opened.link.member.name, opened.link)
+        if context.command.kind is CommandKind.ROLLBACK:
+            return self._homes.own_home()
+        return self._homes.first_home(context)
+
+    async def run(
+        self, context: CommandContext, limits: TimeLimits, home: SelectedHome
+    ) -> CommandResult | SelectedHome:
+        """Run a command at a home; return its result, or a home without a link: this proxy.
+
+        If the home refuses the command and another may serve it, that one is asked, once. Raises
+        RequestError.
         """
-        if context.command.kind is CommandKind.ROLLBACK and self._transaction_channel is None:
-            return self._complete_rollback()
-        while (channel := self._channel(context)) is not None:
+        while (channel := self._channel(home)) is not None:
+            now = self._loop.time()
             try:
-                answer = await self._ask(channel, context, limits)
+                answer = await self._ask(
+                    channel, context, limits.for_probe(now) if home.probe else limits
+                )
             except PeerUnavailable as lost:
                 context.record_attempt(channel.link.member.name, f"home_lost:sent={lost.sent}")
                 error = self._handle_lost_home(context.command, lost.sent)
@@ -85,21 +102,34 @@
                     return self._complete_rollback()
                 if error is not None:
                     raise error from lost
-                limits = limits.after_lost_home(self._loop.time())
-                continue
-            return self._handle_answer(channel, context, answer)
-        return None
+                home = self._homes.first_home(context)
+            else:
+                try:
+                    return self._handle_answer(channel, context, answer)
+                except RequestError as error:
+                    refusal = refusal_by_home(
+                        context,
+                        channel.link.member.name,
+                        error,
+                        bool(answer.sent_to),
+                        limits.deadline - self._loop.time(),
+                    )
+                    other = self._homes.second_home(context, refusal)
+                    if other is None:
+                        raise
+                    home = other
+            limits = limits.after_lost_home(self._loop.time())
+        return home
 
     def _complete_rollback(self) -> CommandResult:
         """Complete a ROLLBACK locally: no transaction is open at a home, or its home was lost."""
         self._session.end_transaction()
         return CommandResult()
 
-    def _channel(self, context: CommandContext) -> _OpenChannel | None:
+    def _channel(self, home: SelectedHome) -> _OpenChannel | None:
         if self._transaction_channel is not None:
             return self._transaction_channel
-        link = self._homes.home_link(context.database.group, context.tenant)
-        return None if link is None else _OpenChannel(link, self._homes.next_channel())
+        return None if home.link is None else _OpenChannel(home.link, self._homes.next_channel())
 
     async def _ask(
         self, channel: _OpenChannel, context: CommandContext, limits: TimeLimits
@@ -146,7 +176,9 @@
         self._transaction_channel = None
         if answer.error:
             self._end_if_commit(kind)
-        elif kind in (CommandKind.COMMIT, CommandKind.ROLLBACK):
+            return result_at_front(answer)
+        self._homes.served(context, channel.link.member.name)
+        if kind in (CommandKind.COMMIT, CommandKind.ROLLBACK):
             session.end_transaction()
         elif session.transaction is not None:
             self._transaction_channel = channel
--- a/src/orchidwind/promoted/peers/peer_network.py
+++ b/src/orchidwind/promoted/peers/peer_network.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
 from itertools import count
 
 from msgspec import Struct
@@ -215,15 +215,29 @@
 
         If this proxy is the preferred home but gets no connections, another home is used.
         """
+        name = next(self.usable_homes(group, tenant), self.own.name)
+        return self.link_of(name)
+
+    def usable_homes(self, group: str, tenant: str) -> Iterator[str]:
+        """Yield the homes that may get a tenant's commands now, in the order of preference.
+
+        A link to a home is opened when the home is yielded, not before.
+        """
         for member in self._preferred_homes(group, tenant):
             if member.name == self.own.name:
-                if self._groups.starved(group):
-                    continue
-                return None
-            link = self.usable_link(member)
-            if link is not None:
-                return link
-        return None
+                usable = not self._groups.starved(group)
+            else:
+                usable = self.usable_link(member) is not None
+            if usable:
+                yield member.name
+
+    def link_of(self, home: str) -> PeerLink | None:
+        """Return the link to a home that `usable_homes` has yielded; None for this proxy."""
+        return None if home == self.own.name else self._link(self._members[home])
+
+    def has_one_home(self, tenant: str) -> bool:
+        """Whether a tenant has connections at one home only."""
+        return tenant != NO_TENANT and not self._groups.large_tenant(tenant)
 
     def lock_readers(self) -> LockReaders:
         """Return links to the usable proxies that read the promotion lock for others."""
--- a/src/orchidwind/promoted/proxy_runtime.py
+++ b/src/orchidwind/promoted/proxy_runtime.py
@@ -39,6 +39,7 @@
 from orchidwind.promoted.instance_directory import InstanceDirectory
 from orchidwind.promoted.metrics import ProxyMetrics
 from orchidwind.promoted.peers.home_ports import HomePorts
+from orchidwind.promoted.peers.home_selection import HomeSelection
 from orchidwind.promoted.peers.peer_network import PeerNetwork, PlacementInputs
 from orchidwind.promoted.peers.peer_service import PeerService
 from orchidwind.promoted.ports import ProxyPorts
@@ -84,6 +85,7 @@
         self._lock = PromotionLockClient(name, ports.lock_store, self.rosters, self.store_era)
         self.registry = SessionRegistry()
         self.homes = self._peer_network(own)
+        self.home_selection = HomeSelection(self.homes, self.metrics.rerouted)
         self.views = ProxyViews(
             ports, self._bounds, self.homes, self.metrics, self._background.spawn
         )
@@ -375,7 +377,10 @@
             configuration_age_ms=self.views.configuration_age_ms,
             lead_lease=self.leases.covers(now),
             promotion_lock_holder=self.leases.holder,
-            groups=[group_status(group, now) for group in self.groups.values()],
+            groups=[
+                group_status(group, now, self.home_selection.lacking(group.settings.name))
+                for group in self.groups.values()
+            ],
             tenants=tenant_statuses(self._tenancy.table.tenants, self.quotas),
             quota_share=quota_share_status(self._tenancy.share_status),
         )
--- a/tests/promoted/test_forwarding.py
+++ b/tests/promoted/test_forwarding.py
@@ -139,6 +139,68 @@
     with_front(scenario)
 
 
+async def outcomes_without_instances_at_home(system, executor, kind):
+    """Cut the front's home off from all instances; return how 60 commands of 3 s ended."""
+    front = system.nodes[front_of(system)]
+    home = front.homes.home_link(GROUP, "").member.name
+    for instance in system.group.instances:
+        system.world.network.cut(home, instance)
+    await asyncio.sleep(1.0)
+    ended = []
+    for number in range(60):
+        try:
+            await executor.execute(command(kind, f"{kind.value.upper()} x y", f"q{number}"))
+            ended.append(None)
+        except RequestError as error:
+            ended.append(error.kind)
+        await asyncio.sleep(0.05)
+    return ended
+
+
+@pytest.mark.parametrize("kind", [CommandKind.WRITE, CommandKind.READ])
+def test_commands_go_over_another_home_if_their_own_reaches_no_instance(kind):
+    """Refused at their home, 60 of 60 failed. Now another home that reaches the primary serves."""
+
+    async def scenario(system, executor):
+        ended = await outcomes_without_instances_at_home(system, executor, kind)
+        assert ended.count(None) >= 58, ended
+
+    with_front(scenario)
+
+
+def test_a_home_that_reaches_no_instance_sends_its_own_callers_to_another():
+    async def scenario(system, _):
+        home = homes(system)[0]
+        executor = SessionExecutor(system.nodes[home], "latest")
+        await executor.execute(command(CommandKind.WRITE, "WRITE x y", "first"))
+        for instance in system.group.instances:
+            system.world.network.cut(home, instance)
+        await asyncio.sleep(1.0)
+        failed = 0
+        for number in range(40):
+            try:
+                await executor.execute(command(CommandKind.WRITE, "WRITE x y", f"w{number}"))
+            except RequestError:
+                failed += 1
+            await asyncio.sleep(0.05)
+        assert failed <= 2
+
+    with_front(scenario)
+
+
+def test_with_an_able_home_a_command_waits_only_briefly_at_one_that_may_lack_a_primary():
+    async def scenario(system, executor):
+        await outcomes_without_instances_at_home(system, executor, CommandKind.WRITE)
+        loop = asyncio.get_running_loop()
+        for number in range(40):
+            began = loop.time()
+            await executor.execute(command(CommandKind.WRITE, "WRITE x y", f"later{number}"))
+            assert loop.time() - began < 0.15
+            await asyncio.sleep(0.05)
+
+    with_front(scenario)
+
+
 def test_a_transaction_whose_home_is_lost_is_told_so():
     async def scenario(system, executor):
         await executor.execute(command(CommandKind.BEGIN, "BEGIN"))
--- a/tests/promoted/test_load.py
+++ b/tests/promoted/test_load.py
@@ -7,9 +7,12 @@
 import pytest
 
 from orchidwind.promoted.core.configuration import ReadConsistency
+from orchidwind.promoted.core.home_choice import REROUTED_BURST, REROUTED_SHARE, HomeNews
+from orchidwind.promoted.metrics import ProxyMetrics
+from orchidwind.promoted.peers.home_selection import HomeSelection
 from orchidwind.promoted.peers.peer_network import PeerNetwork
 from orchidwind_bench.promoted.laboratory.load import KINDS
-from orchidwind_bench.promoted.laboratory.play import LoadPlan, play_load
+from orchidwind_bench.promoted.laboratory.play import PROXIES, LoadPlan, play_load
 from orchidwind_bench.promoted.laboratory.scenarios import (
     FAULT_FROM,
     FAULT_UNTIL,
@@ -151,3 +154,30 @@
     other = play_load(plan).figures(FAULT_FROM, FAULT_UNTIL)
     assert found.credit >= 1.5 * other.credit
     assert found.refused < other.refused
+
+
+@pytest.mark.parametrize("load", [1.0, 2.0, 4.0])
+def test_second_attempts_at_other_homes_do_not_multiply_overload(load, monkeypatch):
+    """Each command may count for `REROUTED_SHARE` second attempts, and each proxy saves some.
+
+    The bound holds even if each home always takes the others for able.
+    """
+    monkeypatch.setattr(HomeNews, "_last_served", lambda *_: float("inf"))
+    commands = second_attempts = 0
+    select, reroute = HomeSelection.first_home, ProxyMetrics.rerouted
+
+    def counted_command(selection, context):
+        nonlocal commands
+        commands += not context.attempts
+        return select(selection, context)
+
+    def counted_reroute(metrics, reason):
+        nonlocal second_attempts
+        second_attempts += 1
+        reroute(metrics, reason)
+
+    monkeypatch.setattr(HomeSelection, "first_home", counted_command)
+    monkeypatch.setattr(ProxyMetrics, "rerouted", counted_reroute)
+    play_load(LoadPlan(load=load))
+    assert second_attempts > 0
+    assert second_attempts <= REROUTED_SHARE * commands + REROUTED_BURST * len(PROXIES)
