--- a/src/orchidwind/promoted/core/circuit_breaker.py
+++ b/src/orchidwind/promoted/core/circuit_breaker.py
@@ -1,11 +1,12 @@
 """Circuit breakers, which refuse requests whose dependencies are failing. No I/O, no clock.
 
 Without a breaker such a request would wait until its deadline; refused early, the caller can try
-another proxy. A request depends on up to three things: an instance that serves it, a proof that the
-primary still leads, and a primary that confirms commits. Each has a circuit breaker of its own,
-which opens when failures have lasted for a given time without a success. While it is open, one
-request every PROBE_SECONDS is let through as a probe, and the first success closes it. The kind of
-the refusal determines the retry time that the caller is told (`shared/core/errors.py`).
+another proxy. A request depends on up to three things: an instance that serves it (for a write, the
+primary), a proof that the primary still leads, and a primary that confirms commits. Each has a
+circuit breaker of its own, which opens when failures have lasted for a given time without a
+success. While it is open, one request every PROBE_SECONDS is let through as a probe, and the first
+success closes it. How long failures have lasted determines the retry time that the caller is told
+(`return_times`).
 
 Callers of this module report each success and failure, with times in seconds of one monotonic
 clock.
@@ -52,6 +53,7 @@
     """Something that a request depends on; the values appear in log lines."""
 
     INSTANCE = "instance found"
+    PRIMARY = "primary found"
     LEAD_PROOF = "lead proven"
     COMMIT = "commit confirmed"
 
@@ -60,11 +62,17 @@
 # after which the primary is replaced (`change_reasons`).
 OPEN_AFTER_SECONDS: dict[Dependency, float] = {
     Dependency.INSTANCE: NOT_FOUND_SECONDS,
+    Dependency.PRIMARY: NOT_FOUND_SECONDS,
     Dependency.LEAD_PROOF: NOT_PROVEN_SECONDS,
     Dependency.COMMIT: NOT_CONFIRMING_SECONDS,
 }
 
 
+def missing_instance(kind: ErrorKind) -> Dependency:
+    """Returns what is missing for a request that is refused with this kind, as it found none."""
+    return Dependency.PRIMARY if kind is ErrorKind.NO_PRIMARY else Dependency.INSTANCE
+
+
 class CircuitBreaker:
     """A breaker that opens when failures have lasted for some time without a success."""
 
@@ -89,6 +97,10 @@
         """Whether failures have lasted long enough for the breaker to be open."""
         return self._failing_since is not None and now - self._failing_since >= self._open_after
 
+    def failing_for(self, now: float) -> float:
+        """For how many seconds attempts have failed without a success; 0 if they have not."""
+        return 0.0 if self._failing_since is None else now - self._failing_since
+
     def refuses(self, now: float) -> bool:
         """Whether to refuse a request; while open, lets one through every PROBE_SECONDS."""
         if not self.is_open(now):
@@ -131,7 +143,11 @@
 
     def refuse_without_instance(self, kind: ErrorKind, now: float) -> ImmediateRefusal | None:
         """Returns the refusal of a request for which no instance is known now, if any."""
-        return self._refuse(Dependency.INSTANCE, kind, _NOT_FOUND_REASON, now)
+        return self._refuse(missing_instance(kind), kind, _NOT_FOUND_REASON, now)
+
+    def failing_for(self, dependency: Dependency, now: float) -> float:
+        """Returns for how many seconds the uses of a dependency have failed."""
+        return self._breakers[dependency].failing_for(now)
 
     def refuse_unproven_read(self, now: float) -> ImmediateRefusal | None:
         """Returns the refusal of a read that needs a proof of leadership, if any."""
--- a/src/orchidwind/promoted/group/group_breakers.py
+++ b/src/orchidwind/promoted/group/group_breakers.py
@@ -1,18 +1,21 @@
 """Circuit breakers of one group: refuse requests at once if a dependency is known to fail.
 
-`core/circuit_breaker` has the rules and their times. This module supplies the clock, and logs one
-line when a dependency's breaker opens and one when it closes again.
+`core/circuit_breaker` has the rules and their times, `core/return_times` when refused callers come
+back. This module supplies the clock and randomness, and logs one line when a dependency's breaker
+opens and one when it closes again.
 """
 
 from __future__ import annotations
 
 import asyncio
+import random
 
 from orchidwind.promoted.core.circuit_breaker import (
     Dependency,
     ImmediateRefusal,
     RequestBreakers,
 )
+from orchidwind.promoted.core.return_times import return_after
 from orchidwind.shared.core.errors import ErrorKind, RequestError
 from orchidwind.shared.logs import log_event
 
@@ -57,7 +60,13 @@
                 missing=refusal.missing.value,
                 reason=refusal.reason,
             )
-        raise RequestError(refusal.kind, refusal.reason)
+        raise self.refusal(refusal.missing, refusal.kind, refusal.reason)
+
+    def refusal(self, missing: Dependency, kind: ErrorKind, reason: str) -> RequestError:
+        """The error for a request whose dependency fails, with the time to come back."""
+        outage = self._breakers.failing_for(missing, self._loop.time())
+        seconds = return_after(outage, random.random())
+        return RequestError(kind, reason, retry_after_milliseconds=int(seconds * 1000))
 
     def failed(self, dependency: Dependency, since: float) -> None:
         """Record that an attempt to use a dependency, started at `since`, failed."""
--- a/src/orchidwind/promoted/group/waiting_requests.py
+++ b/src/orchidwind/promoted/group/waiting_requests.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from orchidwind.promoted.core.circuit_breaker import Dependency
+from orchidwind.promoted.core.circuit_breaker import missing_instance
 from orchidwind.promoted.group.group_breakers import GroupBreakers
-from orchidwind.shared.core.errors import ErrorKind, RequestError
+from orchidwind.shared.core.errors import ErrorKind
 
 Found = TypeVar("Found")
 
@@ -54,19 +54,19 @@
         deadline: float,
         kind: ErrorKind,
     ) -> Found:
-        began = self._loop.time()
+        began, missing = self._loop.time(), missing_instance(kind)
         while True:
             found = find()
             if found is not None:
-                self._breakers.succeeded(Dependency.INSTANCE)
+                self._breakers.succeeded(missing)
                 return found
             self._breakers.check_without_instance(kind)
             try:
                 async with asyncio.timeout_at(deadline):
                     await self._waker(request)
             except TimeoutError as error:
-                self._breakers.failed(Dependency.INSTANCE, began)
-                raise RequestError(kind, kind.value) from error
+                self._breakers.failed(missing, began)
+                raise self._breakers.refusal(missing, kind, kind.value) from error
 
     def _waker(self, request: object) -> asyncio.Future[None]:
         waker: asyncio.Future[None] = self._loop.create_future()
--- a/tests/promoted/test_waiting_requests.py
+++ b/tests/promoted/test_waiting_requests.py
@@ -2,10 +2,14 @@
 
 import asyncio
 
+from orchidwind.promoted.core.circuit_breaker import NOT_FOUND_SECONDS, PROBE_SECONDS
 from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
 from orchidwind.promoted.core.configuration import DirectoryEntry, PromotedGroupSettings
+from orchidwind.promoted.group.group_breakers import GroupBreakers
 from orchidwind.promoted.group.group_service import GroupEnvironment, GroupService
+from orchidwind.promoted.group.waiting_requests import WaitingRequests
 from orchidwind.promoted.metrics import ProxyMetrics
+from orchidwind.shared.core.errors import ErrorKind, RequestError
 from orchidwind.shared.core.positions import Position
 from orchidwind_bench.promoted.simulation.virtual_time import run_virtual
 
@@ -64,3 +68,33 @@
 
 def test_a_request_woken_without_a_primary_stays_before_later_ones():
     assert order_of_continuation(wakes_without_primary=1) == list(range(REQUESTS))
+
+
+def test_writes_without_a_primary_are_refused_at_once_although_reads_are_served():
+    """Each served read closed the circuit breaker of the writes: all of them waited for 0.25 s."""
+    waited, delays = [], []
+
+    async def write(waiting):
+        began = asyncio.get_running_loop().time()
+        try:
+            await waiting.wait_for(lambda: None, began + 0.25, ErrorKind.NO_PRIMARY)
+        except RequestError as error:
+            waited.append((began, asyncio.get_running_loop().time() - began))
+            delays.append(error.retry_after_milliseconds)
+
+    async def work():
+        loop = asyncio.get_running_loop()
+        waiting = WaitingRequests(GroupBreakers("g"), on_wait=lambda: None)
+        writes = []
+        while loop.time() < 3.0:
+            writes.append(asyncio.create_task(write(waiting)))
+            await waiting.wait_for(lambda: "i-1", loop.time() + 0.25, ErrorKind.NO_REPLICA)
+            await asyncio.sleep(0.05)
+        await asyncio.gather(*writes)
+        assert await waiting.wait_for(lambda: "i-0", loop.time(), ErrorKind.NO_PRIMARY) == "i-0"
+
+    run_virtual(work())
+    late = [seconds for began, seconds in waited if began > NOT_FOUND_SECONDS + 0.3]
+    assert len(late) > 10
+    assert sum(seconds > 0 for seconds in late) <= 1.5 / PROBE_SECONDS
+    assert len(set(delays[-10:])) > 5, "callers return at different times"
