--- a/tests/promoted/test_quotas.py
+++ b/tests/promoted/test_quotas.py
@@ -19,7 +19,7 @@
 from orchidwind.shared.core.quota import QuotaRules
 from orchidwind.shared.core.tenants import Tenant, key_digest
 from orchidwind_bench.promoted.simulation.callers import PromotedSystem
-from orchidwind_bench.promoted.simulation.store import STORE
+from orchidwind_bench.promoted.simulation.store import GROUP, STORE
 from orchidwind_bench.promoted.simulation.virtual_time import run_virtual
 from orchidwind_bench.promoted.simulation.world import ExpectedRequest
 
@@ -145,6 +145,30 @@
     run_scenario(scenario, connection_limit=connection_limit)
 
 
+def test_the_quota_holds_and_is_granted_while_a_home_sends_its_commands_to_another():
+    """The home of a tenant reaches no instance; what it admits and does not run is refunded.
+
+    Refused at their home, 29 of 43 operations within the quota were not served.
+    """
+
+    async def scenario(system):
+        await ReadSender(system, "heron", 1 / 4).run(1.0)
+        homes = system.nodes[PROXIES[0]].homes
+        home = next(homes.usable_homes(GROUP, "heron"))
+        for instance in system.group.instances:
+            system.world.network.cut(home, instance)
+        await asyncio.sleep(1.0)
+        began = system.world.now
+        hot = ReadSender(system, "tern", 1 / 100)
+        within_quota = ReadSender(system, "heron", 1 / 4)
+        await asyncio.gather(hot.run(12.0), within_quota.run(12.0))
+        late = [kind for at, kind in within_quota.outcomes if at > began + 1.0]
+        assert len(late) > 40
+        assert late.count(None) >= 0.95 * len(late), Counter(late)
+
+    run_scenario(scenario, connection_limit=12)
+
+
 def test_quota_holds_while_proxies_restart_one_by_one_and_all_together():
     async def scenario(system):
         async def inject_faults():
--- a/tests/shared/test_logs_and_explain.py
+++ b/tests/shared/test_logs_and_explain.py
@@ -91,6 +91,21 @@
         explain_request(read_logs([path]), "a2")
 
 
+def test_a_refusal_is_explained_by_the_homes_that_were_asked(tmp_path):
+    path = tmp_path / "proxy.log"
+    attempts = "3: p-2:home: p-2:rerouted:no_primary:to=p-3 p-3:home:"
+    with logged_to(path):
+        log_event("command_rerouted", group="h", home="p-2", other="p-3", request_id="b9")
+        log_event("command_rerouted", group="g", home="p-2", other="p-3", request_id="b1")
+        log_event("request_failed", request_id="a1", group="g", attempts=attempts)
+    shown = explain_request(read_logs([path]), "a1")
+    assert [line.split("event=")[1].split()[0] for line in shown] == [
+        "command_rerouted",
+        "request_failed",
+    ]
+    assert "home=p-2" in shown[0]
+
+
 def test_a_commit_is_followed_from_its_id_to_the_change_of_primary_after_it(tmp_path):
     at = "2026-01-02 03:04:0{}.000000+00:00"
     lines = [
