--- a/src/orchidwind/promoted/core/home_choice.py
+++ b/src/orchidwind/promoted/core/home_choice.py
@@ -153,15 +153,16 @@
         lack = lack_of(refusal.kind)
         if lack is None or refusal.sent:
             return
+        unconfirmed = lack is Lack.PRIMARY and demand.reads is None and not refusal.found_none
         known = self._lacking(demand, refusal.home, now)
         if known is None:
-            unconfirmed = lack is Lack.PRIMARY and demand.reads is None and not refusal.found_none
             self._known[demand, refusal.home] = KnownLack(lack, unconfirmed, now, now, now)
             return
         if lack is Lack.ROOM and known.lack is not Lack.ROOM:
             # A home with a full queue reaches an instance, but that does not show that it is able.
             return
         known.lack, known.refused_at = lack, now
+        known.unconfirmed = known.unconfirmed or unconfirmed
 
     def served(self, demand: Demand, home: str, now: float) -> None:
         """Record that a home served a command."""
--- a/src/orchidwind_bench/promoted/laboratory/scenarios.py
+++ b/src/orchidwind_bench/promoted/laboratory/scenarios.py
@@ -11,6 +11,7 @@
 from orchidwind_bench.promoted.laboratory.load import KINDS
 from orchidwind_bench.promoted.laboratory.play import (
     INSTANCES,
+    PROXIES,
     Fault,
     Figures,
     LoadPlan,
@@ -18,6 +19,7 @@
     slots,
 )
 from orchidwind_bench.promoted.simulation.fleet import FleetSystem
+from orchidwind_bench.promoted.simulation.store import STORE
 
 FAULT_FROM = 1.0
 FAULT_UNTIL = 6.0
@@ -64,6 +66,18 @@
     return fault
 
 
+def dark(system: FleetSystem) -> None:
+    """Cut all proxies off from the primary, and from the store, so that it is not replaced."""
+    for proxy in PROXIES:
+        system.world.network.cut(proxy, PRIMARY)
+        system.world.network.cut(proxy, STORE)
+
+
+def heal(system: FleetSystem) -> None:
+    """End all cuts."""
+    system.world.network.heal()
+
+
 def between(begin: Fault, end: Fault) -> tuple[tuple[float, Fault], ...]:
     """Schedule `begin` at `FAULT_FROM` and `end` at `FAULT_UNTIL`."""
     return ((FAULT_FROM, begin), (FAULT_UNTIL, end))
--- a/tests/promoted/test_home_choice.py
+++ b/tests/promoted/test_home_choice.py
@@ -113,6 +113,14 @@
     assert news.first_home(WRITES, HOMES, RerouteBudget(), 4.02) == HomeChoice("c")
 
 
+def test_writes_are_held_back_also_if_their_home_first_found_no_primary_at_all():
+    news = HomeNews()
+    news.refused(WRITES, refusal(), 0.0)
+    assert news.first_home(WRITES, HOMES, RerouteBudget(), 0.1) == HomeChoice("b")
+    news.refused(WRITES, refusal(found_none=False), 0.2)
+    assert news.first_home(WRITES, HOMES, RerouteBudget(), 0.2) == HomeChoice("a")
+
+
 def second(news, now):
     news.refused(WRITES, refusal(found_none=False), now)
     return news.second_home(WRITES, HOMES, "a", now)
--- a/tests/promoted/test_load.py
+++ b/tests/promoted/test_load.py
@@ -11,13 +11,16 @@
 from orchidwind.promoted.metrics import ProxyMetrics
 from orchidwind.promoted.peers.home_selection import HomeSelection
 from orchidwind.promoted.peers.peer_network import PeerNetwork
-from orchidwind_bench.promoted.laboratory.load import KINDS
+from orchidwind.shared.core.errors import ErrorKind
+from orchidwind_bench.promoted.laboratory.load import KINDS, LoadCaller
 from orchidwind_bench.promoted.laboratory.play import PROXIES, LoadPlan, play_load
 from orchidwind_bench.promoted.laboratory.scenarios import (
     FAULT_FROM,
     FAULT_UNTIL,
     between,
+    dark,
     hang,
+    heal,
     lose_answers,
     slow,
 )
@@ -181,3 +184,23 @@
     play_load(LoadPlan(load=load))
     assert second_attempts > 0
     assert second_attempts <= REROUTED_SHARE * commands + REROUTED_BURST * len(PROXIES)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_callers_refused_while_the_primary_is_dark_return_over_a_second(seed, monkeypatch):
+    """At one time for all, 500 ms, each of them returned within half a second of its end."""
+    returns = []
+    attempt = LoadCaller._attempt
+
+    async def recorded(caller, kind, write):
+        error, retry_after = await attempt(caller, kind, write)
+        if error in (ErrorKind.NO_PRIMARY, ErrorKind.NO_REPLICA):
+            returns.append((caller._system.world.now, caller._system.world.now + retry_after))
+        return error, retry_after
+
+    monkeypatch.setattr(LoadCaller, "_attempt", recorded)
+    plan = LoadPlan(load=0.8, seconds=4.0, faults=((1.0, dark), (3.0, heal)), seed=seed)
+    end = play_load(plan).began_at + 3.0
+    after = [back - end for refused, back in returns if refused <= end <= back]
+    assert len(after) > 50
+    assert sum(back <= 0.5 for back in after) <= 0.75 * len(after)
