--- a/src/orchidwind/promoted/core/return_times.py
+++ b/src/orchidwind/promoted/core/return_times.py
@@ -1,4 +1,4 @@
-"""When a caller returns that was refused for want of an instance. No I/O, no clock, no randomness.
+"""How long a request waits in an outage, and when its caller returns. No I/O, clock, randomness.
 
 The callers refused in an outage return spread over a second after it is expected to end, so that
 they do not all meet the new primary's queue at once. Times are in seconds.
@@ -10,6 +10,9 @@
 USUAL_CHANGE_SECONDS = 1.6
 # The expected rest of an outage that has lasted longer, whose end nothing tells.
 UNKNOWN_REST_SECONDS = 0.2
+# A request that the end of the change would come too late for waits this long: other interruptions
+# are shorter.
+WAIT_IN_CHANGE_SECONDS = 0.2
 # Callers return within this time after the expected end.
 RETURN_SPREAD_SECONDS = 1.0
 
@@ -26,3 +29,15 @@
     `USUAL_CHANGE_SECONDS` + `UNKNOWN_REST_SECONDS` + 2 * `RETURN_SPREAD_SECONDS`.
     """
     return expected_rest(outage) + RETURN_SPREAD_SECONDS * random_share
+
+
+def wait_until(now: float, deadline: float, outage: float) -> float:
+    """Returns until when a request waits for an instance in an outage that began `outage` ago.
+
+    A request that may see the end of a usual change waits until its deadline, as does one in an
+    outage that has lasted longer. Any other is refused soon: held, it would meet the new primary
+    together with all others.
+    """
+    if outage < USUAL_CHANGE_SECONDS and deadline - now < USUAL_CHANGE_SECONDS - outage:
+        return min(deadline, now + WAIT_IN_CHANGE_SECONDS)
+    return deadline
--- a/src/orchidwind/promoted/group/group_breakers.py
+++ b/src/orchidwind/promoted/group/group_breakers.py
@@ -15,7 +15,7 @@
     ImmediateRefusal,
     RequestBreakers,
 )
-from orchidwind.promoted.core.return_times import return_after
+from orchidwind.promoted.core.return_times import return_after, wait_until
 from orchidwind.shared.core.errors import ErrorKind, RequestError
 from orchidwind.shared.logs import log_event
 
@@ -68,6 +68,17 @@
         seconds = return_after(outage, random.random())
         return RequestError(kind, reason, retry_after_milliseconds=int(seconds * 1000))
 
+    def wait_until(self, kind: ErrorKind, deadline: float) -> float:
+        """Until when a request waits that has no instance now and would be refused with `kind`.
+
+        A read without an eligible replica waits until its deadline, unless the primary is missing.
+        """
+        now = self._loop.time()
+        outage = self._breakers.failing_for(Dependency.PRIMARY, now)
+        if kind is not ErrorKind.NO_PRIMARY and outage == 0.0:
+            return deadline
+        return wait_until(now, deadline, outage)
+
     def failed(self, dependency: Dependency, since: float) -> None:
         """Record that an attempt to use a dependency, started at `since`, failed."""
         self._breakers.failed(dependency, since)
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -102,7 +102,7 @@
         )
         self.topology = self.state.topology
         self._breakers = GroupBreakers(settings.name)
-        self._waiting = WaitingRequests(self._breakers, self._request_waits)
+        self._waiting = WaitingRequests(self._breakers, self._request_waits, self._planned_change)
         self._create_connection_components()
         self._create_exchange_components()
 
@@ -228,6 +228,11 @@
 
     # --- requests -----------------------------------------------------------------------------
 
+    def _planned_change(self) -> bool:
+        """Whether a listed instance is leaving: if it is the primary, it is being replaced."""
+        views = self.topology.instances.values()
+        return any(view.listed and view.entry.draining for view in views)
+
     def _request_waits(self) -> None:
         self._note_used()
         self._on_wake()
--- a/src/orchidwind/promoted/group/waiting_requests.py
+++ b/src/orchidwind/promoted/group/waiting_requests.py
@@ -21,9 +21,16 @@
 class WaitingRequests:
     """The waiting requests. `on_wait` is called each time a request starts to wait."""
 
-    def __init__(self, breakers: GroupBreakers, on_wait: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        breakers: GroupBreakers,
+        on_wait: Callable[[], None],
+        planned_change: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """`planned_change`: whether an instance is leaving; its replacement takes a short time."""
         self._breakers = breakers
         self._on_wait = on_wait
+        self._planned_change = planned_change
         self._loop = asyncio.get_running_loop()
         self._wakers: dict[object, asyncio.Future[None]] = {}
 
@@ -38,8 +45,9 @@
     ) -> Found:
         """Wait until `find` returns a value other than None, and return it.
 
-        Raises RequestError of `kind` at the deadline (a time of the loop's clock in seconds), or at
-        once if the circuit breaker for instances is open.
+        Raises RequestError of `kind` at the deadline (a time of the loop's clock in seconds), at
+        once if the circuit breaker for instances is open, or soon in a change of primary that is
+        not expected to end in time.
         """
         request = object()
         try:
@@ -55,19 +63,25 @@
         kind: ErrorKind,
     ) -> Found:
         began, missing = self._loop.time(), missing_instance(kind)
+        wait_until: float | None = None
         while True:
             found = find()
             if found is not None:
                 self._breakers.succeeded(missing)
                 return found
             self._breakers.check_without_instance(kind)
+            if wait_until is None:
+                wait_until = self._wait_until(kind, deadline)
             try:
-                async with asyncio.timeout_at(deadline):
+                async with asyncio.timeout_at(wait_until):
                     await self._waker(request)
             except TimeoutError as error:
                 self._breakers.failed(missing, began)
                 raise self._breakers.refusal(missing, kind, kind.value) from error
 
+    def _wait_until(self, kind: ErrorKind, deadline: float) -> float:
+        return deadline if self._planned_change() else self._breakers.wait_until(kind, deadline)
+
     def _waker(self, request: object) -> asyncio.Future[None]:
         waker: asyncio.Future[None] = self._loop.create_future()
         self._wakers[request] = waker
--- a/tests/promoted/test_return_times.py
+++ b/tests/promoted/test_return_times.py
@@ -7,7 +7,9 @@
     RETURN_SPREAD_SECONDS,
     UNKNOWN_REST_SECONDS,
     USUAL_CHANGE_SECONDS,
+    WAIT_IN_CHANGE_SECONDS,
     return_after,
+    wait_until,
 )
 
 # The deadline within which a caller's two returns must fall.
@@ -36,3 +38,13 @@
     for tenth in range(10):
         since = UNKNOWN_REST_SECONDS + tenth / 10
         assert sum(since <= at < since + 0.1 for at in returns) <= 11
+
+
+@given(st.floats(0.0, 10.0), OUTAGES)
+def test_a_request_waits_only_while_the_end_of_a_change_may_come_in_time(left, outage):
+    waits = wait_until(100.0, 100.0 + left, outage) - 100.0
+    if outage + left < USUAL_CHANGE_SECONDS - 0.001:
+        assert waits <= WAIT_IN_CHANGE_SECONDS + 0.001
+    elif outage + left > USUAL_CHANGE_SECONDS + 0.001:
+        assert abs(waits - left) < 0.001
+    assert waits <= left + 0.001
