--- a/src/orchidwind/promoted/metrics.py
+++ b/src/orchidwind/promoted/metrics.py
@@ -64,6 +64,11 @@
             "Commands forwarded to home proxies, by outcome",
             "outcome",
         )
+        self.rerouted = factory.counter(
+            "orchidwind_rerouted_commands",
+            "Commands that a home refused and that were sent to another one, by reason",
+            "reason",
+        )
         self.sessions = factory.gauge("orchidwind_callers", "Open sessions of callers")
 
 
@@ -261,6 +266,10 @@
         """Count a request that the queue of an instance refused."""
         self._instances.refused.labels(reason).inc()
 
+    def rerouted(self, reason: str) -> None:
+        """Count a command that a home refused and that is sent to another one."""
+        self._callers.rerouted.labels(reason).inc()
+
     def silent(self, found: SilentConnection) -> None:
         """Log and count an open connection that was found silent."""
         log_silent_connection(found)
