--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -36,6 +36,7 @@
 )
 from orchidwind.platform.store import ObjectStore, WatchedKind
 from orchidwind.platform.stored_objects import MILLISECONDS
+from orchidwind.promoted.core.distances import Regions
 from orchidwind.promoted.core.homes import ProxyMember
 from orchidwind.promoted.metrics import ProxyMetrics
 from orchidwind.promoted.peers.peer_streams import PeerListener, PeerStreamConnector
@@ -143,7 +144,13 @@
             parse_address(settings.promotions.address), settings.proxy_name, metrics.silent
         ),
     )
-    return ProxyRuntime(_own_member(settings), ports, _proxy_bounds(settings), metrics)
+    return ProxyRuntime(
+        _own_member(settings),
+        ports,
+        _proxy_bounds(settings),
+        metrics,
+        Regions(settings.region_by_zone),
+    )
 
 
 def _proxy_bounds(settings: PlatformSettings) -> ProxyBounds:
--- a/src/orchidwind/platform/settings.py
+++ b/src/orchidwind/platform/settings.py
@@ -84,6 +84,16 @@
     limits: MachineLimits = MachineLimits()
     # How often an instance renews its entry in the directory.
     instance_heartbeat_ms: float = msgspec.field(default=1200.0, name="heartbeat_ms")
+    # The region of each zone of the deployment; empty if the platform does not name regions.
+    zones: dict[str, str] = {}
+    # The region of this process' zone; used if `zones` does not name that zone.
+    region: str = ""
+
+    @property
+    def region_by_zone(self) -> dict[str, str]:
+        """The region of each zone, including that of this process."""
+        own = {self.zone: self.region} if self.region else {}
+        return {**own, **self.zones}
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
--- a/src/orchidwind/promoted/core/group_state.py
+++ b/src/orchidwind/promoted/core/group_state.py
@@ -14,6 +14,7 @@
 
 from orchidwind.promoted.core.commands import InstanceMessage, MessageKind, PreparedStatement
 from orchidwind.promoted.core.configuration import PromotedGroupSettings
+from orchidwind.promoted.core.distances import Distances
 from orchidwind.promoted.core.topology import GroupTopology
 from orchidwind.shared.core.positions import Position
 
@@ -39,8 +40,9 @@
         now: Callable[[], float],
         on_change: Callable[[], None],
         entry_outlives: float,
+        distances: Distances | None = None,
     ) -> None:
-        self.topology = GroupTopology(settings, zone, entry_outlives)
+        self.topology = GroupTopology(settings, zone, entry_outlives, distances)
         self.now = now
         self._on_change = on_change
         self._connection_states: dict[int, _ConnectionState] = {}
--- a/src/orchidwind/promoted/core/homes.py
+++ b/src/orchidwind/promoted/core/homes.py
@@ -9,6 +9,9 @@
 have more homes than intended. The instances' own connection limit still applies, and correctness
 does not depend on the choice of homes.
 
+In a fleet of several regions, a group has up to two homes in each region, in different zones. A
+proxy uses a home of its own region as long as one can be reached.
+
 Rejected alternatives:
 
 - One home per zone: its loss moves the requests of a whole zone at once.
@@ -22,10 +25,12 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
+from itertools import zip_longest
 from math import ceil
 
 from msgspec import Struct
 
+from orchidwind.promoted.core.distances import ONE_REGION, Nearness, Regions
 from orchidwind.shared.core.rendezvous import first, rank
 
 # Minimum useful number of connections from a proxy to each instance. With fewer, its requests wait
@@ -39,6 +44,8 @@
 _NEAR_CONNECTION_RATIO = 3
 # With two homes per zone, one can be lost and the zone's requests still have a home in the zone.
 MAXIMUM_HOMES_PER_ZONE = 2
+# The same for the homes of a region in a fleet of several regions.
+MAXIMUM_HOMES_PER_REGION = 2
 # Number of groups per home above which more proxies of a zone become homes. With this many, the
 # busiest home of 195 proxies used 0.07 of a core at normal load (docs/CAPACITY.md).
 GROUPS_PER_HOME = 10
@@ -93,26 +100,36 @@
         """Whether the proxy of this name is a home of the group."""
         return any(member.name == name for member in self.homes)
 
-    def preferred(self, front: str, zone: str) -> list[ProxyMember]:
+    def preferred(self, front: str, zone: str, regions: Regions = ONE_REGION) -> list[ProxyMember]:
         """Returns the homes in the order in which a front proxy prefers them.
 
-        The front proxy itself comes first, then homes in its zone, then the others. Homes of equal
-        rank are ordered by a hash, so that different front proxies spread over them.
+        The front proxy itself comes first, then homes in its zone, then those in its region, then
+        the others. Homes of equal rank are ordered by a hash, so that different front proxies
+        spread over them.
         """
-        ordered = self._ranked(f"{self.group}/{front}")
-        return sorted(ordered, key=lambda member: (member.name != front, member.zone != zone))
 
-    def preferred_of_tenant(self, tenant: str, large: bool, zone: str) -> list[ProxyMember]:
+        def rank_of(member: ProxyMember) -> tuple[bool, Nearness]:
+            return member.name != front, regions.nearness(zone, member.zone)
+
+        return sorted(self._ranked(f"{self.group}/{front}"), key=rank_of)
+
+    def preferred_of_tenant(
+        self, tenant: str, large: bool, zone: str, regions: Regions = ONE_REGION
+    ) -> list[ProxyMember]:
         """Returns the homes in the order in which proxies of a zone prefer them for a tenant.
 
-        A large tenant has a home in each zone. Any other tenant has one home for all zones: its
-        requests then share a few connections and one token bucket, which outweighs the latency
-        between zones.
+        A large tenant has a home in each zone. Any other tenant has one home for all zones of a
+        region: its requests then share a few connections and one token bucket, which outweighs the
+        latency between zones, but not that between regions.
         """
         if not large:
-            return self._ranked(tenant)
+            in_other_region = Nearness.OTHER_REGION
+            return sorted(
+                self._ranked(tenant),
+                key=lambda member: regions.nearness(zone, member.zone) == in_other_region,
+            )
         ordered = self._ranked(f"{self.group}/{tenant}")
-        return sorted(ordered, key=lambda member: member.zone != zone)
+        return sorted(ordered, key=lambda member: regions.nearness(zone, member.zone))
 
     def _ranked(self, key: str) -> list[ProxyMember]:
         """Returns the homes in rendezvous-hash order for a key."""
@@ -126,6 +143,7 @@
     members: Iterable[ProxyMember],
     groups: int,
     has_tenants: bool = False,
+    regions: Regions = ONE_REGION,
 ) -> GroupHomes:
     """Returns the homes of a group whose instances accept `connection_limit` connections each.
 
@@ -141,7 +159,7 @@
     if enough_for_all and len(ordered_members) <= len(by_zone) * MAXIMUM_HOMES_PER_ZONE:
         homes = ordered_members
     else:
-        homes = _choose_homes(group, connection_limit, by_zone, groups)
+        homes = _choose_homes(group, connection_limit, by_zone, groups, regions)
     share = max(connection_limit // max(len(homes), 1), _MINIMUM_CONNECTIONS)
     if not has_tenants or not homes:
         return GroupHomes(group, tuple(homes), share, share, share)
@@ -182,9 +200,15 @@
 
 
 def _choose_homes(
-    group: str, connection_limit: int, by_zone: Mapping[str, list[ProxyMember]], groups: int
+    group: str,
+    connection_limit: int,
+    by_zone: Mapping[str, list[ProxyMember]],
+    groups: int,
+    regions: Regions,
 ) -> list[ProxyMember]:
     """Returns the homes of a group in a fleet where not every proxy is a home."""
+    if regions.several:
+        return _choose_homes_by_region(group, connection_limit, by_zone, groups, regions)
     wanted = max(1, connection_limit // CONNECTIONS_PER_HOME)
     zones = rank(group, sorted(by_zone))[:wanted]
     per_zone = min(max(1, wanted // len(zones)), MAXIMUM_HOMES_PER_ZONE)
@@ -195,6 +219,36 @@
     return homes
 
 
+def _choose_homes_by_region(
+    group: str,
+    connection_limit: int,
+    by_zone: Mapping[str, list[ProxyMember]],
+    groups: int,
+    regions: Regions,
+) -> list[ProxyMember]:
+    """Returns the homes of a group in a deployment with several regions.
+
+    Each region gets the same number of homes, in as many zones as possible, and at least one.
+    """
+    zones_of: dict[str, list[str]] = {}
+    for zone in rank(group, sorted(by_zone)):
+        zones_of.setdefault(regions.region_of(zone), []).append(zone)
+    wanted = connection_limit // CONNECTIONS_PER_HOME // len(zones_of)
+    per_region = min(max(1, wanted), MAXIMUM_HOMES_PER_REGION)
+    homes: list[ProxyMember] = []
+    for zones in zones_of.values():
+        choices = [rank(group, _shared_names(by_zone[zone], groups)) for zone in zones]
+        # All first choices come before the second ones, so that homes are in different zones.
+        names = [name for same_rank in zip_longest(*choices) for name in same_rank if name]
+        by_name = {member.name: member for zone in zones for member in by_zone[zone]}
+        homes.extend(by_name[name] for name in names[:per_region])
+    return homes
+
+
+def _shared_names(members: Iterable[ProxyMember], groups: int) -> list[str]:
+    return sorted(member.name for member in _shared_homes(members, groups))
+
+
 def _shared_homes(members: Iterable[ProxyMember], groups: int) -> list[ProxyMember]:
     """Returns the proxies of a zone that the groups share as homes.
 
--- a/src/orchidwind/promoted/core/read_planning.py
+++ b/src/orchidwind/promoted/core/read_planning.py
@@ -9,7 +9,9 @@
 - did not recently refuse work or fail to answer (ignored while the primary is busy or unknown).
 
 Of these replicas it chooses the one with the shortest expected answer time, and one in another zone
-only if that saves more than the additional network latency. If the chosen replica would answer much
+only if that saves more than the additional network latency. A replica in another region runs it
+only if none of this region may, or if those of this region would answer too late for the target of
+the read (`region_spill`). If the chosen replica would answer much
 later than the primary, the primary runs the read, although it is the only instance that can take
 writes. Without a floor or an eligible replica, the read runs on the primary as a read of the latest
 state.
@@ -18,7 +20,7 @@
 for one instance spreads over all of them.
 
 The instances and the primary come from `topology`, floors from `proven_floors`, and expected answer
-times from `shared/core/answer_times`.
+times from `shared/core/answer_times`, round trips from `distances`.
 """
 
 from __future__ import annotations
@@ -28,11 +30,14 @@
 from msgspec import Struct
 
 from orchidwind.promoted.core.configuration import DatabaseRoute, ReadConsistency
+from orchidwind.promoted.core.region_spill import SideAnswers
 from orchidwind.promoted.core.topology import GroupTopology, PrimaryView
 from orchidwind.shared.core.positions import Position
 
-# Seconds that an instance in another zone must save to be preferred: the latency between zones.
-_CROSS_ZONE_SECONDS = 0.004
+# A replica of this region keeps a read while it is expected to answer within this share of the time
+# that is left until the target, on top of the round trip to the other region. The rest is for
+# answers that take longer than expected.
+_TARGET_RESERVE = 0.5
 # The primary runs a read that a replica could serve only if it is expected to answer this many
 # times faster: a read on the primary delays writes, which no other instance can run.
 _PRIMARY_SPEEDUP = 3.0
@@ -109,7 +114,12 @@
     view = topology.instances[primary.instance]
     if primary.instance in request.excluded or not view.reachable or view.busy_recently(now):
         return False
-    at_primary, at_replica = expected_answer(primary.instance), expected_answer(replica)
+    if topology.crosses_region(primary.instance) and not topology.crosses_region(replica):
+        return False
+    at_primary = expected_answer(primary.instance)
+    at_replica = expected_answer(replica)
+    if topology.crosses_region(replica) and not topology.crosses_region(primary.instance):
+        at_replica += topology.round_trip(replica, now)
     saves = at_replica - at_primary >= _PRIMARY_MINIMUM_SAVING_SECONDS
     return saves and at_primary * _PRIMARY_SPEEDUP < at_replica
 
@@ -141,10 +151,33 @@
 
     def cost(name: str) -> tuple[bool, float]:
         view = topology.instances[name]
-        zone_penalty = 0.0 if topology.is_near(name) else _CROSS_ZONE_SECONDS
-        return view.avoid_until > now, expected_answer(name) + zone_penalty
+        return view.avoid_until > now, expected_answer(name) + topology.round_trip(name, now)
+
+    if not topology.distances.several_regions:
+        return min(eligible, key=cost)
+    return _on_the_better_side(topology, request, now, eligible, cost)
+
 
-    return min(eligible, key=cost)
+def _on_the_better_side(
+    topology: GroupTopology,
+    request: ReadRequest,
+    now: float,
+    eligible: list[str],
+    cost: Callable[[str], tuple[bool, float]],
+) -> str:
+    """Returns the replica of lowest cost in this region, or in another one if the read crosses."""
+    far = [name for name in eligible if topology.crosses_region(name)]
+    near = [name for name in eligible if name not in far]
+    if not near or not far:
+        return min(eligible, key=cost)
+    best_near, best_far = min(near, key=cost), min(far, key=cost)
+    (near_avoided, near_answer), (far_avoided, far_answer) = cost(best_near), cost(best_far)
+    if near_avoided != far_avoided:
+        return best_near if far_avoided else best_far
+    target_left = max(request.arrived_at + request.database.target_latency - now, 0.0)
+    longest = topology.round_trip(best_far, now) + _TARGET_RESERVE * target_left
+    crosses = topology.region_spill.crosses(SideAnswers(near_answer, far_answer, longest), now)
+    return best_far if crosses else best_near
 
 
 def _eligible_replicas(
--- a/src/orchidwind/promoted/core/topology.py
+++ b/src/orchidwind/promoted/core/topology.py
@@ -5,8 +5,9 @@
 still claims to lead.
 
 Owns: the view of each instance (`instance_view`), the newest term (`newest_term`), the proven
-floors (`proven_floors`), the instances that may have confirmed commits (`confirming_instances`) and
-the last promotion in the roster. Relies on: a driver that passes on each entry, status, answer and
+floors (`proven_floors`), the instances that may have confirmed commits (`confirming_instances`),
+the last promotion in the roster and the share of reads that crosses to another region
+(`region_spill`). Relies on: `distances`, and a driver that passes on each entry, status, answer and
 failure with its time, in seconds of the monotonic clock.
 """
 
@@ -21,9 +22,11 @@
     DEFAULT_ENTRY_OUTLIVES_SECONDS,
     ConfirmingInstances,
 )
+from orchidwind.promoted.core.distances import Distances, Nearness
 from orchidwind.promoted.core.instance_view import InstanceView
 from orchidwind.promoted.core.newest_term import NewestTerm
 from orchidwind.promoted.core.proven_floors import ProvenFloors
+from orchidwind.promoted.core.region_spill import RegionSpill
 from orchidwind.promoted.core.roster import PromotionRecord
 from orchidwind.shared.core.positions import Position
 
@@ -43,8 +46,12 @@
         settings: PromotedGroupSettings,
         zone: str,
         entry_outlives: float = DEFAULT_ENTRY_OUTLIVES_SECONDS,
+        distances: Distances | None = None,
     ) -> None:
-        """`entry_outlives` is how long an entry stays after its instance's last heartbeat."""
+        """`entry_outlives` is how long an entry stays after its instance's last heartbeat.
+
+        `distances` are those from `zone`; without them, all zones are in one region.
+        """
         self.settings = settings
         self.instances: dict[str, InstanceView] = {}
         self.floors = ProvenFloors()
@@ -52,7 +59,8 @@
         self.confirming = ConfirmingInstances(
             self.instances, self._newest_term, self.floors, entry_outlives
         )
-        self._zone = zone
+        self.distances = distances or Distances(zone)
+        self.region_spill = RegionSpill()
         self.last_promotion: PromotionRecord | None = None
         self._promotion_read_at = float("-inf")
 
@@ -191,8 +199,7 @@
     def replicas(self, now: float) -> list[str]:
         """Return the usable instances other than the primary, the preferred ones first.
 
-        Reachable instances come first, then those that are not to be avoided, then those in this
-        proxy's zone.
+        Reachable instances come first, then those that are not to be avoided, then the near ones.
         """
         primary = self.primary(now)
         led = primary.instance if primary else ""
@@ -201,11 +208,42 @@
 
     def is_near(self, name: str) -> bool:
         """Whether an instance runs in this proxy's zone."""
-        return self.instances[name].entry.zone == self._zone
+        return self.distances.same_zone(self.instances[name].entry.zone)
+
+    def crosses_region(self, name: str) -> bool:
+        """Whether requests to an instance leave this proxy's region."""
+        return self.distances.crosses_region(self.instances[name].entry.zone)
+
+    def round_trip(self, name: str, now: float) -> float:
+        """Return the expected round trip to an instance, in seconds."""
+        return self.distances.round_trip(self.instances[name].entry.zone, now)
+
+    def in_region_of(self, name: str) -> frozenset[str]:
+        """Return the instances in an instance's region; empty if there is only one region."""
+        regions = self.distances.regions
+        view = self.instances.get(name)
+        if view is None or not self.distances.several_regions:
+            return frozenset()
+        region = regions.region_of(view.entry.zone)
+        return frozenset(
+            other
+            for other, item in self.instances.items()
+            if regions.region_of(item.entry.zone) == region
+        )
+
+    def to_measure(self, now: float) -> list[str]:
+        """Return one reachable instance in each zone whose distance should be measured again."""
+        by_zone: dict[str, str] = {}
+        for name, view in self.instances.items():
+            zone = view.entry.zone
+            if view.listed and view.reachable and self.distances.due(zone, now):
+                by_zone.setdefault(zone, name)
+        return list(by_zone.values())
 
-    def _preference(self, name: str, now: float) -> tuple[bool, bool, bool]:
+    def _preference(self, name: str, now: float) -> tuple[bool, bool, Nearness]:
         view = self.instances[name]
-        return (not view.reachable, view.avoid_until > now, not self.is_near(name))
+        nearness = self.distances.nearness(view.entry.zone)
+        return (not view.reachable, view.avoid_until > now, nearness)
 
     def with_uncertain_role(self) -> list[str]:
         """Return listed instances whose role in the directory differs from their last answer.
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -30,6 +30,7 @@
     DatabaseRoute,
     PromotedGroupSettings,
 )
+from orchidwind.promoted.core.distances import Distances
 from orchidwind.promoted.core.group_state import GroupState
 from orchidwind.promoted.core.read_planning import ReadPlan, ReadRequest, plan_read
 from orchidwind.promoted.core.steps import Exchange, ExchangeResult
@@ -69,7 +70,8 @@
     """Settings and services shared by all groups of one proxy.
 
     `entry_outlives` is the number of seconds for which a directory entry stays after its instance's
-    last renewal. `on_used` is called when this proxy serves a request of a group.
+    last renewal. `on_used` is called when this proxy serves a request of a group. `distances` are
+    those from `zone`; without them, all zones are in one region.
     """
 
     zone: str
@@ -78,6 +80,7 @@
     leases: LeaseKeeper
     entry_outlives: float
     on_used: Callable[[], None]
+    distances: Distances | None = None
 
 
 class GroupService:
@@ -98,7 +101,12 @@
         self._used_at = float("-inf")
         self._tasks = TaskSet()
         self.state = GroupState(
-            settings, environment.zone, self._loop.time, self.changed, environment.entry_outlives
+            settings,
+            environment.zone,
+            self._loop.time,
+            self.changed,
+            environment.entry_outlives,
+            environment.distances,
         )
         self.topology = self.state.topology
         self._breakers = GroupBreakers(settings.name)
@@ -173,9 +181,15 @@
         """
         if self.supervised:
             self.connections.trim()
+            self._measure_distances()
         else:
             self._close_idle()
 
+    def _measure_distances(self) -> None:
+        """Ask one instance in each zone whose distance was not measured lately for its status."""
+        for instance in self.topology.to_measure(self._loop.time()):
+            self.ask_soon(instance)
+
     def _close_idle(self) -> None:
         self.status_calls.close()
         self.connections.close_idle()
@@ -324,9 +338,16 @@
         self._metrics.message("status_or_control")
         status = await self.status_calls.ask(instance, call, urgent, repeatable)
         if status is not None:
+            self._note_round_trip(status)
             self.view_changes.take_status(status)
         return status
 
+    def _note_round_trip(self, status: InstanceStatus) -> None:
+        view = self.topology.instances.get(status.instance)
+        if view is not None:
+            now = self._loop.time()
+            self.topology.distances.measured(view.entry.zone, now - status.asked_at, now)
+
     async def ask_status(self, instance: str) -> InstanceStatus | None:
         """Ask an instance for its status; None if it does not arrive in time."""
         return await self.ask(instance, status_query, repeatable=True)
--- a/src/orchidwind/promoted/peers/peer_network.py
+++ b/src/orchidwind/promoted/peers/peer_network.py
@@ -14,6 +14,7 @@
 
 from msgspec import Struct
 
+from orchidwind.promoted.core.distances import Distances
 from orchidwind.promoted.core.homes import (
     FORGET_PROXY_SECONDS,
     RELISTING_SECONDS,
@@ -70,8 +71,11 @@
         groups: PlacementInputs,
         on_change: Callable[[], None],
         on_silent: OnSilent = log_silent_connection,
+        distances: Distances | None = None,
     ) -> None:
+        """`distances` are those from `own`; without them, all zones are in one region."""
         self.own = own
+        self.regions = (distances or Distances(own.zone)).regions
         self.member_registration = MemberRegistration(own, store)
         # Whether the members were read since the start.
         self.known = False
@@ -181,7 +185,12 @@
         if placed is None:
             limit, groups = self._groups.connection_limit(group), self._groups.count()
             placed = group_homes(
-                group, limit, self._members.values(), groups, self._groups.has_tenants()
+                group,
+                limit,
+                self._members.values(),
+                groups,
+                self._groups.has_tenants(),
+                self.regions,
             )
             self._placed[group] = placed
             log_event(
@@ -203,10 +212,10 @@
         if preferred is None:
             placed = self.placement(group)
             if tenant == NO_TENANT:
-                preferred = placed.preferred(self.own.name, self.own.zone)
+                preferred = placed.preferred(self.own.name, self.own.zone, self.regions)
             else:
                 large = self._groups.large_tenant(tenant)
-                preferred = placed.preferred_of_tenant(tenant, large, self.own.zone)
+                preferred = placed.preferred_of_tenant(tenant, large, self.own.zone, self.regions)
             self._preferred[group, tenant] = preferred
         return preferred
 
--- a/src/orchidwind/promoted/proxy_runtime.py
+++ b/src/orchidwind/promoted/proxy_runtime.py
@@ -22,6 +22,7 @@
     DirectoryEntry,
     PromotedConfiguration,
 )
+from orchidwind.promoted.core.distances import ONE_REGION, Distances, Regions
 from orchidwind.promoted.core.homes import ProxyMember
 from orchidwind.promoted.core.quota_shares import QuotaShares
 from orchidwind.promoted.group.group_service import GroupEnvironment, GroupService
@@ -66,10 +67,13 @@
         ports: ProxyPorts,
         bounds: ProxyBounds | None = None,
         metrics: ProxyMetrics | None = None,
+        regions: Regions = ONE_REGION,
     ) -> None:
+        """`regions` are those of the zones of all proxies and instances."""
         self._bounds = bounds or ProxyBounds()
         self.name = name = own.name
         self.zone = own.zone
+        self.distances = Distances(own.zone, regions)
         self.metrics = metrics or ProxyMetrics()
         self.configuration: PromotedConfiguration | None = None
         self.transaction_idle = DEFAULT_TRANSACTION_IDLE_SECONDS
@@ -127,6 +131,7 @@
             facts,
             self._homes_changed,
             self.metrics.silent,
+            self.distances,
         )
 
     def _home_ports(self) -> HomePorts:
@@ -312,6 +317,7 @@
             leases=self.leases,
             entry_outlives=self._bounds.entry_outlives,
             on_used=self._start_coordination,
+            distances=self.distances,
         )
         group = GroupService(settings, environment, wake.set)
         self.groups[name] = group
--- a/tests/promoted/test_homes.py
+++ b/tests/promoted/test_homes.py
@@ -1,13 +1,18 @@
 """The choice of a group's home proxies, and the number of server connections of each."""
 
+import json
 from collections import Counter
+from hashlib import sha256
+from pathlib import Path
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from orchidwind.promoted.core.distances import Regions
 from orchidwind.promoted.core.homes import (
     GROUPS_PER_HOME,
+    MAXIMUM_HOMES_PER_REGION,
     MAXIMUM_HOMES_PER_ZONE,
     ProxyMember,
     group_homes,
@@ -145,3 +150,118 @@
     if limit >= 2 * homes:
         assert homes * placed.connections <= limit
         assert near * placed.near_connections + (homes - near) * placed.far_connections <= limit
+
+
+# --- regions --------------------------------------------------------------------------------------
+
+# Two regions of three zones.
+TWO_REGIONS = Regions({f"zone-{number}": f"region-{number // 3}" for number in range(6)})
+RECORDED = json.loads((Path(__file__).parent / "recorded_homes.json").read_text())
+
+
+def by_region(homes):
+    return Counter(TWO_REGIONS.region_of(home.zone) for home in homes)
+
+
+@pytest.mark.parametrize("regions", [Regions(), Regions({f"zone-{n}": "r" for n in range(6)})])
+def test_with_one_region_homes_and_their_order_are_the_recorded_ones(regions):
+    """The file holds a digest for each fleet, written by the code before it knew regions."""
+    for key, digest in RECORDED.items():
+        count, limit, zones, groups, tenants = map(int, key.split("/"))
+        fleet = [
+            ProxyMember(f"proxy-{n}", f"zone-{n % zones}", "host", 1, 1.0 + (n % 5 == 0))
+            for n in range(count)
+        ]
+        placed = group_homes("ledger", limit, fleet, groups, bool(tenants), regions)
+        orders = [placed.preferred(item.name, item.zone, regions) for item in fleet[:8]]
+        orders += [
+            placed.preferred_of_tenant(tenant, large, item.zone, regions)
+            for item in fleet[:6]
+            for tenant in ("tern", "gull")
+            for large in (False, True)
+        ]
+        names = [[item.name for item in order] for order in orders]
+        shares = (placed.connections, placed.near_connections, placed.far_connections)
+        told = json.dumps([[item.name for item in placed.homes], *shares, names])
+        assert sha256(told.encode()).hexdigest()[:12] == digest, key
+
+
+def test_each_region_has_two_homes_in_different_zones():
+    for number in range(8):
+        placed = group_homes(f"group-{number}", 46, members(78, 6), 4, regions=TWO_REGIONS)
+        assert by_region(placed.homes) == {"region-0": 2, "region-1": 2}
+        assert len({home.zone for home in placed.homes}) == 4
+        assert placed.connections == 11
+
+
+def test_a_region_with_one_zone_left_has_both_homes_there():
+    left = [item for item in members(78, 6) if item.zone not in ("zone-1", "zone-2")]
+    placed = group_homes("ledger", 46, left, 4, regions=TWO_REGIONS)
+    assert Counter(home.zone for home in placed.homes)["zone-0"] == 2
+
+
+def test_a_front_uses_homes_of_its_region_before_any_other():
+    fleet = members(78, 6)
+    placed = group_homes("ledger", 46, fleet, 4, regions=TWO_REGIONS)
+    for front in fleet:
+        own = TWO_REGIONS.region_of(front.zone)
+        order = placed.preferred(front.name, front.zone, TWO_REGIONS)
+        assert [TWO_REGIONS.region_of(home.zone) == own for home in order] == [
+            True,
+            True,
+            False,
+            False,
+        ]
+        in_zone = [home.zone == front.zone for home in order]
+        assert in_zone == sorted(in_zone, reverse=True)
+
+
+def test_fronts_of_a_region_spread_over_its_homes():
+    fleet = members(78, 6)
+    placed = group_homes("ledger", 46, fleet, 4, regions=TWO_REGIONS)
+    firsts = Counter(placed.preferred(item.name, item.zone, TWO_REGIONS)[0].name for item in fleet)
+    assert len(firsts) == 4
+
+
+@pytest.mark.parametrize("large", [False, True])
+def test_a_tenant_has_a_home_in_its_callers_region(large):
+    fleet = members(78, 6)
+    placed = group_homes("ledger", 46, fleet, 4, True, TWO_REGIONS)
+    for tenant in ("tern", "gull", "teal"):
+        for front in fleet[:6]:
+            first = placed.preferred_of_tenant(tenant, large, front.zone, TWO_REGIONS)[0]
+            assert TWO_REGIONS.region_of(first.zone) == TWO_REGIONS.region_of(front.zone)
+
+
+def test_the_loss_of_a_region_does_not_move_the_homes_of_the_other():
+    fleet = members(78, 6)
+    before = set(group_homes("ledger", 46, fleet, 4, regions=TWO_REGIONS).homes)
+    left = [item for item in fleet if TWO_REGIONS.region_of(item.zone) == "region-0"]
+    after = set(group_homes("ledger", 46, left, 4, regions=TWO_REGIONS).homes)
+    assert after == {home for home in before if TWO_REGIONS.region_of(home.zone) == "region-0"}
+
+
+def test_the_loss_of_a_home_replaces_it_in_its_region():
+    fleet = members(78, 6)
+    before = set(group_homes("ledger", 46, fleet, 4, regions=TWO_REGIONS).homes)
+    for lost in before:
+        left = [item for item in fleet if item != lost]
+        after = set(group_homes("ledger", 46, left, 4, regions=TWO_REGIONS).homes)
+        assert before - after == {lost}
+        (new,) = after - before
+        assert TWO_REGIONS.region_of(new.zone) == TWO_REGIONS.region_of(lost.zone)
+
+
+@given(st.integers(1, 120), st.integers(1, 250), st.integers(1, 6), st.booleans())
+def test_homes_of_several_regions_stay_within_the_limit_of_an_instance(
+    count, limit, zones, has_tenants
+):
+    placed = group_homes("ledger", limit, members(count, zones), 4, has_tenants, TWO_REGIONS)
+    homes = len(placed.homes)
+    assert homes
+    assert homes * placed.connections <= max(limit, 2 * homes)
+    if homes < count:
+        assert max(by_region(placed.homes).values()) <= max(MAXIMUM_HOMES_PER_REGION, 1)
+    near = max(Counter(home.zone for home in placed.homes).values())
+    total = near * placed.near_connections + (homes - near) * placed.far_connections
+    assert total <= max(limit, 2 * homes)
