--- a/src/orchidwind/promoted/core/failover_choice.py
+++ b/src/orchidwind/promoted/core/failover_choice.py
@@ -14,7 +14,9 @@
 4. If after some attempts no other log is known to be complete, the demoted primary, whose log is,
    leads again.
 
-Among equal logs, an instance that is not about to leave is preferred.
+Among equal logs, an instance that is not about to leave is preferred, then one in the region of the
+old primary: the homes there have sent their writes over the shortest way, and replicas there
+confirm commits without crossing between regions.
 
 Owns: nothing. Relies on: the order of steps in `failover`, which ensures that what is counted here
 cannot change between the answers and the promotion. No I/O, no clock.
@@ -25,6 +27,7 @@
 from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
 from orchidwind.promoted.core.failover_steps import FailoverPlan, Statuses
 from orchidwind.promoted.core.log_positions import holds
+from orchidwind.shared.core.positions import Position
 
 # Attempts before the demoted primary itself may lead again. Three attempts take 0.15 s and the time
 # of the calls. A replica with the same log is preferred, as the primary was demoted for a reason.
@@ -82,7 +85,7 @@
 ) -> InstanceStatus | None:
     """Return an instance whose log certainly has every acknowledged commit, None if none is known.
 
-    Among several, an instance that is not about to leave is preferred.
+    Among several, the order of this module's preferences applies.
     """
     replicas = fenced_replicas(fenced, fence_term)
     if demoted is not None:
@@ -184,4 +187,8 @@
 def _prefer_staying(plan: FailoverPlan, eligible: list[InstanceStatus]) -> InstanceStatus | None:
     staying = [item for item in eligible if item.instance not in plan.leaving]
     chosen = staying or eligible
-    return max(chosen, key=lambda item: (item.received, item.instance), default=None)
+
+    def rank(item: InstanceStatus) -> tuple[Position, bool, str]:
+        return item.received, item.instance in plan.near_old_primary, item.instance
+
+    return max(chosen, key=rank, default=None)
--- a/src/orchidwind/promoted/core/failover_steps.py
+++ b/src/orchidwind/promoted/core/failover_steps.py
@@ -76,7 +76,8 @@
     began: they are members if they answer; otherwise `acknowledged`, what all proxies have
     acknowledged, decides whether their logs are needed. `unlisted` are instances that the directory
     does not list. `last_promotion` is the record in the group's roster, None if no instance was
-    ever promoted.
+    ever promoted. `near_old_primary` are the instances in the old primary's region; empty if there
+    is only one region, or if that of the old primary is not known.
     """
 
     group: str
@@ -91,6 +92,7 @@
     unlisted: frozenset[str] = frozenset()
     acknowledged: AcknowledgedCommits | None = None
     last_promotion: PromotionRecord | None = None
+    near_old_primary: frozenset[str] = frozenset()
 
 
 class FailoverResult(Struct, frozen=True):
--- a/src/orchidwind/promoted/core/supervision.py
+++ b/src/orchidwind/promoted/core/supervision.py
@@ -165,4 +165,5 @@
             absent=tuple(sorted(self._topology.confirming.absent(now))),
             unlisted=frozenset(name for name, view in views.items() if not view.listed),
             last_promotion=last_promotion,
+            near_old_primary=self._topology.in_region_of(leader),
         )
--- a/tests/promoted/test_promoted_core.py
+++ b/tests/promoted/test_promoted_core.py
@@ -180,6 +180,43 @@
     assert choose_candidate(plan("pab", leaving="b"), logs, None, 2).instance == "b"
 
 
+def test_among_equal_logs_an_instance_in_the_old_primarys_region_is_preferred():
+    logs = {"a": status("a", 7), "b": status("b", 7)}
+    near_a = replace(plan("pab"), near_old_primary=frozenset("pa"))
+    assert choose_candidate(plan("pab"), logs, None, 2).instance == "b"
+    assert choose_candidate(near_a, logs, None, 2).instance == "a"
+    demoted = status("p", 7, fence=0)
+    assert choose_candidate(near_a, logs, demoted, 2).instance == "a"
+    leaving = replace(near_a, leaving=frozenset("a"))
+    assert choose_candidate(leaving, logs, None, 2).instance == "b", "it stays"
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 4), st.booleans(), st.booleans()), min_size=1, max_size=5),
+    st.booleans(),
+    st.integers(1, 2),
+)
+def test_the_region_never_makes_a_less_safe_choice(replicas, demoted, synchronous):
+    """With a preferred region, the log is as long and the instance leaves only if it did before."""
+    names = [f"r{number}" for number in range(len(replicas))]
+    fenced = {
+        name: status(name, received) for name, (received, _, _) in zip(names, replicas, strict=True)
+    }
+    leaving = {name for name, (_, leaves, _) in zip(names, replicas, strict=True) if leaves}
+    near = frozenset(name for name, (_, _, near) in zip(names, replicas, strict=True) if near)
+    old = status("p", 2, fence=0) if demoted else None
+    planned = plan(["p", *names], leaving=leaving, synchronous=synchronous)
+    without = choose_candidate(planned, fenced, old, 2)
+    chosen = choose_candidate(replace(planned, near_old_primary=near), fenced, old, 2)
+    if without is None:
+        assert chosen is None
+        return
+    assert chosen.received == without.received
+    assert (chosen.instance in leaving) == (without.instance in leaving)
+    if near & {name for name in names if fenced[name].received == without.received} - leaving:
+        assert chosen.instance in near or chosen.instance in leaving
+
+
 @given(
     st.integers(2, 5),
     st.integers(1, 2),
