--- a/src/orchidwind/promoted/core/read_planning.py
+++ b/src/orchidwind/promoted/core/read_planning.py
@@ -37,7 +37,7 @@
 # A replica of this region keeps a read while it is expected to answer within this share of the time
 # that is left until the target, on top of the round trip to the other region. The rest is for
 # answers that take longer than expected.
-_TARGET_RESERVE = 0.5
+_TARGET_RESERVE = 0.25
 # The primary runs a read that a replica could serve only if it is expected to answer this many
 # times faster: a read on the primary delays writes, which no other instance can run.
 _PRIMARY_SPEEDUP = 3.0
--- a/src/orchidwind_bench/promoted/laboratory/load.py
+++ b/src/orchidwind_bench/promoted/laboratory/load.py
@@ -81,10 +81,12 @@
 class WorkPlan(Protocol):
     """The execution time of each running request, and how long each refused attempt had waited.
 
-    `work` maps request ids to seconds; `refused_after` is in seconds as well.
+    `work` maps request ids to seconds, `asked_at` to the proxy that was asked; `refused_after` is
+    in seconds as well.
     """
 
     work: dict[str, float]
+    asked_at: dict[str, str]
     refused_after: list[float]
 
     def draw_work(self, kind: LoadKind) -> float:
@@ -123,6 +125,7 @@
         text = "WRITE x y" if write else "READ x"
         command = self._command(CommandKind.WRITE if write else CommandKind.READ, text)
         self.plan.work[command.request_id] = self.plan.draw_work(kind)
+        self.plan.asked_at[command.request_id] = self._node_name
         sent_at = self._system.world.now
         pause = _REPEAT_PAUSE_SECONDS * (0.5 + self._random.random())
         try:
--- a/src/orchidwind_bench/promoted/simulation/peers.py
+++ b/src/orchidwind_bench/promoted/simulation/peers.py
@@ -14,7 +14,6 @@
 from orchidwind.promoted.peers.served_link import ServedLink
 from orchidwind.promoted.proxy_runtime import ProxyRuntime
 from orchidwind.shared.core.errors import PeerUnavailable
-from orchidwind_bench.promoted.simulation.network import LATENCY_SECONDS
 from orchidwind_bench.promoted.simulation.world import World
 
 
@@ -89,6 +88,8 @@
         self, sender: str, receiver: str, message: PeerMessage, deliver: Callable[[], None]
     ) -> None:
         self._links.sent[type(message).__name__] += 1
+        network = self._links.world.network
+        network.count(sender, receiver)
 
         def arrive() -> None:
             if not self._open or self.silent or sender == self.silent_from:
@@ -98,8 +99,8 @@
                     self.last_byte_at = asyncio.get_running_loop().time()
                 deliver()
 
-        if sender not in self._links.world.network.rates:
-            asyncio.get_running_loop().call_later(LATENCY_SECONDS, arrive)
+        if sender not in network.rates:
+            asyncio.get_running_loop().call_later(network.latency(sender, receiver), arrive)
             return
         if sender not in self._waiting:
             self._waiting[sender] = asyncio.Queue()
@@ -120,7 +121,9 @@
             parcel = await self._waiting[sender].get()
             await network.carry(sender, "out", parcel.size)
             self._waiting[sender].task_done()
-            asyncio.get_running_loop().call_later(LATENCY_SECONDS, parcel.arrive)
+            receiver = self.home if sender == self.front else self.front
+            latency = network.latency(sender, receiver)
+            asyncio.get_running_loop().call_later(latency, parcel.arrive)
 
     def close(self) -> None:
         """The front gives the link up."""
--- /dev/null
+++ b/tests/promoted/test_regions.py
@@ -0,0 +1,215 @@
+"""Proxies and instances in two regions: who serves whom, and what crosses the border.
+
+In the laboratory, the primary and one replica are in the first region, the other replica in the
+second, 20 ms away; two of six proxies are in the second region.
+"""
+
+import asyncio
+
+import pytest
+
+from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
+from orchidwind.promoted.core.configuration import DirectoryEntry, PromotedGroupSettings
+from orchidwind.promoted.core.distances import ONE_REGION, Distances, Regions
+from orchidwind.promoted.core.failover_steps import FailoverReason
+from orchidwind.promoted.core.supervision import GroupSupervisor
+from orchidwind.promoted.core.topology import GroupTopology
+from orchidwind.shared.core.positions import Position
+from orchidwind_bench.promoted.laboratory.play import PROXIES, TWO_REGIONS, LoadPlan, play_load
+from orchidwind_bench.promoted.simulation.callers import PromotedSystem
+from orchidwind_bench.promoted.simulation.store import GROUP
+from orchidwind_bench.promoted.simulation.virtual_time import run_virtual
+
+# Proxies are in zone-a, zone-b, zone-c in turn.
+EAST = {PROXIES[2], PROXIES[5]}
+WAVE = ((0.0, 0.33), (2.0, 0.6), (5.0, 0.33))
+FROM, UNTIL = 1.0, 6.0
+# The promised share of credit under a load that the instances can carry.
+WITHIN_CAPACITY = 0.95
+
+
+def crossing_reads(played):
+    """Statements at a replica of the region that its caller is not in: only reads run there."""
+    crossing = {True: "i-1", False: "i-2"}
+    return sum(item.instance == crossing[item.node in EAST] for item in played.ran)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_reads_stay_in_their_region_while_it_has_room(seed):
+    """At half of the capacity no replica is late, so no read has a reason to cross.
+
+    A read whose session has just written may still find the replica of its region behind.
+    """
+    played = play_load(LoadPlan(load=0.5, seed=seed, regions=True))
+    assert played.broken == []
+    assert played.figures(FROM, UNTIL).credit >= WITHIN_CAPACITY
+    blind = play_load(LoadPlan(load=0.5, seed=seed, regions=True, known_regions=ONE_REGION))
+    assert crossing_reads(played) <= 0.02 * len(played.ran)
+    assert played.crossed < blind.crossed
+
+
+def shares_here(played, width):
+    """Of the second region's reads, the share at its replica, by periods of `width` seconds."""
+    here, all_of = {}, {}
+    for item in played.ran:
+        if item.node in EAST and item.instance != "i-0":
+            period = int(item.at / width)
+            all_of[period] = all_of.get(period, 0) + 1
+            here[period] = here.get(period, 0) + (item.instance == "i-2")
+    return {period: here[period] / all_of[period] for period in sorted(all_of)}
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_wave_of_demand_is_carried_without_moving_all_reads_at_once(seed):
+    """Sixty per cent of the load come to the region with a third of the slots, for 3 s."""
+    played = play_load(LoadPlan(load=0.7, seed=seed, regions=True, wave=WAVE))
+    assert played.broken == []
+    assert played.figures(FROM, UNTIL).credit >= WITHIN_CAPACITY
+    shares = shares_here(played, 0.5)
+    changes = [abs(shares[at] - shares[at - 2]) for at in shares if at - 2 in shares]
+    # Half within a second, and what chance does to the thirty reads of a period.
+    assert max(changes) <= 0.5 + 0.2
+
+
+# --- who serves whom ------------------------------------------------------------------------------
+
+FLEET = tuple(f"proxy-{letter}" for letter in "abcdefghijkl")
+LIMIT = 24
+
+
+class RegionalSystem(PromotedSystem):
+    """Twelve proxies in three zones of two regions; two homes in each region."""
+
+    regions = TWO_REGIONS
+
+
+def put_border(system):
+    """Messages between the regions take 20 ms from now on."""
+    network = system.world.network
+    network.border_seconds = 0.02
+    for name, node in system.nodes.items():
+        network.region_of[name] = region(node)
+    for name, instance in system.group.instances.items():
+        network.region_of[name] = TWO_REGIONS.region_of(instance.zone)
+
+
+def with_fleet(scenario):
+    async def work():
+        system = RegionalSystem(1, connection_limit=LIMIT, proxies=FLEET)
+        put_border(system)
+        for node in system.nodes.values():
+            assert await node.wait_prepared(5.0)
+        await asyncio.sleep(1.5)
+        await scenario(system)
+
+    run_virtual(work())
+
+
+def region(node):
+    return TWO_REGIONS.region_of(node.zone)
+
+
+def home_of(node):
+    link = node.homes.home_link(GROUP, "")
+    return node.name if link is None else link.member.name
+
+
+def cut_off(system, lost):
+    for name in system.nodes:
+        if name != lost:
+            system.world.network.cut(name, lost)
+
+
+def test_all_proxies_agree_on_two_homes_in_each_region():
+    async def scenario(system):
+        (placed,) = {node.homes.placement(GROUP) for node in system.nodes.values()}
+        regions = [TWO_REGIONS.region_of(home.zone) for home in placed.homes]
+        assert sorted(regions) == ["east", "east", "west", "west"]
+        for node in system.nodes.values():
+            assert region(system.nodes[home_of(node)]) == region(node)
+
+    with_fleet(scenario)
+
+
+def front_of(system, name):
+    """A proxy of a region that is no home."""
+    nodes = system.nodes.values()
+    return next(n for n in nodes if region(n) == name and not n.homes.is_home(GROUP))
+
+
+async def lose_home(system, front):
+    """Cut off the home that a front uses, until the front has noticed."""
+    lost = home_of(front)
+    cut_off(system, lost)
+    for _ in range(20):
+        front.homes.home_link(GROUP, "")
+        link = front.homes._links.get(lost)
+        if link is not None:
+            link.verify()
+        await asyncio.sleep(0.2)
+    return lost
+
+
+def test_the_second_home_of_the_region_replaces_a_lost_one():
+    async def scenario(system):
+        front = front_of(system, "east")
+        lost = await lose_home(system, front)
+        second = home_of(front)
+        assert second != lost
+        assert region(system.nodes[second]) == "east"
+
+    with_fleet(scenario)
+
+
+def test_a_region_without_homes_uses_those_of_the_other():
+    async def scenario(system):
+        front = front_of(system, "east")
+        await lose_home(system, front)
+        await lose_home(system, front)
+        assert region(system.nodes[home_of(front)]) == "west"
+
+    with_fleet(scenario)
+
+
+def test_homes_measure_the_distance_to_each_zone_of_their_instances():
+    async def scenario(system):
+        await asyncio.sleep(15.0)
+        home = next(
+            n for n in system.nodes.values() if n.homes.is_home(GROUP) and n.zone == "zone-a"
+        )
+        now = asyncio.get_running_loop().time()
+        assert 0.04 <= round(home.distances.round_trip("zone-c", now), 6) <= 0.06
+        assert home.distances.round_trip("zone-b", now) <= 0.004
+        assert all(item.age is not None and item.age <= 12.0 for item in home.distances.known(now))
+
+    with_fleet(scenario)
+
+
+def test_without_regions_no_distance_is_measured():
+    async def work():
+        system = PromotedSystem(1, connection_limit=LIMIT, proxies=FLEET)
+        await asyncio.sleep(15.0)
+        now = asyncio.get_running_loop().time()
+        for node in system.nodes.values():
+            assert node.distances.known(now) == []
+            for group in node.groups.values():
+                assert group.topology.to_measure(now) == []
+
+    run_virtual(work())
+
+
+# --- the successor of a primary -------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("regions", "near"), [(TWO_REGIONS, {"p", "a"}), (Regions(), set())])
+def test_a_plan_names_the_instances_in_the_old_primarys_region(regions, near):
+    distances = Distances("zone-c", regions)
+    view = GroupTopology(PromotedGroupSettings("g", 32, 1), "zone-c", distances=distances)
+    for number, (name, zone) in enumerate([("p", "zone-a"), ("a", "zone-b"), ("b", "zone-c")]):
+        view.entry_changed(DirectoryEntry(name, "g", "h", 1, zone, name == "p", False, 3, number))
+        role = InstanceRole.PRIMARY if name == "p" else InstanceRole.REPLICA
+        view.take_status(InstanceStatus(name, role, 1, Position(1, 5), 0, 0))
+    supervisor = GroupSupervisor(view)
+    supervisor.decide(1.0, [], 0.0, 0.0, True)
+    planned = supervisor.plan(1.0, FailoverReason.UNREACHABLE, True)
+    assert planned.near_old_primary == near
