--- a/src/orchidwind/promoted/core/distances.py
+++ b/src/orchidwind/promoted/core/distances.py
@@ -59,6 +59,13 @@
         """Return the region of a zone; empty if there is only one."""
         return self.table.get(zone, zone) if self.several else ""
 
+    def reading_area(self, zone: str) -> str:
+        """Return the area of a zone whose proxies share a reader of the store.
+
+        This is its region if there are several, else the zone.
+        """
+        return self.region_of(zone) if self.several else zone
+
     def nearness(self, one: str, other: str) -> Nearness:
         """Return how near two zones are to each other."""
         if one == other:
--- a/src/orchidwind/promoted/core/homes.py
+++ b/src/orchidwind/promoted/core/homes.py
@@ -170,17 +170,40 @@
     return GroupHomes(group, tuple(homes), share, max(near_share, far), far)
 
 
-def zone_readers(view: str, followers: Iterable[ProxyMember]) -> dict[str, ProxyMember]:
-    """Returns, by zone, the proxy that follows a view in the store on behalf of its zone."""
-    by_zone: dict[str, dict[str, ProxyMember]] = {}
+def zone_readers(
+    view: str, followers: Iterable[ProxyMember], regions: Regions = ONE_REGION
+) -> dict[str, ProxyMember]:
+    """Returns, by zone, the proxy that follows a view in the store on behalf of its zone.
+
+    With several regions, there is one reader for each region, and the key is the region.
+    """
+    ranked = _ranked_by_area(view, followers, regions)
+    return {area: members[0] for area, members in ranked.items()}
+
+
+def substitute_readers(
+    view: str, followers: Iterable[ProxyMember], regions: Regions
+) -> dict[str, ProxyMember]:
+    """Returns, by region, the proxy that reads while the region's reader does not answer.
+
+    Empty if there is only one region: the readers of other zones are as near then.
+    """
+    if not regions.several:
+        return {}
+    ranked = _ranked_by_area(view, followers, regions)
+    return {area: members[1] for area, members in ranked.items() if len(members) > 1}
+
+
+def _ranked_by_area(
+    view: str, followers: Iterable[ProxyMember], regions: Regions
+) -> dict[str, list[ProxyMember]]:
+    by_area: dict[str, dict[str, ProxyMember]] = {}
     for member in followers:
-        by_zone.setdefault(member.zone, {})[member.name] = member
-    readers: dict[str, ProxyMember] = {}
-    for zone, members in by_zone.items():
-        name = first(view, sorted(members))
-        if name is not None:
-            readers[zone] = members[name]
-    return readers
+        by_area.setdefault(regions.reading_area(member.zone), {})[member.name] = member
+    return {
+        area: [members[name] for name in rank(view, sorted(members))]
+        for area, members in by_area.items()
+    }
 
 
 def lock_readers(members: Iterable[ProxyMember]) -> list[ProxyMember]:
--- a/src/orchidwind/promoted/views/peer_views.py
+++ b/src/orchidwind/promoted/views/peer_views.py
@@ -5,8 +5,10 @@
 other proxies.
 
 In each zone one proxy, the reader, watches the store closely. The other proxies of the zone ask the
-reader; where it does not answer or holds a stale view, they ask the readers of other zones. All
-proxies compute the same readers from the same members. Alternatives considered: every proxy watches
+reader; where it does not answer or holds a stale view, they ask the readers of other zones. With
+several regions there is one reader for each region, and a substitute for it, so that one proxy of a
+region reads across its border. All proxies compute the same readers from the same members.
+Alternatives considered: every proxy watches
 closely (the number of calls grows with the number of proxies, and is the highest cost on large
 sites), and readers push changes (one more message type, and the receiver still needs a timer to
 detect a silent reader).
@@ -19,7 +21,7 @@
 from typing import Any, Generic, TypeVar
 
 from orchidwind.promoted.core.freshness import FollowTimes
-from orchidwind.promoted.core.homes import ProxyMember, zone_readers
+from orchidwind.promoted.core.homes import ProxyMember, substitute_readers, zone_readers
 from orchidwind.promoted.core.link_silence import LINK_IDLE_PROBE_SECONDS
 from orchidwind.promoted.core.peer_messages import ViewReport
 from orchidwind.promoted.core.store_revision import StoreRevision
@@ -78,6 +80,8 @@
         self._queries_sent = 0
         self._generation = -1
         self._zone_readers: Mapping[str, ProxyMember] = {}
+        self._substitutes: Mapping[str, ProxyMember] = {}
+        self._own_area = network.regions.reading_area(network.own.zone)
         self._loop = asyncio.get_running_loop()
 
     def is_reader(self) -> bool:
@@ -89,15 +93,20 @@
         if not self._network.known:
             return False
         own = self._network.own
-        reader = self._readers().get(own.zone, own)
+        reader = self._readers().get(self._own_area, own)
         if reader.name == own.name:
             return True
-        return self._replaces_lost_reader and self._network.usable_link(reader) is None
+        is_substitute = self._is_own(self._substitutes.get(self._own_area))
+        if not (self._replaces_lost_reader or is_substitute):
+            return False
+        return self._network.usable_link(reader) is None
 
     def _readers(self) -> Mapping[str, ProxyMember]:
         if self._generation != self._network.generation:
             self._generation = self._network.generation
-            self._zone_readers = zone_readers(self._view, self._followers())
+            followers, regions = list(self._followers()), self._network.regions
+            self._zone_readers = zone_readers(self._view, followers, regions)
+            self._substitutes = substitute_readers(self._view, followers, regions)
         return self._zone_readers
 
     async def ask(self, revision: StoreRevision, whole: bool) -> ReportedView[Item] | None:
@@ -121,17 +130,28 @@
         return self._loop.time() - reported.as_of <= self._fresh_seconds
 
     def _links(self) -> list[PeerLink]:
-        """Links to the reachable readers: the own zone's first, then the others in rotation."""
-        own = self._network.own
-        readers = self._readers()
-        others = [readers[zone] for zone in sorted(readers) if zone != own.zone]
+        """Links to the reachable readers: that of the own area first, then the others in rotation.
+
+        The substitute takes the place of a reader that cannot be reached.
+        """
+        readers, area = self._readers(), self._own_area
+        others = [readers[other] for other in sorted(readers) if other != area]
         self._queries_sent += 1
         turn = self._queries_sent % len(others) if others else 0
-        order = [readers[own.zone]] if own.zone in readers else []
-        order += others[turn:] + others[:turn]
-        links = [self._network.usable_link(member) for member in order if member.name != own.name]
+        own_readers = [self._usable_link(readers.get(area))]
+        if own_readers == [None] and not self._is_own(readers.get(area)):
+            own_readers = [self._usable_link(self._substitutes.get(area))]
+        links = [*own_readers, *map(self._usable_link, others[turn:] + others[:turn])]
         return [link for link in links if link is not None]
 
+    def _is_own(self, member: ProxyMember | None) -> bool:
+        return member is not None and member.name == self._network.own.name
+
+    def _usable_link(self, member: ProxyMember | None) -> PeerLink | None:
+        if member is None or self._is_own(member):
+            return None
+        return self._network.usable_link(member)
+
     async def _ask_one(
         self, link: PeerLink, revision: StoreRevision, whole: bool
     ) -> ReportedView[Item] | None:
