--- a/src/orchidwind/platform/instances.py
+++ b/src/orchidwind/platform/instances.py
@@ -19,6 +19,7 @@
 from orchidwind.promoted.core.configuration import DirectoryEntry
 from orchidwind.promoted.core.instance_incarnations import identity_of
 from orchidwind.promoted.group.connection_opener import TOO_MANY_CONNECTIONS, UNEXPECTED_INSTANCE
+from orchidwind.promoted.traffic import Counterpart, Traffic, ZoneTraffic
 from orchidwind.shared.core.errors import BackendConnectionLost, BackendRefused
 from orchidwind.shared.sockets import client_socket
 
@@ -32,7 +33,11 @@
 class LineLink:
     """One connection to an instance; replies arrive in the order of the messages."""
 
-    def __init__(self, stream: IOStream, instance: str, on_lost: Callable[[], None]) -> None:
+    def __init__(
+        self, stream: IOStream, instance: str, on_lost: Callable[[], None], traffic: ZoneTraffic
+    ) -> None:
+        """`traffic` counts what is exchanged."""
+        self._traffic = traffic
         self._stream = stream
         self._instance = instance
         self._on_lost = on_lost
@@ -63,6 +68,7 @@
         loop = asyncio.get_running_loop()
         waiting: list[asyncio.Future[Reply]] = [loop.create_future() for _ in range(replies)]
         self._pending.extend(waiting)
+        self._traffic.sent(len(data), replies)
         self._stream.write(data)
         return waiting
 
@@ -76,6 +82,7 @@
         try:
             while True:
                 data = await self._stream.read_bytes(_READ_BYTES, partial=True)
+                self._traffic.received(len(data))
                 self._lines.feed(data)
                 self._process_lines()
         except (StreamClosedError, line_format.WireError) as error:
@@ -159,6 +166,10 @@
 class LineConnector:
     """Opens connections to instances."""
 
+    def __init__(self, traffic: Traffic) -> None:
+        """`traffic` counts what is exchanged on the connections."""
+        self._traffic = traffic
+
     async def connect(
         self, entry: DirectoryEntry, on_lost: Callable[[], None], tenant: str
     ) -> LineLink:
@@ -166,7 +177,8 @@
         stream = IOStream(client_socket())
         try:
             await stream.connect((entry.host, entry.port))
-            link = LineLink(stream, entry.instance, on_lost)
+            traffic = self._traffic.of(Counterpart.INSTANCE, entry.zone)
+            link = LineLink(stream, entry.instance, on_lost, traffic)
             await link.start(entry.group, tenant)
         except (StreamClosedError, OSError) as error:
             stream.close()
--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -43,6 +43,7 @@
 from orchidwind.promoted.ports import ProxyPorts
 from orchidwind.promoted.proxy_runtime import ProxyRuntime
 from orchidwind.promoted.store_era import StoreEra
+from orchidwind.promoted.traffic import Traffic
 from orchidwind.promoted.views.followed_views import ProxyBounds
 from orchidwind.shared.core.errors import SettingsError
 from orchidwind.shared.core.quota import QuotaRules
@@ -121,13 +122,15 @@
 
 def _proxy_runtime(settings: PlatformSettings) -> ProxyRuntime:
     metrics = ProxyMetrics()
+    traffic, regions = Traffic(), Regions(settings.region_by_zone)
+    metrics.traffic(traffic, regions)
     store_era = StoreEra()
     store = ObjectStore(
         parse_address(settings.store.address), metrics.store_call, metrics.silent, store_era
     )
     ports = ProxyPorts(
         store_era=store_era,
-        connector=LineConnector(),
+        connector=LineConnector(traffic),
         directory=WatchedKind(store, InstanceTranslation()),
         configuration=WatchedKind(store, ConfigurationTranslation()),
         lock_store=PromotionLockObject(store),
@@ -139,7 +142,7 @@
         quota_share_store=QuotaShareObject(store),
         member_source=WatchedKind(store, MemberTranslation()),
         member_store=MemberObjects(store),
-        peers=PeerStreamConnector(),
+        peers=PeerStreamConnector(traffic),
         promotions=PromotionCall(
             parse_address(settings.promotions.address), settings.proxy_name, metrics.silent
         ),
@@ -149,7 +152,7 @@
         ports,
         _proxy_bounds(settings),
         metrics,
-        Regions(settings.region_by_zone),
+        regions,
     )
 
 
--- a/src/orchidwind/promoted/core/flows.py
+++ b/src/orchidwind/promoted/core/flows.py
@@ -71,7 +71,9 @@
         if reply is None:
             continue
         yield Release(connection, reusable=reply.state is TransactionState.IDLE)
-        context.record_attempt(plan.instance, f"floor={plan.floor}:{reply.code.value}")
+        context.record_attempt(
+            plan.instance, f"floor={plan.floor}{plan.grounds}:{reply.code.value}"
+        )
         if reply.done:
             return CommandResult(reply.rows, reply.signature)
         yield from prepare_read_retry(context, plan, reply)
--- a/src/orchidwind/promoted/core/read_planning.py
+++ b/src/orchidwind/promoted/core/read_planning.py
@@ -73,11 +73,20 @@
 
     If `proof_of_term` is not 0, the answer needs a proof that the instance was still the primary of
     that term when the read arrived. It is 0 if the floor alone makes the read fresh enough.
+    `grounds` is for the log: with several regions, what each side was expected to take.
     """
 
     instance: str
     floor: Position | None
     proof_of_term: int = 0
+    grounds: str = ""
+
+
+class _ReplicaChoice(Struct, frozen=True):
+    """A replica that may run a read, and the grounds of the choice for the log."""
+
+    instance: str
+    grounds: str = ""
 
 
 def plan_read(
@@ -93,10 +102,10 @@
         replica = _fastest_replica(topology, request, primary, floor, now, expected_answer)
         if replica is not None:
             if primary is not None and _primary_is_much_faster(
-                topology, primary, replica, request, now, expected_answer
+                topology, primary, replica.instance, request, now, expected_answer
             ):
                 return ReadPlan(primary.instance, floor)
-            return ReadPlan(replica, floor)
+            return ReadPlan(replica.instance, floor, grounds=replica.grounds)
     if primary is None:
         return None
     return ReadPlan(primary.instance, None, primary.term)
@@ -143,7 +152,7 @@
     floor: Position,
     now: float,
     expected_answer: ExpectedAnswerTime,
-) -> str | None:
+) -> _ReplicaChoice | None:
     """Returns the replica with the lowest expected cost, or None if none is eligible."""
     eligible = _eligible_replicas(topology, request, primary, floor, now)
     if not eligible:
@@ -154,7 +163,7 @@
         return view.avoid_until > now, expected_answer(name) + topology.round_trip(name, now)
 
     if not topology.distances.several_regions:
-        return min(eligible, key=cost)
+        return _ReplicaChoice(min(eligible, key=cost))
     return _on_the_better_side(topology, request, now, eligible, cost)
 
 
@@ -164,20 +173,24 @@
     now: float,
     eligible: list[str],
     cost: Callable[[str], tuple[bool, float]],
-) -> str:
+) -> _ReplicaChoice:
     """Returns the replica of lowest cost in this region, or in another one if the read crosses."""
     far = [name for name in eligible if topology.crosses_region(name)]
     near = [name for name in eligible if name not in far]
     if not near or not far:
-        return min(eligible, key=cost)
+        return _ReplicaChoice(min(eligible, key=cost), "" if near else ":none_here")
     best_near, best_far = min(near, key=cost), min(far, key=cost)
     (near_avoided, near_answer), (far_avoided, far_answer) = cost(best_near), cost(best_far)
+    grounds = f":here={near_answer:.3f}:there={far_answer:.3f}"
     if near_avoided != far_avoided:
-        return best_near if far_avoided else best_far
+        return _ReplicaChoice(best_near if far_avoided else best_far, f"{grounds}:one_avoided")
     target_left = max(request.arrived_at + request.database.target_latency - now, 0.0)
     longest = topology.round_trip(best_far, now) + _TARGET_RESERVE * target_left
     crosses = topology.region_spill.crosses(SideAnswers(near_answer, far_answer, longest), now)
-    return best_far if crosses else best_near
+    # A replica that may not answer at all, as it hangs, is left at once.
+    time_left = request.arrived_at + request.database.statement_timeout - now
+    crosses = crosses or (near_answer > time_left and far_answer < time_left)
+    return _ReplicaChoice(best_far if crosses else best_near, f"{grounds}:crosses={crosses}")
 
 
 def _eligible_replicas(
--- a/src/orchidwind/promoted/core/region_spill.py
+++ b/src/orchidwind/promoted/core/region_spill.py
@@ -39,6 +39,8 @@
 
     def __init__(self) -> None:
         self.share = 0.0
+        # Those of the last decision, for the log.
+        self.last_answers = SideAnswers(0.0, 0.0, 0.0)
         self._decided_at = float("-inf")
         # The reads that should have crossed but did not, less than one.
         self._owed = 0.0
@@ -47,6 +49,7 @@
         """Decide about one read, and adapt the share."""
         step = min(max(now - self._decided_at, 0.0), _LONGEST_STEP_SECONDS)
         self._decided_at = now
+        self.last_answers = answers
         self._adapt(answers, step * SPILL_CHANGE_PER_SECOND)
         self._owed += self.share
         if self._owed < 1.0:
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -66,6 +66,11 @@
 _NON_HOME_SHARES = ConnectionShares(primary=1, near=1, far=1)
 
 
+# Reads that cross are logged once their share exceeds this, and again once it is 0: below it, the
+# share may rise and fall with each read.
+_LOGGED_SPILL_SHARE = 0.1
+
+
 class GroupEnvironment(Struct, frozen=True):
     """Settings and services shared by all groups of one proxy.
 
@@ -98,6 +103,7 @@
         self._loop = asyncio.get_running_loop()
         self._on_wake = on_wake
         self._home = False
+        self._reads_cross = False
         self._used_at = float("-inf")
         self._tasks = TaskSet()
         self.state = GroupState(
@@ -276,10 +282,27 @@
             deadline,
             ErrorKind.NO_REPLICA,
         )
+        self._log_spill()
         if plan.proof_of_term:
             self._breakers.check_unproven_read()
         return plan
 
+    def _log_spill(self) -> None:
+        """Log when reads begin to cross to another region because of late answers, and stop."""
+        spill = self.topology.region_spill
+        crossing = spill.share > (0.0 if self._reads_cross else _LOGGED_SPILL_SHARE)
+        if crossing == self._reads_cross:
+            return
+        self._reads_cross = crossing
+        answers = spill.last_answers
+        log_event(
+            "reads_cross_region" if crossing else "reads_stay_in_region",
+            group=self.settings.name,
+            here_ms=int(answers.near * 1000),
+            there_ms=int(answers.far * 1000),
+            longest_here_ms=int(answers.longest * 1000),
+        )
+
     async def wait_for_connection(
         self,
         instance: str,
--- a/src/orchidwind/promoted/group/operator_status.py
+++ b/src/orchidwind/promoted/group/operator_status.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from orchidwind.promoted.core.distances import Distances
 from orchidwind.promoted.core.share_status import ShareStatus
 from orchidwind.promoted.group.group_service import GroupService
 from orchidwind.promoted.quotas.quota_service import QuotaService, TenantUse
@@ -32,12 +33,27 @@
 
 
 class OperatorGroupStatus(msgspec.Struct, frozen=True):
-    """One group; `primary` is empty while no primary is known."""
+    """One group; `primary` is empty while no primary is known.
+
+    `homes` are the proxies that hold its server connections. `crossing_share` is the share of the
+    reads that this proxy sends to another region although its own has a replica for them, 0 to 1.
+    """
 
     name: str
     primary: str
     term: int
     instances: list[OperatorInstanceStatus]
+    homes: list[str] = []
+    crossing_share: float = 0.0
+
+
+class OperatorDistance(msgspec.Struct, frozen=True):
+    """The expected round trip to a zone; `age_ms` is -1 while the default counts."""
+
+    zone: str
+    region: str
+    round_trip_ms: float
+    age_ms: int
 
 
 class OperatorTenantStatus(msgspec.Struct, frozen=True):
@@ -78,7 +94,8 @@
 
     `configuration_age_ms` is the time since the configuration was last confirmed to be the newest.
     `promotion_lock_holder` is the proxy that is changing a primary now, if any. `quota_share` is
-    None where this proxy does not follow the shares of the quotas.
+    None where this proxy does not follow the shares of the quotas. `distances` has each zone of a
+    deployment with several regions, and is empty elsewhere.
     """
 
     node: str
@@ -91,6 +108,21 @@
     groups: list[OperatorGroupStatus]
     tenants: list[OperatorTenantStatus] = []
     quota_share: OperatorQuotaShare | None = None
+    region: str = ""
+    distances: list[OperatorDistance] = []
+
+
+def distance_statuses(distances: Distances, now: float) -> list[OperatorDistance]:
+    """The distances to all zones; empty if there is only one region."""
+    return [
+        OperatorDistance(
+            zone=item.zone,
+            region=item.region,
+            round_trip_ms=round(item.round_trip * 1000, 2),
+            age_ms=-1 if item.age is None else int(item.age * 1000),
+        )
+        for item in distances.known(now)
+    ]
 
 
 def quota_share_status(status: ShareStatus | None) -> OperatorQuotaShare | None:
@@ -128,7 +160,7 @@
     return sorted(statuses, key=lambda status: (-status.refused, status.name))
 
 
-def group_status(group: GroupService, now: float) -> OperatorGroupStatus:
+def group_status(group: GroupService, homes: list[str], now: float) -> OperatorGroupStatus:
     """The state of one group at a time of the monotonic clock, in seconds."""
     primary = group.topology.primary(now)
     instances = []
@@ -155,4 +187,6 @@
         primary=primary.instance if primary else "",
         term=primary.term if primary else 0,
         instances=instances,
+        homes=homes,
+        crossing_share=round(group.topology.region_spill.share, 3),
     )
--- a/src/orchidwind/promoted/metrics.py
+++ b/src/orchidwind/promoted/metrics.py
@@ -15,6 +15,8 @@
 from prometheus_client.registry import Collector
 
 from orchidwind.promoted.core.commands import CommandKind
+from orchidwind.promoted.core.distances import Regions
+from orchidwind.promoted.traffic import Traffic
 from orchidwind.shared.core.errors import ErrorKind
 from orchidwind.shared.silence import SilentConnection, log_silent_connection
 
@@ -190,6 +192,34 @@
         )
 
 
+class _TrafficMetrics(Collector):
+    """What was exchanged with instances and other proxies, by region and zone of the other side."""
+
+    def __init__(self, traffic: Traffic, regions: Regions) -> None:
+        self._traffic = traffic
+        self._regions = regions
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        other = ("counterpart", "region", "zone")
+        bytes_family = CounterMetricFamily(
+            "orchidwind_traffic_bytes",
+            "Bytes exchanged with instances and other proxies, by kind, region, zone and direction",
+            labels=(*other, "direction"),
+        )
+        messages_family = CounterMetricFamily(
+            "orchidwind_traffic_messages",
+            "Messages sent to instances and other proxies, by kind, region and zone",
+            labels=other,
+        )
+        for key, counts in list(self._traffic.counts.items()):
+            labels = (key.counterpart.value, self._regions.table.get(key.zone, ""), key.zone)
+            bytes_family.add_metric((*labels, "sent"), counts.sent_bytes)
+            bytes_family.add_metric((*labels, "received"), counts.received_bytes)
+            messages_family.add_metric(labels, counts.sent_messages)
+        yield bytes_family
+        yield messages_family
+
+
 class ProxyMetrics:
     """All metrics of a proxy; one object for each process."""
 
@@ -215,6 +245,10 @@
         """Register the function that returns for how long no share of the quotas was in force."""
         self.registry.register(_SecondsWithoutShare(seconds))
 
+    def traffic(self, traffic: Traffic, regions: Regions) -> None:
+        """Register the counts of what is exchanged with instances and other proxies."""
+        self.registry.register(_TrafficMetrics(traffic, regions))
+
     def watch_age(self, view: str, seconds: Callable[[], float]) -> None:
         """Register the function that returns the age of a view in seconds."""
         self._views.age.labels(view).set_function(seconds)
--- a/src/orchidwind/promoted/peers/peer_streams.py
+++ b/src/orchidwind/promoted/peers/peer_streams.py
@@ -23,6 +23,7 @@
 from orchidwind.promoted.core.peer_messages import PeerMessage
 from orchidwind.promoted.peers.home_ports import LinkWriter
 from orchidwind.promoted.peers.peer_service import PeerService
+from orchidwind.promoted.traffic import Counterpart, Traffic, ZoneTraffic
 from orchidwind.shared.core.errors import PeerUnavailable
 from orchidwind.shared.sockets import client_socket, configure_socket
 
@@ -42,8 +43,10 @@
 class PeerStream:
     """One end of a link."""
 
-    def __init__(self, stream: IOStream) -> None:
+    def __init__(self, stream: IOStream, traffic: ZoneTraffic | None = None) -> None:
+        """`traffic` counts what is exchanged; None if the other side counts it."""
         self._stream = stream
+        self._traffic = traffic
         self._reader: asyncio.Task[None] | None = None
         self._written: asyncio.Future[None] | None = None
         self._loop = asyncio.get_running_loop()
@@ -52,7 +55,10 @@
     def send(self, message: PeerMessage) -> None:
         """Send a message; does nothing if the connection is closed."""
         if not self._stream.closed():
-            self._written = self._stream.write(_codec().encode_peer(message))
+            frame = _codec().encode_peer(message)
+            if self._traffic is not None:
+                self._traffic.sent(len(frame))
+            self._written = self._stream.write(frame)
 
     async def drained(self) -> None:
         """Wait until all sent messages are written to the socket, or the connection is closed."""
@@ -67,7 +73,10 @@
         frames = codec.FrameCutter(codec.MAXIMUM_PEER_FRAME_BYTES)
         try:
             while True:
-                frames.feed(await self._stream.read_bytes(_READ_BYTES, partial=True))
+                data = await self._stream.read_bytes(_READ_BYTES, partial=True)
+                if self._traffic is not None:
+                    self._traffic.received(len(data))
+                frames.feed(data)
                 self.last_byte_at = self._loop.time()
                 if self._given_up():
                     self.close()
@@ -119,6 +128,10 @@
 class PeerStreamConnector:
     """Opens links to other proxies over TCP."""
 
+    def __init__(self, traffic: Traffic | None = None) -> None:
+        """`traffic` counts what is exchanged on the links."""
+        self._traffic = traffic or Traffic()
+
     async def connect(
         self,
         member: ProxyMember,
@@ -135,7 +148,7 @@
         except asyncio.CancelledError:
             stream.close()
             raise
-        opened = PeerStream(stream)
+        opened = PeerStream(stream, self._traffic.of(Counterpart.PROXY, member.zone))
         opened.start(on_message, on_lost)
         return opened
 
--- a/src/orchidwind/promoted/proxy_runtime.py
+++ b/src/orchidwind/promoted/proxy_runtime.py
@@ -31,6 +31,7 @@
 from orchidwind.promoted.group.lease_keeper import LeaseKeeper
 from orchidwind.promoted.group.operator_status import (
     OperatorStatus,
+    distance_statuses,
     group_status,
     quota_share_status,
     tenant_statuses,
@@ -381,7 +382,16 @@
             configuration_age_ms=self.views.configuration_age_ms,
             lead_lease=self.leases.covers(now),
             promotion_lock_holder=self.leases.holder,
-            groups=[group_status(group, now) for group in self.groups.values()],
+            groups=[
+                group_status(group, self._home_names(name), now)
+                for name, group in self.groups.items()
+            ],
             tenants=tenant_statuses(self._tenancy.table.tenants, self.quotas),
             quota_share=quota_share_status(self._tenancy.share_status),
+            region=self.distances.regions.table.get(self.zone, ""),
+            distances=distance_statuses(self.distances, now),
         )
+
+    def _home_names(self, group: str) -> list[str]:
+        homes = self.homes.placement(group).homes if self.homes.known else ()
+        return [home.name for home in homes]
--- a/tests/promoted/test_distances.py
+++ b/tests/promoted/test_distances.py
@@ -158,6 +158,15 @@
     assert set(back[-50:]) == {"near"}, "it would not gain anything"
 
 
+def test_a_replica_that_may_not_answer_in_time_at_all_is_left_at_once():
+    """The statement has 0.8 s; beyond that, the replica here hangs or never gets to the read."""
+    view = topology({"p": "b1", "near": "a1", "far": "b1"})
+    assert chosen(view, {"p": 0.01, "near": 0.79, "far": 0.01}) == "near"
+    assert chosen(view, {"p": 0.01, "near": 0.81, "far": 0.01}) == "far"
+    assert chosen(view, {"p": 0.01, "near": 0.81, "far": 0.01}, waited=0.5) == "far"
+    assert chosen(view, {"p": 0.9, "near": 0.81, "far": 0.9}) == "near", "nor would the far one"
+
+
 def test_between_the_two_bounds_the_share_stays():
     spill = RegionSpill()
     for number in range(100):
--- a/tests/promoted/test_regions.py
+++ b/tests/promoted/test_regions.py
@@ -9,17 +9,32 @@
 import pytest
 from support.virtual_proxies import apply_configuration, versions
 
-from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
-from orchidwind.promoted.core.configuration import DirectoryEntry, PromotedGroupSettings
+from orchidwind.promoted.core.commands import CommandKind, InstanceRole, InstanceStatus
+from orchidwind.promoted.core.configuration import (
+    DatabaseRoute,
+    DirectoryEntry,
+    PromotedGroupSettings,
+    ReadConsistency,
+)
 from orchidwind.promoted.core.distances import ONE_REGION, Distances, Regions
 from orchidwind.promoted.core.failover_steps import FailoverReason
+from orchidwind.promoted.core.read_planning import ReadRequest, plan_read
 from orchidwind.promoted.core.supervision import GroupSupervisor
 from orchidwind.promoted.core.topology import GroupTopology
+from orchidwind.promoted.metrics import ProxyMetrics
+from orchidwind.promoted.traffic import Counterpart, Traffic
 from orchidwind.promoted.views.followed_views import ProxyBounds
 from orchidwind.promoted.views.peer_views import CONFIGURATION
+from orchidwind.shared.core.errors import ErrorKind, RequestError
 from orchidwind.shared.core.positions import Position
-from orchidwind_bench.promoted.laboratory.play import PROXIES, TWO_REGIONS, LoadPlan, play_load
-from orchidwind_bench.promoted.simulation.callers import PromotedSystem
+from orchidwind_bench.promoted.laboratory.play import (
+    PROXIES,
+    TWO_REGIONS,
+    LoadPlan,
+    play_load,
+    slots,
+)
+from orchidwind_bench.promoted.simulation.callers import PromotedSystem, SimulatedCaller
 from orchidwind_bench.promoted.simulation.store import GROUP, STORE
 from orchidwind_bench.promoted.simulation.virtual_time import run_virtual
 
@@ -74,6 +89,19 @@
     assert max(changes) <= 0.5 + 0.2
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_reads_leave_the_only_replica_of_their_region_if_it_hangs(seed):
+    """It accepts connections and answers status queries, but no statements."""
+
+    def hang(hung):
+        return lambda system: setattr(slots(system, "i-2"), "hung", hung)
+
+    faults = ((FROM, hang(True)), (UNTIL, hang(False)))
+    played = play_load(LoadPlan(load=0.5, seed=seed, regions=True, faults=faults))
+    assert played.broken == []
+    assert played.figures(FROM, UNTIL).credit >= WITHIN_CAPACITY
+
+
 # --- who serves whom ------------------------------------------------------------------------------
 
 FLEET = tuple(f"proxy-{letter}" for letter in "abcdefghijkl")
@@ -285,6 +313,126 @@
     with_fleet(scenario)
 
 
+# --- what operators see ---------------------------------------------------------------------------
+
+
+def test_the_status_shows_regions_distances_and_homes():
+    async def scenario(system):
+        await asyncio.sleep(15.0)
+        node = next(node for node in system.nodes.values() if node.homes.is_home(GROUP))
+        shown = node.status()
+        assert shown.region == region(node)
+        assert [item.zone for item in shown.distances] == ["zone-a", "zone-b", "zone-c"]
+        assert all(item.age_ms >= 0 for item in shown.distances)
+        assert len(shown.groups[0].homes) == 4
+        assert shown.groups[0].crossing_share == 0.0
+
+    with_fleet(scenario)
+
+
+def test_the_grounds_of_a_read_name_both_sides():
+    distances = Distances("zone-a", TWO_REGIONS)
+    view = GroupTopology(PromotedGroupSettings("g", 32, 1), "zone-a", distances=distances)
+    for number, (name, zone) in enumerate([("p", "zone-a"), ("a", "zone-b"), ("b", "zone-c")]):
+        view.entry_changed(DirectoryEntry(name, "g", "h", 1, zone, name == "p", False, 3, number))
+        role = InstanceRole.PRIMARY if name == "p" else InstanceRole.REPLICA
+        view.take_status(InstanceStatus(name, role, 1, Position(1, 5), 0, 0))
+    view.floors.prove(9.0, Position(1, 4))
+    route = DatabaseRoute("d", "g", ReadConsistency.SESSION, 2.5, 0.8, 0.2, 1)
+    request = ReadRequest(route, None, 10.0)
+    found = plan_read(view, request, 10.0, {"p": 0.01, "a": 0.02, "b": 0.01}.__getitem__)
+    assert (found.instance, found.grounds) == ("a", ":here=0.024:there=0.050:crosses=False")
+
+
+def test_traffic_is_counted_by_region_and_zone():
+    metrics, traffic = ProxyMetrics(), Traffic()
+    metrics.traffic(traffic, TWO_REGIONS)
+    traffic.of(Counterpart.INSTANCE, "zone-c").sent(100, messages=2)
+    traffic.of(Counterpart.INSTANCE, "zone-c").received(40)
+    traffic.of(Counterpart.PROXY, "zone-b").sent(7)
+    page = metrics.render().decode()
+    instance = 'counterpart="instance",'
+    east, west = 'region="east",zone="zone-c"}', 'region="west",zone="zone-b"}'
+    assert f"orchidwind_traffic_messages_total{{{instance}{east} 2.0" in page
+    assert f'orchidwind_traffic_messages_total{{counterpart="proxy",{west} 1.0' in page
+    bytes_of = f"orchidwind_traffic_bytes_total{{{instance}direction="
+    assert f'{bytes_of}"received",{east} 40.0' in page
+    assert f'{bytes_of}"sent",{east} 100.0' in page
+
+
+# --- a region cut off, proxies of a region gone ---------------------------------------------------
+
+
+async def outcome(system, name, consistency, kind=CommandKind.READ):
+    """What a new caller at a proxy gets: "served", or the kind of its error."""
+    system.commands = getattr(system, "commands", 0) + 1
+    caller = SimulatedCaller(system, name, 1000 + system.commands, consistency)
+    text = "READ x" if kind is CommandKind.READ else "WRITE x y"
+    try:
+        await caller._run(caller._command(kind, text))
+    except RequestError as error:
+        return error.kind
+    return "served"
+
+
+def cut_off_east(system):
+    """Part the second region, with its proxies and its replica, from the first and the store."""
+    network = system.world.network
+    east = east_of(system) | {"i-2"}
+    west = (set(system.nodes) | set(system.group.instances)) - east
+    for name in east:
+        for other in [*west, STORE]:
+            network.cut(name, other)
+
+
+def test_a_region_that_is_cut_off_reads_within_its_staleness_and_refuses_the_rest():
+    async def scenario(system):
+        system.group.resets = False
+        shipping = asyncio.get_running_loop().create_task(system.group.keep_shipping())
+        east, west = front_of(system, "east").name, front_of(system, "west").name
+        for _ in range(3):
+            assert await outcome(system, east, ReadConsistency.BOUNDED) == "served"
+        cut_off_east(system)
+        assert await outcome(system, east, ReadConsistency.BOUNDED) == "served"
+        await asyncio.sleep(6.0)
+        for consistency in ReadConsistency:
+            assert await outcome(system, east, consistency) is ErrorKind.NO_REPLICA
+            write = await outcome(system, east, consistency, CommandKind.WRITE)
+            assert write is ErrorKind.NO_PRIMARY
+        for consistency in ReadConsistency:
+            assert await outcome(system, west, consistency) == "served"
+            write = await outcome(system, west, consistency, CommandKind.WRITE)
+            assert write == "served"
+        system.world.network.heal()
+        await asyncio.sleep(6.0)
+        for consistency in ReadConsistency:
+            assert await outcome(system, east, consistency) == "served"
+        shipping.cancel()
+        assert system.world.history.broken == []
+
+    with_fleet(scenario)
+
+
+def test_a_region_whose_homes_are_gone_is_served_by_the_other_until_it_has_new_ones():
+    async def scenario(system):
+        front = front_of(system, "east")
+        for _ in range(2):
+            lost = home_of(front)
+            cut_off(system, lost)
+            system.world.network.cut(lost, STORE)
+            await asyncio.sleep(0.1)
+            await outcome(system, front.name, ReadConsistency.BOUNDED)
+            await asyncio.sleep(2.0)
+            assert await outcome(system, front.name, ReadConsistency.BOUNDED) == "served"
+        assert region(system.nodes[home_of(front)]) == "west"
+        for _ in range(60):
+            await asyncio.sleep(1.0)
+            assert await outcome(system, front.name, ReadConsistency.BOUNDED) == "served"
+        assert region(system.nodes[home_of(front)]) == "east"
+
+    with_fleet(scenario)
+
+
 # --- the successor of a primary -------------------------------------------------------------------
 
 
