--- a/src/orchidwind/promoted/core/read_planning.py
+++ b/src/orchidwind/promoted/core/read_planning.py
@@ -11,16 +11,16 @@
 Of these replicas it chooses the one with the shortest expected answer time, and one in another zone
 only if that saves more than the additional network latency. A replica in another region runs it
 only if none of this region may, or if those of this region would answer too late for the target of
-the read (`region_spill`). If the chosen replica would answer much
-later than the primary, the primary runs the read, although it is the only instance that can take
-writes. Without a floor or an eligible replica, the read runs on the primary as a read of the latest
-state.
+the read (`region_spill`). If the chosen replica would answer much later than the primary, the
+primary runs the read, although it is the only instance that can take writes; a primary in another
+region does so only if no replica of this region is chosen. Without a floor or an eligible replica,
+the read runs on the primary as a read of the latest state.
 
 Reads thus move away from an instance that is busy, slow or unreachable, and a load that is too high
 for one instance spreads over all of them.
 
-The instances and the primary come from `topology`, floors from `proven_floors`, and expected answer
-times from `shared/core/answer_times`, round trips from `distances`.
+The instances and the primary come from `topology`, floors from `proven_floors`, expected answer
+times from `shared/core/answer_times`, and round trips from `distances`.
 """
 
 from __future__ import annotations
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -65,7 +65,6 @@
 # reached. The minimum, as the homes' shares may add up to the instance's limit.
 _NON_HOME_SHARES = ConnectionShares(primary=1, near=1, far=1)
 
-
 # Reads that cross are logged once their share exceeds this, and again once it is 0: below it, the
 # share may rise and fall with each read.
 _LOGGED_SPILL_SHARE = 0.1
--- a/src/orchidwind/promoted/views/peer_views.py
+++ b/src/orchidwind/promoted/views/peer_views.py
@@ -8,10 +8,10 @@
 reader; where it does not answer or holds a stale view, they ask the readers of other zones. With
 several regions there is one reader for each region, and a substitute for it, so that one proxy of a
 region reads across its border. All proxies compute the same readers from the same members.
-Alternatives considered: every proxy watches
-closely (the number of calls grows with the number of proxies, and is the highest cost on large
-sites), and readers push changes (one more message type, and the receiver still needs a timer to
-detect a silent reader).
+
+Alternatives considered: every proxy watches closely (the number of calls grows with the number of
+proxies, and is the highest cost on large sites), and readers push changes (one more message type,
+and the receiver still needs a timer to detect a silent reader).
 """
 
 from __future__ import annotations
@@ -81,14 +81,17 @@
         self._generation = -1
         self._zone_readers: Mapping[str, ProxyMember] = {}
         self._substitutes: Mapping[str, ProxyMember] = {}
+        # Whether this proxy was last seen to read in place of its region's reader, for the log.
+        self._substituting = False
         self._own_area = network.regions.reading_area(network.own.zone)
         self._loop = asyncio.get_running_loop()
 
     def is_reader(self) -> bool:
         """Whether this proxy is its zone's reader, or its zone has no reader to ask.
 
-        False until the list of proxies was read; meanwhile the view's age triggers reads of the
-        store.
+        With several regions, this is about its region, and the substitute is a reader while the
+        region's reader cannot be reached. False until the list of proxies was read; meanwhile the
+        view's age triggers reads of the store.
         """
         if not self._network.known:
             return False
@@ -99,7 +102,15 @@
         is_substitute = self._is_own(self._substitutes.get(self._own_area))
         if not (self._replaces_lost_reader or is_substitute):
             return False
-        return self._network.usable_link(reader) is None
+        reader_lost = self._network.usable_link(reader) is None
+        if is_substitute and reader_lost != self._substituting:
+            self._substituting = reader_lost
+            log_event(
+                "substitute_reads" if reader_lost else "substitute_stops",
+                collection=self._view,
+                reader=reader.name,
+            )
+        return reader_lost
 
     def _readers(self) -> Mapping[str, ProxyMember]:
         if self._generation != self._network.generation:
--- a/tests/promoted/test_homes.py
+++ b/tests/promoted/test_homes.py
@@ -16,7 +16,10 @@
     MAXIMUM_HOMES_PER_ZONE,
     ProxyMember,
     group_homes,
+    substitute_readers,
+    zone_readers,
 )
+from orchidwind.shared.core import rendezvous
 
 
 def members(count, zones=3, capacity=1.0):
@@ -186,6 +189,20 @@
         assert sha256(told.encode()).hexdigest()[:12] == digest, key
 
 
+@pytest.mark.parametrize("regions", [Regions(), Regions({f"zone-{n}": "r" for n in range(6)})])
+def test_with_one_region_each_zone_has_the_reader_it_had_and_no_substitute(regions):
+    for count in (1, 6, 13, 78):
+        fleet = members(count, 6)
+        for view in ("configuration", "directory"):
+            expected = {
+                zone: rendezvous.first(view, [item.name for item in fleet if item.zone == zone])
+                for zone in {item.zone for item in fleet}
+            }
+            found = zone_readers(view, fleet, regions)
+            assert {zone: reader.name for zone, reader in found.items()} == expected
+            assert substitute_readers(view, fleet, regions) == {}
+
+
 def test_each_region_has_two_homes_in_different_zones():
     for number in range(8):
         placed = group_homes(f"group-{number}", 46, members(78, 6), 4, regions=TWO_REGIONS)
