--- a/src/orchidwind/promoted/views/peer_views.py
+++ b/src/orchidwind/promoted/views/peer_views.py
@@ -7,7 +7,8 @@
 In each zone one proxy, the reader, watches the store closely. The other proxies of the zone ask the
 reader; where it does not answer or holds a stale view, they ask the readers of other zones. With
 several regions there is one reader for each region, and a substitute for it, so that one proxy of a
-region reads across its border. All proxies compute the same readers from the same members.
+region reads across its border. Where a reader of another region is stale, its substitute is
+asked. All proxies compute the same readers from the same members.
 
 Alternatives considered: every proxy watches closely (the number of calls grows with the number of
 proxies, and is the highest cost on large sites), and readers push changes (one more message type,
@@ -83,6 +84,8 @@
         self._substitutes: Mapping[str, ProxyMember] = {}
         # Whether this proxy was last seen to read in place of its region's reader, for the log.
         self._substituting = False
+        # Other areas whose substitute is asked next, in place of the reader.
+        self._substitute_next: set[str] = set()
         self._own_area = network.regions.reading_area(network.own.zone)
         self._loop = asyncio.get_running_loop()
 
@@ -128,6 +131,8 @@
         best: ReportedView[Item] | None = None
         for link in self._links()[:_MAX_ASKED]:
             reported = await self._ask_one(link, revision, whole)
+            if reported is None or not self._is_sufficient(reported, whole):
+                self._note_insufficient(link.member)
             if reported is not None and (best is None or _is_better(reported, best)):
                 best = reported
             if best is not None and self._is_sufficient(best, whole):
@@ -141,20 +146,44 @@
         return self._loop.time() - reported.as_of <= self._fresh_seconds
 
     def _links(self) -> list[PeerLink]:
-        """Links to the reachable readers: that of the own area first, then the others in rotation.
+        """Links to the proxies to ask, the first ones first; the other areas in rotation.
 
-        The substitute takes the place of a reader that cannot be reached.
+        This area's reader comes first. If this proxy is that reader, it asks because the store does
+        not answer it: the other areas come first, and its own substitute after them.
         """
         readers, area = self._readers(), self._own_area
-        others = [readers[other] for other in sorted(readers) if other != area]
+        others = [other for other in sorted(readers) if other != area]
         self._queries_sent += 1
         turn = self._queries_sent % len(others) if others else 0
-        own_readers = [self._usable_link(readers.get(area))]
-        if own_readers == [None] and not self._is_own(readers.get(area)):
-            own_readers = [self._usable_link(self._substitutes.get(area))]
-        links = [*own_readers, *map(self._usable_link, others[turn:] + others[:turn])]
+        links = [self._other_area_link(other) for other in others[turn:] + others[:turn]]
+        if self._is_own(readers.get(area)):
+            links.append(self._usable_link(self._substitutes.get(area)))
+        else:
+            links.insert(0, self._reader_link(area))
         return [link for link in links if link is not None]
 
+    def _other_area_link(self, area: str) -> PeerLink | None:
+        """The link to another area's reader, or to its substitute after a stale answer.
+
+        The store may be silent to the reader and still serve the substitute.
+        """
+        if area in self._substitute_next:
+            substitute = self._usable_link(self._substitutes.get(area))
+            if substitute is not None:
+                return substitute
+        return self._reader_link(area)
+
+    def _note_insufficient(self, asked: ProxyMember) -> None:
+        """Ask the other one of reader and substitute the next time, where areas have both."""
+        area = self._network.regions.reading_area(asked.zone)
+        if area != self._own_area:
+            self._substitute_next ^= {area}
+
+    def _reader_link(self, area: str) -> PeerLink | None:
+        """The link to an area's reader, or to its substitute if the reader cannot be reached."""
+        link = self._usable_link(self._readers().get(area))
+        return link or self._usable_link(self._substitutes.get(area))
+
     def _is_own(self, member: ProxyMember | None) -> bool:
         return member is not None and member.name == self._network.own.name
 
--- a/tests/promoted/test_region_readers.py
+++ b/tests/promoted/test_region_readers.py
@@ -2,12 +2,15 @@
 
 import asyncio
 
-from support.regional_fleet import cut_off, east_of, region, with_fleet
+import pytest
+from support.regional_fleet import FLEET, LIMIT, cut_off, east_of, region, with_fleet
 from support.virtual_proxies import apply_configuration, versions
 
 from orchidwind.promoted.views.followed_views import ProxyBounds
 from orchidwind.promoted.views.peer_views import CONFIGURATION
+from orchidwind_bench.promoted.simulation.callers import PromotedSystem
 from orchidwind_bench.promoted.simulation.store import STORE
+from orchidwind_bench.promoted.simulation.virtual_time import run_virtual
 
 BOUND = ProxyBounds().configuration
 
@@ -92,3 +95,58 @@
         assert set(versions(system).values()) == {version}
 
     with_fleet(scenario)
+
+
+def cut_off_reader(system, lost):
+    """Lose a proxy: neither another one nor the store is reached."""
+    cut_off(system, lost)
+    system.world.network.cut(lost, STORE)
+
+
+def cut_regions(system):
+    """Part the proxies of the regions; the store serves both."""
+    east = east_of(system)
+    for name in east:
+        for other in set(system.nodes) - east:
+            system.world.network.cut(name, other)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("schedule", ["all+lost", "reader+lost", "reader+cut", "all+reader"])
+def test_views_stay_within_their_bound_where_the_store_is_silent_and_more_fails(schedule, seed):
+    """The store is silent to the second region, or to its reader; and a second fault."""
+
+    async def scenario(system):
+        (east,), (west,) = readers(system)["east"], readers(system)["west"]
+        silent, second = schedule.split("+")
+        system.world.store.silent_to.update(east_of(system) if silent == "all" else {east})
+        asked = set(system.nodes)
+        if second == "lost":
+            cut_off_reader(system, west)
+            asked -= {west}
+        elif second == "cut":
+            cut_regions(system)
+        else:
+            system.world.store.silent_to.add(west)
+        assert await greatest_age(system, asked, 48.0) < BOUND
+
+    with_fleet(scenario, seed)
+
+
+def test_with_one_region_a_proxy_asks_its_zones_reader_and_then_the_others_in_rotation():
+    async def work():
+        system = PromotedSystem(1, connection_limit=LIMIT, proxies=FLEET)
+        await asyncio.sleep(2.0)
+        for node in system.nodes.values():
+            source = node.watch(CONFIGURATION)._peer_source
+            reader_of = dict(source._readers())
+            own = reader_of.pop(node.zone)
+            others = [reader_of[zone] for zone in sorted(reader_of)]
+            assert len(others) == 2
+            for _ in range(4):
+                turn = (source._queries_sent + 1) % len(others)
+                expected = [own, *others[turn:], *others[:turn]]
+                links = [link.member.name for link in source._links()]
+                assert links == [item.name for item in expected if item.name != node.name]
+
+    run_virtual(work())
