--- a/src/orchidwind/promoted/core/homes.py
+++ b/src/orchidwind/promoted/core/homes.py
@@ -251,7 +251,9 @@
 ) -> list[ProxyMember]:
     """Returns the homes of a group in a deployment with several regions.
 
-    Each region gets the same number of homes, in as many zones as possible, and at least one.
+    Each region gets the same number of homes, in as many zones as possible, and at least one. Where
+    the connection limit is too small even for that, only the first regions by hash get a home, and
+    the others use it.
     """
     zones_of: dict[str, list[str]] = {}
     for zone in rank(group, sorted(by_zone)):
@@ -259,7 +261,9 @@
     wanted = connection_limit // CONNECTIONS_PER_HOME // len(zones_of)
     per_region = min(max(1, wanted), MAXIMUM_HOMES_PER_REGION)
     homes: list[ProxyMember] = []
-    for zones in zones_of.values():
+    # Each home gets at least the minimum of connections, also where there is room for one only.
+    served = max(connection_limit // _MINIMUM_CONNECTIONS, 1)
+    for zones in list(zones_of.values())[:served]:
         choices = [rank(group, _shared_names(by_zone[zone], groups)) for zone in zones]
         # All first choices come before the second ones, so that homes are in different zones.
         names = [name for same_rank in zip_longest(*choices) for name in same_rank if name]
