--- a/src/orchidwind/promoted/core/distances.py
+++ b/src/orchidwind/promoted/core/distances.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from enum import IntEnum, unique
 
 from msgspec import Struct, field
@@ -36,7 +36,7 @@
 # The shortest round trip of this period counts: delays at a busy instance do not look like
 # distance.
 MEASURED_WITHIN_SECONDS = 30.0
-# A zone whose last measurement is older than this is measured again.
+# A zone whose last measurement is older than this is measured again. A failed try waits as long.
 MEASURE_AGAIN_SECONDS = 10.0
 # A measured round trip counts as at most this multiple of the default, so that a zone in which
 # every instance is slow for the whole period stays usable.
@@ -98,6 +98,7 @@
         self.several_regions = regions.several
         self._nearness: dict[str, Nearness] = {}
         self._measured: dict[str, _ShortestRoundTrip] = {}
+        self._tries: dict[str, _Tries] = {}
 
     def nearness(self, zone: str) -> Nearness:
         """Return how near a zone is to this proxy."""
@@ -132,9 +133,18 @@
         """Whether the distance to a zone should be measured again."""
         if not self.several_regions:
             return False
+        tries = self._tries.get(zone)
+        if tries is not None and now - tries.last_at < MEASURE_AGAIN_SECONDS:
+            return False
         age = self.age(zone, now)
         return age is None or age >= MEASURE_AGAIN_SECONDS
 
+    def next_to_try(self, zone: str, instances: Sequence[str], now: float) -> str:
+        """Return the instance of a zone to measure now, in rotation, and note the try."""
+        tries = self._tries.get(zone, _Tries())
+        self._tries[zone] = _Tries(tries.count + 1, now)
+        return instances[tries.count % len(instances)]
+
     def age(self, zone: str, now: float) -> float | None:
         """Return the seconds since the last measurement; None if the default counts."""
         measured = self._measured.get(zone)
@@ -154,6 +164,13 @@
         ]
 
 
+class _Tries(Struct, frozen=True):
+    """How often the measurement of a zone was tried, and when last."""
+
+    count: int = 0
+    last_at: float = float("-inf")
+
+
 class _RoundTrip(Struct, frozen=True):
     """One measured round trip, and when it ended."""
 
--- a/src/orchidwind/promoted/core/topology.py
+++ b/src/orchidwind/promoted/core/topology.py
@@ -232,13 +232,16 @@
         )
 
     def to_measure(self, now: float) -> list[str]:
-        """Return one reachable instance in each zone whose distance should be measured again."""
-        by_zone: dict[str, str] = {}
+        """Return one reachable instance in each zone whose distance should be measured again.
+
+        Each call notes tries. The instances of a zone take turns, as one may be full.
+        """
+        by_zone: dict[str, list[str]] = {}
         for name, view in self.instances.items():
             zone = view.entry.zone
             if view.listed and view.reachable and self.distances.due(zone, now):
-                by_zone.setdefault(zone, name)
-        return list(by_zone.values())
+                by_zone.setdefault(zone, []).append(name)
+        return [self.distances.next_to_try(zone, names, now) for zone, names in by_zone.items()]
 
     def _preference(self, name: str, now: float) -> tuple[bool, bool, Nearness]:
         view = self.instances[name]
--- a/tests/promoted/test_distances.py
+++ b/tests/promoted/test_distances.py
@@ -93,6 +93,19 @@
         assert distances.round_trip("b1", now) == min(recent)
 
 
+def test_instances_of_a_zone_take_turns_to_be_measured_and_a_failed_try_waits():
+    """The first one named may be full: the zone would never be measured, and asked each second."""
+    view = topology({"p": "a1", "full": "b1", "free": "b1", "other": "b2"})
+    for name in ("a1", "b2"):
+        view.distances.measured(name, 0.01, 100.0)
+    asked = {second: view.to_measure(float(second)) for second in range(100, 110)}
+    assert asked == {100: ["full"], **{second: [] for second in range(101, 110)}}
+    assert "free" in view.to_measure(110.0)
+    view.distances.measured("b1", 0.04, 110.1)
+    assert view.to_measure(119.0) == []
+    assert "full" in view.to_measure(120.2)
+
+
 # --- reads --------------------------------------------------------------------------------------
 
 READ = DatabaseRoute("d", "g", ReadConsistency.SESSION, 2.5, 0.8, 0.2, 1)
