--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -83,6 +83,7 @@
         self._proxy.start()
         callers, links = self._listen()
         log_event("started", zone=self._settings.zone, callers=self._settings.listen.callers)
+        log_unlisted_zone(self._settings)
         await self._stop.wait()
         await self._drain(callers, links)
         log_event("stopped")
@@ -120,6 +121,13 @@
         log_event("settings_reloaded")
 
 
+def log_unlisted_zone(settings: PlatformSettings) -> None:
+    """Log that the settings list zones, but not that of this process."""
+    if not settings.lists_own_zone:
+        listed = ",".join(sorted(settings.zones))
+        log_event("own_zone_unlisted", level=logging.WARNING, zone=settings.zone, listed=listed)
+
+
 def _proxy_runtime(settings: PlatformSettings) -> ProxyRuntime:
     metrics = ProxyMetrics()
     traffic, regions = Traffic(), Regions(settings.region_by_zone)
--- a/src/orchidwind/platform/settings.py
+++ b/src/orchidwind/platform/settings.py
@@ -86,14 +86,23 @@
     instance_heartbeat_ms: float = msgspec.field(default=1200.0, name="heartbeat_ms")
     # The region of each zone of the deployment; empty if the platform does not name regions.
     zones: dict[str, str] = {}
-    # The region of this process' zone; used if `zones` does not name that zone.
+    # The region of this process' zone; used only if `zones` is empty.
     region: str = ""
 
     @property
     def region_by_zone(self) -> dict[str, str]:
-        """The region of each zone, including that of this process."""
+        """The region of each zone, alike at all proxies with the same `zones`.
+
+        A zone that is not listed, also that of this process, counts as one more region if there are
+        several.
+        """
         own = {self.zone: self.region} if self.region else {}
-        return {**own, **self.zones}
+        return self.zones or own
+
+    @property
+    def lists_own_zone(self) -> bool:
+        """Whether `zones` names the zone of this process, or nothing at all."""
+        return not self.zones or self.zone in self.zones
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
