--- a/src/orchidwind/platform/main.py
+++ b/src/orchidwind/platform/main.py
@@ -36,12 +36,14 @@
 )
 from orchidwind.platform.store import ObjectStore, WatchedKind
 from orchidwind.platform.stored_objects import MILLISECONDS
+from orchidwind.promoted.core.distances import Regions
 from orchidwind.promoted.core.homes import ProxyMember
 from orchidwind.promoted.metrics import ProxyMetrics
 from orchidwind.promoted.peers.peer_streams import PeerListener, PeerStreamConnector
 from orchidwind.promoted.ports import ProxyPorts
 from orchidwind.promoted.proxy_runtime import ProxyRuntime
 from orchidwind.promoted.store_era import StoreEra
+from orchidwind.promoted.traffic import Traffic
 from orchidwind.promoted.views.followed_views import ProxyBounds
 from orchidwind.shared.core.errors import SettingsError
 from orchidwind.shared.core.quota import QuotaRules
@@ -81,6 +83,7 @@
         self._proxy.start()
         callers, links = self._listen()
         log_event("started", zone=self._settings.zone, callers=self._settings.listen.callers)
+        log_unlisted_zone(self._settings)
         await self._stop.wait()
         await self._drain(callers, links)
         log_event("stopped")
@@ -118,15 +121,24 @@
         log_event("settings_reloaded")
 
 
+def log_unlisted_zone(settings: PlatformSettings) -> None:
+    """Log that the settings list zones, but not that of this process."""
+    if not settings.lists_own_zone:
+        listed = ",".join(sorted(settings.zones))
+        log_event("own_zone_unlisted", level=logging.WARNING, zone=settings.zone, listed=listed)
+
+
 def _proxy_runtime(settings: PlatformSettings) -> ProxyRuntime:
     metrics = ProxyMetrics()
+    traffic, regions = Traffic(), Regions(settings.region_by_zone)
+    metrics.traffic(traffic, regions)
     store_era = StoreEra()
     store = ObjectStore(
         parse_address(settings.store.address), metrics.store_call, metrics.silent, store_era
     )
     ports = ProxyPorts(
         store_era=store_era,
-        connector=LineConnector(),
+        connector=LineConnector(traffic),
         directory=WatchedKind(store, InstanceTranslation()),
         configuration=WatchedKind(store, ConfigurationTranslation()),
         lock_store=PromotionLockObject(store),
@@ -138,12 +150,18 @@
         quota_share_store=QuotaShareObject(store),
         member_source=WatchedKind(store, MemberTranslation()),
         member_store=MemberObjects(store),
-        peers=PeerStreamConnector(),
+        peers=PeerStreamConnector(traffic),
         promotions=PromotionCall(
             parse_address(settings.promotions.address), settings.proxy_name, metrics.silent
         ),
     )
-    return ProxyRuntime(_own_member(settings), ports, _proxy_bounds(settings), metrics)
+    return ProxyRuntime(
+        _own_member(settings),
+        ports,
+        _proxy_bounds(settings),
+        metrics,
+        regions,
+    )
 
 
 def _proxy_bounds(settings: PlatformSettings) -> ProxyBounds:
--- a/src/orchidwind/platform/settings.py
+++ b/src/orchidwind/platform/settings.py
@@ -84,6 +84,25 @@
     limits: MachineLimits = MachineLimits()
     # How often an instance renews its entry in the directory.
     instance_heartbeat_ms: float = msgspec.field(default=1200.0, name="heartbeat_ms")
+    # The region of each zone of the deployment; empty if the platform does not name regions.
+    zones: dict[str, str] = {}
+    # The region of this process' zone; used only if `zones` is empty.
+    region: str = ""
+
+    @property
+    def region_by_zone(self) -> dict[str, str]:
+        """The region of each zone, alike at all proxies with the same `zones`.
+
+        A zone that is not listed, also that of this process, counts as one more region if there are
+        several.
+        """
+        own = {self.zone: self.region} if self.region else {}
+        return self.zones or own
+
+    @property
+    def lists_own_zone(self) -> bool:
+        """Whether `zones` names the zone of this process, or nothing at all."""
+        return not self.zones or self.zone in self.zones
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
--- a/src/orchidwind/promoted/core/read_planning.py
+++ b/src/orchidwind/promoted/core/read_planning.py
@@ -9,16 +9,18 @@
 - did not recently refuse work or fail to answer (ignored while the primary is busy or unknown).
 
 Of these replicas it chooses the one with the shortest expected answer time, and one in another zone
-only if that saves more than the additional network latency. If the chosen replica would answer much
-later than the primary, the primary runs the read, although it is the only instance that can take
-writes. Without a floor or an eligible replica, the read runs on the primary as a read of the latest
-state.
+only if that saves more than the additional network latency. A replica in another region runs it
+only if none of this region may, or if those of this region would answer too late for the target of
+the read (`region_spill`). If the chosen replica would answer much later than the primary, the
+primary runs the read, although it is the only instance that can take writes; a primary in another
+region does so only if no replica of this region is chosen. Without a floor or an eligible replica,
+the read runs on the primary as a read of the latest state.
 
 Reads thus move away from an instance that is busy, slow or unreachable, and a load that is too high
 for one instance spreads over all of them.
 
-The instances and the primary come from `topology`, floors from `proven_floors`, and expected answer
-times from `shared/core/answer_times`.
+The instances and the primary come from `topology`, floors from `proven_floors`, expected answer
+times from `shared/core/answer_times`, and round trips from `distances`.
 """
 
 from __future__ import annotations
@@ -28,11 +30,14 @@
 from msgspec import Struct
 
 from orchidwind.promoted.core.configuration import DatabaseRoute, ReadConsistency
+from orchidwind.promoted.core.region_spill import SideAnswers
 from orchidwind.promoted.core.topology import GroupTopology, PrimaryView
 from orchidwind.shared.core.positions import Position
 
-# Seconds that an instance in another zone must save to be preferred: the latency between zones.
-_CROSS_ZONE_SECONDS = 0.004
+# A replica of this region keeps a read while it is expected to answer within this share of the time
+# that is left until the target, on top of the round trip to the other region. The rest is for
+# answers that take longer than expected.
+_TARGET_RESERVE = 0.25
 # The primary runs a read that a replica could serve only if it is expected to answer this many
 # times faster: a read on the primary delays writes, which no other instance can run.
 _PRIMARY_SPEEDUP = 3.0
@@ -68,11 +73,20 @@
 
     If `proof_of_term` is not 0, the answer needs a proof that the instance was still the primary of
     that term when the read arrived. It is 0 if the floor alone makes the read fresh enough.
+    `grounds` is for the log: with several regions, what each side was expected to take.
     """
 
     instance: str
     floor: Position | None
     proof_of_term: int = 0
+    grounds: str = ""
+
+
+class _ReplicaChoice(Struct, frozen=True):
+    """A replica that may run a read, and the grounds of the choice for the log."""
+
+    instance: str
+    grounds: str = ""
 
 
 def plan_read(
@@ -88,10 +102,10 @@
         replica = _fastest_replica(topology, request, primary, floor, now, expected_answer)
         if replica is not None:
             if primary is not None and _primary_is_much_faster(
-                topology, primary, replica, request, now, expected_answer
+                topology, primary, replica.instance, request, now, expected_answer
             ):
                 return ReadPlan(primary.instance, floor)
-            return ReadPlan(replica, floor)
+            return ReadPlan(replica.instance, floor, grounds=replica.grounds)
     if primary is None:
         return None
     return ReadPlan(primary.instance, None, primary.term)
@@ -109,7 +123,12 @@
     view = topology.instances[primary.instance]
     if primary.instance in request.excluded or not view.reachable or view.busy_recently(now):
         return False
-    at_primary, at_replica = expected_answer(primary.instance), expected_answer(replica)
+    if topology.crosses_region(primary.instance) and not topology.crosses_region(replica):
+        return False
+    at_primary = expected_answer(primary.instance)
+    at_replica = expected_answer(replica)
+    if topology.crosses_region(replica) and not topology.crosses_region(primary.instance):
+        at_replica += topology.round_trip(replica, now)
     saves = at_replica - at_primary >= _PRIMARY_MINIMUM_SAVING_SECONDS
     return saves and at_primary * _PRIMARY_SPEEDUP < at_replica
 
@@ -133,7 +152,7 @@
     floor: Position,
     now: float,
     expected_answer: ExpectedAnswerTime,
-) -> str | None:
+) -> _ReplicaChoice | None:
     """Returns the replica with the lowest expected cost, or None if none is eligible."""
     eligible = _eligible_replicas(topology, request, primary, floor, now)
     if not eligible:
@@ -141,10 +160,37 @@
 
     def cost(name: str) -> tuple[bool, float]:
         view = topology.instances[name]
-        zone_penalty = 0.0 if topology.is_near(name) else _CROSS_ZONE_SECONDS
-        return view.avoid_until > now, expected_answer(name) + zone_penalty
+        return view.avoid_until > now, expected_answer(name) + topology.round_trip(name, now)
 
-    return min(eligible, key=cost)
+    if not topology.distances.several_regions:
+        return _ReplicaChoice(min(eligible, key=cost))
+    return _on_the_better_side(topology, request, now, eligible, cost)
+
+
+def _on_the_better_side(
+    topology: GroupTopology,
+    request: ReadRequest,
+    now: float,
+    eligible: list[str],
+    cost: Callable[[str], tuple[bool, float]],
+) -> _ReplicaChoice:
+    """Returns the replica of lowest cost in this region, or in another one if the read crosses."""
+    far = [name for name in eligible if topology.crosses_region(name)]
+    near = [name for name in eligible if name not in far]
+    if not near or not far:
+        return _ReplicaChoice(min(eligible, key=cost), "" if near else ":none_here")
+    best_near, best_far = min(near, key=cost), min(far, key=cost)
+    (near_avoided, near_answer), (far_avoided, far_answer) = cost(best_near), cost(best_far)
+    grounds = f":here={near_answer:.3f}:there={far_answer:.3f}"
+    if near_avoided != far_avoided:
+        return _ReplicaChoice(best_near if far_avoided else best_far, f"{grounds}:one_avoided")
+    target_left = max(request.arrived_at + request.database.target_latency - now, 0.0)
+    longest = topology.round_trip(best_far, now) + _TARGET_RESERVE * target_left
+    crosses = topology.region_spill.crosses(SideAnswers(near_answer, far_answer, longest), now)
+    # A replica that may not answer at all, as it hangs, is left at once.
+    time_left = request.arrived_at + request.database.statement_timeout - now
+    crosses = crosses or (near_answer > time_left and far_answer < time_left)
+    return _ReplicaChoice(best_far if crosses else best_near, f"{grounds}:crosses={crosses}")
 
 
 def _eligible_replicas(
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -30,6 +30,7 @@
     DatabaseRoute,
     PromotedGroupSettings,
 )
+from orchidwind.promoted.core.distances import Distances
 from orchidwind.promoted.core.group_state import GroupState
 from orchidwind.promoted.core.read_planning import ReadPlan, ReadRequest, plan_read
 from orchidwind.promoted.core.steps import Exchange, ExchangeResult
@@ -64,12 +65,17 @@
 # reached. The minimum, as the homes' shares may add up to the instance's limit.
 _NON_HOME_SHARES = ConnectionShares(primary=1, near=1, far=1)
 
+# Reads that cross are logged once their share exceeds this, and again once it is 0: below it, the
+# share may rise and fall with each read.
+_LOGGED_SPILL_SHARE = 0.1
+
 
 class GroupEnvironment(Struct, frozen=True):
     """Settings and services shared by all groups of one proxy.
 
     `entry_outlives` is the number of seconds for which a directory entry stays after its instance's
-    last renewal. `on_used` is called when this proxy serves a request of a group.
+    last renewal. `on_used` is called when this proxy serves a request of a group. `distances` are
+    those from `zone`; without them, all zones are in one region.
     """
 
     zone: str
@@ -78,6 +84,7 @@
     leases: LeaseKeeper
     entry_outlives: float
     on_used: Callable[[], None]
+    distances: Distances | None = None
 
 
 class GroupService:
@@ -95,10 +102,16 @@
         self._loop = asyncio.get_running_loop()
         self._on_wake = on_wake
         self._home = False
+        self._reads_cross = False
         self._used_at = float("-inf")
         self._tasks = TaskSet()
         self.state = GroupState(
-            settings, environment.zone, self._loop.time, self.changed, environment.entry_outlives
+            settings,
+            environment.zone,
+            self._loop.time,
+            self.changed,
+            environment.entry_outlives,
+            environment.distances,
         )
         self.topology = self.state.topology
         self._breakers = GroupBreakers(settings.name)
@@ -177,9 +190,15 @@
         """
         if self.supervised:
             self.connections.trim()
+            self._measure_distances()
         else:
             self._close_idle()
 
+    def _measure_distances(self) -> None:
+        """Ask one instance in each zone whose distance was not measured lately for its status."""
+        for instance in self.topology.to_measure(self._loop.time()):
+            self.ask_soon(instance)
+
     def _close_idle(self) -> None:
         self.status_calls.close()
         self.connections.close_idle()
@@ -271,10 +290,27 @@
             deadline,
             ErrorKind.NO_REPLICA,
         )
+        self._log_spill()
         if plan.proof_of_term:
             self._breakers.check_unproven_read()
         return plan
 
+    def _log_spill(self) -> None:
+        """Log when reads begin to cross to another region because of late answers, and stop."""
+        spill = self.topology.region_spill
+        crossing = spill.share > (0.0 if self._reads_cross else _LOGGED_SPILL_SHARE)
+        if crossing == self._reads_cross:
+            return
+        self._reads_cross = crossing
+        answers = spill.last_answers
+        log_event(
+            "reads_cross_region" if crossing else "reads_stay_in_region",
+            group=self.settings.name,
+            here_ms=int(answers.near * 1000),
+            there_ms=int(answers.far * 1000),
+            longest_here_ms=int(answers.longest * 1000),
+        )
+
     async def wait_for_connection(
         self,
         instance: str,
@@ -334,9 +370,16 @@
         self._metrics.message("status_or_control")
         status = await self.status_calls.ask(instance, call, urgent, repeatable)
         if status is not None:
+            self._note_round_trip(status)
             self.view_changes.take_status(status)
         return status
 
+    def _note_round_trip(self, status: InstanceStatus) -> None:
+        view = self.topology.instances.get(status.instance)
+        if view is not None:
+            now = self._loop.time()
+            self.topology.distances.measured(view.entry.zone, now - status.asked_at, now)
+
     async def ask_status(self, instance: str) -> InstanceStatus | None:
         """Ask an instance for its status; None if it does not arrive in time."""
         return await self.ask(instance, status_query, repeatable=True)
--- a/src/orchidwind/promoted/proxy_runtime.py
+++ b/src/orchidwind/promoted/proxy_runtime.py
@@ -22,6 +22,7 @@
     DirectoryEntry,
     PromotedConfiguration,
 )
+from orchidwind.promoted.core.distances import ONE_REGION, Distances, Regions
 from orchidwind.promoted.core.homes import ProxyMember
 from orchidwind.promoted.core.quota_shares import QuotaShares
 from orchidwind.promoted.group.group_service import GroupEnvironment, GroupService
@@ -30,6 +31,7 @@
 from orchidwind.promoted.group.lease_keeper import LeaseKeeper
 from orchidwind.promoted.group.operator_status import (
     OperatorStatus,
+    distance_statuses,
     group_status,
     quota_share_status,
     tenant_statuses,
@@ -67,10 +69,13 @@
         ports: ProxyPorts,
         bounds: ProxyBounds | None = None,
         metrics: ProxyMetrics | None = None,
+        regions: Regions = ONE_REGION,
     ) -> None:
+        """`regions` are those of the zones of all proxies and instances."""
         self._bounds = bounds or ProxyBounds()
         self.name = name = own.name
         self.zone = own.zone
+        self.distances = Distances(own.zone, regions)
         self.metrics = metrics or ProxyMetrics()
         self.configuration: PromotedConfiguration | None = None
         self.transaction_idle = DEFAULT_TRANSACTION_IDLE_SECONDS
@@ -129,6 +134,7 @@
             facts,
             self._homes_changed,
             self.metrics.silent,
+            self.distances,
         )
 
     def _home_ports(self) -> HomePorts:
@@ -314,6 +320,7 @@
             leases=self.leases,
             entry_outlives=self._bounds.entry_outlives,
             on_used=self._start_coordination,
+            distances=self.distances,
         )
         group = GroupService(settings, environment, wake.set)
         self.groups[name] = group
@@ -378,9 +385,15 @@
             lead_lease=self.leases.covers(now),
             promotion_lock_holder=self.leases.holder,
             groups=[
-                group_status(group, now, self.home_selection.lacking(group.settings.name))
-                for group in self.groups.values()
+                group_status(group, self._home_names(name), self.home_selection.lacking(name), now)
+                for name, group in self.groups.items()
             ],
             tenants=tenant_statuses(self._tenancy.table.tenants, self.quotas),
             quota_share=quota_share_status(self._tenancy.share_status),
+            region=self.distances.regions.table.get(self.zone, ""),
+            distances=distance_statuses(self.distances, now),
         )
+
+    def _home_names(self, group: str) -> list[str]:
+        homes = self.homes.placement(group).homes if self.homes.known else ()
+        return [home.name for home in homes]
--- a/src/orchidwind/promoted/views/peer_views.py
+++ b/src/orchidwind/promoted/views/peer_views.py
@@ -5,11 +5,14 @@
 other proxies.
 
 In each zone one proxy, the reader, watches the store closely. The other proxies of the zone ask the
-reader; where it does not answer or holds a stale view, they ask the readers of other zones. All
-proxies compute the same readers from the same members. Alternatives considered: every proxy watches
-closely (the number of calls grows with the number of proxies, and is the highest cost on large
-sites), and readers push changes (one more message type, and the receiver still needs a timer to
-detect a silent reader).
+reader; where it does not answer or holds a stale view, they ask the readers of other zones. With
+several regions there is one reader for each region, and a substitute for it, so that one proxy of a
+region reads across its border. Where a reader of another region is stale, its substitute is
+asked. All proxies compute the same readers from the same members.
+
+Alternatives considered: every proxy watches closely (the number of calls grows with the number of
+proxies, and is the highest cost on large sites), and readers push changes (one more message type,
+and the receiver still needs a timer to detect a silent reader).
 """
 
 from __future__ import annotations
@@ -19,7 +22,7 @@
 from typing import Any, Generic, TypeVar
 
 from orchidwind.promoted.core.freshness import FollowTimes
-from orchidwind.promoted.core.homes import ProxyMember, zone_readers
+from orchidwind.promoted.core.homes import ProxyMember, substitute_readers, zone_readers
 from orchidwind.promoted.core.link_silence import LINK_IDLE_PROBE_SECONDS
 from orchidwind.promoted.core.peer_messages import ViewReport
 from orchidwind.promoted.core.store_revision import StoreRevision
@@ -78,26 +81,46 @@
         self._queries_sent = 0
         self._generation = -1
         self._zone_readers: Mapping[str, ProxyMember] = {}
+        self._substitutes: Mapping[str, ProxyMember] = {}
+        # Whether this proxy was last seen to read in place of its region's reader, for the log.
+        self._substituting = False
+        # Other areas whose substitute is asked next, in place of the reader.
+        self._substitute_next: set[str] = set()
+        self._own_area = network.regions.reading_area(network.own.zone)
         self._loop = asyncio.get_running_loop()
 
     def is_reader(self) -> bool:
         """Whether this proxy is its zone's reader, or its zone has no reader to ask.
 
-        False until the list of proxies was read; meanwhile the view's age triggers reads of the
-        store.
+        With several regions, this is about its region, and the substitute is a reader while the
+        region's reader cannot be reached. False until the list of proxies was read; meanwhile the
+        view's age triggers reads of the store.
         """
         if not self._network.known:
             return False
         own = self._network.own
-        reader = self._readers().get(own.zone, own)
+        reader = self._readers().get(self._own_area, own)
         if reader.name == own.name:
             return True
-        return self._replaces_lost_reader and self._network.usable_link(reader) is None
+        is_substitute = self._is_own(self._substitutes.get(self._own_area))
+        if not (self._replaces_lost_reader or is_substitute):
+            return False
+        reader_lost = self._network.usable_link(reader) is None
+        if is_substitute and reader_lost != self._substituting:
+            self._substituting = reader_lost
+            log_event(
+                "substitute_reads" if reader_lost else "substitute_stops",
+                collection=self._view,
+                reader=reader.name,
+            )
+        return reader_lost
 
     def _readers(self) -> Mapping[str, ProxyMember]:
         if self._generation != self._network.generation:
             self._generation = self._network.generation
-            self._zone_readers = zone_readers(self._view, self._followers())
+            followers, regions = list(self._followers()), self._network.regions
+            self._zone_readers = zone_readers(self._view, followers, regions)
+            self._substitutes = substitute_readers(self._view, followers, regions)
         return self._zone_readers
 
     async def ask(self, revision: StoreRevision, whole: bool) -> ReportedView[Item] | None:
@@ -108,6 +131,8 @@
         best: ReportedView[Item] | None = None
         for link in self._links()[:_MAX_ASKED]:
             reported = await self._ask_one(link, revision, whole)
+            if reported is None or not self._is_sufficient(reported, whole):
+                self._note_insufficient(link.member)
             if reported is not None and (best is None or _is_better(reported, best)):
                 best = reported
             if best is not None and self._is_sufficient(best, whole):
@@ -121,17 +146,52 @@
         return self._loop.time() - reported.as_of <= self._fresh_seconds
 
     def _links(self) -> list[PeerLink]:
-        """Links to the reachable readers: the own zone's first, then the others in rotation."""
-        own = self._network.own
-        readers = self._readers()
-        others = [readers[zone] for zone in sorted(readers) if zone != own.zone]
+        """Links to the proxies to ask, the first ones first; the other areas in rotation.
+
+        This area's reader comes first. If this proxy is that reader, it asks because the store does
+        not answer it: the other areas come first, and its own substitute after them.
+        """
+        readers, area = self._readers(), self._own_area
+        others = [other for other in sorted(readers) if other != area]
         self._queries_sent += 1
         turn = self._queries_sent % len(others) if others else 0
-        order = [readers[own.zone]] if own.zone in readers else []
-        order += others[turn:] + others[:turn]
-        links = [self._network.usable_link(member) for member in order if member.name != own.name]
+        links = [self._other_area_link(other) for other in others[turn:] + others[:turn]]
+        if self._is_own(readers.get(area)):
+            links.append(self._usable_link(self._substitutes.get(area)))
+        else:
+            links.insert(0, self._reader_link(area))
         return [link for link in links if link is not None]
 
+    def _other_area_link(self, area: str) -> PeerLink | None:
+        """The link to another area's reader, or to its substitute after a stale answer.
+
+        The store may be silent to the reader and still serve the substitute.
+        """
+        if area in self._substitute_next:
+            substitute = self._usable_link(self._substitutes.get(area))
+            if substitute is not None:
+                return substitute
+        return self._reader_link(area)
+
+    def _note_insufficient(self, asked: ProxyMember) -> None:
+        """Ask the other one of reader and substitute the next time, where areas have both."""
+        area = self._network.regions.reading_area(asked.zone)
+        if area != self._own_area:
+            self._substitute_next ^= {area}
+
+    def _reader_link(self, area: str) -> PeerLink | None:
+        """The link to an area's reader, or to its substitute if the reader cannot be reached."""
+        link = self._usable_link(self._readers().get(area))
+        return link or self._usable_link(self._substitutes.get(area))
+
+    def _is_own(self, member: ProxyMember | None) -> bool:
+        return member is not None and member.name == self._network.own.name
+
+    def _usable_link(self, member: ProxyMember | None) -> PeerLink | None:
+        if member is None or self._is_own(member):
+            return None
+        return self._network.usable_link(member)
+
     async def _ask_one(
         self, link: PeerLink, revision: StoreRevision, whole: bool
     ) -> ReportedView[Item] | None:
--- a/src/orchidwind_bench/promoted/laboratory/play.py
+++ b/src/orchidwind_bench/promoted/laboratory/play.py
@@ -11,10 +11,12 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from math import exp, log
 
 from msgspec.structs import replace
 
+from orchidwind.promoted.core.distances import ONE_REGION, Regions
 from orchidwind.shared.core.tenant_connections import NO_TENANT
 from orchidwind.shared.core.tenants import Tenant, key_digest
 from orchidwind_bench.promoted.laboratory.load import (
@@ -46,6 +48,11 @@
 # The load of a greedy tenant, as a multiple of its usual load.
 GREEDY_FACTOR = 8.0
 
+# Two regions: the primary and one replica are in the first, the other replica in the second.
+TWO_REGIONS = Regions({"zone-a": "west", "zone-b": "west", "zone-c": "east"})
+# Seconds that a message between two regions takes.
+BORDER_SECONDS = 0.02
+
 Fault = Callable[[FleetSystem], None]
 
 
@@ -59,6 +66,10 @@
     need no key. The tenants with the numbers `greedy` send `GREEDY_FACTOR` times their usual load,
     in addition to `load`. Quotas are `quota_factor` times the usual load, or very high if it is
     None. Each instance has `slots` slots; `kinds` are the kinds of requests.
+
+    With `regions`, proxies and instances are in `TWO_REGIONS`; `known_regions` is what the proxies'
+    settings say about them. `wave` pairs times with the share of the arrivals that come to proxies
+    of the second region from then on.
     """
 
     load: float = 0.5
@@ -70,6 +81,9 @@
     quota_factor: float | None = None
     slots: int = SLOTS
     kinds: tuple[LoadKind, ...] = KINDS
+    regions: bool = False
+    known_regions: Regions = TWO_REGIONS
+    wave: tuple[tuple[float, float], ...] = ()
 
     @property
     def usual_rate(self) -> float:
@@ -90,14 +104,28 @@
         ]
 
 
+@dataclass(frozen=True, slots=True)
+class RanAt:
+    """A statement that an instance began, and the proxy that its caller asked."""
+
+    at: float
+    instance: str
+    node: str
+
+
 class LaboratorySystem(FleetSystem):
     """Six proxies, all of them home proxies, in front of one group of three instances."""
 
     def __init__(self, plan: LoadPlan) -> None:
+        self.regions = plan.known_regions if plan.regions else ONE_REGION
         super().__init__(plan.seed, PROXIES, ("group",), CONNECTION_LIMIT)
         self._plan = plan
         self._tenants = [_tenant(plan, number) for number in range(plan.tenants)]
         self._sent_shares = plan.sent_shares()
+        self.asked_at: dict[str, str] = {}
+        self.ran: list[RanAt] = []
+        if plan.regions:
+            self._put_border(BORDER_SECONDS)
         self.work: dict[str, float] = {}
         self.refused_after: list[float] = []
         self.began_at = 0.0
@@ -105,7 +133,7 @@
         self._callers = 0
         for name in INSTANCES:
             instance = self.side.group.instances[name]
-            instance.slots = InstanceSlots(plan.slots, QUEUE_BOUND, self._work_of)
+            instance.slots = InstanceSlots(plan.slots, QUEUE_BOUND, partial(self._begin_work, name))
         self._put_configuration()
 
     @property
@@ -113,6 +141,22 @@
         """The only group, as its callers see it."""
         return self.sides["group"]
 
+    def _put_border(self, seconds: float) -> None:
+        network = self.world.network
+        network.border_seconds = seconds
+        for name, node in self.nodes.items():
+            network.region_of[name] = TWO_REGIONS.region_of(node.zone)
+        for name in INSTANCES:
+            zone = self.side.group.instances[name].zone
+            network.region_of[name] = TWO_REGIONS.region_of(zone)
+
+    def _begin_work(self, instance: str, request_id: str) -> float:
+        """Note that an instance begins a statement, and return its execution time in seconds."""
+        node = self.asked_at.get(request_id)
+        if node is not None:
+            self.ran.append(RanAt(self.world.now - self.began_at, instance, node))
+        return self._work_of(request_id)
+
     def _put_configuration(self) -> None:
         """Store a configuration with the latency targets of the request kinds and the tenants."""
         configuration = self.world.store.configuration
@@ -158,12 +202,21 @@
         while loop.time() < self.began_at + plan.seconds:
             await asyncio.sleep(self.world.random.expovariate(rate))
             kind = self.world.random.choices(plan.kinds, [kind.share for kind in plan.kinds])[0]
-            node = self.world.random.choice(PROXIES)
+            node = self._node_of(plan, loop.time() - self.began_at)
             operations.append(loop.create_task(self._operate(node, kind)))
         outcomes = await asyncio.gather(*operations)
         shipping.cancel()
         return outcomes
 
+    def _node_of(self, plan: LoadPlan, now: float) -> str:
+        """Return a random proxy for an arrival."""
+        shares = [share for at, share in plan.wave if at <= now]
+        if not shares:
+            return self.world.random.choice(PROXIES)
+        region = "east" if self.world.random.random() < shares[-1] else "west"
+        there = [name for name in PROXIES if self.world.network.region_of[name] == region]
+        return self.world.random.choice(there)
+
     async def _operate(self, node: str, kind: LoadKind) -> OperationOutcome:
         """Run one operation through a proxy, in an idle session if there is one."""
         tenant = NO_TENANT
@@ -266,6 +319,8 @@
     `began_at` is the virtual time at which the load began. `completed` is the number of statements
     that each instance has executed, `refused_after` the seconds that each refused attempt had
     waited, and `connections_opened` the number of connections opened to instances since the start.
+    `crossed` is the number of messages between regions since then, `ran` the statements of callers
+    in the order in which instances began them.
     """
 
     outcomes: list[OperationOutcome]
@@ -274,6 +329,8 @@
     completed: dict[str, int]
     refused_after: list[float]
     connections_opened: int
+    crossed: int
+    ran: list[RanAt]
 
     def figures(self, since: float, until: float, kind: LoadKind | None = None) -> Figures:
         """Return the figures of a period given in seconds from the start of the load."""
@@ -301,7 +358,14 @@
         completed = {name: slots(system, name).completed for name in INSTANCES}
         opened = system.side.group.connections_opened
         return PlayedLoad(
-            outcomes, system.began_at, system.broken, completed, system.refused_after, opened
+            outcomes,
+            system.began_at,
+            system.broken,
+            completed,
+            system.refused_after,
+            opened,
+            system.world.network.crossed,
+            system.ran,
         )
 
     return run_virtual(work())
