--- a/src/orchidwind/platform/coordination.py
+++ b/src/orchidwind/platform/coordination.py
@@ -83,6 +83,7 @@
     # know these fields wait for the end of the change.
     early_passed: bool | msgspec.UnsetType = msgspec.UNSET
     first_revision: int | msgspec.UnsetType = msgspec.UNSET
+    late_kept: bool | msgspec.UnsetType = msgspec.UNSET
 
 
 class _MemberSpec(msgspec.Struct):
@@ -264,6 +265,7 @@
         revision=revision,
         early_passed=spec.early_passed is True,
         first_revision=StoreRevision(spec.first_revision or 0),
+        late_kept=spec.late_kept is True,
     )
 
 
@@ -284,6 +286,7 @@
             following=list(shares.following),
             early_passed=shares.early_passed or msgspec.UNSET,
             first_revision=int(shares.first_revision) or msgspec.UNSET,
+            late_kept=shares.late_kept or msgspec.UNSET,
         )
         written = await self._store.write(version, spec)
         return _quota_shares(written.stored, written.revision)
--- a/src/orchidwind/promoted/core/quota_shares.py
+++ b/src/orchidwind/promoted/core/quota_shares.py
@@ -13,16 +13,24 @@
        have the late part, too (`quota.SHARE_VALID_SECONDS`).
 
 Before the second write, a change can be withdrawn, and further next holders can be added: until
-then it has given nothing to anybody. The shares in use add up to at most one, whatever each proxy
-knows and however late it learns it, because each part is taken over only after every older right to
-it has ended, and because the store orders the writes.
+then it has given nothing to anybody. Between the second and the third write, it can be turned round
+(`returned`): the holders from before the change then use the late part again at once, as it never
+passed to anybody, and get the early part back as by any other change.
+
+The waiting times are for holders that cannot be asked. Once all holders have confirmed that they
+use no share from before the present version, every older right has ended, and the change is
+completed at once (`completed`).
+
+The shares in use add up to at most one, whatever each proxy knows and however late it learns it,
+because each part is taken over only after every older right to it has ended, and because the store
+orders the writes.
 
 Two sets without a common proxy would leave nobody with a share until the second write. The next
 holders then include the current ones, which leave by a change of their own afterwards. Only holders
 that are lost are replaced without that.
 
-A proxy that restarts under the same name holds its share again at once, because its previous
-process has ended.
+A proxy that restarts under the same name holds its share again as soon as it knows a version that
+was current after its start, because its previous process has ended.
 
 The rules rely on a store that changes the object by compare-and-put, and on proxies that track how
 long ago their share was confirmed. `share_changes` decides which proxy writes which of them when.
@@ -50,7 +58,8 @@
 
     `early_passed`: the early part of each quota has passed to the next holders. `first_revision`:
     the revision at which the present change was first written, if the object was written again
-    since; else 0.
+    since; else 0. `late_kept`: the change returns the early part to the proxies in `following`,
+    which hold the late part already.
     """
 
     holders: tuple[str, ...] = ()
@@ -58,6 +67,7 @@
     revision: StoreRevision = StoreRevision(0)
     early_passed: bool = False
     first_revision: StoreRevision = StoreRevision(0)
+    late_kept: bool = False
 
     @property
     def exists(self) -> bool:
@@ -77,6 +87,12 @@
 
     def share_of(self, proxy: str) -> float:
         """Returns the share of each quota's late part that a proxy holds, from 0 to 1."""
+        if self.late_kept:
+            return 1.0 / len(self.following) if proxy in self.following else 0.0
+        return self._common_share_of(proxy)
+
+    def _common_share_of(self, proxy: str) -> float:
+        """Returns the smaller of the shares that a proxy holds before and after the change."""
         if proxy not in self.holders or (self.following and proxy not in self.following):
             return 0.0
         return 1.0 / max(len(self.holders), len(self.following))
@@ -85,7 +101,7 @@
         """Returns the share of each quota's early part that a proxy holds, from 0 to 1."""
         if self.early_passed and proxy in self.following:
             return 1.0 / len(self.following)
-        return self.share_of(proxy)
+        return self._common_share_of(proxy)
 
     def whole_share_of(self, proxy: str) -> float:
         """Returns the share of each quota that a proxy holds, both parts together, from 0 to 1."""
@@ -99,9 +115,8 @@
     has been known for `known_for` seconds.
     """
     if held.following:
-        if known_for < SETTLE_SECONDS:
-            return None
-        return QuotaShares(held.following, (), held.revision)
+        settle_time = EARLY_SETTLE_SECONDS if held.late_kept else SETTLE_SECONDS
+        return None if known_for < settle_time else completed(held)
     names = tuple(sorted(wanted))
     if not names or names == held.holders:
         return None
@@ -117,7 +132,9 @@
 
     The change has been known for `known_for` seconds.
     """
-    if not held.following or held.early_passed or known_for < EARLY_SETTLE_SECONDS:
+    if not held.following or held.early_passed or held.late_kept:
+        return None
+    if known_for < EARLY_SETTLE_SECONDS:
         return None
     return replace(held, early_passed=True, first_revision=held.change_revision)
 
@@ -131,6 +148,23 @@
     return replace(held, following=tuple(sorted(set(names))), first_revision=first)
 
 
+def completed(held: QuotaShares) -> QuotaShares:
+    """Returns the object in which the next holders replace the present ones.
+
+    Every share from before the present version has ended, by its age or by the word of its holder.
+    """
+    return QuotaShares(held.following, (), held.revision)
+
+
+def returned(held: QuotaShares) -> QuotaShares:
+    """Returns the object that turns a change round whose early part has passed, but not the late.
+
+    The present holders have the late part at once. A new change begins, which gives them the early
+    part of the proxies to which it has passed.
+    """
+    return QuotaShares(held.following, held.holders, held.revision, late_kept=True)
+
+
 def withdrawn(held: QuotaShares) -> QuotaShares:
     """Returns the object without its change, of which nothing has passed to the next holders."""
     return QuotaShares(held.holders, (), held.revision)
--- a/src/orchidwind/promoted/core/share_changes.py
+++ b/src/orchidwind/promoted/core/share_changes.py
@@ -12,7 +12,11 @@
 A proxy that is cut off believes that the holders are lost, too. Its change does no harm, because a
 holder that reaches enough of the others withdraws it in time: until the early part passes, nothing
 has changed hands. Holders that cannot write to the store cannot withdraw it, but neither do they
-learn that their shares are still in force.
+learn that their shares are still in force. If the holders are the wanted ones and can be reached
+again after the early part has passed, the change is turned round.
+
+A change to the wanted holders is completed as soon as all present holders have confirmed that they
+use no earlier share. Holders that cannot be reached are waited for.
 
 Owns: what this proxy last read of the object, and since when the conditions for a change have held.
 Relies on `quota_shares` for what each write may do. Times are in seconds of one monotonic clock.
@@ -27,11 +31,15 @@
 from orchidwind.promoted.core.quota_shares import (
     EARLY_SETTLE_SECONDS,
     QuotaShares,
+    completed,
     early_part_passed,
     next_shares,
+    returned,
     with_next_holders,
     withdrawn,
 )
+from orchidwind.promoted.core.share_confirmations import ShareConfirmations
+from orchidwind.promoted.core.store_revision import StoreRevision
 
 # How long the set of home proxies must stay the same before it replaces other holders, seconds.
 # While proxies start, each sees the others appear one by one. The first holders are named at once.
@@ -54,6 +62,10 @@
 # is cut off for long must not cause a change every few seconds.
 FIRST_WITHDRAWN_PAUSE_SECONDS = 3.0
 LONGEST_WITHDRAWN_PAUSE_SECONDS = 24.0
+# How long holders must have stood before a change of them is completed by confirmations, seconds.
+# Proxies that hold a share for the first time fill their buckets in part at once; the excess over a
+# quota that is allowed in one window covers only few of them.
+STANDING_SECONDS = 5.0
 
 
 class Surroundings(Struct, frozen=True):
@@ -81,16 +93,59 @@
         self._too_little_since: float | None = None
         self._replace_not_before = now
         self._withdrawn_pause = FIRST_WITHDRAWN_PAUSE_SECONDS
+        # Since when enough is reachable; None while too little is.
+        self._enough_since: float | None = None
+        self._confirmations = ShareConfirmations()
+        # Whether the present change may be completed by confirmations.
+        self._confirmations_count = False
 
     def learned(self, shares: QuotaShares, now: float) -> None:
         """Note the object as it was read or written just now."""
         if self.held.following and not shares.following and shares.holders == self.held.holders:
-            self._replace_not_before = now + self._withdrawn_pause
-            longer = self._withdrawn_pause * 2
-            self._withdrawn_pause = min(longer, LONGEST_WITHDRAWN_PAUSE_SECONDS)
+            self._pause_replacements(now)
+        if shares.late_kept and not self.held.late_kept:
+            self._pause_replacements(now)
         if not shares.continues(self.held):
+            stood = self.held.exists and not self.held.following
+            standing = stood and now - self._held_since >= STANDING_SECONDS
+            self._confirmations_count = standing or shares.late_kept
             self._held_since = now
         self.held = shares
+        self._confirmations.learned(shares)
+
+    def _pause_replacements(self, now: float) -> None:
+        """Wait before proposing to replace lost holders again: a change was taken back."""
+        self._replace_not_before = now + self._withdrawn_pause
+        longer = self._withdrawn_pause * 2
+        self._withdrawn_pause = min(longer, LONGEST_WITHDRAWN_PAUSE_SECONDS)
+
+    def confirmed(self, holder: str, revision: StoreRevision) -> None:
+        """Note that a holder uses no share from before this revision."""
+        self._confirmations.note(holder, revision)
+
+    def to_ask(self, around: Surroundings) -> tuple[str, ...]:
+        """Returns the holders that this proxy is to ask for their confirmations now.
+
+        This proxy itself only once all others have confirmed: it then gives up its earlier share.
+        """
+        if not self._confirmations_suffice(around) or self._writers(around.lost)[0] != self._name:
+            return ()
+        missing = self._confirmations.missing(self.held)
+        others = [name for name in missing if name != self._name]
+        return tuple(others or missing)
+
+    def _confirmations_suffice(self, around: Surroundings) -> bool:
+        """Whether the change may be completed once all holders have confirmed.
+
+        One to holders that nobody wants is only completed where the present ones stay away.
+        """
+        held = self.held
+        if not held.following or not self._confirmations_count:
+            return False
+        if any(name in around.lost for name in held.holders):
+            return False
+        is_wanted = bool(around.wanted) and set(around.wanted) <= set(held.following)
+        return held.late_kept or is_wanted
 
     def next_write(self, now: float, around: Surroundings) -> QuotaShares | None:
         """Returns the object that this proxy is to write now, or None if it is to write nothing."""
@@ -116,8 +171,11 @@
         if self._reachable_share(around.lost) >= MINIMUM_REACHABLE_SHARE:
             self._too_little_since = None
             self._withdrawn_pause = FIRST_WITHDRAWN_PAUSE_SECONDS
+            if self._enough_since is None:
+                self._enough_since = now
         elif self._too_little_since is None:
             self._too_little_since = now
+            self._enough_since = None
 
     def _reachable_share(self, lost: Collection[str]) -> float:
         """How much of each quota the holders have that this proxy can reach, itself included.
@@ -134,6 +192,9 @@
             return None
         if self.held.holders and any(name in around.lost for name in wanted):
             return None  # the present holders serve until all next ones answer
+        only_leave = set(wanted) < set(self.held.holders)
+        if only_leave and now - self._held_since < STANDING_SECONDS:
+            return None  # until then, the change could not be completed by confirmations
         turn_delay = wanted.index(self._name) * TURN_SECONDS
         settle_time = UNCHANGED_SECONDS if self.held.holders else 0.0
         if now - self._wanted_since < settle_time + turn_delay:
@@ -158,12 +219,24 @@
     # --- During a change --------------------------------------------------------------------------
 
     def _next_of_change(self, now: float, around: Surroundings) -> QuotaShares | None:
-        if not self.held.early_passed:
+        if self.held.early_passed:
+            if self._return_due(now, around):
+                return returned(self.held)
+        elif not self.held.late_kept:
             corrected = self._corrected(now, around)
             if corrected is not None:
                 return corrected
         return self._completed(now, around)
 
+    def _return_due(self, now: float, around: Surroundings) -> bool:
+        """Whether this proxy is to turn the change round: the wanted holders are back."""
+        writers = self._writers(around.lost)
+        if self._enough_since is None or self._name not in writers:
+            return False
+        leaves_wanted = self.held.holders == around.wanted != self.held.following
+        turn_delay = writers.index(self._name) * URGENT_TURN_SECONDS
+        return leaves_wanted and now - self._enough_since >= turn_delay
+
     def _corrected(self, now: float, around: Surroundings) -> QuotaShares | None:
         """The change with this proxy in it, or withdrawn; None if it is right as it is."""
         if self._name in self.held.following:
@@ -190,6 +263,8 @@
         if self._name not in writers:
             return None
         turn = writers.index(self._name)
+        if self._confirmations_suffice(around) and not self._confirmations.missing(self.held):
+            return completed(self.held)
         if not self.held.early_passed:
             passed = early_part_passed(self.held, known_for - turn * URGENT_TURN_SECONDS)
             if passed is not None:
--- a/src/orchidwind/promoted/core/share_status.py
+++ b/src/orchidwind/promoted/core/share_status.py
@@ -24,7 +24,8 @@
     old. NOT_CONFIRMED: nothing, as the last confirmation is too old for both. NOT_READ: nothing, as
     the holders were not read yet. NO_HOLDERS: nothing, as nobody was named a holder yet.
     NEXT_HOLDER: nothing yet, as the present holders may still use all. LEAVING: what it held before
-    a change, for a while. NO_HOLDER: nothing, as other proxies are the holders.
+    a change, for a while. NO_HOLDER: nothing, as other proxies are the holders. STARTED: nothing,
+    as it has just started and does not know yet that its share is still in force.
     """
 
     IN_FORCE = "in_force"
@@ -35,6 +36,7 @@
     NEXT_HOLDER = "next_holder"
     LEAVING = "leaving"
     NO_HOLDER = "no_holder"
+    STARTED = "started"
 
 
 class ShareStatus(Struct, frozen=True):
@@ -81,6 +83,8 @@
         return ShareState.LEAVING
     if used.whole > 0:
         return _state_of_holder(now - used.confirmed_at)
+    if held.whole_share_of(proxy) > 0:
+        return ShareState.STARTED
     return ShareState.NEXT_HOLDER if proxy in held.following else ShareState.NO_HOLDER
 
 
--- a/src/orchidwind/promoted/proxy_runtime.py
+++ b/src/orchidwind/promoted/proxy_runtime.py
@@ -42,7 +42,7 @@
 from orchidwind.promoted.peers.peer_network import PeerNetwork, PlacementInputs
 from orchidwind.promoted.peers.peer_service import PeerService
 from orchidwind.promoted.ports import ProxyPorts
-from orchidwind.promoted.quotas.tenancy import Tenancy
+from orchidwind.promoted.quotas.tenancy import QUOTA_SHARES_IN_USE, Tenancy
 from orchidwind.promoted.upkeep import Upkeep
 from orchidwind.promoted.views.collection_watch import CollectionWatch
 from orchidwind.promoted.views.configuration_follower import ConfigurationFollower
@@ -130,12 +130,13 @@
         )
 
     def _home_ports(self) -> HomePorts:
+        answers = {QUOTA_SHARES_IN_USE: self._tenancy.report_shares_in_use}
         return HomePorts(
             groups=self.group,
             registry=self.registry,
             read_lock=self.leases.report,
             transaction_idle=lambda: self.transaction_idle,
-            report_view=ViewReporter(self).report,
+            report_view=ViewReporter(self, answers).report,
             target_latency=self._target_latency,
             quotas=self.quotas,
             lend_tokens=self.quotas.lend,
--- a/src/orchidwind/promoted/quotas/share_keeper.py
+++ b/src/orchidwind/promoted/quotas/share_keeper.py
@@ -19,7 +19,9 @@
 from orchidwind.promoted.ports import Changes, Listing, QuotaShareStore
 from orchidwind.promoted.quotas.quota_service import QuotaService
 from orchidwind.shared.core.errors import PlatformConflict, PlatformError
+from orchidwind.shared.core.quota import HeldShare
 from orchidwind.shared.logs import log_event
+from orchidwind.shared.task_set import TaskSet
 
 # Interval at which it is checked whether the holders must change, seconds. A share that comes a
 # little late refuses no operation: other proxies lend their tokens.
@@ -28,6 +30,8 @@
 _FIRST_WRITE_PAUSE_SECONDS = 0.25
 _LONGEST_WRITE_PAUSE_SECONDS = 2.0
 
+AskConfirmation = Callable[[str, StoreRevision], Awaitable[bool]]
+
 
 class ShareKeeper:
     """Keeps the holders of quota shares up to date. Times are seconds of the event loop's clock."""
@@ -40,11 +44,13 @@
         wanted: Callable[[], Collection[str]],
         unreachable: Callable[[Collection[str]], set[str]],
         on_known: Callable[[], None],
+        ask_confirmation: AskConfirmation,
     ) -> None:
         """`wanted` returns the proxies that are to hold shares; empty while they are not known.
 
         `unreachable` returns which of the given proxies do not answer. `on_known` is called
-        whenever the object was read from the store.
+        whenever the object was read from the store. `ask_confirmation` asks another proxy whether
+        it uses no share from before a revision, and returns False if it does not say so.
         """
         # Whether the object was read since the start.
         self.known = False
@@ -58,9 +64,14 @@
         self._loop = asyncio.get_running_loop()
         self._changes = ShareChanges(name, self._loop.time())
         self._confirmed_at = lambda: float("-inf")
-        self._own_share = OwnShare(name)
+        self._own_share = OwnShare(name, self._loop.time())
+        self._ask_confirmation = ask_confirmation
+        # The holders whose confirmations were asked for, but not received yet.
+        self._asked: set[str] = set()
+        self._tasks = TaskSet()
         # When the previous share was last confirmed, while the service uses that one.
         self._previous_confirmed_at: float | None = None
+        self._used = HeldShare(0.0, 0.0, float("-inf"))
         self._read_again: Callable[[], Awaitable[bool]] | None = None
         self._write_pause = _FIRST_WRITE_PAUSE_SECONDS
         self._lost: set[str] = set()
@@ -116,6 +127,7 @@
             holders=",".join(shares.holders),
             following=",".join(shares.following),
             early_passed=shares.early_passed,
+            late_kept=shares.late_kept,
             share=round(shares.whole_share_of(self._name), 3),
             revision=shares.revision,
         )
@@ -125,6 +137,7 @@
     def _use_share(self, now: float) -> None:
         """Have the service use what this proxy may use of the quotas now."""
         used = self._own_share.in_use(now, self._confirmed_at())
+        self._used = used
         previous = self._own_share.previous
         self._previous_confirmed_at = None if previous is None else previous.confirmed_at
         self._service.hold(used)
@@ -134,14 +147,27 @@
         kept = self._previous_confirmed_at
         return self._confirmed_at() if kept is None else kept
 
-    def _drop_previous_share(self, now: float) -> None:
-        """Use the present share once more of it is in force than of the previous one."""
-        if self._previous_confirmed_at is None:
-            return
-        self._own_share.in_use(now, self._confirmed_at())
-        if self._own_share.previous is None:
+    def _update_share(self, now: float) -> None:
+        """Use another share if one is in force by now.
+
+        The present one once more of it is in force than of the previous one, or once it is known
+        to be from after the start.
+        """
+        used = self._own_share.in_use(now, self._confirmed_at())
+        before = self._used
+        if (used.early, used.late) != (before.early, before.late) or (
+            self._own_share.previous is None and self._previous_confirmed_at is not None
+        ):
             self._use_share(now)
 
+    def gives_up_previous(self, revision: StoreRevision) -> bool:
+        """Use no share from before this revision any more; False if another one is held."""
+        if not self._own_share.gives_up_previous(revision):
+            return False
+        self._use_share(self._loop.time())
+        log_event("quota_share_confirmed", revision=revision, share=round(self._used.whole, 3))
+        return True
+
     def share_of(self, proxy: str) -> float:
         """The share of each quota that a proxy holds, 0 to 1."""
         return self.held.whole_share_of(proxy)
@@ -175,11 +201,35 @@
         wanted = tuple(sorted(self._wanted()))
         self._lost = self._unreachable({*self.held.holders, *self.held.following, *wanted})
         now = self._loop.time()
-        self._drop_previous_share(now)
+        self._update_share(now)
         if self._service.share_in_force() == 0 and self.status().reachable == 0:
             self.seconds_without_share += now - self._checked_at
         self._checked_at = now
-        return self._changes.next_write(now, Surroundings(wanted, self._lost))
+        around = Surroundings(wanted, self._lost)
+        for holder in self._changes.to_ask(around):
+            self._begin_asking(holder)
+        return self._changes.next_write(now, around)
+
+    def _begin_asking(self, holder: str) -> None:
+        """Get the confirmation of a holder, of the version that is held now."""
+        revision = self.held.revision
+        if holder == self._name:
+            if self.gives_up_previous(revision):
+                self._changes.confirmed(holder, revision)
+        elif holder not in self._asked:
+            self._asked.add(holder)
+            self._tasks.start(self._ask(holder, revision))
+
+    async def _ask(self, holder: str, revision: StoreRevision) -> None:
+        try:
+            if await self._ask_confirmation(holder, revision):
+                self._changes.confirmed(holder, revision)
+        finally:
+            self._asked.discard(holder)
+
+    def close(self) -> None:
+        """Stop asking for confirmations."""
+        self._tasks.cancel()
 
     async def _write(self, shares: QuotaShares) -> None:
         try:
--- a/src/orchidwind/promoted/quotas/tenancy.py
+++ b/src/orchidwind/promoted/quotas/tenancy.py
@@ -8,20 +8,32 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Iterable
 
 from orchidwind.promoted.core.configuration import PromotedConfiguration
 from orchidwind.promoted.core.homes import ProxyMember
+from orchidwind.promoted.core.peer_messages import ViewQuery, ViewReport
 from orchidwind.promoted.core.quota_shares import QuotaShares
 from orchidwind.promoted.core.share_status import ShareStatus
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.peers.peer_link import PeerLink
 from orchidwind.promoted.peers.peer_network import PeerNetwork
 from orchidwind.promoted.ports import QuotaShareStore
 from orchidwind.promoted.quotas.quota_service import QuotaService
 from orchidwind.promoted.quotas.share_keeper import ShareKeeper
 from orchidwind.promoted.views.followed_views import ProxyBounds, ProxyViews, Spawn
+from orchidwind.shared.core.errors import PeerUnavailable
 from orchidwind.shared.core.tenant_connections import NO_TENANT
 from orchidwind.shared.core.tenants import KeyChecker, TenantTable
+from orchidwind.shared.logs import log_event
+
+# The name by which a proxy is asked, as for a view, from which revision on it uses its share of the
+# quotas. A proxy that does not know it answers that it follows no such view.
+QUOTA_SHARES_IN_USE = "quota_shares_in_use"
+# How long a confirmation may take, seconds: some round trips to another zone. It is asked for again
+# until the share ends by its age.
+_CONFIRMATION_SECONDS = 0.3
 
 
 class Tenancy:
@@ -56,6 +68,7 @@
             self._wanted_holders,
             network.unreachable,
             on_known,
+            self._ask_confirmation,
         )
 
     def adopt(self, configuration: PromotedConfiguration) -> None:
@@ -106,6 +119,29 @@
         """For how long no share was in force here or at a reachable proxy, since the start."""
         return self._shares.seconds_without_share
 
+    def report_shares_in_use(self, query: ViewQuery) -> ViewReport:
+        """Confirm that this proxy uses no share from before the revision in the query.
+
+        The report says that nothing is known if the proxy holds another revision.
+        """
+        confirmed = self._shares.gives_up_previous(StoreRevision(query.revision))
+        return ViewReport(query.number, confirmed, 0.0, query.revision)
+
+    async def _ask_confirmation(self, proxy: str, revision: StoreRevision) -> bool:
+        """Ask another proxy to use no share from before a revision; False without its word."""
+        members = self._network.known_members({proxy})
+        link = self._network.usable_link(members[0]) if members else None
+        if link is None:
+            return False
+        try:
+            async with asyncio.timeout(_CONFIRMATION_SECONDS):
+                report = await link.ask_view(QUOTA_SHARES_IN_USE, revision, whole=False)
+        except (PeerUnavailable, TimeoutError) as error:
+            reason = str(error) or "no answer in time"
+            log_event("quota_share_not_confirmed", peer=proxy, revision=revision, reason=reason)
+            return False
+        return report.known and report.revision == revision
+
     def _wanted_holders(self) -> list[str]:
         """The home proxies of all groups; empty while the proxies are not known."""
         return [home.name for home in self._homes()] if self._network.known else []
@@ -122,5 +158,6 @@
         return [link for link in links if link is not None]
 
     def close(self) -> None:
-        """Stop asking other proxies for tokens."""
+        """Stop asking other proxies for tokens and confirmations."""
         self.quotas.close()
+        self._shares.close()
--- a/src/orchidwind/promoted/views/view_reporter.py
+++ b/src/orchidwind/promoted/views/view_reporter.py
@@ -38,6 +38,8 @@
 # 0.25 s of a link of 10 Mbit/s. Small sites stay below it (docs/DECISIONS.md).
 MAX_REPORTED_ITEMS = 200
 
+AnswerQuery = Callable[[ViewQuery], ViewReport]
+
 
 class HeldViews(Protocol):
     """Access to the views of a proxy that it reports to other proxies."""
@@ -72,8 +74,10 @@
 class ViewReporter:
     """Reports this proxy's views to other proxies."""
 
-    def __init__(self, held: HeldViews) -> None:
+    def __init__(self, held: HeldViews, answers: Mapping[str, AnswerQuery] | None = None) -> None:
+        """`answers` has the functions that answer queries for other things than a view, by name."""
         self._held = held
+        self._answers = answers or {}
         self._contents = {
             CONFIGURATION: _Content(self._configured_items, self._with_configuration),
             DIRECTORY: _Content(lambda: len(held.directory), self._with_directory),
@@ -86,6 +90,9 @@
         asked = StoreRevision(query.revision)
         if asked != NOTHING_HELD:
             self._held.store_era.saw(asked.era, "another proxy")
+        answer = self._answers.get(query.view)
+        if answer is not None:
+            return answer(query)
         watch = self._held.watch(query.view)
         content = self._contents.get(query.view)
         if watch is None or watch.revision == NOTHING_HELD or content is None:
@@ -117,7 +124,7 @@
 
     def _with_quota_shares(self, report: ViewReport) -> ViewReport:
         shares = self._held.quota_shares
-        if shares.early_passed or shares.first_revision:
+        if shares.early_passed or shares.first_revision or shares.late_kept:
             # The message has no fields for these; without content, the other proxy reads the store.
             return omitted(report)
         view = quota_shares_view(shares)
--- a/tests/promoted/test_quota_holders.py
+++ b/tests/promoted/test_quota_holders.py
@@ -156,3 +156,71 @@
         assert holders_of(system) == holders
 
     run_scenario(scenario, FLEET, FLEET_CONNECTIONS)
+
+
+# --- Splits of the fleet --------------------------------------------------------------------------
+
+SPLIT_SECONDS = 7.0
+# From the end of a split until every tenant within its quota is served again, seconds.
+SERVED_AFTER_SPLIT_SECONDS = 1.0
+
+
+def split(system, cut_off_side):
+    """Cuts these proxies off the store and the other proxies, but not off each other."""
+    for name in cut_off_side:
+        for other in (STORE, *system.nodes):
+            if other not in cut_off_side:
+                system.world.network.cut(name, other)
+
+
+def test_living_holders_serve_again_as_soon_as_a_split_ends():
+    """One holder of several is with the store; the others live all the while, cut off from it.
+
+    Guards against holders that wait 15 s after a split until they have shares again.
+    """
+
+    async def scenario(system):
+        holders = holders_of(system)
+        near_store = holders[:1] + tuple(name for name in FLEET if name not in holders)[:3]
+        far = tuple(name for name in FLEET if name not in near_store)
+        senders = {
+            side: ReadSender(system, "tern", 1.6 * 2 / TENANTS["tern"].rate, names)
+            for side, names in (("near", near_store), ("far", far))
+        }
+        sending = [asyncio.create_task(sender.run(25.0)) for sender in senders.values()]
+        await asyncio.sleep(1.0)
+        split_at = system.world.now
+        split(system, far)
+        await asyncio.sleep(SPLIT_SECONDS)
+        system.world.network.heal()
+        await asyncio.gather(*sending)
+        healed_at = split_at + SPLIT_SECONDS
+        served_from = healed_at + SERVED_AFTER_SPLIT_SECONDS
+        for sender in senders.values():
+            assert sender.refused(since=served_from) == Counter()
+        assert holders_of(system) == holders
+
+    run_scenario(scenario, FLEET, FLEET_CONNECTIONS)
+
+
+def test_a_quota_holds_while_shares_move_to_and_fro_in_one_window():
+    """A tenant asks without end on both sides of splits that end as shares change hands."""
+
+    async def scenario(system):
+        holders = holders_of(system)
+        near_store = holders[:1] + tuple(name for name in FLEET if name not in holders)[:3]
+        far = tuple(name for name in FLEET if name not in near_store)
+        senders = [
+            ReadSender(system, "tern", 1 / (3 * TENANTS["tern"].rate), names)
+            for names in (near_store, far)
+        ]
+        sending = [asyncio.create_task(sender.run(40.0)) for sender in senders]
+        for seconds in (3.9, 4.5, 7.0, 9.0):
+            await asyncio.sleep(2.0)
+            split(system, far)
+            await asyncio.sleep(seconds)
+            system.world.network.heal()
+        await asyncio.gather(*sending)
+        assert holders_of(system) == holders
+
+    run_scenario(scenario, FLEET, FLEET_CONNECTIONS)
--- a/tests/shared/test_recorded_store.py
+++ b/tests/shared/test_recorded_store.py
@@ -167,6 +167,7 @@
 FIRST_SHARES = QuotaShares(("front-1", "front-2"), (), StoreRevision(0))
 CHANGING_SHARES = QuotaShares(("front-1",), ("front-2", "front-é"), LATER)
 PASSED_SHARES = QuotaShares(("front-1",), ("front-2",), LATER, True, StoreRevision(69_998))
+RETURNED_SHARES = QuotaShares(("front-2",), ("front-1",), LATER, late_kept=True)
 LEASE = LeaseConfirmation(
     "front-1", LATER, StoreRevision(69_000), {"svc1": Position(3, 1209), "svc2": Position(0, 0)}
 )
@@ -262,6 +263,7 @@
     "quota shares created": quota_shares_write(FIRST_SHARES, True),
     "quota shares that change": quota_shares_write(CHANGING_SHARES, False),
     "quota shares of which the early part has passed": quota_shares_write(PASSED_SHARES, False),
+    "quota shares that return": quota_shares_write(RETURNED_SHARES, False),
     "roster created": roster_write(NEW_ROSTER, True),
     "roster of a name to be quoted": roster_write(LISTED_ROSTER, False),
     "roster with a promotion": roster_write(PROMOTED_ROSTER, False),
@@ -339,6 +341,10 @@
         QuotaShareTranslation(),
         msgspec.structs.replace(PASSED_SHARES, revision=REVISION),
     ),
+    "quota shares that return": (
+        QuotaShareTranslation(),
+        msgspec.structs.replace(RETURNED_SHARES, revision=REVISION),
+    ),
     "member created": (MemberTranslation(), MEMBER),
     "member that differs": (MemberTranslation(), BARE_MEMBER),
 }
