--- a/src/orchidwind/promoted/quotas/quota_service.py
+++ b/src/orchidwind/promoted/quotas/quota_service.py
@@ -1,9 +1,9 @@
 """Admits the operations of tenants at one proxy by their quotas, and lends tokens to other proxies.
 
 For: `callers.command_runner`, which has each operation admitted before it is sent to an instance,
-and `peers.served_link`, which serves the requests of other proxies for tokens. Owns the order in
-which other proxies are asked for tokens, and the pause after which they are asked again. Relies on
-`shared.core.quota` for the token buckets and on `share_keeper` for this proxy's share.
+and `peers.served_link`, which serves the requests of other proxies for tokens. Owns the counts of
+what was admitted and refused. Relies on `shared.core.quota` for the token buckets, on
+`token_borrower` for tokens of other proxies, and on `share_keeper` for this proxy's share.
 """
 
 from __future__ import annotations
@@ -16,20 +16,12 @@
 
 from orchidwind.promoted.core.share_status import ShareStatus
 from orchidwind.promoted.peers.peer_link import PeerLink
-from orchidwind.shared.core.errors import ErrorKind, PeerUnavailable, RequestError
+from orchidwind.promoted.quotas.token_borrower import TokenBorrower
+from orchidwind.shared.core.errors import ErrorKind, RequestError
 from orchidwind.shared.core.quota import MIN_RETRY_SECONDS, HeldShare, QuotaLimiter, QuotaRules
 from orchidwind.shared.core.tenants import Tenant
 from orchidwind.shared.logs import is_power_of_two, log_event
-from orchidwind.shared.task_set import TaskSet
-
-# How long an operation waits for borrowed tokens at most, seconds. A round trip to another zone
-# takes a few milliseconds, and a few dozen on a slow machine.
-_BORROW_SECONDS = 0.1
-# Pause before other proxies are asked again after they had too few tokens to lend, seconds. Without
-# it, a tenant beyond its quota would make every proxy ask all others for each operation.
-_BORROW_RETRY_SECONDS = 0.25
-# Smaller amounts than this part of a token are not borrowed.
-_NEGLIGIBLE_TOKENS = 1e-6
+
 # A quota counts as used up if the proxies that were asked for tokens hold at least this share of it
 # together: all of it, within rounding errors.
 _WHOLE_QUOTA = 0.999
@@ -83,20 +75,6 @@
         """Seconds until a change of the holders gives out a part of the quotas; None: unknown."""
 
 
-class _Borrowing(Struct):
-    """The state of borrowing tokens for one tenant.
-
-    `waiting` operations need a token each. `task` asks other proxies for tokens; it is None while
-    no request is in progress. Other proxies are not asked again before the time `not_before`.
-    `asked_share` is the share of the quota held by this proxy and those that answered last.
-    """
-
-    waiting: int = 0
-    task: asyncio.Task[None] | None = None
-    not_before: float = 0.0
-    asked_share: float = 0.0
-
-
 class QuotaService:
     """The quotas at one proxy. Times are seconds of the event loop's clock."""
 
@@ -114,13 +92,13 @@
         self.use: dict[str, TenantUse] = {}
         self._limiter = QuotaLimiter(rules)
         self._tenants = tenants
-        self._lenders = lenders
         self._on_used = on_used
         # Returns when the share was last known to be in force.
         self._share_confirmed_at = lambda: float("-inf")
         self._shares: KnownShares | None = None
-        self._borrowing: dict[str, _Borrowing] = {}
-        self._tasks = TaskSet()
+        self._borrower = TokenBorrower(
+            self._limiter, lenders, self.share_in_force, self._share_of_lender
+        )
         self._loop = asyncio.get_running_loop()
 
     def use_shares(self, shares: KnownShares) -> None:
@@ -147,14 +125,14 @@
         if tenant is None:
             raise RequestError(ErrorKind.CONFIGURATION_TOO_OLD, f"tenant {name} is not known here")
         use = self.use.setdefault(name, TenantUse())
-        if self._take(tenant) or (await self._borrow(tenant) and self._take(tenant)):
+        if self._take(tenant) or (await self._borrower.borrow(tenant) and self._take(tenant)):
             use.passed += 1
             return
         raise self._refusal(tenant, use)
 
     def _refusal(self, tenant: Tenant, use: TenantUse) -> RequestError:
         """Count and log the refusal of an operation; return the error that names its reason."""
-        asked_share = self._borrowing[tenant.name].asked_share
+        asked_share = self._borrower.asked_share(tenant)
         if asked_share >= _WHOLE_QUOTA:
             return self._quota_exceeded(tenant, use)
         return self._quota_unavailable(tenant, use, asked_share)
@@ -229,55 +207,9 @@
             return 0.0
         return self._limiter.lend(tenant, wanted, self._loop.time(), self._share_confirmed_at())
 
-    async def _borrow(self, tenant: Tenant) -> bool:
-        """Ask other proxies for tokens. Returns False if none can be expected now."""
-        borrowing = self._borrowing.setdefault(tenant.name, _Borrowing())
-        if borrowing.task is None:
-            if self._loop.time() < borrowing.not_before:
-                return False
-            borrowing.task = self._tasks.start(self._request_tokens(tenant, borrowing))
-        borrowing.waiting += 1
-        try:
-            async with asyncio.timeout(_BORROW_SECONDS):
-                await asyncio.shield(borrowing.task)
-        except TimeoutError:
-            # Not logged: the operation is refused, and refusals are counted.
-            return False
-        finally:
-            borrowing.waiting -= 1
-        return True
-
-    async def _request_tokens(self, tenant: Tenant, borrowing: _Borrowing) -> None:
-        """Ask one proxy after the other until there is a token for each waiting operation."""
-        await asyncio.sleep(0)  # so that operations that arrived together are all counted
-        asked_share = self.share_in_force()
-        try:
-            for link in self._lenders():
-                missing = self._limiter.missing(tenant, borrowing.waiting, self._loop.time())
-                if missing <= _NEGLIGIBLE_TOKENS:
-                    break
-                lent = await self._request_from(link, tenant.name, missing)
-                if lent is None:
-                    continue
-                self._limiter.borrow(tenant, lent, self._loop.time())
-                if self._shares is not None:
-                    asked_share += self._shares.share_of(link.member.name)
-        finally:
-            borrowing.task = None
-            borrowing.asked_share = asked_share
-        if self._limiter.missing(tenant, 1, self._loop.time()) > _NEGLIGIBLE_TOKENS:
-            borrowing.not_before = self._loop.time() + _BORROW_RETRY_SECONDS
-
-    async def _request_from(self, link: PeerLink, tenant: str, wanted: float) -> float | None:
-        """Return how many tokens a proxy lent, None if it did not answer."""
-        try:
-            async with asyncio.timeout(_BORROW_SECONDS):
-                return await link.ask_tokens(tenant, wanted)
-        except (PeerUnavailable, TimeoutError) as error:
-            reason = str(error) or "no answer in time"
-            log_event("tokens_not_lent", tenant=tenant, peer=link.member.name, reason=reason)
-            return None
+    def _share_of_lender(self, lender: PeerLink) -> float:
+        return 0.0 if self._shares is None else self._shares.share_of(lender.member.name)
 
     def close(self) -> None:
         """Cancel the requests for tokens that are in progress."""
-        self._tasks.cancel()
+        self._borrower.close()
