--- a/src/orchidwind/promoted/core/quota_shares.py
+++ b/src/orchidwind/promoted/core/quota_shares.py
@@ -142,10 +142,16 @@
 def with_next_holders(held: QuotaShares, names: Collection[str]) -> QuotaShares:
     """Returns the object that names these proxies as next holders, and no other.
 
-    `held` is not changing, or nothing has passed to its next holders yet; the change goes on.
+    `held` is not changing, or nothing has passed to its next holders yet. The change goes on, but
+    begins anew if a holder that stays then has a smaller share: it may not know of that yet.
     """
-    first = held.change_revision if held.following else StoreRevision(0)
-    return replace(held, following=tuple(sorted(set(names))), first_revision=first)
+    following = tuple(sorted(set(names)))
+    if not held.following:
+        return replace(held, following=following)
+    changed = replace(held, following=following, first_revision=held.change_revision)
+    if any(changed.share_of(name) < held.share_of(name) for name in held.holders):
+        return replace(changed, first_revision=StoreRevision(0))
+    return changed
 
 
 def completed(held: QuotaShares) -> QuotaShares:
--- a/tests/promoted/test_share_confirmations.py
+++ b/tests/promoted/test_share_confirmations.py
@@ -142,6 +142,23 @@
     assert site.most <= 1.0 + ROUNDING
 
 
+def test_a_holder_that_stays_does_not_keep_more_than_is_left_beside_further_next_holders():
+    """It is cut off before others add themselves, and the change is completed without it.
+
+    Guards against a change that goes on as if the holder knew of its smaller share: 1.125 of each
+    quota were in force.
+    """
+    site = Site()
+    site.alive["b"].frozen = True
+    site.wanted = ("a", "c")
+    site.run(2.9, site.unreachable)
+    assert site.stored.following == ("a", "c")
+    site.alive["a"].cut_off = True
+    site.run(2.0 * SETTLE_SECONDS, site.unreachable)
+    assert {"d", "e"} < set(site.stored.holders)
+    assert site.most <= 1.0 + ROUNDING
+
+
 def site_changed_by_word(restarts=False, site_type=AskingSite):
     """All holders leave and give their word; one hears late, and starts anew if that is wanted."""
     site = site_type(holders=("a", "b"))
