--- a/src/orchidwind/promoted/group/operator_status.py
+++ b/src/orchidwind/promoted/group/operator_status.py
@@ -45,7 +45,8 @@
 
     `rate` is in operations per second; `share` is this proxy's fraction of the quota that is in
     force, 0 to 1. `passed`, `refused` (beyond the quota) and `unavailable` (not all of the quota
-    was in force at proxies that could be asked) count operations at this proxy.
+    was in force at proxies that could be asked) count operations at this proxy; `waited` those that
+    passed after they had waited for a token for that reason, and `waiting` wait now.
     """
 
     name: str
@@ -55,6 +56,8 @@
     passed: int
     refused: int
     unavailable: int = 0
+    waited: int = 0
+    waiting: int = 0
 
 
 class OperatorQuotaShare(msgspec.Struct, frozen=True):
@@ -123,6 +126,8 @@
                 passed=use.passed,
                 refused=use.refused,
                 unavailable=use.unavailable,
+                waited=use.waited,
+                waiting=quotas.waiting(tenant.name),
             )
         )
     return sorted(statuses, key=lambda status: (-status.refused, status.name))
--- a/src/orchidwind/promoted/metrics.py
+++ b/src/orchidwind/promoted/metrics.py
@@ -136,12 +136,14 @@
 class TenantOperations(Protocol):
     """How many operations of one tenant were admitted and refused.
 
-    `refused`: beyond its quota. `unavailable`: not all of the quota was in force.
+    `refused`: beyond its quota. `unavailable`: not all of the quota was in force. `waited`: those
+    of the passed ones that had waited for a token for that reason.
     """
 
     passed: int
     refused: int
     unavailable: int
+    waited: int
 
 
 class _TenantMetrics(Collector):
@@ -170,6 +172,7 @@
         family.add_metric((label, "passed"), sum(use.passed for use in uses))
         family.add_metric((label, "refused"), sum(use.refused for use in uses))
         family.add_metric((label, "unavailable"), sum(use.unavailable for use in uses))
+        family.add_metric((label, "waited"), sum(use.waited for use in uses))
 
 
 def _asked(use: TenantOperations) -> int:
--- a/src/orchidwind/promoted/quotas/quota_service.py
+++ b/src/orchidwind/promoted/quotas/quota_service.py
@@ -17,14 +17,18 @@
 from orchidwind.promoted.core.share_status import ShareStatus
 from orchidwind.promoted.peers.peer_link import PeerLink
 from orchidwind.promoted.quotas.token_borrower import TokenBorrower
+from orchidwind.promoted.quotas.token_queue import TokenQueue
 from orchidwind.shared.core.errors import ErrorKind, RequestError
-from orchidwind.shared.core.quota import MIN_RETRY_SECONDS, HeldShare, QuotaLimiter, QuotaRules
+from orchidwind.shared.core.quota import (
+    MIN_RETRY_SECONDS,
+    WHOLE_QUOTA,
+    HeldShare,
+    QuotaLimiter,
+    QuotaRules,
+)
 from orchidwind.shared.core.tenants import Tenant
 from orchidwind.shared.logs import is_power_of_two, log_event
 
-# A quota counts as used up if the proxies that were asked for tokens hold at least this share of it
-# together: all of it, within rounding errors.
-_WHOLE_QUOTA = 0.999
 # When to come back where no share is in force here and it is not known when one will be, seconds:
 # about the time in which the loss of its holders is noticed.
 _UNKNOWN_SHARE_RETRY_SECONDS = 0.5
@@ -54,12 +58,14 @@
     """How many operations of one tenant this proxy admitted and refused since it started.
 
     `refused` counts those beyond the tenant's quota, `unavailable` those that were refused because
-    not all of the quota was in force at proxies that could be asked.
+    not all of the quota was in force at proxies that could be asked. `waited` counts those that
+    passed after they had waited for a token for that reason.
     """
 
     passed: int = 0
     refused: int = 0
     unavailable: int = 0
+    waited: int = 0
 
 
 class KnownShares(Protocol):
@@ -99,6 +105,9 @@
         self._borrower = TokenBorrower(
             self._limiter, lenders, self.share_in_force, self._share_of_lender
         )
+        self._queue = TokenQueue(
+            self._limiter, self._borrower, lambda name: tenants().get(name), self._take
+        )
         self._loop = asyncio.get_running_loop()
 
     def use_shares(self, shares: KnownShares) -> None:
@@ -125,15 +134,40 @@
         if tenant is None:
             raise RequestError(ErrorKind.CONFIGURATION_TOO_OLD, f"tenant {name} is not known here")
         use = self.use.setdefault(name, TenantUse())
-        if self._take(tenant) or (await self._borrower.borrow(tenant) and self._take(tenant)):
+        if await self._obtain(tenant, use):
             use.passed += 1
             return
         raise self._refusal(tenant, use)
 
+    def waiting(self, name: str) -> int:
+        """How many operations of a tenant wait for a token now."""
+        return self._queue.waiting(name)
+
+    async def _obtain(self, tenant: Tenant, use: TenantUse) -> bool:
+        """Take a token, behind the operations that wait for one already."""
+        if not self._queue.waiting(tenant.name):
+            if self._take(tenant):
+                return True
+            if await self._borrower.borrow(tenant) and self._take(tenant):
+                return True
+        if not await self._queue.obtain(tenant):
+            return False
+        use.waited += 1
+        if is_power_of_two(use.waited):
+            log_event(
+                "quota_waited",
+                tenant=tenant.name,
+                waited=use.waited,
+                waiting=self._queue.waiting(tenant.name),
+                asked_share=round(self._borrower.asked_share(tenant), 3),
+                share=round(self.share_in_force(), 3),
+            )
+        return True
+
     def _refusal(self, tenant: Tenant, use: TenantUse) -> RequestError:
         """Count and log the refusal of an operation; return the error that names its reason."""
         asked_share = self._borrower.asked_share(tenant)
-        if asked_share >= _WHOLE_QUOTA:
+        if asked_share >= WHOLE_QUOTA:
             return self._quota_exceeded(tenant, use)
         return self._quota_unavailable(tenant, use, asked_share)
 
--- a/src/orchidwind/shared/core/quota.py
+++ b/src/orchidwind/shared/core/quota.py
@@ -54,6 +54,9 @@
 # than they gain; later ones would keep callers waiting although their tenant is below its quota
 # again.
 MIN_RETRY_SECONDS = 0.05
+# A quota counts as whole if the proxies that were asked for tokens hold at least this share of it
+# together: all of it, within rounding errors.
+WHOLE_QUOTA = 0.999
 _MAX_RETRY_SECONDS = 1.0
 
 
@@ -78,6 +81,15 @@
     return EARLY_PART * early + _LATE_PART * late
 
 
+def seconds_to_turn(tenant: Tenant, share: float, ahead: int) -> float:
+    """Return when a part of a quota has a token for an operation with others ahead of it.
+
+    `share` is the part of the quota in force, 0 to 1; infinite without one.
+    """
+    rate = tenant.rate * share
+    return (ahead + 1) / rate if rate > 0 else inf
+
+
 class HeldShare(Struct, frozen=True):
     """The share of each quota that a proxy holds, and as of when that was last confirmed.
 
--- a/tests/promoted/test_token_borrowing.py
+++ b/tests/promoted/test_token_borrowing.py
@@ -6,9 +6,13 @@
 import asyncio
 from types import SimpleNamespace
 
+import pytest
 from test_quotas import RULES, TENANTS
 
 from orchidwind.promoted.quotas.quota_service import QuotaService
+from orchidwind.promoted.quotas.token_queue import LONGEST_TOKEN_WAIT_SECONDS
+from orchidwind.shared.core.errors import ErrorKind, RequestError
+from orchidwind.shared.core.quota import HeldShare
 from orchidwind_bench.promoted.simulation.virtual_time import run_virtual
 
 
@@ -53,3 +57,68 @@
         assert first.tokens == 4.0
 
     run_virtual(work())
+
+
+# --- Operations that wait -------------------------------------------------------------------------
+
+
+def service_with_share(share, lenders=()):
+    """A proxy that holds this share of each quota, with empty buckets, and keeps it."""
+    service = QuotaService(RULES, lambda: TENANTS, lambda: lenders)
+    loop = asyncio.get_running_loop()
+    service.set_confirmation_time(loop.time)
+    service.hold(HeldShare(share, share, loop.time()))
+    return service
+
+
+async def admitted(service, tenant):
+    """Tries to admit an operation; returns the time it took, and the kind of the refusal if any."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    try:
+        await service.admit_operation(tenant)
+    except RequestError as error:
+        return loop.time() - began, error.kind
+    return loop.time() - began, None
+
+
+def test_operations_wait_in_turn_while_a_part_of_the_quota_is_in_force():
+    """A sixth of 40 a second is in force, and 5 a second are asked for in bursts."""
+
+    async def work():
+        service = service_with_share(1 / 6)
+        results = []
+        for _ in range(10):
+            burst = [admitted(service, "tern") for _ in range(5)]
+            results += await asyncio.gather(asyncio.sleep(1.0, (0.0, None)), *burst)
+        assert {kind for _, kind in results} == {None}
+        assert max(seconds for seconds, _ in results) <= LONGEST_TOKEN_WAIT_SECONDS
+        assert service.use["tern"].waited > 0
+
+    run_virtual(work())
+
+
+def test_an_operation_that_would_wait_too_long_is_refused_at_once():
+    async def work():
+        service = service_with_share(1 / 6)
+        results = await asyncio.gather(*(admitted(service, "tern") for _ in range(60)))
+        refused = [seconds for seconds, kind in results if kind is ErrorKind.QUOTA_UNAVAILABLE]
+        assert len(results) - len(refused) >= 40 / 6 * LONGEST_TOKEN_WAIT_SECONDS - 1
+        assert max(refused) <= LONGEST_TOKEN_WAIT_SECONDS + 0.01
+        assert sorted(refused)[len(refused) * 9 // 10] <= 0.2
+        assert service.waiting("tern") == 0
+
+    run_virtual(work())
+
+
+@pytest.mark.parametrize("share", [0.0, 1.0])
+def test_nobody_waits_for_a_quota_that_is_used_up_or_not_in_force_at_all(share):
+    async def work():
+        service = service_with_share(share)
+        results = await asyncio.gather(*(admitted(service, "tern") for _ in range(100)))
+        refused = [(seconds, kind) for seconds, kind in results if kind is not None]
+        expected = ErrorKind.QUOTA_EXCEEDED if share else ErrorKind.QUOTA_UNAVAILABLE
+        assert {kind for _, kind in refused} == {expected}
+        assert max(seconds for seconds, _ in refused) <= 0.2
+
+    run_virtual(work())
