--- a/src/orchidwind/promoted/callers/command_runner.py
+++ b/src/orchidwind/promoted/callers/command_runner.py
@@ -50,7 +50,7 @@
         """Run a command and return its result; raises RequestError."""
         counted = self._counts_against_quota(context)
         if counted:
-            await self._quotas.admit_operation(context.tenant)
+            await self._quotas.admit_operation(context.tenant, limits.hold_until)
         try:
             return await self._drive(context, group, limits)
         except RequestError:
--- a/src/orchidwind/promoted/quotas/quota_service.py
+++ b/src/orchidwind/promoted/quotas/quota_service.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Mapping
+from math import inf
 from typing import Protocol
 
 from msgspec import Struct
@@ -37,8 +38,11 @@
 class Quotas(Protocol):
     """Admission by tenants' quotas, as the runners of commands use it."""
 
-    async def admit_operation(self, name: str) -> None:
-        """Admit one operation of a tenant; raises RequestError if there is no token for it."""
+    async def admit_operation(self, name: str, hold_until: float = inf) -> None:
+        """Admit one operation of a tenant; raises RequestError if there is no token for it.
+
+        It must be sent to an instance by `hold_until`, in seconds of the event loop's clock.
+        """
 
     def refund(self, name: str) -> None:
         """Return the token of an operation that was admitted and did not run."""
@@ -47,7 +51,7 @@
 class NoQuotas:
     """Admits every operation: for a proxy without tenants."""
 
-    async def admit_operation(self, name: str) -> None:
+    async def admit_operation(self, name: str, hold_until: float = inf) -> None:
         """Admit the operation."""
 
     def refund(self, name: str) -> None:
@@ -127,14 +131,17 @@
         """This proxy's share of each quota that is in force now, 0 to 1."""
         return self._limiter.in_force(self._loop.time(), self._share_confirmed_at())
 
-    async def admit_operation(self, name: str) -> None:
-        """Admit one operation of a tenant; raises RequestError if there is no token for it."""
+    async def admit_operation(self, name: str, hold_until: float = inf) -> None:
+        """Admit one operation of a tenant; raises RequestError if there is no token for it.
+
+        It must be sent to an instance by `hold_until`, in seconds of the event loop's clock.
+        """
         self._on_used()
         tenant = self._tenants().get(name)
         if tenant is None:
             raise RequestError(ErrorKind.CONFIGURATION_TOO_OLD, f"tenant {name} is not known here")
         use = self.use.setdefault(name, TenantUse())
-        if await self._obtain(tenant, use):
+        if await self._obtain(tenant, use, hold_until):
             use.passed += 1
             return
         raise self._refusal(tenant, use)
@@ -143,14 +150,14 @@
         """How many operations of a tenant wait for a token now."""
         return self._queue.waiting(name)
 
-    async def _obtain(self, tenant: Tenant, use: TenantUse) -> bool:
+    async def _obtain(self, tenant: Tenant, use: TenantUse, hold_until: float) -> bool:
         """Take a token, behind the operations that wait for one already."""
         if not self._queue.waiting(tenant.name):
             if self._take(tenant):
                 return True
             if await self._borrower.borrow(tenant) and self._take(tenant):
                 return True
-        if not await self._queue.obtain(tenant):
+        if not await self._queue.obtain(tenant, hold_until):
             return False
         use.waited += 1
         if is_power_of_two(use.waited):
--- a/src/orchidwind/promoted/quotas/token_queue.py
+++ b/src/orchidwind/promoted/quotas/token_queue.py
@@ -23,6 +23,9 @@
 # How long an operation waits for a token at most, seconds: as long as the longest retry delay that
 # a refusal names.
 LONGEST_TOKEN_WAIT_SECONDS = 1.0
+# The part of the time left until an operation must be sent for which it waits for a token at most.
+# The rest is for the wait for a connection.
+_TOKEN_WAIT_SHARE = 0.5
 # Shortest pause between two looks for a token, seconds.
 _SHORTEST_PAUSE_SECONDS = 0.02
 
@@ -59,18 +62,23 @@
         queue = self._queues.get(name)
         return 0 if queue is None else queue.waiting
 
-    async def obtain(self, tenant: Tenant) -> bool:
-        """Wait for a token and take it; return False if there will be none soon."""
+    async def obtain(self, tenant: Tenant, hold_until: float) -> bool:
+        """Wait for a token and take it; return False if there will be none soon.
+
+        The operation must be sent to an instance by `hold_until`, in seconds of the loop's clock.
+        """
+        left = hold_until - asyncio.get_running_loop().time()
+        longest = min(LONGEST_TOKEN_WAIT_SECONDS, left * _TOKEN_WAIT_SHARE)
         ahead = self.waiting(tenant.name)
         share = self._borrower.asked_share(tenant)
         if share >= WHOLE_QUOTA and not ahead:
             return False
-        if seconds_to_turn(tenant, share, ahead) > LONGEST_TOKEN_WAIT_SECONDS:
+        if seconds_to_turn(tenant, share, ahead) > longest:
             return False
         queue = self._queues.setdefault(tenant.name, _Queue())
         queue.waiting += 1
         try:
-            async with asyncio.timeout(LONGEST_TOKEN_WAIT_SECONDS), queue.turn:
+            async with asyncio.timeout(longest), queue.turn:
                 return await self._look_for_token(tenant.name, queue)
         except TimeoutError:
             # Not logged: the operation is refused, and refusals are counted.
