--- a/src/orchidwind/promoted/core/share_changes.py
+++ b/src/orchidwind/promoted/core/share_changes.py
@@ -219,21 +219,20 @@
     # --- During a change --------------------------------------------------------------------------
 
     def _next_of_change(self, now: float, around: Surroundings) -> QuotaShares | None:
-        if self.held.early_passed:
-            if self._return_due(now, around):
-                return returned(self.held)
-        elif not self.held.late_kept:
+        if self._return_due(now, around):
+            return returned(self.held) if self.held.early_passed else withdrawn(self.held)
+        if not self.held.early_passed and not self.held.late_kept:
             corrected = self._corrected(now, around)
             if corrected is not None:
                 return corrected
         return self._completed(now, around)
 
     def _return_due(self, now: float, around: Surroundings) -> bool:
-        """Whether this proxy is to turn the change round: the wanted holders are back."""
+        """Whether this proxy is to take the change back: it leaves wanted holders that answer."""
         writers = self._writers(around.lost)
         if self._enough_since is None or self._name not in writers:
             return False
-        leaves_wanted = self.held.holders == around.wanted != self.held.following
+        leaves_wanted = self.held.holders == around.wanted and not self.held.late_kept
         turn_delay = writers.index(self._name) * URGENT_TURN_SECONDS
         return leaves_wanted and now - self._enough_since >= turn_delay
 
--- a/tests/promoted/test_share_confirmations.py
+++ b/tests/promoted/test_share_confirmations.py
@@ -289,6 +289,21 @@
     assert site.most <= 1.0 + ROUNDING
 
 
+def test_the_one_that_proposed_a_change_withdraws_it_when_the_holders_are_back():
+    """The others have not heard of the change yet."""
+    site = AskingSite(holders=("a", "b", "c", "d"))
+    site.run(STANDING_SECONDS + 1.0, site.unreachable)
+    for name in "bcd":
+        site.alive[name].cut_off = True
+    site.run(1.0, site.unreachable)
+    assert site.stored.following
+    for name in "bcd":
+        site.alive[name].cut_off = False
+        site.alive[name].hears_late = 2.0
+    site.run(0.4, site.unreachable)
+    assert not site.stored.following
+
+
 @pytest.mark.parametrize("seconds", [3.0, 7.0, 10.0])
 def test_the_late_part_is_back_at_once_though_the_one_that_had_the_early_part_is_gone(seconds):
     site = site_after_a_split(seconds)
