--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -152,6 +152,8 @@
             "passed": 8 - len(refused),
             "refused": len(refused),
             "unavailable": 0,
+            "waited": 0,
+            "waiting": 0,
         }
         assert second["refused"] == 0
         figures = (await system.status_of("/metrics", system.ports[2])).body.decode()
--- a/tests/promoted/test_quota_holders.py
+++ b/tests/promoted/test_quota_holders.py
@@ -10,8 +10,11 @@
 import pytest
 from test_quotas import TENANTS, ReadSender, run_scenario
 
+from orchidwind.promoted.peers.peer_link import PeerLink
 from orchidwind.shared.core.errors import ANSWERS, ErrorKind, Ran
+from orchidwind_bench.promoted.simulation.callers import PromotedSystem
 from orchidwind_bench.promoted.simulation.store import STORE
+from orchidwind_bench.promoted.simulation.virtual_time import run_virtual
 
 # Proxies of which only some are homes: the connection limit allows two homes in each zone.
 FLEET = tuple(f"proxy-{letter}" for letter in "abcdefghijkl")
@@ -224,3 +227,29 @@
         assert holders_of(system) == holders
 
     run_scenario(scenario, FLEET, FLEET_CONNECTIONS)
+
+
+def test_without_tenants_no_proxy_asks_or_waits_or_reads_shares(monkeypatch):
+    asked = []
+    monkeypatch.setattr(PeerLink, "ask_tokens", lambda *arguments: asked.append(arguments))
+    ask_view = PeerLink.ask_view
+
+    async def recorded(link, view, *arguments, **named):
+        asked.extend([view] if "quota" in view else [])
+        return await ask_view(link, view, *arguments, **named)
+
+    monkeypatch.setattr(PeerLink, "ask_view", recorded)
+
+    async def work():
+        system = PromotedSystem(1, proxies=FLEET, connection_limit=FLEET_CONNECTIONS)
+        shipping = asyncio.create_task(system.group.keep_shipping())
+        await asyncio.sleep(3.0)
+        split(system, FLEET[:4])
+        await asyncio.sleep(SPLIT_SECONDS)
+        system.world.network.heal()
+        await asyncio.sleep(5.0)
+        shipping.cancel()
+        return system
+
+    assert run_virtual(work()).world.store.quota_shares is None
+    assert asked == []
