--- a/tests/promoted/test_share_confirmations.py
+++ b/tests/promoted/test_share_confirmations.py
@@ -270,6 +270,30 @@
     assert site.most <= 1.0 + ROUNDING
 
 
+SPLITS = st.lists(
+    st.tuples(SUBSET, st.sampled_from((0.3, 1.0, 3.0, 5.0, 9.0)), st.sampled_from((0.1, 1.0, 4.0))),
+    min_size=1,
+    max_size=12,
+)
+
+
+@settings(max_examples=200, deadline=None)
+@given(SPLITS, st.frozensets(NAME, min_size=1))
+def test_some_share_is_in_force_through_splits_that_leave_a_holder_in_touch(splits, holders):
+    """Splits in any order, most of which end before a change of the holders does."""
+    site = AskingSite(holders=tuple(sorted(holders)))
+    for cut_off, seconds, pause in splits:
+        in_touch = site.stored.holders[0]
+        for proxy in site.alive.values():
+            proxy.cut_off = proxy.name in cut_off and proxy.name != in_touch
+        site.run(seconds, site.unreachable)
+        for proxy in site.alive.values():
+            proxy.cut_off = False
+        site.run(pause, site.unreachable)
+    assert site.least > 0.0
+    assert site.most <= 1.0 + ROUNDING
+
+
 # --- Back from a split ----------------------------------------------------------------------------
 
 
