--- a/src/orchidwind/promoted/quotas/token_queue.py
+++ b/src/orchidwind/promoted/quotas/token_queue.py
@@ -1,8 +1,8 @@
 """Operations that wait here for tokens while only a part of their tenant's quota is in force.
 
-For: `quota_service`. A refused caller would come back after the same time, and find the tokens gone
-to whoever came in between. So an operation waits its turn, with no slot and no connection, if the
-part in force is expected to have a token for it soon. A tenant that has used up its whole quota is
+For: `quota_service`. A refused caller would come back later, and find the tokens gone to whoever
+came in between. So an operation waits its turn, with no slot and no connection, if the part in
+force is expected to have a token for it soon. A tenant that has used up its whole quota is
 refused at once.
 
 Owns: the order of the waiting operations of each tenant. Relies on `token_borrower` for what part
@@ -20,9 +20,9 @@
 from orchidwind.shared.core.quota import WHOLE_QUOTA, QuotaLimiter, seconds_to_turn
 from orchidwind.shared.core.tenants import Tenant
 
-# How long an operation waits for a token at most, seconds: as long as the longest retry delay that
-# a refusal names.
-LONGEST_TOKEN_WAIT_SECONDS = 1.0
+# How long an operation waits for a token at most, seconds: about as long as it takes until others
+# have the early part of lost holders.
+LONGEST_TOKEN_WAIT_SECONDS = 2.5
 # The part of the time left until an operation must be sent for which it waits for a token at most.
 # The rest is for the wait for a connection.
 _TOKEN_WAIT_SHARE = 0.5
