--- a/src/orchidwind/promoted/quotas/token_borrower.py
+++ b/src/orchidwind/promoted/quotas/token_borrower.py
@@ -28,7 +28,7 @@
 # Pause before other proxies are asked again after they had too few tokens to lend, seconds. Without
 # it, a tenant beyond its quota would make every proxy ask all others for each operation.
 _BORROW_RETRY_SECONDS = 0.25
-# The shortest such pause, where only a part of the quota is in force and operations wait for it.
+# The shortest such pause, seconds, where only a part of the quota is in force and operations wait.
 _SHORTEST_BORROW_RETRY_SECONDS = 0.05
 # Smaller amounts than this part of a token are not borrowed.
 _NEGLIGIBLE_TOKENS = 1e-6
