--- a/src/orchidwind/promoted/core/share_changes.py
+++ b/src/orchidwind/promoted/core/share_changes.py
@@ -108,7 +108,9 @@
         if not shares.continues(self.held):
             stood = self.held.exists and not self.held.following
             standing = stood and now - self._held_since >= STANDING_SECONDS
-            self._confirmations_count = standing or shares.late_kept
+            # After a restore of the store, others than the present holders may use shares.
+            same_era = shares.revision.era == self.held.revision.era
+            self._confirmations_count = same_era and (standing or shares.late_kept)
             self._held_since = now
         self.held = shares
         self._confirmations.learned(shares)
--- a/tests/promoted/test_share_confirmations.py
+++ b/tests/promoted/test_share_confirmations.py
@@ -233,6 +233,19 @@
     assert site.least == 1.0
 
 
+@pytest.mark.parametrize("following", ["e", "cde"])
+def test_a_change_from_a_restored_store_is_not_completed_by_word(following):
+    """The holders before the restore are not asked, and use their shares until these end."""
+    site = AskingSite(holders=("c", "d"))
+    site.run(STANDING_SECONDS + 3.0, site.unreachable)
+    site.wanted = tuple(following)
+    restored = QuotaShares(("a", "b"), site.wanted, StoreRevision.of(1, 1))
+    site.history.append((site.now, restored))
+    site.run(SETTLE_SECONDS + 2.0, site.unreachable)
+    assert site.stored.holders == tuple(following)
+    assert site.most <= 1.0 + ROUNDING
+
+
 # --- The mirror of safety -------------------------------------------------------------------------
 
 
