--- a/src/orchidwind/promoted/quotas/token_borrower.py
+++ b/src/orchidwind/promoted/quotas/token_borrower.py
@@ -39,13 +39,15 @@
 
     `waiting` operations need a token each. `task` asks other proxies for tokens; it is None while
     no request is in progress. Other proxies are not asked again before the time `not_before`.
-    `asked_share` is the share of the quota held by this proxy and those that answered last.
+    `asked_share` is the share of the quota held by this proxy and those that answered last;
+    `asked` counts these proxies, this one included.
     """
 
     waiting: int = 0
     task: asyncio.Task[None] | None = None
     not_before: float = 0.0
     asked_share: float = 0.0
+    asked: int = 1
 
 
 def _retry_pause(tenant: Tenant, asked_share: float) -> float:
@@ -79,6 +81,15 @@
         self._tasks = TaskSet()
         self._loop = asyncio.get_running_loop()
 
+    def fair_share(self, tenant: Tenant) -> float:
+        """The part of a quota that this proxy can count on, 0 to 1, if all ask for as much.
+
+        It and those that answered have the part of `asked_share`, and each lends to the others.
+        """
+        borrowing = self._borrowing.get(tenant.name)
+        asked = 1 if borrowing is None else borrowing.asked
+        return self.asked_share(tenant) / asked
+
     def asked_share(self, tenant: Tenant) -> float:
         """The share of a tenant's quota that was asked for last, here and at other proxies."""
         borrowing = self._borrowing.get(tenant.name)
@@ -116,6 +127,7 @@
         finally:
             borrowing.task = None
             borrowing.asked_share = self._own_share() + sum(map(self._share_of, answered))
+            borrowing.asked = 1 + len(answered)
         if self._limiter.missing(tenant, 1, self._loop.time()) > _NEGLIGIBLE_TOKENS:
             pause = _retry_pause(tenant, borrowing.asked_share)
             borrowing.not_before = self._loop.time() + pause
--- a/src/orchidwind/promoted/quotas/token_queue.py
+++ b/src/orchidwind/promoted/quotas/token_queue.py
@@ -26,6 +26,9 @@
 # The part of the time left until an operation must be sent for which it waits for a token at most.
 # The rest is for the wait for a connection.
 _TOKEN_WAIT_SHARE = 0.5
+# The part of its fair share that a home counts on where other homes may take tokens, too: they come
+# unevenly then.
+_CERTAIN_PART = 0.7
 # Shortest pause between two looks for a token, seconds.
 _SHORTEST_PAUSE_SECONDS = 0.02
 
@@ -66,6 +69,9 @@
         """Wait for a token and take it; return False if there will be none soon.
 
         The operation must be sent to an instance by `hold_until`, in seconds of the loop's clock.
+        The wait is bounded by half of the time until then, whatever the target of the operation,
+        and by `LONGEST_TOKEN_WAIT_SECONDS`. One whose turn would come later is refused at once;
+        its turn is reckoned as if the other homes that answer had as many operations waiting.
         """
         left = hold_until - asyncio.get_running_loop().time()
         longest = min(LONGEST_TOKEN_WAIT_SECONDS, left * _TOKEN_WAIT_SHARE)
@@ -73,7 +79,7 @@
         share = self._borrower.asked_share(tenant)
         if share >= WHOLE_QUOTA and not ahead:
             return False
-        if seconds_to_turn(tenant, share, ahead) > longest:
+        if self._seconds_to_turn(tenant, ahead) > longest:
             return False
         queue = self._queues.setdefault(tenant.name, _Queue())
         queue.waiting += 1
@@ -88,6 +94,12 @@
             if not queue.waiting:
                 self._queues.pop(tenant.name, None)
 
+    def _seconds_to_turn(self, tenant: Tenant, ahead: int) -> float:
+        share = self._borrower.fair_share(tenant)
+        if share < self._borrower.asked_share(tenant):
+            share *= _CERTAIN_PART
+        return seconds_to_turn(tenant, share, ahead)
+
     async def _look_for_token(self, name: str, queue: _Queue) -> bool:
         """Take the next token, an own one or a borrowed one; False if the quota is used up."""
         while True:
--- a/tests/promoted/test_token_borrowing.py
+++ b/tests/promoted/test_token_borrowing.py
@@ -179,3 +179,34 @@
         assert seconds[len(seconds) * 9 // 10] <= 0.2
 
     run_virtual(work())
+
+
+def homes_that_lend_to_each_other(count, share):
+    """Homes that have a part of each quota together, in equal shares, and lend to each other."""
+    lenders = [[] for _ in range(count)]
+    services = [service_with_share(share / count, known) for known in lenders]
+    homes = [OtherHome(str(i), services[i], share / count) for i in range(count)]
+    for home, service, known in zip(homes, services, lenders, strict=True):
+        known += [other for other in homes if other is not home]
+        service.use_shares(home)
+    return services
+
+
+@pytest.mark.parametrize("count", [1, 2, 6])
+def test_homes_that_ask_for_the_same_tokens_refuse_at_once_what_cannot_be_served(count):
+    """20 of 40 a second are in force, and 40 a second are asked for over 10 s, at all homes."""
+
+    async def work():
+        services = homes_that_lend_to_each_other(count, 0.5)
+        bursts = []
+        for _ in range(40):
+            burst = [admitted(services[i % count], "tern", 6.0) for i in range(10)]
+            bursts.append(asyncio.gather(*burst))
+            await asyncio.sleep(0.25)
+        results = [result for burst in await asyncio.gather(*bursts) for result in burst]
+        refused = [seconds for seconds, kind in results if kind is not None]
+        late = [seconds for seconds in refused if seconds > 0.25]
+        assert len(late) <= 0.02 * len(refused)
+        assert len(results) - len(refused) >= 20 * 10
+
+    run_virtual(work())
