--- a/src/orchidwind/promoted/core/share_changes.py
+++ b/src/orchidwind/promoted/core/share_changes.py
@@ -125,11 +125,14 @@
         """Note that a holder uses no share from before this revision."""
         self._confirmations.note(holder, revision)
 
-    def to_ask(self, around: Surroundings) -> tuple[str, ...]:
-        """Returns the holders that this proxy is to ask for their confirmations now.
+    def to_ask(self, now: float, around: Surroundings) -> tuple[str, ...]:
+        """Returns the proxies that this one is to ask for their confirmations now.
 
         This proxy itself only once all others have confirmed: it then gives up its earlier share.
+        Before a change is turned round, the ones that it then leaves out instead.
         """
+        if self._return_due(now, around) and self.held.early_passed:
+            return self._unsure_of_return(around)
         if not self._confirmations_suffice(around) or self._writers(around.lost)[0] != self._name:
             return ()
         missing = self._confirmations.missing(self.held)
@@ -222,7 +225,10 @@
 
     def _next_of_change(self, now: float, around: Surroundings) -> QuotaShares | None:
         if self._return_due(now, around):
-            return returned(self.held) if self.held.early_passed else withdrawn(self.held)
+            if not self.held.early_passed:
+                return withdrawn(self.held)
+            if not self._unsure_of_return(around):
+                return returned(self.held)
         if not self.held.early_passed and not self.held.late_kept:
             corrected = self._corrected(now, around)
             if corrected is not None:
@@ -238,6 +244,15 @@
         turn_delay = writers.index(self._name) * URGENT_TURN_SECONDS
         return leaves_wanted and now - self._enough_since >= turn_delay
 
+    def _unsure_of_return(self, around: Surroundings) -> tuple[str, ...]:
+        """The reachable proxies that may not understand that the change is turned round.
+
+        One that the change then leaves out takes it for one that has passed nothing, and withdraws
+        it, unless it knows of `late_kept`. Those that confirm a version know of it.
+        """
+        left_out = set(self.held.following) - set(self.held.holders) - {self._name}
+        return tuple(self._confirmations.missing_among(sorted(left_out - set(around.lost))))
+
     def _corrected(self, now: float, around: Surroundings) -> QuotaShares | None:
         """The change with this proxy in it, or withdrawn; None if it is right as it is."""
         if self._name in self.held.following:
--- a/src/orchidwind/promoted/core/share_confirmations.py
+++ b/src/orchidwind/promoted/core/share_confirmations.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from orchidwind.promoted.core.quota_shares import QuotaShares
 from orchidwind.promoted.core.store_revision import NOTHING_HELD, StoreRevision
 
@@ -31,4 +33,8 @@
 
     def missing(self, shares: QuotaShares) -> list[str]:
         """The holders that have not confirmed this version, sorted."""
-        return [holder for holder in shares.holders if holder not in self._confirmed]
+        return self.missing_among(shares.holders)
+
+    def missing_among(self, names: Iterable[str]) -> list[str]:
+        """Those of these proxies that have not confirmed the version, in their order."""
+        return [name for name in names if name not in self._confirmed]
--- a/src/orchidwind/promoted/quotas/share_keeper.py
+++ b/src/orchidwind/promoted/quotas/share_keeper.py
@@ -206,7 +206,7 @@
             self.seconds_without_share += now - self._checked_at
         self._checked_at = now
         around = Surroundings(wanted, self._lost)
-        for holder in self._changes.to_ask(around):
+        for holder in self._changes.to_ask(now, around):
             self._begin_asking(holder)
         return self._changes.next_write(now, around)
 
