--- a/src/orchidwind/promoted/core/read_planning.py
+++ b/src/orchidwind/promoted/core/read_planning.py
@@ -94,12 +94,18 @@
     request: ReadRequest,
     now: float,
     expected_answer: ExpectedAnswerTime = _equal_answer_time,
+    expected_work: ExpectedAnswerTime | None = None,
 ) -> ReadPlan | None:
-    """Returns the next attempt of a read, or None if no instance may serve it now."""
+    """Returns the next attempt of a read, or None if no instance may serve it now.
+
+    `expected_work` is the expected answer time less the way (`GroupTopology.way_in_answers`), by
+    which replicas are compared; without it, the whole counts.
+    """
+    work = expected_work or expected_answer
     primary = topology.primary(now)
     floor = _required_floor(topology, request)
     if floor is not None:
-        replica = _fastest_replica(topology, request, primary, floor, now, expected_answer)
+        replica = _fastest_replica(topology, request, primary, floor, now, work)
         if replica is not None:
             if primary is not None and _primary_is_much_faster(
                 topology, primary, replica.instance, request, now, expected_answer
@@ -127,8 +133,6 @@
         return False
     at_primary = expected_answer(primary.instance)
     at_replica = expected_answer(replica)
-    if topology.crosses_region(replica) and not topology.crosses_region(primary.instance):
-        at_replica += topology.round_trip(replica, now)
     saves = at_replica - at_primary >= _PRIMARY_MINIMUM_SAVING_SECONDS
     return saves and at_primary * _PRIMARY_SPEEDUP < at_replica
 
@@ -151,7 +155,7 @@
     primary: PrimaryView | None,
     floor: Position,
     now: float,
-    expected_answer: ExpectedAnswerTime,
+    expected_work: ExpectedAnswerTime,
 ) -> _ReplicaChoice | None:
     """Returns the replica with the lowest expected cost, or None if none is eligible."""
     eligible = _eligible_replicas(topology, request, primary, floor, now)
@@ -160,7 +164,7 @@
 
     def cost(name: str) -> tuple[bool, float]:
         view = topology.instances[name]
-        return view.avoid_until > now, expected_answer(name) + topology.round_trip(name, now)
+        return view.avoid_until > now, expected_work(name) + topology.round_trip(name, now)
 
     if not topology.distances.several_regions:
         return _ReplicaChoice(min(eligible, key=cost))
--- a/src/orchidwind/promoted/core/topology.py
+++ b/src/orchidwind/promoted/core/topology.py
@@ -218,6 +218,13 @@
         """Return the expected round trip to an instance, in seconds."""
         return self.distances.round_trip(self.instances[name].entry.zone, now)
 
+    def way_in_answers(self, name: str, now: float) -> float:
+        """Return the part of an instance's response times that `round_trip` stands for, in seconds.
+
+        0 with one region, where round trips are penalties and not measured.
+        """
+        return self.round_trip(name, now) if self.distances.several_regions else 0.0
+
     def in_region_of(self, name: str) -> frozenset[str]:
         """Return the instances in an instance's region; empty if there is only one region."""
         regions = self.distances.regions
--- a/src/orchidwind/promoted/group/connections.py
+++ b/src/orchidwind/promoted/group/connections.py
@@ -115,9 +115,9 @@
             now = self._loop.time()
             self._driver.perform(pool.exchange_ended(connection, now - began, rejected, now))
 
-    def expected_answer(self, instance: str) -> float:
-        """Expected seconds until an instance would answer another request."""
-        return self.pools.of(instance).expected_answer(self._loop.time())
+    def expected_answer(self, instance: str, way: float = 0.0) -> float:
+        """Expected seconds until an instance would answer another request, less the `way`."""
+        return self.pools.of(instance).expected_answer(self._loop.time(), way)
 
     # --- status queries and silence checks ----------------------------------------------------
 
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -275,9 +275,9 @@
         """Wait for an instance that may serve a read. Raises RequestError."""
 
         request = ReadRequest(database, session_floor, arrived_at, excluded)
-        expected = self.connections.expected_answer
+        answer, work = self.connections.expected_answer, self._expected_work
         plan = await self._waiting.wait_for(
-            lambda: plan_read(self.topology, request, self._loop.time(), expected),
+            lambda: plan_read(self.topology, request, self._loop.time(), answer, work),
             deadline,
             ErrorKind.NO_REPLICA,
         )
@@ -286,6 +286,10 @@
             self._breakers.check_unproven_read()
         return plan
 
+    def _expected_work(self, instance: str) -> float:
+        way = self.topology.way_in_answers(instance, self._loop.time())
+        return self.connections.expected_answer(instance, way)
+
     def _log_spill(self) -> None:
         """Log when reads begin to cross to another region because of late answers, and stop."""
         spill = self.topology.region_spill
--- a/src/orchidwind/shared/core/answer_times.py
+++ b/src/orchidwind/shared/core/answer_times.py
@@ -120,7 +120,11 @@
         """Return whether response times show that requests queue at the instance."""
         return self.recent(now) > self._usual * _QUEUEING_FACTOR
 
-    def expected(self, ahead: int, now: float) -> float:
-        """Return the estimated seconds until a new request with `ahead` before it is answered."""
+    def expected(self, ahead: int, now: float, way: float = 0.0) -> float:
+        """Return the estimated seconds until a new request with `ahead` before it is answered.
+
+        `way` is the part of each response time, in seconds, that the caller adds once by itself:
+        requests travel at the same time, so it is neither multiplied nor contained in the result.
+        """
         longest = max(self.recent(now), self.oldest_wait(now), self._decayed_abandoned_wait(now))
-        return longest * (1 + ahead)
+        return max(longest - way, 0.0) * (1 + ahead)
--- a/src/orchidwind/shared/core/pool.py
+++ b/src/orchidwind/shared/core/pool.py
@@ -125,9 +125,9 @@
         """Number of running and waiting requests per usable connection."""
         return (len(self.queue) + len(self.busy)) / max(self.usable, 1)
 
-    def expected_answer(self, now: float) -> float:
-        """Return the estimated seconds until one more request would be answered."""
-        return self.answer_times.expected(len(self.running) + len(self.queue), now)
+    def expected_answer(self, now: float, way: float = 0.0) -> float:
+        """Return the estimated seconds until one more request would be answered, less `way`."""
+        return self.answer_times.expected(len(self.running) + len(self.queue), now, way)
 
     def set_share(self, share: int, now: float) -> list[PoolEffect]:
         """Set the maximum number of connections; surplus idle connections are closed at once."""
--- a/tests/promoted/test_distances.py
+++ b/tests/promoted/test_distances.py
@@ -146,6 +146,25 @@
     assert chosen(view, {"p": 0.06, "near": 0.06, "far": 0.001}) == "near"
 
 
+def test_the_primary_runs_no_read_because_the_way_to_an_idle_replica_is_long():
+    """The replica 40 ms away answers in 45 ms, the primary in 15: it saves less than 50 ms."""
+    view = topology({"p": "a2", "far": "b1"})
+    view.distances.measured("b1", 0.04, 9.0)
+    assert chosen(view, {"p": 0.015, "far": 0.045}) == "far"
+
+
+def test_requests_in_flight_do_not_multiply_the_way_in_the_cost_of_a_replica():
+    """Both are 40 ms away. One works for 5 ms and has three requests; the other works for 40."""
+    view = topology({"p": "a2", "busy": "b1", "slow": "b2"})
+    for zone in ("b1", "b2"):
+        view.distances.measured(zone, 0.04, 9.0)
+    answers = {"p": 0.1, "busy": 0.045 * 4, "slow": 0.08}
+    work = {"p": 0.1, "busy": 0.005 * 4, "slow": 0.04}
+    request = ReadRequest(READ, None, 10.0)
+    plan = plan_read(view, request, 10.0, answers.__getitem__, work.__getitem__)
+    assert plan.instance == "busy"
+
+
 def test_a_read_crosses_at_once_if_no_replica_here_may_run_it():
     view = topology({"p": "a2", "near": "a2", "far": "b1"})
     expected = {"p": 0.02, "near": 0.01, "far": 0.01}
--- a/tests/promoted/test_regions.py
+++ b/tests/promoted/test_regions.py
@@ -7,7 +7,16 @@
 import asyncio
 
 import pytest
-from support.regional_fleet import FLEET, LIMIT, cut_off, front_of, home_of, region, with_fleet
+from support.regional_fleet import (
+    FLEET,
+    LIMIT,
+    RegionalSystem,
+    cut_off,
+    front_of,
+    home_of,
+    region,
+    with_fleet,
+)
 
 from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
 from orchidwind.promoted.core.configuration import (
@@ -161,6 +170,25 @@
     with_fleet(scenario)
 
 
+@pytest.mark.parametrize(("kind", "expected"), [(RegionalSystem, 0.005), (PromotedSystem, 0.045)])
+def test_a_home_expects_an_answer_without_the_way_that_planning_adds(kind, expected):
+    """The replica of the other region answers in 45 ms, of which 40 are the way."""
+
+    async def scenario(system):
+        home = next(
+            n for n in system.nodes.values() if n.homes.is_home(GROUP) and n.zone == "zone-a"
+        )
+        service, now = home.groups[GROUP], asyncio.get_running_loop().time()
+        service.topology.distances.measured("zone-c", 0.04, now)
+        times = service.connections.pools.of("i-2").answer_times
+        for _ in range(50):
+            times.began(-1, now - 0.045)
+            times.ended(-1, now, answered=True)
+        assert service._expected_work("i-2") == pytest.approx(expected, abs=0.001)
+
+    with_fleet(scenario, kind=kind)
+
+
 def test_without_regions_no_distance_is_measured():
     async def work():
         system = PromotedSystem(1, connection_limit=LIMIT, proxies=FLEET)
--- a/tests/shared/test_answer_times.py
+++ b/tests/shared/test_answer_times.py
@@ -75,3 +75,12 @@
     times.began(2, now)
     times.began(3, now + 0.05)
     assert [times.overdue(now + after) for after in (0.09, 0.11, 0.2)] == [0, 1, 2]
+
+
+def test_the_way_is_neither_multiplied_nor_contained():
+    """An idle instance 40 ms away works for 5 ms: with three requests ahead, 20 ms and the way."""
+    times = AnswerTimes()
+    now = answered(times, 0.045, 50)
+    assert times.expected(0, now, 0.04) == pytest.approx(0.005, abs=0.001)
+    assert times.expected(3, now, 0.04) == pytest.approx(0.02, abs=0.004)
+    assert times.expected(3, now, 0.1) == 0.0
