--- a/src/orchidwind/promoted/core/share_changes.py
+++ b/src/orchidwind/promoted/core/share_changes.py
@@ -55,6 +55,9 @@
 # For how long so little must have been reachable, seconds. A link to a proxy that restarts is up
 # again after a second; the change can be withdrawn for longer than that.
 LOSS_SECONDS = 0.2
+# How long before a proxy learned of a change its loss of holders may have ended, seconds, if that
+# loss is to be the reason of the change: news of the object may be as late as that.
+LOSS_NOTED_SECONDS = 2.0
 # Most proxies that replace lost holders. A share among more would be too small to be of use.
 MOST_REPLACEMENTS = 6
 # Pause after a change was withdrawn before this proxy proposes to replace lost holders again,
@@ -236,10 +239,12 @@
         return self._completed(now, around)
 
     def _return_due(self, now: float, around: Surroundings) -> bool:
-        """Whether this proxy is to take the change back: it leaves wanted holders that answer."""
+        """Whether this proxy is to take the change back: it replaces lost holders that are back."""
         writers = self._writers(around.lost)
         if self._enough_since is None or self._name not in writers:
             return False
+        if self._enough_since < self._held_since - LOSS_NOTED_SECONDS:
+            return False  # no holders were lost: it is a planned change
         leaves_wanted = self.held.holders == around.wanted and not self.held.late_kept
         turn_delay = writers.index(self._name) * URGENT_TURN_SECONDS
         return leaves_wanted and now - self._enough_since >= turn_delay
--- a/tests/promoted/test_share_confirmations.py
+++ b/tests/promoted/test_share_confirmations.py
@@ -420,6 +420,33 @@
     assert site.most <= 1.0 + ROUNDING
 
 
+class DisagreeingSite(AskingSite):
+    """A site where `e` has another list of the homes than the others."""
+
+    wanted_of_e = ()
+
+    def decide(self, proxy, lost):
+        wanted = self.wanted
+        if proxy.name == "e":
+            self.wanted = self.wanted_of_e
+        super().decide(proxy, lost)
+        self.wanted = wanted
+
+
+@pytest.mark.parametrize(("wanted_of_e", "most_writes"), [("abce", 8), ("ae", 32)])
+def test_no_more_is_written_where_a_proxy_disagrees_than_without_changes_taken_back(
+    wanted_of_e, most_writes
+):
+    """A planned change is withdrawn by those that it drops, in turn, as before."""
+    site = DisagreeingSite(holders=("a", "b", "c", "d"))
+    site.run(STANDING_SECONDS + 1.0, site.unreachable)
+    site.wanted_of_e = tuple(wanted_of_e)
+    written = len(site.history)
+    site.run(10.0, site.unreachable)
+    assert len(site.history) - written <= most_writes
+    assert site.most <= 1.0 + ROUNDING
+
+
 # --- Status ---------------------------------------------------------------------------------------
 
 
