--- a/src/orchidwind/promoted/quotas/share_keeper.py
+++ b/src/orchidwind/promoted/quotas/share_keeper.py
@@ -11,6 +11,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Collection
 
+from msgspec import Struct
+
 from orchidwind.promoted.core.own_share import OwnShare
 from orchidwind.promoted.core.quota_shares import QuotaShares
 from orchidwind.promoted.core.share_changes import ShareChanges, Surroundings
@@ -20,7 +22,7 @@
 from orchidwind.promoted.quotas.quota_service import QuotaService
 from orchidwind.shared.core.errors import PlatformConflict, PlatformError
 from orchidwind.shared.core.quota import HeldShare
-from orchidwind.shared.logs import log_event
+from orchidwind.shared.logs import is_power_of_two, log_event
 from orchidwind.shared.task_set import TaskSet
 
 # Interval at which it is checked whether the holders must change, seconds. A share that comes a
@@ -30,9 +32,27 @@
 _FIRST_WRITE_PAUSE_SECONDS = 0.25
 _LONGEST_WRITE_PAUSE_SECONDS = 2.0
 
+# Pauses before a proxy that has not confirmed is asked again, seconds; each is twice as long as the
+# one before. Most have not read the version yet.
+_FIRST_QUESTION_PAUSE_SECONDS = 0.1
+_LONGEST_QUESTION_PAUSE_SECONDS = 0.4
+
 AskConfirmation = Callable[[str, StoreRevision], Awaitable[bool]]
 
 
+class _Question(Struct):
+    """The question for a proxy's confirmation of one version; asked `failed` times in vain.
+
+    It is not asked again before the time `not_before`, nor while an answer is awaited.
+    """
+
+    revision: StoreRevision
+    failed: int = 0
+    pause: float = _FIRST_QUESTION_PAUSE_SECONDS
+    not_before: float = 0.0
+    awaited: bool = False
+
+
 class ShareKeeper:
     """Keeps the holders of quota shares up to date. Times are seconds of the event loop's clock."""
 
@@ -66,8 +86,8 @@
         self._confirmed_at = lambda: float("-inf")
         self._own_share = OwnShare(name, self._loop.time())
         self._ask_confirmation = ask_confirmation
-        # The holders whose confirmations were asked for, but not received yet.
-        self._asked: set[str] = set()
+        # By the proxy that is asked.
+        self._questions: dict[str, _Question] = {}
         self._tasks = TaskSet()
         # When the previous share was last confirmed, while the service uses that one.
         self._previous_confirmed_at: float | None = None
@@ -216,16 +236,34 @@
         if holder == self._name:
             if self.gives_up_previous(revision):
                 self._changes.confirmed(holder, revision)
-        elif holder not in self._asked:
-            self._asked.add(holder)
-            self._tasks.start(self._ask(holder, revision))
-
-    async def _ask(self, holder: str, revision: StoreRevision) -> None:
+            return
+        question = self._questions.get(holder)
+        if question is None or question.revision != revision:
+            question = self._questions[holder] = _Question(revision)
+        if not question.awaited and self._loop.time() >= question.not_before:
+            question.awaited = True
+            self._tasks.start(self._ask(holder, question))
+
+    async def _ask(self, holder: str, question: _Question) -> None:
         try:
-            if await self._ask_confirmation(holder, revision):
-                self._changes.confirmed(holder, revision)
+            if await self._ask_confirmation(holder, question.revision):
+                self._changes.confirmed(holder, question.revision)
+            else:
+                self._ask_later(holder, question)
         finally:
-            self._asked.discard(holder)
+            question.awaited = False
+
+    def _ask_later(self, holder: str, question: _Question) -> None:
+        question.failed += 1
+        question.not_before = self._loop.time() + question.pause
+        question.pause = min(question.pause * 2, _LONGEST_QUESTION_PAUSE_SECONDS)
+        if is_power_of_two(question.failed):
+            log_event(
+                "quota_share_asked_again",
+                peer=holder,
+                revision=question.revision,
+                failed=question.failed,
+            )
 
     def close(self) -> None:
         """Stop asking for confirmations."""
--- a/tests/promoted/test_quota_holders.py
+++ b/tests/promoted/test_quota_holders.py
@@ -8,9 +8,15 @@
 from collections import Counter
 
 import pytest
-from test_quotas import TENANTS, ReadSender, run_scenario
+from test_quotas import RULES, TENANTS, ReadSender, run_scenario
 
+from orchidwind.promoted.core.quota_shares import QuotaShares
+from orchidwind.promoted.core.share_changes import STANDING_SECONDS
+from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.peers.peer_link import PeerLink
+from orchidwind.promoted.ports import Listing
+from orchidwind.promoted.quotas.quota_service import QuotaService
+from orchidwind.promoted.quotas.share_keeper import ShareKeeper
 from orchidwind.shared.core.errors import ANSWERS, ErrorKind, Ran
 from orchidwind_bench.promoted.simulation.callers import PromotedSystem
 from orchidwind_bench.promoted.simulation.store import STORE
@@ -253,3 +259,37 @@
 
     assert run_virtual(work()).world.store.quota_shares is None
     assert asked == []
+
+
+def test_a_holder_that_does_not_confirm_is_asked_with_pauses(caplog):
+    """It has not read the version, or is of a build that does not know the question."""
+    caplog.set_level("INFO", logger="orchidwind")
+
+    async def work():
+        asked = []
+
+        async def not_known(holder, revision):
+            asked.append(holder)
+            return False
+
+        service = QuotaService(RULES, lambda: TENANTS, list)
+        keeper = ShareKeeper(
+            "a", None, service, lambda: ("a", "b", "c"), lambda names: set(), bool, not_known
+        )
+        loop = asyncio.get_running_loop()
+        keeper.use_view(loop.time, bool)
+        before = QuotaShares(("a", "b"), (), StoreRevision(1))
+        keeper.listed(Listing((before,), StoreRevision(1)))
+        await asyncio.sleep(STANDING_SECONDS)
+        change = QuotaShares(("a", "b"), ("a", "b", "c"), StoreRevision(2))
+        keeper.listed(Listing((change,), StoreRevision(2)))
+        checks = asyncio.ensure_future(keeper.run())
+        await asyncio.sleep(2.0)
+        checks.cancel()
+        keeper.close()
+        assert set(asked) == {"b"}
+        assert 3 <= len(asked) <= 8
+
+    run_virtual(work())
+    lines = [line for line in caplog.records if line.message == "quota_share_asked_again"]
+    assert [line.failed for line in lines] == [1, 2, 4]
