--- a/src/orchidwind/promoted/core/peer_messages.py
+++ b/src/orchidwind/promoted/core/peer_messages.py
@@ -181,6 +181,43 @@
     granted: float
 
 
+class InstanceDemand(msgspec.Struct, frozen=True):
+    """The running and waiting requests of the sender at an instance, a moving average."""
+
+    group: str
+    instance: str
+    demand: float
+
+
+class RoomQuery(msgspec.Struct, frozen=True):
+    """Reports the sender's demands and asks for loans of the receiver's parts of the instances.
+
+    Sent only to a proxy that has confirmed that it knows this message.
+    """
+
+    number: int
+    demands: tuple[InstanceDemand, ...]
+
+
+class InstanceLoan(msgspec.Struct, frozen=True):
+    """How many requests at an instance the receiver may run instead of the sender."""
+
+    group: str
+    instance: str
+    amount: float
+
+
+class RoomGrant(msgspec.Struct, frozen=True):
+    """The loans in answer to a `RoomQuery`.
+
+    They are valid for `demand_shares.LOAN_SECONDS`, for the receiver from when it sent the query.
+    Instances for which nothing is lent are left out.
+    """
+
+    number: int
+    loans: tuple[InstanceLoan, ...]
+
+
 class ViewReport(msgspec.Struct, frozen=True):
     """The state of a proxy's view, which was known to be current `age` seconds before this message.
 
@@ -213,4 +250,6 @@
     | ViewReport
     | TokenQuery
     | TokenGrant
+    | RoomQuery
+    | RoomGrant
 )
--- a/src/orchidwind/promoted/group/instance_pools.py
+++ b/src/orchidwind/promoted/group/instance_pools.py
@@ -1,6 +1,7 @@
 """The connection pools of one group, one for each instance, and their usage.
 
-Holds the pools and their shares of connections. `pool_driver` carries out the pools' effects.
+Holds the pools, their shares of connections and this proxy's parts of the instances' requests.
+`pool_driver` carries out the pools' effects.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 
 from msgspec import Struct
 
+from orchidwind.promoted.core.demand_shares import DemandShares
 from orchidwind.shared.core.concurrency_window import ConcurrencyWindow
 from orchidwind.shared.core.pool import InstancePool
 
@@ -19,10 +21,19 @@
 
 
 class PoolUsage(Struct, frozen=True):
-    """The number of connections to one instance, and of requests that wait for one."""
+    """The usage of one instance by this proxy.
+
+    The number of connections to it, and of requests that wait for one; `window` requests may run at
+    once; `demand` is the average number of running and waiting requests; `base_part` this proxy's
+    part of the instance's requests, `part` the same less what it lent and with what it borrowed.
+    """
 
     connections: int
     queued: int
+    window: int = 0
+    demand: float = 0.0
+    part: float = 0.0
+    base_part: float = 0.0
 
 
 class ConnectionShares(Struct, frozen=True):
@@ -49,6 +60,8 @@
         self._is_primary = is_primary
         self._fair_window = fair_window
         self._pools: dict[str, InstancePool] = {}
+        # This proxy's part of the requests of each instance that has a pool.
+        self._demand_shares: dict[str, DemandShares] = {}
         self._numbers = count(1)
 
     def __iter__(self) -> Iterator[InstancePool]:
@@ -58,33 +71,56 @@
         """The pool of an instance; created if there is none."""
         pool = self._pools.get(instance)
         if pool is None:
-            window = ConcurrencyWindow(self._fair_window(instance))
+            fair_window = self._fair_window(instance)
+            window = ConcurrencyWindow(fair_window)
             pool = InstancePool(
                 instance, self.share_of(instance), self._numbers, eager=False, window=window
             )
             self._pools[instance] = pool
+            self._demand_shares[instance] = DemandShares(fair_window)
         return pool
 
+    def demand_shares(self, instance: str) -> DemandShares | None:
+        """This proxy's part of an instance's requests; None if the instance has no pool."""
+        return self._demand_shares.get(instance)
+
     def share_of(self, instance: str) -> int:
         """How many connections this proxy may hold to an instance."""
         if self._is_primary(instance):
             return self.shares.primary
         return self.shares.near if self._is_near(instance) else self.shares.far
 
-    def share_windows(self) -> None:
-        """Recompute the fair shares after the number of homes changed."""
-        for name, pool in self._pools.items():
-            if pool.window is not None:
-                pool.window.set_fair_share(self._fair_window(name))
+    def share_windows(self, now: float) -> None:
+        """Recompute the fair shares after homes, slots or demands changed."""
+        for name in self._pools:
+            self._demand_shares[name].base = self._fair_window(name)
+            self.share_window(name, now)
+
+    def share_window(self, instance: str, now: float) -> None:
+        """Set the fair share of one instance's window to this proxy's part."""
+        window = self._pools[instance].window
+        if window is not None:
+            shares = self._demand_shares[instance]
+            window.set_fair_share(shares.part(now), reduced=shares.lent(now) > 0)
 
     def known(self, instance: str) -> InstancePool | None:
         """The pool of an instance; None before its first use and after it was forgotten."""
         return self._pools.get(instance)
 
-    def usage(self, instance: str) -> PoolUsage:
+    def usage(self, instance: str, now: float) -> PoolUsage:
         """The usage of an instance's pool."""
         pool = self._pools.get(instance)
-        return PoolUsage(pool.size, len(pool.queue)) if pool else PoolUsage(0, 0)
+        if pool is None:
+            return PoolUsage(0, 0)
+        shares = self._demand_shares[instance]
+        return PoolUsage(
+            connections=pool.size,
+            queued=len(pool.queue),
+            window=pool.window.size if pool.window is not None else 0,
+            demand=shares.demand,
+            part=shares.part(now),
+            base_part=shares.base,
+        )
 
     @property
     def held_instances(self) -> list[str]:
@@ -111,7 +147,9 @@
     def forget(self, instance: str) -> None:
         """Drop the pool of an instance that left long ago."""
         self._pools.pop(instance, None)
+        self._demand_shares.pop(instance, None)
 
     def clear(self) -> None:
         """Drop all pools."""
         self._pools.clear()
+        self._demand_shares.clear()
--- a/src/orchidwind/promoted/group/operator_status.py
+++ b/src/orchidwind/promoted/group/operator_status.py
@@ -16,7 +16,12 @@
 
 
 class OperatorInstanceStatus(msgspec.Struct, frozen=True):
-    """One instance. `view_age_ms` is the age of its last status, or -1 if none is known."""
+    """One instance. `view_age_ms` is the age of its last status, or -1 if none is known.
+
+    `window` is the number of requests that this proxy may run there at once, `demand` the average
+    number that run and wait. `base_part` is this proxy's equal part of the instance's requests,
+    `part` the same less what it lent to other homes and with what it borrowed.
+    """
 
     name: str
     role: str
@@ -29,6 +34,10 @@
     view_age_ms: int
     connections: int
     queued: int
+    window: int = 0
+    demand: float = 0.0
+    part: float = 0.0
+    base_part: float = 0.0
 
 
 class OperatorGroupStatus(msgspec.Struct, frozen=True):
@@ -134,7 +143,7 @@
     instances = []
     for name, view in group.topology.instances.items():
         status = view.status
-        usage = group.connections.pools.usage(name)
+        usage = group.connections.pools.usage(name, now)
         instances.append(
             OperatorInstanceStatus(
                 name=name,
@@ -148,6 +157,10 @@
                 view_age_ms=int((now - status.asked_at) * 1000) if status else -1,
                 connections=usage.connections,
                 queued=usage.queued,
+                window=usage.window,
+                demand=round(usage.demand, 2),
+                part=round(usage.part, 2),
+                base_part=round(usage.base_part, 2),
             )
         )
     return OperatorGroupStatus(
--- a/src/orchidwind/promoted/metrics.py
+++ b/src/orchidwind/promoted/metrics.py
@@ -64,6 +64,11 @@
             "Commands forwarded to home proxies, by outcome",
             "outcome",
         )
+        self.room_queries = factory.counter(
+            "orchidwind_room_queries",
+            "Reports of high demand to other homes, by whether these lent room at an instance",
+            "outcome",
+        )
         self.sessions = factory.gauge("orchidwind_callers", "Open sessions of callers")
 
 
@@ -252,6 +257,10 @@
         """Count a command that was forwarded to a home proxy and has ended."""
         self._callers.forwarded.labels(outcome).inc()
 
+    def room_query(self, outcome: str) -> None:
+        """Count a report of high demand to another home, by its outcome."""
+        self._callers.room_queries.labels(outcome).inc()
+
     def silent(self, found: SilentConnection) -> None:
         """Log and count an open connection that was found silent."""
         log_silent_connection(found)
--- a/src/orchidwind/promoted/peers/home_ports.py
+++ b/src/orchidwind/promoted/peers/home_ports.py
@@ -10,7 +10,14 @@
 from msgspec import Struct
 
 from orchidwind.promoted.callers.session_registry import SessionRegistry
-from orchidwind.promoted.core.peer_messages import LockReport, PeerMessage, ViewQuery, ViewReport
+from orchidwind.promoted.core.peer_messages import (
+    InstanceDemand,
+    InstanceLoan,
+    LockReport,
+    PeerMessage,
+    ViewQuery,
+    ViewReport,
+)
 from orchidwind.promoted.group.group_service import GroupService
 from orchidwind.promoted.quotas.quota_service import NoQuotas, Quotas
 
@@ -18,6 +25,7 @@
 GroupLookup = Callable[[str], GroupService | None]
 ReadLock = Callable[[int], Awaitable[LockReport]]
 LendTokens = Callable[[str, float], float]
+LendRoom = Callable[[str, tuple[InstanceDemand, ...]], tuple[InstanceLoan, ...]]
 ReportView = Callable[[ViewQuery], ViewReport]
 
 
@@ -25,6 +33,10 @@
     return 0.0
 
 
+def _no_loans(proxy: str, demands: tuple[InstanceDemand, ...]) -> tuple[InstanceLoan, ...]:
+    return ()
+
+
 def _unknown_target_latency(database: str) -> float | None:
     return None
 
@@ -40,6 +52,7 @@
     where that is unknown.
     `quotas` admits the operations of tenants.
     `lend_tokens` lends tokens of a tenant's quota to another proxy and returns how many.
+    `lend_room` takes the demands of another proxy and returns what is lent to it.
     """
 
     groups: GroupLookup
@@ -50,6 +63,7 @@
     target_latency: Callable[[str], float | None] = _unknown_target_latency
     quotas: Quotas = NoQuotas()
     lend_tokens: LendTokens = _no_tokens
+    lend_room: LendRoom = _no_loans
 
 
 class LinkWriter(Struct, frozen=True):
--- a/src/orchidwind/promoted/peers/peer_codec.py
+++ b/src/orchidwind/promoted/peers/peer_codec.py
@@ -43,6 +43,8 @@
         peer_messages.ViewReport,
         peer_messages.TokenQuery,
         peer_messages.TokenGrant,
+        peer_messages.RoomQuery,
+        peer_messages.RoomGrant,
     )
 }
 # The records of messages that concern a tenant. All other records keep the encoding that proxies of
--- a/src/orchidwind/promoted/peers/peer_link.py
+++ b/src/orchidwind/promoted/peers/peer_link.py
@@ -20,17 +20,21 @@
     Alive,
     CommandAnswer,
     Greeting,
+    InstanceDemand,
+    InstanceLoan,
     LockQuery,
     LockReport,
     PeerMessage,
     Probe,
+    RoomGrant,
+    RoomQuery,
     RunCommand,
     TokenGrant,
     TokenQuery,
     ViewQuery,
     ViewReport,
 )
-from orchidwind.promoted.core.store_revision import StoreRevision
+from orchidwind.promoted.core.store_revision import NOTHING_HELD, StoreRevision
 from orchidwind.promoted.peers.silence_watch import SilenceWatch, WatchedLink
 from orchidwind.promoted.ports import PeerConnection, PeerConnector
 from orchidwind.shared.core.errors import PeerUnavailable
@@ -42,9 +46,12 @@
     log_silent_connection,
 )
 
-Answer = CommandAnswer | LockReport | ViewReport | TokenGrant
+Answer = CommandAnswer | LockReport | ViewReport | TokenGrant | RoomGrant
 # Shortest interval between two probes of a link that is to be verified, seconds.
 _VERIFY_SECONDS = 0.5
+# A proxy that knows `RoomQuery` reports a view of this name as known. Proxies of earlier builds,
+# which would drop the link on that message, know no such view.
+ROOM_VIEW = "room"
 
 
 class PeerLink:
@@ -86,6 +93,10 @@
         self._reopening: asyncio.TimerHandle | None = None
         self._pause = ReopenPause()
         self._verified_at = float("-inf")
+        # The connection whose other side was asked whether it knows `RoomQuery`, and its answer.
+        # The proxy on another connection may be of another build.
+        self._room_asked_on: PeerConnection | None = None
+        self._room_known = False
 
     def usable(self) -> bool:
         """Whether new work may be sent: the link is not lost, the other proxy is not stopping."""
@@ -113,6 +124,24 @@
         assert isinstance(answer, TokenGrant)
         return answer.granted
 
+    async def ask_room(self, demands: tuple[InstanceDemand, ...]) -> tuple[InstanceLoan, ...]:
+        """Report demands; return what the other proxy lends. Raises PeerUnavailable.
+
+        Returns nothing if the other proxy does not know the message. The query does not cause
+        probes of the idle link.
+        """
+        connection = await self._open()
+        if self._room_asked_on is not connection:
+            query = ViewQuery(self.next_number(), ROOM_VIEW, int(NOTHING_HELD))
+            report = await self._request(query, in_use=False)
+            assert isinstance(report, ViewReport)
+            self._room_asked_on, self._room_known = connection, report.known
+        if not self._room_known or self._connection is not connection:
+            return ()
+        answer = await self._request(RoomQuery(self.next_number(), demands), in_use=False)
+        assert isinstance(answer, RoomGrant)
+        return answer.loans
+
     async def ask_view(
         self, view: str, revision: StoreRevision, whole: bool, infrequent: bool = False
     ) -> ViewReport:
@@ -127,7 +156,9 @@
         return answer
 
     async def _request(
-        self, message: RunCommand | LockQuery | ViewQuery | TokenQuery, in_use: bool = True
+        self,
+        message: RunCommand | LockQuery | ViewQuery | TokenQuery | RoomQuery,
+        in_use: bool = True,
     ) -> Answer:
         connection = await self._open()
         answer_future: asyncio.Future[Answer] = self._loop.create_future()
--- a/src/orchidwind/promoted/peers/served_link.py
+++ b/src/orchidwind/promoted/peers/served_link.py
@@ -17,6 +17,8 @@
     LockQuery,
     PeerMessage,
     Probe,
+    RoomGrant,
+    RoomQuery,
     RunCommand,
     TokenGrant,
     TokenQuery,
@@ -68,6 +70,9 @@
         elif isinstance(message, TokenQuery):
             lent = self._home.lend_tokens(message.tenant, message.wanted)
             self._send(TokenGrant(message.number, lent))
+        elif isinstance(message, RoomQuery):
+            loans = self._home.lend_room(self.proxy, message.demands)
+            self._send(RoomGrant(message.number, loans))
         elif isinstance(message, Probe):
             self._send(Alive(self._leaving()))
         elif isinstance(message, CloseChannel):
--- a/src/orchidwind/promoted/proxy_runtime.py
+++ b/src/orchidwind/promoted/proxy_runtime.py
@@ -41,6 +41,7 @@
 from orchidwind.promoted.peers.home_ports import HomePorts
 from orchidwind.promoted.peers.peer_network import PeerNetwork, PlacementInputs
 from orchidwind.promoted.peers.peer_service import PeerService
+from orchidwind.promoted.peers.room_exchange import RoomExchange
 from orchidwind.promoted.ports import ProxyPorts
 from orchidwind.promoted.quotas.tenancy import Tenancy
 from orchidwind.promoted.upkeep import Upkeep
@@ -84,6 +85,7 @@
         self._lock = PromotionLockClient(name, ports.lock_store, self.rosters, self.store_era)
         self.registry = SessionRegistry()
         self.homes = self._peer_network(own)
+        self._room = RoomExchange(name, self.homes, self.groups, self.metrics)
         self.views = ProxyViews(
             ports, self._bounds, self.homes, self.metrics, self._background.spawn
         )
@@ -139,6 +141,7 @@
             target_latency=self._target_latency,
             quotas=self.quotas,
             lend_tokens=self.quotas.lend,
+            lend_room=self._room.lend,
         )
 
     def start(self) -> None:
@@ -173,6 +176,7 @@
         self._background.spawn(self.rosters.run)
         self._background.spawn(self.leases.run)
         self._background.spawn(self.leases.confirm_drops)
+        self._background.spawn(self._room.run)
         self._follow_quota_shares()
 
     def _follow_quota_shares(self) -> None:
@@ -210,6 +214,7 @@
         """Stop all background work and close every connection."""
         self._background.close()
         self._tenancy.close()
+        self._room.close()
         self.homes.close()
         for group in self.groups.values():
             group.close()
--- a/src/orchidwind/promoted/views/view_reporter.py
+++ b/src/orchidwind/promoted/views/view_reporter.py
@@ -23,6 +23,7 @@
 from orchidwind.promoted.core.quota_shares import QuotaShares
 from orchidwind.promoted.core.store_revision import NOTHING_HELD, StoreRevision
 from orchidwind.promoted.metrics import ProxyMetrics
+from orchidwind.promoted.peers.peer_link import ROOM_VIEW
 from orchidwind.promoted.store_era import StoreEra
 from orchidwind.promoted.views.collection_watch import CollectionWatch
 from orchidwind.promoted.views.peer_views import (
@@ -86,6 +87,8 @@
         asked = StoreRevision(query.revision)
         if asked != NOTHING_HELD:
             self._held.store_era.saw(asked.era, "another proxy")
+        if query.view == ROOM_VIEW:
+            return ViewReport(query.number, known=True, age=0.0, revision=-1)
         watch = self._held.watch(query.view)
         content = self._contents.get(query.view)
         if watch is None or watch.revision == NOTHING_HELD or content is None:
--- a/src/orchidwind/shared/core/concurrency_window.py
+++ b/src/orchidwind/shared/core/concurrency_window.py
@@ -6,10 +6,11 @@
 Requests then wait in the proxy, which can order them, instead of in the instance's queue.
 
 The fair share of a proxy follows from the number of slots of the instance and the number of proxies
-that hold connections to it. It is the number of requests that the proxy may have in progress there
-so that few requests of all proxies together wait. A window starts at the fair share, grows beyond
-it while answers arrive as fast as usual (other proxies use less than their shares), and shrinks
-back to it when response times show that requests queue at the instance.
+that hold connections to it, and may move with their demand. It is the number of requests that the
+proxy may have in progress there so that few requests of all proxies together wait. A window starts
+at the fair share, grows beyond it while answers arrive as fast as usual (other proxies use less
+than their shares), and shrinks back to it when response times show that requests queue at the
+instance.
 
 Owns: the size of one window. Its user reports each answer and each rejection, with the time in
 seconds of a monotonic clock.
@@ -53,6 +54,7 @@
 
     def __init__(self, fair_share: float = INITIAL_WINDOW) -> None:
         self._fair_share = self._size = max(fair_share, _MIN_WINDOW)
+        self._maximum = self._fair_share * _MAX_FAIR_SHARES
         self._decreased_at = float("-inf")
 
     @property
@@ -60,9 +62,17 @@
         """Number of requests that may run at once."""
         return int(self._size)
 
-    def set_fair_share(self, share: float) -> None:
-        """Set the fair share after the slots of the instance or the number of proxies changed."""
+    def set_fair_share(self, share: float, reduced: bool = False) -> None:
+        """Set the fair share after the slots of the instance or the proxies' demands changed.
+
+        `reduced`: other proxies may be using a part of this proxy's share. A window above the new
+        maximum then shrinks at once.
+        """
         self._fair_share = max(share, _MIN_WINDOW)
+        self._maximum = self._fair_share * _MAX_FAIR_SHARES
+        if reduced:
+            self._maximum = max(share * _MAX_FAIR_SHARES, _MIN_WINDOW)
+        self._size = min(self._size, self._maximum)
 
     def answered(self, running: int, queueing: bool, now: float) -> None:
         """Record an answer that came while `running` requests were in progress.
@@ -72,8 +82,7 @@
         if queueing and self._size > self._fair_share:
             self._shrink(_DECREASE_QUEUEING, now)
         elif running >= self.size and (not queueing or self._size < self._fair_share):
-            maximum = self._fair_share * _MAX_FAIR_SHARES
-            self._size = min(self._size + 1.0 / self._size, maximum)
+            self._size = min(self._size + 1.0 / self._size, self._maximum)
 
     def rejected(self, now: float) -> None:
         """Record that the instance rejected a request for lack of room."""
--- a/src/orchidwind_bench/promoted/laboratory/play.py
+++ b/src/orchidwind_bench/promoted/laboratory/play.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from math import exp, log
 
@@ -45,6 +45,9 @@
 _QUOTA_SCALE = 50_000.0
 
 Fault = Callable[[FleetSystem], None]
+# Returns the weight of each proxy in the load, in the order of `PROXIES`, at a time in seconds from
+# the start of the load.
+ProxyWeights = Callable[[float], Sequence[float]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +57,7 @@
     `load` is the offered load as a fraction of the capacity of all slots. `faults` are pairs of a
     time, in seconds from the start of the load, and the fault. `tenants` is the number of tenants
     that share the load, each with a slightly smaller share than the one before; with 0, callers
-    need no key.
+    need no key. `proxy_weights` spreads the load unevenly over the proxies; None spreads it evenly.
     """
 
     load: float = 0.5
@@ -62,6 +65,7 @@
     faults: tuple[tuple[float, Fault], ...] = ()
     seed: int = 1
     tenants: int = 0
+    proxy_weights: ProxyWeights | None = None
 
 
 class LaboratorySystem(FleetSystem):
@@ -130,12 +134,18 @@
         while loop.time() < self.began_at + plan.seconds:
             await asyncio.sleep(self.world.random.expovariate(rate))
             kind = self.world.random.choices(KINDS, [kind.share for kind in KINDS])[0]
-            node = self.world.random.choice(PROXIES)
+            node = self._draw_proxy(plan, loop.time() - self.began_at)
             operations.append(loop.create_task(self._operate(node, kind)))
         outcomes = await asyncio.gather(*operations)
         shipping.cancel()
         return outcomes
 
+    def _draw_proxy(self, plan: LoadPlan, seconds: float) -> str:
+        """Return the proxy of the next operation's caller."""
+        if plan.proxy_weights is None:
+            return self.world.random.choice(PROXIES)
+        return self.world.random.choices(PROXIES, plan.proxy_weights(seconds))[0]
+
     def _arrival_rate(self, load: float) -> float:
         """Return the arrivals per second that occupy this fraction of all slots."""
         mean = sum(kind.share * kind.work for kind in KINDS)
--- a/src/orchidwind_bench/promoted/laboratory/scenarios.py
+++ b/src/orchidwind_bench/promoted/laboratory/scenarios.py
@@ -11,9 +11,11 @@
 from orchidwind_bench.promoted.laboratory.load import KINDS
 from orchidwind_bench.promoted.laboratory.play import (
     INSTANCES,
+    PROXIES,
     Fault,
     Figures,
     LoadPlan,
+    ProxyWeights,
     play_load,
     slots,
 )
@@ -21,6 +23,10 @@
 
 FAULT_FROM = 1.0
 FAULT_UNTIL = 6.0
+# The part of all demand that comes to one proxy where demand is uneven.
+HOT_SHARE = 0.75
+# Seconds after which a wave of demand has moved on to the next proxy.
+WAVE_STEP_SECONDS = 2.0
 PRIMARY, REPLICA = INSTANCES[0], INSTANCES[1]
 
 
@@ -64,6 +70,21 @@
     return fault
 
 
+def at_one_proxy(seconds: float) -> list[float]:
+    """Return weights of the proxies: three quarters of all demand come to one."""
+    return _hot(0)
+
+
+def wave(seconds: float) -> list[float]:
+    """Return weights of the proxies: three quarters of all demand move from one to the next."""
+    return _hot(int(seconds / WAVE_STEP_SECONDS) % len(PROXIES))
+
+
+def _hot(chosen: int) -> list[float]:
+    rest = (1.0 - HOT_SHARE) / (len(PROXIES) - 1)
+    return [HOT_SHARE if number == chosen else rest for number in range(len(PROXIES))]
+
+
 def between(begin: Fault, end: Fault) -> tuple[tuple[float, Fault], ...]:
     """Schedule `begin` at `FAULT_FROM` and `end` at `FAULT_UNTIL`."""
     return ((FAULT_FROM, begin), (FAULT_UNTIL, end))
@@ -79,6 +100,11 @@
     return lambda seed: LoadPlan(load, seed=seed)
 
 
+def _uneven(load: float, weights: ProxyWeights) -> Callable[[int], LoadPlan]:
+    """Return a factory of plans by seed, with demand that differs between the proxies."""
+    return lambda seed: LoadPlan(load, seed=seed, proxy_weights=weights)
+
+
 SCENARIOS: dict[str, Callable[[int], LoadPlan]] = {
     "calm": _loaded(0.5),
     "near": _loaded(0.8),
@@ -86,6 +112,8 @@
     "over": _loaded(1.5),
     "double": _loaded(2.0),
     "fourfold": _loaded(4.0),
+    "one proxy": _uneven(0.8, at_one_proxy),
+    "wave": _uneven(0.8, wave),
     "hang": _faulty(0.5, hang(True), hang(False)),
     "slow": _faulty(0.5, slow(5.0), slow(1.0)),
     "lost": _faulty(0.5, lose_answers(0.2), lose_answers(0.0)),
--- a/tests/shared/test_recorded_messages.py
+++ b/tests/shared/test_recorded_messages.py
@@ -81,10 +81,14 @@
     ConfigurationView,
     DirectoryView,
     Greeting,
+    InstanceDemand,
+    InstanceLoan,
     LockQuery,
     LockReport,
     MembersView,
     QuotaSharesView,
+    RoomGrant,
+    RoomQuery,
     RunCommand,
     SettingValue,
     TokenGrant,
@@ -504,6 +508,10 @@
     yield case("QuotaSharesReport", ViewReport(300, True, 0.25, 9, quota_shares=shares))
     no_holders = QuotaSharesView((), (), 0)
     yield case("QuotaSharesReport", ViewReport(1, False, 0.0, -1, quota_shares=no_holders), ABSENT)
+    yield case("RoomQuery", RoomQuery(300, (InstanceDemand("svc1", "i-0", 7.25),)))
+    yield case("RoomQuery", RoomQuery(1, ()), ABSENT)
+    yield case("RoomGrant", RoomGrant(300, (InstanceLoan("svc1", "i-0", 0.75),)))
+    yield case("RoomGrant", RoomGrant(1, ()), ABSENT)
 
 
 CASES: tuple[Case, ...] = (*link_cases(), *datagram_cases(), *peer_cases())
