--- a/tests/shared/test_recorded_names.py
+++ b/tests/shared/test_recorded_names.py
@@ -94,6 +94,7 @@
     metrics.store_call("GET", "kind")
     metrics.view_reported("members", "content", 3)
     metrics.forwarded("ok")
+    metrics.room_query("lent")
     metrics.watch_age("members", lambda: 1.0)
     return parse_metrics(metrics.render())
 
