--- a/src/orchidwind/promoted/callers/command_runner.py
+++ b/src/orchidwind/promoted/callers/command_runner.py
@@ -99,7 +99,12 @@
             return await group.wait_for_primary(hold_until, step.leadership_proof, step.commit)
         if isinstance(step, WaitForReadPlan):
             return await group.wait_for_read_plan(
-                context.database, step.session_floor, context.arrived_at, step.excluded, hold_until
+                context.database,
+                step.session_floor,
+                context.arrived_at,
+                step.excluded,
+                hold_until,
+                context.tenant,
             )
         if isinstance(step, WaitForProof):
             return await group.prove_lead(step.term, limits.deadline)
--- a/src/orchidwind/promoted/group/connections.py
+++ b/src/orchidwind/promoted/group/connections.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 
 from orchidwind.promoted.core.group_state import GroupState
+from orchidwind.promoted.core.opening_cost import opening_cost
 from orchidwind.promoted.group.instance_pools import ConnectionShares
 from orchidwind.promoted.group.pool_driver import PoolDriver
 from orchidwind.promoted.ports import InstanceConnector
@@ -115,9 +116,14 @@
             now = self._loop.time()
             self._driver.perform(pool.exchange_ended(connection, now - began, rejected, now))
 
-    def expected_answer(self, instance: str) -> float:
-        """Expected seconds until an instance would answer another request."""
-        return self.pools.of(instance).expected_answer(self._loop.time())
+    def expected_answer(self, instance: str, tenant: str = NO_TENANT) -> float:
+        """Expected seconds until an instance would answer another request of a tenant.
+
+        This includes the cost of an opening if the tenant has no free connection.
+        """
+        pool = self.pools.of(instance)
+        expected = pool.expected_answer(self._loop.time())
+        return expected + opening_cost(tenant, pool.tenants, pool.idle)
 
     # --- status queries and silence checks ----------------------------------------------------
 
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -252,11 +252,15 @@
         arrived_at: float,
         excluded: frozenset[str],
         deadline: float,
+        tenant: str = NO_TENANT,
     ) -> ReadPlan:
-        """Wait for an instance that may serve a read. Raises RequestError."""
+        """Wait for an instance that may serve a tenant's read. Raises RequestError."""
 
         request = ReadRequest(database, session_floor, arrived_at, excluded)
-        expected = self.connections.expected_answer
+
+        def expected(instance: str) -> float:
+            return self.connections.expected_answer(instance, tenant)
+
         plan = await self._waiting.wait_for(
             lambda: plan_read(self.topology, request, self._loop.time(), expected),
             deadline,
