--- a/src/orchidwind/promoted/core/demand_shares.py
+++ b/src/orchidwind/promoted/core/demand_shares.py
@@ -43,6 +43,8 @@
 # A home asks for loans from this demand on, as a fraction of its base part. Without loans its
 # window may grow to twice the base part.
 _ASK_FROM = 1.5
+# A demand below this counts as none, in requests.
+_NO_DEMAND = 0.01
 # Smallest loan, in requests.
 _SMALLEST_LOAN = 0.05
 
@@ -73,11 +75,18 @@
         self._borrowed: dict[str, _Loan] = {}
         self._reported: dict[str, _ReportedDemand] = {}
 
-    def sample(self, requests: int, now: float) -> None:
-        """Record the number of running and waiting requests at this proxy."""
+    def sample(self, requests: int, now: float) -> bool:
+        """Record the number of running and waiting requests at this proxy.
+
+        Returns whether there is any demand or loan; if not, the part is the base part.
+        """
+        if not (requests or self._lent or self._borrowed) and self.demand < _NO_DEMAND:
+            self.demand, self._sampled_at = 0.0, now
+            return False
         elapsed = 0.0 if self._sampled_at is None else now - self._sampled_at
         self._sampled_at = now
         self.demand += (requests - self.demand) * (1 - exp(-elapsed / _DEMAND_SECONDS))
+        return True
 
     def needs_loans(self) -> bool:
         """Whether the demand is so high that this proxy asks other homes for loans."""
@@ -94,7 +103,12 @@
 
     def borrowed(self, now: float) -> float:
         """How many requests this proxy may use in addition to its base part."""
-        return sum(loan.amount for loan in self._borrowed.values() if loan.until > now)
+        if not self._borrowed:
+            return 0.0
+        self._borrowed = {
+            lender: loan for lender, loan in self._borrowed.items() if loan.until > now
+        }
+        return sum(loan.amount for loan in self._borrowed.values())
 
     def lend(self, borrower: str, demand: float, now: float) -> float:
         """Lend to a home that reports its demand; return the amount.
--- a/src/orchidwind/promoted/peers/room_exchange.py
+++ b/src/orchidwind/promoted/peers/room_exchange.py
@@ -110,7 +110,8 @@
             for pool in pools:
                 shares = pools.demand_shares(pool.instance)
                 assert shares is not None
-                shares.sample(len(pool.running) + len(pool.queue), now)
+                if not shares.sample(len(pool.running) + len(pool.queue), now):
+                    continue
                 pools.share_window(pool.instance, now)
                 self._log_change(name, pool.instance, shares, now)
 
--- a/tests/promoted/test_demand_shares.py
+++ b/tests/promoted/test_demand_shares.py
@@ -227,3 +227,20 @@
         least = fair_share(SLOTS, len(HOMES)) * LEAST_PART
         assert parts.pop(busy) >= fair_share(SLOTS, 1) - 5 * least - 0.01
         assert min(parts.values()) >= least - ROUNDING
+
+
+def test_a_home_at_rest_is_left_alone_until_it_has_demand_or_a_loan():
+    """After a long rest the average starts from none: the rest is no part of its time."""
+    shares = DemandShares(2.0)
+    assert not shares.sample(0, 0.0)
+    assert not shares.sample(0, 1000.0)
+    assert shares.sample(6, 1000.01)
+    assert shares.demand < 1.0
+    lender = demanding(2.0, 0)
+    assert not lender.sample(0, 101.0)
+    lender.lend("borrower", 8.0, 101.0)
+    assert lender.sample(0, 101.1)
+    ended = 101.2 + LOAN_SECONDS
+    assert lender.sample(0, ended)
+    assert lender.part(ended) == 2.0
+    assert not lender.sample(0, ended + 0.1)
