--- a/tests/shared/test_concurrency_window.py
+++ b/tests/shared/test_concurrency_window.py
@@ -33,6 +33,31 @@
     assert window.size == int(INITIAL_WINDOW)
 
 
+def grown(window):
+    """Let a window grow as far as it may."""
+    for _ in range(100):
+        window.answered(window.size, queueing=False, now=50.0)
+    return window.size
+
+
+def test_a_reduced_share_shrinks_the_window_at_once_and_bounds_its_growth():
+    window = ConcurrencyWindow(4.0)
+    assert grown(window) == 8
+    window.set_fair_share(1.5, reduced=True)
+    assert window.size == 3
+    assert grown(window) == 3
+    window.set_fair_share(0.2, reduced=True)
+    assert (window.size, grown(window)) == (1, 1)
+    window.set_fair_share(4.0)
+    assert grown(window) == 8
+
+
+def test_a_share_below_one_that_is_not_reduced_lets_the_window_grow_to_two():
+    window = ConcurrencyWindow(0.5)
+    window.set_fair_share(0.5)
+    assert grown(window) == 2
+
+
 @given(st.lists(st.tuples(st.booleans(), st.floats(0, 100)), max_size=60))
 def test_one_request_may_always_run(steps):
     window = ConcurrencyWindow()
