--- a/src/orchidwind/promoted/core/opening_cost.py
+++ b/src/orchidwind/promoted/core/opening_cost.py
@@ -3,16 +3,17 @@
 A connection belongs to one tenant. A read whose tenant has no free connection at an instance opens
 one there: the read waits for it, the opening holds a slot of the instance, and in a full pool
 another tenant's connection is closed for it, which that tenant opens again later. A read therefore
-prefers an instance where its tenant has a free connection. Times are in seconds.
+prefers a replica where its tenant has a free connection. The cost decides among replicas only: the
+primary alone can take writes, and runs no more reads for it. Times are in seconds.
 """
 
 from __future__ import annotations
 
 from orchidwind.shared.core.tenant_connections import NO_TENANT, TenantConnections
 
-# Cost of an opening, seconds. It takes 12 to 32 ms, and as long of a slot; both apply again to the
-# tenant whose connection was closed.
-OPENING_COST_SECONDS = 0.1
+# Cost of an opening, seconds. It takes 12 to 32 ms, and as long of a slot. The tenant whose
+# connection was closed pays it again, and may close another tenant's connection in turn.
+OPENING_COST_SECONDS = 0.2
 
 
 def opening_cost(tenant: str, connections: TenantConnections, idle: list[int]) -> float:
--- a/src/orchidwind/promoted/core/read_planning.py
+++ b/src/orchidwind/promoted/core/read_planning.py
@@ -9,10 +9,11 @@
 - did not recently refuse work or fail to answer (ignored while the primary is busy or unknown).
 
 Of these replicas it chooses the one with the shortest expected answer time, and one in another zone
-only if that saves more than the additional network latency. If the chosen replica would answer much
-later than the primary, the primary runs the read, although it is the only instance that can take
-writes. Without a floor or an eligible replica, the read runs on the primary as a read of the latest
-state.
+only if that saves more than the additional network latency. Other costs of a replica, such as that
+of an opening (`opening_cost`), may be added to this choice. If the replica with the shortest answer
+time would answer much later than the primary, the primary runs the read, although it is the only
+instance that can take writes. Without a floor or an eligible replica, the read runs on the primary
+as a read of the latest state.
 
 Reads thus move away from an instance that is busy, slow or unreachable, and a load that is too high
 for one instance spreads over all of them.
@@ -80,8 +81,13 @@
     request: ReadRequest,
     now: float,
     expected_answer: ExpectedAnswerTime = _equal_answer_time,
+    replica_cost: ExpectedAnswerTime | None = None,
 ) -> ReadPlan | None:
-    """Returns the next attempt of a read, or None if no instance may serve it now."""
+    """Returns the next attempt of a read, or None if no instance may serve it now.
+
+    `replica_cost` replaces `expected_answer` in the choice among replicas. It has no part in the
+    decision whether the primary runs the read.
+    """
     primary = topology.primary(now)
     floor = _required_floor(topology, request)
     if floor is not None:
@@ -91,6 +97,9 @@
                 topology, primary, replica, request, now, expected_answer
             ):
                 return ReadPlan(primary.instance, floor)
+            if replica_cost is not None:
+                cheapest = _fastest_replica(topology, request, primary, floor, now, replica_cost)
+                replica = cheapest or replica
             return ReadPlan(replica, floor)
     if primary is None:
         return None
--- a/src/orchidwind/promoted/group/connections.py
+++ b/src/orchidwind/promoted/group/connections.py
@@ -116,14 +116,14 @@
             now = self._loop.time()
             self._driver.perform(pool.exchange_ended(connection, now - began, rejected, now))
 
-    def expected_answer(self, instance: str, tenant: str = NO_TENANT) -> float:
-        """Expected seconds until an instance would answer another request of a tenant.
+    def expected_answer(self, instance: str) -> float:
+        """Expected seconds until an instance would answer another request."""
+        return self.pools.of(instance).expected_answer(self._loop.time())
 
-        This includes the cost of an opening if the tenant has no free connection.
-        """
+    def replica_cost(self, instance: str, tenant: str) -> float:
+        """Expected seconds until a replica would answer a tenant's read, and its opening cost."""
         pool = self.pools.of(instance)
-        expected = pool.expected_answer(self._loop.time())
-        return expected + opening_cost(tenant, pool.tenants, pool.idle)
+        return self.expected_answer(instance) + opening_cost(tenant, pool.tenants, pool.idle)
 
     # --- status queries and silence checks ----------------------------------------------------
 
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -258,11 +258,14 @@
 
         request = ReadRequest(database, session_floor, arrived_at, excluded)
 
-        def expected(instance: str) -> float:
-            return self.connections.expected_answer(instance, tenant)
+        expected = self.connections.expected_answer
 
+        def replica_cost(instance: str) -> float:
+            return self.connections.replica_cost(instance, tenant)
+
+        cost = None if tenant == NO_TENANT else replica_cost
         plan = await self._waiting.wait_for(
-            lambda: plan_read(self.topology, request, self._loop.time(), expected),
+            lambda: plan_read(self.topology, request, self._loop.time(), expected, cost),
             deadline,
             ErrorKind.NO_REPLICA,
         )
--- a/tests/promoted/test_opening_cost.py
+++ b/tests/promoted/test_opening_cost.py
@@ -5,7 +5,7 @@
 from orchidwind.promoted.core import opening_cost as opening_cost_module
 from orchidwind.promoted.core.opening_cost import OPENING_COST_SECONDS, opening_cost
 from orchidwind.shared.core.tenant_connections import NO_TENANT, TenantConnections
-from orchidwind_bench.promoted.laboratory.play import LoadPlan, play_load
+from orchidwind_bench.promoted.laboratory.play import INSTANCES, LoadPlan, play_load
 from orchidwind_bench.promoted.laboratory.scenarios import FAULT_FROM, FAULT_UNTIL
 
 TENANTS = 60
@@ -37,6 +37,12 @@
     monkeypatch.setattr(opening_cost_module, "OPENING_COST_SECONDS", 0.0)
 
 
+def share_at_primary(load, seed):
+    """The fraction of all statements that the primary ran."""
+    completed = play_load(LoadPlan(load, seed=seed, tenants=TENANTS)).completed
+    return completed[INSTANCES[0]] / sum(completed.values())
+
+
 def played(load, seed):
     """New connections an operation, and the figures."""
     result = play_load(LoadPlan(load, seed=seed, tenants=TENANTS))
@@ -61,3 +67,12 @@
     assert opened < other_opened
     assert found.credit >= other.credit
     assert found.median <= other.median
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("load", [0.5, 0.9])
+def test_the_primary_runs_no_more_statements_than_without_the_cost(load, seed, monkeypatch):
+    """Writes need the primary; reads that a replica could serve do not."""
+    found = share_at_primary(load, seed)
+    without_cost(monkeypatch)
+    assert found <= share_at_primary(load, seed)
--- a/tests/promoted/test_promoted_core.py
+++ b/tests/promoted/test_promoted_core.py
@@ -239,6 +239,21 @@
     return plan_read(view, ReadRequest(DATABASE, None, 10.0), 10.0, expected.__getitem__)
 
 
+def test_an_added_cost_decides_among_replicas_and_moves_no_read_to_the_primary():
+    view = topology()
+    view.floors.prove(9.0, Position(1, 4))
+    request = ReadRequest(DATABASE, None, 10.0)
+
+    def planned_at(expected, cost):
+        return plan_read(view, request, 10.0, expected.__getitem__, cost.__getitem__).instance
+
+    equal = {"p": 0.02, "a": 0.02, "b": 0.02}
+    assert planned_at(equal, {"a": 0.22, "b": 0.02}) == "b"
+    assert planned_at(equal, {"a": 0.22, "b": 0.22}) == "a"
+    assert planned_at({"p": 0.02, "a": 0.02, "b": 0.09}, {"a": 0.22, "b": 0.09}) == "b"
+    assert planned_at({"p": 0.02, "a": 0.09, "b": 0.09}, {"a": 0.29, "b": 0.09}) == "p"
+
+
 def test_reads_go_to_the_replica_that_is_expected_to_answer_first():
     view = topology()
     view.floors.prove(9.0, Position(1, 4))
