--- a/src/orchidwind/promoted/peers/room_exchange.py
+++ b/src/orchidwind/promoted/peers/room_exchange.py
@@ -37,6 +37,8 @@
 _LOGGED_CHANGE = 1.5
 # Shortest interval between two log lines about one instance or one proxy, seconds.
 _LOG_SECONDS = 5.0
+# Interval at which records of groups, instances and proxies that left are dropped, seconds.
+_FORGET_SECONDS = 30.0
 
 
 class RoomExchange:
@@ -61,6 +63,7 @@
         self._logged: dict[tuple[str, str], tuple[float, float]] = {}
         # By proxy: when it was last logged that it did not answer.
         self._failure_logged_at: dict[str, float] = {}
+        self._forget_at = self._loop.time() + _FORGET_SECONDS
 
     async def run(self) -> None:
         """Sample the demands, set the windows and ask for loans, until cancelled."""
@@ -68,6 +71,7 @@
             await asyncio.sleep(_SAMPLE_SECONDS)
             self._sample()
             self._ask_others()
+            self._forget_old()
 
     def close(self) -> None:
         """Cancel the queries that are on their way."""
@@ -143,6 +147,22 @@
                 self._ask_at[member.name] = float("inf")
                 self._tasks.start(self._ask(member, link, tuple(demands)))
 
+    def _forget_old(self) -> None:
+        """Forget log times and pauses that are over: groups, instances and proxies come and go."""
+        now = self._loop.time()
+        if now < self._forget_at:
+            return
+        self._forget_at = now + _FORGET_SECONDS
+        self._ask_at = {name: at for name, at in self._ask_at.items() if at > now}
+        logged = self._failure_logged_at.items()
+        self._failure_logged_at = {name: at for name, at in logged if now - at < _LOG_SECONDS}
+        known = {
+            (name, pool.instance)
+            for name, group in self._groups.items()
+            for pool in group.connections.pools
+        }
+        self._logged = {key: last for key, last in self._logged.items() if key in known}
+
     def _demands_by_proxy(self) -> dict[ProxyMember, list[InstanceDemand]]:
         """The demands to report to each other home."""
         demands: dict[ProxyMember, list[InstanceDemand]] = {}
--- a/tests/promoted/test_room_exchange.py
+++ b/tests/promoted/test_room_exchange.py
@@ -241,6 +241,25 @@
     assert unequal == []
 
 
+def test_what_left_is_forgotten():
+    """An instance, a group and a proxy that are gone leave no record behind."""
+
+    async def work():
+        system = LaboratorySystem(1)
+        await system.settle()
+        exchange = system.nodes[PROXIES[0]]._room
+        now = asyncio.get_running_loop().time()
+        exchange._logged["group", "gone"] = exchange._logged["no group", "gone"] = (1.0, now)
+        exchange._ask_at["gone"] = exchange._failure_logged_at["gone"] = now
+        exchange._ask_at["asked now"] = float("inf")
+        await asyncio.sleep(60.0)
+        assert exchange._logged == {}
+        assert exchange._ask_at == {"asked now": float("inf")}
+        assert exchange._failure_logged_at == {}
+
+    run_virtual(work())
+
+
 def test_a_report_of_a_proxy_that_is_no_home_is_lent_nothing():
     async def work():
         system = LaboratorySystem(1)
