--- a/src/orchidwind/promoted/core/demand_shares.py
+++ b/src/orchidwind/promoted/core/demand_shares.py
@@ -110,6 +110,11 @@
         }
         return sum(loan.amount for loan in self._borrowed.values())
 
+    def first_loan_end(self, now: float) -> float:
+        """When the part next becomes smaller because a loan to this proxy ends; may be infinite."""
+        ends = (loan.until for loan in self._borrowed.values() if loan.until > now)
+        return min(ends, default=float("inf"))
+
     def lend(self, borrower: str, demand: float, now: float) -> float:
         """Lend to a home that reports its demand; return the amount.
 
--- a/src/orchidwind/promoted/group/instance_pools.py
+++ b/src/orchidwind/promoted/group/instance_pools.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
+from functools import partial
 from itertools import count
 
 from msgspec import Struct
@@ -102,6 +103,12 @@
         if window is not None:
             shares = self._demand_shares[instance]
             window.set_fair_share(shares.part(now), reduced=shares.lent(now) > 0)
+            # A loan is not used after its end, even if this proxy was stopped for a while.
+            window.set_share_end(shares.first_loan_end(now), partial(self._renew_share, instance))
+
+    def _renew_share(self, instance: str, now: float) -> None:
+        if instance in self._pools:
+            self.share_window(instance, now)
 
     def known(self, instance: str) -> InstancePool | None:
         """The pool of an instance; None before its first use and after it was forgotten."""
--- a/src/orchidwind/shared/core/concurrency_window.py
+++ b/src/orchidwind/shared/core/concurrency_window.py
@@ -21,6 +21,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 # Initial window, in requests, if no fair share is given. Slightly more than the instances of the
 # first users run at once (2 or 3 slots).
 INITIAL_WINDOW = 4.0
@@ -56,6 +58,8 @@
         self._fair_share = self._size = max(fair_share, _MIN_WINDOW)
         self._maximum = self._fair_share * _MAX_FAIR_SHARES
         self._decreased_at = float("-inf")
+        self._share_ends_at = float("inf")
+        self._renew_share: Callable[[float], None] = lambda now: None
 
     @property
     def size(self) -> int:
@@ -74,6 +78,17 @@
             self._maximum = max(share * _MAX_FAIR_SHARES, _MIN_WINDOW)
         self._size = min(self._size, self._maximum)
 
+    def set_share_end(self, ends_at: float, renew: Callable[[float], None]) -> None:
+        """Set the time from which the fair share is no longer valid; `renew` then sets it again."""
+        self._share_ends_at = ends_at
+        self._renew_share = renew
+
+    def end_share(self, now: float) -> None:
+        """Have the fair share set again if it is no longer valid. Called before each use."""
+        if now >= self._share_ends_at:
+            self._share_ends_at = float("inf")
+            self._renew_share(now)
+
     def answered(self, running: int, queueing: bool, now: float) -> None:
         """Record an answer that came while `running` requests were in progress.
 
--- a/src/orchidwind/shared/core/pool.py
+++ b/src/orchidwind/shared/core/pool.py
@@ -352,6 +352,8 @@
 
     def _rebalance(self, now: float) -> list[PoolEffect]:
         """Close surplus connections, grant idle ones and open those that are needed."""
+        if self.window is not None:
+            self.window.end_share(now)
         self._peak_demand = max(self._peak_demand, len(self.busy) + len(self.queue))
         effects: list[PoolEffect] = []
         while self.idle and self.size > self.usable:
--- a/tests/promoted/test_demand_shares.py
+++ b/tests/promoted/test_demand_shares.py
@@ -7,9 +7,13 @@
 from hypothesis import strategies as st
 
 from orchidwind.promoted.core.demand_shares import LEAST_PART, LOAN_SECONDS, DemandShares
+from orchidwind.promoted.group.instance_pools import InstancePools
+from orchidwind.shared.core.admission import TrafficClass
 from orchidwind.shared.core.concurrency_window import ConcurrencyWindow, fair_share
+from orchidwind.shared.core.pool import Grant
 
 SLOTS = 6
+CLASS = TrafficClass("any")
 HOMES = tuple(f"proxy-{number}" for number in range(6))
 STEP_SECONDS = 0.02
 # A window may grow beyond its part by this factor, so it may exceed the parts by as much.
@@ -86,6 +90,28 @@
     assert borrower.borrowed(101.1) == 0.5
 
 
+def test_a_proxy_that_was_stopped_grants_nothing_on_a_loan_that_ended():
+    """Requests and answers that came meanwhile are handled before its first sample of demands."""
+    pools = InstancePools(lambda name: 2.0, lambda name: True, lambda name: False)
+    pool = pools.of("i")
+    window, pool.window = pool.window, None
+    pool.set_share(20, 99.0)
+    for ticket in range(20):
+        pool.acquire(ticket, CLASS, 99.0, 200.0)
+        pool.opened(max(pool.opening), 99.0)
+    for connection in list(pool.busy):
+        pool.release(connection, 99.0, reusable=True)
+    pool.window = window
+    pools.demand_shares("i").borrow("lender", 8.0, 100.0)
+    pools.share_window("i", 100.0)
+    for _ in range(200):
+        pool.window.answered(pool.window.size, queueing=False, now=100.0)
+    assert pool.window.size == 20
+    thawed = 100.0 + LOAN_SECONDS + 3.0
+    effects = [e for ticket in range(20) for e in pool.acquire(100 + ticket, CLASS, thawed, 200.0)]
+    assert sum(isinstance(effect, Grant) for effect in effects) <= EXCESS * 2.0
+
+
 # --- Any loss, delay and order of messages --------------------------------------------------------
 
 
