--- a/src/orchidwind/promoted/core/read_planning.py
+++ b/src/orchidwind/promoted/core/read_planning.py
@@ -11,10 +11,12 @@
 Of these replicas it chooses the one with the shortest expected answer time, and one in another zone
 only if that saves more than the additional network latency. A replica in another region runs it
 only if none of this region may, or if those of this region would answer too late for the target of
-the read (`region_spill`). If the chosen replica would answer much later than the primary, the
-primary runs the read, although it is the only instance that can take writes; a primary in another
-region does so only if no replica of this region is chosen. Without a floor or an eligible replica,
-the read runs on the primary as a read of the latest state.
+the read (`region_spill`). If the replica with the shortest answer time would answer much later than
+the primary, the primary runs the read, although it is the only instance that can take writes; a
+primary in another region does so only if no replica of this region is chosen. Other costs of a
+replica, such as that of an opening (`opening_cost`), count only in the choice among the replicas of
+one side. Without a floor or an eligible replica, the read runs on the primary as a read of the
+latest state.
 
 Reads thus move away from an instance that is busy, slow or unreachable, and a load that is too high
 for one instance spreads over all of them.
@@ -95,11 +97,14 @@
     now: float,
     expected_answer: ExpectedAnswerTime = _equal_answer_time,
     expected_work: ExpectedAnswerTime | None = None,
+    replica_cost: ExpectedAnswerTime | None = None,
 ) -> ReadPlan | None:
     """Returns the next attempt of a read, or None if no instance may serve it now.
 
     `expected_work` is the expected answer time less the way (`GroupTopology.way_in_answers`), by
-    which replicas are compared; without it, the whole counts.
+    which replicas are compared; without it, the whole counts. `replica_cost` replaces it in the
+    final choice among the replicas of the side that runs the read. It has no part in the decisions
+    whether the primary runs the read and whether it crosses to another region.
     """
     work = expected_work or expected_answer
     primary = topology.primary(now)
@@ -111,6 +116,10 @@
                 topology, primary, replica.instance, request, now, expected_answer
             ):
                 return ReadPlan(primary.instance, floor)
+            if replica_cost is not None:
+                replica = _cheapest_beside(
+                    topology, request, primary, floor, now, replica, replica_cost
+                )
             return ReadPlan(replica.instance, floor, grounds=replica.grounds)
     if primary is None:
         return None
@@ -171,6 +180,27 @@
     return _on_the_better_side(topology, request, now, eligible, cost)
 
 
+def _cheapest_beside(
+    topology: GroupTopology,
+    request: ReadRequest,
+    primary: PrimaryView | None,
+    floor: Position,
+    now: float,
+    chosen: _ReplicaChoice,
+    replica_cost: ExpectedAnswerTime,
+) -> _ReplicaChoice:
+    """Returns the replica of lowest cost on the side of the border on which the chosen one is."""
+    crosses = topology.crosses_region(chosen.instance)
+
+    def cost(name: str) -> tuple[bool, float]:
+        view = topology.instances[name]
+        return view.avoid_until > now, replica_cost(name) + topology.round_trip(name, now)
+
+    eligible = _eligible_replicas(topology, request, primary, floor, now)
+    beside = [name for name in eligible if topology.crosses_region(name) == crosses]
+    return _ReplicaChoice(min(beside, key=cost), chosen.grounds)
+
+
 def _on_the_better_side(
     topology: GroupTopology,
     request: ReadRequest,
--- a/src/orchidwind/promoted/group/connections.py
+++ b/src/orchidwind/promoted/group/connections.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 
 from orchidwind.promoted.core.group_state import GroupState
+from orchidwind.promoted.core.opening_cost import opening_cost
 from orchidwind.promoted.group.instance_pools import ConnectionShares
 from orchidwind.promoted.group.pool_driver import PoolDriver
 from orchidwind.promoted.ports import InstanceConnector
@@ -128,6 +129,11 @@
         """Expected seconds until an instance would answer another request, less the `way`."""
         return self.pools.of(instance).expected_answer(self._loop.time(), way)
 
+    def opening_cost(self, instance: str, tenant: str) -> float:
+        """What a tenant's read costs more at an instance for an opening, in seconds."""
+        pool = self.pools.of(instance)
+        return opening_cost(tenant, pool.tenants, pool.idle)
+
     # --- status queries and silence checks ----------------------------------------------------
 
     def take_any_idle(self, instance: str) -> int | None:
@@ -183,7 +189,7 @@
         """
         if homes != self._driver.homes:
             self._driver.homes = homes
-            self.pools.share_windows()
+            self.pools.share_windows(self._loop.time())
         self.pools.shares = shares
         self._apply_shares()
 
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -280,13 +280,19 @@
         arrived_at: float,
         excluded: frozenset[str],
         deadline: float,
+        tenant: str = NO_TENANT,
     ) -> ReadPlan:
-        """Wait for an instance that may serve a read. Raises RequestError."""
+        """Wait for an instance that may serve a tenant's read. Raises RequestError."""
 
         request = ReadRequest(database, session_floor, arrived_at, excluded)
         answer, work = self.connections.expected_answer, self._expected_work
+
+        def replica_cost(instance: str) -> float:
+            return work(instance) + self.connections.opening_cost(instance, tenant)
+
+        cost = None if tenant == NO_TENANT else replica_cost
         plan = await self._waiting.wait_for(
-            lambda: plan_read(self.topology, request, self._loop.time(), answer, work),
+            lambda: plan_read(self.topology, request, self._loop.time(), answer, work, cost),
             deadline,
             ErrorKind.NO_REPLICA,
         )
--- a/src/orchidwind/promoted/group/operator_status.py
+++ b/src/orchidwind/promoted/group/operator_status.py
@@ -20,6 +20,9 @@
     """One instance. `view_age_ms` is the age of its last status, or -1 if none is known.
 
     `refused` counts the requests that this proxy's queue for the instance has refused, by reason.
+    `window` is the number of requests that this proxy may run there at once, `demand` the average
+    number that run and wait. `base_part` is this proxy's equal part of the instance's requests,
+    `part` the same less what it lent to other homes and with what it borrowed.
     """
 
     name: str
@@ -34,6 +37,10 @@
     connections: int
     queued: int
     refused: dict[str, int] = {}
+    window: int = 0
+    demand: float = 0.0
+    part: float = 0.0
+    base_part: float = 0.0
 
 
 class OperatorGroupStatus(msgspec.Struct, frozen=True):
@@ -179,7 +186,7 @@
     instances = []
     for name, view in group.topology.instances.items():
         status = view.status
-        usage = group.connections.pools.usage(name)
+        usage = group.connections.pools.usage(name, now)
         instances.append(
             OperatorInstanceStatus(
                 name=name,
@@ -194,6 +201,10 @@
                 connections=usage.connections,
                 queued=usage.queued,
                 refused=group.connections.refused(name),
+                window=usage.window,
+                demand=round(usage.demand, 2),
+                part=round(usage.part, 2),
+                base_part=round(usage.base_part, 2),
             )
         )
     return OperatorGroupStatus(
--- a/src/orchidwind/promoted/metrics.py
+++ b/src/orchidwind/promoted/metrics.py
@@ -71,6 +71,11 @@
             "Commands that a home refused and that were sent to another one, by reason",
             "reason",
         )
+        self.room_queries = factory.counter(
+            "orchidwind_room_queries",
+            "Reports of high demand to other homes, by whether these lent room at an instance",
+            "outcome",
+        )
         self.sessions = factory.gauge("orchidwind_callers", "Open sessions of callers")
 
 
@@ -307,6 +312,10 @@
         """Count a command that a home refused and that is sent to another one."""
         self._callers.rerouted.labels(reason).inc()
 
+    def room_query(self, outcome: str) -> None:
+        """Count a report of high demand to another home, by its outcome."""
+        self._callers.room_queries.labels(outcome).inc()
+
     def silent(self, found: SilentConnection) -> None:
         """Log and count an open connection that was found silent."""
         log_silent_connection(found)
