--- a/src/orchidwind/promoted/quotas/quota_service.py
+++ b/src/orchidwind/promoted/quotas/quota_service.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Mapping
+from math import isfinite
 from typing import Protocol
 
 from msgspec import Struct
@@ -149,9 +150,16 @@
         return self._limiter.in_force(self._loop.time(), self._share_confirmed_at())
 
     def weight(self, name: str) -> float:
-        """The rate of a tenant's quota, and the usual weight if the tenant is not known here."""
-        tenant = self._tenants().get(name)
-        return EQUAL_WEIGHT if tenant is None else tenant.rate
+        """The rate of a tenant's quota.
+
+        Requests without a tenant, and tenants without a quota, have the mean of all quotas.
+        """
+        tenants = self._tenants()
+        tenant = tenants.get(name)
+        if tenant is not None and isfinite(tenant.rate):
+            return tenant.rate
+        rates = [other.rate for other in tenants.values() if isfinite(other.rate)]
+        return sum(rates) / len(rates) if rates else EQUAL_WEIGHT
 
     async def admit_operation(self, name: str) -> None:
         """Admit one operation of a tenant; raises RequestError if there is no token for it."""
--- a/tests/promoted/test_quotas.py
+++ b/tests/promoted/test_quotas.py
@@ -280,3 +280,23 @@
         assert link.calls == 2
 
     run_virtual(work())
+
+
+def test_a_tenant_without_a_quota_has_the_mean_weight_of_the_others():
+    """A weight without bound would let it use all connections."""
+
+    async def work():
+        unlimited = Tenant("grebe", (), float("inf"), float("inf"))
+        tenants = {
+            "tern": Tenant("tern", (), 100.0, 10.0),
+            "heron": Tenant("heron", (), 300.0, 10.0),
+            "grebe": unlimited,
+        }
+        service = QuotaService(RULES, lambda: tenants, lambda: [])
+        assert service.weight("heron") == 300.0
+        assert service.weight("grebe") == 200.0
+        assert service.weight("") == 200.0
+        alone = QuotaService(RULES, lambda: {"grebe": unlimited}, lambda: [])
+        assert alone.weight("grebe") == 1.0
+
+    run_virtual(work())
