--- a/src/orchidwind/shared/core/service_times.py
+++ b/src/orchidwind/shared/core/service_times.py
@@ -1,7 +1,8 @@
 """Estimates of how long a request holds a connection, for each traffic class. No I/O, no clock.
 
 Classes differ by several times, so one average for all of them would give wrong waiting times. A
-class without observations is assumed to be like the average of all requests.
+class without observations is assumed to be like the average of all requests, and so is the only
+class that has any.
 
 Owns: one moving average and its spread for each class, and one for all requests. Times are in
 seconds.
@@ -50,6 +51,8 @@
 
     def of(self, class_name: str) -> ServiceTime:
         """Return the service time of a class."""
+        if len(self._by_class) < 2:
+            return self.overall
         return self._by_class.get(class_name, self.overall)
 
     def expected(self, class_name: str) -> float:
--- a/src/orchidwind/shared/core/tenant_accounts.py
+++ b/src/orchidwind/shared/core/tenant_accounts.py
@@ -25,6 +25,9 @@
 # The lead of a tenant that begins to wait again is at most this, in seconds of service: what it was
 # given long ago delays it no longer.
 _LONGEST_LEAD_SECONDS = 4.0
+# A tenant that waits while it may not be granted a connection falls behind the others by at most
+# this, in seconds of service: it does not hold all slots for longer afterwards.
+_LONGEST_LAG_SECONDS = 2.0
 
 
 class TenantAccount(Struct):
@@ -54,6 +57,9 @@
             self._busy_weight += weight
             latest = self.virtual_time + _LONGEST_LEAD_SECONDS / self._busy_weight
             account.virtual_start = max(min(account.virtual_start, latest), self.virtual_time)
+        elif account.weight != weight:
+            self._busy_weight += weight - account.weight
+            account.weight = weight
         account.waiting += 1
 
     def left(self, tenant: str) -> None:
@@ -76,7 +82,12 @@
             (account.virtual_start for name, account in self._busy.items() if eligible(name)),
             default=self.virtual_time,
         )
-        self.virtual_time = max(self.virtual_time, lowest)
+        if lowest <= self.virtual_time:
+            return
+        self.virtual_time = lowest
+        earliest = lowest - _LONGEST_LAG_SECONDS / self._busy_weight
+        for account in self._busy.values():
+            account.virtual_start = max(account.virtual_start, earliest)
 
     def virtual_start(self, tenant: str) -> float:
         """Return where a tenant's next request starts."""
--- a/tests/shared/test_fair_queue.py
+++ b/tests/shared/test_fair_queue.py
@@ -156,6 +156,34 @@
     assert len(queue) == 20
 
 
+def test_a_tenant_that_had_to_wait_for_a_connection_does_not_hold_all_slots_for_long():
+    queue = queue_at(service=0.0001)
+    backlog(queue, {"tern": 1.0, "heron": 1.0}, each=450)
+    for _ in range(400):
+        queue.record_service_time(SERVICE, queue.take(0.0, {"tern"}.__contains__))
+    served = 0
+    while (admitted := queue.take()).tenant == "heron":
+        queue.record_service_time(SERVICE, admitted)
+        served += 1
+    assert 0 < served * SERVICE <= 2.0
+
+
+def test_a_weight_that_changes_while_requests_wait_holds_at_once():
+    queue = queue_at(service=0.0001)
+    backlog(queue, {"tern": 1.0, "heron": 1.0})
+    enter(queue, 9000, "tern", weight=3.0)
+    spent = serve(queue, 200, lambda admitted: SERVICE)
+    assert spent["tern"] == pytest.approx(3 * spent["heron"], rel=0.05)
+
+
+def test_the_only_class_is_expected_to_take_the_time_of_all_requests():
+    queue = AdmissionQueue()
+    enter(queue, 1, NO_TENANT)
+    queue.record_service_time(0.5, queue.take())
+    expected = 0.002 + 0.1 * (0.5 - 0.002)
+    assert queue.times.expected(ANY.name) == queue.service_seconds == pytest.approx(expected)
+
+
 @given(st.lists(st.sampled_from(("tern", "heron", "grebe")), min_size=1, max_size=60))
 def test_each_request_is_taken_exactly_once(tenants):
     queue = queue_at(service=0.0001)
