--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -32,7 +32,7 @@
 )
 from orchidwind.promoted.core.distances import Distances
 from orchidwind.promoted.core.group_state import GroupState
-from orchidwind.promoted.core.read_planning import ReadPlan, ReadRequest, plan_read
+from orchidwind.promoted.core.read_planning import ReadPlan, ReadRequest
 from orchidwind.promoted.core.steps import Exchange, ExchangeResult
 from orchidwind.promoted.core.topology import PrimaryView
 from orchidwind.promoted.group.commit_guard import CommitGuard
@@ -45,6 +45,7 @@
 from orchidwind.promoted.group.lease_keeper import LeaseKeeper
 from orchidwind.promoted.group.outstanding_writes import OutstandingWrites
 from orchidwind.promoted.group.overdue_answers import OverdueAnswers
+from orchidwind.promoted.group.read_plans import ReadPlans
 from orchidwind.promoted.group.silent_connections import SilentConnections
 from orchidwind.promoted.group.status_calls import StatusCall, StatusCalls, status_query
 from orchidwind.promoted.group.view_changes import ViewChanges
@@ -65,10 +66,6 @@
 # reached. The minimum, as the homes' shares may add up to the instance's limit.
 _NON_HOME_SHARES = ConnectionShares(primary=1, near=1, far=1)
 
-# Reads that cross are logged once their share exceeds this, and again once it is 0: below it, the
-# share may rise and fall with each read.
-_LOGGED_SPILL_SHARE = 0.1
-
 
 class GroupEnvironment(Struct, frozen=True):
     """Settings and services shared by all groups of one proxy.
@@ -102,7 +99,6 @@
         self._loop = asyncio.get_running_loop()
         self._on_wake = on_wake
         self._home = False
-        self._reads_cross = False
         self._used_at = float("-inf")
         self._tasks = TaskSet()
         self.state = GroupState(
@@ -128,6 +124,7 @@
             self.mark_unreachable,
             lambda reason: self._metrics.refused(reason.value),
         )
+        self._read_plans = ReadPlans(self.topology, self.connections)
         self.status_calls = StatusCalls(
             self.topology, self.connections, self.mark_unreachable, on_silent
         )
@@ -283,44 +280,14 @@
         tenant: str = NO_TENANT,
     ) -> ReadPlan:
         """Wait for an instance that may serve a tenant's read. Raises RequestError."""
-
         request = ReadRequest(database, session_floor, arrived_at, excluded)
-        answer, work = self.connections.expected_answer, self._expected_work
-
-        def replica_cost(instance: str) -> float:
-            return work(instance) + self.connections.opening_cost(instance, tenant)
-
-        cost = None if tenant == NO_TENANT else replica_cost
         plan = await self._waiting.wait_for(
-            lambda: plan_read(self.topology, request, self._loop.time(), answer, work, cost),
-            deadline,
-            ErrorKind.NO_REPLICA,
+            lambda: self._read_plans.plan(request, tenant), deadline, ErrorKind.NO_REPLICA
         )
-        self._log_spill()
         if plan.proof_of_term:
             self._breakers.check_unproven_read()
         return plan
 
-    def _expected_work(self, instance: str) -> float:
-        way = self.topology.way_in_answers(instance, self._loop.time())
-        return self.connections.expected_answer(instance, way)
-
-    def _log_spill(self) -> None:
-        """Log when reads begin to cross to another region because of late answers, and stop."""
-        spill = self.topology.region_spill
-        crossing = spill.share > (0.0 if self._reads_cross else _LOGGED_SPILL_SHARE)
-        if crossing == self._reads_cross:
-            return
-        self._reads_cross = crossing
-        answers = spill.last_answers
-        log_event(
-            "reads_cross_region" if crossing else "reads_stay_in_region",
-            group=self.settings.name,
-            here_ms=int(answers.near * 1000),
-            there_ms=int(answers.far * 1000),
-            longest_here_ms=int(answers.longest * 1000),
-        )
-
     async def wait_for_connection(
         self,
         instance: str,
--- a/src/orchidwind/promoted/peers/peer_network.py
+++ b/src/orchidwind/promoted/peers/peer_network.py
@@ -203,6 +203,10 @@
             )
         return placed
 
+    def home_names(self, group: str) -> list[str]:
+        """Return the names of a group's homes; none while the members are not known."""
+        return [home.name for home in self.placement(group).homes] if self.known else []
+
     def is_home(self, group: str) -> bool:
         """Whether this proxy is a home of a group."""
         return self.placement(group).includes(self.own.name)
--- a/src/orchidwind/promoted/proxy_runtime.py
+++ b/src/orchidwind/promoted/proxy_runtime.py
@@ -391,7 +391,9 @@
             lead_lease=self.leases.covers(now),
             promotion_lock_holder=self.leases.holder,
             groups=[
-                group_status(group, self._home_names(name), self.home_selection.lacking(name), now)
+                group_status(
+                    group, self.homes.home_names(name), self.home_selection.lacking(name), now
+                )
                 for name, group in self.groups.items()
             ],
             tenants=tenant_statuses(self._tenancy.table.tenants, self.quotas),
@@ -399,7 +401,3 @@
             region=self.distances.regions.table.get(self.zone, ""),
             distances=distance_statuses(self.distances, now),
         )
-
-    def _home_names(self, group: str) -> list[str]:
-        homes = self.homes.placement(group).homes if self.homes.known else ()
-        return [home.name for home in homes]
--- a/src/orchidwind/shared/core/admission.py
+++ b/src/orchidwind/shared/core/admission.py
@@ -7,9 +7,9 @@
 service for its weight goes first (`fair_queue`), and the requests of a tenant are ordered by their
 target, the time by which they should be answered, earliest first. The requests of a tenant that has
 used up its share of the slots (`tenant_accounts`) come after those of the others in all classes.
-Overdue requests, which can no longer be answered by their
-target, come after all others: under overload, the requests that are served are still served in
-time. Requests without a target are served in order of arrival.
+Overdue requests, which can no longer be answered by their target, come after all others: under
+overload, the requests that are served are still served in time. Requests without a target are
+served in order of arrival.
 
 A request that cannot start before its deadline is refused on arrival, with the time that the queue
 needs to drain as its retry delay. An overdue request is refused once no slot is left for overdue
--- a/src/orchidwind/shared/core/service_times.py
+++ b/src/orchidwind/shared/core/service_times.py
@@ -4,8 +4,7 @@
 class without observations is assumed to be like the average of all requests, and so is the only
 class that has any.
 
-Owns: one moving average and its spread for each class, and one for all requests. Times are in
-seconds.
+Owns: one moving average for each class, and one for all requests. Times are in seconds.
 """
 
 from __future__ import annotations
@@ -21,16 +20,13 @@
 
 
 class ServiceTime(Struct):
-    """The expected service time of a class and its mean absolute deviation, in seconds."""
+    """The expected service time of a class, in seconds."""
 
     mean: float = _INITIAL_SECONDS
-    spread: float = 0.0
 
     def record(self, seconds: float, weight: float = _SMOOTHING) -> None:
         """Include one more request with this weight."""
-        difference = seconds - self.mean
-        self.mean += weight * difference
-        self.spread += weight * (abs(difference) - self.spread)
+        self.mean += weight * (seconds - self.mean)
 
 
 class ServiceTimes:
