--- a/src/orchidwind/promoted/core/return_times.py
+++ b/src/orchidwind/promoted/core/return_times.py
@@ -25,8 +25,9 @@
 def return_after(outage: float, random_share: float) -> float:
     """Returns after how long a refused caller is to return.
 
-    `random_share` is a random number from 0 to 1. Two returns in one outage take at most
-    `USUAL_CHANGE_SECONDS` + `UNKNOWN_REST_SECONDS` + 2 * `RETURN_SPREAD_SECONDS`.
+    `random_share` is a random number from 0 to 1. Two returns told by one home in one outage
+    take at most `USUAL_CHANGE_SECONDS` + `UNKNOWN_REST_SECONDS` +
+    2 * `RETURN_SPREAD_SECONDS`.
     """
     return expected_rest(outage) + RETURN_SPREAD_SECONDS * random_share
 
--- a/src/orchidwind/shared/core/errors.py
+++ b/src/orchidwind/shared/core/errors.py
@@ -65,7 +65,8 @@
 # The retry delays, in milliseconds: 500 while the primary is being replaced, which takes about a
 # second, and until a proxy receives a newer configuration or a share of a quota; 200 for a queue to
 # drain; 50 where a retry may run at once; 1000 where other callers have to finish first. They
-# determine how soon refused callers retry.
+# determine how soon refused callers retry. Those refused without a primary or replica in
+# the promoted topology are told other times (`promoted/core/return_times`).
 ANSWERS: dict[ErrorKind, Answer] = {
     ErrorKind.OVERLOADED: Answer("53000", Ran.NO, 200),
     ErrorKind.DEADLINE_PASSED: Answer("57014", Ran.NO, 200),
