--- a/src/orchidwind/promoted/core/home_choice.py
+++ b/src/orchidwind/promoted/core/home_choice.py
@@ -73,6 +73,7 @@
 
     `found_none`: the home reaches no instance for the command, rather than an unproven primary.
     `in_transaction`: the command belongs to a transaction. `seconds_left`: until its deadline.
+    `probe`: it was sent there to find out whether the home is able again.
     """
 
     home: str
@@ -81,6 +82,7 @@
     found_none: bool
     in_transaction: bool
     seconds_left: float
+    probe: bool = False
 
 
 class HomeChoice(Struct, frozen=True):
@@ -112,10 +114,13 @@
     """Whether a refused command may be tried at another home.
 
     `small_tenant`: the caller's tenant has connections at one home only. Its commands stay there
-    when that home is full.
+    when that home is full. A probe is tried again also then, and if it got no connection in time.
     """
     lack = lack_of(refusal.kind)
-    if lack is None or (lack is Lack.ROOM and small_tenant):
+    allowed = lack is not None and not (lack is Lack.ROOM and small_tenant)
+    if refusal.probe:
+        allowed = lack is not None or refusal.kind is ErrorKind.DEADLINE_PASSED
+    if not allowed:
         return False
     if refusal.sent or refusal.in_transaction:
         return False
@@ -199,7 +204,9 @@
 
     def _may_replace(self, demand: Demand, home: str, lacking: str) -> bool:
         """Whether a home may get the commands of a lacking one, by what is known of it."""
-        known = self._known[demand, lacking]
+        known = self._known.get((demand, lacking))
+        if known is None:
+            return True
         return not known.unconfirmed or self._last_served(demand, home) > known.since
 
     def _last_served(self, demand: Demand, home: str) -> float:
@@ -219,11 +226,12 @@
     def second_home(
         self, demand: Demand, homes: Iterable[str], refused_by: str, now: float
     ) -> str | None:
-        """Choose another home for a command whose refusal was recorded; None if there is none.
+        """Choose another home for a refused command; None if there is none.
 
         A command that found its home full goes only to a home known to have room.
         """
-        full = self._known[demand, refused_by].lack is Lack.ROOM
+        known = self._known.get((demand, refused_by))
+        full = known is not None and known.lack is Lack.ROOM
         unknown: str | None = None
         for home in homes:
             if home == refused_by or self._lacking(demand, home, now) is not None:
--- a/src/orchidwind/promoted/peers/home_selection.py
+++ b/src/orchidwind/promoted/peers/home_selection.py
@@ -21,7 +21,6 @@
     HomeNews,
     HomeRefusal,
     RerouteBudget,
-    lack_of,
     may_try_again,
 )
 from orchidwind.promoted.core.homes import ProxyMember
@@ -93,9 +92,6 @@
 
     def second_home(self, context: CommandContext, refusal: HomeRefusal) -> SelectedHome | None:
         """Select another home for a command that a home refused; None if it is not tried again."""
-        lack = lack_of(refusal.kind)
-        if lack is None:
-            return None
         now, demand = self._loop.time(), _demand(context)
         self._news.refused(demand, refusal, now)
         small_tenant = self._homes.has_one_home(context.tenant)
@@ -106,8 +102,8 @@
         if other is None or not (context.probes or self._budget(demand.group).spend()):
             return None
         context.rerouted = True
-        context.record_attempt(refusal.home, f"rerouted:{lack.value}:to={other}")
-        self._on_rerouted(lack.value)
+        context.record_attempt(refusal.home, f"rerouted:{refusal.kind.value}:to={other}")
+        self._on_rerouted(refusal.kind.value)
         self._log.rerouted(demand.group, refusal, other, context.command.request_id, now)
         return SelectedHome(other, self._homes.link_of(other))
 
@@ -166,7 +162,13 @@
     `sent`: whether anything of it may have gone to an instance.
     """
     return HomeRefusal(
-        home, error.kind, sent, found_none(error), context.in_transaction, seconds_left
+        home,
+        error.kind,
+        sent,
+        found_none(error),
+        context.in_transaction,
+        seconds_left,
+        probe=context.probes,
     )
 
 
--- a/tests/promoted/test_home_choice.py
+++ b/tests/promoted/test_home_choice.py
@@ -145,6 +145,20 @@
     assert may_try_again(refusal(kind=ErrorKind.NO_PRIMARY), small_tenant=True)
 
 
+def test_a_refused_probe_of_which_nothing_was_sent_goes_to_an_able_home():
+    """Its wait at a home that is able again may be too short for a new connection there."""
+    for kind in (ErrorKind.DEADLINE_PASSED, ErrorKind.OVERLOADED, ErrorKind.NO_PRIMARY):
+        news = HomeNews()
+        news.refused(WRITES, refusal(), 0.0)
+        probe = refusal(kind=kind, probe=True)
+        assert may_try_again(probe, small_tenant=True)
+        assert not may_try_again(refusal(kind=kind, probe=True, sent=True), small_tenant=True)
+        news.refused(WRITES, probe, PROBE_SECONDS)
+        assert news.second_home(WRITES, HOMES, "a", PROBE_SECONDS) == "b"
+    assert ANSWERS[ErrorKind.DEADLINE_PASSED].ran is Ran.NO
+    assert not may_try_again(refusal(kind=ErrorKind.DEADLINE_PASSED), small_tenant=False)
+
+
 @given(st.lists(st.booleans(), max_size=500))
 def test_second_attempts_stay_within_their_share_whatever_is_refused(refused):
     budget, again = RerouteBudget(), 0
