--- a/src/orchidwind/promoted/core/home_choice.py
+++ b/src/orchidwind/promoted/core/home_choice.py
@@ -184,20 +184,27 @@
         return known
 
     def first_home(
-        self, demand: Demand, homes: Iterable[str], budget: RerouteBudget, now: float
+        self,
+        demand: Demand,
+        homes: Iterable[str],
+        budget: RerouteBudget,
+        now: float,
+        may_probe: bool = True,
     ) -> HomeChoice | None:
         """Choose the home of a command from those usable, in the order of preference.
 
         The homes are looked at only as far as needed. A full home still is the first home of its
         commands. If no home is known to be better, the first one is chosen, as without news. A
-        probe spends a token of the budget, for its second attempt.
+        probe spends a token of the budget, for its second attempt. `may_probe`: whether the command
+        could be tried again.
         """
         passed: list[str] = []
         for home in homes:
             known = self._lacking(demand, home, now)
             able = known is None or known.lack is Lack.ROOM
             if able and all(self._may_replace(demand, home, other) for other in passed):
-                return self._probe(demand, passed, budget, now) or HomeChoice(home)
+                probe = self._probe(demand, passed, budget, now) if may_probe else None
+                return probe or HomeChoice(home)
             if not able:
                 passed.append(home)
         return HomeChoice(passed[0]) if passed else None
--- a/src/orchidwind/promoted/peers/home_selection.py
+++ b/src/orchidwind/promoted/peers/home_selection.py
@@ -80,7 +80,13 @@
         if not context.attempts:
             budget.earn()
         usable = self._homes.usable_homes(group, context.tenant)
-        chosen = self._news.first_home(_demand(context), usable, budget, self._loop.time())
+        chosen = self._news.first_home(
+            _demand(context),
+            usable,
+            budget,
+            self._loop.time(),
+            may_probe=not context.in_transaction,
+        )
         if chosen is None:
             return self.own_home()
         context.probes = chosen.probe
--- a/tests/promoted/test_forwarding.py
+++ b/tests/promoted/test_forwarding.py
@@ -201,6 +201,22 @@
     with_front(scenario)
 
 
+def test_transactions_are_not_used_as_probes_of_a_home_that_may_lack_a_primary():
+    """Their first statement could not be tried again at another home."""
+
+    async def scenario(system, executor):
+        await outcomes_without_instances_at_home(system, executor, CommandKind.WRITE)
+        for number in range(40):
+            await executor.execute(command(CommandKind.BEGIN, "BEGIN", f"b{number}"))
+            await executor.execute(command(CommandKind.WRITE, "WRITE x y", f"t{number}"))
+            await executor.execute(command(CommandKind.COMMIT, "COMMIT", f"c{number}"))
+            # Keeps what is known of the home, as other callers would.
+            await executor.execute(command(CommandKind.WRITE, "WRITE x y", f"s{number}"))
+            await asyncio.sleep(0.05)
+
+    with_front(scenario)
+
+
 def test_a_transaction_whose_home_is_lost_is_told_so():
     async def scenario(system, executor):
         await executor.execute(command(CommandKind.BEGIN, "BEGIN"))
