--- a/src/orchidwind/promoted/group/group_breakers.py
+++ b/src/orchidwind/promoted/group/group_breakers.py
@@ -63,8 +63,14 @@
         raise self.refusal(refusal.missing, refusal.kind, refusal.reason)
 
     def refusal(self, missing: Dependency, kind: ErrorKind, reason: str) -> RequestError:
-        """The error for a request whose dependency fails, with the time to come back."""
-        outage = self._breakers.failing_for(missing, self._loop.time())
+        """The error for a request whose dependency fails, with the time to come back.
+
+        A missing replica tells of a change of primary only while the primary is missing as well.
+        """
+        now = self._loop.time()
+        if kind is ErrorKind.NO_REPLICA and not self._primary_outage(now):
+            return RequestError(kind, reason)
+        outage = self._breakers.failing_for(missing, now)
         seconds = return_after(outage, random.random())
         return RequestError(kind, reason, retry_after_milliseconds=int(seconds * 1000))
 
@@ -74,11 +80,14 @@
         A read without an eligible replica waits until its deadline, unless the primary is missing.
         """
         now = self._loop.time()
-        outage = self._breakers.failing_for(Dependency.PRIMARY, now)
+        outage = self._primary_outage(now)
         if kind is not ErrorKind.NO_PRIMARY and outage == 0.0:
             return deadline
         return wait_until(now, deadline, outage)
 
+    def _primary_outage(self, now: float) -> float:
+        return self._breakers.failing_for(Dependency.PRIMARY, now)
+
     def failed(self, dependency: Dependency, since: float) -> None:
         """Record that an attempt to use a dependency, started at `since`, failed."""
         self._breakers.failed(dependency, since)
--- a/tests/promoted/test_waiting_requests.py
+++ b/tests/promoted/test_waiting_requests.py
@@ -2,14 +2,18 @@
 
 import asyncio
 
-from orchidwind.promoted.core.circuit_breaker import NOT_FOUND_SECONDS, PROBE_SECONDS
+from orchidwind.promoted.core.circuit_breaker import (
+    NOT_FOUND_SECONDS,
+    PROBE_SECONDS,
+    Dependency,
+)
 from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
 from orchidwind.promoted.core.configuration import DirectoryEntry, PromotedGroupSettings
 from orchidwind.promoted.group.group_breakers import GroupBreakers
 from orchidwind.promoted.group.group_service import GroupEnvironment, GroupService
 from orchidwind.promoted.group.waiting_requests import WaitingRequests
 from orchidwind.promoted.metrics import ProxyMetrics
-from orchidwind.shared.core.errors import ErrorKind, RequestError
+from orchidwind.shared.core.errors import ANSWERS, ErrorKind, RequestError
 from orchidwind.shared.core.positions import Position
 from orchidwind_bench.promoted.simulation.virtual_time import run_virtual
 
@@ -98,3 +102,21 @@
     assert len(late) > 10
     assert sum(seconds > 0 for seconds in late) <= 1.5 / PROBE_SECONDS
     assert len(set(delays[-10:])) > 5, "callers return at different times"
+
+
+def test_a_missing_replica_tells_of_a_change_of_primary_only_while_the_primary_is_missing():
+    async def work():
+        breakers = GroupBreakers("g")
+        loop = asyncio.get_running_loop()
+        breakers.failed(Dependency.INSTANCE, loop.time())
+        await asyncio.sleep(0.1)
+        usual = breakers.refusal(Dependency.INSTANCE, ErrorKind.NO_REPLICA, "")
+        assert (
+            usual.retry_after_milliseconds == ANSWERS[ErrorKind.NO_REPLICA].retry_after_milliseconds
+        )
+        breakers.failed(Dependency.PRIMARY, loop.time())
+        await asyncio.sleep(0.1)
+        changing = breakers.refusal(Dependency.INSTANCE, ErrorKind.NO_REPLICA, "")
+        assert changing.retry_after_milliseconds >= 1000
+
+    run_virtual(work())
