--- a/src/orchidwind/promoted/core/return_times.py
+++ b/src/orchidwind/promoted/core/return_times.py
@@ -36,9 +36,10 @@
     """Returns until when a request waits for an instance in an outage that began `outage` ago.
 
     A request that may see the end of a usual change waits until its deadline, as does one in an
-    outage that has lasted longer. Any other is refused soon: held, it would meet the new primary
+    outage that has lasted longer, and one before any failure is known (`outage` is 0): the primary
+    may be about to be learnt. Any other is refused soon: held, it would meet the new primary
     together with all others.
     """
-    if outage < USUAL_CHANGE_SECONDS and deadline - now < USUAL_CHANGE_SECONDS - outage:
+    if 0.0 < outage < USUAL_CHANGE_SECONDS and deadline - now < USUAL_CHANGE_SECONDS - outage:
         return min(deadline, now + WAIT_IN_CHANGE_SECONDS)
     return deadline
