--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -25,6 +25,7 @@
 
 from msgspec import Struct
 
+from orchidwind.promoted.core.circuit_breaker import Dependency
 from orchidwind.promoted.core.commands import InstanceStatus
 from orchidwind.promoted.core.configuration import (
     DatabaseRoute,
@@ -184,6 +185,8 @@
 
     def changed(self) -> None:
         """Wake waiting requests and the supervisor after a change of the view."""
+        if self.topology.primary(self._loop.time()) is not None:
+            self._breakers.succeeded(Dependency.PRIMARY)
         self._waiting.wake()
         self._on_wake()
 
--- a/tests/promoted/test_waiting_requests.py
+++ b/tests/promoted/test_waiting_requests.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from orchidwind.promoted.core.circuit_breaker import (
     NOT_FOUND_SECONDS,
     PROBE_SECONDS,
@@ -120,3 +122,19 @@
         assert changing.retry_after_milliseconds >= 1000
 
     run_virtual(work())
+
+
+def test_a_primary_shown_by_the_view_ends_its_outage_without_a_waiting_write():
+    async def work():
+        group = waiting_group()
+        group.view_changes.entry_changed(PRIMARY)
+        loop = asyncio.get_running_loop()
+        with pytest.raises(RequestError):
+            await group.wait_for_primary(loop.time() + 0.1, leadership_proof=False, commit=False)
+        await asyncio.sleep(0.5)
+        deadline = loop.time() + 0.5
+        assert group._breakers.wait_until(ErrorKind.NO_REPLICA, deadline) < deadline
+        group.view_changes.take_status(PRIMARY_STATUS)
+        assert group._breakers.wait_until(ErrorKind.NO_REPLICA, deadline) == deadline
+
+    run_virtual(work())
