--- a/src/orchidwind/promoted/core/return_times.py
+++ b/src/orchidwind/promoted/core/return_times.py
@@ -25,8 +25,9 @@
 def return_after(outage: float, random_share: float) -> float:
     """Returns after how long a refused caller is to return.
 
-    `random_share` is a random number from 0 to 1. Two returns in one outage take at most
-    `USUAL_CHANGE_SECONDS` + `UNKNOWN_REST_SECONDS` + 2 * `RETURN_SPREAD_SECONDS`.
+    `random_share` is a random number from 0 to 1. Two returns told by one home in one outage
+    take at most `USUAL_CHANGE_SECONDS` + `UNKNOWN_REST_SECONDS` +
+    2 * `RETURN_SPREAD_SECONDS`.
     """
     return expected_rest(outage) + RETURN_SPREAD_SECONDS * random_share
 
@@ -35,9 +36,10 @@
     """Returns until when a request waits for an instance in an outage that began `outage` ago.
 
     A request that may see the end of a usual change waits until its deadline, as does one in an
-    outage that has lasted longer. Any other is refused soon: held, it would meet the new primary
+    outage that has lasted longer, and one before any failure is known (`outage` is 0): the primary
+    may be about to be learnt. Any other is refused soon: held, it would meet the new primary
     together with all others.
     """
-    if outage < USUAL_CHANGE_SECONDS and deadline - now < USUAL_CHANGE_SECONDS - outage:
+    if 0.0 < outage < USUAL_CHANGE_SECONDS and deadline - now < USUAL_CHANGE_SECONDS - outage:
         return min(deadline, now + WAIT_IN_CHANGE_SECONDS)
     return deadline
