--- a/src/orchidwind/promoted/peers/home_selection.py
+++ b/src/orchidwind/promoted/peers/home_selection.py
@@ -117,6 +117,8 @@
         """Record that a home served a command."""
         if context.command.kind is CommandKind.ROLLBACK:
             return
+        if context.needs_primary and not _wrote(context):
+            return
         self._news.served(_demand(context), home, self._loop.time())
 
     def next_channel(self) -> int:
@@ -178,6 +180,14 @@
     )
 
 
+def _wrote(context: CommandContext) -> bool:
+    """Whether a served command shows that its home serves writes."""
+    transaction = context.session.transaction
+    if context.command.kind is CommandKind.COMMIT:
+        return transaction is not None and transaction.wrote
+    return context.session.writes(context.command)
+
+
 def _demand(context: CommandContext) -> Demand:
     """What a command needs of a home."""
     database = context.database
--- a/tests/promoted/test_forwarding.py
+++ b/tests/promoted/test_forwarding.py
@@ -8,6 +8,7 @@
 
 from orchidwind.promoted.callers.session_executor import SessionExecutor
 from orchidwind.promoted.core.commands import Command, CommandKind
+from orchidwind.promoted.core.home_choice import HomeNews
 from orchidwind.promoted.core.peer_loss import after_lost_home
 from orchidwind.promoted.core.session import OpenTransaction, Session
 from orchidwind.shared.core.errors import ErrorKind, RequestError
@@ -201,6 +202,32 @@
     with_front(scenario)
 
 
+def test_only_writes_and_commits_of_writes_show_that_a_home_serves_writes(monkeypatch):
+    shown = []
+    served = HomeNews.served
+
+    def recorded(news, demand, home, now):
+        if demand.reads is None:
+            shown.append(home)
+        served(news, demand, home, now)
+
+    monkeypatch.setattr(HomeNews, "served", recorded)
+
+    async def scenario(_, executor):
+        for kind, text, expected in (
+            (CommandKind.BEGIN, "BEGIN", 0),
+            (CommandKind.READ, "READ x", 0),
+            (CommandKind.COMMIT, "COMMIT", 0),
+            (CommandKind.BEGIN, "BEGIN", 0),
+            (CommandKind.WRITE, "WRITE x y", 1),
+            (CommandKind.COMMIT, "COMMIT", 2),
+        ):
+            await executor.execute(command(kind, text, f"r-{text}"))
+            assert len(shown) == expected, text
+
+    with_front(scenario)
+
+
 def test_transactions_are_not_used_as_probes_of_a_home_that_may_lack_a_primary():
     """Their first statement could not be tried again at another home."""
 
