--- a/tests/promoted/test_load.py
+++ b/tests/promoted/test_load.py
@@ -203,3 +203,6 @@
     after = [back - end for refused, back in returns if refused <= end <= back]
     assert len(after) > 50
     assert sum(back <= 0.5 for back in after) <= 0.75 * len(after)
+    # Evenly over a second, a tenth returns in each tenth of it.
+    most = max(sum(since <= back < since + 0.1 for back in after) for since in after)
+    assert most <= 0.15 * len(after)
