--- a/src/orchidwind/promoted/peers/home_selection.py
+++ b/src/orchidwind/promoted/peers/home_selection.py
@@ -28,6 +28,9 @@
 from orchidwind.shared.core.errors import RequestError
 from orchidwind.shared.logs import log_event
 
+# A home gets the commands of another one only if it answered within this time, seconds. A command
+# sent over a link that was cut without notice could wait there until its deadline.
+_ANSWERED_WITHIN_SECONDS = 1.0
 # Least time between two log lines about the second attempts of one group, seconds.
 _LOG_SECONDS = 1.0
 
@@ -43,6 +46,9 @@
     def link_of(self, home: str) -> PeerLink | None:
         """Return the link to a home; None for this proxy."""
 
+    def has_answered(self, home: str, seconds: float) -> bool:
+        """Whether a home answered within the last `seconds`; asks it whether it does if not."""
+
     def has_one_home(self, tenant: str) -> bool:
         """Whether a tenant has connections at one home only."""
 
@@ -79,7 +85,7 @@
         budget = self._budget(group)
         if not context.attempts:
             budget.earn()
-        usable = self._homes.usable_homes(group, context.tenant)
+        usable = self._usable(group, context.tenant)
         chosen = self._news.first_home(
             _demand(context),
             usable,
@@ -92,6 +98,13 @@
         context.probes = chosen.probe
         return SelectedHome(chosen.home, self._homes.link_of(chosen.home), chosen.probe)
 
+    def _usable(self, group: str, tenant: str) -> Iterator[str]:
+        """Yield the preferred one of the usable homes, then the others that answered lately."""
+        usable = self._homes.usable_homes(group, tenant)
+        for place, home in enumerate(usable):
+            if place == 0 or self._homes.has_answered(home, _ANSWERED_WITHIN_SECONDS):
+                yield home
+
     def own_home(self) -> SelectedHome:
         """This proxy, as the home of a command."""
         return SelectedHome(self._homes.own.name, None)
@@ -103,7 +116,7 @@
         small_tenant = self._homes.has_one_home(context.tenant)
         if context.rerouted or not may_try_again(refusal, small_tenant):
             return None
-        usable = self._homes.usable_homes(demand.group, context.tenant)
+        usable = self._usable(demand.group, context.tenant)
         other = self._news.second_home(demand, usable, refusal.home, now)
         if other is None or not (context.probes or self._budget(demand.group).spend()):
             return None
--- a/src/orchidwind/promoted/peers/peer_link.py
+++ b/src/orchidwind/promoted/peers/peer_link.py
@@ -177,6 +177,11 @@
         if self._connection is not None:
             self._connection.send(message)
 
+    def heard_since(self, at: float) -> bool:
+        """Whether the link is open and the other proxy has sent something since a time."""
+        last = self._last_byte_at()
+        return last is not None and last >= at
+
     def verify(self) -> None:
         """Find out whether the other proxy answers: open the link, or probe it if it is open.
 
--- a/src/orchidwind/promoted/peers/peer_network.py
+++ b/src/orchidwind/promoted/peers/peer_network.py
@@ -248,6 +248,17 @@
         """Return the link to a home that `usable_homes` has yielded; None for this proxy."""
         return None if home == self.own.name else self._link(self._members[home])
 
+    def has_answered(self, home: str, seconds: float) -> bool:
+        """Return whether a home answered within the last `seconds`; ask it whether it does if not.
+
+        This proxy counts as answering.
+        """
+        link = self.link_of(home)
+        if link is None or link.heard_since(self._loop.time() - seconds):
+            return True
+        link.verify()
+        return False
+
     def has_one_home(self, tenant: str) -> bool:
         """Whether a tenant has connections at one home only."""
         return tenant != NO_TENANT and not self._groups.large_tenant(tenant)
