--- a/src/orchidwind/promoted/core/read_planning.py
+++ b/src/orchidwind/promoted/core/read_planning.py
@@ -101,10 +101,11 @@
 ) -> ReadPlan | None:
     """Returns the next attempt of a read, or None if no instance may serve it now.
 
-    `expected_work` is the expected answer time less the way (`GroupTopology.way_in_answers`), by
-    which replicas are compared; without it, the whole counts. `replica_cost` replaces it in the
-    final choice among the replicas of the side that runs the read. It has no part in the decisions
-    whether the primary runs the read and whether it crosses to another region.
+    `expected_work` is the expected answer time without the round trip that it contains
+    (`GroupTopology.way_in_answers`); the comparison of replicas adds that round trip once. Without
+    it, `expected_answer` takes its place. `replica_cost` replaces it in the final choice among the
+    replicas in the region that runs the read. It has no part in the decisions whether the primary
+    runs the read and whether it crosses to another region.
     """
     work = expected_work or expected_answer
     primary = topology.primary(now)
@@ -172,14 +173,21 @@
         return None
 
     def cost(name: str) -> tuple[bool, float]:
-        view = topology.instances[name]
-        return view.avoid_until > now, expected_work(name) + topology.round_trip(name, now)
+        return _cost(topology, name, now, expected_work)
 
     if not topology.distances.several_regions:
         return _ReplicaChoice(min(eligible, key=cost))
     return _on_the_better_side(topology, request, now, eligible, cost)
 
 
+def _cost(
+    topology: GroupTopology, name: str, now: float, expected: ExpectedAnswerTime
+) -> tuple[bool, float]:
+    """Returns whether a replica is to be avoided, and its expected time with the round trip."""
+    avoided = topology.instances[name].avoid_until > now
+    return avoided, expected(name) + topology.round_trip(name, now)
+
+
 def _cheapest_beside(
     topology: GroupTopology,
     request: ReadRequest,
@@ -189,12 +197,11 @@
     chosen: _ReplicaChoice,
     replica_cost: ExpectedAnswerTime,
 ) -> _ReplicaChoice:
-    """Returns the replica of lowest cost on the side of the border on which the chosen one is."""
+    """Returns the replica of lowest cost among those that cross regions as the chosen one does."""
     crosses = topology.crosses_region(chosen.instance)
 
     def cost(name: str) -> tuple[bool, float]:
-        view = topology.instances[name]
-        return view.avoid_until > now, replica_cost(name) + topology.round_trip(name, now)
+        return _cost(topology, name, now, replica_cost)
 
     eligible = _eligible_replicas(topology, request, primary, floor, now)
     beside = [name for name in eligible if topology.crosses_region(name) == crosses]
