--- a/src/orchidwind/promoted/core/demand_shares.py
+++ b/src/orchidwind/promoted/core/demand_shares.py
@@ -150,20 +150,20 @@
 
     def _kept(self, now: float) -> float:
         """How much of the base part this proxy needs for itself."""
-        needed = max(self._target(self.demand, now), self.demand * _RESERVE)
+        needed = max(self._part_by_demand(self.demand, now), self.demand * _RESERVE)
         return min(self.base, needed)
 
     def _due_to(self, borrower: str, now: float) -> float:
         """The borrower's part of what this proxy can spare, by what each reporting home lacks."""
         lacks = {
-            home: max(self._target(report.demand, now) - self.base, 0.0)
+            home: max(self._part_by_demand(report.demand, now) - self.base, 0.0)
             for home, report in self._reports(now).items()
         }
         total = sum(lacks.values())
         spare = self.base - self._kept(now)
         return spare * lacks[borrower] / total if total > 0 else 0.0
 
-    def _target(self, demand: float, now: float) -> float:
+    def _part_by_demand(self, demand: float, now: float) -> float:
         """The part of a home with this demand if all reporting homes share by demand."""
         reports = self._reports(now).values()
         total = self.demand + sum(report.demand for report in reports)
--- a/src/orchidwind/promoted/peers/room_exchange.py
+++ b/src/orchidwind/promoted/peers/room_exchange.py
@@ -1,4 +1,6 @@
-"""Exchanges demands and loans with the other home proxies of the same groups.
+"""Exchanges demands and loans of room at instances with the other home proxies of the same groups.
+
+A proxy's room at an instance is the number of requests that it may have in progress there.
 
 For: `proxy_runtime`, which runs it in the background, and `served_link`, which passes on the
 reports of others. Owns when which proxy is asked. `core.demand_shares` decides what is lent;
@@ -90,9 +92,9 @@
             return None
         now = self._loop.time()
         pools = group.connections.pools
-        # An instance that this proxy has not used yet has a part to lend as well.
         if report.instance not in group.topology.instances:
             return None
+        # An instance that this proxy has not used yet has a part to lend as well: create its pool.
         pools.of(report.instance)
         shares = pools.demand_shares(report.instance)
         assert shares is not None
