--- a/src/orchidwind/promoted/callers/session_executor.py
+++ b/src/orchidwind/promoted/callers/session_executor.py
@@ -296,7 +296,7 @@
         limits: TimeLimits,
         refusal: RequestError,
     ) -> CommandResult:
-        """Run a command at another home that this proxy, as its home, has refused.
+        """Run a command that this proxy, as its home, has refused, at another home.
 
         Raises the refusal if the command is not tried again.
         """
--- a/src/orchidwind/promoted/core/home_choice.py
+++ b/src/orchidwind/promoted/core/home_choice.py
@@ -71,7 +71,8 @@
 class HomeRefusal(Struct, frozen=True):
     """The refusal of a command by a home; `sent` is whether anything may have gone to an instance.
 
-    `found_none`: the home reaches no instance for the command, rather than an unproven primary.
+    `found_none`: the home reaches no instance for the command. If false, it may reach a primary
+    that confirms no commits.
     `in_transaction`: the command belongs to a transaction. `seconds_left`: until its deadline.
     `probe`: it was sent there to find out whether the home is able again.
     """
--- a/src/orchidwind/promoted/quotas/token_queue.py
+++ b/src/orchidwind/promoted/quotas/token_queue.py
@@ -50,7 +50,7 @@
         tenant: Callable[[str], Tenant | None],
         take: Callable[[Tenant], bool],
     ) -> None:
-        """`tenant` looks a tenant of the configuration in force up.
+        """`tenant` returns the tenant of a name in the configuration in force, if there is one.
 
         `take` takes a token of a tenant out of the bucket, and returns False if there is none.
         """
@@ -116,7 +116,7 @@
             await asyncio.sleep(self._pause(tenant))
 
     def _pause(self, tenant: Tenant) -> float:
-        """Seconds until a token is there, or until others may be asked again."""
+        """Seconds until this proxy has a token or may ask others again, whichever is sooner."""
         own = self._limiter.retry_after(tenant)
         others = self._borrower.seconds_to_next_request(tenant)
         return max(min(own, others), _SHORTEST_PAUSE_SECONDS)
--- a/src/orchidwind/shared/core/admission.py
+++ b/src/orchidwind/shared/core/admission.py
@@ -112,7 +112,7 @@
     waiting: FairQueue
     virtual_start: float = 0.0
     virtual_finish: float = 0.0
-    # Mean time between two grants while requests wait, in seconds; and since when one is due.
+    # Mean seconds between grants while requests wait; when the last was, or the wait began.
     grant_interval: float = 0.0
     waiting_since: float = 0.0
 
@@ -265,7 +265,7 @@
         return total / max(slots, 1)
 
     def _class_wait(self, queue: _ClassQueue, ahead: float, slots: int) -> float:
-        """Return the estimated wait of a request with so much service ahead of it in its class.
+        """Return the estimated wait after `ahead` seconds of service of requests of this class.
 
         Until the request has been served as well, other classes get their share of the slots, as
         far as they have use for it. Their later requests count too: the wait is at least what it
--- a/src/orchidwind/shared/core/concurrency_window.py
+++ b/src/orchidwind/shared/core/concurrency_window.py
@@ -58,6 +58,7 @@
         self._fair_share = self._size = max(fair_share, _MIN_WINDOW)
         self._maximum = self._fair_share * _MAX_FAIR_SHARES
         self._decreased_at = float("-inf")
+        # Until when the fair share is valid, and what sets the next one (`set_share_end`).
         self._share_ends_at = float("inf")
         self._renew_share: Callable[[float], None] = lambda now: None
 
--- a/src/orchidwind/shared/core/fair_queue.py
+++ b/src/orchidwind/shared/core/fair_queue.py
@@ -153,7 +153,10 @@
         return 0 if queue is None else queue.ahead_of(target_at)
 
     def others_ahead(self, tenant: str, until: float, service: float) -> float:
-        """Return the service that other tenants get until a virtual start; `service` is of one."""
+        """Return the service that other tenants get before a tenant with virtual start `until`.
+
+        `service` is the expected service time of one request of this class.
+        """
         return sum(
             min(
                 other.timely_count * service,
--- a/src/orchidwind/shared/core/quota.py
+++ b/src/orchidwind/shared/core/quota.py
@@ -82,9 +82,9 @@
 
 
 def seconds_to_turn(tenant: Tenant, share: float, ahead: int) -> float:
-    """Return when a part of a quota has a token for an operation with others ahead of it.
+    """Return the seconds until there is a token for an operation with `ahead` others before it.
 
-    `share` is the part of the quota in force, 0 to 1; infinite without one.
+    `share` is the part of the quota in force, 0 to 1. The result is infinite if it is 0.
     """
     rate = tenant.rate * share
     return (ahead + 1) / rate if rate > 0 else inf
--- a/src/orchidwind/shared/core/tenant_accounts.py
+++ b/src/orchidwind/shared/core/tenant_accounts.py
@@ -90,7 +90,7 @@
             account.virtual_start = max(account.virtual_start, earliest)
 
     def virtual_start(self, tenant: str) -> float:
-        """Return where a tenant's next request starts."""
+        """Return the virtual start of a tenant's next request, also of a tenant not known yet."""
         account = self._accounts.get(tenant)
         if account is None:
             return self.virtual_time
@@ -114,6 +114,7 @@
         return account
 
     def _drop_accounts(self) -> None:
+        """Drop the tenants that wait for nothing and are not ahead of the virtual time."""
         self._accounts = {
             name: account
             for name, account in self._accounts.items()
