--- a/src/orchidwind/promoted/group/connections.py
+++ b/src/orchidwind/promoted/group/connections.py
@@ -189,7 +189,7 @@
         """
         if homes != self._driver.homes:
             self._driver.homes = homes
-            self.pools.share_windows(self._loop.time())
+            self.pools.update_windows(self._loop.time())
         self.pools.shares = shares
         self._apply_shares()
 
--- a/src/orchidwind/promoted/group/instance_pools.py
+++ b/src/orchidwind/promoted/group/instance_pools.py
@@ -91,13 +91,13 @@
             return self.shares.primary
         return self.shares.near if self._is_near(instance) else self.shares.far
 
-    def share_windows(self, now: float) -> None:
+    def update_windows(self, now: float) -> None:
         """Recompute the fair shares after homes, slots or demands changed."""
         for name in self._pools:
             self._demand_shares[name].base = self._fair_window(name)
-            self.share_window(name, now)
+            self.update_window(name, now)
 
-    def share_window(self, instance: str, now: float) -> None:
+    def update_window(self, instance: str, now: float) -> None:
         """Set the fair share of one instance's window to this proxy's part."""
         window = self._pools[instance].window
         if window is not None:
@@ -108,7 +108,7 @@
 
     def _renew_share(self, instance: str, now: float) -> None:
         if instance in self._pools:
-            self.share_window(instance, now)
+            self.update_window(instance, now)
 
     def known(self, instance: str) -> InstancePool | None:
         """The pool of an instance; None before its first use and after it was forgotten."""
--- a/src/orchidwind/promoted/group/read_plans.py
+++ b/src/orchidwind/promoted/group/read_plans.py
@@ -48,6 +48,7 @@
         return plan
 
     def _expected_work(self, instance: str) -> float:
+        """Return the expected answer time without the measured round trip that it contains."""
         way = self._topology.way_in_answers(instance, self._loop.time())
         return self._connections.expected_answer(instance, way)
 
--- a/src/orchidwind/promoted/peers/room_exchange.py
+++ b/src/orchidwind/promoted/peers/room_exchange.py
@@ -101,7 +101,7 @@
         amount = shares.lend(proxy, report.demand, now)
         if not amount:
             return None
-        pools.share_window(report.instance, now)
+        pools.update_window(report.instance, now)
         return InstanceLoan(report.group, report.instance, amount)
 
     def _shares_homes(self, group: str, proxy: str) -> bool:
@@ -118,7 +118,7 @@
                 assert shares is not None
                 if not shares.sample(len(pool.running) + len(pool.queue), now):
                     continue
-                pools.share_window(pool.instance, now)
+                pools.update_window(pool.instance, now)
                 self._log_change(name, pool.instance, shares, now)
 
     def _log_change(self, group: str, instance: str, shares: DemandShares, now: float) -> None:
@@ -223,4 +223,4 @@
             if shares is not None:
                 amount = lent.get((report.group, report.instance), 0.0)
                 shares.borrow(lender, amount, asked_at)
-                pools.share_window(report.instance, self._loop.time())
+                pools.update_window(report.instance, self._loop.time())
--- a/src/orchidwind/promoted/views/peer_views.py
+++ b/src/orchidwind/promoted/views/peer_views.py
@@ -80,7 +80,8 @@
         self._items = items
         self._queries_sent = 0
         self._generation = -1
-        self._zone_readers: Mapping[str, ProxyMember] = {}
+        # By area: a zone, or a region if there are several.
+        self._readers_by_area: Mapping[str, ProxyMember] = {}
         self._substitutes: Mapping[str, ProxyMember] = {}
         # Whether this proxy was last seen to read in place of its region's reader, for the log.
         self._substituting = False
@@ -119,9 +120,9 @@
         if self._generation != self._network.generation:
             self._generation = self._network.generation
             followers, regions = list(self._followers()), self._network.regions
-            self._zone_readers = zone_readers(self._view, followers, regions)
+            self._readers_by_area = zone_readers(self._view, followers, regions)
             self._substitutes = substitute_readers(self._view, followers, regions)
-        return self._zone_readers
+        return self._readers_by_area
 
     async def ask(self, revision: StoreRevision, whole: bool) -> ReportedView[Item] | None:
         """Ask one or two readers; return the best report, None if no reader reported the view.
