--- a/src/orchidwind/promoted/core/read_planning.py
+++ b/src/orchidwind/promoted/core/read_planning.py
@@ -110,18 +110,18 @@
     work = expected_work or expected_answer
     primary = topology.primary(now)
     floor = _required_floor(topology, request)
-    if floor is not None:
-        replica = _fastest_replica(topology, request, primary, floor, now, work)
-        if replica is not None:
-            if primary is not None and _primary_is_much_faster(
-                topology, primary, replica.instance, request, now, expected_answer
-            ):
-                return ReadPlan(primary.instance, floor)
-            if replica_cost is not None:
-                replica = _cheapest_beside(
-                    topology, request, primary, floor, now, replica, replica_cost
-                )
-            return ReadPlan(replica.instance, floor, grounds=replica.grounds)
+    eligible = (
+        _eligible_replicas(topology, request, primary, floor, now) if floor is not None else []
+    )
+    if eligible:
+        replica = _fastest_replica(topology, request, now, eligible, work)
+        if primary is not None and _primary_is_much_faster(
+            topology, primary, replica.instance, request, now, expected_answer
+        ):
+            return ReadPlan(primary.instance, floor)
+        if replica_cost is not None:
+            replica = _cheapest_beside(topology, now, eligible, replica, replica_cost)
+        return ReadPlan(replica.instance, floor, grounds=replica.grounds)
     if primary is None:
         return None
     return ReadPlan(primary.instance, None, primary.term)
@@ -162,15 +162,11 @@
 def _fastest_replica(
     topology: GroupTopology,
     request: ReadRequest,
-    primary: PrimaryView | None,
-    floor: Position,
     now: float,
+    eligible: list[str],
     expected_work: ExpectedAnswerTime,
-) -> _ReplicaChoice | None:
-    """Returns the replica with the lowest expected cost, or None if none is eligible."""
-    eligible = _eligible_replicas(topology, request, primary, floor, now)
-    if not eligible:
-        return None
+) -> _ReplicaChoice:
+    """Returns the eligible replica with the lowest expected cost."""
 
     def cost(name: str) -> tuple[bool, float]:
         return _cost(topology, name, now, expected_work)
@@ -190,10 +186,8 @@
 
 def _cheapest_beside(
     topology: GroupTopology,
-    request: ReadRequest,
-    primary: PrimaryView | None,
-    floor: Position,
     now: float,
+    eligible: list[str],
     chosen: _ReplicaChoice,
     replica_cost: ExpectedAnswerTime,
 ) -> _ReplicaChoice:
@@ -203,7 +197,6 @@
     def cost(name: str) -> tuple[bool, float]:
         return _cost(topology, name, now, replica_cost)
 
-    eligible = _eligible_replicas(topology, request, primary, floor, now)
     beside = [name for name in eligible if topology.crosses_region(name) == crosses]
     return _ReplicaChoice(min(beside, key=cost), chosen.grounds)
 
--- a/src/orchidwind/shared/core/admission.py
+++ b/src/orchidwind/shared/core/admission.py
@@ -313,7 +313,7 @@
 
     def _with_share_left(self, eligible: Eligible) -> Eligible:
         """Restrict the eligible tenants to those that have not used up their share."""
-        return lambda tenant: self._accounts.has_share_left(tenant) and eligible(tenant)
+        return lambda tenant: eligible(tenant) and self._accounts.has_share_left(tenant)
 
     def first_tenant(self, tenants: Container[str]) -> str | None:
         """Return the one of these tenants whose waiting request goes first, or None."""
