--- a/src/orchidwind/promoted/callers/session_executor.py
+++ b/src/orchidwind/promoted/callers/session_executor.py
@@ -281,9 +281,7 @@
             context.sent_to = ""
         now = self._loop.time()
         try:
-            result = await self._runner.run(
-                context, group, limits.for_probe(now) if home.probe else limits
-            )
+            result = await self._runner.run(context, group, home.limits(limits, now))
         except RequestError as refusal:
             return await self._run_elsewhere(context, group, limits, refusal)
         self._services.home_selection.served(context, home.name)
--- a/src/orchidwind/promoted/peers/forwarding.py
+++ b/src/orchidwind/promoted/peers/forwarding.py
@@ -92,9 +92,7 @@
         while (channel := self._channel(home)) is not None:
             now = self._loop.time()
             try:
-                answer = await self._ask(
-                    channel, context, limits.for_probe(now) if home.probe else limits
-                )
+                answer = await self._ask(channel, context, home.limits(limits, now))
             except PeerUnavailable as lost:
                 context.record_attempt(channel.link.member.name, f"home_lost:sent={lost.sent}")
                 error = self._handle_lost_home(context.command, lost.sent)
--- a/src/orchidwind/promoted/peers/home_selection.py
+++ b/src/orchidwind/promoted/peers/home_selection.py
@@ -14,6 +14,7 @@
 from msgspec import Struct
 
 from orchidwind.promoted.core.circuit_breaker import found_none
+from orchidwind.promoted.core.command_limits import TimeLimits
 from orchidwind.promoted.core.commands import CommandKind
 from orchidwind.promoted.core.flow_parts import CommandContext
 from orchidwind.promoted.core.home_choice import (
@@ -66,6 +67,10 @@
     link: PeerLink | None
     probe: bool = False
 
+    def limits(self, limits: TimeLimits, now: float) -> TimeLimits:
+        """Return the limits of a command at this home."""
+        return limits.for_probe(now) if self.probe else limits
+
 
 class HomeSelection:
     """Selects homes for the commands of all sessions of one proxy."""
--- a/src/orchidwind/promoted/peers/room_exchange.py
+++ b/src/orchidwind/promoted/peers/room_exchange.py
@@ -18,7 +18,12 @@
 
 from orchidwind.promoted.core.demand_shares import DemandShares
 from orchidwind.promoted.core.homes import ProxyMember
-from orchidwind.promoted.core.peer_messages import InstanceDemand, InstanceLoan
+from orchidwind.promoted.core.peer_messages import (
+    InstanceDemand,
+    InstanceLoan,
+    ViewQuery,
+    ViewReport,
+)
 from orchidwind.promoted.group.group_service import GroupService
 from orchidwind.promoted.metrics import ProxyMetrics
 from orchidwind.promoted.peers.peer_link import PeerLink
@@ -43,6 +48,11 @@
 _FORGET_SECONDS = 30.0
 
 
+def report_known(query: ViewQuery) -> ViewReport:
+    """Answer the query for `ROOM_VIEW`: this build knows reports of demands."""
+    return ViewReport(query.number, known=True, age=0.0, revision=-1)
+
+
 class RoomExchange:
     """This proxy's side of the exchange. Times are in seconds of the loop's clock."""
 
--- a/src/orchidwind/promoted/proxy_runtime.py
+++ b/src/orchidwind/promoted/proxy_runtime.py
@@ -42,9 +42,10 @@
 from orchidwind.promoted.metrics import ProxyMetrics
 from orchidwind.promoted.peers.home_ports import HomePorts
 from orchidwind.promoted.peers.home_selection import HomeSelection
+from orchidwind.promoted.peers.peer_link import ROOM_VIEW
 from orchidwind.promoted.peers.peer_network import PeerNetwork, PlacementInputs
 from orchidwind.promoted.peers.peer_service import PeerService
-from orchidwind.promoted.peers.room_exchange import RoomExchange
+from orchidwind.promoted.peers.room_exchange import RoomExchange, report_known
 from orchidwind.promoted.ports import ProxyPorts
 from orchidwind.promoted.quotas.tenancy import QUOTA_SHARES_IN_USE, Tenancy
 from orchidwind.promoted.upkeep import Upkeep
@@ -140,7 +141,10 @@
         )
 
     def _home_ports(self) -> HomePorts:
-        answers = {QUOTA_SHARES_IN_USE: self._tenancy.report_shares_in_use}
+        answers = {
+            QUOTA_SHARES_IN_USE: self._tenancy.report_shares_in_use,
+            ROOM_VIEW: report_known,
+        }
         return HomePorts(
             groups=self.group,
             registry=self.registry,
--- a/src/orchidwind/promoted/views/view_reporter.py
+++ b/src/orchidwind/promoted/views/view_reporter.py
@@ -23,7 +23,6 @@
 from orchidwind.promoted.core.quota_shares import QuotaShares
 from orchidwind.promoted.core.store_revision import NOTHING_HELD, StoreRevision
 from orchidwind.promoted.metrics import ProxyMetrics
-from orchidwind.promoted.peers.peer_link import ROOM_VIEW
 from orchidwind.promoted.store_era import StoreEra
 from orchidwind.promoted.views.collection_watch import CollectionWatch
 from orchidwind.promoted.views.peer_views import (
@@ -94,8 +93,6 @@
         answer = self._answers.get(query.view)
         if answer is not None:
             return answer(query)
-        if query.view == ROOM_VIEW:
-            return ViewReport(query.number, known=True, age=0.0, revision=-1)
         watch = self._held.watch(query.view)
         content = self._contents.get(query.view)
         if watch is None or watch.revision == NOTHING_HELD or content is None:
--- a/src/orchidwind/shared/core/tenant_connections.py
+++ b/src/orchidwind/shared/core/tenant_connections.py
@@ -50,10 +50,6 @@
         """Record that a request of a tenant waits for a connection."""
         self._request_tenants[ticket] = tenant
 
-    def tenant_of_request(self, ticket: int) -> str:
-        """Return the tenant of a waiting request."""
-        return self._request_tenants.get(ticket, NO_TENANT)
-
     def request_ended(self, ticket: int) -> None:
         """Forget a request that no longer waits."""
         self._request_tenants.pop(ticket, None)
