--- a/tests/promoted/test_share_changes.py
+++ b/tests/promoted/test_share_changes.py
@@ -241,6 +241,16 @@
 )
 
 
+def restart_in_turn(site, changes, restarts):
+    """Changes the homes and restarts one proxy after the other."""
+    for (wanted, _), (name, away, pause) in zip(changes * 15, restarts, strict=False):
+        site.wanted = tuple(sorted(wanted | {"a", "b"}))
+        site.kill(name)
+        site.run(away, site.unreachable)
+        site.start(name)
+        site.run(pause, site.unreachable)
+
+
 @settings(max_examples=200)
 @given(HANDOVERS, RESTARTS)
 def test_some_share_is_in_force_while_proxies_restart_one_at_a_time(changes, restarts):
@@ -249,12 +259,7 @@
     There are always two holders or more, as a site with several proxies has.
     """
     site = Site()
-    for (wanted, _), (name, away, pause) in zip(changes * 15, restarts, strict=False):
-        site.wanted = tuple(sorted(wanted | {"a", "b"}))
-        site.kill(name)
-        site.run(away, site.unreachable)
-        site.start(name)
-        site.run(pause, site.unreachable)
+    restart_in_turn(site, changes, restarts)
     assert site.least > 0.0
     assert site.most <= 1.0 + ROUNDING
 
--- a/tests/promoted/test_share_confirmations.py
+++ b/tests/promoted/test_share_confirmations.py
@@ -20,6 +20,7 @@
     Proxy,
     Site,
     happen,
+    restart_in_turn,
 )
 
 from orchidwind.promoted.core import share_changes
@@ -267,12 +268,7 @@
 @given(HANDOVERS, RESTARTS)
 def test_some_share_is_in_force_by_word_while_proxies_restart_one_at_a_time(changes, restarts):
     site = AskingSite()
-    for (wanted, _), (name, away, pause) in zip(changes * 15, restarts, strict=False):
-        site.wanted = tuple(sorted(wanted | {"a", "b"}))
-        site.kill(name)
-        site.run(away, site.unreachable)
-        site.start(name)
-        site.run(pause, site.unreachable)
+    restart_in_turn(site, changes, restarts)
     assert site.least > 0.0
     assert site.most <= 1.0 + ROUNDING
 
