--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,8 @@
 """Case 1: a proxy acknowledges commits of a primary that was replaced, while its successor is down.
 
-One proxy is cut off from the primary and has another instance promoted. The new primary leads, is
-partitioned from its replicas, and crashes at once. It returns some seconds later as the primary of
-its term. Meanwhile the other proxy, on which there is no disruption, goes on with the old primary.
+One proxy is cut off from the primary and has another instance promoted. As soon as it leads, that
+instance is partitioned from its replicas, and crashes. It returns some seconds later as the primary
+of its term. Meanwhile the other proxy, on which there is no disruption, goes on with the old one.
 """
 
 from __future__ import annotations
@@ -11,18 +11,12 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-
-from support import (  # noqa: E402
-    EVERYBODY,
-    TROUBLE,
-    CannotRun,
-    Deployment,
-    Instance,
-    Record,
-    Writers,
-    run_case,
-)
+from support.clients import Writers, Written
+from support.common import CODE_BROKEN, CODE_HELD, TROUBLE, CannotRun, Record
+from support.deployment import Deployment
+from support.instances import Instance
+from support.relay import EVERYBODY
+from support.running import run_case
 
 CUT_OFF, CALM = "front-1", "front-2"
 OLD = "i-a"
@@ -33,6 +27,8 @@
 QUIET_SECONDS = 2.0
 AFTER_SECONDS = 3.0
 THAW_SLACK_SECONDS = 0.3
+# Broken writes that the record shows of each sort.
+SHOWN = 5
 
 
 class Case:
@@ -66,7 +62,6 @@
 
     async def _trouble(self) -> None:
         loop = asyncio.get_running_loop()
-        self._group.on_promotion = self._promotion_called
         self._group.on_role = self._role_changed
         old = self._group.instances[OLD]
         self._record.write(f"TROUBLE {CUT_OFF} is cut off from the primary {OLD}")
@@ -84,16 +79,12 @@
         await asyncio.sleep(returns_at - loop.time())
         await self._bring_back()
 
-    def _promotion_called(self, instance: Instance) -> None:
-        """The primary to be is partitioned from the other instances, as by `primary_cut`."""
-        if self._successor is None:
-            self._successor = instance
-            self._group.part([instance.name], True)
-
     def _role_changed(self, instance: Instance) -> None:
-        """The new primary crashes as soon as it leads, and is dark."""
-        leads = instance is self._successor and instance.role == "primary" and instance.alive
+        """As soon as it leads, the new primary is cut off from its replicas, and crashes."""
+        leads = instance.name != OLD and instance.role == "primary"
         if leads and not self._crashed.is_set():
+            self._successor = instance
+            self._group.part([instance.name], True)
             self._record.write(f"TROUBLE {instance.name} crashes and is dark")
             instance.relay.cut = {EVERYBODY}
             self._group.crash(instance)
@@ -108,12 +99,28 @@
         successor.relay.cut = set()
         self._group.part([successor.name], False)
 
-    def _verdict(self, missing: list) -> int:
-        old = self._group.instances[OLD]
-        promotions = [item for item in self._group.led if item[2] > 1]
-        since = promotions[0][0] + THAW_SLACK_SECONDS if promotions else 0.0
-        late = self._writers.committed_by_replaced(old, CALM, since)
-        return self._writers.report(old, late, missing)
+    def _verdict(self, missing: list[Written]) -> int:
+        promotion = self._group.first_promotion()
+        since = promotion.at + THAW_SLACK_SECONDS if promotion is not None else 0.0
+        late = self._writers.committed_by_replaced(self._group.instances[OLD], CALM, since)
+        for item in late[:SHOWN]:
+            self._record.write(
+                f"BROKEN ONE {item.answer.request_id} WRITE {item.thing} {item.data}: committed by "
+                f"{OLD} after its successor led, acknowledged via {item.proxy}",
+                item.answer.at,
+            )
+        for item in missing[:SHOWN]:
+            self._record.write(
+                f"BROKEN lost {item.answer.request_id} WRITE {item.thing} {item.data}: "
+                f"acknowledged via {item.proxy}, and not there at the end",
+                item.answer.at,
+            )
+        self._record.write(
+            f"{len(self._writers.acknowledged)} of {len(self._writers.written)} writes "
+            f"acknowledged, {len(late)} of them committed by the replaced primary, "
+            f"{len(missing)} missing at the end"
+        )
+        return CODE_BROKEN if late or missing else CODE_HELD
 
 
 if __name__ == "__main__":
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,20 +13,11 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-
-from support import (  # noqa: E402
-    CODE_BROKEN,
-    CODE_HELD,
-    EVERYBODY,
-    TROUBLE,
-    Answer,
-    CannotRun,
-    Deployment,
-    Record,
-    Session,
-    run_case,
-)
+from support.clients import Answer, Session
+from support.common import CODE_BROKEN, CODE_HELD, TROUBLE, CannotRun, Record
+from support.deployment import Deployment
+from support.relay import EVERYBODY
+from support.running import run_case
 
 ALONE, ADDED = "front-3", "front-1"
 OLD, DEAF = "i-a", "i-c"
@@ -111,7 +102,7 @@
         """Write once the change of primary is over: a statement may pass through another proxy."""
         session = Session(self._system.proxies[ADDED], "latest", self._record)
         number = 0
-        while not self._stop and not any(term > 1 for _, _, term in self._group.led):
+        while not self._stop and self._group.first_promotion() is None:
             await asyncio.sleep(0.05)
         await asyncio.sleep(0.5)
         while not self._stop:
@@ -140,7 +131,7 @@
             shown = int(answer.rows[0]) if answer.rows != ("none",) else NOTHING
             if shown < due:
                 stale.append((proxy, answer, shown, due))
-        if not any(term > 1 for _, _, term in self._group.led):
+        if self._group.first_promotion() is None:
             raise CannotRun("no promotion took effect")
         for proxy, answer, shown, due in stale[:10]:
             self._record.write(
--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -3,7 +3,7 @@
 # target/deps, or with those of the development environment.
 root="$(cd "$(dirname "$0")/.." && pwd)"
 export REVIEW_DEPENDENCIES="$root/target/deps"
-export PYTHONPATH="$REVIEW_DEPENDENCIES:$root/src" PYTHONDONTWRITEBYTECODE=1
+export PYTHONPATH="$REVIEW_DEPENDENCIES:$root/src:$root/review" PYTHONDONTWRITEBYTECODE=1
 for python in python3 "$root/.venv/bin/python"; do
     if "$python" -c "import msgspec, tornado, fastavro" 2>/dev/null; then
         timeout --signal=TERM --kill-after=5 118 "$python" "$1"
