--- a/src/orchidwind/promoted/core/commit_acknowledgement.py
+++ b/src/orchidwind/promoted/core/commit_acknowledgement.py
@@ -15,8 +15,8 @@
    lease: only those that answer) answer that they are not fenced and know of no later term. A proxy
    that fences them afterwards finds the commit there.
 
-None of the rules acknowledges a commit if the roster records a later promotion that may have taken
-effect without this proxy seeing it. While nothing is proven, the driver asks again after
+Rules 1 and 3 acknowledge no commit of a primary that is replaced by a later promotion in the roster
+(`PromotionRecord.replaces`). While nothing is proven, the driver asks again after
 `PROOF_RETRY_SECONDS`, until the deadline of the caller's request.
 
 Without these rules the fault schedules of `test_change_of_primary.py` and
@@ -132,7 +132,7 @@
         return CommitDecision.NOT_PROVEN
     if not lease.covers and _required_answer_missing(commit, replicas):
         return CommitDecision.NOT_PROVEN
-    if lease.successor_may_lead:
+    if lease.replaced:
         return CommitDecision.NOT_PROVEN
     holding = [status for status in replicas.statuses if _holds_and_stays(status, commit, replicas)]
     enough = len(holding) >= max(replicas.synchronous_replicas, 1)
--- a/src/orchidwind/promoted/core/failover.py
+++ b/src/orchidwind/promoted/core/failover.py
@@ -8,10 +8,10 @@
    holder. Once a promotion was called under the lock, no process, not even one that was restarted
    under the holder's name, takes the lock over within the time that the promotion needs to take
    effect. A promotion that takes effect even later is handled by step 6.
-2. A primary that answers is demoted, so that it accepts no more commits, unless a successor that
-   this proxy does not reach may lead. Any log that reaches as far as the log of the demoted primary
-   contains every acknowledged commit, whichever replicas had confirmed them. If no other log
-   reaches as far, the demoted primary itself can lead again.
+2. All primaries that answer are demoted, so that they accept no more commits. If one of them leads
+   the newest term, and no promotion to a later term is recorded, any log that reaches as far as its
+   log contains every acknowledged commit, whichever replicas had confirmed them. If no other log
+   reaches as far, this primary itself can lead again.
 3. The other members are fenced with a term above every known one: they receive nothing more from an
    old primary that does not answer.
 4. The proxy waits until all leadership leases have expired or were confirmed to be dropped
@@ -26,13 +26,15 @@
    more commits are acknowledged and an instance that has begun to confirm has had the time to be
    listed. A log counts only if it reaches the position at which the newest term began: commits of
    earlier terms are in the log of that term's primary, and in the logs that have caught up with it.
-6. The promotion is recorded in the store with the end of the chosen log. Until the chosen instance
-   has answered that it does not lead, or is gone, no other instance counts as primary. A restart
-   drops a fence, so all instances are asked for their fences again right before the call.
+6. The promotion is recorded in the store with the end of the chosen log. From then on no earlier
+   primary counts as primary, whether the promotion takes effect or not: only another promotion
+   makes it one again. A restart drops a fence, so all instances are asked for their fences again
+   right before the call.
 7. The promotion is sent while the lock is certainly held. Whether it took effect is found out by
    asking the instance.
-8. Afterwards any proxy that reaches the old primary demotes it. The other replicas are unfenced
-   when the old primary is known to lead no longer, or when they follow the new one.
+8. Afterwards any proxy that reaches the old primary demotes it. The other replicas drop their
+   fences when they follow the new one. A fence that was set by a change without a result is lifted
+   only if the replica can follow no replaced primary then (`may_be_unfenced`).
 
 This module has the order of the steps. The rules are in `failover_primary` (whether a primary must
 be replaced), `failover_members` (which instances may have confirmed commits), `failover_choice`
@@ -59,11 +61,15 @@
 )
 from orchidwind.promoted.core.failover_fences import (
     POLL_SECONDS,
+    as_if_fenced,
     await_log_catch_up,
-    demote_leader,
+    demote_primaries,
     fence_others,
     fence_term_above,
+    fenced_out,
+    lift_fences,
     lift_leftover_fences,
+    may_be_unfenced,
     other_members,
     query_statuses,
     settle_promotion,
@@ -75,13 +81,12 @@
 )
 from orchidwind.promoted.core.failover_primary import (
     any_primary_answers,
-    change_is_needed,
-    fenced_names,
     find_new_primary,
     has_caught_up_successor,
     leader_of,
     may_succeed,
     primary_stays,
+    promotion_is_pending,
     some_replica_follows,
 )
 from orchidwind.promoted.core.failover_report import report_choice
@@ -105,7 +110,6 @@
     ReportChoice,
     Statuses,
     TakeLock,
-    UnfenceAll,
     Wait,
 )
 from orchidwind.promoted.core.instance_silence import URGENT_STATUS_SECONDS
@@ -141,7 +145,7 @@
     """Replace the primary of a group, if that is still needed; returns the outcome."""
     statuses = yield from query_statuses((*plan.members, *plan.absent))
     plan = include_answering(plan, statuses)
-    if not change_is_needed(plan, statuses):
+    if not _change_is_needed(plan, statuses):
         return FailoverResult(FailoverOutcome.NOT_NEEDED)
     if not may_succeed(plan, statuses):
         return FailoverResult(FailoverOutcome.NOT_SAFE)
@@ -158,10 +162,19 @@
     return result
 
 
+def _change_is_needed(plan: FailoverPlan, statuses: Statuses) -> bool:
+    """Whether there is a primary to replace, or fences that were left behind and may be lifted."""
+    if primary_stays(plan, statuses):
+        return bool(may_be_unfenced(plan, leader_of(plan, statuses), statuses))
+    return plan.reason is not FailoverReason.LEFT_FENCED
+
+
 def _change_under_lock(plan: FailoverPlan, led_before: InstanceStatus | None) -> FailoverFlow:
     statuses = yield from query_statuses(plan.members)
     if primary_stays(plan, statuses):
         return (yield from lift_leftover_fences(plan, statuses))
+    if leader_of(plan, statuses) is None and promotion_is_pending(plan, statuses):
+        return FailoverResult(FailoverOutcome.NOT_SAFE)
     if not has_caught_up_successor(plan, led_before, statuses):
         return FailoverResult(FailoverOutcome.NOT_SAFE)
     if plan.reason is FailoverReason.LEFT_FENCED:
@@ -172,7 +185,7 @@
         refused = yield from _check_not_confirming(plan, statuses, fence_term)
         if refused is not None:
             return refused
-    demoted = yield from demote_leader(plan, statuses, fence_term)
+    plan, demoted = yield from demote_primaries(plan, statuses, fence_term)
     if demoted is not None and plan.reason is not FailoverReason.NOT_CONFIRMING:
         yield from await_log_catch_up(plan, demoted)
     return (yield from _choose_and_promote(plan, demoted, fence_term))
@@ -185,7 +198,9 @@
 
     Returns the result that ends the change if the primary is kept, None if it may be replaced. It
     is kept if a replica does keep up with it, and also if the other members cannot show that one of
-    them has every acknowledged commit: it must not be demoted without a successor.
+    them has every acknowledged commit: it must not be demoted without a successor. The exception is
+    a fence that keeps a replica from following it and may not be lifted: then it has to lead a
+    later term itself.
     """
     leader = leader_of(plan, statuses)
     if leader is None:
@@ -194,11 +209,17 @@
     later = yield from query_statuses(plan.members)
     if some_replica_follows(leader, later):
         return (yield from lift_leftover_fences(plan, later))
-    fenced = yield from fence_others(plan, leader, fence_term)
+    if fenced_out(plan, leader, later):
+        return None
     # Absent instances are left out here: whether they are needed is known only after all proxies
     # have reported which commits they acknowledged.
-    if choose_candidate(replace(plan, absent=()), fenced, None, fence_term) is None:
-        yield UnfenceAll(tuple(fenced))
+    present = replace(plan, absent=())
+    if choose_candidate(present, as_if_fenced(later, fence_term), None, fence_term) is None:
+        yield from lift_fences(plan, leader, later)
+        return FailoverResult(FailoverOutcome.NOT_SAFE)
+    fenced = yield from fence_others(plan, leader, fence_term)
+    if choose_candidate(present, fenced, None, fence_term) is None:
+        yield from lift_fences(plan, leader, {**fenced, leader.instance: leader})
         return FailoverResult(FailoverOutcome.NOT_SAFE)
     return None
 
@@ -206,15 +227,15 @@
 class _Selection(Struct):
     """The search for the next primary, kept from one attempt to the next.
 
-    `reported`: the report of the choice that was logged last. `promotion_sent`: a promotion may
-    have been called, so fences below the new term must stay.
+    `reported`: the report of the choice that was logged last. `recorded`: a promotion was recorded,
+    so that no earlier primary leads on and no fence may be lifted for one.
     """
 
     plan: FailoverPlan
     demoted: InstanceStatus | None
     fence_term: int
     reported: ChoiceReport | None = None
-    promotion_sent: bool = False
+    recorded: bool = False
 
     @property
     def needs_members(self) -> bool:
@@ -243,9 +264,9 @@
         result = yield from _attempt(selection, attempt)
         if result is not None:
             return result
-    if not selection.promotion_sent:
+    if not selection.recorded:
         statuses = yield from query_statuses(selection.plan.members)
-        yield UnfenceAll(fenced_names(statuses))
+        yield from lift_fences(selection.plan, leader_of(selection.plan, statuses), statuses)
     return FailoverResult(FailoverOutcome.NOT_SAFE)
 
 
@@ -271,9 +292,9 @@
     if not recorded:
         selection.plan = replace(selection.plan, members_known=False)
         return None
+    selection.recorded = True
     if not (yield from _still_best(selection, candidate, fenced)):
         return None
-    selection.promotion_sent = True
     led = yield from _promote(candidate)
     return None if led is None else (yield from settle_promotion(selection.plan, led))
 
@@ -283,12 +304,18 @@
 ) -> Generator[FailoverStep, FailoverStepResult, FailoverResult | None]:
     """Handle an old primary that answers again: it leads on if it need not be replaced.
 
-    Otherwise it is demoted, and None is returned.
+    Otherwise it is demoted, and None is returned. If this change has recorded a promotion, which
+    may still take effect, the old primary is left to the next change.
     """
-    statuses = yield from query_statuses(selection.plan.members)
-    if primary_stays(selection.plan, statuses):
-        return (yield from lift_leftover_fences(selection.plan, statuses))
-    selection.demoted = yield from demote_leader(selection.plan, statuses, selection.fence_term)
+    if selection.recorded:
+        return None
+    plan = selection.plan
+    statuses = yield from query_statuses(plan.members)
+    if primary_stays(plan, statuses):
+        return (yield from lift_leftover_fences(plan, statuses))
+    selection.plan, selection.demoted = yield from demote_primaries(
+        plan, statuses, selection.fence_term
+    )
     return None
 
 
--- a/src/orchidwind/promoted/core/failover_fences.py
+++ b/src/orchidwind/promoted/core/failover_fences.py
@@ -2,19 +2,21 @@
 
 A fence keeps a replica from receiving log from an old primary. It must be set before logs are
 counted. It must be lifted when the change is over or abandoned, but never while the replica could
-still confirm commits of a primary that was replaced. These generators yield the steps of `failover`
-that do this.
+still confirm commits of a primary that was replaced: `may_be_unfenced` decides that for all places
+that lift fences. These generators yield the steps of `failover` that do this.
 
 Owns: nothing. Relies on: an instance drops a fence when it moves to a newer term, and drops any
-fence when it restarts.
+fence when it restarts; a promotion starts the next term.
 """
 
 from __future__ import annotations
 
 from collections.abc import Generator, Mapping
 
+from msgspec.structs import replace
+
 from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
-from orchidwind.promoted.core.failover_primary import fenced_names, leader_of
+from orchidwind.promoted.core.failover_primary import fenced_names, leader_of, replicas_among
 from orchidwind.promoted.core.failover_steps import (
     AskAll,
     Demote,
@@ -60,12 +62,18 @@
 
 
 def fence_term_above(plan: FailoverPlan, statuses: Statuses) -> int:
-    """Return a term above every one that can have begun; an instance accepts no lower fence."""
-    newest = max([plan.led_term, *(item.newest_term for item in statuses.values())])
+    """Return a term above every one that can have begun; an instance accepts no lower fence.
+
+    A fence alone starts no term, so fences that an interrupted change left are used again. With
+    ever higher fences the new primary's term could stay below them, and no replica could follow it.
+    """
+    newest = max([plan.led_term, *(item.term for item in statuses.values())])
     last = plan.last_promotion
-    if last is not None and last.instance not in statuses:
-        newest = max(newest, last.term)
-    return newest + 1
+    if last is not None:
+        answer = statuses.get(last.instance)
+        if answer is None or answer.term >= last.term:
+            newest = max(newest, last.term)
+    return max([newest + 1, *(item.fence_term for item in statuses.values())])
 
 
 def fence_others(plan: FailoverPlan, leader: InstanceStatus | None, term: int) -> Answers:
@@ -78,27 +86,28 @@
     return statuses
 
 
-def demote_leader(
+def demote_primaries(
     plan: FailoverPlan, statuses: Statuses, term: int
-) -> Generator[FailoverStep, FailoverStepResult, InstanceStatus | None]:
-    """Demote the newest primary; returns its status afterwards, None if none was demoted.
+) -> Generator[FailoverStep, FailoverStepResult, tuple[FailoverPlan, InstanceStatus | None]]:
+    """Demote all primaries of terms below `term`.
 
-    Primaries of older terms that answer are demoted too; their logs are no reference.
+    Returns the plan with the terms that have ended, and the leader's status afterwards, None if it
+    was not demoted. The logs of the others, which have been replaced, are no reference.
     """
     leader = leader_of(plan, statuses)
-    newest = max((item.term for item in statuses.values()), default=0)
     demoted: InstanceStatus | None = None
     for item in statuses.values():
-        replaced = item.role is InstanceRole.PRIMARY and item.term < newest
-        if item != leader and not replaced:
+        if item.role is not InstanceRole.PRIMARY or item.term >= term:
             continue
         answers = yield Demote(item.instance, term)
         assert isinstance(answers, Mapping)
         status = answers.get(item.instance)
-        stepped_down = status is not None and status.role is InstanceRole.REPLICA
-        if item == leader and stepped_down:
+        if status is None or status.role is InstanceRole.PRIMARY:
+            continue
+        plan = replace(plan, ended_terms=plan.ended_terms | {item.term})
+        if item == leader:
             demoted = status
-    return demoted
+    return plan, demoted
 
 
 def await_log_catch_up(plan: FailoverPlan, demoted: InstanceStatus) -> Answers:
@@ -115,68 +124,79 @@
     return statuses
 
 
+def may_be_unfenced(
+    plan: FailoverPlan, leader: InstanceStatus | None, statuses: Statuses
+) -> tuple[str, ...]:
+    """Return the fenced replicas that can follow no replaced primary once they are unfenced.
+
+    `leader` is the primary that stays, None if none answers. A fence up to the leader's term does
+    not keep a replica from following it, and is dropped as soon as the replica does: it stays. A
+    replica follows no term below its own, and each term has one primary. So what matters is that
+    the primaries of the terms in between have answered that they lead no longer. An instance that
+    does not answer may lead one of them, whether it is listed or not.
+    """
+    fenced = [statuses[name] for name in fenced_names(statuses)]
+    if leader is None:
+        last = plan.last_promotion
+        return tuple(item.instance for item in fenced if last is None or item.term >= last.term)
+    above = [item for item in fenced if item.fence_term > leader.term]
+    if _only_primary(plan, leader, statuses):
+        return tuple(item.instance for item in above)
+    ended = plan.ended_terms
+    return tuple(item.instance for item in above if ended.issuperset(range(item.term, leader.term)))
+
+
+def fenced_out(plan: FailoverPlan, leader: InstanceStatus, statuses: Statuses) -> tuple[str, ...]:
+    """Return the replicas that cannot follow the leader for a fence that may not be lifted."""
+    liftable = may_be_unfenced(plan, leader, statuses)
+    return tuple(
+        name
+        for name in fenced_names(statuses)
+        if statuses[name].fence_term > leader.term and name not in liftable
+    )
+
+
+def as_if_fenced(statuses: Statuses, term: int) -> Statuses:
+    """Return the statuses of the replicas as they would be with a fence."""
+    return {
+        item.instance: replace(item, fence_term=max(item.fence_term, term))
+        for item in replicas_among(statuses.values())
+    }
+
+
+def _only_primary(plan: FailoverPlan, leader: InstanceStatus, statuses: Statuses) -> bool:
+    """Whether all instances that may have confirmed commits answer, and no other one leads."""
+    others = {*plan.members, *plan.absent} - {leader.instance}
+    return all(name in statuses and statuses[name].role is InstanceRole.REPLICA for name in others)
+
+
 def lift_leftover_fences(plan: FailoverPlan, statuses: Statuses) -> FailoverFlow:
     """Lift fences that an interrupted change left behind, as the primary need not be replaced."""
-    leader = leader_of(plan, statuses)
-    fenced = fenced_names(statuses)
-    if leader is not None:
-        fenced = tuple(
-            name for name in fenced if _cannot_follow_older(plan, statuses[name], leader, statuses)
-        )
-    if fenced:
-        yield UnfenceAll(fenced)
+    yield from lift_fences(plan, leader_of(plan, statuses), statuses)
     return FailoverResult(FailoverOutcome.NOT_NEEDED)
 
 
-def _cannot_follow_older(
-    plan: FailoverPlan, replica: InstanceStatus, leader: InstanceStatus, statuses: Statuses
-) -> bool:
-    """Whether a replica, once unfenced, cannot follow a primary older than the leader.
-
-    A replica that has not moved to the leader's term could, unless all members answer, or the only
-    primary in between is known to lead no longer or has left. Without these exceptions a change
-    that lost its lock would leave replicas that follow no primary, and no commit could be proven by
-    them.
-    """
-    last = plan.last_promotion
-    leading = [item for item in statuses.values() if item.role is InstanceRole.PRIMARY]
-    if replica.term >= leader.term or (leading == [leader] and set(plan.members) <= set(statuses)):
-        return True
-    if last is None or (last.term > leader.term and last.instance != leader.instance):
-        return False
-    if replica.term < min(last.term, leader.term) - 1:
-        return False
-    if last.replaced == leader.instance:
-        return True
-    replaced = statuses.get(last.replaced)
-    if replaced is None:
-        return last.replaced not in plan.members or last.replaced in plan.unlisted
-    return replaced.role is InstanceRole.REPLICA
+def lift_fences(
+    plan: FailoverPlan, leader: InstanceStatus | None, statuses: Statuses
+) -> Generator[FailoverStep, FailoverStepResult, None]:
+    """Lift the fences that may be lifted (`may_be_unfenced`)."""
+    names = may_be_unfenced(plan, leader, statuses)
+    if names:
+        yield UnfenceAll(names)
 
 
 def settle_promotion(plan: FailoverPlan, led: InstanceStatus) -> FailoverFlow:
-    """Demote a replaced primary that can be reached, and unfence the other replicas.
+    """Demote replaced primaries that can be reached, and lift fences above the new term.
 
-    A replica that is unfenced before it follows the new primary could confirm commits of the old
-    one. So a fence stays until the old primary is known to lead no longer, or until the replica has
-    moved to the new term, which lifts the fence by itself.
+    A replica drops its fence itself when it follows the new primary, unless the fence is above the
+    new term because an earlier change was interrupted.
     """
     for _ in range(_SETTLE_POLLS):
         statuses = yield from query_statuses(other_members(plan, led))
-        replaced = [
-            item
-            for item in statuses.values()
-            if item.role is InstanceRole.PRIMARY and item.term < led.term
-        ]
-        for item in replaced:
-            yield Demote(item.instance, led.term)
-        waiting = [item for item in statuses.values() if _fenced_below(item, led.term)]
-        old = statuses.get(plan.old_primary)
-        if not waiting:
-            break
-        if old is not None and old.role is InstanceRole.REPLICA:
-            yield UnfenceAll(tuple(item.instance for item in waiting))
+        plan, _ = yield from demote_primaries(plan, statuses, led.term)
+        if not any(_fenced_below(item, led.term) for item in statuses.values()):
             break
+        yield from lift_fences(plan, led, statuses)
         yield Wait(POLL_SECONDS)
     return FailoverResult(FailoverOutcome.DONE, led.instance, led.term)
 
--- a/src/orchidwind/promoted/core/failover_primary.py
+++ b/src/orchidwind/promoted/core/failover_primary.py
@@ -18,13 +18,6 @@
 from orchidwind.promoted.core.log_positions import holds
 
 
-def change_is_needed(plan: FailoverPlan, statuses: Statuses) -> bool:
-    """Whether there is a primary to replace, or fences that were left behind."""
-    if primary_stays(plan, statuses):
-        return bool(fenced_names(statuses))
-    return plan.reason is not FailoverReason.LEFT_FENCED
-
-
 def primary_stays(plan: FailoverPlan, statuses: Statuses) -> bool:
     """Whether a primary leads that need not be replaced."""
     leader = leader_of(plan, statuses)
@@ -39,15 +32,32 @@
 
     If they do not, holding the lock would only keep other proxies from trying.
     """
+    leader = leader_of(plan, statuses)
+    if leader is None and promotion_is_pending(plan, statuses):
+        return False
     if fenced_names(statuses):
         return True
-    leader = leader_of(plan, statuses)
-    replicas = replicas_among(statuses.values())
     if leader is not None:
-        return bool(replicas) or leader.instance not in plan.leaving
+        return bool(replicas_among(statuses.values())) or leader.instance not in plan.leaving
     if not plan.members_known:
         return False
-    return len(replicas) >= needed_fences(plan)
+    # A replaced primary that answers counts too, as it is demoted and fenced like the others.
+    return len(statuses.keys() & set(plan.members)) >= needed_fences(plan)
+
+
+def promotion_is_pending(plan: FailoverPlan, statuses: Statuses) -> bool:
+    """Whether the last promotion may still take effect, so that no other one is called yet.
+
+    Guards against an instance that was stopped for longer than a promotion takes: it would lead
+    after the next primary, without that one's commits. An instance that stays silent loses its
+    entry after a few heartbeats. Nothing else is concluded from that: an earlier primary stays
+    replaced.
+    """
+    last = plan.last_promotion
+    if last is None or last.instance in statuses or last.instance in plan.unlisted:
+        return False
+    terms = [plan.led_term, *(item.term for item in statuses.values())]
+    return last.instance != plan.old_primary and max(terms) < last.term
 
 
 def has_caught_up_successor(
@@ -75,9 +85,14 @@
 
 
 def leader_of(plan: FailoverPlan, statuses: Statuses) -> InstanceStatus | None:
-    """Return the primary of the newest term that can have begun, None if it does not answer."""
+    """Return the primary of the newest term that can have begun, None if it does not answer.
+
+    Guards against an old primary that does not know of its successor and is the only one that
+    answers: its log has nothing of the newer term.
+    """
     best = _newest_answering_primary(statuses)
-    if best is None or _successor_may_lead(plan, best, statuses):
+    last = plan.last_promotion
+    if best is None or (last is not None and last.replaces(best.instance, best.term)):
         return None
     return best
 
@@ -94,27 +109,6 @@
     return best
 
 
-def _successor_may_lead(plan: FailoverPlan, leader: InstanceStatus, statuses: Statuses) -> bool:
-    """Whether an instance that was promoted later may lead without this proxy seeing it.
-
-    Guards against an old primary that does not know of its successor and is the only one that
-    answers: its log has nothing of the newer term.
-    """
-    last = plan.last_promotion
-    if last is None or last.term <= leader.term or last.instance == leader.instance:
-        return False
-    if last.instance in statuses:
-        # It answers. If it does not know the term that it was promoted to, it never led.
-        return statuses[last.instance].term >= last.term
-    if last.instance in plan.members and last.instance not in plan.unlisted:
-        # The directory lists it, so it may still begin to lead, or leads already for other proxies.
-        return True
-    followers = [name for name in plan.members if name not in (leader.instance, last.instance)]
-    # Nothing was acknowledged in its term if no instance followed it.
-    followed = any(name not in statuses or statuses[name].term >= last.term for name in followers)
-    return followed or not followers
-
-
 def find_new_primary(fenced: Statuses, fence_term: int) -> InstanceStatus | None:
     """Return the primary of the new term if an earlier promotion has taken effect, else None."""
     leading = [
--- a/src/orchidwind/promoted/core/failover_steps.py
+++ b/src/orchidwind/promoted/core/failover_steps.py
@@ -76,8 +76,10 @@
     began: they are members if they answer; otherwise `acknowledged`, what all proxies have
     acknowledged, decides whether their logs are needed. `unlisted` are instances that the directory
     does not list. `last_promotion` is the record in the group's roster, None if no instance was
-    ever promoted. `near_old_primary` are the instances in the old primary's region; empty if there
-    is only one region, or if that of the old primary is not known.
+    ever promoted. `near_old_primary` are the instances in
+    the old primary's region; empty if there is only one region, or if that of the old primary is
+    not known. `ended_terms` are terms whose primaries have answered during this change that they
+    lead no longer.
     """
 
     group: str
@@ -89,10 +91,11 @@
     members_known: bool = True
     led_term: int = 0
     absent: tuple[str, ...] = ()
-    unlisted: frozenset[str] = frozenset()
     acknowledged: AcknowledgedCommits | None = None
+    unlisted: frozenset[str] = frozenset()
     last_promotion: PromotionRecord | None = None
     near_old_primary: frozenset[str] = frozenset()
+    ended_terms: frozenset[int] = frozenset()
 
 
 class FailoverResult(Struct, frozen=True):
--- a/src/orchidwind/promoted/core/roster.py
+++ b/src/orchidwind/promoted/core/roster.py
@@ -31,6 +31,17 @@
     token: StoreRevision
     replaced: str = ""
 
+    def replaces(self, instance: str, term: int) -> bool:
+        """Whether an instance that leads in a term must no longer be used as primary.
+
+        This holds from the record on and for good, whether the promotion takes effect or not. No
+        observation of the promoted instance shows that it will never lead: its answer may be older
+        than the effect of the call, and an instance that is silent or no longer listed may lead for
+        others, or return as primary after a crash. Only a promotion to a later term rules that out,
+        so the old primary leads again only if it is promoted itself.
+        """
+        return self.term > term and self.instance != instance
+
 
 class Roster(Struct, frozen=True):
     """A group's roster as the store holds it. `members` are sorted names."""
@@ -61,10 +72,13 @@
         """Note a roster that the store holds, or held a while ago."""
         if stored.revision < self.held.revision:
             return
-        if stored.revision.era > self.held.revision.era:
+        restored = stored.revision.era > self.held.revision.era
+        if restored:
             self._lost_members |= frozenset(self.held.members)
         self.held = stored
-        self._last_promotion = _later_promotion(self._last_promotion, stored.last_promotion)
+        self._last_promotion = _later_promotion(
+            self._last_promotion, stored.last_promotion, restored
+        )
 
     def absent(self, era: int) -> None:
         """Note that the store has no roster of this group in an era."""
@@ -93,8 +107,15 @@
 
 
 def _later_promotion(
-    one: PromotionRecord | None, other: PromotionRecord | None
+    known: PromotionRecord | None, stored: PromotionRecord | None, restored: bool
 ) -> PromotionRecord | None:
-    if one is None or other is None:
-        return one or other
-    return max(one, other, key=lambda record: record.token)
+    """Return the later of the known record and the one that the store holds now.
+
+    One holder of the lock may record several promotions under its token. Then the stored one is the
+    later, unless the store was `restored` from an older copy.
+    """
+    if known is None or stored is None:
+        return known or stored
+    if known.token == stored.token:
+        return known if restored else stored
+    return max(known, stored, key=lambda record: record.token)
--- a/src/orchidwind/promoted/core/topology.py
+++ b/src/orchidwind/promoted/core/topology.py
@@ -62,7 +62,6 @@
         self.distances = distances or Distances(zone)
         self.region_spill = RegionSpill()
         self.last_promotion: PromotionRecord | None = None
-        self._promotion_read_at = float("-inf")
 
     # --- directory and roster -----------------------------------------------------------------
 
@@ -105,11 +104,11 @@
         if view is not None:
             view.ended = True
 
-    def promotion_read(self, record: PromotionRecord | None, now: float) -> None:
-        """Note the last promotion that the roster names."""
-        if record != self.last_promotion:
-            self.last_promotion = record
-            self._promotion_read_at = now
+    def promotion_read(self, record: PromotionRecord | None) -> bool:
+        """Note the last promotion that the roster names; returns whether it was not known."""
+        changed = record != self.last_promotion
+        self.last_promotion = record
+        return changed
 
     # --- answers of instances -----------------------------------------------------------------
 
@@ -164,7 +163,10 @@
         return 0 if view is None else view.led_term
 
     def primary(self, now: float) -> PrimaryView | None:
-        """Return the usable and reachable instance that leads in the newest term, else None."""
+        """Return the usable and reachable instance that leads in the newest term, else None.
+
+        An instance does not count if the roster names a later promotion (`is_replaced`).
+        """
         best: PrimaryView | None = None
         for name, view in self.instances.items():
             term = view.led_term
@@ -174,25 +176,16 @@
                 best = PrimaryView(name, term)
         if best is None or best.term < self.newest_led_term:
             return None
-        return best
+        return None if self.is_replaced(best.instance, best.term) else best
 
-    def successor_may_lead(self, instance: str, term: int) -> bool:
-        """Whether an instance promoted after `term` may lead without this proxy seeing it.
+    def is_replaced(self, instance: str, term: int) -> bool:
+        """Whether the roster names a promotion that replaces an instance leading in a term.
 
-        Guards against a proxy that is cut off together with an old primary: the instances that it
-        reaches know of no later term. An instance that has answered since the promotion was read,
-        in a lower term, does not lead.
+        Guards against an old primary that does not know of its successor, while this proxy does not
+        see the successor either.
         """
         last = self.last_promotion
-        if last is None or last.term <= term or last.instance == instance:
-            return False
-        view = self.instances.get(last.instance)
-        if view is None or not view.listed:
-            return False
-        status = view.status
-        if status is None or status.asked_at < self._promotion_read_at:
-            return True
-        return status.term >= last.term
+        return last is not None and last.replaces(instance, term)
 
     # --- replicas and roles -------------------------------------------------------------------
 
--- a/src/orchidwind/promoted/group/leadership_prover.py
+++ b/src/orchidwind/promoted/group/leadership_prover.py
@@ -52,7 +52,7 @@
             self._leases.covers(at),
             self._leases.free_revision,
             self._proven,
-            self._topology.successor_may_lead(instance, term),
+            self._topology.is_replaced(instance, term),
         )
 
     def lease_covers_now(self) -> bool:
@@ -94,10 +94,7 @@
         status = query.result()
         if status is None or not shows_no_later_term(status, term):
             return False
-        primary = self._topology.primary(self._loop.time())
-        if primary is None:
-            return False
-        return not self._topology.successor_may_lead(primary.instance, primary.term)
+        return self._topology.primary(self._loop.time()) is not None
 
     def close(self) -> None:
         """Cancel the pending queries."""
--- a/src/orchidwind/promoted/group/roster_keeper.py
+++ b/src/orchidwind/promoted/group/roster_keeper.py
@@ -77,7 +77,8 @@
         if group in self._rosters and service is not None:
             roster = self._rosters[group].known
             service.topology.confirming.roster_read(roster.members, self._loop.time())
-            service.topology.promotion_read(roster.last_promotion, self._loop.time())
+            if service.topology.promotion_read(roster.last_promotion):
+                _log_promotion(roster)
 
     def promotion_called(self, token: StoreRevision) -> bool:
         """Whether a promotion of any group may have been called under a fencing token."""
@@ -134,3 +135,19 @@
             return
         log_event("roster_written", group=wanted.group, members=",".join(written.members))
         self._apply_roster(written)
+
+
+def _log_promotion(roster: Roster) -> None:
+    """Log a promotion that the roster names: no earlier primary is used from now on."""
+    record = roster.last_promotion
+    if record is None:
+        return
+    log_event(
+        "promotion_known",
+        group=roster.group,
+        instance=record.instance,
+        term=record.term,
+        replaced=record.replaced,
+        token=record.token,
+        revision=roster.revision,
+    )
--- a/src/orchidwind_bench/promoted/exploration/proxy_lease.py
+++ b/src/orchidwind_bench/promoted/exploration/proxy_lease.py
@@ -125,7 +125,7 @@
             self._lease.covers(self._life.now()),
             self._lease.free_revision,
             self._proven,
-            self._topology.successor_may_lead(instance, term),
+            self._topology.is_replaced(instance, term),
         )
 
     def wait_for_others(
--- a/src/orchidwind_bench/promoted/exploration/proxy_views.py
+++ b/src/orchidwind_bench/promoted/exploration/proxy_views.py
@@ -86,7 +86,7 @@
             self._roster.take(roster)
         self._roster.absent(self._life.store_era.current)
         known = self._roster.known
-        self.topology.promotion_read(known.last_promotion, now)
+        self.topology.promotion_read(known.last_promotion)
         self.topology.confirming.roster_read(known.members, now)
 
     def keep_roster(self) -> Process[None]:
@@ -108,7 +108,7 @@
         if not isinstance(written, Roster) or written.revision.era != roster.revision.era:
             return False
         self._roster.take(written)
-        self.topology.promotion_read(self._roster.known.last_promotion, self._life.now())
+        self.topology.promotion_read(self._roster.known.last_promotion)
         return True
 
     def record_promotion(self, record: PromotionRecord) -> Process[bool]:
--- a/src/orchidwind_bench/promoted/exploration/world.py
+++ b/src/orchidwind_bench/promoted/exploration/world.py
@@ -46,6 +46,7 @@
     "leaving": ((1.0, "leave i-0"),),
     "deaf": ((1.0, "deaf i-0"),),
     "not-confirming": ((1.0, "cut primary off"),),
+    "unreached": ((1.0, "cut p-1 i-0 for long"),),
     "one-replica": ((0.5, "leave i-2"), (2.8, "crash i-0")),
     "replaced-replica": ((0.5, "leave i-2"), (2.45, "cut primary off"), (3.0, "join i-3")),
     "return": ((1.0, "store returns, three seconds older"), (1.5, "crash i-0")),
--- a/src/orchidwind_bench/promoted/simulation/callers.py
+++ b/src/orchidwind_bench/promoted/simulation/callers.py
@@ -61,6 +61,8 @@
     reads: int = 0
     reads_failed: int = 0
     write_times: list[float] = field(default_factory=list)
+    # When reads of the latest state were answered.
+    read_times: list[float] = field(default_factory=list)
 
 
 class CallersSystem(Protocol):
@@ -171,6 +173,8 @@
         self._system.tally.reads += 1
         try:
             await self._run(self._command(CommandKind.READ, "READ x"))
+            if self._consistency is ReadConsistency.LATEST:
+                self._system.tally.read_times.append(self._system.world.now)
         except RequestError:
             self._system.tally.reads_failed += 1
 
@@ -223,13 +227,22 @@
         await self._run(command)
 
 
+class ReadingCaller(SimulatedCaller):
+    """A caller that only reads, so that no refused write tells its proxy who leads."""
+
+    async def _operate(self) -> None:
+        await self._read()
+
+
 class PromotedSystem:
     """Some proxies, one group of instances, and callers on each proxy.
 
     `regions`: what the proxies' settings say about the zones; those that start later learn it.
+    `read_only_proxies`: the callers on these proxies do not write.
     """
 
     regions = ONE_REGION
+    read_only_proxies: tuple[str, ...] = ()
 
     def __init__(
         self,
@@ -301,7 +314,8 @@
         for index, name in enumerate(self.nodes):
             for number in range(callers_a_node):
                 kind = kinds[number % len(kinds)]
-                caller = SimulatedCaller(self, name, index * 100 + number, kind)
+                caller_type = ReadingCaller if name in self.read_only_proxies else SimulatedCaller
+                caller = caller_type(self, name, index * 100 + number, kind)
                 callers.append(asyncio.get_running_loop().create_task(caller.run(seconds)))
         await asyncio.gather(*callers)
         shipping.cancel()
--- a/src/orchidwind_bench/promoted/simulation/network.py
+++ b/src/orchidwind_bench/promoted/simulation/network.py
@@ -32,6 +32,10 @@
         if not one_way:
             self._cuts.add((second, first))
 
+    def join(self, first: str, second: str) -> None:
+        """End the cut between two parties."""
+        self._cuts -= {(first, second), (second, first)}
+
     def heal(self) -> None:
         """End all cuts."""
         self._cuts.clear()
--- /dev/null
+++ b/tests/promoted/test_replaced_primaries.py
@@ -0,0 +1,195 @@
+"""Scripted runs in which a proxy could go on with a primary that another instance has replaced.
+
+Each run is on virtual time with the real code of the proxies.
+"""
+
+import asyncio
+import itertools
+
+import pytest
+from msgspec.structs import replace
+from support.scripted_days import NODES, cut_proxies, once, play
+
+from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
+from orchidwind.promoted.core.failover_fences import fence_term_above, may_be_unfenced
+from orchidwind.promoted.core.failover_primary import leader_of
+from orchidwind.promoted.core.failover_steps import FailoverPlan, FailoverReason
+from orchidwind.promoted.core.roster import KnownRoster, PromotionRecord, Roster
+from orchidwind.promoted.core.store_revision import StoreRevision
+from orchidwind.shared.core.positions import Position
+
+CUT_OFF, CALM = NODES[0], NODES[1]
+# Shorter than a promotion takes to have an effect that could be observed.
+LOOK_SECONDS = 0.002
+# Three heartbeats.
+ENTRY_OUTLIVES_SECONDS = 3.6
+
+
+def when_it_leads(system, name, act):
+    """Calls back as soon as an instance leads."""
+    if system.group.instances[name].leads:
+        act()
+    else:
+        loop = asyncio.get_running_loop()
+        loop.call_later(LOOK_SECONDS, when_it_leads, system, name, act)
+
+
+def lose(system, name):
+    """Crashes an instance; it is dark, and its entry goes."""
+    system.group.resets = False
+    system.group.instances[name].crash()
+    loop = asyncio.get_running_loop()
+    loop.call_later(ENTRY_OUTLIVES_SECONDS, system.world.store.drop_entry, name)
+
+
+def lose_successor_as_it_leads(returns_after):
+    """Returns an event hook: the promoted instance reaches no other one, and is lost as it leads.
+
+    It returns with its log some seconds later, or never.
+    """
+
+    def on_promotion(system, record):
+        successor = record.instance
+        for other in system.group.instances:
+            if other != successor:
+                system.world.network.cut(successor, other)
+
+        def lose_successor():
+            lose(system, successor)
+            if returns_after is not None:
+                asyncio.get_running_loop().call_later(returns_after, bring_back)
+
+        def bring_back():
+            system.world.network.heal()
+            system.group.instances[successor].restart()
+
+        when_it_leads(system, successor, lose_successor)
+
+    return once("promotion_sent", on_promotion)
+
+
+def test_no_commit_of_a_replaced_primary_is_acknowledged_while_its_successor_is_gone():
+    """Guards against using an old primary again because its successor's entry has lapsed.
+
+    One proxy is cut off from the primary and has it replaced; the others reach it all the time.
+    """
+    lost = lose_successor_as_it_leads(returns_after=9.0)
+    plan = [
+        (2.0, lambda system: cut_proxies(system, "i-0", [CUT_OFF])),
+        (9.0, lambda system: system.world.network.join(CUT_OFF, "i-0")),
+    ]
+    system = play(51, plan, 18.0, on_event=lost, callers_a_node=3)
+    assert lost.done
+    assert system.world.history.broken == []
+
+
+# --- rules ----------------------------------------------------------------------------------------
+
+
+def plan(**changes):
+    members = ("a", "b", "c")
+    plan = FailoverPlan("g", FailoverReason.LEFT_FENCED, members, frozenset(), "a", 1)
+    return replace(plan, **changes)
+
+
+def primary(name, term):
+    return InstanceStatus(name, InstanceRole.PRIMARY, term, Position(term, 9), 0, 0)
+
+
+def replica(name, term, fence_term=0):
+    return InstanceStatus(name, InstanceRole.REPLICA, term, Position(term, 9), fence_term, 0)
+
+
+def named(*statuses):
+    return {item.instance: item for item in statuses}
+
+
+RECORD = PromotionRecord("c", 2, Position(1, 5), StoreRevision(7), "a")
+
+
+@pytest.mark.parametrize(
+    "statuses, liftable",
+    [
+        (named(replica("b", 1, 3)), ()),
+        (named(replica("b", 2, 3)), ("b",)),
+        (named(primary("a", 1), replica("b", 1, 2)), ()),
+        (named(primary("c", 2), replica("b", 1, 3)), ()),
+        (named(primary("c", 2), replica("b", 1, 3), primary("a", 1)), ()),
+        (named(primary("c", 2), replica("b", 1, 3), replica("a", 1)), ("b",)),
+        (named(primary("c", 2), replica("b", 1, 2), replica("a", 1)), ()),
+        (named(primary("c", 2), replica("b", 2, 3)), ("b",)),
+    ],
+)
+def test_a_fence_is_lifted_only_if_the_replica_can_follow_no_replaced_primary(statuses, liftable):
+    change = plan(last_promotion=RECORD)
+    assert may_be_unfenced(change, leader_of(change, statuses), statuses) == liftable
+
+
+def test_a_fence_is_lifted_if_the_primaries_of_all_terms_in_between_were_demoted():
+    statuses = named(primary("c", 3), replica("b", 1, 4))
+    leader = statuses["c"]
+    assert may_be_unfenced(plan(ended_terms=frozenset({1})), leader, statuses) == ()
+    assert may_be_unfenced(plan(ended_terms=frozenset({1, 2})), leader, statuses) == ("b",)
+
+
+def test_a_fence_that_an_interrupted_change_left_is_not_exceeded():
+    """Otherwise the new primary's term could stay below the fences, and no replica follow it."""
+    assert fence_term_above(plan(), named(replica("b", 1, 2), replica("c", 1, 2))) == 2
+    silent = plan(last_promotion=RECORD)
+    assert fence_term_above(silent, named(replica("b", 1, 2))) == 3
+    assert fence_term_above(silent, named(replica("b", 1, 2), replica("c", 1))) == 2
+
+
+def test_the_later_of_two_promotions_under_one_token_counts():
+    """Guards against going on with the first one, and against writing it back to the store."""
+    later = replace(RECORD, instance="b")
+    known = KnownRoster("g")
+    for revision, record in ((5, RECORD), (6, later)):
+        known.take(Roster("g", ("a", "b", "c"), StoreRevision.of(0, revision), record))
+    assert known.known.last_promotion == later
+    assert known.wanted(lambda members: tuple(members)) is None
+    known.take(Roster("g", ("a", "b", "c"), StoreRevision.of(1, 3), RECORD))
+    assert known.known.last_promotion == later, "the store was restored from an older copy"
+
+
+# --- the mirror: a group whose successor is gone for good serves again ----------------------------
+
+# The users' target for a change of primary.
+LONGEST_WITHOUT_WRITES_SECONDS = 7.0
+
+
+def lose_successor_before_it_leads(system, record):
+    lose(system, record.instance)
+
+
+def lose_successor_once_followed(system, record):
+    """A replica follows it already, and the old primary does not know of it."""
+    successor = record.instance
+    system.world.network.cut(successor, "i-0")
+    loop = asyncio.get_running_loop()
+    when_it_leads(system, successor, lambda: loop.call_later(0.1, lose, system, successor))
+
+
+def longest_gap(times):
+    return max(later - earlier for earlier, later in itertools.pairwise(sorted(times)))
+
+
+@pytest.mark.parametrize(
+    "on_event",
+    [
+        pytest.param(once("promotion_sent", lose_successor_before_it_leads), id="before_it_leads"),
+        pytest.param(lose_successor_as_it_leads(returns_after=None), id="as_it_leads"),
+        pytest.param(once("promotion_sent", lose_successor_once_followed), id="once_followed"),
+    ],
+)
+def test_a_group_whose_successor_is_gone_for_good_takes_writes_and_reads_again(on_event):
+    """The old primary is up and does not know of the change; one proxy is cut off from it."""
+    plan = [
+        (2.0, lambda system: cut_proxies(system, "i-0", [CUT_OFF])),
+        (5.0, lambda system: system.world.network.join(CUT_OFF, "i-0")),
+    ]
+    system = play(52, plan, 20.0, on_event=on_event, callers_a_node=3)
+    assert on_event.done
+    assert system.world.history.broken == []
+    assert longest_gap([*system.tally.write_times, 20.0]) < LONGEST_WITHOUT_WRITES_SECONDS
+    assert longest_gap([*system.tally.read_times, 20.0]) < LONGEST_WITHOUT_WRITES_SECONDS
