--- a/src/orchidwind/promoted/core/commit_acknowledgement.py
+++ b/src/orchidwind/promoted/core/commit_acknowledgement.py
@@ -23,12 +23,12 @@
 `test_commits_under_faults.py` (tests/promoted) break promises, 4 to 250 times each in one run.
 
 Owns: nothing. Relies on: `leadership_proof` for the lease, `log_positions` for the comparison of
-logs, `failover` for the order of lock, fences and leases that makes each of the three rules safe.
+logs, `status_rounds` for who is asked, `failover` for the order of lock, fences and leases that
+makes each of the three rules safe.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from enum import Enum, unique
 
 from msgspec import Struct
@@ -37,6 +37,7 @@
 from orchidwind.promoted.core.leadership_proof import LeaseEvidence, lease_proves_leadership
 from orchidwind.promoted.core.log_positions import holds
 from orchidwind.promoted.core.roster import PromotionRecord
+from orchidwind.promoted.core.status_rounds import StatusRound
 from orchidwind.shared.core.positions import Position
 
 # Seconds between two rounds of status queries for one commit. A replica receives a commit within
@@ -63,13 +64,11 @@
 class ReplicaEvidence(Struct, frozen=True):
     """What the listed instances answered to one round of status queries.
 
-    `statuses`: the answers received. `must_answer`: the instances that have to answer (see the
-    function of that name). `staying`: known instances that have not announced their end.
-    `synchronous_replicas`: how many replicas must receive a commit before the primary confirms it.
+    `staying`: known instances that have not announced their end. `synchronous_replicas`: how many
+    replicas must receive a commit before the primary confirms it.
     """
 
-    statuses: tuple[InstanceStatus, ...]
-    must_answer: frozenset[str]
+    answered: StatusRound
     staying: frozenset[str]
     synchronous_replicas: int
 
@@ -96,55 +95,22 @@
     return CommitDecision.ACKNOWLEDGE if holds(last.start, position) else CommitDecision.LEFT_OUT
 
 
-def must_answer(
-    listed: Iterable[str], primary: str, last_promotion: PromotionRecord | None
-) -> frozenset[str]:
-    """Return the listed instances whose fence may be the only sign of a change of primary.
-
-    The current primary is left out, and so is the primary that was replaced last: the other
-    instances were fenced against it.
-    """
-    replaced = last_promotion.replaced if last_promotion is not None else ""
-    return frozenset(listed) - {primary, replaced}
-
-
-def instances_to_ask(
-    listed: Iterable[str],
-    primary: str,
-    required: frozenset[str],
-    unreachable: frozenset[str],
-    lease_covers: bool,
-) -> frozenset[str]:
-    """Return the listed instances to ask for their status.
-
-    The primary is left out, and so are unreachable instances, unless their answer is required
-    (`must_answer`). No answer is required while the leadership lease covers the moment.
-    """
-    passed_over = unreachable if lease_covers else unreachable - required
-    return frozenset(listed) - {primary} - passed_over
-
-
 def decide_by_replicas(
     commit: ConfirmedCommit, lease: LeaseEvidence, replicas: ReplicaEvidence
 ) -> CommitDecision:
     """Decide by a round of status queries that began after the commit was confirmed."""
-    if any(status.newest_term > commit.position.term for status in replicas.statuses):
+    answered = replicas.answered
+    if any(status.newest_term > commit.position.term for status in answered.statuses):
         return CommitDecision.NOT_PROVEN
-    if not lease.covers and _required_answer_missing(commit, replicas):
+    if not lease.covers and answered.missing - {commit.primary}:
         return CommitDecision.NOT_PROVEN
     if lease.replaced:
         return CommitDecision.NOT_PROVEN
-    holding = [status for status in replicas.statuses if _holds_and_stays(status, commit, replicas)]
+    holding = [status for status in answered.statuses if _holds_and_stays(status, commit, replicas)]
     enough = len(holding) >= max(replicas.synchronous_replicas, 1)
     return CommitDecision.ACKNOWLEDGE if enough else CommitDecision.NOT_PROVEN
 
 
-def _required_answer_missing(commit: ConfirmedCommit, replicas: ReplicaEvidence) -> bool:
-    """Whether an instance that a change of primary may have fenced has not answered."""
-    answered = {status.instance for status in replicas.statuses}
-    return bool(replicas.must_answer - answered - {commit.primary})
-
-
 def _holds_and_stays(
     status: InstanceStatus, commit: ConfirmedCommit, replicas: ReplicaEvidence
 ) -> bool:
--- a/src/orchidwind/promoted/core/flow_parts.py
+++ b/src/orchidwind/promoted/core/flow_parts.py
@@ -152,7 +152,7 @@
         )
     if proof_of_term:
         if result.led_at is None:
-            raise ProofMissing("no replica confirms that the primary still leads")
+            raise ProofMissing("the instances do not show that the primary still leads")
         context.group.leadership_proven(result.led_at, replies[-1].position)
     return replies[-1]
 
@@ -198,7 +198,7 @@
 
 
 def wait_for_proof(context: CommandContext) -> Generator[Step, StepResult, None]:
-    """Waits until a replica confirms the primary's term.
+    """Waits until the instances confirm the primary's term.
 
     Nothing is sent to a primary whose leadership is in doubt.
     """
--- a/src/orchidwind/promoted/core/leadership_proof.py
+++ b/src/orchidwind/promoted/core/leadership_proof.py
@@ -3,9 +3,14 @@
 Reads of the latest state, and commits, may rely on a primary only while no other instance leads.
 There are two proofs:
 
-- A replica answers that it neither follows nor is fenced by a later term. A change of primary
-  fences the replicas that could confirm commits before it promotes, so a replica without a later
-  fence shows that no later primary had begun when the query was sent.
+- A round of status queries (`shows_no_later_term`). Before it promotes another instance, a change
+  of primary has the primary's own answer that it leads no longer, or has fenced all members but
+  `synchronous_replicas` of them. A fence stays until the replica follows a later term, or the
+  primary has answered that it leads no longer (`failover_fences`). So the primary must answer that
+  it leads, and no other listed instance may follow or be fenced by a later term. One replica would
+  not do: it may have missed the fence, or lost it in a restart. The same instances have to answer
+  as for a commit (`status_rounds`); under the lease, where no change is going on, those that can be
+  reached.
 - The leadership lease covers the moment, and the leadership was proven by a query after the
   promotion lock was last released: under a lease no primary can be replaced.
 
@@ -18,7 +23,8 @@
 
 from msgspec import Struct
 
-from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
+from orchidwind.promoted.core.commands import InstanceRole
+from orchidwind.promoted.core.status_rounds import StatusRound
 from orchidwind.promoted.core.store_revision import StoreRevision
 
 
@@ -55,9 +61,19 @@
     return proven.instance == instance and proven.lock_revision == lease.lock_revision
 
 
-def shows_no_later_term(status: InstanceStatus, term: int) -> bool:
-    """Whether a status proves that no primary after `term` had begun when the query was sent.
+def shows_no_later_term(answered: StatusRound, term: int, lease_covers: bool) -> bool:
+    """Whether a round proves that no primary after `term` had begun when it was sent.
 
-    Only a replica's status is a proof: a primary that was replaced does not know that it was.
+    The primary itself has to be asked in it.
     """
-    return status.role is InstanceRole.REPLICA and status.newest_term <= term
+    leads = any(
+        status.instance == answered.primary
+        and status.role is InstanceRole.PRIMARY
+        and status.term == term
+        for status in answered.statuses
+    )
+    others = [status for status in answered.statuses if status.instance != answered.primary]
+    if not leads or any(status.newest_term > term for status in others):
+        return False
+    replicas = [status for status in others if status.role is InstanceRole.REPLICA]
+    return bool(replicas) and (lease_covers or not answered.missing)
--- a/src/orchidwind/promoted/group/commit_guard.py
+++ b/src/orchidwind/promoted/group/commit_guard.py
@@ -13,9 +13,6 @@
 import asyncio
 from collections.abc import Callable
 
-from msgspec import Struct
-
-from orchidwind.promoted.core.commands import InstanceStatus
 from orchidwind.promoted.core.commit_acknowledgement import (
     PROOF_RETRY_SECONDS,
     CommitDecision,
@@ -24,22 +21,15 @@
     decide_by_lease,
     decide_by_replicas,
     decide_by_successor,
-    instances_to_ask,
-    must_answer,
 )
 from orchidwind.promoted.core.leadership_proof import LeaseEvidence
+from orchidwind.promoted.core.status_rounds import StatusRound
 from orchidwind.promoted.core.topology import GroupTopology
-from orchidwind.promoted.group.leadership_prover import AskStatus, LeadershipProver
+from orchidwind.promoted.group.leadership_prover import LeadershipProver
+from orchidwind.promoted.group.listed_statuses import AskStatus, ask_listed
 from orchidwind.promoted.group.shared_query import SharedQuery
 
 
-class _StatusRound(Struct, frozen=True):
-    """One round of status queries: the instances that must answer, and the answers."""
-
-    must_answer: frozenset[str]
-    statuses: tuple[InstanceStatus, ...]
-
-
 class CommitGuard:
     """Decides when a commit that the group's primary confirmed may be acknowledged."""
 
@@ -53,7 +43,7 @@
         self._prover = prover
         self._ask = ask
         self._loop = asyncio.get_running_loop()
-        self._round: SharedQuery[_StatusRound] = SharedQuery(self._ask_listed)
+        self._round: SharedQuery[StatusRound] = SharedQuery(self._ask_listed)
 
     def lease_allows_acknowledgement(self, commit: ConfirmedCommit) -> bool:
         """Whether the leadership lease alone permits acknowledging a commit now."""
@@ -106,29 +96,17 @@
         """The lease's evidence now for the primary in the commit's own term."""
         return self._prover.evidence(commit.primary, commit.position.term, self._loop.time())
 
-    def _replica_evidence(self, answered: _StatusRound) -> ReplicaEvidence:
+    def _replica_evidence(self, answered: StatusRound) -> ReplicaEvidence:
         views = self._topology.instances.items()
         return ReplicaEvidence(
-            answered.statuses,
-            answered.must_answer,
+            answered,
             frozenset(name for name, view in views if not view.entry.draining),
             self._topology.settings.synchronous_replicas,
         )
 
-    async def _ask_listed(self) -> _StatusRound:
-        """Ask the listed instances, except the primary, for their statuses."""
-        primary = self._topology.primary(self._loop.time())
-        primary_name = primary.instance if primary is not None else ""
-        views = {name: view for name, view in self._topology.instances.items() if view.listed}
-        required = must_answer(views, primary_name, self._topology.last_promotion)
-        unreachable = frozenset(
-            name for name, view in views.items() if view.unreachable_since is not None
-        )
-        asked = instances_to_ask(
-            views, primary_name, required, unreachable, self._prover.lease_covers_now()
-        )
-        answers = await asyncio.gather(*(self._ask(name) for name in sorted(asked)))
-        return _StatusRound(required, tuple(item for item in answers if item is not None))
+    async def _ask_listed(self) -> StatusRound:
+        covers = self._prover.lease_covers_now()
+        return await ask_listed(self._topology, self._ask, covers, with_primary=False)
 
     def close(self) -> None:
         """Cancel the pending queries."""
--- a/src/orchidwind/promoted/group/exchanges.py
+++ b/src/orchidwind/promoted/group/exchanges.py
@@ -55,7 +55,7 @@
 
 
 class _PendingProof(Struct, frozen=True):
-    """The leadership proof of an exchange: the lease, a query of a replica, or neither.
+    """The leadership proof of an exchange: the lease, a round of status queries, or neither.
 
     `lock_revision` is the promotion lock's revision when the query was requested.
     """
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -315,7 +315,7 @@
         return await self._exchanges.run(step, writes, arrived_at)
 
     async def prove_lead(self, term: int, deadline: float) -> bool:
-        """Whether a replica asked now confirms in time that no term after `term` has begun."""
+        """Whether instances asked now confirm in time that no term after `term` has begun."""
         try:
             async with asyncio.timeout_at(deadline):
                 query = self._prover.join()
--- a/src/orchidwind/promoted/group/leadership_prover.py
+++ b/src/orchidwind/promoted/group/leadership_prover.py
@@ -1,32 +1,31 @@
-"""Proves that a group's known primary still leads: by leadership lease or by asking a replica.
+"""Proves that a group's known primary still leads: by leadership lease or by asking the instances.
 
 The rules are in `core/leadership_proof.py`. This module gathers their inputs for one group and
 sends the status queries.
 
-It owns the pending status query and the last proof of leadership. It depends on the proxy's lease
-keeper, the group's topology, and a status call that returns in bounded time, None if there is no
-answer.
+It owns the pending round of status queries and the last proof of leadership. It depends on the
+proxy's lease keeper, the group's topology, and a status call that returns in bounded time, None if
+there is no answer.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
-from orchidwind.promoted.core.commands import InstanceStatus
 from orchidwind.promoted.core.leadership_proof import (
     LeaseEvidence,
     ProvenLeadership,
     lease_proves_leadership,
     shows_no_later_term,
 )
+from orchidwind.promoted.core.status_rounds import StatusRound
 from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.core.topology import GroupTopology
 from orchidwind.promoted.group.lease_keeper import LeaseKeeper
+from orchidwind.promoted.group.listed_statuses import AskStatus, ask_listed
 from orchidwind.promoted.group.shared_query import SharedQuery
 
-AskStatus = Callable[[str], Awaitable[InstanceStatus | None]]
-StatusTask = asyncio.Task[InstanceStatus | None]
+StatusTask = asyncio.Task[StatusRound]
 
 
 class LeadershipProver:
@@ -37,7 +36,7 @@
         self._leases = leases
         self._ask = ask
         self._loop = asyncio.get_running_loop()
-        self._query: SharedQuery[InstanceStatus | None] = SharedQuery(self._query_replica)
+        self._query: SharedQuery[StatusRound] = SharedQuery(self._ask_listed)
         self._proven: ProvenLeadership | None = None
 
     def lease_proves(self, instance: str, arrived_at: float) -> bool:
@@ -74,25 +73,19 @@
         self._leases.request_renewal()
 
     def join(self) -> StatusTask:
-        """Join a status query of a replica that is sent after this call."""
+        """Join a round of status queries that are sent after this call."""
         return self._query.join()
 
-    async def _query_replica(self) -> InstanceStatus | None:
-        for replica in self._topology.replicas(self._loop.time()):
-            if self._topology.instances[replica].unreachable_since is not None:
-                continue
-            status = await self._ask(replica)
-            if status is not None:
-                return status
-        return None
+    async def _ask_listed(self) -> StatusRound:
+        covers = self.lease_covers_now()
+        return await ask_listed(self._topology, self._ask, covers, with_primary=True)
 
     async def proves(self, query: StatusTask, term: int) -> bool:
-        """Whether a query shows that no primary of a later term existed when it was sent."""
+        """Whether a round shows that no primary of a later term existed when it was sent."""
         await asyncio.wait({query})
         if query.cancelled():  # the group is being closed
             return False
-        status = query.result()
-        if status is None or not shows_no_later_term(status, term):
+        if not shows_no_later_term(query.result(), term, self.lease_covers_now()):
             return False
         return self._topology.primary(self._loop.time()) is not None
 
--- a/src/orchidwind_bench/promoted/exploration/checks.py
+++ b/src/orchidwind_bench/promoted/exploration/checks.py
@@ -21,6 +21,7 @@
     TWO_PROMOTERS = "two proxies promoted under one token, or under a token already passed"
     TWO_PRIMARIES = "a replaced primary's later commit was acknowledged"
     ENDED_BY_ERROR = "a change of primary ended by an error of its own"
+    STALE = "a read of the latest state lacks a commit that was acknowledged before"
     STUCK = "no commit was acknowledged for long after all faults were mended"
 
 
@@ -97,6 +98,32 @@
             )
             self._blame(promise, at, text)
 
+    def to_be_seen(self) -> frozenset[Commit]:
+        """The acknowledged commits that no promotion has rolled back."""
+        return frozenset(item for item in self.acknowledged if not self._rolled_back(item))
+
+    def _rolled_back(self, commit: Commit) -> bool:
+        return any(lead.term > commit.term and commit not in lead.held for lead in self._leads)
+
+    def read(
+        self,
+        at: float,
+        proxy: str,
+        instance: str,
+        due: frozenset[Commit],
+        log: frozenset[Commit],
+    ) -> None:
+        """A proxy has answered a read of the latest state by the log of an instance.
+
+        `due`: the commits to be seen when the read was asked.
+        """
+        missing = [item for item in due - log if not self._rolled_back(item)]
+        if missing:
+            text = (
+                f"{proxy} read at {instance} without {len(missing)}, {missing[0].name} among them"
+            )
+            self._blame(BrokenPromise.STALE, at, text)
+
     def promoted(self, at: float, holder: str, token: int) -> None:
         """A proxy calls a promotion."""
         passed = token < self._newest_token
--- a/src/orchidwind_bench/promoted/exploration/faults.py
+++ b/src/orchidwind_bench/promoted/exploration/faults.py
@@ -106,6 +106,7 @@
             add(Fault(f"restart {proxy}", partial(self._kill, proxy, SHORT_SECONDS)))
             add(Fault(f"kill {proxy}", partial(self._kill, proxy, MIDDLE_SECONDS)))
             add(self._cut(proxy, STORE))
+            add(self._cut(proxy, STORE, LONG_SECONDS, " for long"))
             for name in names:
                 add(self._cut(proxy, name))
                 add(self._cut(proxy, name, LONG_SECONDS, " for long"))
--- a/src/orchidwind_bench/promoted/exploration/proxy.py
+++ b/src/orchidwind_bench/promoted/exploration/proxy.py
@@ -2,7 +2,8 @@
 
 Owns nothing but whether a change of primary runs; the parts own the rest: `ProxyViews` what is
 known of the store, `ProxyCalls` the calls to instances, `ProxyLock` the lock, `ProxyLease` the lead
-lease, `ProxyCommits` the caller. It is what the performer and the acknowledgement rule ask.
+lease, `ProxyCommits` and `ProxyReads` the caller. It is what the performer and the acknowledgement
+rule ask.
 """
 
 from __future__ import annotations
@@ -30,6 +31,7 @@
 from orchidwind_bench.promoted.exploration.proxy_commits import ProxyCommits
 from orchidwind_bench.promoted.exploration.proxy_lease import ProxyLease
 from orchidwind_bench.promoted.exploration.proxy_lock import ProxyLock
+from orchidwind_bench.promoted.exploration.proxy_reads import ProxyReads
 from orchidwind_bench.promoted.exploration.proxy_views import ProxyViews
 from orchidwind_bench.promoted.exploration.surroundings import ProxyLife, Surroundings
 from orchidwind_bench.promoted.exploration.timeline import Answers, Process
@@ -49,7 +51,10 @@
 class ModelProxy:
     """One life of a proxy: after a kill, a new one of the same name begins."""
 
-    def __init__(self, name: str, around: Surroundings, steps: StepListener) -> None:
+    def __init__(
+        self, name: str, around: Surroundings, steps: StepListener, writes: bool = True
+    ) -> None:
+        """`writes`: its caller sends commits, not reads only."""
         self.name = name
         self.life = ProxyLife(name, around)
         # Whether a change of primary runs.
@@ -61,12 +66,15 @@
         self._lock = ProxyLock(self.life, around, self._views)
         self._lease = ProxyLease(self.life, around, self._lock, self._calls)
         self._commits = ProxyCommits(self, self.life, around, self._lease)
+        reads = ProxyReads(self.life, around, self._lease, self._calls)
         self._supervisor = GroupSupervisor(self.topology)
         self._views.on_watched = self._lock.watched
         self.life.start(self._views.follow())
         self.life.start(self._supervise())
         self.life.start(self._lease.keep())
-        self.life.start(self._commits.send())
+        if writes:
+            self.life.start(self._commits.send())
+        self.life.start(reads.send())
         self.life.start(self._views.keep_roster())
         self.life.start(self._calls.forget())
 
--- a/src/orchidwind_bench/promoted/exploration/proxy_calls.py
+++ b/src/orchidwind_bench/promoted/exploration/proxy_calls.py
@@ -8,7 +8,12 @@
 from msgspec.structs import replace
 
 from orchidwind.promoted.core.instance_silence import status_time_limit
-from orchidwind_bench.promoted.exploration.instance_calls import InstanceOperation
+from orchidwind.promoted.core.status_rounds import StatusRound, must_answer
+from orchidwind_bench.promoted.exploration.instance_calls import (
+    LEAD_STATUS_CALL,
+    STATUS_CALL,
+    InstanceOperation,
+)
 from orchidwind_bench.promoted.exploration.performer import Statuses
 from orchidwind_bench.promoted.exploration.proxy_views import ProxyViews
 from orchidwind_bench.promoted.exploration.shared_query import ModelSharedQuery
@@ -28,6 +33,7 @@
         self._views = views
         self.topology = views.topology
         self._query = ModelSharedQuery(self.ask, self._other_listed)
+        self._lead_query = ModelSharedQuery(self._ask_for_lead, self._asked_for_lead)
 
     def call_all(
         self, instances: tuple[str, ...], name: str, operation: InstanceOperation, urgent: bool
@@ -56,15 +62,33 @@
 
     def ask(self, instances: tuple[str, ...]) -> Process[Statuses]:
         """Ask instances for their statuses."""
-        return self.call_all(instances, "status", _nothing, urgent=False)
+        return self.call_all(instances, STATUS_CALL, _nothing, urgent=False)
+
+    def _ask_for_lead(self, instances: tuple[str, ...]) -> Process[Statuses]:
+        return self.call_all(instances, LEAD_STATUS_CALL, _nothing, urgent=False)
 
     def ask_other_listed(self) -> Process[Statuses]:
         """The statuses of all listed instances but the primary; others share the query."""
         return self._query.join(self._around.timeline, self._life)
 
-    def _other_listed(self) -> tuple[str, ...]:
+    def lead_round(self) -> Process[StatusRound]:
+        """A round of statuses that may prove that the primary leads; others share the query."""
+        led = self._led()
+        required = must_answer(self._views.listed(), led, self.topology.last_promotion)
+        statuses = yield from self._lead_query.join(self._around.timeline, self._life)
+        return StatusRound(led, required, tuple(statuses.values()))
+
+    def _led(self) -> str:
         primary = self.topology.primary(self._life.now())
-        led = primary.instance if primary is not None else ""
+        return primary.instance if primary is not None else ""
+
+    def _asked_for_lead(self) -> tuple[str, ...]:
+        led = self._led()
+        others = self._other_listed()
+        return self._around.logic.asked_for_lead((*others, led) if led else others)
+
+    def _other_listed(self) -> tuple[str, ...]:
+        led = self._led()
         views = self.topology.instances
         return tuple(
             name
--- a/src/orchidwind_bench/promoted/simulation/callers.py
+++ b/src/orchidwind_bench/promoted/simulation/callers.py
@@ -61,8 +61,13 @@
     reads: int = 0
     reads_failed: int = 0
     write_times: list[float] = field(default_factory=list)
-    # When reads of the latest state were answered.
-    read_times: list[float] = field(default_factory=list)
+    # When and by which proxy reads of the latest state were answered.
+    reads_at: list[tuple[float, str]] = field(default_factory=list)
+
+    @property
+    def read_times(self) -> list[float]:
+        """When reads of the latest state were answered."""
+        return [at for at, _ in self.reads_at]
 
 
 class CallersSystem(Protocol):
@@ -174,7 +179,7 @@
         try:
             await self._run(self._command(CommandKind.READ, "READ x"))
             if self._consistency is ReadConsistency.LATEST:
-                self._system.tally.read_times.append(self._system.world.now)
+                self._system.tally.reads_at.append((self._system.world.now, self._node_name))
         except RequestError:
             self._system.tally.reads_failed += 1
 
--- a/tests/promoted/test_replaced_primaries.py
+++ b/tests/promoted/test_replaced_primaries.py
@@ -8,7 +8,7 @@
 
 import pytest
 from msgspec.structs import replace
-from support.scripted_days import NODES, cut_proxies, once, play
+from support.scripted_days import NODES, cut_proxies, drain, once, play
 
 from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
 from orchidwind.promoted.core.failover_fences import fence_term_above, may_be_unfenced
@@ -17,6 +17,7 @@
 from orchidwind.promoted.core.roster import KnownRoster, PromotionRecord, Roster
 from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.shared.core.positions import Position
+from orchidwind_bench.promoted.simulation.store import STORE
 
 CUT_OFF, CALM = NODES[0], NODES[1]
 # Shorter than a promotion takes to have an effect that could be observed.
@@ -83,6 +84,72 @@
     assert system.world.history.broken == []
 
 
+ALONE = NODES[2]
+
+
+def isolate_proxy(system, proxy):
+    """Cuts a proxy off from the store and from the other proxies; it reaches all instances."""
+    for other in (STORE, *(name for name in NODES if name != proxy)):
+        system.world.network.cut(proxy, other)
+
+
+def test_a_proxy_without_the_store_reads_nothing_from_a_replaced_primary():
+    """Guards against a proof of leadership by one replica whose fence was lifted too early.
+
+    The successor joined while the proxy was cut off, so the proxy does not know it. The old primary
+    and the replica that is nearest to the proxy do not hear of their new primary.
+    """
+
+    def deafen_two(system, record):
+        assert record.instance == "i-3"
+        for name in ("i-0", "i-2"):
+            system.group.instances[name].deaf = True
+
+    def hear_again(system):
+        system.world.network.heal()
+        for instance in system.group.instances.values():
+            instance.deaf = False
+
+    sent = once("promotion_sent", deafen_two)
+    plan = [
+        (2.0, lambda system: isolate_proxy(system, ALONE)),
+        (2.3, lambda system: system.group.join("zone-a")),
+        (2.8, lambda system: drain(system, "i-0")),
+        (9.0, hear_again),
+    ]
+    system = play(61, plan, 12.0, on_event=sent, read_only_proxies=(ALONE,))
+    assert sent.done
+    assert system.world.history.broken == []
+
+
+def test_a_replica_that_lost_its_fence_proves_no_lead_of_a_replaced_primary():
+    """Guards against trusting one replica: it was restarted, so that it is no longer fenced.
+
+    The old primary does not know that it was replaced. The proxy reaches it, this replica, and one
+    that follows the successor.
+    """
+
+    def restart_replica(system, record):
+        assert record.instance == "i-3"
+        replica = system.group.instances["i-2"]
+        replica.crash()
+        replica.restart()
+        replica.deaf = True
+
+    def replace_primary(system):
+        isolate_proxy(system, ALONE)
+        cut_proxies(system, "i-0", NODES[:2])
+        for other in ("i-1", "i-2", "i-3"):
+            system.world.network.cut("i-0", other)
+        system.world.network.cut(ALONE, "i-3")
+
+    sent = once("promotion_sent", restart_replica)
+    plan = [(2.0, replace_primary), (9.0, lambda system: system.world.network.heal())]
+    system = play(62, plan, 12.0, instances=4, on_event=sent, read_only_proxies=(ALONE,))
+    assert sent.done
+    assert system.world.history.broken == []
+
+
 # --- rules ----------------------------------------------------------------------------------------
 
 
@@ -193,3 +260,34 @@
     assert system.world.history.broken == []
     assert longest_gap([*system.tally.write_times, 20.0]) < LONGEST_WITHOUT_WRITES_SECONDS
     assert longest_gap([*system.tally.read_times, 20.0]) < LONGEST_WITHOUT_WRITES_SECONDS
+
+
+# A proxy that reaches the store again has its lease within a reading of the lock.
+LONGEST_WITHOUT_READS_SECONDS = 2.0
+
+
+def test_reads_go_on_while_a_replica_is_lost_for_good():
+    """All proxies have their leases, under which an instance that is silent need not answer."""
+    system = play(53, [(2.0, lambda system: lose(system, "i-2"))], 10.0, callers_a_node=3)
+    assert system.world.history.broken == []
+    assert longest_gap([*system.tally.read_times, 10.0]) < LONGEST_WITHOUT_READS_SECONDS
+
+
+def test_a_proxy_without_the_store_reads_again_once_it_reaches_the_store_or_the_lost_replica():
+    """Without a lease all listed instances have to answer, and one of them is lost for good."""
+
+    def reach_store(system):
+        system.world.network.join(ALONE, STORE)
+
+    plan = [
+        (2.0, lambda system: isolate_proxy(system, ALONE)),
+        (3.5, lambda system: lose(system, "i-1")),
+        (7.0, reach_store),
+    ]
+    proxies = (*NODES[:2], ALONE)
+    system = play(54, plan, 11.0, callers_a_node=3, read_only_proxies=proxies)
+    assert system.world.history.broken == []
+    at_alone = [at for at, node in system.tally.reads_at if node == ALONE]
+    assert any(3.2 < at < 3.5 for at in at_alone), "while all instances answer"
+    assert not any(4.5 < at < 7.0 for at in at_alone)
+    assert any(7.0 < at < 7.0 + LONGEST_WITHOUT_READS_SECONDS for at in at_alone)
