--- a/src/orchidwind/promoted/core/failover.py
+++ b/src/orchidwind/promoted/core/failover.py
@@ -228,7 +228,8 @@
     """The search for the next primary, kept from one attempt to the next.
 
     `reported`: the report of the choice that was logged last. `recorded`: a promotion was recorded,
-    so that no earlier primary leads on and no fence may be lifted for one.
+    so that no earlier primary leads on and no fence may be lifted for one. `may_take_effect`: a
+    promotion was called and not refused.
     """
 
     plan: FailoverPlan
@@ -236,6 +237,7 @@
     fence_term: int
     reported: ChoiceReport | None = None
     recorded: bool = False
+    may_take_effect: bool = False
 
     @property
     def needs_members(self) -> bool:
@@ -295,7 +297,7 @@
     selection.recorded = True
     if not (yield from _still_best(selection, candidate, fenced)):
         return None
-    led = yield from _promote(candidate)
+    led = yield from _promote(selection, candidate)
     return None if led is None else (yield from settle_promotion(selection.plan, led))
 
 
@@ -304,14 +306,14 @@
 ) -> Generator[FailoverStep, FailoverStepResult, FailoverResult | None]:
     """Handle an old primary that answers again: it leads on if it need not be replaced.
 
-    Otherwise it is demoted, and None is returned. If this change has recorded a promotion, which
-    may still take effect, the old primary is left to the next change.
+    Otherwise it is demoted, and None is returned. While a promotion that this change has called may
+    take effect, the old primary is left to the next change.
     """
-    if selection.recorded:
+    if selection.may_take_effect:
         return None
     plan = selection.plan
     statuses = yield from query_statuses(plan.members)
-    if primary_stays(plan, statuses):
+    if not selection.recorded and primary_stays(plan, statuses):
         return (yield from lift_leftover_fences(plan, statuses))
     selection.plan, selection.demoted = yield from demote_primaries(
         plan, statuses, selection.fence_term
@@ -348,12 +350,13 @@
 
 
 def _promote(
-    candidate: InstanceStatus,
+    selection: _Selection, candidate: InstanceStatus
 ) -> Generator[FailoverStep, FailoverStepResult, InstanceStatus | None]:
     """Promote an instance and wait until it leads; returns its status, None if it does not lead."""
     answer = yield Promote(candidate.instance)
     if answer is PromotionAnswer.REFUSED:
         return None
+    selection.may_take_effect = True
     for _ in range(_LEAD_POLLS):
         yield Wait(POLL_SECONDS)
         statuses = yield from query_statuses((candidate.instance,))
--- a/src/orchidwind/promoted/core/failover_steps.py
+++ b/src/orchidwind/promoted/core/failover_steps.py
@@ -76,10 +76,9 @@
     began: they are members if they answer; otherwise `acknowledged`, what all proxies have
     acknowledged, decides whether their logs are needed. `unlisted` are instances that the directory
     does not list. `last_promotion` is the record in the group's roster, None if no instance was
-    ever promoted. `near_old_primary` are the instances in
-    the old primary's region; empty if there is only one region, or if that of the old primary is
-    not known. `ended_terms` are terms whose primaries have answered during this change that they
-    lead no longer.
+    ever promoted. `near_old_primary` are the instances in the old primary's region; empty if there
+    is only one region, or if that of the old primary is not known. `ended_terms` are terms whose
+    primaries have answered during this change that they lead no longer.
     """
 
     group: str
