--- a/src/orchidwind/promoted/callers/command_runner.py
+++ b/src/orchidwind/promoted/callers/command_runner.py
@@ -107,7 +107,7 @@
                 context.tenant,
             )
         if isinstance(step, WaitForProof):
-            return await group.prove_lead(step.term, limits.deadline)
+            return await group.prove_lead(step.term, context.arrived_at, limits.deadline)
         if isinstance(step, WaitForConnection):
             share = traffic_class(context.database)
             connection = await group.wait_for_connection(
--- a/src/orchidwind/promoted/group/commit_guard.py
+++ b/src/orchidwind/promoted/group/commit_guard.py
@@ -26,7 +26,7 @@
 from orchidwind.promoted.core.status_rounds import StatusRound
 from orchidwind.promoted.core.topology import GroupTopology
 from orchidwind.promoted.group.leadership_prover import LeadershipProver
-from orchidwind.promoted.group.listed_statuses import AskStatus, ask_listed
+from orchidwind.promoted.group.listed_statuses import AskStatus, answers_since, ask_listed
 from orchidwind.promoted.group.shared_query import SharedQuery
 
 
@@ -105,8 +105,9 @@
         )
 
     async def _ask_listed(self) -> StatusRound:
-        covers = self._prover.lease_covers_now()
-        return await ask_listed(self._topology, self._ask, covers, with_primary=False)
+        covers, since = self._prover.lease_covers_now(), self._loop.time()
+        await ask_listed(self._topology, self._ask, covers, since)
+        return answers_since(self._topology, since)
 
     def close(self) -> None:
         """Cancel the pending queries."""
--- a/src/orchidwind/promoted/group/exchanges.py
+++ b/src/orchidwind/promoted/group/exchanges.py
@@ -11,11 +11,17 @@
 from collections.abc import Callable
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from orchidwind.promoted.core.circuit_breaker import Dependency
-from orchidwind.promoted.core.commands import InstanceMessage, MessageKind, Reply, ReplyCode
+from orchidwind.promoted.core.commands import (
+    InstanceMessage,
+    InstanceStatus,
+    MessageKind,
+    Reply,
+    ReplyCode,
+)
 from orchidwind.promoted.core.steps import Exchange, ExchangeResult
-from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.core.topology import GroupTopology
 from orchidwind.promoted.group.connections import GroupConnections
 from orchidwind.promoted.group.group_breakers import GroupBreakers
@@ -25,13 +31,14 @@
 from orchidwind.promoted.group.overdue_answers import OverdueAnswers
 from orchidwind.promoted.metrics import ProxyMetrics
 from orchidwind.promoted.ports import InstanceLink
-from orchidwind.shared.core.errors import BackendConnectionLost
+from orchidwind.shared.core.errors import BackendConnectionLost, BackendRefused
 
 
 class ExchangeParts(Struct, frozen=True):
     """Components that the exchanges of one group use.
 
     `on_unproven` is called after a failed proof of leadership: the primary may have been replaced.
+    `on_status` takes the status of an instance.
     """
 
     topology: GroupTopology
@@ -43,6 +50,7 @@
     breakers: GroupBreakers
     metrics: ProxyMetrics
     on_unproven: Callable[[], None]
+    on_status: Callable[[InstanceStatus], None]
 
 
 class _SentExchange(Struct, frozen=True):
@@ -55,14 +63,10 @@
 
 
 class _PendingProof(Struct, frozen=True):
-    """The leadership proof of an exchange: the lease, a round of status queries, or neither.
-
-    `lock_revision` is the promotion lock's revision when the query was requested.
-    """
+    """The leadership proof of an exchange: the lease, a round of status queries, or neither."""
 
     leased: bool
     query: StatusTask | None
-    lock_revision: StoreRevision | None
 
 
 class Exchanges:
@@ -78,6 +82,7 @@
         self._breakers = parts.breakers
         self._metrics = parts.metrics
         self._on_unproven = parts.on_unproven
+        self._on_status = parts.on_status
         self._loop = asyncio.get_running_loop()
 
     async def run(self, step: Exchange, writes: bool, arrived_at: float) -> ExchangeResult:
@@ -92,7 +97,7 @@
         sent = _SentExchange(step, instance, self._loop.time(), writes)
         self._begin(sent)
         proof = self._begin_proof(sent, arrived_at)
-        replies = await self._send(link, sent)
+        replies = await self._send(link, sent, ask_role=proof.query is not None)
         if writes and replies[-1].done:
             await self._acknowledge(sent, replies[-1])
         self._count(sent, replies[-1])
@@ -110,14 +115,19 @@
         """Start the proof in parallel with the exchange, so that it adds no latency."""
         wanted = sent.step.proof_of_term > 0
         leased = wanted and self._prover.lease_proves(sent.instance, arrived_at)
-        query = self._prover.join() if wanted and not leased else None
-        return _PendingProof(leased, query, self._prover.lock_revision)
+        query = self._prover.join(arrived_at) if wanted and not leased else None
+        return _PendingProof(leased, query)
 
-    async def _send(self, link: InstanceLink, sent: _SentExchange) -> tuple[Reply, ...]:
+    async def _send(
+        self, link: InstanceLink, sent: _SentExchange, ask_role: bool
+    ) -> tuple[Reply, ...]:
+        """Send the messages; with `ask_role`, the instance is asked for its status before."""
         for message in sent.step.messages:
             self._metrics.message(message.kind.value)
         rejected: bool | None = None
         try:
+            if ask_role:
+                await self._ask_role(link, sent.instance)
             replies = await link.exchange(sent.step.messages)
             rejected = replies[-1].code is ReplyCode.BUSY
             return replies
@@ -127,6 +137,16 @@
         finally:
             self._end(sent, rejected)
 
+    async def _ask_role(self, link: InstanceLink, instance: str) -> None:
+        """Note the status of an instance, on a connection that it has anyway."""
+        self._metrics.message("status_or_control")
+        asked_at = self._loop.time()
+        try:
+            status = await link.status()
+        except BackendRefused:
+            return  # not logged: it is busy, and the missing proof is counted
+        self._on_status(replace(status, instance=instance, asked_at=asked_at))
+
     def _end(self, sent: _SentExchange, rejected: bool | None) -> None:
         self._connections.exchange_ended(sent.step.connection, rejected)
         self._writes.ended(sent.step.connection)
@@ -153,20 +173,27 @@
             return arrived_at
         if proof.query is None:
             return None
-        if not await self.proves(proof.query, sent.step.proof_of_term, sent.sent_at):
-            return None
-        self._prover.note_proven(sent.instance, proof.lock_revision)
-        return sent.sent_at
+        term = sent.step.proof_of_term
+        proven = await self._prover.proves(proof.query, term, arrived_at)
+        self._note_proof(proven, sent.sent_at)
+        return arrived_at if proven else None
+
+    async def may_read(self, query: StatusTask, term: int, arrived_at: float) -> bool:
+        """Whether the other instances show that no later term had begun when a request arrived.
+
+        Only then is it worth asking the primary again.
+        """
+        requested_at = self._loop.time()
+        agreed = await self._prover.others_agree(query, term, arrived_at)
+        self._note_proof(agreed, requested_at)
+        return agreed
 
-    async def proves(self, query: StatusTask, term: int, since: float) -> bool:
-        """Whether a query, requested at `since`, shows that no later term has begun."""
-        proven = await self._prover.proves(query, term)
+    def _note_proof(self, proven: bool, requested_at: float) -> None:
         if proven:
             self._breakers.succeeded(Dependency.LEAD_PROOF)
         else:
-            self._breakers.failed(Dependency.LEAD_PROOF, since)
+            self._breakers.failed(Dependency.LEAD_PROOF, requested_at)
             self._on_unproven()
-        return proven
 
 
 def _metric_kind(step: Exchange, asked: InstanceMessage, writes: bool) -> str:
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -142,6 +142,7 @@
         self._prover = LeadershipProver(self.topology, leases, self.ask_status)
         self._guard = CommitGuard(self.topology, self._prover, self.ask_status)
         commits = HeldCommits(self.topology, self._guard, leases, self._breakers)
+        self.view_changes = ViewChanges(self.topology, self._breakers, commits, self.changed)
         self._exchanges = Exchanges(
             ExchangeParts(
                 topology=self.topology,
@@ -153,9 +154,9 @@
                 breakers=self._breakers,
                 metrics=self._metrics,
                 on_unproven=self._on_wake,
+                on_status=self.view_changes.take_status,
             )
         )
-        self.view_changes = ViewChanges(self.topology, self._breakers, commits, self.changed)
 
     @property
     def settings(self) -> PromotedGroupSettings:
@@ -314,12 +315,13 @@
         """Send messages and wait for the replies. Raises BackendConnectionLost."""
         return await self._exchanges.run(step, writes, arrived_at)
 
-    async def prove_lead(self, term: int, deadline: float) -> bool:
-        """Whether instances asked now confirm in time that no term after `term` has begun."""
+    async def prove_lead(self, term: int, arrived_at: float, deadline: float) -> bool:
+        """Whether the replicas confirm in time that no later term had begun at `arrived_at`."""
         try:
             async with asyncio.timeout_at(deadline):
-                query = self._prover.join()
-                return await self._exchanges.proves(query, term, self._loop.time())
+                return await self._exchanges.may_read(
+                    self._prover.join(arrived_at), term, arrived_at
+                )
         except TimeoutError:
             # Not logged: the caller continues without the proof until its own deadline.
             return False
--- a/src/orchidwind/promoted/group/leadership_prover.py
+++ b/src/orchidwind/promoted/group/leadership_prover.py
@@ -5,7 +5,7 @@
 
 It owns the pending round of status queries and the last proof of leadership. It depends on the
 proxy's lease keeper, the group's topology, and a status call that returns in bounded time, None if
-there is no answer.
+there is no answer. Times are in seconds of the loop's clock.
 """
 
 from __future__ import annotations
@@ -16,28 +16,38 @@
     LeaseEvidence,
     ProvenLeadership,
     lease_proves_leadership,
+    others_show_no_later_term,
     shows_no_later_term,
 )
 from orchidwind.promoted.core.status_rounds import StatusRound
 from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.core.topology import GroupTopology
 from orchidwind.promoted.group.lease_keeper import LeaseKeeper
-from orchidwind.promoted.group.listed_statuses import AskStatus, ask_listed
+from orchidwind.promoted.group.listed_statuses import AskStatus, answers_since, ask_listed
 from orchidwind.promoted.group.shared_query import SharedQuery
 
-StatusTask = asyncio.Task[StatusRound]
+StatusTask = asyncio.Task[None]
 
 
 class LeadershipProver:
-    """Proves leadership for requests; they share the status queries sent after their arrival."""
+    """Proves leadership for requests; they share the status queries sent after their arrival.
+
+    An instance that has answered since a request arrived is not asked again for this request. The
+    primary is not asked here: each exchange that needs a proof asks it on its own connection.
+    """
 
     def __init__(self, topology: GroupTopology, leases: LeaseKeeper, ask: AskStatus) -> None:
         self._topology = topology
         self._leases = leases
         self._ask = ask
         self._loop = asyncio.get_running_loop()
-        self._query: SharedQuery[StatusRound] = SharedQuery(self._ask_listed)
+        self._query: SharedQuery[None] = SharedQuery(self._ask_listed)
+        # The latest arrival of the requests that share the queries.
+        self._asked_since = float("-inf")
         self._proven: ProvenLeadership | None = None
+        # The lock's revision while it is free, and since when this proxy has known it.
+        self._revision: StoreRevision | None = None
+        self._revision_since = float("-inf")
 
     def lease_proves(self, instance: str, arrived_at: float) -> bool:
         """Whether the leadership lease alone proves leadership for a request that arrived then."""
@@ -72,22 +82,48 @@
         """Acquire or renew the lease for a commit that was sent, before its answer arrives."""
         self._leases.request_renewal()
 
-    def join(self) -> StatusTask:
-        """Join a round of status queries that are sent after this call."""
+    def join(self, arrived_at: float) -> StatusTask:
+        """Join a round of queries to the instances that have not answered since a time."""
+        self._asked_since = max(self._asked_since, arrived_at)
+        self._note_revision()
         return self._query.join()
 
-    async def _ask_listed(self) -> StatusRound:
-        covers = self.lease_covers_now()
-        return await ask_listed(self._topology, self._ask, covers, with_primary=True)
+    async def _ask_listed(self) -> None:
+        covers, since = self.lease_covers_now(), self._asked_since
+        await ask_listed(self._topology, self._ask, covers, since)
 
-    async def proves(self, query: StatusTask, term: int) -> bool:
-        """Whether a round shows that no primary of a later term existed when it was sent."""
-        await asyncio.wait({query})
-        if query.cancelled():  # the group is being closed
+    def _note_revision(self) -> None:
+        if self._revision != self._leases.free_revision:
+            self._revision = self._leases.free_revision
+            self._revision_since = self._loop.time()
+
+    async def others_agree(self, query: StatusTask, term: int, arrived_at: float) -> bool:
+        """Whether the other instances' answers since a time show that no later term had begun.
+
+        This is no proof yet, as it lacks the primary's own answer.
+        """
+        answered = await self._answers(query, arrived_at)
+        if answered is None:
             return False
-        if not shows_no_later_term(query.result(), term, self.lease_covers_now()):
+        return others_show_no_later_term(answered, term, self.lease_covers_now())
+
+    async def _answers(self, query: StatusTask, arrived_at: float) -> StatusRound | None:
+        """The answers since a time; None if no primary is known or the group is being closed."""
+        await asyncio.wait({query})
+        if query.cancelled():
+            return None
+        answered = answers_since(self._topology, arrived_at)
+        return answered if answered.primary else None
+
+    async def proves(self, query: StatusTask, term: int, arrived_at: float) -> bool:
+        """Whether the answers since a time prove that no primary of a later term existed then."""
+        answered = await self._answers(query, arrived_at)
+        if answered is None or not shows_no_later_term(answered, term, self.lease_covers_now()):
             return False
-        return self._topology.primary(self._loop.time()) is not None
+        self._note_revision()
+        if min(status.asked_at for status in answered.statuses) >= self._revision_since:
+            self.note_proven(answered.primary, self._revision)
+        return True
 
     def close(self) -> None:
         """Cancel the pending queries."""
--- a/src/orchidwind/promoted/group/listed_statuses.py
+++ b/src/orchidwind/promoted/group/listed_statuses.py
@@ -1,7 +1,8 @@
-"""Sends one round of status queries to the listed instances of a group.
+"""Asks the listed instances of a group for their statuses, and gathers the answers.
 
 `core/status_rounds.py` decides who is asked and who has to answer. Owns nothing. Depends on the
-group's topology, and on a status call that returns in bounded time, None if there is no answer.
+group's topology, which keeps the last status of each instance, and on a status call that returns in
+bounded time and notes its answer there. Times are in seconds of the loop's clock.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 from collections.abc import Awaitable, Callable
 
 from orchidwind.promoted.core.commands import InstanceStatus
+from orchidwind.promoted.core.instance_view import InstanceView
 from orchidwind.promoted.core.status_rounds import StatusRound, instances_to_ask, must_answer
 from orchidwind.promoted.core.topology import GroupTopology
 
@@ -17,17 +19,43 @@
 
 
 async def ask_listed(
-    topology: GroupTopology, ask: AskStatus, lease_covers: bool, with_primary: bool
-) -> StatusRound:
-    """Ask the listed instances for their statuses; the primary only if `with_primary` is set."""
+    topology: GroupTopology, ask: AskStatus, lease_covers: bool, since: float
+) -> None:
+    """Ask the listed instances, except the primary, that have not answered since a time."""
+    primary = _primary(topology)
+    listed = _listed(topology)
+    required = must_answer(listed, primary, topology.last_promotion)
+    unreachable = frozenset(name for name, view in listed.items() if not view.reachable)
+    asked = instances_to_ask(listed, primary, required, unreachable, lease_covers)
+    due = [name for name in sorted(asked) if not _answered(topology.instances[name], since)]
+    await asyncio.gather(*(ask(name) for name in due))
+
+
+def answers_since(topology: GroupTopology, since: float) -> StatusRound:
+    """Return the last answers of the listed instances that were asked for since a time.
+
+    They need not have been asked at the same time: what a change of primary does to an instance
+    still shows later.
+    """
+    primary = _primary(topology)
+    listed = _listed(topology)
+    required = must_answer(listed, primary, topology.last_promotion)
+    statuses = [
+        view.status
+        for name, view in topology.instances.items()
+        if (name in listed or name == primary) and _answered(view, since)
+    ]
+    return StatusRound(primary, required, tuple(item for item in statuses if item is not None))
+
+
+def _primary(topology: GroupTopology) -> str:
     primary = topology.primary(asyncio.get_running_loop().time())
-    name = primary.instance if primary is not None else ""
-    listed = {item: view for item, view in topology.instances.items() if view.listed}
-    required = must_answer(listed, name, topology.last_promotion)
-    unreachable = frozenset(item for item, view in listed.items() if not view.reachable)
-    asked = instances_to_ask(listed, name, required, unreachable, lease_covers)
-    if with_primary and name:
-        asked |= {name}
-    answers = await asyncio.gather(*(ask(item) for item in sorted(asked)))
-    statuses = tuple(item for item in answers if item is not None)
-    return StatusRound(name, required, statuses)
+    return primary.instance if primary is not None else ""
+
+
+def _listed(topology: GroupTopology) -> dict[str, InstanceView]:
+    return {name: view for name, view in topology.instances.items() if view.listed}
+
+
+def _answered(view: InstanceView, since: float) -> bool:
+    return view.status is not None and view.status.asked_at >= since
