--- a/src/orchidwind/promoted/group/leadership_prover.py
+++ b/src/orchidwind/promoted/group/leadership_prover.py
@@ -23,7 +23,12 @@
 from orchidwind.promoted.core.store_revision import StoreRevision
 from orchidwind.promoted.core.topology import GroupTopology
 from orchidwind.promoted.group.lease_keeper import LeaseKeeper
-from orchidwind.promoted.group.listed_statuses import AskStatus, answers_since, ask_listed
+from orchidwind.promoted.group.listed_statuses import (
+    AskStatus,
+    answers_since,
+    ask_listed,
+    silent_required,
+)
 from orchidwind.promoted.group.shared_query import SharedQuery
 
 StatusTask = asyncio.Task[None]
@@ -90,6 +95,9 @@
 
     async def _ask_listed(self) -> None:
         covers, since = self.lease_covers_now(), self._asked_since
+        if not covers and silent_required(self._topology):
+            # No proof is possible. The supervisor of the group asks silent instances again.
+            return
         await ask_listed(self._topology, self._ask, covers, since)
 
     def _note_revision(self) -> None:
--- a/src/orchidwind/promoted/group/listed_statuses.py
+++ b/src/orchidwind/promoted/group/listed_statuses.py
@@ -31,6 +31,13 @@
     await asyncio.gather(*(ask(name) for name in due))
 
 
+def silent_required(topology: GroupTopology) -> frozenset[str]:
+    """Return the instances that have to answer without the lease, but did not answer last time."""
+    listed = _listed(topology)
+    required = must_answer(listed, _primary(topology), topology.last_promotion)
+    return frozenset(name for name in required if not listed[name].reachable)
+
+
 def answers_since(topology: GroupTopology, since: float) -> StatusRound:
     """Return the last answers of the listed instances that were asked for since a time.
 
