--- a/src/orchidwind/promoted/core/instance_view.py
+++ b/src/orchidwind/promoted/core/instance_view.py
@@ -37,9 +37,10 @@
     `listed`: its entry is in the directory; otherwise `gone_at` is when the entry went, and
     `removal_unseen` tells that it was found missing when the whole directory was read, so that it
     may come back with the directory. `ended`: the instance was restarted as a new incarnation, with
-    another name and without its log. `avoid_until`: other instances are preferred until then. Until
-    `behind_until` its log may not reach `behind_position`. `last_answer_at`: when it last answered
-    any request, or when the answered request was sent.
+    another name and without its log. `status` also holds what its refusals show; `answered_status`
+    is its last answer to a status query or control call, unchanged. `avoid_until`: other instances
+    are preferred until then. Until `behind_until` its log may not reach `behind_position`.
+    `last_answer_at`: when it last answered any request, or when the answered request was sent.
     """
 
     entry: DirectoryEntry
@@ -48,6 +49,7 @@
     removal_unseen: bool = False
     gone_at: float = 0.0
     status: InstanceStatus | None = None
+    answered_status: InstanceStatus | None = None
     avoid_until: float = 0.0
     behind_position: Position | None = None
     behind_until: float = 0.0
@@ -91,6 +93,9 @@
         """Note its answer to a status query or control call; a newer one may be known already."""
         if self.status is None or self.status.asked_at <= status.asked_at:
             self.status = status
+        answered = self.answered_status
+        if answered is None or answered.asked_at <= status.asked_at:
+            self.answered_status = status
         self.unreachable_since = None
         self.last_answer_at = max(self.last_answer_at, status.asked_at)
 
--- a/src/orchidwind/promoted/group/listed_statuses.py
+++ b/src/orchidwind/promoted/group/listed_statuses.py
@@ -27,7 +27,7 @@
     required = must_answer(listed, primary, topology.last_promotion)
     unreachable = frozenset(name for name, view in listed.items() if not view.reachable)
     asked = instances_to_ask(listed, primary, required, unreachable, lease_covers)
-    due = [name for name in sorted(asked) if not _answered(topology.instances[name], since)]
+    due = [name for name in sorted(asked) if _answer_since(topology.instances[name], since) is None]
     await asyncio.gather(*(ask(name) for name in due))
 
 
@@ -47,12 +47,12 @@
     primary = _primary(topology)
     listed = _listed(topology)
     required = must_answer(listed, primary, topology.last_promotion)
-    statuses = [
-        view.status
+    answers = [
+        _answer_since(view, since)
         for name, view in topology.instances.items()
-        if (name in listed or name == primary) and _answered(view, since)
+        if name in listed or name == primary
     ]
-    return StatusRound(primary, required, tuple(item for item in statuses if item is not None))
+    return StatusRound(primary, required, tuple(item for item in answers if item is not None))
 
 
 def _primary(topology: GroupTopology) -> str:
@@ -64,5 +64,7 @@
     return {name: view for name, view in topology.instances.items() if view.listed}
 
 
-def _answered(view: InstanceView, since: float) -> bool:
-    return view.status is not None and view.status.asked_at >= since
+def _answer_since(view: InstanceView, since: float) -> InstanceStatus | None:
+    """The last answer, None if it was asked for earlier. A refusal tells nothing about a fence."""
+    answer = view.answered_status
+    return answer if answer is not None and answer.asked_at >= since else None
--- a/tests/promoted/test_leadership_prover.py
+++ b/tests/promoted/test_leadership_prover.py
@@ -10,11 +10,12 @@
 from msgspec.structs import replace
 
 from orchidwind.promoted.core.commands import InstanceRole, InstanceStatus
-from orchidwind.promoted.core.configuration import PromotedGroupSettings
+from orchidwind.promoted.core.configuration import DirectoryEntry, PromotedGroupSettings
 from orchidwind.promoted.core.leadership_proof import shows_no_later_term
 from orchidwind.promoted.core.status_rounds import StatusRound
 from orchidwind.promoted.core.topology import GroupTopology
 from orchidwind.promoted.group.leadership_prover import LeadershipProver
+from orchidwind.promoted.group.listed_statuses import answers_since
 from orchidwind.shared.core.positions import Position
 from orchidwind_bench.promoted.simulation.virtual_time import run_virtual
 
@@ -54,6 +55,37 @@
     assert shows_no_later_term(one_of_two, 2, lease_covers=True)
 
 
+def listed(instance):
+    return DirectoryEntry(
+        instance=instance,
+        group="g",
+        host="host",
+        port=1,
+        zone="zone",
+        claims_primary=False,
+        draining=False,
+        slots=3,
+        revision=1,
+    )
+
+
+def test_a_refused_write_is_no_answer_about_a_fence():
+    """Guards against a proof by an instance that was not asked since the request arrived.
+
+    That the instance leads no longer is known from the refusal, and its fence from before.
+    """
+
+    async def work():
+        topology = GroupTopology(PromotedGroupSettings("g", 100, 1), "zone")
+        topology.entry_changed(listed("p"))
+        topology.take_status(replace(PRIMARY, asked_at=1.0))
+        topology.not_primary("p", now=5.0)
+        assert answers_since(topology, 1.0).statuses != ()
+        assert answers_since(topology, 4.0).statuses == ()
+
+    run_virtual(work())
+
+
 def prover_of_a_silent_replica():
     class Leases:
         free_revision = None
