--- a/src/orchidwind/promoted/core/failover.py
+++ b/src/orchidwind/promoted/core/failover.py
@@ -173,7 +173,7 @@
     statuses = yield from query_statuses(plan.members)
     if primary_stays(plan, statuses):
         return (yield from lift_leftover_fences(plan, statuses))
-    if leader_of(plan, statuses) is None and promotion_is_pending(plan, statuses):
+    if promotion_is_pending(plan, statuses):
         return FailoverResult(FailoverOutcome.NOT_SAFE)
     if not has_caught_up_successor(plan, led_before, statuses):
         return FailoverResult(FailoverOutcome.NOT_SAFE)
--- a/src/orchidwind/promoted/core/failover_primary.py
+++ b/src/orchidwind/promoted/core/failover_primary.py
@@ -32,11 +32,11 @@
 
     If they do not, holding the lock would only keep other proxies from trying.
     """
-    leader = leader_of(plan, statuses)
-    if leader is None and promotion_is_pending(plan, statuses):
+    if promotion_is_pending(plan, statuses):
         return False
     if fenced_names(statuses):
         return True
+    leader = leader_of(plan, statuses)
     if leader is not None:
         return bool(replicas_among(statuses.values())) or leader.instance not in plan.leaving
     if not plan.members_known:
@@ -46,7 +46,7 @@
 
 
 def promotion_is_pending(plan: FailoverPlan, statuses: Statuses) -> bool:
-    """Whether the last promotion may still take effect, so that no other one is called yet.
+    """Whether nobody leads and the last promotion may still take effect: no other one is called.
 
     Guards against an instance that was stopped for longer than a promotion takes: it would lead
     after the next primary, without that one's commits. An instance that stays silent loses its
@@ -56,6 +56,8 @@
     last = plan.last_promotion
     if last is None or last.instance in statuses or last.instance in plan.unlisted:
         return False
+    if leader_of(plan, statuses) is not None:
+        return False
     terms = [plan.led_term, *(item.term for item in statuses.values())]
     return last.instance != plan.old_primary and max(terms) < last.term
 
--- a/src/orchidwind/promoted/group/commit_guard.py
+++ b/src/orchidwind/promoted/group/commit_guard.py
@@ -26,7 +26,12 @@
 from orchidwind.promoted.core.status_rounds import StatusRound
 from orchidwind.promoted.core.topology import GroupTopology
 from orchidwind.promoted.group.leadership_prover import LeadershipProver
-from orchidwind.promoted.group.listed_statuses import AskStatus, answers_since, ask_listed
+from orchidwind.promoted.group.listed_statuses import (
+    AskStatus,
+    ListedInstances,
+    answers_since,
+    ask_listed,
+)
 from orchidwind.promoted.group.shared_query import SharedQuery
 
 
@@ -106,7 +111,8 @@
 
     async def _ask_listed(self) -> StatusRound:
         covers, since = self._prover.lease_covers_now(), self._loop.time()
-        await ask_listed(self._topology, self._ask, covers, since)
+        listed = ListedInstances.of(self._topology)
+        await ask_listed(self._topology, listed, self._ask, covers, since)
         return answers_since(self._topology, since)
 
     def close(self) -> None:
--- a/src/orchidwind/promoted/group/exchanges.py
+++ b/src/orchidwind/promoted/group/exchanges.py
@@ -8,19 +8,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from msgspec import Struct
-from msgspec.structs import replace
 
 from orchidwind.promoted.core.circuit_breaker import Dependency
-from orchidwind.promoted.core.commands import (
-    InstanceMessage,
-    InstanceStatus,
-    MessageKind,
-    Reply,
-    ReplyCode,
-)
+from orchidwind.promoted.core.commands import InstanceMessage, MessageKind, Reply, ReplyCode
 from orchidwind.promoted.core.steps import Exchange, ExchangeResult
 from orchidwind.promoted.core.topology import GroupTopology
 from orchidwind.promoted.group.connections import GroupConnections
@@ -31,14 +24,14 @@
 from orchidwind.promoted.group.overdue_answers import OverdueAnswers
 from orchidwind.promoted.metrics import ProxyMetrics
 from orchidwind.promoted.ports import InstanceLink
-from orchidwind.shared.core.errors import BackendConnectionLost, BackendRefused
+from orchidwind.shared.core.errors import BackendConnectionLost
 
 
 class ExchangeParts(Struct, frozen=True):
     """Components that the exchanges of one group use.
 
     `on_unproven` is called after a failed proof of leadership: the primary may have been replaced.
-    `on_status` takes the status of an instance.
+    `ask_on_link` asks an instance for its status on one of its connections, and notes the answer.
     """
 
     topology: GroupTopology
@@ -50,7 +43,7 @@
     breakers: GroupBreakers
     metrics: ProxyMetrics
     on_unproven: Callable[[], None]
-    on_status: Callable[[InstanceStatus], None]
+    ask_on_link: Callable[[str, InstanceLink], Awaitable[None]]
 
 
 class _SentExchange(Struct, frozen=True):
@@ -82,7 +75,7 @@
         self._breakers = parts.breakers
         self._metrics = parts.metrics
         self._on_unproven = parts.on_unproven
-        self._on_status = parts.on_status
+        self._ask_on_link = parts.ask_on_link
         self._loop = asyncio.get_running_loop()
 
     async def run(self, step: Exchange, writes: bool, arrived_at: float) -> ExchangeResult:
@@ -112,7 +105,7 @@
             self._prover.request_lease()
 
     def _begin_proof(self, sent: _SentExchange, arrived_at: float) -> _PendingProof:
-        """Start the proof in parallel with the exchange, so that it adds no latency."""
+        """Ask the other instances in parallel with the exchange, so that this adds no latency."""
         wanted = sent.step.proof_of_term > 0
         leased = wanted and self._prover.lease_proves(sent.instance, arrived_at)
         query = self._prover.join(arrived_at) if wanted and not leased else None
@@ -127,7 +120,7 @@
         rejected: bool | None = None
         try:
             if ask_role:
-                await self._ask_role(link, sent.instance)
+                await self._ask_on_link(sent.instance, link)
             replies = await link.exchange(sent.step.messages)
             rejected = replies[-1].code is ReplyCode.BUSY
             return replies
@@ -137,16 +130,6 @@
         finally:
             self._end(sent, rejected)
 
-    async def _ask_role(self, link: InstanceLink, instance: str) -> None:
-        """Note the status of an instance, on a connection that it has anyway."""
-        self._metrics.message("status_or_control")
-        asked_at = self._loop.time()
-        try:
-            status = await link.status()
-        except BackendRefused:
-            return  # not logged: it is busy, and the missing proof is counted
-        self._on_status(replace(status, instance=instance, asked_at=asked_at))
-
     def _end(self, sent: _SentExchange, rejected: bool | None) -> None:
         self._connections.exchange_ended(sent.step.connection, rejected)
         self._writes.ended(sent.step.connection)
--- a/src/orchidwind/promoted/group/group_service.py
+++ b/src/orchidwind/promoted/group/group_service.py
@@ -52,7 +52,7 @@
 from orchidwind.promoted.group.view_changes import ViewChanges
 from orchidwind.promoted.group.waiting_requests import WaitingRequests
 from orchidwind.promoted.metrics import ProxyMetrics
-from orchidwind.promoted.ports import InstanceConnector
+from orchidwind.promoted.ports import InstanceConnector, InstanceLink
 from orchidwind.shared.core.admission import EQUAL_WEIGHT, NO_TARGET, TrafficClass
 from orchidwind.shared.core.errors import ErrorKind
 from orchidwind.shared.core.positions import Position
@@ -142,7 +142,6 @@
         self._prover = LeadershipProver(self.topology, leases, self.ask_status)
         self._guard = CommitGuard(self.topology, self._prover, self.ask_status)
         commits = HeldCommits(self.topology, self._guard, leases, self._breakers)
-        self.view_changes = ViewChanges(self.topology, self._breakers, commits, self.changed)
         self._exchanges = Exchanges(
             ExchangeParts(
                 topology=self.topology,
@@ -154,9 +153,10 @@
                 breakers=self._breakers,
                 metrics=self._metrics,
                 on_unproven=self._on_wake,
-                on_status=self.view_changes.take_status,
+                ask_on_link=self._ask_on_link,
             )
         )
+        self.view_changes = ViewChanges(self.topology, self._breakers, commits, self.changed)
 
     @property
     def settings(self) -> PromotedGroupSettings:
@@ -362,6 +362,13 @@
             now = self._loop.time()
             self.topology.distances.measured(view.entry.zone, now - status.asked_at, now)
 
+    async def _ask_on_link(self, instance: str, link: InstanceLink) -> None:
+        """Ask an instance for its status on a connection that is in use. Raises as `exchange`."""
+        self._metrics.message("status_or_control")
+        status = await self.status_calls.ask_on_link(instance, link)
+        if status is not None:
+            self.view_changes.take_status(status)
+
     async def ask_status(self, instance: str) -> InstanceStatus | None:
         """Ask an instance for its status; None if it does not arrive in time."""
         return await self.ask(instance, status_query, repeatable=True)
--- a/src/orchidwind/promoted/group/leadership_prover.py
+++ b/src/orchidwind/promoted/group/leadership_prover.py
@@ -25,9 +25,9 @@
 from orchidwind.promoted.group.lease_keeper import LeaseKeeper
 from orchidwind.promoted.group.listed_statuses import (
     AskStatus,
+    ListedInstances,
     answers_since,
     ask_listed,
-    silent_required,
 )
 from orchidwind.promoted.group.shared_query import SharedQuery
 
@@ -94,11 +94,11 @@
         return self._query.join()
 
     async def _ask_listed(self) -> None:
-        covers, since = self.lease_covers_now(), self._asked_since
-        if not covers and silent_required(self._topology):
+        covers, listed = self.lease_covers_now(), ListedInstances.of(self._topology)
+        if not covers and listed.required & listed.silent:
             # No proof is possible. The supervisor of the group asks silent instances again.
             return
-        await ask_listed(self._topology, self._ask, covers, since)
+        await ask_listed(self._topology, listed, self._ask, covers, self._asked_since)
 
     def _note_revision(self) -> None:
         if self._revision != self._leases.free_revision:
--- a/src/orchidwind/promoted/group/status_calls.py
+++ b/src/orchidwind/promoted/group/status_calls.py
@@ -78,6 +78,19 @@
             return None
         return replace(status, instance=instance, asked_at=asked_at)
 
+    async def ask_on_link(self, instance: str, link: InstanceLink) -> InstanceStatus | None:
+        """Ask for the status on a connection that is in use by the caller; None if it is refused.
+
+        Without a time limit: the caller's own applies. Raises BackendConnectionLost.
+        """
+        asked_at = self._loop.time()
+        try:
+            status = await link.status()
+        except BackendRefused as refused:
+            self._handle_refusal(instance, refused)
+            return None
+        return replace(status, instance=instance, asked_at=asked_at)
+
     def _time_limit(self, instance: str, urgent: bool) -> float:
         view = self._topology.instances.get(instance)
         unreachable = view is not None and view.unreachable_since is not None
