--- a/src/orchidwind_bench/promoted/exploration/proxy.py
+++ b/src/orchidwind_bench/promoted/exploration/proxy.py
@@ -66,7 +66,7 @@
         self._lock = ProxyLock(self.life, around, self._views)
         self._lease = ProxyLease(self.life, around, self._lock, self._calls)
         self._commits = ProxyCommits(self, self.life, around, self._lease)
-        reads = ProxyReads(self.life, around, self._lease, self._calls)
+        reads = ProxyReads(self.life, around, self._lease, self.topology)
         self._supervisor = GroupSupervisor(self.topology)
         self._views.on_watched = self._lock.watched
         self.life.start(self._views.follow())
--- a/src/orchidwind_bench/promoted/exploration/proxy_commits.py
+++ b/src/orchidwind_bench/promoted/exploration/proxy_commits.py
@@ -18,7 +18,7 @@
 
 # A caller's patience with a commit, in seconds; the first users' statement timeouts are as long.
 COMMIT_SECONDS = 0.8
-# Each proxy's caller sends a commit every so many seconds; chosen: some fall into each step.
+# Seconds between two commits of one caller: several fall into each change of primary.
 COMMIT_EVERY_SECONDS = 0.07
 
 
--- a/tests/promoted/test_change_of_primary.py
+++ b/tests/promoted/test_change_of_primary.py
@@ -265,6 +265,7 @@
     sent = once("promotion_sent", freeze_chosen)
     plan = [(2.0, lambda system: cut_proxies(system, "i-0"))]
     system = play(39, plan, 16.0, on_event=on_event)
+    assert sent.done
     assert any(at > lock_free_at[0] for at in considered), "a change was possible meanwhile"
     assert len(system.world.history.promotions) == 1
     assert system.world.history.broken == []
